replica: replicated log with storage on disk and a running host

Ways weighed: the lease is counted from the time a heartbeat was sent, not from its answer, because a leader frozen with answers in its socket would believe in a lease that has run out. Reads ask a majority instead of leaning on the lease, so they need no clock. Storage writes one frame a Save, so only the last frame can be torn, and writes the last segment anew at open, because the kernel's cache may show frames that no disk holds.

--- /dev/null
+++ b/replica/follower.go
@@ -0,0 +1,47 @@
+package replica
+
+func (c *Core) handleHeartbeat(m Message) {
+	c.follow(m.From)
+	c.commitTo(min(m.Commit, c.log.last()))
+	c.send(Message{Type: MsgHeartbeatReply, To: m.From, Round: m.Round, Sent: m.Sent})
+}
+
+// handleAppend takes entries that follow one that this log holds. The reply is
+// sent after the entries are synced, see Ready.
+func (c *Core) handleAppend(m Message) error {
+	c.follow(m.From)
+	if m.Index < c.log.commit {
+		c.send(Message{Type: MsgAppendReply, To: m.From, Index: c.log.commit})
+		return nil
+	}
+	if !c.log.matches(m.Index, m.LogTerm) {
+		c.rejectAppend(m)
+		return nil
+	}
+	first, err := c.log.appendAfter(m.Entries)
+	if err != nil {
+		return err
+	}
+	if first > 0 {
+		c.forgetMemberships(first)
+		if err := c.noteMemberships(c.log.after(first - 1)); err != nil {
+			return err
+		}
+	}
+	last := m.Index + uint64(len(m.Entries))
+	c.commitTo(min(m.Commit, last))
+	c.send(Message{Type: MsgAppendReply, To: m.From, Index: last})
+	return nil
+}
+
+// rejectAppend names the last entry that may match, so that the leader skips a
+// whole term of conflicting entries in one round instead of one entry a round.
+func (c *Core) rejectAppend(m Message) {
+	hint := c.log.lastAtMost(m.Index, m.LogTerm)
+	c.send(Message{
+		Type: MsgAppendReply, To: m.From, Reject: true, Index: m.Index,
+		Hint: hint.Index, HintTerm: hint.Term, Round: m.Round,
+	})
+}
+
+func (c *Core) commitTo(index uint64) { c.log.commit = max(c.log.commit, index) }
--- /dev/null
+++ b/replica/host/cluster_test.go
@@ -0,0 +1,216 @@
+package host_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/host"
+	"savoryreel.example/savoryreel/replica/storage"
+)
+
+const (
+	kindPut  = replica.KindApplication
+	kindMark = replica.KindApplication + 1
+
+	waitBound = 20 * time.Second
+	waitStep  = time.Millisecond
+)
+
+// put sets one key; it is the only operation of the machine in these tests.
+type put struct {
+	Key   string `msgpack:"k"`
+	Value string `msgpack:"v"`
+}
+
+// machine is a map with a count of applied entries.
+type machine struct {
+	mu    sync.Mutex
+	State machineState
+}
+
+type machineState struct {
+	Values  map[string]string `msgpack:"v"`
+	Applied int               `msgpack:"n"`
+}
+
+func (m *machine) Apply(e replica.Entry) (any, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.State.Applied++
+	var p put
+	if err := msgpack.Unmarshal(e.Data, &p); err != nil {
+		return nil, err
+	}
+	m.State.Values[p.Key] = p.Value
+	return m.State.Applied, nil
+}
+
+func (m *machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return msgpack.Marshal(&m.State)
+}
+
+func (m *machine) Restore(b []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.State = machineState{}
+	return msgpack.Unmarshal(b, &m.State)
+}
+
+func (m *machine) get(key string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.State.Values[key]
+}
+
+// network carries messages between hosts in memory. A cut replica neither sends
+// nor receives.
+type network struct {
+	mu    sync.RWMutex
+	nodes map[uint64]*host.Host
+	cut   map[uint64]bool
+}
+
+func (n *network) Send(m replica.Message) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if h := n.nodes[m.To]; h != nil && !n.cut[m.To] && !n.cut[m.From] {
+		h.Step(m)
+	}
+}
+
+func (n *network) set(id uint64, h *host.Host) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[id] = h
+}
+
+func (n *network) setCut(id uint64, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[id] = cut
+}
+
+// node is one running replica.
+type node struct {
+	*host.Host
+	machine *machine
+	log     *storage.Log
+	cancel  context.CancelFunc
+	ended   chan error
+}
+
+// cluster is a group of hosts in one process, each with a folder of its own.
+type cluster struct {
+	t      testing.TB
+	dir    string
+	fs     storage.FS
+	net    *network
+	nodes  map[uint64]*node
+	config host.Config
+}
+
+func newCluster(t testing.TB, config host.Config, ids ...uint64) *cluster {
+	c := &cluster{
+		t: t, dir: t.TempDir(), fs: storage.OS{}, config: config,
+		net:   &network{nodes: map[uint64]*host.Host{}, cut: map[uint64]bool{}},
+		nodes: map[uint64]*node{},
+	}
+	for _, id := range ids {
+		c.start(id, ids...)
+	}
+	t.Cleanup(func() {
+		for id := range c.nodes {
+			c.stop(id)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(id uint64, voters ...uint64) *node {
+	c.t.Helper()
+	dir := filepath.Join(c.dir, strconv.FormatUint(id, 10))
+	log, err := storage.Open(storage.Config{Dir: dir, Replica: id}, c.fs)
+	require.NoError(c.t, err)
+	config := c.config
+	config.ID = id
+	config.Voters = voters
+	m := &machine{State: machineState{Values: map[string]string{}}}
+	h, err := host.New(config, host.Deps{
+		Storage: log, Transport: c.net, Machine: m,
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Now:    time.Now, Rand: rand.New(rand.NewPCG(id, 1)).Int64N,
+	})
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{Host: h, machine: m, log: log, cancel: cancel, ended: make(chan error, 1)}
+	c.nodes[id] = n
+	c.net.set(id, h)
+	go func() { n.ended <- h.Run(ctx) }()
+	return n
+}
+
+// stop ends a replica and returns what Run returned.
+func (c *cluster) stop(id uint64) error {
+	n := c.nodes[id]
+	delete(c.nodes, id)
+	c.net.set(id, nil)
+	n.cancel()
+	err := <-n.ended
+	require.NoError(c.t, n.log.Close())
+	return err
+}
+
+func (c *cluster) eventually(what string, condition func() bool) {
+	c.t.Helper()
+	require.Eventually(c.t, condition, waitBound, waitStep, what)
+}
+
+// leader waits for a leader that holds a lease.
+func (c *cluster) leader() *node {
+	c.t.Helper()
+	var found *node
+	c.eventually("a leader with a lease", func() bool {
+		for _, n := range c.nodes {
+			if _, _, ok := n.HoldsLease(); ok {
+				found = n
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (c *cluster) put(key, value string) (any, error) {
+	data, err := msgpack.Marshal(put{Key: key, Value: value})
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
+	defer cancel()
+	for {
+		result, err := c.leader().Propose(ctx, kindPut, data)
+		var notLeader *host.NotLeaderError
+		if !errors.As(err, &notLeader) {
+			return result, err
+		}
+	}
+}
+
+func (c *cluster) mustPut(key, value string) {
+	c.t.Helper()
+	_, err := c.put(key, value)
+	require.NoError(c.t, err)
+}
--- /dev/null
+++ b/replica/host/config.go
@@ -0,0 +1,124 @@
+package host
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"savoryreel.example/savoryreel/replica"
+)
+
+// Defaults of Config. With them a leader is missed after 500 ms and a follower
+// stands for election after at most a second; a sync may take 400 ms before it
+// costs a leader its office.
+const (
+	DefaultTickInterval   = 10 * time.Millisecond
+	DefaultElectionTicks  = 50
+	DefaultHeartbeatTicks = 10
+	DefaultSnapshotEvery  = 10_000
+	DefaultKeepEntries    = 2_000
+	DefaultMaxPending     = 4_096
+	DefaultMaxEntryBytes  = 1 << 20
+)
+
+// Config is the settings of a Host. Zero values stand for the defaults.
+type Config struct {
+	ID uint64
+
+	// Voters is the membership of a new group and counts only while the data folder
+	// is empty. A replica that joins a group, or that replaces one whose disk is
+	// lost, has a new ID and no Voters: it waits to be added as a learner.
+	Voters []uint64
+
+	TickInterval   time.Duration
+	ElectionTicks  int // election timeout, in ticks
+	HeartbeatTicks int
+
+	SnapshotEvery uint64 // entries applied between snapshots
+	KeepEntries   uint64 // entries kept in memory before the snapshot, for replicas that lag
+	MaxPending    int    // proposals waiting, each for its commit
+	MaxEntryBytes int
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.TickInterval, DefaultTickInterval)
+	setDefault(&c.ElectionTicks, DefaultElectionTicks)
+	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
+	setDefault(&c.SnapshotEvery, DefaultSnapshotEvery)
+	setDefault(&c.KeepEntries, DefaultKeepEntries)
+	setDefault(&c.MaxPending, DefaultMaxPending)
+	setDefault(&c.MaxEntryBytes, DefaultMaxEntryBytes)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c Config) core(rand func(int64) int64) replica.Config {
+	return replica.Config{
+		ID:                c.ID,
+		ElectionTimeout:   c.TickInterval * time.Duration(c.ElectionTicks),
+		HeartbeatInterval: c.TickInterval * time.Duration(c.HeartbeatTicks),
+		Rand:              rand,
+	}
+}
+
+// Machine is the state machine that the entries drive. The same entries must
+// give the same state at every replica: no clock, no randomness, no map order.
+// All calls come from one goroutine.
+type Machine interface {
+	// Apply takes an entry of a kind from replica.KindApplication on. Result and
+	// error go to the caller of Propose; an error does not stop the replica, and it
+	// too must be the same everywhere.
+	Apply(e replica.Entry) (any, error)
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by that of a snapshot.
+	Restore(b []byte) error
+}
+
+// Transport carries messages between replicas. It may drop, delay, double and
+// reorder them.
+type Transport interface {
+	// Send never blocks. The message must not be changed.
+	Send(m replica.Message)
+}
+
+// Storage keeps a replica's state; package storage has the one on disk. After an
+// error the Host stops and the process must stop too.
+type Storage interface {
+	State() replica.State
+	Save(hs replica.HardState, entries []replica.Entry) error
+	SaveSnapshot(s replica.Snapshot) error
+	Install(hs replica.HardState, s replica.Snapshot) error
+}
+
+// Deps is what a Host works with.
+type Deps struct {
+	Storage   Storage
+	Transport Transport
+	Machine   Machine
+	Logger    *slog.Logger
+	Now       func() time.Time    // must carry a monotonic reading
+	Rand      func(n int64) int64 // a number in [0, n)
+}
+
+func (d Deps) validate() error {
+	var errs []error
+	need := func(present bool, name string) {
+		if !present {
+			errs = append(errs, fmt.Errorf("host: no %s", name))
+		}
+	}
+	need(d.Storage != nil, "storage")
+	need(d.Transport != nil, "transport")
+	need(d.Machine != nil, "machine")
+	need(d.Logger != nil, "logger")
+	need(d.Now != nil, "clock")
+	need(d.Rand != nil, "source of randomness")
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/replica/host/request.go
@@ -0,0 +1,80 @@
+package host
+
+import (
+	"context"
+	"sync/atomic"
+
+	"savoryreel.example/savoryreel/replica"
+)
+
+// outcome ends a request.
+type outcome struct {
+	result any
+	err    error
+}
+
+// The states of a request. Exactly one of the caller, who gives up, and the
+// loop, which takes it on, moves it out of requestQueued; so a caller that gives
+// up knows whether its proposal was appended.
+const (
+	requestQueued int32 = iota
+	requestTaken
+	requestAbandoned
+)
+
+// request is a caller waiting for the loop.
+type request struct {
+	state atomic.Int32
+	done  chan outcome // room for one
+}
+
+func newRequest() request { return request{done: make(chan outcome, 1)} }
+
+// take claims the request for the loop; false means that the caller has gone.
+func (r *request) take() bool { return r.state.CompareAndSwap(requestQueued, requestTaken) }
+
+func (r *request) abandon() bool { return r.state.CompareAndSwap(requestQueued, requestAbandoned) }
+
+// wait returns the outcome. A caller that leaves before the loop took the
+// request on gets the context's error; one that leaves later gets late, if set.
+func (r *request) wait(ctx context.Context, stopped <-chan struct{}, late error) (any, error) {
+	select {
+	case o := <-r.done:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, r.leave(ctx.Err(), late)
+	case <-stopped:
+		return r.afterStop()
+	}
+}
+
+func (r *request) leave(reason, late error) error {
+	if r.abandon() || late == nil {
+		return reason
+	}
+	return late
+}
+
+// afterStop runs when the loop has ended, after it finished all that it took on.
+func (r *request) afterStop() (any, error) {
+	if r.abandon() {
+		return nil, ErrStopped
+	}
+	o := <-r.done
+	return o.result, o.err
+}
+
+// proposal is a request to append an entry.
+type proposal struct {
+	request
+	kind uint8
+	data []byte
+}
+
+// command is a request that the loop handles by itself: a membership change, a
+// transfer or a read.
+type command struct {
+	request
+	change   *replica.Change
+	transfer uint64 // target; 0: none
+}
--- /dev/null
+++ b/replica/host/status.go
@@ -0,0 +1,82 @@
+package host
+
+import (
+	"time"
+
+	"savoryreel.example/savoryreel/replica"
+)
+
+// Status is what a replica knows of itself at one moment.
+type Status struct {
+	ID       uint64
+	Term     uint64
+	Leader   uint64 // 0: unknown
+	Role     replica.Role
+	Last     uint64 // index of the last entry, synced
+	Commit   uint64
+	Applied  uint64
+	Snapshot uint64 // index of the latest snapshot
+	Voters   []uint64
+	Learners []uint64
+	Lost     []uint64 // at the leader: replicas that lost their disk and kept their id
+}
+
+// view is what other goroutines may read of the loop's state.
+type view struct {
+	status Status
+	term   uint64 // of the lease
+	until  time.Time
+	leased bool
+	lastOf [256]uint64
+}
+
+// Status returns the replica's state as of the loop's last round.
+func (h *Host) Status() Status {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.view.status
+}
+
+// HoldsLease reports whether this replica is the leader and no other can be until
+// the given time, on this process's monotonic clock. Ask right before the act
+// that needs it, and act only if it ends before until: the time between is the
+// caller's to judge.
+func (h *Host) HoldsLease() (term uint64, until time.Time, ok bool) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	ok = h.view.leased && h.deps.Now().Before(h.view.until)
+	return h.view.term, h.view.until, ok
+}
+
+// LastIndexOf returns the highest index of an entry of this kind in this
+// replica's log, synced, committed or not; 0 if there is none. An entry that a
+// majority has committed is in the log of at least one of any majority, so the
+// highest answer of a majority is at least the highest committed one.
+func (h *Host) LastIndexOf(kind uint8) uint64 {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.view.lastOf[kind]
+}
+
+// publish makes the loop's state visible. Everything in the log is synced when
+// it runs.
+func (h *Host) publish() {
+	c := h.core
+	members := c.Members()
+	term, until, leased := c.Lease()
+	status := Status{
+		ID: c.ID(), Term: c.Term(), Leader: c.Leader(), Role: c.Role(),
+		Last: c.LastIndex(), Commit: c.CommitIndex(), Applied: c.AppliedIndex(),
+		Snapshot: c.SnapshotIndex(),
+		Voters:   members.Voters, Learners: members.Learners, Lost: c.Lost(),
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.view.status = status
+	h.view.term = term
+	h.view.until = h.start.Add(until)
+	h.view.leased = leased
+	for kind := range h.view.lastOf {
+		h.view.lastOf[kind] = c.LastIndexOf(uint8(kind))
+	}
+}
--- /dev/null
+++ b/replica/progress.go
@@ -0,0 +1,74 @@
+package replica
+
+import "time"
+
+// progress is what a leader knows of one other replica.
+type progress struct {
+	match      uint64 // highest index it has acknowledged as synced
+	matchRound uint64 // the latest append sent when match last rose
+	next       uint64 // next index to send
+
+	// probing: the point where the logs part is not known; one message at a time.
+	probing bool
+	waiting bool
+
+	inflight   []uint64 // last index of each unacknowledged append, ascending
+	nudge      bool     // send an append even if it is empty
+	sentCommit uint64
+
+	sending *outgoingSnapshot
+
+	acked    bool          // has answered a heartbeat of this term
+	ackSent  time.Duration // when the latest heartbeat it has answered was sent
+	ackRound uint64
+
+	// lost: it has forgotten entries that it had acknowledged.
+	lost bool
+}
+
+// ready reports whether another append may be sent.
+func (p *progress) ready(maxInflight int) bool {
+	if p.lost || p.sending != nil {
+		return false
+	}
+	if p.probing {
+		return !p.waiting
+	}
+	return len(p.inflight) < maxInflight
+}
+
+// sent records an append that ends in index last.
+func (p *progress) sent(last uint64, entries int) {
+	p.nudge = false
+	if p.probing {
+		p.waiting = true
+		return
+	}
+	if entries > 0 {
+		p.next = last + 1
+		p.inflight = append(p.inflight, last)
+	}
+}
+
+// acknowledge records that everything up to index is synced there. Appends are
+// numbered, round is the latest one sent.
+func (p *progress) acknowledge(index, round uint64) {
+	if index > p.match {
+		p.match = index
+		p.matchRound = round
+	}
+	p.next = max(p.next, p.match+1)
+	p.waiting = false
+	p.probing = false
+	for len(p.inflight) > 0 && p.inflight[0] <= index {
+		p.inflight = p.inflight[1:]
+	}
+}
+
+// probe starts again to look for the point where the logs part.
+func (p *progress) probe(next uint64) {
+	p.next = max(next, p.match+1)
+	p.probing = true
+	p.waiting = false
+	p.inflight = nil
+}
--- /dev/null
+++ b/replica/ready.go
@@ -0,0 +1,84 @@
+package replica
+
+// Ready is the work that a Core asks for. The order is binding:
+//
+//  1. send Early, 2. install Snapshot, 3. sync HardState and Entries if MustSync,
+//  4. send Messages, 5. restore Snapshot and apply Committed, 6. call Advance.
+//
+// A message sent before the sync that it depends on would acknowledge an entry
+// or a vote that a crash then takes back: acknowledged entries would be lost.
+type Ready struct {
+	Early     []Message // a leader's appends and heartbeats, which its own disk need not have yet
+	Snapshot  *Snapshot // replaces the log and the state machine's state
+	HardState HardState
+	Entries   []Entry // to be written; the first one replaces all held from its index on
+	MustSync  bool
+	Messages  []Message
+	Committed []Entry
+	Reads     []ReadState
+}
+
+// ReadState answers ReadIndex: once the entry at Index is applied, the state
+// machine holds everything acknowledged before the read was asked for.
+type ReadState struct {
+	ID    uint64
+	Index uint64
+}
+
+// Ready returns the next work; ok is false if there is none. Advance must follow
+// before the next call.
+func (c *Core) Ready() (rd Ready, ok bool) {
+	if c.role == Leader {
+		c.flushHeartbeat()
+		c.flushAppends()
+		c.releaseReads()
+	}
+	rd = Ready{
+		Snapshot:  c.installing,
+		HardState: HardState{Term: c.hard.Term, Vote: c.hard.Vote, Commit: c.log.commit},
+		Entries:   c.log.after(c.log.stable),
+		Committed: c.log.between(c.log.applied, c.log.commit),
+		Reads:     c.readStates,
+	}
+	voted := c.hard.Term != c.saved.Term || c.hard.Vote != c.saved.Vote
+	rd.MustSync = voted || len(rd.Entries) > 0
+	rd.Early, rd.Messages = c.splitMessages(voted)
+	c.messages = nil
+	c.readStates = nil
+	ok = rd.MustSync || rd.Snapshot != nil || len(rd.Early)+len(rd.Messages)+len(rd.Committed)+len(rd.Reads) > 0
+	return rd, ok
+}
+
+// splitMessages sets apart what may go out before the sync. The leader's own
+// acknowledgement counts only after Advance, so its entries may travel while its
+// disk still writes; a term that is not synced yet may not.
+func (c *Core) splitMessages(voted bool) (early, late []Message) {
+	if voted {
+		return nil, c.messages
+	}
+	for _, m := range c.messages {
+		if m.Type == MsgAppend || m.Type == MsgHeartbeat {
+			early = append(early, m)
+			continue
+		}
+		late = append(late, m)
+	}
+	return early, late
+}
+
+// Advance says that the work of rd is done.
+func (c *Core) Advance(rd Ready) {
+	c.installing = nil
+	if rd.MustSync {
+		c.saved = rd.HardState
+	}
+	if n := len(rd.Entries); n > 0 {
+		c.log.stable = rd.Entries[n-1].Index
+	}
+	if n := len(rd.Committed); n > 0 {
+		c.log.applied = rd.Committed[n-1].Index
+	}
+	if c.role == Leader {
+		c.maybeCommit()
+	}
+}
--- /dev/null
+++ b/replica/storage/load.go
@@ -0,0 +1,197 @@
+package storage
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/replica"
+)
+
+// loader reads a data folder.
+type loader struct {
+	fs      FS
+	dir     string
+	id      uint64
+	state   replica.State
+	entries []replica.Entry
+	number  uint64 // of the latest frame
+	files   []segment
+	tail    []byte // the good frames of the last segment
+	stale   bool   // the log is older than the snapshot
+}
+
+// segment is one file of the log.
+type segment struct {
+	number  uint64
+	size    int64
+	highest uint64 // index of the highest entry ever written to it
+}
+
+func segmentName(number uint64) string { return fmt.Sprintf("log-%016d.seg", number) }
+func snapshotName(index uint64) string { return fmt.Sprintf("snapshot-%016d.snap", index) }
+
+func (l *loader) load() error {
+	segments, snapshots, err := l.list()
+	if err != nil {
+		return err
+	}
+	if err := l.loadSnapshot(snapshots); err != nil {
+		return err
+	}
+	for i, n := range segments {
+		if err := l.loadSegment(n, i == len(segments)-1); err != nil {
+			return err
+		}
+	}
+	return l.joinEntries()
+}
+
+// list returns the numbers of segments and snapshots, ascending.
+func (l *loader) list() (segments, snapshots []uint64, err error) {
+	names, err := l.fs.List(l.dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, name := range names {
+		var n uint64
+		if _, err := fmt.Sscanf(name, "log-%d.seg", &n); err == nil && name == segmentName(n) {
+			segments = append(segments, n)
+		}
+		if _, err := fmt.Sscanf(name, "snapshot-%d.snap", &n); err == nil && name == snapshotName(n) {
+			snapshots = append(snapshots, n)
+		}
+	}
+	slices.Sort(segments)
+	slices.Sort(snapshots)
+	return segments, snapshots, nil
+}
+
+// loadSnapshot reads the latest snapshot. It got its name only after it was
+// synced, so a bad one is a disk fault; an earlier one would not do, as segments
+// that it needs may be deleted.
+func (l *loader) loadSnapshot(indexes []uint64) error {
+	if len(indexes) == 0 {
+		return nil
+	}
+	name := snapshotName(indexes[len(indexes)-1])
+	b, err := l.fs.ReadFile(filepath.Join(l.dir, name))
+	if err != nil {
+		return err
+	}
+	_, payload, rest, ok := cutFrame(b)
+	if !ok || len(rest) > 0 {
+		return &CorruptError{File: name, Reason: "bad checksum or length"}
+	}
+	if err := msgpack.Unmarshal(payload, &l.state.Snapshot); err != nil {
+		return &CorruptError{File: name, Reason: err.Error()}
+	}
+	return nil
+}
+
+func (l *loader) loadSegment(number uint64, last bool) error {
+	name := segmentName(number)
+	b, err := l.fs.ReadFile(filepath.Join(l.dir, name))
+	if err != nil {
+		return err
+	}
+	s := segment{number: number}
+	for rest := b; len(rest) > 0; {
+		frame, payload, next, ok := cutFrame(rest)
+		if !ok {
+			if !last || frameFollows(rest[1:], l.number) {
+				return &CorruptError{File: name, Offset: s.size, Reason: "bad frame before good ones"}
+			}
+			break
+		}
+		if err := l.replay(&s, name, frame, payload); err != nil {
+			return err
+		}
+		s.size += int64(len(rest) - len(next))
+		rest = next
+	}
+	l.files = append(l.files, s)
+	l.tail = b[:s.size]
+	return nil
+}
+
+func (l *loader) replay(s *segment, name string, frame uint64, payload []byte) error {
+	var r record
+	if err := msgpack.Unmarshal(payload, &r); err != nil {
+		return &CorruptError{File: name, Offset: s.size, Reason: err.Error()}
+	}
+	if frame <= l.number {
+		return &CorruptError{File: name, Offset: s.size, Reason: "frame number does not rise"}
+	}
+	l.number = frame
+	if err := l.replayHeader(s, name, r.Header); err != nil {
+		return err
+	}
+	if r.HardState != nil {
+		l.state.HardState = *r.HardState
+	}
+	return l.replayEntries(s, name, r.Entries)
+}
+
+func (l *loader) replayHeader(s *segment, name string, h *header) error {
+	switch {
+	case h == nil && s.size == 0:
+		return &CorruptError{File: name, Reason: "first frame has no header"}
+	case h == nil:
+		return nil
+	case h.Version != formatVersion:
+		return &CorruptError{File: name, Reason: fmt.Sprintf("format version %d, want %d", h.Version, formatVersion)}
+	case h.Replica != l.id:
+		return &ReplicaError{Folder: h.Replica, Want: l.id}
+	case h.Restart:
+		l.entries = nil
+	}
+	return nil
+}
+
+// replayEntries puts entries in their place; those held from the first index on
+// were replaced by a later leader.
+func (l *loader) replayEntries(s *segment, name string, entries []replica.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	first := entries[0].Index
+	s.highest = max(s.highest, entries[len(entries)-1].Index)
+	if len(l.entries) > 0 {
+		base := l.entries[0].Index
+		if first > base+uint64(len(l.entries)) {
+			return &CorruptError{File: name, Offset: s.size, Reason: fmt.Sprintf("gap before entry %d", first)}
+		}
+		kept := max(first, base) - base
+		l.entries = l.entries[:kept]
+	}
+	l.entries = append(l.entries, entries...)
+	return nil
+}
+
+// joinEntries drops the entries that the snapshot covers. If the log does not
+// hold the snapshot's last entry, the snapshot came from a leader and the crash
+// was before the log was begun anew: what the log holds is out of date.
+func (l *loader) joinEntries() error {
+	meta := l.state.Snapshot.Meta
+	if len(l.entries) == 0 {
+		return nil
+	}
+	first := l.entries[0].Index
+	if first > meta.Index+1 {
+		return &CorruptError{File: segmentName(l.files[0].number), Reason: fmt.Sprintf("entries from %d to %d are missing", meta.Index+1, first-1)}
+	}
+	if first == meta.Index+1 {
+		l.state.Entries = l.entries
+		return nil
+	}
+	at := meta.Index - first
+	if at >= uint64(len(l.entries)) || l.entries[at].Term != meta.Term {
+		l.stale = true
+		return nil
+	}
+	l.state.Entries = l.entries[at+1:]
+	return nil
+}
