fake, platform: engine and plain service stand-ins, streamed chat client

The client must tell a request that surely did not run from one that may have. httptrace's WroteHeaders was ruled out as the judge: net/http calls it when the headers are in a buffer, and goes on writing for a moment after a cancelled round trip has returned. Connections count the bytes given to them instead, and are sealed when none was, so that "not sent" stays true.

net/http replays a request with an Idempotency-Key on its own when a pooled connection breaks; bodies are shaped so that it never does.

--- /dev/null
+++ b/internal/fake/announce.go
@@ -0,0 +1,182 @@
+package fake
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/platform"
+)
+
+// DefaultHeartbeat is the time between two announcements.
+const DefaultHeartbeat = time.Second
+
+// announceTimeout bounds one announcement at one entry. It is below the
+// heartbeat, so that a silent entry costs at most one of them.
+const announceTimeout = 700 * time.Millisecond
+
+// Announcing says to whom and how a stand-in announces itself.
+type Announcing struct {
+	Entries   []string      // base URLs of entries, tried in this order; empty: announces nothing
+	Key       string        // bearer key of announcements
+	Heartbeat time.Duration // DefaultHeartbeat
+}
+
+// announcer sends a backend server's announcements to one entry at a time and
+// goes on to the next one when that entry refuses or cannot be reached.
+type announcer struct {
+	cfg      Announcing
+	client   *http.Client
+	log      *slog.Logger
+	describe func() instance.Announcement // without sequence
+	faults   *faultState
+	wake     chan struct{}
+
+	mu       sync.Mutex
+	current  int
+	sequence uint64
+	leaving  time.Time // end of the notice; zero: not leaving
+}
+
+func newAnnouncer(cfg Announcing, deps Deps, faults *faultState, describe func() instance.Announcement) *announcer {
+	if cfg.Heartbeat == 0 {
+		cfg.Heartbeat = DefaultHeartbeat
+	}
+	return &announcer{
+		cfg:      cfg,
+		client:   deps.Client,
+		log:      deps.Log,
+		describe: describe,
+		faults:   faults,
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// run announces at once, then at each heartbeat, until ctx ends; the last
+// announcement then says that the server is gone.
+func (a *announcer) run(ctx context.Context) error {
+	if len(a.cfg.Entries) == 0 {
+		<-ctx.Done()
+		return nil
+	}
+	ticker := time.NewTicker(a.cfg.Heartbeat)
+	defer ticker.Stop()
+	for {
+		if a.faults.pass(ctx) == nil {
+			a.announce(ctx, a.state())
+		}
+		select {
+		case <-ctx.Done():
+			a.announceGone()
+			return nil
+		case <-ticker.C:
+		case <-a.wake:
+		}
+	}
+}
+
+// leave makes the server leaving, and says so at once.
+func (a *announcer) leave(notice time.Duration) {
+	a.mu.Lock()
+	if a.leaving.IsZero() {
+		a.leaving = time.Now().Add(notice)
+	}
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (a *announcer) state() instance.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving.IsZero() {
+		return instance.StateServing
+	}
+	return instance.StateLeaving
+}
+
+// announceGone is skipped by a server that crashed or froze: those fall silent.
+func (a *announcer) announceGone() {
+	if a.faults.ended() != nil || a.faults.get().Freeze {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	a.announce(ctx, instance.StateGone)
+}
+
+// announce tries each entry once, from the current one on.
+func (a *announcer) announce(ctx context.Context, state instance.State) {
+	body, err := json.Marshal(a.next(state))
+	if err != nil {
+		a.log.Error("announcement cannot be encoded", "error", err)
+		return
+	}
+	for range a.cfg.Entries {
+		err := a.post(ctx, platform.PathAnnounce, body)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		a.log.Debug("announcement failed", "error", err)
+		a.advance()
+	}
+}
+
+func (a *announcer) next(state instance.State) instance.Announcement {
+	msg := a.describe()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sequence++
+	msg.Sequence = a.sequence
+	msg.State = state
+	if !a.leaving.IsZero() {
+		msg.LeavingIn = int(max(0, time.Until(a.leaving).Milliseconds()))
+	}
+	return msg
+}
+
+func (a *announcer) entry() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cfg.Entries[a.current]
+}
+
+func (a *announcer) advance() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.current = (a.current + 1) % len(a.cfg.Entries)
+}
+
+// post sends a JSON body to the current entry.
+func (a *announcer) post(ctx context.Context, path string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	url := a.entry() + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+a.cfg.Key)
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxSmallBody))
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return trace.Wrap(fmt.Errorf("POST %s: status %d", url, resp.StatusCode))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fake/answer.go
@@ -0,0 +1,57 @@
+package fake
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"savoryreel.example/savoryreel/platform"
+)
+
+// bytesPerToken is how many bytes of prompt the engine counts as one token.
+const bytesPerToken = 4
+
+// Answer returns the first n tokens that every Engine gives for the prompt.
+// Token i is a pure function of (model, messages, i), and the tokens of two
+// prompts differ nearly everywhere. A test that compares a caller's text with
+// the joined tokens therefore sees a missing token, a doubled one and one that
+// belongs to another request.
+func Answer(model string, messages []platform.Message, n int) []string {
+	seed := answerSeed(model, messages)
+	tokens := make([]string, n)
+	for i := range tokens {
+		tokens[i] = answerToken(seed, i)
+	}
+	return tokens
+}
+
+func answerSeed(model string, messages []platform.Message) uint64 {
+	seed := xxhash.Sum64String(model)
+	for _, m := range messages {
+		seed = platform.NextPrefixHash(seed, m)
+	}
+	return seed
+}
+
+// answerToken mixes seed and i by splitmix64 (Steele, Lea, Flood 2014).
+func answerToken(seed uint64, i int) string {
+	z := seed + uint64(i+1)*0x9e3779b97f4a7c15
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	z ^= z >> 31
+	return " " + strconv.FormatUint(z>>40, 36)
+}
+
+// PromptTokens is the engine's count of the tokens in messages.
+func PromptTokens(messages []platform.Message) int {
+	total := 0
+	for _, m := range messages {
+		total += messageTokens(m)
+	}
+	return total
+}
+
+// messageTokens counts one token for the role and the rest by length.
+func messageTokens(m platform.Message) int {
+	return 1 + (len(m.Content)+bytesPerToken-1)/bytesPerToken
+}
--- /dev/null
+++ b/internal/fake/cache.go
@@ -0,0 +1,131 @@
+package fake
+
+import (
+	"container/list"
+	"sync"
+
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/platform"
+)
+
+// cache is an engine's prefix cache: prefixes by hash, bounded in tokens, least
+// recently used out first. A prefix is of use only with all shorter ones, so
+// the deepest prefix of a prompt counts as the least recently used of it.
+type cache struct {
+	mu       sync.Mutex
+	capacity int // tokens; 0: the engine has no cache
+	used     int
+	entries  map[uint64]*list.Element
+	recency  *list.List // of platform.CacheEntry, most recent in front
+	sequence uint64
+	pending  []instance.CacheEvent
+}
+
+// prompt is a chat's messages as the cache sees them.
+type prompt struct {
+	hashes []uint64
+	tokens []int // per message
+	total  int
+}
+
+func newPrompt(messages []platform.Message) prompt {
+	p := prompt{hashes: platform.PrefixHashes(messages), tokens: make([]int, len(messages))}
+	for i, m := range messages {
+		p.tokens[i] = messageTokens(m)
+		p.total += p.tokens[i]
+	}
+	return p
+}
+
+func newCache(capacity int) *cache {
+	return &cache{
+		capacity: capacity,
+		entries:  make(map[uint64]*list.Element),
+		recency:  list.New(),
+	}
+}
+
+// use returns how many tokens of p are cached and puts the whole of p in.
+func (c *cache) use(p prompt) int {
+	if c.capacity == 0 {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached := c.longest(p)
+	for i := len(p.hashes) - 1; i >= 0; i-- {
+		c.touch(p.hashes[i], p.tokens[i])
+	}
+	c.evict()
+	return cached
+}
+
+func (c *cache) longest(p prompt) int {
+	tokens := 0
+	for i, h := range p.hashes {
+		if c.entries[h] == nil {
+			break
+		}
+		tokens += p.tokens[i]
+	}
+	return tokens
+}
+
+func (c *cache) touch(hash uint64, tokens int) {
+	if element := c.entries[hash]; element != nil {
+		c.recency.MoveToFront(element)
+		return
+	}
+	c.entries[hash] = c.recency.PushFront(platform.CacheEntry{Prefix: hash, Tokens: tokens})
+	c.used += tokens
+	c.note(hash, tokens, true)
+}
+
+func (c *cache) evict() {
+	for c.used > c.capacity {
+		element := c.recency.Back()
+		entry, _ := c.recency.Remove(element).(platform.CacheEntry)
+		delete(c.entries, entry.Prefix)
+		c.used -= entry.Tokens
+		c.note(entry.Prefix, entry.Tokens, false)
+	}
+}
+
+func (c *cache) note(hash uint64, tokens int, stored bool) {
+	c.sequence++
+	c.pending = append(c.pending, instance.CacheEvent{
+		Sequence: c.sequence,
+		Prefix:   hash,
+		Stored:   stored,
+		Tokens:   tokens,
+	})
+}
+
+// drain returns the events since the last drain.
+func (c *cache) drain() []instance.CacheEvent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	events := c.pending
+	c.pending = nil
+	return events
+}
+
+func (c *cache) share() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.capacity == 0 {
+		return 0
+	}
+	return float64(c.used) / float64(c.capacity)
+}
+
+func (c *cache) listing(incarnation uint64) platform.CacheListing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	entries := make([]platform.CacheEntry, 0, c.recency.Len())
+	for element := c.recency.Front(); element != nil; element = element.Next() {
+		entry, _ := element.Value.(platform.CacheEntry)
+		entries = append(entries, entry)
+	}
+	return platform.CacheListing{Incarnation: incarnation, Sequence: c.sequence, Entries: entries}
+}
--- /dev/null
+++ b/internal/fake/engine_kv.go
@@ -0,0 +1,136 @@
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/platform"
+)
+
+var errNoHandle = errors.New("the other engine holds no such handle")
+
+// serveExport gives a handle to the KV cache of a request that runs or ran.
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	handle, record, ok := e.kv.export(r.URL.Query().Get("request"))
+	if !ok {
+		writeJSON(w, http.StatusNotFound, platform.Problem{Code: "request_not_found"})
+		return
+	}
+	writeJSON(w, http.StatusOK, e.exportReply(handle, record))
+}
+
+func (e *Engine) exportReply(handle string, r kvRecord) platform.ExportReply {
+	return platform.ExportReply{
+		Handle: handle,
+		Bytes:  int64(r.total()) * e.cfg.KVPerToken,
+		Tokens: r.total(),
+	}
+}
+
+// serveFetch gives the record behind a handle to another engine.
+func (e *Engine) serveFetch(w http.ResponseWriter, r *http.Request) {
+	record, ok := e.kv.get(r.PathValue("handle"))
+	if !ok {
+		writeJSON(w, http.StatusNotFound, platform.Problem{Code: "handle_not_found"})
+		return
+	}
+	writeJSON(w, http.StatusOK, record)
+}
+
+// serveImport fetches a record and takes the time that its bytes would take.
+// The sender must live until the end of that time, as for real bytes.
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var req platform.ImportRequest
+	if !readJSON(w, r, maxSmallBody, &req) {
+		return
+	}
+	record, err := e.fetchKV(r.Context(), req)
+	if err == nil {
+		err = e.work(r.Context(), e.transferTime(record))
+	}
+	if err == nil {
+		record, err = e.fetchKV(r.Context(), req)
+	}
+	if err != nil {
+		writeJSON(w, http.StatusBadGateway, platform.Problem{Code: "import_failed", Detail: err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, e.exportReply(e.kv.imported(record), record))
+}
+
+func (e *Engine) transferTime(r kvRecord) time.Duration {
+	bytes := float64(int64(r.total()) * e.cfg.KVPerToken)
+	return time.Duration(bytes / float64(e.cfg.KVRate) * float64(time.Second))
+}
+
+func (e *Engine) fetchKV(ctx context.Context, from platform.ImportRequest) (kvRecord, error) {
+	url := "http://" + from.From + platform.PathKVFetch + from.Handle
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return kvRecord{}, err
+	}
+	resp, err := e.deps.Client.Do(req)
+	if err != nil {
+		return kvRecord{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return kvRecord{}, errNoHandle
+	}
+	var record kvRecord
+	err = json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxSmallBody)).Decode(&record)
+	return record, err
+}
+
+// pushEvents sends the cache's events to the entry that the announcements go
+// to, late and with gaps as configured. Events that no entry takes are lost:
+// whoever sees the gap asks for the listing.
+func (e *Engine) pushEvents(ctx context.Context) error {
+	if len(e.cfg.Announcing.Entries) == 0 {
+		<-ctx.Done()
+		return nil
+	}
+	ticker := time.NewTicker(e.cfg.EventDelay)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		events := withGaps(e.cache.drain(), e.cfg.EventGap)
+		if len(events) > 0 && e.faults.pass(ctx) == nil {
+			e.pushBatch(ctx, events)
+		}
+	}
+}
+
+func (e *Engine) pushBatch(ctx context.Context, events []instance.CacheEvent) {
+	body, err := json.Marshal(platform.CacheEventBatch{Incarnation: e.cfg.Incarnation, Events: events})
+	if err != nil {
+		e.deps.Log.Error("cache events cannot be encoded", "error", err)
+		return
+	}
+	path := platform.PathAnnounce + "/" + e.cfg.ID + platform.PathCacheEvents
+	if err := e.announcer.post(ctx, path, body); err != nil {
+		e.deps.Log.Debug("cache events lost", "error", err)
+	}
+}
+
+// withGaps drops each event whose number is a multiple of every.
+func withGaps(events []instance.CacheEvent, every int) []instance.CacheEvent {
+	if every <= 0 {
+		return events
+	}
+	kept := events[:0]
+	for _, event := range events {
+		if event.Sequence%uint64(every) != 0 {
+			kept = append(kept, event)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/fake/engine_orders.go
@@ -0,0 +1,139 @@
+package fake
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+
+	"savoryreel.example/savoryreel/platform"
+)
+
+// orderBook remembers the orders that an engine followed.
+type orderBook struct {
+	mu      sync.Mutex
+	checks  bool
+	highest uint64
+	orders  []platform.Order
+}
+
+func newOrderBook(checks bool) *orderBook { return &orderBook{checks: checks} }
+
+// take reports whether the order is to be followed. An engine that checks
+// fences refuses one lower than it has seen: it comes from a leader that has
+// been replaced without knowing.
+func (b *orderBook) take(o platform.Order) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.checks && o.Fence < b.highest {
+		return false
+	}
+	b.highest = max(b.highest, o.Fence)
+	b.orders = append(b.orders, o)
+	return true
+}
+
+func (b *orderBook) taken() []platform.Order {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.orders)
+}
+
+// serveOrder answers 202 for an order that is followed, 409 for an old fence.
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o platform.Order
+	if !readJSON(w, r, maxSmallBody, &o) {
+		return
+	}
+	if !e.orders.take(o) {
+		refuse(w, http.StatusConflict, 0, "old_fence", "a higher fencing number was seen")
+		return
+	}
+	if !e.follow(o) {
+		refuse(w, http.StatusBadRequest, 0, "unknown_order", string(o.Kind))
+		return
+	}
+	writeJSON(w, http.StatusAccepted, o)
+}
+
+// follow reports whether the order makes sense. A model takes its time to
+// load; the announcements show when it is there.
+func (e *Engine) follow(o platform.Order) bool {
+	switch o.Kind {
+	case platform.OrderLoadModel:
+		return e.enqueueLoad(o)
+	case platform.OrderLoadAdapter:
+		e.change(func(m *modelState) { m.adapters = withAdapter(m.adapters, o.Adapter) })
+	case platform.OrderRole:
+		e.change(func(m *modelState) { m.role = o.Role })
+	case platform.OrderLeave:
+		e.Leave(e.cfg.Notice)
+	default:
+		return false
+	}
+	return true
+}
+
+// enqueueLoad leaves the loading to runLoads, one model after the other.
+func (e *Engine) enqueueLoad(o platform.Order) bool {
+	select {
+	case e.loads <- o:
+		return true
+	default:
+		return false
+	}
+}
+
+// runLoads follows the orders to load a model until ctx ends.
+func (e *Engine) runLoads(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case o := <-e.loads:
+			e.loadModel(ctx, o)
+		}
+	}
+}
+
+func (e *Engine) loadModel(ctx context.Context, o platform.Order) {
+	if err := e.fetchWeights(ctx, o); err != nil {
+		e.deps.Log.Warn("model not loaded", "model", o.Model, "version", o.Version, "error", err)
+		return
+	}
+	e.change(func(m *modelState) {
+		m.name = o.Model
+		m.version = o.Version
+	})
+}
+
+// fetchWeights reads the weights and, as the store asks for it, waits and asks again.
+func (e *Engine) fetchWeights(ctx context.Context, o platform.Order) error {
+	if e.cfg.Store == "" {
+		return nil
+	}
+	for {
+		_, err := e.store.Fetch(ctx, e.cfg.Store, o.Model, o.Version)
+		after, again := platform.RetryAfter(err)
+		if !again {
+			return err
+		}
+		if err := wait(ctx, e.faults, after); err != nil {
+			return err
+		}
+	}
+}
+
+// withAdapter returns a new slice: announcements share the old one.
+func withAdapter(adapters []string, name string) []string {
+	if slices.Contains(adapters, name) {
+		return adapters
+	}
+	return append(slices.Clone(adapters), name)
+}
+
+func (e *Engine) change(f func(*modelState)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(&e.model)
+}
--- /dev/null
+++ b/internal/fake/engine_state.go
@@ -0,0 +1,166 @@
+package fake
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/platform"
+)
+
+// rateWindow is the time over which the generated tokens a second are counted.
+const rateWindow = time.Second
+
+// EngineStats is what an Engine did: the body of GET /fake/stats.
+type EngineStats struct {
+	Runs       map[string]int   `json:"runs"`      // times that each request id got a slot and ran
+	Finished   map[string]int   `json:"finished"`  // times that each request id made its last token
+	Cancelled  map[string]int   `json:"cancelled"` // times that each request id ended before that
+	Tokens     int              `json:"tokens"`    // generated
+	Cached     int              `json:"cachedTokens"`
+	Recomputed int              `json:"recomputedTokens"`
+	Running    int              `json:"running"`
+	Waiting    int              `json:"waiting"`
+	Orders     []platform.Order `json:"orders"` // followed, in their order
+}
+
+type engineStats struct {
+	mu       sync.Mutex
+	s        EngineStats
+	bucket   time.Time // start of the running rate window
+	inBucket int
+	lastRate float64
+}
+
+func newEngineStats() *engineStats {
+	return &engineStats{s: EngineStats{
+		Runs:      make(map[string]int),
+		Finished:  make(map[string]int),
+		Cancelled: make(map[string]int),
+	}}
+}
+
+func (e *engineStats) start(id string)  { e.count(e.s.Runs, id) }
+func (e *engineStats) finish(id string) { e.count(e.s.Finished, id) }
+func (e *engineStats) cancel(id string) { e.count(e.s.Cancelled, id) }
+
+func (e *engineStats) count(m map[string]int, id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m[id]++
+}
+
+func (e *engineStats) prefilled(p resumePlan) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.s.Cached += p.cached
+	e.s.Recomputed += p.recomputed
+}
+
+func (e *engineStats) token(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.roll(now)
+	e.s.Tokens++
+	e.inBucket++
+}
+
+// tokenRate returns the tokens generated in the last full window.
+func (e *engineStats) tokenRate(now time.Time) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.roll(now)
+	return e.lastRate
+}
+
+func (e *engineStats) roll(now time.Time) {
+	age := now.Sub(e.bucket)
+	if age < rateWindow {
+		return
+	}
+	e.lastRate = float64(e.inBucket) / age.Seconds()
+	e.inBucket = 0
+	e.bucket = now
+}
+
+func (e *engineStats) snapshot() EngineStats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.s
+	s.Runs = maps.Clone(s.Runs)
+	s.Finished = maps.Clone(s.Finished)
+	s.Cancelled = maps.Clone(s.Cancelled)
+	return s
+}
+
+// loadHistory delays load reports.
+type loadHistory struct {
+	mu    sync.Mutex
+	lag   time.Duration
+	loads []instance.Load // oldest first
+}
+
+func newLoadHistory(lag time.Duration) *loadHistory { return &loadHistory{lag: lag} }
+
+// push takes the newest load in and returns the one to report: the youngest
+// that is at least lag old, else the oldest there is.
+func (h *loadHistory) push(l instance.Load) instance.Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.loads = append(h.loads, l)
+	due := l.At.Add(-h.lag)
+	for len(h.loads) > 1 && !h.loads[1].At.After(due) {
+		h.loads = h.loads[1:]
+	}
+	return h.loads[0]
+}
+
+// cancelTable finds the running requests by id.
+type cancelTable struct {
+	mu   sync.Mutex
+	next int
+	byID map[string]map[int]context.CancelCauseFunc
+}
+
+func newCancelTable() *cancelTable {
+	return &cancelTable{byID: make(map[string]map[int]context.CancelCauseFunc)}
+}
+
+// enter returns a context that cancel(id) ends, and the function to call when
+// the request is over.
+func (t *cancelTable) enter(parent context.Context, id string) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next++
+	key := t.next
+	if t.byID[id] == nil {
+		t.byID[id] = make(map[int]context.CancelCauseFunc)
+	}
+	t.byID[id][key] = cancel
+	return ctx, func() {
+		t.remove(id, key)
+		cancel(nil)
+	}
+}
+
+func (t *cancelTable) remove(id string, key int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byID[id], key)
+	if len(t.byID[id]) == 0 {
+		delete(t.byID, id)
+	}
+}
+
+// cancel ends every running request with the id and reports whether there was any.
+func (t *cancelTable) cancel(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, cancel := range t.byID[id] {
+		cancel(errCancelled)
+	}
+	return len(t.byID[id]) > 0
+}
--- /dev/null
+++ b/internal/fake/engine_test.go
@@ -0,0 +1,260 @@
+package fake_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"savoryreel.example/savoryreel/internal/fake"
+	"savoryreel.example/savoryreel/platform"
+)
+
+const (
+	waitBound = 10 * time.Second
+	pollEvery = 5 * time.Millisecond
+	testModel = "m1"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// running is a stand-in engine that serves on a loopback address.
+type running struct {
+	*fake.Engine
+	address string
+	client  *platform.EngineClient
+	ended   chan error
+}
+
+func startEngine(t *testing.T, cfg fake.EngineConfig) *running {
+	t.Helper()
+	cfg.Model = testModel
+	r := &running{
+		Engine: fake.NewEngine(cfg, fake.Deps{}),
+		client: platform.NewEngine(platform.EngineConfig{}),
+		ended:  make(chan error, 1),
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.address = ln.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.ended <- r.Run(ctx, ln)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		r.client.Close()
+	})
+	return r
+}
+
+func (r *running) chat(t *testing.T, id string, req platform.ChatRequest) *platform.ChatStream {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
+	stream, err := r.client.Chat(ctx, r.address, id, req)
+	t.Cleanup(cancel)
+	require.NoError(t, err)
+	t.Cleanup(func() { stream.Close() })
+	return stream
+}
+
+func ask(text string, n int) platform.ChatRequest {
+	return platform.ChatRequest{
+		Model:     testModel,
+		Messages:  []platform.Message{{Role: "user", Content: text}},
+		MaxTokens: n,
+	}
+}
+
+// take reads up to n tokens, and to the stream's end for a negative n.
+func take(s *platform.ChatStream, n int) ([]string, error) {
+	var tokens []string
+	for len(tokens) != n {
+		chunk, err := s.Next()
+		if err != nil {
+			return tokens, err
+		}
+		for _, choice := range chunk.Choices {
+			if choice.Delta.Content != "" {
+				tokens = append(tokens, choice.Delta.Content)
+			}
+		}
+	}
+	return tokens, nil
+}
+
+func TestEngineStreamsItsAnswer(t *testing.T) {
+	e := startEngine(t, fake.EngineConfig{})
+	req := ask("how much ragweed is there", 20)
+	stream := e.chat(t, "r1", req)
+	tokens, err := take(stream, -1)
+	require.Equal(t, io.EOF, err)
+	require.Equal(t, fake.Answer(testModel, req.Messages, 20), tokens)
+	require.Equal(t, 20, stream.Usage().Completion)
+	require.Equal(t, fake.PromptTokens(req.Messages), stream.Usage().Prompt)
+	require.Equal(t, map[string]int{"r1": 1}, e.Stats().Finished)
+}
+
+// An engine is reclaimed in the middle of an answer, and another goes on with
+// it. If the second began elsewhere than at the next token, the caller would
+// read a sentence with a hole or a stutter.
+func TestEngineResumesAnAnswer(t *testing.T) {
+	req := ask("briefing for the season", 30)
+	want := fake.Answer(testModel, req.Messages, 30)
+	first := startEngine(t, fake.EngineConfig{ID: "a", TokenTime: time.Millisecond})
+	head, err := take(first.chat(t, "r1", req), 10)
+	require.NoError(t, err)
+	export, err := first.client.ExportKV(context.Background(), first.address, "r1")
+	require.NoError(t, err)
+	second := startEngine(t, fake.EngineConfig{ID: "b"})
+	imported, err := second.client.ImportKV(context.Background(), second.address,
+		platform.ImportRequest{From: first.address, Handle: export.Handle})
+	require.NoError(t, err)
+
+	for name, c := range map[string]struct {
+		handle     string
+		recomputed int
+	}{
+		"with the KV cache": {imported.Handle, 0},
+		"by prefill":        {"", fake.PromptTokens(req.Messages) + len(head)},
+	} {
+		resumed := req
+		resumed.Resume = &platform.Resume{Tokens: head, Handle: c.handle}
+		stream := second.chat(t, name, resumed)
+		rest, err := take(stream, -1)
+		require.Equal(t, io.EOF, err, name)
+		require.Equal(t, want, append(head[:10:10], rest...), name)
+		require.Equal(t, c.recomputed, stream.Usage().Recomputed, name)
+	}
+}
+
+// A caller leaves, or the link to it goes: work for it would take a slot from
+// the others without use.
+func TestEngineCancels(t *testing.T) {
+	e := startEngine(t, fake.EngineConfig{Slots: 2, TokenTime: time.Millisecond})
+	closed := e.chat(t, "closed", ask("one", 1<<20))
+	deleted := e.chat(t, "deleted", ask("two", 1<<20))
+	_, err := take(closed, 3)
+	require.NoError(t, err)
+	_, err = take(deleted, 3)
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	require.NoError(t, e.client.Cancel(context.Background(), e.address, "deleted"))
+	_, err = take(deleted, -1)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Eventually(t, func() bool {
+		s := e.Stats()
+		return s.Running == 0 && s.Cancelled["closed"] == 1 && s.Cancelled["deleted"] == 1
+	}, waitBound, pollEvery)
+}
+
+// A request kills the process that runs it. Its neighbours lose their streams
+// with it, and nothing answers at that address any more.
+func TestEngineCrashesOnARequest(t *testing.T) {
+	e := startEngine(t, fake.EngineConfig{TokenTime: time.Millisecond})
+	e.SetFaults(fake.Faults{CrashOn: "poison"})
+	bystander := e.chat(t, "bystander", ask("harmless", 1<<20))
+	_, err := take(bystander, 1)
+	require.NoError(t, err)
+	crash := e.chat(t, "crash", ask("some poison here", 5))
+	_, err = take(crash, -1)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.False(t, platform.NotRun(err))
+	_, err = take(bystander, -1)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.ErrorIs(t, <-e.ended, fake.ErrCrashed)
+	_, err = e.client.Chat(context.Background(), e.address, "later", ask("x", 1))
+	require.True(t, platform.NotRun(err), "%v", err)
+}
+
+// Something between the two ends loses track of an open connection: the stream
+// goes silent for good while a new connection to the same engine works.
+func TestEngineStallsOpenStreams(t *testing.T) {
+	e := startEngine(t, fake.EngineConfig{})
+	e.SetFaults(fake.Faults{StallAfterTokens: 4})
+	stream := e.chat(t, "r1", ask("long story", 50))
+	_, err := take(stream, 4)
+	require.NoError(t, err)
+	more := make(chan error, 1)
+	go func() {
+		_, err := stream.Next()
+		more <- err
+	}()
+	require.Eventually(t, func() bool { return e.Stats().Finished["r1"] == 1 }, waitBound, pollEvery)
+	require.NoError(t, e.client.Probe(context.Background(), e.address))
+	require.Empty(t, more, "the stream ended or went on, in place of being silent")
+	require.NoError(t, stream.Close())
+	require.Error(t, <-more)
+}
+
+// An engine that is overloaded or told to refuse must say so before it runs
+// anything, and the client must pass on that the request did not run.
+func TestEngineRefusesBeforeRunning(t *testing.T) {
+	e := startEngine(t, fake.EngineConfig{Slots: 1, MaxWaiting: -1, TokenTime: time.Millisecond})
+	holder := e.chat(t, "holder", ask("x", 1<<20))
+	_, err := take(holder, 1)
+	require.NoError(t, err)
+	_, err = e.client.Chat(context.Background(), e.address, "full", ask("y", 1))
+	requireRefused(t, err, 429)
+	e.SetFaults(fake.Faults{Refuse: true})
+	_, err = e.client.Chat(context.Background(), e.address, "refused", ask("y", 1))
+	requireRefused(t, err, 503)
+	require.Equal(t, map[string]int{"holder": 1}, e.Stats().Runs)
+}
+
+func requireRefused(t *testing.T, err error, status int) {
+	t.Helper()
+	var call *platform.CallError
+	require.True(t, errors.As(err, &call), "%v", err)
+	require.Equal(t, platform.Refused, call.Delivery)
+	require.Equal(t, status, call.Status)
+	require.Equal(t, fake.DefaultRetryAfter, call.RetryAfter)
+	require.True(t, platform.NotRun(err))
+}
+
+func TestEngineServesUrgentRequestsFirst(t *testing.T) {
+	e := startEngine(t, fake.EngineConfig{Slots: 1, TokenTime: time.Millisecond})
+	holder := e.chat(t, "holder", ask("x", 1<<20))
+	_, err := take(holder, 1)
+	require.NoError(t, err)
+	low := ask("low", 1<<20)
+	low.Priority = 2
+	e.chat(t, "low", low)
+	require.Eventually(t, func() bool { return e.Stats().Waiting == 1 }, waitBound, pollEvery)
+	high := e.chat(t, "high", ask("high", 5))
+	require.Eventually(t, func() bool { return e.Stats().Waiting == 2 }, waitBound, pollEvery)
+	require.NoError(t, holder.Close())
+	_, err = take(high, -1)
+	require.Equal(t, io.EOF, err)
+	require.Equal(t, 1, e.Stats().Runs["high"])
+	require.Eventually(t, func() bool { return e.Stats().Runs["low"] == 1 }, waitBound, pollEvery)
+}
+
+func TestEngineCachesPrefixes(t *testing.T) {
+	e := startEngine(t, fake.EngineConfig{CacheTokens: 200})
+	req := ask(strings.Repeat("station history ", 20), 5)
+	_, err := take(e.chat(t, "r1", req), -1)
+	require.Equal(t, io.EOF, err)
+	req.Messages = append(req.Messages, platform.Message{Role: "user", Content: "and now?"})
+	again := e.chat(t, "r2", req)
+	_, err = take(again, -1)
+	require.Equal(t, io.EOF, err)
+	require.Equal(t, fake.PromptTokens(req.Messages[:1]), again.Usage().Cached)
+	listing, err := e.client.Listing(context.Background(), e.address)
+	require.NoError(t, err)
+	hashes := platform.PrefixHashes(req.Messages)
+	var listed []uint64
+	for _, entry := range listing.Entries {
+		listed = append(listed, entry.Prefix)
+	}
+	require.Subset(t, listed, hashes)
+}
--- /dev/null
+++ b/internal/fake/plain.go
@@ -0,0 +1,286 @@
+package fake
+
+import (
+	"context"
+	"encoding/hex"
+	"hash"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/platform"
+)
+
+// Paths and headers of a Plain that tests use.
+const (
+	PathCounter = "/counter" // a suffix: POST adds one to the counter named by ?name=
+	PathStream  = "/stream"  // a suffix: GET answers ?bytes= bytes of StreamByte
+
+	HeaderExecutions     = "X-Executions" // how often the Idempotency-Key has run, this time included
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+const (
+	streamChunk     = 32 << 10
+	streamAlphabet  = 251 // prime, so that a lost block of any power of two shows
+	maxCrashText    = 64 << 10
+	streamByteParam = "bytes"
+)
+
+// PlainConfig describes a stand-in plain service.
+type PlainConfig struct {
+	ID          string
+	Incarnation uint64 // 0: the clock at NewPlain, in milliseconds
+	Address     string // as announced; empty: the listener's
+	Region      string
+	Zone        string
+	Class       string // machine class
+	Services    []string
+	Slots       int           // DefaultSlots, as announced; not enforced
+	Work        time.Duration // between the body's end and the effect
+	AnswerDelay time.Duration // between the effect and the answer
+	Announcing  Announcing
+}
+
+// PlainAnswer is the JSON answer to every path that has no meaning of its own.
+type PlainAnswer struct {
+	Server     string `json:"server"` // the server's id
+	Method     string `json:"method"`
+	Path       string `json:"path"`
+	Query      string `json:"query,omitempty"`
+	BodyBytes  int64  `json:"bodyBytes"`
+	BodyHash   string `json:"bodyHash"`             // xxhash64 of the body, hex
+	Key        string `json:"key,omitempty"`        // the request's Idempotency-Key
+	Executions int    `json:"executions,omitempty"` // of that key at this server
+}
+
+// PlainStats is what a Plain did: the body of GET /fake/stats.
+type PlainStats struct {
+	Calls      int            `json:"calls"`      // whose effect happened
+	Executions map[string]int `json:"executions"` // by Idempotency-Key
+	Counters   map[string]int `json:"counters"`   // by name
+	Requests   map[string]int `json:"requests"`   // by X-Request-Id
+}
+
+// Plain is a stand-in plain service. It is safe for concurrent use.
+type Plain struct {
+	cfg       PlainConfig
+	faults    *faultState
+	announcer *announcer
+
+	mu      sync.Mutex
+	address string
+	running int
+	stats   PlainStats
+}
+
+// NewPlain returns a plain service that serves once Run or Handler is used.
+func NewPlain(cfg PlainConfig, deps Deps) *Plain {
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	if cfg.Slots == 0 {
+		cfg.Slots = DefaultSlots
+	}
+	p := &Plain{
+		cfg:     cfg,
+		faults:  newFaultState(),
+		address: cfg.Address,
+		stats: PlainStats{
+			Executions: make(map[string]int),
+			Counters:   make(map[string]int),
+			Requests:   make(map[string]int),
+		},
+	}
+	p.announcer = newAnnouncer(cfg.Announcing, deps.withDefaults(), p.faults, p.describe)
+	return p
+}
+
+// Handler serves every method and path, and the /fake/ paths.
+func (p *Plain) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(PathFaults, faultHandler(p.faults))
+	mux.HandleFunc("GET "+PathStats, p.serveStats)
+	mux.Handle("GET "+platform.PathHealth, p.faults.guard(http.HandlerFunc(serveHealth)))
+	mux.Handle("/", p.faults.guard(http.HandlerFunc(p.serveCall)))
+	return mux
+}
+
+// Run serves on ln and announces the service until ctx ends, like Engine.Run.
+func (p *Plain) Run(ctx context.Context, ln net.Listener) error {
+	p.mu.Lock()
+	if p.address == "" {
+		p.address = ln.Addr().String()
+	}
+	p.mu.Unlock()
+	return serve(ctx, ln, p.Handler(), p.faults, p.announcer.run)
+}
+
+// Leave announces that the service leaves in notice.
+func (p *Plain) Leave(notice time.Duration) { p.announcer.leave(notice) }
+
+// Kill ends Run in silence, as the death of the process would.
+func (p *Plain) Kill() { p.faults.end(ErrKilled) }
+
+// SetFaults replaces the faults in force. CrashOn looks at the body, after it
+// was read and before its effect; StallAfterTokens means nothing here.
+func (p *Plain) SetFaults(f Faults) { p.faults.set(f) }
+
+// Stats returns what the service has done so far.
+func (p *Plain) Stats() PlainStats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stats
+	s.Executions = maps.Clone(s.Executions)
+	s.Counters = maps.Clone(s.Counters)
+	s.Requests = maps.Clone(s.Requests)
+	return s
+}
+
+func (p *Plain) describe() instance.Announcement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return instance.Announcement{
+		ID:          p.cfg.ID,
+		Incarnation: p.cfg.Incarnation,
+		Address:     p.address,
+		Region:      p.cfg.Region,
+		Zone:        p.cfg.Zone,
+		Class:       p.cfg.Class,
+		Services:    p.cfg.Services,
+		Slots:       p.cfg.Slots,
+		Load:        instance.Load{At: time.Now(), Running: p.running},
+	}
+}
+
+func (p *Plain) serveStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, p.Stats())
+}
+
+func (p *Plain) serveCall(w http.ResponseWriter, r *http.Request) {
+	if p.faults.refuses(w) {
+		return
+	}
+	p.addRunning(1)
+	defer p.addRunning(-1)
+	if strings.HasSuffix(r.URL.Path, PathStream) {
+		p.serveStream(w, r)
+		return
+	}
+	body := newBodyDigest()
+	if _, err := io.Copy(body, r.Body); err != nil {
+		abort()
+	}
+	if p.faults.crashIfAsked(body.head.String()) != nil {
+		abort()
+	}
+	if p.work(r.Context(), p.cfg.Work) != nil {
+		abort()
+	}
+	executions := p.execute(r)
+	if p.work(r.Context(), p.cfg.AnswerDelay) != nil {
+		abort()
+	}
+	w.Header().Set(HeaderExecutions, strconv.Itoa(executions))
+	writeJSON(w, http.StatusOK, p.answer(r, body, executions))
+}
+
+func (p *Plain) answer(r *http.Request, body *bodyDigest, executions int) PlainAnswer {
+	return PlainAnswer{
+		Server:     p.cfg.ID,
+		Method:     r.Method,
+		Path:       r.URL.Path,
+		Query:      r.URL.RawQuery,
+		BodyBytes:  body.bytes,
+		BodyHash:   hex.EncodeToString(body.hash.Sum(nil)),
+		Key:        r.Header.Get(HeaderIdempotencyKey),
+		Executions: executions,
+	}
+}
+
+// execute is the effect of a call, which must not happen twice for one that is
+// not idempotent. It returns how often the call's key has had its effect.
+func (p *Plain) execute(r *http.Request) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Calls++
+	p.stats.Requests[r.Header.Get(platform.HeaderRequestID)]++
+	if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, PathCounter) {
+		p.stats.Counters[r.URL.Query().Get("name")]++
+	}
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if key == "" {
+		return 0
+	}
+	p.stats.Executions[key]++
+	return p.stats.Executions[key]
+}
+
+func (p *Plain) addRunning(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running += n
+}
+
+func (p *Plain) work(ctx context.Context, d time.Duration) error {
+	err := wait(ctx, p.faults, time.Duration(float64(d)*p.faults.slow()))
+	if err != nil {
+		return err
+	}
+	return p.faults.pass(ctx)
+}
+
+// serveStream answers a large body in chunks; byte i is StreamByte(i).
+func (p *Plain) serveStream(w http.ResponseWriter, r *http.Request) {
+	total, err := strconv.ParseInt(r.URL.Query().Get(streamByteParam), 10, 64)
+	if err != nil || total < 0 {
+		refuse(w, http.StatusBadRequest, 0, "bad_request", "bytes is no size")
+		return
+	}
+	p.execute(r)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.WriteHeader(http.StatusOK)
+	chunk := make([]byte, streamChunk)
+	for sent := int64(0); sent < total; {
+		n := min(int64(len(chunk)), total-sent)
+		for i := range chunk[:n] {
+			chunk[i] = StreamByte(sent + int64(i))
+		}
+		if p.faults.pass(r.Context()) != nil {
+			abort()
+		}
+		if _, err := w.Write(chunk[:n]); err != nil {
+			return
+		}
+		sent += n
+	}
+}
+
+// StreamByte returns byte i of every PathStream answer.
+func StreamByte(i int64) byte { return byte(i % streamAlphabet) }
+
+// bodyDigest takes a body of any size in and keeps its hash and its start.
+type bodyDigest struct {
+	hash  hash.Hash64
+	bytes int64
+	head  strings.Builder
+}
+
+func newBodyDigest() *bodyDigest { return &bodyDigest{hash: xxhash.New()} }
+
+// Write implements io.Writer.
+func (b *bodyDigest) Write(part []byte) (int, error) {
+	b.bytes += int64(len(part))
+	if room := maxCrashText - b.head.Len(); room > 0 {
+		b.head.Write(part[:min(room, len(part))])
+	}
+	return b.hash.Write(part)
+}
--- /dev/null
+++ b/internal/fake/server.go
@@ -0,0 +1,134 @@
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"savoryreel.example/savoryreel/platform"
+)
+
+// Bounds of the stand-ins' listeners.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxSmallBody  = 1 << 20 // bytes of a JSON request
+	maxChatBody   = 16 << 20
+)
+
+// Paths that every stand-in has for tests.
+const (
+	PathFaults = "/fake/faults"
+	PathStats  = "/fake/stats"
+)
+
+// Deps are what a stand-in needs from its process.
+type Deps struct {
+	Log    *slog.Logger // nil: logs nothing
+	Client *http.Client // for announcements and weights; nil: one of its own
+}
+
+func (d Deps) withDefaults() Deps {
+	if d.Log == nil {
+		d.Log = slog.New(slog.DiscardHandler)
+	}
+	if d.Client == nil {
+		d.Client = &http.Client{Transport: &http.Transport{IdleConnTimeout: idleTimeout}}
+	}
+	return d
+}
+
+// actor is one of the things that a stand-in does beside serving.
+type actor func(ctx context.Context) error
+
+// serve runs the HTTP server on ln and the actors until ctx ends (returns nil)
+// or the faults end the stand-in (returns their cause). At the end it closes
+// every connection at once, as the end of a process does.
+func serve(ctx context.Context, ln net.Listener, h http.Handler, faults *faultState, actors ...actor) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+	}
+	var group run.Group
+	group.Add(func() error { return server.Serve(ln) }, func(error) { server.Close() })
+	group.Add(func() error { return awaitEnd(ctx, faults) }, func(error) { cancel() })
+	for _, a := range actors {
+		group.Add(func() error { return a(ctx) }, func(error) { cancel() })
+	}
+	err := group.Run()
+	if cause := faults.ended(); cause != nil {
+		return trace.Wrap(cause)
+	}
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+func awaitEnd(ctx context.Context, faults *faultState) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-faults.dead:
+		return faults.ended()
+	}
+}
+
+// abort closes the connection of the request being served, without an answer.
+func abort() { panic(http.ErrAbortHandler) }
+
+// refuse answers a request that has not run and will not run.
+func refuse(w http.ResponseWriter, status int, after time.Duration, code, detail string) {
+	w.Header().Set(platform.HeaderNotRun, "1")
+	if after > 0 {
+		seconds := int((after + time.Second - 1) / time.Second)
+		w.Header().Set(platform.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	writeJSON(w, status, platform.Problem{Code: code, Detail: detail})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // a caller that has gone gets no answer
+}
+
+// readJSON decodes a bounded body; on failure it has answered 400.
+func readJSON(w http.ResponseWriter, r *http.Request, limit int64, v any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		err = json.Unmarshal(data, v)
+	}
+	if err != nil {
+		refuse(w, http.StatusBadRequest, 0, "bad_request", err.Error())
+		return false
+	}
+	return true
+}
+
+// faultHandler serves PathFaults: POST replaces the faults, GET shows them.
+func faultHandler(state *faultState) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			var f Faults
+			if !readJSON(w, r, maxSmallBody, &f) {
+				return
+			}
+			state.set(f)
+		}
+		writeJSON(w, http.StatusOK, state.get())
+	}
+}
