--- a/internal/fake/engine_chat.go
+++ b/internal/fake/engine_chat.go
@@ -79,7 +79,6 @@
 		e.stats.cancel(id)
 		abort()
 	}
-	e.stats.finish(id)
 	if out.stalled {
 		e.holdOpen(ctx)
 	}
@@ -92,6 +91,7 @@
 	if err := e.runChat(ctx, t, out.c, out.token); err != nil {
 		return err
 	}
+	e.stats.finish(out.c.id) // before the end is written, so that whoever reads it finds it counted
 	out.finish()
 	return nil
 }
