link: framed msgpack calls and notices between the system's processes

Cause: every process of the system talks to others, and an open connection can go silent for good while new ones work. Calls need to say whether they may have run.

Frames carry kind, call id, deadline, method and a msgpack body; both ends send heartbeats on quiet connections and close one that brings nothing for the silence bound. A failed call is ErrUnreachable (no byte written), ErrLost (written, no answer) or RemoteError.

Ruled out: sessions with sequence numbers kept across connections (state per peer that dies with either process anyway; owners make calls idempotent); a write deadline (a slow reader that still sends heartbeats is no dead link); dropping notices at a full receiver (the sender's Notify says ErrBusy instead).

Removing the check of the frame kind in the handshake alone is not noticed: the proof check refuses such a frame too.

--- /dev/null
+++ b/link/frame.go
@@ -0,0 +1,158 @@
+package link
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// ProtocolVersion is the version of the wire format. It stands in every frame
+// header, so that a process of another version is recognised by its first frame.
+const ProtocolVersion = 1
+
+// DefaultMaxFrame bounds the payload of a frame where no bound is set: 4 MiB.
+const DefaultMaxFrame = 4 << 20
+
+const (
+	magic0     = 'S'
+	magic1     = 'r'
+	headerSize = 8 // magic (2), version, kind, payload length (4, big endian)
+	maxMethod  = 255
+	readChunk  = 64 << 10 // bytes allocated ahead of the data of a large frame
+)
+
+type kind byte
+
+const (
+	kindHello kind = iota + 1
+	kindProof
+	kindWelcome
+	kindReject
+	kindHeartbeat
+	kindRequest
+	kindResponse
+	kindError
+	kindNotice
+	kindCancel
+)
+
+// frame is one message on the wire. Its payload is call id and timeout as
+// uvarints, the method with a one-byte length, and the body. A frame whose
+// fields are all zero has an empty payload: a heartbeat is the header alone.
+type frame struct {
+	kind    kind
+	id      uint64
+	timeout uint64 // milliseconds left for a request; 0: no deadline
+	method  string
+	body    []byte
+}
+
+// Errors of the frame decoder.
+var (
+	ErrBadMagic      = errors.New("not a frame of this protocol")
+	ErrFrameTooLarge = errors.New("frame exceeds the size bound")
+	ErrMalformed     = errors.New("malformed frame")
+)
+
+// VersionError says that the other side speaks another protocol version.
+type VersionError struct {
+	Got, Want byte
+}
+
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("protocol version %d, this side speaks %d", e.Got, e.Want)
+}
+
+// appendFrame appends the wire form of f to dst. It fails on a method that is
+// too long and on a payload over limit bytes.
+func appendFrame(dst []byte, f frame, limit int) ([]byte, error) {
+	if len(f.method) > maxMethod {
+		return dst, fmt.Errorf("method name of %d bytes: %w", len(f.method), ErrMalformed)
+	}
+	start := len(dst)
+	dst = append(dst, magic0, magic1, ProtocolVersion, byte(f.kind), 0, 0, 0, 0)
+	if f.id == 0 && f.timeout == 0 && f.method == "" && len(f.body) == 0 {
+		return dst, nil
+	}
+	dst = binary.AppendUvarint(dst, f.id)
+	dst = binary.AppendUvarint(dst, f.timeout)
+	dst = append(dst, byte(len(f.method)))
+	dst = append(dst, f.method...)
+	dst = append(dst, f.body...)
+	size := len(dst) - start - headerSize
+	if size > limit {
+		return dst[:start], fmt.Errorf("%d bytes, bound %d: %w", size, limit, ErrFrameTooLarge)
+	}
+	binary.BigEndian.PutUint32(dst[start+4:], uint32(size))
+	return dst, nil
+}
+
+// readFrame reads one frame with a payload of at most limit bytes and returns
+// it with its size on the wire. io.EOF means that the stream ended between two
+// frames, io.ErrUnexpectedEOF that it ended inside one.
+func readFrame(r *bufio.Reader, limit int) (frame, int, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return frame{}, 0, err
+	}
+	if header[0] != magic0 || header[1] != magic1 {
+		return frame{}, 0, ErrBadMagic
+	}
+	if header[2] != ProtocolVersion {
+		return frame{}, 0, &VersionError{Got: header[2], Want: ProtocolVersion}
+	}
+	size := binary.BigEndian.Uint32(header[4:])
+	if uint64(size) > uint64(limit) {
+		return frame{}, 0, fmt.Errorf("%d bytes, bound %d: %w", size, limit, ErrFrameTooLarge)
+	}
+	payload, err := readPayload(r, int(size))
+	if err != nil {
+		return frame{}, 0, err
+	}
+	f, err := parsePayload(kind(header[3]), payload)
+	return f, headerSize + int(size), err
+}
+
+// readPayload reads size bytes. It grows the buffer as data arrives: a peer
+// that names a large length and sends nothing costs one chunk of memory only.
+func readPayload(r io.Reader, size int) ([]byte, error) {
+	buf := make([]byte, 0, min(size, readChunk))
+	for len(buf) < size {
+		n := min(size-len(buf), readChunk)
+		start := len(buf)
+		buf = append(buf, make([]byte, n)...)
+		if _, err := io.ReadFull(r, buf[start:]); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+	return buf, nil
+}
+
+func parsePayload(k kind, payload []byte) (frame, error) {
+	f := frame{kind: k}
+	if k < kindHello || k > kindCancel {
+		return f, fmt.Errorf("kind %d: %w", k, ErrMalformed)
+	}
+	if len(payload) == 0 {
+		return f, nil
+	}
+	rest := payload
+	for _, field := range []*uint64{&f.id, &f.timeout} {
+		v, n := binary.Uvarint(rest)
+		if n <= 0 {
+			return f, fmt.Errorf("call id or timeout: %w", ErrMalformed)
+		}
+		*field, rest = v, rest[n:]
+	}
+	if len(rest) == 0 || len(rest) < 1+int(rest[0]) {
+		return f, fmt.Errorf("method name: %w", ErrMalformed)
+	}
+	end := 1 + int(rest[0])
+	f.method, f.body = string(rest[1:end]), rest[end:]
+	return f, nil
+}
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,455 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"savoryreel.example/savoryreel/internal/relay"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const bound = 20 * time.Second // on waits in real time; reached only by a fault
+
+type echo struct {
+	Text string `msgpack:"text"`
+}
+
+// startServer serves on a free loopback port until the test ends.
+func startServer(t testing.TB, cfg ServerConfig) (*Server, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := NewServer(cfg, ServerDeps{})
+	Handle(s, "echo", func(_ context.Context, _ PeerInfo, req echo) (echo, error) { return req, nil })
+	serve(t, s, l)
+	return s, l.Addr().String()
+}
+
+func serve(t testing.TB, s *Server, l net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+}
+
+func startPool(t testing.TB, cfg PoolConfig, deps PoolDeps) *Pool {
+	p := NewPool(cfg, deps)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func within(t testing.TB, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+type teapot struct{}
+
+func (teapot) Error() string { return "no coffee" }
+func (teapot) Code() string  { return "teapot" }
+func (teapot) Step() string  { return "brew" }
+
+func TestCallAnswersAndTypedErrors(t *testing.T) {
+	s, addr := startServer(t, ServerConfig{ClusterKey: []byte("k")})
+	Handle(s, "fail", func(context.Context, PeerInfo, echo) (echo, error) { return echo{}, teapot{} })
+	Handle(s, "who", func(_ context.Context, from PeerInfo, _ echo) (PeerInfo, error) { return from, nil })
+	self := PeerInfo{ID: "a", Incarnation: 7, Address: "127.0.0.1:1", Role: "entry"}
+	p := startPool(t, PoolConfig{Self: self, ClusterKey: []byte("k")}, PoolDeps{})
+
+	got, err := Call[echo](within(t, bound), p, addr, "echo", echo{Text: "x"})
+	require.NoError(t, err)
+	require.Equal(t, "x", got.Text)
+	from, err := Call[PeerInfo](within(t, bound), p, addr, "who", echo{})
+	require.NoError(t, err)
+	require.Equal(t, self, from)
+
+	_, err = Call[echo](within(t, bound), p, addr, "fail", echo{})
+	var re *RemoteError
+	require.ErrorAs(t, err, &re)
+	require.Equal(t, RemoteError{Code: "teapot", Message: "no coffee", Step: "brew"}, *re)
+	_, err = Call[echo](within(t, bound), p, addr, "missing", echo{})
+	require.ErrorAs(t, err, &re)
+	require.Equal(t, CodeUnknownMethod, re.Code)
+	_, err = Call[echo](within(t, bound), p, addr, "echo", "not a struct")
+	require.ErrorAs(t, err, &re)
+	require.Equal(t, CodeBadRequest, re.Code)
+	require.EqualValues(t, 2, p.Traffic().Method("echo").MessagesSent)
+	require.EqualValues(t, 2, s.Traffic().Method("echo").MessagesReceived)
+}
+
+func TestNoticesKeepTheirOrder(t *testing.T) {
+	s, addr := startServer(t, ServerConfig{ClusterKey: []byte("k")})
+	const n = 100
+	got := make(chan int, n)
+	HandleNotice(s, "count", func(_ context.Context, _ PeerInfo, i int) { got <- i })
+	p := startPool(t, PoolConfig{ClusterKey: []byte("k")}, PoolDeps{})
+	for i := range n {
+		require.NoError(t, Notify(p, addr, "count", i))
+	}
+	for i := range n {
+		select {
+		case v := <-got:
+			require.Equal(t, i, v)
+		case <-within(t, bound).Done():
+			t.Fatalf("notice %d didn't come", i)
+		}
+	}
+}
+
+// An instance of another cluster, or one with an old key, dials by a stale
+// address. Were it let in, two clusters would mix their members. Both ends must
+// name the key as the cause and no call may run. Broken by removing the
+// hmac.Equal check in listenHandshake (for a dialler that doesn't check itself)
+// or in dialHandshake.
+func TestWrongKeyIsRefusedOnBothSides(t *testing.T) {
+	_, addr := startServer(t, ServerConfig{ClusterKey: []byte("right")})
+	p := startPool(t, PoolConfig{ClusterKey: []byte("wrong")}, PoolDeps{})
+	_, err := Call[echo](within(t, bound), p, addr, "echo", echo{})
+	require.ErrorIs(t, err, ErrUnreachable)
+	require.ErrorIs(t, err, ErrWrongKey)
+
+	// Each side alone against a peer that skips the check.
+	l := limitsOf(0, 0, 0)
+	for _, side := range []string{roleDialler, roleListener} {
+		a, b := net.Pipe()
+		mine := newConn(context.Background(), a, l, NewTraffic(nil))
+		theirs := newConn(context.Background(), b, l, NewTraffic(nil))
+		result := make(chan error, 1)
+		go func() {
+			if side == roleDialler {
+				_, err = dialHandshake(mine, PeerInfo{}, []byte("right"))
+			} else {
+				_, err = listenHandshake(mine, PeerInfo{}, []byte("right"))
+			}
+			a.Close()
+			result <- err
+		}()
+		refused := pretend(theirs, side)
+		require.ErrorIs(t, <-result, ErrWrongKey, side)
+		require.ErrorIs(t, refused, ErrWrongKey, side)
+		b.Close()
+	}
+}
+
+// pretend plays the other end of a handshake with a proof made up, and returns
+// the error that it is told.
+func pretend(c *conn, against string) error {
+	hello, err := newHello(PeerInfo{ID: "stranger"})
+	if err != nil {
+		return err
+	}
+	steps := []func() error{
+		func() error { return c.handshakeSend(kindHello, hello) },
+		func() error { _, err := c.handshakeReceive(kindHello); return err },
+	}
+	if against == roleListener {
+		steps = append(steps, func() error { _, err := c.handshakeReceive(kindProof); return err })
+	} else {
+		steps[0], steps[1] = steps[1], steps[0]
+	}
+	steps = append(steps,
+		func() error { return c.handshakeSend(kindProof, make([]byte, 32)) },
+		func() error { _, err := c.handshakeReceive(kindWelcome); return err })
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// During an upgrade two releases with different wire formats meet. Either end
+// must say which versions met; guessing at the bytes would give garbled calls.
+func TestWrongVersionIsNamed(t *testing.T) {
+	_, addr := startServer(t, ServerConfig{ClusterKey: []byte("k")})
+	nc, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer nc.Close()
+	_, err = nc.Write([]byte{magic0, magic1, ProtocolVersion + 1, byte(kindHello), 0, 0, 0, 0})
+	require.NoError(t, err)
+	c := newConn(context.Background(), nc, limitsOf(0, 0, 0), NewTraffic(nil))
+	_, err = c.handshakeReceive(kindHello)
+	require.ErrorContains(t, err, rejectVersion)
+}
+
+// A stranger sends a call in place of its proof. It must not run.
+func TestNothingRunsBeforeTheHandshake(t *testing.T) {
+	s, addr := startServer(t, ServerConfig{ClusterKey: []byte("k")})
+	var ran atomic.Bool
+	HandleNotice(s, "n", func(context.Context, PeerInfo, echo) { ran.Store(true) })
+	nc, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer nc.Close()
+	wire, err := appendFrame(nil, frame{kind: kindNotice, method: "n", body: []byte{0x80}}, DefaultMaxFrame)
+	require.NoError(t, err)
+	_, err = nc.Write(wire)
+	require.NoError(t, err)
+	c := newConn(context.Background(), nc, limitsOf(0, 0, 0), NewTraffic(nil))
+	_, err = c.handshakeReceive(kindHello)
+	require.ErrorContains(t, err, rejectFrame)
+	_, err = c.handshakeReceive(kindHello)
+	require.Error(t, err, "the connection must be closed")
+	require.False(t, ran.Load())
+}
+
+// Something between two instances forgets their open connection: packets
+// vanish, neither end is told, and new connections work. Without a bound on
+// silence calls hang until their deadlines, minute after minute, though a redial
+// would do. Broken by removing SetReadDeadline in silenceReader.Read.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	const heartbeat, silence = 20 * time.Millisecond, 100 * time.Millisecond
+	s, target := startServer(t, ServerConfig{ClusterKey: []byte("k"), Heartbeat: heartbeat, Silence: silence})
+	block := make(chan struct{})
+	started := make(chan struct{}, 1)
+	Handle(s, "block", func(ctx context.Context, _ PeerInfo, req echo) (echo, error) {
+		started <- struct{}{}
+		select {
+		case <-block:
+		case <-ctx.Done():
+		}
+		return req, nil
+	})
+	r, err := relay.New(target)
+	require.NoError(t, err)
+	defer r.Close()
+	defer close(block)
+	p := startPool(t, PoolConfig{ClusterKey: []byte("k"), Heartbeat: heartbeat, Silence: silence}, PoolDeps{})
+
+	result := make(chan error, 1)
+	ctx := within(t, bound)
+	go func() {
+		_, err := Call[echo](ctx, p, r.Addr(), "block", echo{})
+		result <- err
+	}()
+	<-started
+	r.Silence()
+	err = <-result
+	require.ErrorIs(t, err, ErrLost, "the call may have run and must not be reported as not run")
+	require.ErrorIs(t, err, ErrSilent)
+	got, err := Call[echo](ctx, p, r.Addr(), "echo", echo{Text: "again"})
+	require.NoError(t, err)
+	require.Equal(t, "again", got.Text)
+}
+
+// inBubble runs fn in virtual time with a server and a pool joined by
+// in-memory connections.
+func inBubble(t *testing.T, scfg ServerConfig, pcfg PoolConfig, fn func(t *testing.T, s *Server, p *Pool)) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPipeListener()
+		s := NewServer(scfg, ServerDeps{})
+		Handle(s, "echo", func(_ context.Context, _ PeerInfo, req echo) (echo, error) { return req, nil })
+		serve(t, s, l)
+		p := startPool(t, pcfg, PoolDeps{Dial: l.dial, Jitter: func() float64 { return 0 }})
+		fn(t, s, p)
+	})
+}
+
+// A handler works for minutes, say on a long catch-up. Heartbeats must keep its
+// connection: taking a slow handler for a silent link would cut the call again
+// and again, and it would never finish. Broken by removing writeHeartbeat.
+func TestSlowHandlerIsNotASilentLink(t *testing.T) {
+	inBubble(t, ServerConfig{}, PoolConfig{}, func(t *testing.T, s *Server, p *Pool) {
+		Handle(s, "slow", func(_ context.Context, _ PeerInfo, req echo) (echo, error) {
+			<-time.After(10 * time.Minute) // virtual time
+			return req, nil
+		})
+		_, err := Call[echo](t.Context(), p, "peer", "slow", echo{})
+		require.NoError(t, err)
+		got := p.Traffic().Method(MethodHeartbeat)
+		require.GreaterOrEqual(t, got.MessagesReceived, uint64(1000))
+		require.Equal(t, uint64(headerSize), got.BytesReceived/got.MessagesReceived, "bytes of a heartbeat")
+	})
+}
+
+// A caller gives up. If its work went on at the other side, a crowd of
+// impatient callers would load a peer with work whose answers nobody reads.
+// Broken by removing sendCancel in await.
+func TestCancelAndDeadlineReachTheHandler(t *testing.T) {
+	inBubble(t, ServerConfig{}, PoolConfig{}, func(t *testing.T, s *Server, p *Pool) {
+		ended := make(chan error, 1)
+		Handle(s, "wait", func(ctx context.Context, _ PeerInfo, req echo) (echo, error) {
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return req, ctx.Err()
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		start := time.Now()
+		_, err := Call[echo](ctx, p, "peer", "wait", echo{})
+		require.ErrorIs(t, err, ErrLost)
+		require.ErrorIs(t, err, context.Canceled)
+		require.ErrorIs(t, <-ended, context.Canceled)
+		require.Equal(t, time.Second, time.Since(start), "virtual time until the handler ended")
+
+		ctx, cancel = context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = Call[echo](ctx, p, "peer", "wait", echo{})
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		<-ended
+	})
+}
+
+// One peer sends calls faster than they are worked off. Without a bound their
+// number, and with it memory, grows until the process is killed. The excess must
+// be refused at once and must not run. Broken by removing the comparison with
+// MaxInFlight in admit.
+func TestCallsInFlightAreBounded(t *testing.T) {
+	inBubble(t, ServerConfig{MaxInFlight: 3}, PoolConfig{}, func(t *testing.T, s *Server, p *Pool) {
+		var ran atomic.Int32
+		release := make(chan struct{})
+		Handle(s, "hold", func(_ context.Context, _ PeerInfo, req echo) (echo, error) {
+			ran.Add(1)
+			<-release
+			return req, nil
+		})
+		results := make(chan error, 5)
+		for range 5 {
+			go func() {
+				_, err := Call[echo](t.Context(), p, "peer", "hold", echo{})
+				results <- err
+			}()
+		}
+		for range 2 {
+			var re *RemoteError
+			require.ErrorAs(t, <-results, &re)
+			require.Equal(t, CodeBusy, re.Code)
+		}
+		close(release)
+		for range 3 {
+			require.NoError(t, <-results)
+		}
+		require.EqualValues(t, 3, ran.Load())
+	})
+}
+
+// A peer is down. Callers must learn at once that their call didn't run, also
+// during the pause between dials, so that they can turn to another peer.
+func TestUnreachableIsSurelyNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		p := startPool(t, PoolConfig{}, PoolDeps{
+			Jitter: func() float64 { return 0 },
+			Dial: func(context.Context, string) (net.Conn, error) {
+				dials++
+				return nil, errors.New("refused")
+			},
+		})
+		for range 100 {
+			_, err := Call[echo](t.Context(), p, "peer", "echo", echo{})
+			require.ErrorIs(t, err, ErrUnreachable)
+			require.NotErrorIs(t, err, ErrLost)
+		}
+		require.Equal(t, 1, dials, "calls within the pause don't dial")
+		<-time.After(DefaultBackoffMin)
+		_, err := Call[echo](t.Context(), p, "peer", "echo", echo{})
+		require.ErrorIs(t, err, ErrUnreachable)
+		require.Equal(t, 2, dials)
+	})
+}
+
+// A peer stops reading without dying. A notice must neither block its sender,
+// which may be the loop that serves everybody, nor pile up without bound.
+func TestNotifyNeverBlocks(t *testing.T) {
+	inBubble(t, ServerConfig{}, PoolConfig{QueueLen: 4}, func(t *testing.T, s *Server, p *Pool) {
+		release := make(chan struct{})
+		HandleNotice(s, "stuck", func(ctx context.Context, _ PeerInfo, _ echo) { <-release })
+		busy := 0
+		for range 10 * noticeQueue {
+			if err := Notify(p, "peer", "stuck", echo{}); err != nil {
+				require.ErrorIs(t, err, ErrBusy)
+				busy++
+			}
+			synctest.Wait()
+		}
+		require.Positive(t, busy)
+		close(release)
+	})
+}
+
+func TestIdleConnectionIsClosed(t *testing.T) {
+	inBubble(t, ServerConfig{}, PoolConfig{IdleTimeout: time.Minute}, func(t *testing.T, s *Server, p *Pool) {
+		for range 2 {
+			_, err := Call[echo](t.Context(), p, "peer", "echo", echo{})
+			require.NoError(t, err)
+			<-time.After(2 * time.Minute)
+			synctest.Wait()
+			pr, err := p.peer("peer")
+			require.NoError(t, err)
+			require.False(t, pr.live.Load())
+		}
+	})
+}
+
+// pipeListener hands out in-memory connections.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) dial(ctx context.Context, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.closed); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// maxCallAllocs bounds the allocations of one call on both sides together.
+const maxCallAllocs = 45
+
+func TestCallAllocations(t *testing.T) {
+	_, addr := startServer(t, ServerConfig{ClusterKey: []byte("k")})
+	p := startPool(t, PoolConfig{ClusterKey: []byte("k")}, PoolDeps{})
+	ctx := within(t, bound)
+	got := testing.AllocsPerRun(200, func() {
+		_, err := Call[echo](ctx, p, addr, "echo", echo{Text: "x"})
+		require.NoError(t, err)
+	})
+	t.Logf("%.0f allocations a call, both sides", got)
+	require.LessOrEqual(t, got, float64(maxCallAllocs))
+}
+
+func BenchmarkCall(b *testing.B) {
+	_, addr := startServer(b, ServerConfig{ClusterKey: []byte("k")})
+	p := startPool(b, PoolConfig{ClusterKey: []byte("k")}, PoolDeps{})
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Call[echo](ctx, p, addr, "echo", echo{Text: "x"}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	m := p.Traffic().Method("echo")
+	b.ReportMetric(float64(m.BytesSent)/float64(m.MessagesSent), "sent-B/op")
+	b.ReportMetric(float64(m.BytesReceived)/float64(m.MessagesReceived), "received-B/op")
+}
--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,328 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// DefaultMaxInFlight bounds the calls that one connection may have running.
+const DefaultMaxInFlight = 1024
+
+const noticeQueue = 256 // notices of one connection that wait for their handler
+
+// ServerConfig sets up a Server. Zero values of the bounds take the defaults.
+type ServerConfig struct {
+	Self       PeerInfo
+	ClusterKey []byte
+	MaxFrame   int           // bytes of one payload
+	Heartbeat  time.Duration // between heartbeats on a quiet connection
+	Silence    time.Duration // a connection that brings nothing for so long is closed
+	// MaxInFlight bounds the running calls of one connection. A call beyond it
+	// is answered CodeBusy at once and doesn't run.
+	MaxInFlight int
+}
+
+// ServerDeps are what a Server needs from outside. All may be left nil.
+type ServerDeps struct {
+	Log     *slog.Logger
+	Traffic *Traffic
+}
+
+// Server answers calls and takes notices. Register handlers before Serve.
+type Server struct {
+	cfg     ServerConfig
+	limits  limits
+	log     *slog.Logger
+	traffic *Traffic
+
+	mu      sync.RWMutex // guards the two tables of handlers
+	calls   map[string]callHandler
+	notices map[string]noticeHandler
+}
+
+type callHandler func(ctx context.Context, from PeerInfo, body []byte) ([]byte, error)
+
+type noticeHandler func(ctx context.Context, from PeerInfo, body []byte) error
+
+// NewServer returns a server without handlers.
+func NewServer(cfg ServerConfig, deps ServerDeps) *Server {
+	if cfg.MaxInFlight <= 0 {
+		cfg.MaxInFlight = DefaultMaxInFlight
+	}
+	s := &Server{
+		cfg:     cfg,
+		limits:  limitsOf(cfg.MaxFrame, cfg.Heartbeat, cfg.Silence),
+		log:     deps.Log,
+		traffic: deps.Traffic,
+		calls:   make(map[string]callHandler),
+		notices: make(map[string]noticeHandler),
+	}
+	if s.log == nil {
+		s.log = slog.New(slog.DiscardHandler)
+	}
+	if s.traffic == nil {
+		s.traffic = NewTraffic(nil)
+	}
+	return s
+}
+
+// Traffic returns the server's counters.
+func (s *Server) Traffic() *Traffic { return s.traffic }
+
+// Handle registers fn for calls of method. Calls of one connection run side by
+// side. The context ends with the caller's deadline, its cancellation or its
+// connection. A second registration replaces the first.
+func Handle[Req, Resp any](s *Server, method string, fn func(ctx context.Context, from PeerInfo, req Req) (Resp, error)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[method] = func(ctx context.Context, from PeerInfo, body []byte) ([]byte, error) {
+		var req Req
+		if err := msgpack.Unmarshal(body, &req); err != nil {
+			return nil, &RemoteError{Code: CodeBadRequest, Message: err.Error(), Step: StepDecode}
+		}
+		resp, err := fn(ctx, from, req)
+		if err != nil {
+			return nil, err
+		}
+		return msgpack.Marshal(resp)
+	}
+}
+
+// HandleNotice registers fn for notices of method. Notices of one connection
+// are handled one after another in the order in which they were sent; while
+// the handler is behind, the connection is read no further and the sender's
+// queue fills.
+func HandleNotice[Req any](s *Server, method string, fn func(ctx context.Context, from PeerInfo, req Req)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notices[method] = func(ctx context.Context, from PeerInfo, body []byte) error {
+		var req Req
+		if err := msgpack.Unmarshal(body, &req); err != nil {
+			return err
+		}
+		fn(ctx, from, req)
+		return nil
+	}
+}
+
+// Serve accepts connections on l until ctx ends or l fails. It returns after
+// all its connections are closed and all handlers have returned, with nil if
+// ctx ended.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	var conns sync.WaitGroup
+	defer conns.Wait()
+	defer cancel()
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return trace.Wrap(err, "accept at %v", l.Addr())
+		}
+		conns.Go(func() { s.serveConn(ctx, nc) })
+	}
+}
+
+// serverConn is one accepted connection.
+type serverConn struct {
+	*conn
+	server *Server
+	peer   PeerInfo
+	queue  chan frame // notices, in order
+	work   sync.WaitGroup
+
+	mu      sync.Mutex // guards running
+	running map[uint64]context.CancelFunc
+}
+
+func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
+	c := newConn(ctx, nc, s.limits, s.traffic)
+	stop := context.AfterFunc(c.ctx, func() { nc.Close() })
+	defer stop()
+	defer nc.Close()
+	defer c.cancel(nil)
+	// A stranger that connects and says nothing holds the connection no longer
+	// than the silence bound; one that trickles bytes neither.
+	deadline := time.AfterFunc(s.limits.silence, func() { c.cancel(ErrSilent) })
+	peer, err := listenHandshake(c, s.cfg.Self, s.cfg.ClusterKey)
+	if err == nil && !deadline.Stop() {
+		err = ErrSilent
+	}
+	deadline.Stop()
+	if err != nil {
+		s.log.Warn("link handshake failed", "remote", nc.RemoteAddr().String(), "peer", peer.ID, "err", err)
+		return
+	}
+	sc := &serverConn{
+		conn:    c,
+		server:  s,
+		peer:    peer,
+		queue:   make(chan frame, noticeQueue),
+		running: make(map[uint64]context.CancelFunc),
+	}
+	sc.run()
+}
+
+func (sc *serverConn) run() {
+	sc.work.Go(func() { sc.cancel(sc.writeLoop(nil, func() {})) })
+	sc.work.Go(sc.noticeLoop)
+	err := sc.readLoop(sc.dispatch)
+	sc.cancel(err)
+	sc.work.Wait()
+	if sc.conn.ctx.Err() != nil && !errors.Is(err, io.EOF) {
+		sc.server.log.Info("link closed", "peer", sc.peer.ID, "address", sc.peer.Address, "err", err)
+	}
+}
+
+func (sc *serverConn) dispatch(f frame, size int) {
+	switch f.kind {
+	case kindRequest:
+		sc.startCall(f, size)
+	case kindNotice:
+		sc.queueNotice(f, size)
+	case kindCancel:
+		sc.traffic.received(MethodControl, size)
+		sc.cancelCall(f.id)
+	default:
+		sc.traffic.received(MethodControl, size)
+		sc.cancel(ErrMalformed)
+	}
+}
+
+func (sc *serverConn) startCall(f frame, size int) {
+	sc.server.mu.RLock()
+	handler, ok := sc.server.calls[f.method]
+	sc.server.mu.RUnlock()
+	if !ok {
+		// Names from the network make no counter of their own: they would
+		// grow without bound.
+		sc.traffic.received(MethodControl, size)
+		sc.work.Go(func() {
+			sc.answerError(f, &RemoteError{Code: CodeUnknownMethod, Message: f.method, Step: StepHandle})
+		})
+		return
+	}
+	sc.traffic.received(f.method, size)
+	ctx, cancel := sc.callContext(f.timeout)
+	if !sc.admit(f.id, cancel) {
+		cancel()
+		sc.work.Go(func() {
+			sc.answerError(f, &RemoteError{Code: CodeBusy, Message: "too many calls in flight", Step: StepHandle})
+		})
+		return
+	}
+	sc.work.Go(func() {
+		defer sc.cancelCall(f.id)
+		body, err := handler(ctx, sc.peer, f.body)
+		if err != nil {
+			sc.answerError(f, remoteErrorOf(err))
+			return
+		}
+		sc.answer(f, frame{kind: kindResponse, id: f.id, body: body})
+	})
+}
+
+func (sc *serverConn) callContext(timeout uint64) (context.Context, context.CancelFunc) {
+	if timeout == 0 {
+		return context.WithCancel(sc.conn.ctx)
+	}
+	return context.WithTimeout(sc.conn.ctx, millis(timeout))
+}
+
+// admit notes the call as running, or refuses it beyond the bound or under an
+// id that is running already.
+func (sc *serverConn) admit(id uint64, cancel context.CancelFunc) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if _, exists := sc.running[id]; exists || len(sc.running) >= sc.server.cfg.MaxInFlight {
+		return false
+	}
+	sc.running[id] = cancel
+	return true
+}
+
+func (sc *serverConn) cancelCall(id uint64) {
+	sc.mu.Lock()
+	cancel, ok := sc.running[id]
+	delete(sc.running, id)
+	sc.mu.Unlock()
+	if ok {
+		cancel()
+	}
+}
+
+func (sc *serverConn) answer(f, reply frame) {
+	buf, err := appendFrame(nil, reply, sc.maxFrame)
+	if err != nil {
+		sc.answerError(f, &RemoteError{Code: CodeInternal, Message: err.Error(), Step: StepEncode})
+		return
+	}
+	// A failed send means that the connection has ended: the caller learns of
+	// that by itself, as ErrLost.
+	_ = sc.send(outgoing{method: f.method, buf: buf})
+}
+
+func (sc *serverConn) answerError(f frame, re *RemoteError) {
+	body, err := msgpack.Marshal(re)
+	if err != nil {
+		sc.cancel(err)
+		return
+	}
+	buf, err := appendFrame(nil, frame{kind: kindError, id: f.id, body: body}, sc.maxFrame)
+	if err != nil {
+		sc.cancel(err)
+		return
+	}
+	method := f.method
+	if re.Code == CodeUnknownMethod {
+		method = MethodControl
+	}
+	_ = sc.send(outgoing{method: method, buf: buf})
+}
+
+// queueNotice waits while the queue is full. That stops the reading of this
+// connection and so, through TCP, the sender, whose Notify then says ErrBusy.
+// Dropping here instead would lose notices without anyone's knowledge.
+func (sc *serverConn) queueNotice(f frame, size int) {
+	sc.server.mu.RLock()
+	_, ok := sc.server.notices[f.method]
+	sc.server.mu.RUnlock()
+	if !ok {
+		sc.traffic.received(MethodControl, size)
+		sc.server.log.Warn("link notice without handler", "peer", sc.peer.ID, "method", f.method)
+		return
+	}
+	sc.traffic.received(f.method, size)
+	select {
+	case sc.queue <- f:
+	case <-sc.conn.ctx.Done():
+	}
+}
+
+func (sc *serverConn) noticeLoop() {
+	for {
+		select {
+		case <-sc.conn.ctx.Done():
+			return
+		case f := <-sc.queue:
+			sc.server.mu.RLock()
+			handler := sc.server.notices[f.method]
+			sc.server.mu.RUnlock()
+			if err := handler(sc.conn.ctx, sc.peer, f.body); err != nil {
+				sc.server.log.Warn("link notice refused", "peer", sc.peer.ID, "method", f.method, "err", err)
+			}
+		}
+	}
+}
