policy/queue: fair queueing by workspace in tokens of work

Cause: a surge of one workspace, long work among short and load above capacity each make everybody else wait if requests run in order of arrival.

Start-time fair queueing between workspaces; class, deadline and length within one; ageing with a bounded share, so neither batch nor interactive work starves the other. Bounded; when full, the workspace furthest over its share loses its newest item of the lowest class.

Ruled out: ageing by raising an item's class after a wait, because a night's backlog of batch work would then stand before the morning's interactive work (TestAgedBacklogTakesABoundedShare); deficit round robin, because its turn order depends on a quantum as large as the longest answer.

--- /dev/null
+++ b/policy/queue/queue.go
@@ -0,0 +1,318 @@
+package queue
+
+import (
+	"time"
+)
+
+// defaultWeight is the weight of a workspace that nobody has set one for.
+const defaultWeight = 1
+
+// sweepIdle is how many workspaces without items are kept before those that
+// no longer matter to fairness are forgotten.
+const sweepIdle = 64
+
+// Queue holds the requests that wait for a backend server. Between workspaces
+// it is fair by weight in tokens of work; see the package's comment for the
+// pattern of load it answers. It is not safe for concurrent use.
+type Queue struct {
+	cfg  Config
+	byID map[string]*waiter
+
+	flows map[string]*flow
+	ready indexedHeap[flow] // flows with items, earliest virtual start first
+	load  indexedHeap[flow] // flows with items, furthest over its share first
+
+	deadlines indexedHeap[waiter]
+	expired   []Item // taken out, not yet collected by Expired
+
+	virtual  float64 // the largest virtual start of any item popped
+	tokens   int64
+	weights  int64 // sum of the weights of flows with items
+	sequence uint64
+
+	free    []*waiter
+	skipped []*flow // scratch of Pop
+}
+
+// New returns an empty queue, or the *FieldError of an invalid cfg.
+func New(cfg Config) (*Queue, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	return &Queue{
+		cfg:       cfg,
+		byID:      make(map[string]*waiter),
+		flows:     make(map[string]*flow),
+		ready:     indexedHeap[flow]{less: startsEarlier, index: readyIndex},
+		load:      indexedHeap[flow]{less: overShare, index: loadIndex},
+		deadlines: indexedHeap[waiter]{less: earlierDeadline, index: deadlineIndex},
+	}, nil
+}
+
+func earlierDeadline(a, b *waiter) bool {
+	if !a.item.Deadline.Equal(b.item.Deadline) {
+		return a.item.Deadline.Before(b.item.Deadline)
+	}
+	return a.sequence < b.sequence
+}
+
+// Push puts item in the queue, or says why not. When the queue is full, the
+// workspace that holds most for its weight, with the new item counted, loses
+// the newest item of its lowest class. Turning away whoever comes last instead
+// would let one workspace fill the queue and shut out all others: they would
+// see refusals although they ask for less than their share.
+func (q *Queue) Push(now time.Time, item Item) Verdict {
+	if item.ID == "" || item.Workspace == "" {
+		return Verdict{Reason: Unnamed}
+	}
+	q.sweep(now)
+	if item.expired(now) {
+		return Verdict{Reason: AlreadyExpired}
+	}
+	if _, ok := q.byID[item.ID]; ok {
+		return Verdict{Reason: DuplicateID}
+	}
+	e := q.insert(now, item)
+	return q.bound(e)
+}
+
+// bound takes out one item if e has put the queue over a bound.
+func (q *Queue) bound(e *waiter) Verdict {
+	over, reason := e.flow, WorkspaceFull
+	if e.flow.items <= q.cfg.MaxPerWorkspace {
+		if len(q.byID) <= q.cfg.MaxItems {
+			return Verdict{Accepted: true, Reason: Queued}
+		}
+		over, reason = q.load.min(), TotalFull
+	}
+	victim := over.least()
+	if victim == nil && !e.item.Resumed {
+		victim = e
+	}
+	if victim == nil {
+		return Verdict{Accepted: true, Reason: Queued}
+	}
+	if victim == e {
+		q.take(e)
+		return Verdict{Reason: reason}
+	}
+	over.evicted++
+	return Verdict{Accepted: true, Reason: QueuedByEviction, Evicted: []Item{q.take(victim)}}
+}
+
+func (q *Queue) insert(now time.Time, item Item) *waiter {
+	item.Cost = max(1, item.Cost)
+	if item.Enqueued.IsZero() {
+		item.Enqueued = now
+	}
+	f := q.flow(item.Workspace)
+	if item.Weight > 0 {
+		q.setWeight(f, int64(item.Weight))
+	}
+	e := q.newWaiter()
+	q.sequence++
+	e.item, e.flow, e.sequence = item, f, q.sequence
+	e.rank = item.Class.Rank()
+	e.urgency = q.cfg.urgency(&item)
+	if item.Resumed {
+		e.rank, e.urgency = 0, time.Time{}
+	}
+	q.byID[item.ID] = e
+	if !item.Deadline.IsZero() {
+		q.deadlines.push(e)
+	}
+	q.tokens += item.Cost
+	f.add(e)
+	if f.items > 1 {
+		q.load.fix(f)
+		return e
+	}
+	q.activate(f)
+	return e
+}
+
+// activate enters a flow that has its first item. A workspace that was idle
+// starts at the present virtual time: idle time earns no credit, or a workspace
+// that was quiet all night could hold up all others in the morning.
+func (q *Queue) activate(f *flow) {
+	f.start = max(f.start, q.virtual)
+	q.weights += f.weight
+	q.ready.push(f)
+	q.load.push(f)
+}
+
+// take removes e from all indexes and returns its item.
+func (q *Queue) take(e *waiter) Item {
+	f, item := e.flow, e.item
+	delete(q.byID, item.ID)
+	if e.deadlineIndex >= 0 {
+		q.deadlines.remove(e)
+	}
+	q.tokens -= item.Cost
+	f.drop(e)
+	if f.items == 0 {
+		q.weights -= f.weight
+		q.load.remove(f)
+		if f.readyIndex >= 0 {
+			q.ready.remove(f)
+		}
+		f.repay = 0
+	} else {
+		q.load.fix(f)
+	}
+	*e = waiter{}
+	q.free = append(q.free, e)
+	return item
+}
+
+func (q *Queue) newWaiter() *waiter {
+	var e *waiter
+	if n := len(q.free); n > 0 {
+		e = q.free[n-1]
+		q.free = q.free[:n-1]
+	} else {
+		e = new(waiter)
+	}
+	e.laneIndex, e.deadlineIndex = -1, -1
+	return e
+}
+
+func (q *Queue) flow(workspace string) *flow {
+	f, ok := q.flows[workspace]
+	if !ok {
+		q.forgetIdle()
+		f = newFlow(workspace, q.virtual)
+		f.weight = defaultWeight
+		q.flows[workspace] = f
+	}
+	return f
+}
+
+// forgetIdle drops flows without items whose virtual start is past, since a new
+// flow in their place would get the same start, and all of them if nothing
+// waits, since then no workspace has had its service at the cost of another.
+// Without it, every workspace name that was ever seen would stay in memory.
+func (q *Queue) forgetIdle() {
+	if len(q.flows)-q.ready.len() < sweepIdle+q.ready.len() {
+		return
+	}
+	for name, f := range q.flows {
+		if f.items == 0 && (f.start <= q.virtual || len(q.byID) == 0) {
+			delete(q.flows, name)
+		}
+	}
+}
+
+// Pop takes out the item to run next among those that eligible accepts; ok is
+// false if there is none. It returns an item whenever any eligible one waits,
+// and calls eligible for no item that has expired. Items that eligible turns
+// down keep their places, and their workspace catches up later, within
+// Config.MaxCredit. eligible must neither keep nor change its argument.
+//
+// Cost: logarithmic in workspaces and items if the heads are eligible; at worst
+// one call of eligible for each item that waits.
+func (q *Queue) Pop(now time.Time, eligible func(*Item) bool) (item Item, ok bool) {
+	q.sweep(now)
+	q.skipped = q.skipped[:0]
+	for f := q.ready.min(); f != nil; f = q.ready.min() {
+		e, aged := f.pick(now, &q.cfg, eligible)
+		if e == nil {
+			q.ready.remove(f)
+			q.skipped = append(q.skipped, f)
+			continue
+		}
+		f.settleAged(e, aged, q.cfg.AgedShare)
+		item, ok = q.serve(f, e), true
+		break
+	}
+	for _, f := range q.skipped {
+		f.start = max(f.start, q.earliest(f))
+		q.ready.push(f)
+	}
+	return item, ok
+}
+
+// serve charges the flow for e and takes e out.
+func (q *Queue) serve(f *flow, e *waiter) Item {
+	q.virtual = max(q.virtual, f.start)
+	f.started += e.item.Cost
+	f.start += float64(e.item.Cost) / float64(f.weight)
+	item := q.take(e)
+	if f.items > 0 {
+		q.ready.fix(f)
+	}
+	return item
+}
+
+// earliest is the earliest virtual start that f may have: MaxCredit tokens
+// behind the present, for its weight.
+func (q *Queue) earliest(f *flow) float64 {
+	return q.virtual - float64(q.cfg.MaxCredit)/float64(f.weight)
+}
+
+// Charge corrects what a workspace has been charged: extra tokens beyond the
+// estimates of its popped items, or fewer if negative. Without it a caller that
+// understates its answers' length takes more than its share.
+func (q *Queue) Charge(workspace string, extra int64) {
+	f := q.flow(workspace)
+	f.started += extra
+	f.start += float64(extra) / float64(f.weight)
+	f.start = max(f.start, q.earliest(f))
+	if f.readyIndex >= 0 {
+		q.ready.fix(f)
+	}
+}
+
+// SetWeight sets a workspace's share among workspaces; below 1 counts as 1.
+func (q *Queue) SetWeight(workspace string, weight int) {
+	q.setWeight(q.flow(workspace), int64(max(1, weight)))
+}
+
+func (q *Queue) setWeight(f *flow, weight int64) {
+	if f.weight == weight {
+		return
+	}
+	if f.items > 0 {
+		q.weights += weight - f.weight
+	}
+	f.weight = weight
+	if f.loadIndex >= 0 {
+		q.load.fix(f)
+	}
+}
+
+// Remove takes out the item with this ID, as when its caller has gone away.
+func (q *Queue) Remove(id string) (Item, bool) {
+	e, ok := q.byID[id]
+	if !ok {
+		return Item{}, false
+	}
+	return q.take(e), true
+}
+
+// Expired returns the items whose deadline has passed since the last call, by
+// deadline. They have not run and never will; each caller is owed its final
+// answer at once. Call it before Pop and at NextDeadline.
+func (q *Queue) Expired(now time.Time) []Item {
+	q.sweep(now)
+	out := q.expired
+	q.expired = nil
+	return out
+}
+
+// sweep takes expired items out, so that none of them costs a backend server
+// work that nobody waits for, or a place in the queue.
+func (q *Queue) sweep(now time.Time) {
+	for e := q.deadlines.min(); e != nil && e.item.expired(now); e = q.deadlines.min() {
+		q.expired = append(q.expired, q.take(e))
+	}
+}
+
+// NextDeadline returns the earliest deadline of a waiting item; ok is false if
+// none has one.
+func (q *Queue) NextDeadline() (deadline time.Time, ok bool) {
+	if e := q.deadlines.min(); e != nil {
+		return e.item.Deadline, true
+	}
+	return time.Time{}, false
+}
--- /dev/null
+++ b/policy/queue/stats.go
@@ -0,0 +1,86 @@
+package queue
+
+import (
+	"time"
+
+	"savoryreel.example/savoryreel/contract"
+)
+
+// WorkspaceStats describes one workspace in the queue.
+type WorkspaceStats struct {
+	Workspace string
+	Weight    int
+	Items     int
+	Tokens    int64     // of the waiting items
+	Oldest    time.Time // arrival of the item that has waited longest; zero: none waits
+	Started   int64     // tokens of popped items, as corrected by Charge
+	Evicted   int64     // items that made room for others
+	Share     float64   // its weight among the workspaces with waiting items; 0: none waits
+}
+
+// Len returns how many items wait.
+func (q *Queue) Len() int { return len(q.byID) }
+
+// Tokens returns the work of all waiting items, in tokens.
+func (q *Queue) Tokens() int64 { return q.tokens }
+
+// Stats describes a workspace; ok is false if the queue knows nothing of it.
+// Counts start again when an idle workspace has been forgotten.
+func (q *Queue) Stats(workspace string) (stats WorkspaceStats, ok bool) {
+	f, ok := q.flows[workspace]
+	if !ok {
+		return WorkspaceStats{Workspace: workspace}, false
+	}
+	stats = WorkspaceStats{
+		Workspace: workspace,
+		Weight:    int(f.weight),
+		Items:     f.items,
+		Tokens:    f.tokens,
+		Oldest:    f.oldest(),
+		Started:   f.started,
+		Evicted:   f.evicted,
+	}
+	if f.items > 0 {
+		stats.Share = float64(f.weight) / float64(q.weights)
+	}
+	return stats, true
+}
+
+func (f *flow) oldest() time.Time {
+	var oldest time.Time
+	for i := range f.lanes {
+		e := f.lanes[i].oldest
+		if e != nil && (oldest.IsZero() || e.item.Enqueued.Before(oldest)) {
+			oldest = e.item.Enqueued
+		}
+	}
+	return oldest
+}
+
+// Backlog is the work that a new item would wait behind.
+type Backlog struct {
+	Ahead int64   // tokens of its own workspace, of its class or a more urgent one
+	Total int64   // tokens of all waiting items
+	Share float64 // the workspace's part of the service while all of them wait, 0..1
+}
+
+// Backlog returns what a new item of this workspace, class and weight would
+// wait behind. Weight 0 takes the weight that is known.
+func (q *Queue) Backlog(workspace string, class contract.Class, weight int) Backlog {
+	b := Backlog{Total: q.tokens}
+	own, others := int64(defaultWeight), q.weights
+	if f, ok := q.flows[workspace]; ok {
+		own = f.weight
+		if f.items > 0 {
+			others -= f.weight
+		}
+		for rank := 0; rank <= class.Rank(); rank++ {
+			b.Ahead += f.lanes[rank].tokens
+		}
+	}
+	if weight > 0 {
+		own = int64(weight)
+	}
+	b.Share = float64(own) / float64(own+others)
+	return b
+}
