--- a/policy/queue/flow.go
+++ b/policy/queue/flow.go
@@ -118,32 +118,52 @@
 	return a.workspace < b.workspace
 }
 
-// pick returns the flow's next item that is eligible, or nil. An aged item of a
+// search is one look for an item that can run.
+type search struct {
+	now   time.Time
+	cfg   *Config
+	judge func(*Item) Eligibility
+	last  Eligibility // what judge said last
+}
+
+func (s *search) runs(e *waiter) bool {
+	s.last = s.judge(&e.item)
+	return s.last == Runs
+}
+
+// over reports whether the rest of the workspace need not be searched.
+func (s *search) over() bool { return s.last >= WorkspaceWaits }
+
+// pick returns the flow's next item that can run, or nil. An aged item of a
 // lower class comes first if the workspace's more urgent work has been repaid
 // for the last one.
-func (f *flow) pick(now time.Time, cfg *Config, eligible func(*Item) bool) (e *waiter, aged bool) {
+func (f *flow) pick(s *search) (e *waiter, aged bool) {
+	s.last = Waits
 	if f.repay <= 0 {
-		if e := f.pickAged(now, cfg, eligible); e != nil {
+		if e := f.pickAged(s); e != nil {
 			return e, true
 		}
 	}
 	for rank := range f.lanes {
-		if e := f.lanes[rank].pick(eligible); e != nil {
+		if s.over() {
+			return nil, false
+		}
+		if e := f.lanes[rank].pick(s); e != nil {
 			return e, false
 		}
 	}
 	return nil, false
 }
 
-// pickAged returns the longest waiting eligible item among those that more
+// pickAged returns the longest waiting item that can run among those that more
 // urgent classes hold up and that have waited for AgeAfter.
-func (f *flow) pickAged(now time.Time, cfg *Config, eligible func(*Item) bool) *waiter {
+func (f *flow) pickAged(s *search) *waiter {
 	var found *waiter
 	waiting := f.lanes[0].oldest != nil
 	for rank := 1; rank < classes; rank++ {
 		l := &f.lanes[rank]
-		if waiting {
-			found = longerWaiting(found, l.aged(now, cfg.AgeAfter, eligible))
+		if waiting && !s.over() {
+			found = longerWaiting(found, l.aged(s))
 		}
 		waiting = waiting || l.oldest != nil
 	}
@@ -157,33 +177,37 @@
 	return a
 }
 
-// aged returns the first eligible item, by arrival, that has waited for after.
-func (l *lane) aged(now time.Time, after time.Duration, eligible func(*Item) bool) *waiter {
-	for e := l.oldest; e != nil && now.Sub(e.item.Enqueued) >= after; e = e.newer {
-		if eligible(&e.item) {
+// aged returns the first item, by arrival, that can run and has waited for
+// AgeAfter.
+func (l *lane) aged(s *search) *waiter {
+	for e := l.oldest; e != nil && s.now.Sub(e.item.Enqueued) >= s.cfg.AgeAfter; e = e.newer {
+		if s.runs(e) {
 			return e
 		}
+		if s.over() {
+			return nil
+		}
 	}
 	return nil
 }
 
-// pick returns the most urgent eligible item. The head is almost always
-// eligible; past it the lane is searched in full, since work that can run must
-// not wait behind work that cannot.
-func (l *lane) pick(eligible func(*Item) bool) *waiter {
+// pick returns the most urgent item that can run. The head almost always can;
+// past it the lane is searched in full, since work that can run must not wait
+// behind work that cannot.
+func (l *lane) pick(s *search) *waiter {
 	head := l.byUrgency.min()
 	if head == nil {
 		return nil
 	}
-	if eligible(&head.item) {
+	if s.runs(head) {
 		return head
 	}
 	var found *waiter
 	for _, e := range l.byUrgency.elems[1:] {
-		if found != nil && !moreUrgent(e, found) {
-			continue
+		if s.over() {
+			break
 		}
-		if eligible(&e.item) {
+		if (found == nil || moreUrgent(e, found)) && s.runs(e) {
 			found = e
 		}
 	}
--- a/policy/queue/queue.go
+++ b/policy/queue/queue.go
@@ -203,6 +203,18 @@
 	}
 }
 
+// Eligibility says whether an item can run now.
+type Eligibility uint8
+
+// The eligibilities. WorkspaceWaits and AllWait spare the search of items that
+// would be turned down for the same reason.
+const (
+	Waits          Eligibility = iota // not this item
+	Runs                              // this item
+	WorkspaceWaits                    // no item of its workspace
+	AllWait                           // no item at all
+)
+
 // Pop takes out the item to run next among those that eligible accepts; ok is
 // false if there is none. It returns an item whenever any eligible one waits,
 // and calls eligible for no item that has expired. Items that eligible turns
@@ -212,10 +224,21 @@
 // Cost: logarithmic in workspaces and items if the heads are eligible; at worst
 // one call of eligible for each item that waits.
 func (q *Queue) Pop(now time.Time, eligible func(*Item) bool) (item Item, ok bool) {
+	return q.PopFunc(now, func(i *Item) Eligibility {
+		if eligible(i) {
+			return Runs
+		}
+		return Waits
+	})
+}
+
+// PopFunc is Pop for a caller that knows why an item cannot run.
+func (q *Queue) PopFunc(now time.Time, judge func(*Item) Eligibility) (item Item, ok bool) {
 	q.sweep(now)
 	q.skipped = q.skipped[:0]
-	for f := q.ready.min(); f != nil; f = q.ready.min() {
-		e, aged := f.pick(now, &q.cfg, eligible)
+	s := search{now: now, cfg: &q.cfg, judge: judge}
+	for f := q.ready.min(); f != nil && s.last != AllWait; f = q.ready.min() {
+		e, aged := f.pick(&s)
 		if e == nil {
 			q.ready.remove(f)
 			q.skipped = append(q.skipped, f)
