policy/quarantine: bound the servers lost to one crashing request

Cause: a request that crashes each server that runs it, sent again through any entry, takes servers one after another.

Ruled out: marking suspects by gossip alone. The caller's resend reaches an entry before the news does, and each such entry loses a server more; the bound of two holds only where the owner of the fingerprint grants every run that is not known to be harmless, and records it first (Config.AskOwner).

--- /dev/null
+++ b/policy/quarantine/config.go
@@ -0,0 +1,57 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+)
+
+// Config holds the thresholds of a Set. Start from DefaultConfig.
+type Config struct {
+	// AskOwner makes every fingerprint that is not known to be good ask its
+	// owner before it runs. See the package comment for what holds without it.
+	AskOwner bool
+	// Keep is how long a crash, a clearing and a quarantine are remembered.
+	Keep time.Duration
+	// TrialKeep is how long a grant counts as running without news of its end.
+	TrialKeep time.Duration
+	// MaxRecords bounds the fingerprints remembered.
+	MaxRecords int
+}
+
+// DefaultConfig returns the thresholds. Keep 1 h outlasts a caller's resends by
+// far and lets a mended model serve the request again the same day. TrialKeep
+// 10 min is longer than any request runs. MaxRecords 16384 is 128 servers with
+// 128 requests each crashing within Keep; a record takes about 200 bytes.
+func DefaultConfig() Config {
+	return Config{
+		AskOwner:   true,
+		Keep:       time.Hour,
+		TrialKeep:  10 * time.Minute,
+		MaxRecords: 16384,
+	}
+}
+
+// ConfigError names the field of a Config that is out of range.
+type ConfigError struct {
+	Field string
+	Want  string
+}
+
+// Error implements error.
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("quarantine: %s must be %s", e.Field, e.Want)
+}
+
+// Validate returns a *ConfigError for the first field that is out of range.
+func (c Config) Validate() error {
+	switch {
+	case c.TrialKeep <= 0:
+		return &ConfigError{"TrialKeep", "above 0"}
+	case c.Keep < c.TrialKeep:
+		return &ConfigError{"Keep", "at least TrialKeep"}
+	case c.MaxRecords < 1:
+		return &ConfigError{"MaxRecords", "at least 1"}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/policy/quarantine/quarantine_test.go
@@ -0,0 +1,306 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// poison crashes every server that runs it; other fingerprints are harmless.
+const poison = 1
+
+// fleet is a set of entries in front of servers. Entries hear of crashes and of
+// each other's records late.
+type fleet struct {
+	now     time.Time
+	ids     []string
+	sets    []*Set
+	life    []uint64 // incarnation by server
+	open    []flight
+	notices []func()
+	refused int
+	lost    map[Server]bool // servers that the poison took
+	blamed  map[uint64]bool // harmless fingerprints that were quarantined
+}
+
+type flight struct {
+	entry int
+	run   Run
+}
+
+func newFleet(entries, servers int, ask bool) *fleet {
+	f := &fleet{now: epoch, life: make([]uint64, servers), lost: map[Server]bool{}, blamed: map[uint64]bool{}}
+	cfg := DefaultConfig()
+	cfg.AskOwner = ask
+	for i := range entries {
+		set, err := New(cfg)
+		if err != nil {
+			panic(err)
+		}
+		f.sets = append(f.sets, set)
+		f.ids = append(f.ids, fmt.Sprint("entry-", i))
+	}
+	return f
+}
+
+func (f *fleet) server(i int) Server { return Server{fmt.Sprint("server-", i), f.life[i]} }
+
+func (f *fleet) view(entry int) *View {
+	var servers []Server
+	for i := range f.life {
+		servers = append(servers, f.server(i))
+	}
+	return NewView(f.ids[entry], f.ids, servers)
+}
+
+// send brings a request to an entry, which obeys the verdict.
+func (f *fleet) send(entry int, fingerprint uint64, server int, reachable bool) Verdict {
+	f.now = f.now.Add(time.Millisecond)
+	set := f.sets[entry]
+	ask := Ask{Now: f.now, Fingerprint: fingerprint, Server: f.server(server), View: f.view(entry)}
+	v := set.Admit(ask)
+	if v.Action == ActionPass && reachable {
+		for i, id := range f.ids {
+			if id == v.Owner {
+				f.sets[i].Merge(v.Record, f.now)
+				ask.View = f.view(i)
+				v = f.sets[i].Admit(ask)
+			}
+		}
+		set.Merge(v.Record, f.now)
+	}
+	if v.Action == ActionPass && !reachable {
+		ask.Unreachable = true
+		v = set.Admit(ask)
+	}
+	switch v.Action {
+	case ActionRun:
+		f.open = append(f.open, flight{entry, set.Start(fingerprint, v)})
+	case ActionRefuse:
+		f.refused++
+		f.blamed[fingerprint] = f.blamed[fingerprint] || fingerprint != poison
+	}
+	return v
+}
+
+// finish ends an open run: the poison takes the server and all that runs there.
+func (f *fleet) finish(i int) {
+	done := f.open[i]
+	if done.run.Fingerprint != poison {
+		f.open = append(f.open[:i:i], f.open[i+1:]...)
+		record := f.sets[done.entry].Finish(done.run, f.now)
+		f.notices = append(f.notices, func() { f.tell([]Record{record}) })
+		return
+	}
+	server := done.run.Server
+	f.lost[server] = true
+	for i := range f.life {
+		if f.server(i) == server {
+			f.life[i]++
+		}
+	}
+	var left []flight
+	for _, other := range f.open {
+		if other.run.Server != server {
+			left = append(left, other)
+		}
+	}
+	f.open = left
+	for _, set := range f.sets {
+		f.notices = append(f.notices, func() { f.tell(set.Crashed(server, f.now)) })
+	}
+}
+
+// tell gives records to all entries.
+func (f *fleet) tell(records []Record) {
+	for _, set := range f.sets {
+		for _, record := range records {
+			set.Merge(record, f.now)
+		}
+	}
+}
+
+// A caller's request crashes the server that runs it, and the caller sends it
+// again at once, through every entry, while the entries' news of the crash is
+// still on its way, late and doubled. Operators would see server after server
+// restart. At most two may go. Breaks without the raise in grant, the owner check
+// in Admit, openRuns in grantFirst or the check of open runs in grantTrial.
+func TestAtMostTwoServersLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 5).Draw(t, "entries"), 6, true)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			switch what := rapid.IntRange(0, 9).Draw(t, "what"); {
+			case what < 5:
+				entry := rapid.IntRange(0, len(f.sets)-1).Draw(t, "entry")
+				fingerprint := rapid.Uint64Range(poison, 4).Draw(t, "fingerprint")
+				v := f.send(entry, fingerprint, rapid.IntRange(0, 5).Draw(t, "server"), what > 0)
+				require.NotEqual(t, ActionPass, v.Action)
+			case what < 8 && len(f.open) > 0:
+				f.finish(rapid.IntRange(0, len(f.open)-1).Draw(t, "run"))
+			case len(f.notices) > 0:
+				i := rapid.IntRange(0, len(f.notices)-1).Draw(t, "notice")
+				f.notices[i]()
+				if what == 9 {
+					f.notices = append(f.notices[:i:i], f.notices[i+1:]...)
+				}
+			}
+			require.LessOrEqual(t, len(f.lost), 2)
+		}
+	})
+}
+
+// Without asking the owner first, the same holds when the news of a crash is
+// everywhere before the request is sent again, and only one copy runs at a time.
+func TestAtMostTwoServersLostWithPromptNews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(4, 6, false)
+		for range rapid.IntRange(1, 40).Draw(t, "sends") {
+			f.send(rapid.IntRange(0, 3).Draw(t, "entry"), poison, rapid.IntRange(0, 5).Draw(t, "server"), true)
+			if len(f.open) > 0 {
+				f.finish(0)
+			}
+			for _, notice := range f.notices {
+				notice()
+			}
+			f.notices = nil
+			require.LessOrEqual(t, len(f.lost), 2)
+		}
+	})
+}
+
+// Five requests run on a server when one of them crashes it. The other four are
+// other callers' and must be answered, each after one trial beside no other
+// suspect; the guilty one is refused at every entry from then on. Breaks without
+// OnTrial in grantTrial and without clearing crashes in Finish.
+func TestBystandersAreClearedAndTheGuiltyIsRefused(t *testing.T) {
+	for _, ask := range []bool{true, false} {
+		t.Run(fmt.Sprintf("AskOwner=%v", ask), func(t *testing.T) { playBystanders(t, newFleet(3, 6, ask)) })
+	}
+}
+
+func playBystanders(t *testing.T, f *fleet) {
+	for fingerprint := uint64(poison); fingerprint <= 5; fingerprint++ {
+		f.send(int(fingerprint)%3, fingerprint, 2, true)
+	}
+	f.finish(0)
+	for _, notice := range f.notices {
+		notice()
+	}
+	f.notices = nil
+	finished := map[uint64]bool{}
+	for round := range 40 {
+		busy := map[Server]int{}
+		for fingerprint := uint64(poison); fingerprint <= 5; fingerprint++ {
+			if !finished[fingerprint] {
+				f.send(round%3, fingerprint, 3, true)
+			}
+		}
+		for _, flight := range f.open {
+			busy[flight.run.Server]++
+			require.Equal(t, 1, busy[flight.run.Server], "suspects on one server")
+			finished[flight.run.Fingerprint] = true
+		}
+		for len(f.open) > 0 {
+			f.finish(0)
+		}
+		for _, notice := range f.notices {
+			notice()
+		}
+		f.notices = nil
+	}
+	require.Len(t, f.lost, 2)
+	require.Len(t, finished, 5)
+	require.Empty(t, f.blamed)
+	for fingerprint := uint64(poison + 1); fingerprint <= 5; fingerprint++ {
+		require.Equal(t, ReasonKnownGood, f.send(0, fingerprint, 0, true).Reason)
+	}
+	for entry := range f.sets {
+		v := f.send(entry, poison, 0, true)
+		require.Equal(t, ActionRefuse, v.Action)
+		require.Equal(t, ReasonQuarantined, v.Reason)
+		require.True(t, v.Until.After(f.now))
+	}
+	f.now = f.now.Add(DefaultConfig().Keep)
+	for _, set := range f.sets {
+		set.Expire(f.now)
+		require.Zero(t, set.Len())
+	}
+}
+
+// The entry that ran the request is lost in the same moment as the server, so it
+// tells nobody. The owner has heard of both and must not take the request for
+// new. Breaks without grantsOn in Crashed.
+func TestOwnerCountsCrashOfLostRunner(t *testing.T) {
+	f := newFleet(2, 4, true)
+	fingerprint := uint64(100)
+	for f.view(0).Owner(fingerprint) != f.ids[1] {
+		fingerprint++
+	}
+	v := f.send(0, fingerprint, 3, true)
+	require.Equal(t, ReasonFirstRuns, v.Reason)
+	require.Len(t, f.sets[1].Crashed(v.Server, f.now), 1)
+	require.Equal(t, ReasonTrial, f.send(1, fingerprint, 3, true).Reason)
+}
+
+// Records reach the entries in different orders, some twice. All entries must
+// end with the same record, or a request refused at one would run at another.
+func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []Record
+		for range rapid.IntRange(1, 8).Draw(t, "records") {
+			record := Record{Fingerprint: poison}
+			for range rapid.IntRange(1, 4).Draw(t, "exposures") {
+				record.raise(Exposure{
+					Server: Server{fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "server")), 1},
+					Grant:  rapid.Uint64Range(0, 1).Draw(t, "grant"),
+					State:  State(rapid.IntRange(0, 3).Draw(t, "state")),
+					At:     epoch.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "at")) * time.Second),
+				})
+			}
+			records = append(records, record)
+		}
+		a, b := newFleet(2, 1, true).sets[0], newFleet(2, 1, true).sets[1]
+		for _, record := range records {
+			a.Merge(record, epoch)
+		}
+		order := rapid.Permutation(append(records, records...)).Draw(t, "order")
+		for _, record := range order {
+			b.Merge(record, epoch)
+		}
+		left, right := *a.records[poison], *b.records[poison]
+		left.changed, right.changed = 0, 0
+		require.Equal(t, left, right)
+	})
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MaxRecords = 64
+	set, err := New(cfg)
+	require.NoError(t, err)
+	struck := Record{Fingerprint: poison}
+	struck.raise(Exposure{Server: Server{"s", 1}, State: StateCrashed, At: epoch})
+	set.Merge(struck, epoch)
+	view := NewView("e", []string{"e"}, []Server{{"s", 2}})
+	for fingerprint := range uint64(1000) {
+		set.Admit(Ask{Now: epoch, Fingerprint: fingerprint + 2, Server: Server{"s", 2}, View: view})
+		require.LessOrEqual(t, set.Len(), 64)
+	}
+	delta, _ := set.Delta(0)
+	require.Len(t, delta, 1, "the struck record outlives harmless ones")
+}
+
+func TestConfigNamesTheField(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Keep = time.Second
+	_, err := New(cfg)
+	var fault *ConfigError
+	require.ErrorAs(t, err, &fault)
+	require.Equal(t, "Keep", fault.Field)
+}
--- /dev/null
+++ b/policy/quarantine/record.go
@@ -0,0 +1,172 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fingerprint returns the xxhash64 of workspace, service and body. Each part
+// goes in with its end marked, so that no two splits of one text are equal.
+func Fingerprint(workspace, service string, body []byte) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(workspace) // a Digest never fails
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(service)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
+
+// Server is one life of a backend server.
+type Server struct {
+	ID          string `msgpack:"id"`
+	Incarnation uint64 `msgpack:"inc"`
+}
+
+func compareServers(a, b Server) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+// State is how a run of a fingerprint on a server stands. States only rise.
+type State uint8
+
+// The states, in order.
+const (
+	StateTrial   State = iota // granted and not known to have ended
+	StateEnded                // ended without an answer and without a crash
+	StateCrashed              // the server crashed
+	StateCleared              // finished, or crashed and another run finished later
+)
+
+// String returns the state in lower case, for logs.
+func (s State) String() string {
+	switch s {
+	case StateTrial:
+		return "trial"
+	case StateEnded:
+		return "ended"
+	case StateCrashed:
+		return "crashed"
+	case StateCleared:
+		return "cleared"
+	default:
+		return "unknown"
+	}
+}
+
+// Exposure is one run of a fingerprint on a server.
+type Exposure struct {
+	Server Server    `msgpack:"srv"`
+	Grant  uint64    `msgpack:"grant"` // number given by the owner; 0: run without one
+	State  State     `msgpack:"state"`
+	At     time.Time `msgpack:"at"` // when it came into this state
+}
+
+// Record is all that is known of one fingerprint. Merging is commutative,
+// associative and idempotent: the union of the exposures, each with its highest
+// state and latest time.
+type Record struct {
+	Fingerprint uint64     `msgpack:"fp"`
+	Exposures   []Exposure `msgpack:"exp"`    // sorted by server and grant
+	Struck      bool       `msgpack:"struck"` // some server has crashed under it, cleared or not
+
+	changed uint64 // Set.version at the last change
+}
+
+// Suspect reports whether some server crashed under the fingerprint and no
+// later run has finished.
+func (r *Record) Suspect(cfg *Config, now time.Time) bool {
+	return len(r.crashed(cfg, now)) > 0
+}
+
+func (r *Record) find(server Server, grant uint64) (int, bool) {
+	return slices.BinarySearchFunc(r.Exposures, Exposure{Server: server, Grant: grant}, compareExposures)
+}
+
+func compareExposures(a, b Exposure) int {
+	return cmp.Or(compareServers(a.Server, b.Server), cmp.Compare(a.Grant, b.Grant))
+}
+
+// raise merges one exposure in and reports whether that changed the record.
+func (r *Record) raise(e Exposure) bool {
+	r.Struck = r.Struck || e.State == StateCrashed
+	i, ok := r.find(e.Server, e.Grant)
+	if !ok {
+		r.Exposures = slices.Insert(r.Exposures, i, e)
+		return true
+	}
+	have := &r.Exposures[i]
+	if e.State < have.State || e.State == have.State && !e.At.After(have.At) {
+		return false
+	}
+	*have = e
+	return true
+}
+
+// crashed returns the distinct servers that crashed lately and are not cleared.
+func (r *Record) crashed(cfg *Config, now time.Time) []Server {
+	return r.servers(StateCrashed, cfg.Keep, now)
+}
+
+// running returns the distinct servers on which a run is open. One that has
+// crashed under another run is not among them.
+func (r *Record) running(cfg *Config, now time.Time) []Server {
+	open := r.servers(StateTrial, cfg.TrialKeep, now)
+	return slices.DeleteFunc(open, func(s Server) bool {
+		return slices.ContainsFunc(r.Exposures, func(e Exposure) bool {
+			return e.Server == s && e.State == StateCrashed
+		})
+	})
+}
+
+func (r *Record) servers(state State, keep time.Duration, now time.Time) []Server {
+	var found []Server
+	for _, e := range r.Exposures {
+		if e.State == state && now.Before(e.At.Add(keep)) && !slices.Contains(found, e.Server) {
+			found = append(found, e.Server)
+		}
+	}
+	return found
+}
+
+// good reports whether a run has finished and nothing speaks against it since.
+func (r *Record) good(cfg *Config, now time.Time) bool {
+	return !r.Suspect(cfg, now) && len(r.servers(StateCleared, cfg.Keep, now)) > 0
+}
+
+// until returns when fewer than two crashes will be remembered.
+func (r *Record) until(cfg *Config, now time.Time) time.Time {
+	latest := make(map[Server]time.Time)
+	for _, e := range r.Exposures {
+		if e.State == StateCrashed && e.At.After(latest[e.Server]) {
+			latest[e.Server] = e.At
+		}
+	}
+	var times []time.Time
+	for _, at := range latest {
+		times = append(times, at)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	if len(times) < quarantineCrashes {
+		return now
+	}
+	return times[len(times)-quarantineCrashes].Add(cfg.Keep)
+}
+
+// expire drops exposures that no longer count and reports whether any is left.
+func (r *Record) expire(cfg *Config, now time.Time) bool {
+	r.Exposures = slices.DeleteFunc(r.Exposures, func(e Exposure) bool {
+		return !now.Before(e.At.Add(cfg.Keep))
+	})
+	return len(r.Exposures) > 0
+}
+
+func (r *Record) clone() Record {
+	c := *r
+	c.Exposures = slices.Clone(r.Exposures)
+	return c
+}
--- /dev/null
+++ b/policy/quarantine/view.go
@@ -0,0 +1,62 @@
+package quarantine
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// View is one entry's picture of who owns what. Build a new one when an entry
+// or a backend server comes or goes.
+type View struct {
+	self   string
+	owners []string // entries that own at least one server
+	own    []Server // servers that self owns, sorted
+}
+
+// NewView shares the servers out among the entries. entries are the ids of all
+// serving entries, self among them; servers are those that serve. Each server
+// has one owner, which alone grants trials on it: with two, both could put a
+// suspect on it at once, and a crash would quarantine both.
+func NewView(self string, entries []string, servers []Server) *View {
+	v := &View{self: self}
+	for _, s := range servers {
+		owner := first(entries, xxhash.Sum64String(s.ID))
+		if owner == self {
+			v.own = append(v.own, s)
+		}
+		if owner != "" && !slices.Contains(v.owners, owner) {
+			v.owners = append(v.owners, owner)
+		}
+	}
+	slices.SortFunc(v.own, compareServers)
+	return v
+}
+
+// Owner returns the entry that grants runs of the fingerprint, empty when no
+// server serves.
+func (v *View) Owner(fingerprint uint64) string {
+	return first(v.owners, fingerprint)
+}
+
+// first returns the entry that comes first for the key by rendezvous hashing.
+func first(entries []string, key uint64) string {
+	best, top := "", uint64(0)
+	for _, id := range entries {
+		rank := mix(xxhash.Sum64String(id), key)
+		if best == "" || rank > top || rank == top && id < best {
+			best, top = id, rank
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of splitmix64 over two words.
+func mix(a, b uint64) uint64 {
+	z := a ^ (b * 0x9e3779b97f4a7c15)
+	z ^= z >> 30
+	z *= 0xbf58476d1ce4e5b9
+	z ^= z >> 27
+	z *= 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
