replica: property test of the core, disk faults of the storage

Cause: what was acknowledged must survive lost, late and doubled messages, freezes, deaths at any step, lost disks and operators' changes.

A second report was a fault of the check, not of the core: a candidate frozen with its votes may come to lead an old term late and need not hold what later terms committed; the check now compares with the term in which an entry was first applied.

--- a/replica/leader.go
+++ b/replica/leader.go
@@ -187,7 +187,7 @@
 		return
 	}
 	at := c.log.lastAtMost(m.Hint, m.HintTerm)
-	p.probe(min(at.Index, m.Hint) + 1)
+	p.probe(at.Index + 1)
 }
 
 // handleHeartbeatReply extends the lease and answers reads. It also stands in
--- a/replica/log.go
+++ b/replica/log.go
@@ -177,7 +177,9 @@
 }
 
 // lastAtMost returns the last position at or before index whose term is not
-// above term. Below the compacted part it gives up and returns the base.
+// above term. If there is none in memory, it returns a position before the base,
+// of no term: a leader that offered the base again and again to a replica whose
+// log differs there would never get to send it the snapshot.
 func (l *entryLog) lastAtMost(index, term uint64) Position {
 	index = min(index, l.last())
 	for ; index > l.base.Index; index-- {
@@ -185,5 +187,8 @@
 			return Position{Index: index, Term: t}
 		}
 	}
-	return l.base
+	if index == l.base.Index && l.base.Term <= term {
+		return l.base
+	}
+	return Position{Index: min(index, max(l.base.Index, 1)-1)}
 }
--- /dev/null
+++ b/replica/network_test.go
@@ -0,0 +1,391 @@
+package replica_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/replica"
+)
+
+const (
+	simElection  = 100 * time.Millisecond
+	simHeartbeat = 20 * time.Millisecond
+	simStep      = 2 * time.Millisecond
+	simKind      = replica.KindApplication
+)
+
+// faults says how often each fault happens; percentages, unless said otherwise.
+type faults struct {
+	Drop, Double, Late  int // of messages
+	Crash, Freeze, Cut  int // per 1,000 steps, for some replica
+	Lose, Change, Hand  int // per 1,000 steps: lost disk, membership change, transfer
+	Snapshot, DriftMill int // per 1,000 steps and replica; clock rate off by up to this per mille
+}
+
+// flight is a message under way.
+type flight struct {
+	at time.Duration
+	m  replica.Message
+}
+
+// node is one replica with a disk that holds only what was synced.
+type node struct {
+	id     uint64
+	core   *replica.Core // nil: down
+	disk   replica.State
+	lost   bool // disk gone for good
+	rate   int64
+	offset time.Duration
+
+	busyUntil time.Duration // frozen until
+	cutUntil  time.Duration
+	upAt      time.Duration
+	crashAt   int // step of the next Ready at which the process dies; 0: none
+
+	values   []uint64 // state machine: proposals applied, in order
+	proposed map[replica.Position]uint64
+	reads    map[uint64]uint64 // read id to the index that it must see
+	until    time.Duration     // longest lease given out, on the replica's clock
+}
+
+// world is a group of replicas in virtual time, and what must hold of it.
+type world struct {
+	rng     *rand.Rand
+	faults  faults
+	now     time.Duration
+	nodes   []*node
+	flights []flight
+	nextID  uint64
+	value   uint64
+
+	leaders   map[uint64]uint64                 // by term
+	chosen    []replica.Entry                   // applied anywhere; index i+1
+	chosenIn  []uint64                          // term of the replica that applied it first
+	written   map[replica.Position]writtenEntry // synced anywhere
+	members   replica.Members                   // latest committed
+	membersAt uint64
+	acked     []uint64 // values acknowledged
+	ackIndex  uint64   // highest index acknowledged
+	reads     int
+	installs  int
+	fault     error // first broken promise
+}
+
+type writtenEntry struct {
+	previous uint64 // term of the entry before
+	data     string
+}
+
+func newWorld(seed uint64, size int, f faults) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 7)), faults: f,
+		leaders: map[uint64]uint64{}, written: map[replica.Position]writtenEntry{},
+	}
+	for range size {
+		w.nextID++
+		w.members.Voters = append(w.members.Voters, w.nextID)
+	}
+	for _, id := range w.members.Voters {
+		n := w.add(id)
+		n.disk.Snapshot.Meta.Members = w.members.Clone()
+		w.boot(n)
+	}
+	return w
+}
+
+func (w *world) add(id uint64) *node {
+	drift := int64(w.faults.DriftMill)
+	n := &node{id: id, rate: 1000 - drift + w.rng.Int64N(2*drift+1), offset: time.Duration(w.rng.Int64N(int64(time.Hour)))}
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+func (n *node) clock(now time.Duration) time.Duration {
+	return n.offset + now*time.Duration(n.rate)/1000
+}
+
+func (w *world) failf(format string, args ...any) {
+	if w.fault == nil {
+		w.fault = fmt.Errorf("at %v: "+format, append([]any{w.now}, args...)...)
+	}
+}
+
+func (w *world) chance(perMille int) bool { return w.rng.IntN(1000) < perMille }
+
+// boot starts a replica from its disk.
+func (w *world) boot(n *node) {
+	core, err := replica.NewCore(replica.Config{
+		ID: n.id, ElectionTimeout: simElection, HeartbeatInterval: simHeartbeat,
+		MaxMessageBytes: 200, MaxInflight: 4, Rand: w.rng.Int64N,
+	}, n.disk, n.clock(w.now))
+	if err != nil {
+		w.failf("replica %d does not start: %v", n.id, err)
+		return
+	}
+	n.core = core
+	n.values = decodeValues(n.disk.Snapshot.Data)
+	n.proposed = map[replica.Position]uint64{}
+	n.reads = map[uint64]uint64{}
+}
+
+func (w *world) crash(n *node) {
+	n.core = nil
+	n.until = 0
+	n.crashAt = 0
+	n.upAt = w.now + time.Duration(w.rng.Int64N(int64(3*simElection)))
+}
+
+func decodeValues(b []byte) []uint64 {
+	var values []uint64
+	if len(b) > 0 {
+		if err := msgpack.Unmarshal(b, &values); err != nil {
+			panic(err)
+		}
+	}
+	return values
+}
+
+func decodeValue(b []byte) (value uint64) {
+	if err := msgpack.Unmarshal(b, &value); err != nil {
+		panic(err)
+	}
+	return value
+}
+
+func encode(v any) []byte {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func (w *world) send(n *node, messages []replica.Message) {
+	for _, m := range messages {
+		if w.rng.IntN(100) < w.faults.Drop || w.now < n.cutUntil {
+			continue
+		}
+		w.fly(m)
+		if w.rng.IntN(100) < w.faults.Double {
+			w.fly(m)
+		}
+	}
+}
+
+// fly sends a copy of m through its encoding; some messages take very long.
+func (w *world) fly(m replica.Message) {
+	delay := w.rng.Int64N(int64(5 * time.Millisecond))
+	if w.rng.IntN(100) < w.faults.Late {
+		delay = w.rng.Int64N(int64(5 * simElection))
+	}
+	var copied replica.Message
+	if err := msgpack.Unmarshal(encode(m), &copied); err != nil {
+		panic(err)
+	}
+	w.flights = append(w.flights, flight{at: w.now + time.Duration(delay), m: copied})
+}
+
+// work does what the core asks for; the process may die between any two steps.
+func (w *world) work(n *node) {
+	for n.core != nil && w.fault == nil {
+		rd, ok := n.core.Ready()
+		if !ok {
+			break
+		}
+		w.send(n, rd.Early)
+		if w.diesAt(n, 1) {
+			return
+		}
+		w.sync(n, rd)
+		if w.diesAt(n, 2) {
+			return
+		}
+		w.send(n, rd.Messages)
+		if w.diesAt(n, 3) {
+			return
+		}
+		w.apply(n, rd)
+		n.core.Advance(rd)
+		w.answerReads(n, rd.Reads)
+		if w.chance(w.faults.Snapshot) && n.core.AppliedIndex() > n.core.SnapshotIndex() {
+			w.snapshot(n)
+		}
+	}
+	w.observe(n)
+}
+
+func (w *world) diesAt(n *node, step int) bool {
+	if n.crashAt != step {
+		return false
+	}
+	w.crash(n)
+	return true
+}
+
+func (w *world) sync(n *node, rd replica.Ready) {
+	if rd.Snapshot != nil {
+		w.installs++
+		n.disk = replica.State{HardState: rd.HardState, Snapshot: *rd.Snapshot}
+	}
+	if !rd.MustSync {
+		return
+	}
+	n.disk.HardState = rd.HardState
+	if len(rd.Entries) == 0 {
+		return
+	}
+	base := n.disk.Snapshot.Meta.Index
+	n.disk.Entries = slices.Concat(n.disk.Entries[:rd.Entries[0].Index-base-1], rd.Entries)
+	for i, e := range n.disk.Entries {
+		previous := n.disk.Snapshot.Meta.Term
+		if i > 0 {
+			previous = n.disk.Entries[i-1].Term
+		}
+		w.checkWritten(n, e, writtenEntry{previous: previous, data: string(e.Data)})
+	}
+}
+
+// checkWritten holds log matching: the same index and term mean the same entry
+// after the same predecessor.
+func (w *world) checkWritten(n *node, e replica.Entry, entry writtenEntry) {
+	at := replica.Position{Index: e.Index, Term: e.Term}
+	have, ok := w.written[at]
+	if ok && have != entry {
+		w.failf("log matching: replica %d holds another entry at %+v", n.id, at)
+	}
+	w.written[at] = entry
+}
+
+func (w *world) apply(n *node, rd replica.Ready) {
+	if rd.Snapshot != nil {
+		n.values = decodeValues(rd.Snapshot.Data)
+	}
+	for _, e := range rd.Committed {
+		w.choose(n, e)
+		if e.Kind == simKind {
+			n.values = append(n.values, decodeValue(e.Data))
+		}
+		at := replica.Position{Index: e.Index, Term: e.Term}
+		if value, ok := n.proposed[at]; ok {
+			w.acked = append(w.acked, value)
+			w.ackIndex = max(w.ackIndex, e.Index)
+		}
+	}
+}
+
+// choose holds state-machine safety: all replicas apply the same entries.
+func (w *world) choose(n *node, e replica.Entry) {
+	switch next := uint64(len(w.chosen)) + 1; {
+	case e.Index > next:
+		w.failf("replica %d applied %d before anyone applied %d", n.id, e.Index, next)
+	case e.Index == next:
+		w.chosen = append(w.chosen, e)
+		w.chosenIn = append(w.chosenIn, n.core.Term())
+	default:
+		if have := w.chosen[e.Index-1]; have.Term != e.Term || string(have.Data) != string(e.Data) {
+			w.failf("state-machine safety: replica %d applied another entry %d", n.id, e.Index)
+		}
+	}
+	if e.Kind == replica.KindMembership && e.Index > w.membersAt {
+		w.members = replica.Members{}
+		w.membersAt = e.Index
+		if err := msgpack.Unmarshal(e.Data, &w.members); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func (w *world) answerReads(n *node, reads []replica.ReadState) {
+	for _, r := range reads {
+		w.reads++
+		if must, ok := n.reads[r.ID]; ok && r.Index < must {
+			w.failf("read at replica %d sees %d, %d was acknowledged before", n.id, r.Index, must)
+		}
+		delete(n.reads, r.ID)
+	}
+}
+
+func (w *world) snapshot(n *node) {
+	s := replica.Snapshot{Meta: n.core.SnapshotMeta(), Data: encode(n.values)}
+	n.disk.Entries = n.disk.Entries[s.Meta.Index-n.disk.Snapshot.Meta.Index:]
+	n.disk.Snapshot = s
+	n.core.Compact(s, uint64(w.rng.IntN(10)))
+}
+
+// observe publishes the lease and holds election safety, leader completeness and
+// the index by kind.
+func (w *world) observe(n *node) {
+	if n.core == nil {
+		return
+	}
+	if _, until, ok := n.core.Lease(); ok {
+		n.until = max(n.until, until)
+	}
+	w.checkLastIndexOf(n)
+	if n.core.Role() != replica.Leader {
+		return
+	}
+	term := n.core.Term()
+	if other, ok := w.leaders[term]; ok {
+		if other != n.id {
+			w.failf("election safety: %d and %d lead term %d", other, n.id, term)
+		}
+		return
+	}
+	w.leaders[term] = n.id
+	w.checkComplete(n, term)
+}
+
+// checkComplete looks for the entries committed in earlier terms. A candidate
+// that was frozen with its votes may come to lead an old term late; it need not
+// hold what was committed in later ones.
+func (w *world) checkComplete(n *node, term uint64) {
+	base := n.disk.Snapshot.Meta.Index
+	for i, e := range w.chosen {
+		if e.Index <= base || w.chosenIn[i] >= term {
+			continue
+		}
+		at := e.Index - base - 1
+		if at >= uint64(len(n.disk.Entries)) || n.disk.Entries[at].Term != e.Term {
+			w.failf("leader completeness: leader %d of term %d lacks entry %d", n.id, term, e.Index)
+			return
+		}
+	}
+}
+
+func (w *world) checkLastIndexOf(n *node) {
+	want := uint64(0)
+	for _, e := range w.chosen[:min(int(n.disk.Snapshot.Meta.Index), len(w.chosen))] {
+		if e.Kind == simKind {
+			want = e.Index
+		}
+	}
+	for _, e := range n.disk.Entries {
+		if e.Kind == simKind {
+			want = e.Index
+		}
+	}
+	if got := n.core.LastIndexOf(simKind); got != want {
+		w.failf("replica %d: last index of kind %d is %d, want %d", n.id, simKind, got, want)
+	}
+}
+
+// checkLeases holds that no two replicas, running or frozen, hold a lease. One
+// that was given out counts to its end, also after its leader has stepped down:
+// an order that relies on it may be under way.
+func (w *world) checkLeases() {
+	holder := uint64(0)
+	for _, n := range w.nodes {
+		if n.until <= n.clock(w.now) {
+			continue
+		}
+		if holder != 0 {
+			w.failf("lease: %d and %d hold one", holder, n.id)
+		}
+		holder = n.id
+	}
+}
--- a/replica/storage/log.go
+++ b/replica/storage/log.go
@@ -214,10 +214,13 @@
 }
 
 func (l *Log) install(hs replica.HardState, s replica.Snapshot) error {
+	l.hard = hs
+	if err := l.write(record{HardState: &hs}); err != nil {
+		return err
+	}
 	if err := l.writeSnapshot(s); err != nil {
 		return err
 	}
-	l.hard = hs
 	if err := l.beginSegment(true); err != nil {
 		return err
 	}
--- /dev/null
+++ b/replica/storage/log_test.go
@@ -0,0 +1,247 @@
+package storage_test
+
+import (
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/storage"
+)
+
+const testDir = "data"
+
+func config() storage.Config {
+	return storage.Config{Dir: testDir, Replica: 7, SegmentBytes: 400}
+}
+
+func open(t require.TestingT, fs storage.FS) *storage.Log {
+	l, err := storage.Open(config(), fs)
+	require.NoError(t, err)
+	return l
+}
+
+func entries(first, last, term uint64) []replica.Entry {
+	var out []replica.Entry
+	for i := first; i <= last; i++ {
+		out = append(out, replica.Entry{Index: i, Term: term, Kind: replica.KindApplication, Data: []byte{byte(i), byte(term)}})
+	}
+	return out
+}
+
+func hard(term uint64) replica.HardState { return replica.HardState{Term: term, Vote: 1} }
+
+// model is what the disk must hold.
+type model struct {
+	replica.State
+}
+
+func (m model) save(term uint64, add []replica.Entry) model {
+	m.HardState = hard(term)
+	if len(add) > 0 {
+		kept := add[0].Index - m.Snapshot.Meta.Index - 1
+		m.Entries = slices.Concat(m.Entries[:kept], add)
+	}
+	return m
+}
+
+func (m model) snapshot(index, term uint64) model {
+	if index <= m.LastIndex() {
+		m.Entries = slices.Clone(m.Entries[index-m.Snapshot.Meta.Index:])
+	} else {
+		m.Entries = nil
+	}
+	m.Snapshot = replica.Snapshot{Meta: replica.SnapshotMeta{Index: index, Term: term}, Data: []byte("state")}
+	return m
+}
+
+// operate does one random operation on the log and returns the model after it.
+func operate(t *rapid.T, l *storage.Log, m model, term uint64) (model, error) {
+	base := m.Snapshot.Meta.Index
+	switch rapid.IntRange(0, 6).Draw(t, "operation") {
+	case 0:
+		next := m.save(term, nil)
+		return next, l.Save(next.HardState, nil)
+	case 1:
+		if len(m.Entries) == 0 {
+			return m, nil
+		}
+		e := rapid.SampledFrom(m.Entries).Draw(t, "snapshot at")
+		next := m.snapshot(e.Index, e.Term)
+		return next, l.SaveSnapshot(next.Snapshot)
+	case 2:
+		next := m.snapshot(rapid.Uint64Range(base+1, m.LastIndex()+20).Draw(t, "install at"), term+1)
+		next.Entries = nil
+		next.HardState = hard(term + 1)
+		return next, l.Install(next.HardState, next.Snapshot)
+	default:
+		first := rapid.Uint64Range(base+1, m.LastIndex()+1).Draw(t, "first")
+		add := entries(first, first+rapid.Uint64Range(0, 5).Draw(t, "more"), term)
+		next := m.save(term, add)
+		return next, l.Save(next.HardState, add)
+	}
+}
+
+func equal(a, b replica.State) bool {
+	return a.HardState == b.HardState && a.Snapshot.Meta.Index == b.Snapshot.Meta.Index &&
+		slices.EqualFunc(a.Entries, b.Entries, func(x, y replica.Entry) bool {
+			return x.Index == y.Index && x.Term == y.Term && string(x.Data) == string(y.Data)
+		})
+}
+
+// The process dies in the middle of any file operation, or the power goes and
+// whatever was not synced is lost in part. A user would notice an acknowledged
+// change that is gone after the restart. What Save returned for must be there;
+// the operation under way may be there or not, but not half.
+//
+// Breaks when one of these goes: the Sync in write; a SyncDir; the rename in
+// replaceFile; reopen's rewriting; the stale branch in open.
+func TestStateSurvivesDeathAtAnyStep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fs := newMemFS()
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var m model
+		for range rapid.IntRange(1, 6).Draw(t, "lives") {
+			before, after := live(t, fs, m)
+			if rapid.Bool().Draw(t, "power loss") {
+				fs.powerLoss(rng)
+			} else {
+				fs.kill()
+			}
+			l := open(t, fs)
+			m = model{l.State()}
+			require.NoError(t, l.Close())
+			half := before // an installation syncs the hard state first
+			half.HardState = after.HardState
+			if !equal(m.State, before.State) && !equal(m.State, after.State) && !equal(m.State, half.State) {
+				t.Fatalf("found %+v\nwant %+v\nor %+v", m.State, before.State, after.State)
+			}
+		}
+	})
+}
+
+// live opens the folder and operates until the process dies or has done enough.
+// It returns the states before and after the last operation.
+func live(t *rapid.T, fs *memFS, m model) (before, after model) {
+	fs.dieAt = fs.steps + rapid.IntRange(1, 80).Draw(t, "dies after")
+	l, err := storage.Open(config(), fs)
+	if err != nil {
+		require.ErrorIs(t, err, errDied)
+		return m, m
+	}
+	l.State()
+	for range rapid.IntRange(0, 20).Draw(t, "operations") {
+		term := m.HardState.Term + rapid.Uint64Range(0, 1).Draw(t, "term")
+		next, err := operate(t, l, m, term)
+		if err != nil {
+			require.ErrorIs(t, err, storage.ErrFailed)
+			return m, next
+		}
+		m = next
+	}
+	return m, m
+}
+
+// A sync fails once, as when a disk drops a write, and the next sync would
+// succeed although the data is not on disk. Acknowledging it would lose a
+// statement credit at the next power loss; so everything is refused until the
+// process is started anew, and what it finds then is written again.
+//
+// Breaks when l.failed is not kept in check, or reopen does not rewrite.
+func TestFailedSyncLasts(t *testing.T) {
+	fs := newMemFS()
+	l := open(t, fs)
+	require.NoError(t, l.Save(hard(1), entries(1, 3, 1)))
+	fs.failSync = true
+	require.ErrorIs(t, l.Save(hard(1), entries(4, 4, 1)), storage.ErrFailed)
+	require.ErrorIs(t, l.Save(hard(1), entries(4, 4, 1)), storage.ErrFailed)
+	require.ErrorIs(t, l.SaveSnapshot(replica.Snapshot{}), storage.ErrFailed)
+	require.ErrorIs(t, l.Install(hard(1), replica.Snapshot{}), storage.ErrFailed)
+
+	fs.kill()
+	l = open(t, fs)
+	found := l.State()
+	require.NoError(t, l.Save(hard(2), nil))
+	fs.powerLoss(rand.New(rand.NewPCG(1, 1)))
+	after := open(t, fs).State()
+	require.Equal(t, found.Entries, after.Entries, "entries seen after the restart were taken for synced")
+}
+
+// The disk fills up. The replica must stop with a clear error instead of going
+// on without a log, and start again once there is room, with all it acknowledged.
+func TestFullDisk(t *testing.T) {
+	fs := newMemFS()
+	l := open(t, fs)
+	require.NoError(t, l.Save(hard(1), entries(1, 3, 1)))
+	fs.space = 30
+	err := l.Save(hard(1), entries(4, 9, 1))
+	require.ErrorIs(t, err, storage.ErrFailed)
+	require.ErrorIs(t, err, errFull)
+
+	fs.kill()
+	require.Equal(t, entries(1, 3, 1), open(t, fs).State().Entries)
+}
+
+// One bit of the log flips on disk, long after it was acknowledged. Cutting the
+// log there would silently lose every later entry, so the start must fail and
+// say where; only the very last frame cannot be told from one that was torn.
+//
+// Breaks when frameFollows returns false.
+func TestBadFrameInTheMiddle(t *testing.T) {
+	fs := newMemFS()
+	whole := storage.Config{Dir: testDir, Replica: 7}
+	l, err := storage.Open(whole, fs)
+	require.NoError(t, err)
+	for i := uint64(1); i <= 6; i++ {
+		require.NoError(t, l.Save(hard(1), entries(i, i, 1)))
+	}
+	require.NoError(t, l.Close())
+	file := fs.files[filepath.Join(testDir, "log-0000000000000001.seg")]
+	last := len(file.cache) * 5 / 6
+	for at := range last {
+		file.cache[at] ^= 0x10
+		_, err := storage.Open(whole, fs)
+		var corrupt *storage.CorruptError
+		require.ErrorAs(t, err, &corrupt, "byte %d of %d", at, len(file.cache))
+		file.cache[at] ^= 0x10
+	}
+	require.Len(t, open(t, fs).State().Entries, 6)
+}
+
+// Two processes are started on one folder, or one under another replica's id.
+// Each would overwrite what the other acknowledged.
+func TestFolderBelongsToOneProcessAndReplica(t *testing.T) {
+	c := storage.Config{Dir: t.TempDir(), Replica: 1}
+	l, err := storage.Open(c, storage.OS{})
+	require.NoError(t, err)
+	_, err = storage.Open(c, storage.OS{})
+	require.ErrorIs(t, err, storage.ErrLocked)
+	require.NoError(t, l.Close())
+
+	c.Replica = 2
+	_, err = storage.Open(c, storage.OS{})
+	var other *storage.ReplicaError
+	require.ErrorAs(t, err, &other)
+}
+
+// FuzzOpen feeds any bytes as the last segment: an error or a state, no panic.
+func FuzzOpen(f *testing.F) {
+	fs := newMemFS()
+	l := open(f, fs)
+	require.NoError(f, l.Save(hard(1), entries(1, 3, 1)))
+	for _, file := range fs.files {
+		f.Add(file.cache)
+		f.Add(file.cache[:len(file.cache)-1])
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		fs := newMemFS()
+		fs.files[filepath.Join(testDir, "log-0000000000000001.seg")] = &memFile{cache: b}
+		if l, err := storage.Open(config(), fs); err == nil {
+			require.NoError(t, l.Close())
+		}
+	})
+}
--- /dev/null
+++ b/replica/storage/memfs_test.go
@@ -0,0 +1,196 @@
+package storage_test
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+
+	"savoryreel.example/savoryreel/replica/storage"
+)
+
+var (
+	errDied = errors.New("process died")
+	errSync = errors.New("input/output error")
+	errFull = errors.New("no space left on device")
+)
+
+// memFile is a file with what the disk holds and what the kernel's cache shows.
+type memFile struct {
+	cache []byte
+	disk  []byte
+	clean int // the cache up to here counts as written and is not written again
+}
+
+// memFS is a file system in memory that forgets what was not synced.
+type memFS struct {
+	files    map[string]*memFile // as the process sees them
+	durable  map[string]*memFile // names that would be found after a crash
+	steps    int                 // calls that change something, so far
+	dieAt    int                 // call at which the process dies; 0: never
+	failSync bool                // the next sync fails
+	space    int                 // bytes left; negative: no limit
+	held     bool
+}
+
+func newMemFS() *memFS {
+	return &memFS{files: map[string]*memFile{}, durable: map[string]*memFile{}, space: -1}
+}
+
+// step counts a call and reports whether the process is dead.
+func (m *memFS) step() error {
+	m.steps++
+	if m.dieAt > 0 && m.steps >= m.dieAt {
+		return errDied
+	}
+	return nil
+}
+
+// kill ends the process: the cache stays. The lock ends with it.
+func (m *memFS) kill() {
+	m.held = false
+	m.dieAt = 0
+	m.failSync = false
+	m.space = -1
+}
+
+// powerLoss leaves what was synced, and of a file's unsynced rest any part: some
+// of it, then perhaps zeros where a page was lost.
+func (m *memFS) powerLoss(rng *rand.Rand) {
+	m.kill()
+	m.files = map[string]*memFile{}
+	for name, f := range m.durable {
+		rest := slices.Clone(f.cache[min(len(f.disk), len(f.cache)):])
+		rest = rest[:rng.IntN(len(rest)+1)]
+		for i := range rest {
+			if rng.IntN(8) == 0 {
+				rest[i] = 0
+			}
+		}
+		content := slices.Concat(f.disk, rest)
+		m.files[name] = &memFile{cache: content, disk: slices.Clone(content), clean: len(content)}
+	}
+	m.durable = map[string]*memFile{}
+	for name, f := range m.files {
+		m.durable[name] = f
+	}
+}
+
+type openFile struct {
+	fs *memFS
+	f  *memFile
+}
+
+func (o *openFile) Write(b []byte) (int, error) {
+	if err := o.fs.step(); err != nil {
+		half := b[:len(b)/2]
+		o.f.cache = append(o.f.cache, half...)
+		return len(half), err
+	}
+	if o.fs.space >= 0 && len(b) > o.fs.space {
+		o.f.cache = append(o.f.cache, b[:o.fs.space]...)
+		return o.fs.space, errFull
+	}
+	o.f.cache = append(o.f.cache, b...)
+	return len(b), nil
+}
+
+// Sync writes what is not clean. A failed one marks everything clean, as kernels
+// do, and the next one succeeds without having written it.
+func (o *openFile) Sync() error {
+	if err := o.fs.step(); err != nil {
+		return err
+	}
+	if o.fs.failSync {
+		o.fs.failSync = false
+		o.f.clean = len(o.f.cache)
+		return errSync
+	}
+	for len(o.f.disk) < o.f.clean {
+		o.f.disk = append(o.f.disk, 0)
+	}
+	o.f.disk = append(o.f.disk, o.f.cache[o.f.clean:]...)
+	o.f.clean = len(o.f.cache)
+	return nil
+}
+
+func (o *openFile) Close() error { return nil }
+
+func (m *memFS) MkdirAll(string) error { return nil }
+
+func (m *memFS) Create(name string) (storage.File, error) {
+	if err := m.step(); err != nil {
+		return nil, err
+	}
+	f := &memFile{}
+	m.files[name] = f
+	return &openFile{fs: m, f: f}, nil
+}
+
+func (m *memFS) Append(name string) (storage.File, error) {
+	f, ok := m.files[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return &openFile{fs: m, f: f}, nil
+}
+
+func (m *memFS) ReadFile(name string) ([]byte, error) {
+	f, ok := m.files[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(f.cache), nil
+}
+
+func (m *memFS) List(string) ([]string, error) {
+	var names []string
+	for name := range m.files {
+		names = append(names, filepath.Base(name))
+	}
+	return names, nil
+}
+
+func (m *memFS) Rename(from, to string) error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	m.files[to] = m.files[from]
+	delete(m.files, from)
+	return nil
+}
+
+func (m *memFS) Remove(name string) error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	delete(m.files, name)
+	return nil
+}
+
+func (m *memFS) SyncDir(string) error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	m.durable = map[string]*memFile{}
+	for name, f := range m.files {
+		m.durable[name] = f
+	}
+	return nil
+}
+
+func (m *memFS) Lock(string) (io.Closer, error) {
+	if m.held {
+		return nil, storage.ErrLocked
+	}
+	m.held = true
+	return m, nil
+}
+
+// Close releases the lock.
+func (m *memFS) Close() error {
+	m.held = false
+	return nil
+}
