policy/queue, policy/admit: shares over all entries, waits by the 95th percentile

Parts gives each free slot to one entry. Starter counts what a workspace holds at other entries. Estimate carries the 95th percentile of the wait and Held. Drain learns from what ends while no slot is free, since a queue that is held short is mostly empty. Charge leaves the next item its place.

--- a/policy/admit/admitter.go
+++ b/policy/admit/admitter.go
@@ -16,7 +16,8 @@
 	cfg        Config
 	workspaces map[string]*workspace
 
-	invited invited
+	standing standing
+	invited  invited
 }
 
 // workspace is the state of one workspace at this entry.
@@ -31,7 +32,6 @@
 	tokens   bucket
 	allowed  Amount // what holds now
 	running  int
-	standing standing
 
 	offered       rateMeter // requests
 	offeredTokens rateMeter
@@ -110,9 +110,9 @@
 	a.refresh(now, w)
 	w.offered.add(now, 1, a.cfg.Memory)
 	w.offeredTokens.add(now, float64(r.Cost), a.cfg.Memory)
-	w.standing.observe(now, r)
+	a.standing.observe(now, r, a.cfg.Standing)
 
-	if reason, wait := a.inTime(now, w, r); reason != Admitted {
+	if reason, wait := a.inTime(now, r); reason != Admitted {
 		return a.refuse(now, r, reason, wait, random)
 	}
 	if reason, wait := w.withinLimits(now); reason != Admitted {
@@ -128,7 +128,7 @@
 
 // inTime judges whether the answer would come in time. wait is how much
 // shorter the queue would have to be.
-func (a *Admitter) inTime(now time.Time, w *workspace, r Request) (reason Reason, wait time.Duration) {
+func (a *Admitter) inTime(now time.Time, r Request) (reason Reason, wait time.Duration) {
 	e := r.Estimate
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return DeadlinePassed, e.Wait
@@ -143,7 +143,8 @@
 		}
 	}
 	if r.Target > 0 && r.Class == contract.ClassInteractive {
-		if late := e.Wait - a.patience(now, w, r); late > 0 {
+		if late := a.lateness(now, r); late > 0 {
+			a.standing.last = now // it goes on while anything is refused for it
 			return TargetMissed, late
 		}
 	}
@@ -153,22 +154,26 @@
 	return Admitted, 0
 }
 
-// patience is the wait in the queue up to which an interactive request is let
-// in. A burst may wait for Burst times the target, since a late answer is worth
-// more than none. Once the queue stands, waiting gains nobody anything: as many
-// are answered in a second from a short queue as from a long one, and from the
-// short one in time.
-func (a *Admitter) patience(now time.Time, w *workspace, r Request) time.Duration {
-	if w.standing.since(now) < a.cfg.Standing {
-		return time.Duration(a.cfg.Burst * float64(r.Target))
+// lateness is how much too long an interactive request would wait. A burst may
+// wait for Burst times the target, since a late answer is worth more than none.
+// Once the queue stands, waiting gains nobody anything: as many are answered in a
+// second from a short queue as from a long one, and from the short one in time.
+// Since the target is meant for 95 in 100, that many of those let in have to meet
+// it: at a small entry, where a slot comes free every few hundred milliseconds,
+// that leaves no room to wait at all, and at a large one room for several.
+func (a *Admitter) lateness(now time.Time, r Request) time.Duration {
+	if a.standing.since(now) < a.cfg.Standing {
+		return r.Estimate.Wait - time.Duration(a.cfg.Burst*float64(r.Target))
+	}
+	if r.Estimate.Wait == 0 {
+		return 0
 	}
-	return max(0, time.Duration(targetShare*float64(r.Target-r.Estimate.First)))
+	if r.Estimate.Held {
+		return max(r.Estimate.Wait, a.cfg.MinRetryAfter)
+	}
+	return r.Estimate.WaitP95 + r.Estimate.First - r.Target
 }
 
-// targetShare is the part of what the target leaves for the wait that the
-// estimate may fill while the queue stands; the rest covers its error.
-const targetShare = 0.7
-
 // of returns the wait for a class.
 func (w ClassWaits) of(c contract.Class) time.Duration {
 	switch c {
--- a/policy/admit/drain.go
+++ b/policy/admit/drain.go
@@ -12,23 +12,24 @@
 // cannot be answered before their deadline: at a load above capacity all of
 // them do, and the fleet works for callers that have given up.
 //
-// The rate is tokens of work taken from the queue for each second in which the
-// queue held something. A time without waiting requests says nothing of what
-// the fleet can do: if it counted, the first seconds of a surge after a quiet
-// night would be judged by the night's rate and refused.
+// The rate is tokens of work that ended for each second in which this entry had
+// no free slot. Other times say nothing of what the fleet can do: if they
+// counted, the first seconds of a surge after a quiet night would be judged by
+// the night's rate and refused.
 type Drain struct {
 	memory time.Duration
 
 	last   time.Time
-	busy   bool    // something waited since last
-	tokens float64 // decayed sum of tokens started while busy
-	time   float64 // decayed sum of busy seconds
+	full   bool    // no slot was free since last
+	tokens float64 // decayed sum of tokens ended while full
+	time   float64 // decayed sum of seconds while full
 
+	cost  mean // tokens of an ended request
 	first mean // seconds from start to first token
 	gap   mean // seconds between tokens
 }
 
-// minEvidence is the part of the memory that must have been busy before a rate
+// minEvidence is the part of the memory that must have been full before a rate
 // is believed: an eighth, a quarter of a second by default. Over less, a single
 // long item decides.
 const minEvidence = 0.125
@@ -38,28 +39,35 @@
 	return &Drain{memory: memory}
 }
 
-// Started notes that items of so many tokens left the queue to run; waiting
-// says whether others still wait. Call it with 0 tokens after each push, too.
-func (d *Drain) Started(now time.Time, tokens int64, waiting bool) {
-	if d.busy {
-		d.advance(now)
+// Ended notes that a request of so many tokens gave its slot back. Call Full
+// after it.
+func (d *Drain) Ended(now time.Time, tokens int64) {
+	d.advance(now)
+	d.cost.add(float64(tokens))
+	if d.full {
 		d.tokens += float64(tokens)
 	}
-	if d.last.Before(now) {
-		d.last = now
-	}
-	d.busy = waiting
+}
+
+// Full notes whether a request that came now would find no free slot. Call it
+// whenever that may have changed.
+func (d *Drain) Full(now time.Time, full bool) {
+	d.advance(now)
+	d.full = full
 }
 
 func (d *Drain) advance(now time.Time) {
 	d.tokens, d.time = d.sums(now)
+	if d.last.Before(now) {
+		d.last = now
+	}
 }
 
-// sums returns the decayed sums as of now. While something waits and nothing
-// starts the rate falls, so that a fleet that has stopped is noticed.
+// sums returns the decayed sums as of now. While no slot is free and nothing
+// ends the rate falls, so that a fleet that has stopped is noticed.
 func (d *Drain) sums(now time.Time) (tokens, seconds float64) {
 	elapsed := now.Sub(d.last)
-	if !d.busy || elapsed <= 0 {
+	if !d.full || elapsed <= 0 {
 		return d.tokens, d.time
 	}
 	keep := math.Exp(-elapsed.Seconds() / d.memory.Seconds())
@@ -84,28 +92,50 @@
 
 // Estimate is what a request that came now could expect.
 type Estimate struct {
-	Wait  time.Duration // in the queue
-	First time.Duration // from its start to the first token
-	Gap   time.Duration // between tokens
-	Rate  float64       // drain of the queue, tokens a second
-	Known bool          // false: nothing learnt of the drain, Wait is 0
+	Wait    time.Duration // in the queue, on average
+	WaitP95 time.Duration // in the queue, of 95 in 100
+	First   time.Duration // from its start to the first token, of 95 in 100
+	Gap     time.Duration // between tokens, on average
+	Rate    float64       // drain of the queue, tokens a second
+	Known   bool          // false: nothing learnt of the drain, both waits are 0
+	Held    bool          // it would wait for its workspace to fall below its share, however long that takes
 }
 
-// maxEstimate bounds Estimate.Wait where the queue has stopped draining.
+// maxEstimate bounds the waits of an Estimate where nothing ends any more.
 const maxEstimate = time.Hour
 
-// Estimate judges a request that would wait behind backlog. The wait is the
-// shorter of two: for the workspace's own work at the workspace's share, and
-// for all work at the whole rate.
+// tail is how many standard deviations the 95th percentile lies above the mean.
+const tail = 1.645
+
+// Estimate judges a request that would wait behind backlog: for one slot more to
+// come free than what is ahead needs.
+//
+// What is ahead on average is the smaller of two: the workspace's own work over
+// its share, and all work. But all work is not all that can come first: requests
+// of workspaces below their share that come later do, too. So WaitP95 counts the
+// own work over the lasting share, one request of each other workspace, and the
+// random intervals at which slots come free, by the normal approximation.
 func (d *Drain) Estimate(now time.Time, backlog queue.Backlog) Estimate {
 	rate, known := d.Rate(now)
-	e := Estimate{First: seconds(d.first.value), Gap: seconds(d.gap.value), Rate: rate, Known: known}
-	if !known || backlog.Total == 0 {
+	e := Estimate{
+		First: seconds(d.first.value + tail*d.first.deviation()),
+		Gap:   seconds(d.gap.value),
+		Rate:  rate,
+		Known: known,
+		Held:  backlog.Held,
+	}
+	if !known || backlog.Starts {
 		return e
 	}
-	own := float64(backlog.Ahead) / (rate * backlog.Share)
-	all := float64(backlog.Total) / rate
-	e.Wait = seconds(min(own, all))
+	interval := d.cost.value / rate
+	starts := min(float64(backlog.Ahead)/backlog.Share, float64(backlog.Total))/d.cost.value + 1
+	e.Wait = seconds(starts * interval)
+	share := backlog.Lasting
+	if share == 0 {
+		share = backlog.Share
+	}
+	starts = float64(backlog.Ahead)/share/d.cost.value + float64(backlog.Others) + 1
+	e.WaitP95 = seconds((starts + tail*math.Sqrt(starts)) * interval)
 	return e
 }
 
@@ -121,10 +151,11 @@
 // about the last sixteen.
 const meanWeight = 1.0 / 16
 
-// mean is an exponentially weighted moving average by samples.
+// mean is an exponentially weighted moving average by samples, with variance.
 type mean struct {
-	value float64
-	known bool
+	value    float64
+	variance float64
+	known    bool
 }
 
 func (m *mean) add(sample float64) {
@@ -132,5 +163,9 @@
 		m.value, m.known = sample, true
 		return
 	}
-	m.value += meanWeight * (sample - m.value)
+	diff := sample - m.value
+	m.value += meanWeight * diff
+	m.variance = (1 - meanWeight) * (m.variance + meanWeight*diff*diff)
 }
+
+func (m *mean) deviation() float64 { return math.Sqrt(m.variance) }
--- a/policy/queue/config.go
+++ b/policy/queue/config.go
@@ -61,7 +61,7 @@
 		LongMax:         10 * time.Second,
 		AgeAfter:        5 * time.Second,
 		AgedShare:       0.125,
-		MaxCredit:       20_000,
+		MaxCredit:       2_000,
 	}
 }
 
--- a/policy/queue/flow.go
+++ b/policy/queue/flow.go
@@ -16,6 +16,9 @@
 	// start, in tokens per unit of weight.
 	start float64
 
+	// owed is what Charge has added since the next item took its place.
+	owed float64
+
 	// repay is how many tokens of more urgent classes have to start before the
 	// next aged item may start ahead of them.
 	repay float64
--- a/policy/queue/queue.go
+++ b/policy/queue/queue.go
@@ -259,7 +259,8 @@
 func (q *Queue) serve(f *flow, e *waiter) Item {
 	q.virtual = max(q.virtual, f.start)
 	f.started += e.item.Cost
-	f.start += float64(e.item.Cost) / float64(f.weight)
+	f.start += (float64(e.item.Cost) + f.owed) / float64(f.weight)
+	f.owed = 0
 	item := q.take(e)
 	if f.items > 0 {
 		q.ready.fix(f)
@@ -275,15 +276,16 @@
 
 // Charge corrects what a workspace has been charged: extra tokens beyond the
 // estimates of its popped items, or fewer if negative. Without it a caller that
-// understates its answers' length takes more than its share.
+// understates its answers' length takes more than its share. The item that is
+// next keeps its place: it was let in on the strength of it.
 func (q *Queue) Charge(workspace string, extra int64) {
 	f := q.flow(workspace)
 	f.started += extra
-	f.start += float64(extra) / float64(f.weight)
-	f.start = max(f.start, q.earliest(f))
-	if f.readyIndex >= 0 {
-		q.ready.fix(f)
+	if f.items > 0 {
+		f.owed += float64(extra)
+		return
 	}
+	f.start = max(f.start+float64(extra)/float64(f.weight), q.earliest(f))
 }
 
 // SetWeight sets a workspace's share among workspaces; below 1 counts as 1.
--- a/policy/queue/start.go
+++ b/policy/queue/start.go
@@ -3,12 +3,15 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // StartConfig sets how many slots are kept free, and for whom.
 type StartConfig struct {
 	// Headroom is the part of all slots that a workspace leaves free once it
-	// runs its share of them, for those that run less than theirs.
+	// runs its share of them, for those that run less than theirs. Unless it
+	// is 0, at least one slot for each entry is left free.
 	Headroom float64 // 0 to 0.5
 
 	// LongTokens is the cost from which on an item is long, and LongHeadroom
@@ -30,7 +33,7 @@
 	return StartConfig{
 		Headroom:     0.05,
 		LongTokens:   2_000,
-		LongHeadroom: 0.05,
+		LongHeadroom: 0.1,
 		Memory:       time.Minute,
 	}
 }
@@ -50,11 +53,66 @@
 	return nil
 }
 
-// Slots are the requests that the backend servers of a service run side by side.
+// Slots are the requests that the backend servers of a service run side by
+// side, as one entry sees them: by load reports that all entries share and that
+// are late. A server with more work than slots has none free.
 type Slots struct {
 	Total   int
-	Free    int // as estimated by the caller from load reports and its own starts since
+	Free    int // of all, as last reported
+	Own     int // how many of these this entry has taken since, less those it has given back
+	Mine    int // this entry's part of them by Parts, less what it has taken; not used with one entry
 	Entries int // how many entries start work on them; below 1 counts as 1
+	Entry   int // this one's number among them, from 0
+	Report  int // number of the report, the same at all entries
+}
+
+// left returns how many slots this entry may take of those that are free
+// beyond kept. It is negative where the entry has to let some go.
+func (s Slots) left(kept int) int { return Part(s.Free-kept, s.Entries, s.Entry+s.Report) - s.Own }
+
+// plenty is how many times as many slots as entries have to be free for all to
+// take any of them: two that take the same are rare then.
+const plenty = 3
+
+// mine reports whether this entry may take a slot at all.
+func (s Slots) mine(sparing bool) bool {
+	left := s.Free - s.Own
+	if s.Entries <= 1 || s.Mine > 0 {
+		return left > 0
+	}
+	return !sparing && left > plenty*s.Entries
+}
+
+// Part returns one entry's part of n slots that all entries learn of by the same
+// report. What goes wrong otherwise: each entry takes all of them, and requests
+// pile up at the servers; one would notice it by first tokens that are late
+// although slots were free.
+//
+// The parts of entries with turns that differ by one each add up to n, also for
+// negative n. With turn = entry + report the remainder goes around.
+func Part(n, entries, turn int) int {
+	if entries <= 1 {
+		return n
+	}
+	return int(math.Floor(float64(n+turn%entries) / float64(entries)))
+}
+
+// Parts splits the free slots of servers among the entries, in place: free[i]
+// becomes this entry's part of server i's. No slot is in two parts, and what
+// the entries get of all servers together differs by one slot at most. A server
+// with more work than slots has a negative number, of which each entry has its
+// part to work off.
+func Parts(free []int, entries, turn int) []int {
+	before := 0
+	for i, n := range free {
+		if n < 0 {
+			free[i] = Part(n, entries, turn+i)
+			continue
+		}
+		free[i] = Part(before+n, entries, turn) - Part(before, entries, turn)
+		before += n
+	}
+	return free
 }
 
 // StartReason says why an item may start or has to wait.
@@ -67,6 +125,7 @@
 	NoSlot                             // every slot is taken
 	HeldForOthers                      // the free slots are kept for workspaces below their share
 	HeldForShort                       // the free slots are kept for short work
+	NotMine                            // the free slots are other entries' to take
 )
 
 var startNames = [...]string{
@@ -75,6 +134,7 @@
 	NoSlot:          "no_slot",
 	HeldForOthers:   "held_for_others",
 	HeldForShort:    "held_for_short",
+	NotMine:         "not_mine",
 }
 
 // String returns the reason as it stands in logs.
@@ -91,6 +151,11 @@
 	Reason StartReason
 }
 
+// Held reports whether the item waits for more than its turn.
+func (v StartVerdict) Held() bool {
+	return v.Reason == HeldForOthers || v.Reason == HeldForShort
+}
+
 // Eligibility returns the verdict as PopFunc takes it, for a queue whose items
 // all compete for the same slots.
 func (v StartVerdict) Eligibility() Eligibility {
@@ -99,7 +164,7 @@
 		return Runs
 	case v.Reason == NoSlot:
 		return AllWait
-	case v.Reason == HeldForOthers:
+	case v.Reason == HeldForOthers || v.Reason == NotMine:
 		return WorkspaceWaits
 	default:
 		return Waits
@@ -124,9 +189,11 @@
 
 // usage is what one workspace holds.
 type usage struct {
-	weight int
-	slots  int
-	seen   time.Time
+	weight    int
+	slots     int
+	elsewhere int // slots that other entries hold for it, as last heard
+	seen      time.Time
+	turn      int // spreads the remainders of several workspaces over the entries
 }
 
 // NewStarter returns a Starter with nothing running, or the *FieldError of an
@@ -142,7 +209,7 @@
 func (s *Starter) Seen(now time.Time, item *Item) {
 	u, ok := s.running[item.Workspace]
 	if !ok {
-		u = &usage{weight: defaultWeight}
+		u = &usage{weight: defaultWeight, turn: int(xxhash.Sum64String(item.Workspace) % maxTurn)}
 		s.running[item.Workspace] = u
 		s.weights += u.weight
 	}
@@ -156,6 +223,9 @@
 	}
 }
 
+// maxTurn bounds the turn of a workspace; it is more than the number of entries.
+const maxTurn = 1 << 16
+
 // sweepsPerMemory is how often, in a Memory, workspaces that no longer count
 // are looked for.
 const sweepsPerMemory = 60
@@ -190,42 +260,87 @@
 	}
 }
 
-// Decide says whether item may take one of the free slots.
+// Decide says whether item may take one of the free slots. One that has started
+// before is not held for others: its caller is in the middle of the answer.
 func (s *Starter) Decide(now time.Time, item *Item, slots Slots) StartVerdict {
+	return s.DecideBehind(now, item, slots, 0)
+}
+
+// DecideBehind is Decide for an item that has not been let in yet, as if so many
+// others of its workspace that wait had started.
+func (s *Starter) DecideBehind(now time.Time, item *Item, slots Slots, waiting int) StartVerdict {
 	s.sweep(now)
-	if slots.Free <= 0 {
+	slots.Own += waiting
+	slots.Mine -= waiting
+	if s.yieldsToShort(now, item) && slots.left(kept(s.cfg.LongHeadroom, slots)) <= 0 {
+		return StartVerdict{Reason: HeldForShort}
+	}
+	below := item.Resumed || s.belowShare(item.Workspace, slots, waiting)
+	if !below && slots.left(kept(s.cfg.Headroom, slots)) <= 0 {
+		return StartVerdict{Reason: HeldForOthers}
+	}
+	if slots.Free <= slots.Own {
 		return StartVerdict{Reason: NoSlot}
 	}
-	if slots.Free <= s.keptForShort(now, item, slots) {
-		return StartVerdict{Reason: HeldForShort}
+	if !slots.mine(!below) {
+		return StartVerdict{Reason: NotMine}
 	}
-	if s.belowShare(item.Workspace, slots) {
+	if below {
 		return StartVerdict{Start: true, Reason: StartBelowShare}
 	}
-	if slots.Free <= kept(s.cfg.Headroom, slots) {
-		return StartVerdict{Reason: HeldForOthers}
-	}
 	return StartVerdict{Start: true, Reason: StartFree}
 }
 
-func (s *Starter) keptForShort(now time.Time, item *Item, slots Slots) int {
-	if item.Cost < s.cfg.LongTokens || now.Sub(s.short) >= s.cfg.Memory {
+// yieldsToShort reports whether item is long and there is short work.
+func (s *Starter) yieldsToShort(now time.Time, item *Item) bool {
+	return item.Cost >= s.cfg.LongTokens && !item.Resumed && now.Sub(s.short) < s.cfg.Memory
+}
+
+// kept is that part of all slots, and at least one for each entry: with fewer,
+// an entry's part of them is none most of the time, and the next request of a
+// quiet workspace there would wait all the same.
+func kept(part float64, slots Slots) int {
+	if part == 0 {
 		return 0
 	}
-	return kept(s.cfg.LongHeadroom, slots)
+	return max(slots.Entries, int(math.Ceil(part*float64(slots.Total))))
 }
 
-func kept(part float64, slots Slots) int {
-	return int(math.Ceil(part * float64(slots.Total)))
+// Elsewhere notes how many slots other entries hold for a workspace, as they
+// said last. Without it a workspace that holds much here and little elsewhere
+// would count as above its share.
+func (s *Starter) Elsewhere(workspace string, slots int) {
+	if u, ok := s.running[workspace]; ok {
+		u.elsewhere = slots
+	}
 }
 
-// belowShare reports whether a workspace holds fewer slots than its weight
-// among the active workspaces gives it, of this entry's part of all slots.
-func (s *Starter) belowShare(workspace string, slots Slots) bool {
+// Share returns a workspace's part of the service, 0 to 1, by its weight among
+// the workspaces that run something or have lately.
+func (s *Starter) Share(workspace string) float64 {
+	own, ok := s.running[workspace]
+	if !ok || s.weights == 0 {
+		return float64(defaultWeight) / float64(s.weights+defaultWeight)
+	}
+	return float64(own.weight) / float64(s.weights)
+}
+
+// belowShare reports whether a workspace holds fewer slots than its weight among
+// the active workspaces gives it: here fewer than this entry's part of them, or
+// over all entries.
+//
+// The parts of all entries add up to the share. If each entry rounded the share
+// up by itself, small workspaces would get about half a slot too much at each,
+// which at seven entries is a third of their share.
+func (s *Starter) belowShare(workspace string, slots Slots, waiting int) bool {
 	own, ok := s.running[workspace]
 	if !ok {
 		return true
 	}
-	part := float64(slots.Total) / float64(max(1, slots.Entries))
-	return float64(own.slots*s.weights) < part*float64(own.weight)
+	share := slots.Total * own.weight / s.weights
+	held := own.slots + waiting
+	if held < Part(share, slots.Entries, slots.Entry+own.turn) {
+		return true
+	}
+	return slots.Entries > 1 && held+own.elsewhere < share
 }
--- a/policy/queue/stats.go
+++ b/policy/queue/stats.go
@@ -59,9 +59,25 @@
 
 // Backlog is the work that a new item would wait behind.
 type Backlog struct {
-	Ahead int64   // tokens of its own workspace, of its class or a more urgent one
-	Total int64   // tokens of all waiting items
-	Share float64 // the workspace's part of the service while all of them wait, 0..1
+	// Ahead is the tokens of its own workspace, of its class or a more urgent
+	// one, and what the workspace has had lately beyond its share.
+	Ahead  int64
+	Total  int64   // tokens of all waiting items
+	Others int     // other workspaces with waiting items: each may start one first
+	Share  float64 // the workspace's part of the service while all of them wait, 0..1
+
+	// Lasting is its part of the service while all workspaces ask for theirs
+	// that have lately, 0..1: for the caller to fill in, by Starter.Share. 0
+	// counts as Share.
+	Lasting float64
+
+	// Starts says that the item would start at once, whatever waits: for the
+	// caller to fill in, by Starter.Decide and what the servers have free.
+	Starts bool
+
+	// Held says that the item would not start even as the first of the queue,
+	// since the free slots are kept for others: from the same decision.
+	Held bool
 }
 
 // Backlog returns what a new item of this workspace, class and weight would
@@ -69,11 +85,14 @@
 func (q *Queue) Backlog(workspace string, class contract.Class, weight int) Backlog {
 	b := Backlog{Total: q.tokens}
 	own, others := int64(defaultWeight), q.weights
+	b.Others = q.ready.len()
 	if f, ok := q.flows[workspace]; ok {
 		own = f.weight
 		if f.items > 0 {
 			others -= f.weight
+			b.Others--
 		}
+		b.Ahead = int64(max(0, f.start-q.virtual) * float64(f.weight))
 		for rank := 0; rank <= class.Rank(); rank++ {
 			b.Ahead += f.lanes[rank].tokens
 		}
