link: report a lost connection to its pool's owner

Cause: a notice written just before a connection went silent is lost without an error to anyone. Ruled out: acknowledging every notice, which doubles the messages.

--- a/link/pool.go
+++ b/link/pool.go
@@ -55,9 +55,10 @@
 	work   sync.WaitGroup
 	nextID atomic.Uint64
 
-	mu    sync.Mutex // guards peers and done; never held together with a peer's lock
+	mu    sync.Mutex // guards all below; never held together with a peer's lock
 	peers map[string]*peer
 	done  bool
+	lost  []func(addr string)
 }
 
 // NewPool returns a pool without connections. Close it to end its goroutines.
@@ -113,6 +114,24 @@
 	p.work.Wait()
 }
 
+// OnLost has fn called, from a goroutine of its own, whenever a connection has
+// ended other than by being idle or by Close. Notices that were written to it
+// shortly before may not have arrived, and nobody else will say so.
+func (p *Pool) OnLost(fn func(addr string)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lost = append(p.lost, fn)
+}
+
+func (p *Pool) reportLost(addr string) {
+	p.mu.Lock()
+	fns := p.lost
+	p.mu.Unlock()
+	for _, fn := range fns {
+		fn(addr)
+	}
+}
+
 func (p *Pool) peer(addr string) (*peer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -337,6 +356,7 @@
 	cause := context.Cause(c.ctx)
 	if !errors.Is(cause, ErrIdle) && !errors.Is(cause, ErrClosed) {
 		c.peer.pool.log.Info("link lost", "address", c.peer.addr, "peer", c.info.ID, "err", cause)
+		c.peer.pool.reportLost(c.peer.addr)
 	}
 	c.peer.redialForNotices()
 }
