--- /dev/null
+++ b/membership/cluster_test.go
@@ -0,0 +1,263 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"savoryreel.example/savoryreel/instance"
+)
+
+// cluster drives cores in virtual time: messages are encoded, delayed, and
+// perhaps lost or doubled; nodes freeze and die.
+type cluster struct {
+	now    time.Time
+	rng    *rand.Rand
+	nodes  []*simNode
+	byAddr map[string]*simNode
+	queue  eventQueue
+	order  uint64
+	loss   float64 // share of messages that vanish
+	double float64 // share of messages that come twice
+	cut    func(from, to *simNode) bool
+	cfg    Config // common to all nodes
+	work   time.Duration
+	steps  uint64
+}
+
+type simNode struct {
+	cluster *cluster
+	core    *core
+	view    *instance.View
+	id      string
+	region  string
+	zone    string
+	addr    string
+	frozen  bool
+	dead    bool
+	waiting []func() // what came in while frozen
+	onEvent func(Event)
+	gotMsgs uint64
+	gotB    uint64
+}
+
+type simEvent struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type eventQueue []simEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].order < q[j].order
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+func newCluster(seed uint64) *cluster {
+	return &cluster{
+		now:    time.Unix(1_800_000_000, 0),
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		byAddr: make(map[string]*simNode),
+		cut:    func(_, _ *simNode) bool { return false },
+		cfg:    Config{}.withDefaults(),
+	}
+}
+
+func (c *cluster) after(d time.Duration, run func()) {
+	c.order++
+	heap.Push(&c.queue, simEvent{at: c.now.Add(d), order: c.order, run: run})
+}
+
+// run lets virtual time pass.
+func (c *cluster) run(d time.Duration) {
+	end := c.now.Add(d)
+	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
+		e := heap.Pop(&c.queue).(simEvent)
+		c.now = e.at
+		e.run()
+	}
+	c.now = end
+}
+
+// until runs until cond holds, looking four times a second, for at most bound.
+func (c *cluster) until(bound time.Duration, cond func() bool) time.Duration {
+	const step = 250 * time.Millisecond
+	for spent := time.Duration(0); spent < bound; spent += step {
+		if cond() {
+			return spent
+		}
+		c.run(step)
+	}
+	return bound
+}
+
+// add starts a node that joins through the first one.
+func (c *cluster) add(region, zone string) *simNode {
+	return c.addAs(fmt.Sprintf("entry-%03d", len(c.nodes)), 1, region, zone)
+}
+
+func (c *cluster) addAs(id string, inc uint64, region, zone string) *simNode {
+	cfg := c.cfg
+	cfg.Self = instance.Member{
+		ID: id, Incarnation: inc, Role: instance.RoleEntry, Region: region, Zone: zone,
+		CallerAddress: id + ".example:8080", LinkAddress: id + ".example:7000", State: instance.StateServing,
+	}
+	cfg.Seeds = []string{"entry-000.example:7000", "entry-001.example:7000"}
+	core, err := newCore(cfg, rand.New(rand.NewPCG(c.rng.Uint64(), 2)), c.now)
+	if err != nil {
+		panic(err)
+	}
+	n := &simNode{cluster: c, core: core, view: instance.NewView(), id: id, region: region, zone: zone, addr: cfg.Self.LinkAddress}
+	c.nodes = append(c.nodes, n)
+	c.byAddr[n.addr] = n
+	c.after(time.Duration(c.rng.Int64N(int64(cfg.Tick))), n.tick)
+	return n
+}
+
+func (n *simNode) tick() {
+	if n.dead {
+		return
+	}
+	if !n.frozen {
+		n.do(func(now time.Time) { n.core.tick(now) })
+	}
+	n.cluster.after(n.core.cfg.Tick, n.tick)
+}
+
+// do runs one step of the core, as Node.step does. A frozen node does it when
+// it wakes.
+func (n *simNode) do(fn func(now time.Time)) {
+	if n.dead {
+		return
+	}
+	if n.frozen {
+		n.waiting = append(n.waiting, func() { n.do(fn) })
+		return
+	}
+	start := time.Now()
+	fn(n.cluster.now)
+	updates, events := n.core.takeChanges(n.cluster.now)
+	n.view.Apply(updates)
+	n.cluster.work += time.Since(start)
+	n.cluster.steps++
+	out := n.core.out
+	n.core.out = nil
+	for _, e := range events {
+		if n.onEvent != nil {
+			n.onEvent(e)
+		}
+	}
+	for _, o := range out {
+		n.transmit(o)
+	}
+}
+
+func (n *simNode) transmit(o outgoing) {
+	c := n.cluster
+	to := c.byAddr[o.To]
+	if to == nil || to.dead || c.cut(n, to) || c.rng.Float64() < c.loss {
+		return
+	}
+	copies := 1
+	if c.rng.Float64() < c.double {
+		copies = 2
+	}
+	for range copies {
+		delay := 500*time.Microsecond + time.Duration(c.rng.Int64N(int64(3*time.Millisecond)))
+		if n.region != to.region {
+			delay += 20 * time.Millisecond
+		}
+		c.after(delay, func() { to.accept(n, o.Message) })
+	}
+}
+
+func (n *simNode) accept(from *simNode, data []byte) {
+	n.gotMsgs++
+	n.gotB += uint64(len(data))
+	n.do(func(now time.Time) {
+		m, err := decodeMessage(data)
+		if err != nil {
+			panic(err)
+		}
+		n.core.receive(sender{ID: from.id, Address: from.addr}, m, now)
+	})
+}
+
+func (n *simNode) freeze() { n.frozen = true }
+
+func (n *simNode) thaw() {
+	n.frozen = false
+	waiting := n.waiting
+	n.waiting = nil
+	for _, fn := range waiting {
+		fn()
+	}
+}
+
+// simServer is a backend server that announces itself once a second to its
+// home, and moves on when the home doesn't answer.
+type simServer struct {
+	cluster *cluster
+	a       instance.Announcement
+	home    *simNode
+	homes   func() *simNode
+	mute    bool
+	busy    bool // its load moves
+}
+
+func (c *cluster) serve(id string, inc uint64, region, zone string, homes func() *simNode) *simServer {
+	s := &simServer{cluster: c, homes: homes, home: homes(), a: instance.Announcement{
+		ID: id, Incarnation: inc, Address: id + ".example:9000", Region: region, Zone: zone,
+		Class: "gpu-8x", State: instance.StateServing, Model: "llama-70b", Version: "2026-11",
+		Adapters: []string{"bordereaux-v3"}, Role: "decode", Slots: 64,
+	}}
+	c.after(time.Duration(c.rng.Int64N(int64(time.Second))), s.beat)
+	return s
+}
+
+func (s *simServer) beat() {
+	if s.mute {
+		return
+	}
+	s.announce()
+	s.cluster.after(time.Second, s.beat)
+}
+
+func (s *simServer) announce() {
+	if s.home.dead || s.home.frozen {
+		s.home = s.homes()
+	}
+	s.a.Sequence++
+	if s.busy {
+		rng := s.cluster.rng
+		s.a.Load.Running = max(0, min(s.a.Slots, s.a.Load.Running+rng.IntN(17)-8))
+		s.a.Load.Waiting = max(0, s.a.Load.Waiting+rng.IntN(5)-2)
+		s.a.Load.TokensPerSec = float64(s.a.Load.Running) * 22
+	}
+	s.a.Load.At = s.cluster.now
+	a := s.a
+	s.home.do(func(now time.Time) {
+		if err := s.home.core.announce(a, now); err != nil {
+			panic(err)
+		}
+	})
+}
+
+// set changes the state and announces it at once.
+func (s *simServer) set(state instance.State) {
+	s.a.State = state
+	s.announce()
+}
--- /dev/null
+++ b/membership/core.go
@@ -0,0 +1,440 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"savoryreel.example/savoryreel/instance"
+)
+
+// sender is who a message came from.
+type sender struct {
+	ID      string
+	Address string
+}
+
+// outgoing is a message for the runner to send.
+type outgoing struct {
+	To      string // link address
+	ID      string // of the receiver; empty if not known yet
+	Message []byte
+	Urgent  bool
+}
+
+// core is the state machine of one member. Every method takes the time and
+// leaves messages in out and changes for the view in changed; the runner
+// collects them. It is not safe for concurrent use.
+type core struct {
+	cfg  Config
+	rng  *rand.Rand
+	self *record
+	me   instance.Member
+
+	records   map[uint64]*record
+	ids       map[recordKey]*record
+	addresses map[string]*record // backend servers in use, by address
+
+	ring       ring
+	ringDirty  bool
+	boxes      map[string]*outbox // by member id
+	watches    map[string]time.Time
+	probes     map[string]*probe
+	relays     map[uint32]relayed
+	nonce      uint32
+	joined     bool
+	lastTick   time.Time
+	nextScan   time.Time
+	nextDigest time.Time
+	nextJoin   time.Time
+	compare    map[string]bool // link addresses to compare digests with at the next tick
+	nextPush   time.Time
+	nextLoad   time.Time
+	digests    int
+	tokens     float64 // of the budget, in bytes; below zero after urgent news
+
+	out     []outgoing
+	changed map[uint64]*record
+	sent    sentBytes
+}
+
+type recordKey struct {
+	kind recordKind
+	id   string
+}
+
+// sentBytes counts what this core has sent, before framing.
+type sentBytes struct {
+	Messages uint64
+	Bytes    uint64
+}
+
+func newCore(cfg Config, rng *rand.Rand, now time.Time) (*core, error) {
+	c := &core{
+		cfg:       cfg,
+		rng:       rng,
+		me:        cfg.Self,
+		records:   make(map[uint64]*record),
+		ids:       make(map[recordKey]*record),
+		addresses: make(map[string]*record),
+		boxes:     make(map[string]*outbox),
+		watches:   make(map[string]time.Time),
+		probes:    make(map[string]*probe),
+		relays:    make(map[uint32]relayed),
+		changed:   make(map[uint64]*record),
+		compare:   make(map[string]bool),
+		lastTick:  now,
+		tokens:    cfg.BudgetBurst,
+	}
+	c.nextDigest = now.Add(c.jittered(cfg.AntiEntropy))
+	body, err := encode(memberBody{
+		Role: cfg.Self.Role, Region: cfg.Self.Region, Zone: cfg.Self.Zone,
+		Caller: cfg.Self.CallerAddress, Link: cfg.Self.LinkAddress,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.self = newRecord(recordMember, cfg.Self.ID, cfg.Self.Incarnation)
+	if err := c.self.setBody(1, body); err != nil {
+		return nil, err
+	}
+	c.self.status.Seq = 1
+	c.self.load = packMemberLoad(1, c.me)
+	c.self.load.Ref = c.self.ref
+	c.insert(c.self, now)
+	c.rebuildRing(now)
+	c.nextJoin = now
+	return c, nil
+}
+
+// jittered returns d give or take a quarter, so that members don't act in step.
+func (c *core) jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*c.rng.Float64()))
+}
+
+func (c *core) lookup(k recordKind, id string) *record { return c.ids[recordKey{k, id}] }
+
+// insert makes r the record of its id.
+func (c *core) insert(r *record, now time.Time) {
+	c.records[r.ref] = r
+	c.ids[recordKey{r.kind, r.id}] = r
+	c.touched(r, now)
+}
+
+func (c *core) remove(r *record) {
+	delete(c.records, r.ref)
+	if c.ids[recordKey{r.kind, r.id}] == r {
+		delete(c.ids, recordKey{r.kind, r.id})
+	}
+	if r.server != nil && c.addresses[r.server.Address] == r {
+		delete(c.addresses, r.server.Address)
+	}
+	for _, b := range c.boxes {
+		delete(b.refs, r.ref)
+	}
+}
+
+// touched brings what is derived from r up to date after a change of r.
+func (c *core) touched(r *record, now time.Time) {
+	c.changed[r.ref] = r
+	switch r.kind {
+	case recordMember:
+		c.ringDirty = true
+		stamp(&r.suspectAt, r.suspected(), now)
+		stamp(&r.goneAt, r.markedGone(), now)
+	case recordServer:
+		c.settleAddress(r)
+	}
+}
+
+// stamp notes the time at which a condition began to hold.
+func stamp(at *time.Time, holds bool, now time.Time) {
+	switch {
+	case !holds:
+		*at = time.Time{}
+	case at.IsZero():
+		*at = now
+	}
+}
+
+// settleAddress leaves one backend server in use at each address. A machine
+// that is replaced keeps its address and gets a new id or incarnation; if the
+// old record stayed, work meant for the old process would reach the new one.
+// The choice depends on the two records alone, so every replica makes it alike.
+func (c *core) settleAddress(r *record) {
+	other := c.addresses[r.server.Address]
+	if r.left() || r.markedGone() {
+		if other == r {
+			delete(c.addresses, r.server.Address)
+		}
+		return
+	}
+	if other == nil || other == r || c.records[other.ref] != other || other.server.Address != r.server.Address {
+		c.addresses[r.server.Address] = r
+		return
+	}
+	winner, loser := r, other
+	if other.inc > r.inc || (other.inc == r.inc && other.id > r.id) {
+		winner, loser = other, r
+	}
+	c.addresses[r.server.Address] = winner
+	loser.joinStatus(statusDelta{Flags: flagLeaving | flagLeft})
+	c.changed[loser.ref] = loser
+}
+
+// learnFull takes in a whole record. It returns the record that holds now, or
+// nil if the delta was not taken, and what has changed.
+func (c *core) learnFull(f fullDelta, now time.Time) (*record, change) {
+	r := c.lookup(f.Kind, f.ID)
+	if r != nil && r.inc > f.Inc {
+		return r, 0
+	}
+	if r == nil || r.inc < f.Inc {
+		return c.learnNew(f, r, now)
+	}
+	if r == c.self && c.earlierLife(f.Status) {
+		c.outbid(f.Inc, now)
+		return c.self, 0
+	}
+	ch := c.joinFull(r, f)
+	if ch&(changedBody|changedStatus) != 0 {
+		c.touched(r, now)
+		c.refute(r, now)
+	} else if ch != 0 {
+		c.changed[r.ref] = r
+	}
+	return r, ch
+}
+
+// learnNew takes in a record of a new id or a new incarnation. One that is gone
+// already is not taken: else records that some have forgotten would go round
+// for ever.
+func (c *core) learnNew(f fullDelta, old *record, now time.Time) (*record, change) {
+	r := newRecord(f.Kind, f.ID, f.Inc)
+	if err := r.setBody(f.BodySeq, f.Body); err != nil {
+		return nil, 0
+	}
+	r.joinStatus(f.Status)
+	r.joinLoad(f.Load)
+	if old == nil && (r.left() || r.markedGone()) {
+		return nil, 0
+	}
+	if f.Kind == recordMember && f.ID == c.self.id {
+		c.outbid(f.Inc, now)
+		return c.self, 0
+	}
+	c.replace(old, r, now)
+	return r, changedBody | changedStatus
+}
+
+// replace puts r in the place of an earlier incarnation, which may be nil.
+func (c *core) replace(old, r *record, now time.Time) {
+	if old != nil {
+		r.shown = old.shown
+		c.remove(old)
+	}
+	c.insert(r, now)
+}
+
+// joinFull joins a delta of the same incarnation.
+func (c *core) joinFull(r *record, f fullDelta) change {
+	if r.kind == recordShared {
+		return c.joinShared(r, f.BodySeq, f.Body)
+	}
+	ch, err := r.joinBody(f.BodySeq, f.Body)
+	if err != nil {
+		return 0
+	}
+	return ch | r.joinStatus(f.Status) | r.joinLoad(f.Load)
+}
+
+func (c *core) joinShared(r *record, version uint64, body []byte) change {
+	if c.cfg.Merge == nil {
+		// The body of a shared record is opaque: setBody can't fail.
+		ch, _ := r.joinBody(version, body)
+		return ch
+	}
+	merged := c.cfg.Merge(r.id, r.body, body)
+	if version <= r.bodySeq && slices.Equal(merged, r.body) {
+		return 0
+	}
+	r.bodySeq, r.body = max(r.bodySeq, version), slices.Clone(merged)
+	return changedBody
+}
+
+// announce takes in what a backend server says of itself to this member.
+func (c *core) announce(a instance.Announcement, now time.Time) error {
+	body, err := encode(serverBody{
+		Address: a.Address, Region: a.Region, Zone: a.Zone, Class: a.Class,
+		Model: a.Model, Version: a.Version, Role: a.Role,
+		Adapters: a.Adapters, Services: a.Services,
+		Slots: a.Slots, ChecksFences: a.ChecksFences,
+	})
+	if err != nil {
+		return err
+	}
+	r := c.lookup(recordServer, a.ID)
+	if r != nil && (r.inc > a.Incarnation || (r.inc == a.Incarnation && r.heardSeq >= a.Sequence)) {
+		return nil
+	}
+	status := statusDelta{Flags: flagsOf(a.State), Notice: uint32(max(0, a.LeavingIn))}
+	if r == nil || r.inc < a.Incarnation {
+		r, err = c.newServer(a, body, status, r, now)
+		if err != nil {
+			return err
+		}
+	} else {
+		c.heardServer(r, a, body, status, now)
+	}
+	r.heardSeq, r.heardAt = a.Sequence, now
+	c.reportLoad(r, a, now)
+	return nil
+}
+
+func flagsOf(s instance.State) uint8 {
+	switch s {
+	case instance.StateLeaving:
+		return flagLeaving
+	case instance.StateGone:
+		return flagLeaving | flagLeft
+	default:
+		return 0
+	}
+}
+
+func (c *core) newServer(a instance.Announcement, body []byte, status statusDelta, old *record, now time.Time) (*record, error) {
+	r := newRecord(recordServer, a.ID, a.Incarnation)
+	if err := r.setBody(a.Sequence, body); err != nil {
+		return nil, err
+	}
+	status.Seq, status.HomeSeq, status.Home = a.Sequence, a.Sequence, homeRef(c.self.id)
+	r.joinStatus(status)
+	r.notice = now
+	c.replace(old, r, now)
+	c.spread(r, changedBody|changedStatus, "")
+	return r, nil
+}
+
+// heardServer spreads an announcement's news. The sequence of a plain heartbeat
+// is not news and stays here: see the package comment.
+func (c *core) heardServer(r *record, a instance.Announcement, body []byte, status statusDelta, now time.Time) {
+	var ch change
+	if !slices.Equal(body, r.body) {
+		bodyChange, err := r.joinBody(a.Sequence, body)
+		if err == nil {
+			ch |= bodyChange
+		}
+	}
+	if c.mustTakeOver(r, now) {
+		status.HomeSeq, status.Home = a.Sequence, homeRef(c.self.id)
+		r.notice = now
+	}
+	news := status.Home != 0 || ch != 0 || status.Flags&^r.status.Flags != 0
+	if news || (r.markedGone() && a.Sequence > r.status.Gone) {
+		status.Seq = a.Sequence
+	}
+	ch |= r.joinStatus(status)
+	if ch != 0 {
+		c.touched(r, now)
+		c.spread(r, ch, "")
+	}
+}
+
+// mustTakeOver says whether to become the home of a server that another entry
+// is named for. A server that goes to and fro between entries would make news
+// with each heartbeat, so the home changes at most once in two thirds of the
+// silence bound, in time for the old home not to miss it.
+func (c *core) mustTakeOver(r *record, now time.Time) bool {
+	return r.status.Home != homeRef(c.self.id) && now.Sub(r.notice) >= c.cfg.ServerSilence*2/3
+}
+
+func (c *core) reportLoad(r *record, a instance.Announcement, now time.Time) {
+	next := packLoad(a.Sequence, a.Load)
+	next.Ref = r.ref
+	r.loadFull = a.Load
+	c.changed[r.ref] = r
+	if now.Sub(r.loadAt) < c.loadInterval() || !loadMoved(r.load, next, a.Slots) {
+		return
+	}
+	r.loadAt = now
+	if ch := r.joinLoad(next); ch != 0 {
+		c.spread(r, ch, "")
+	}
+}
+
+// loadInterval grows with the instances of the region, so that their reports
+// together stay under LoadPerSecond however many they are.
+func (c *core) loadInterval() time.Duration {
+	need := time.Duration(float64(c.ring.reporting) / c.cfg.LoadPerSecond * float64(time.Second))
+	return max(c.cfg.LoadInterval, need)
+}
+
+// setSelf takes the state, load and catalogue version from m.
+func (c *core) setSelf(m instance.Member, now time.Time) {
+	c.me.State, c.me.Load, c.me.Catalogue = m.State, m.Load, m.Catalogue
+	status := statusDelta{Flags: flagsOf(m.State)}
+	if status.Flags&^c.self.status.Flags != 0 {
+		status.Seq = c.self.status.Seq + 1
+	}
+	if ch := c.self.joinStatus(status); ch != 0 {
+		c.touched(c.self, now)
+		c.spread(c.self, ch, "")
+	}
+	c.reportSelf(now)
+}
+
+func (c *core) reportSelf(now time.Time) {
+	next := packMemberLoad(c.self.load.Seq+1, c.me)
+	if now.Sub(c.self.loadAt) < c.loadInterval() || !memberLoadMoved(c.self.load, next) {
+		return
+	}
+	far := next.Catalogue != c.self.load.Catalogue
+	c.self.loadAt = now
+	ch := c.self.joinLoad(next)
+	c.changed[c.self.ref] = c.self
+	c.spread(c.self, ch, "")
+	if far {
+		c.spreadFar(c.self, "")
+	}
+}
+
+// put takes in a shared record from this process.
+func (c *core) put(key string, version uint64, body []byte, now time.Time) {
+	r, ch := c.learnFull(fullDelta{Kind: recordShared, ID: key, BodySeq: version, Body: body}, now)
+	if ch != 0 {
+		c.spread(r, ch, "")
+	}
+}
+
+// refute answers a claim that this member is suspected or gone. A member that
+// was frozen or cut off for a while is alive all the same; the higher sequence
+// overrides the claim wherever both meet.
+func (c *core) refute(r *record, now time.Time) {
+	if r != c.self || r.left() || !(r.markedGone() || r.suspected()) {
+		return
+	}
+	r.joinStatus(statusDelta{Seq: max(r.status.Gone, r.status.Suspect) + 1})
+	c.touched(r, now)
+	c.spread(r, changedStatus, "")
+}
+
+// earlierLife says whether a status of this member can only stem from an
+// earlier process that ran under the same incarnation: this one alone raises
+// its sequence and sets its flags.
+func (c *core) earlierLife(d statusDelta) bool {
+	return d.Seq > c.self.status.Seq || d.Flags&^c.self.status.Flags != 0
+}
+
+// outbid raises this member's incarnation over inc, which it had in an earlier
+// life by a clock that ran ahead. Otherwise the dead record would win over it.
+func (c *core) outbid(inc uint64, now time.Time) {
+	old := c.self
+	r := newRecord(recordMember, old.id, inc+1)
+	r.bodySeq, r.body, r.member = old.bodySeq, old.body, old.member
+	r.status.Seq, r.status.Flags = 1, old.status.Flags
+	r.load = old.load
+	r.load.Ref = r.ref
+	c.self, c.me.Incarnation = r, inc+1
+	c.replace(old, r, now)
+	c.spread(r, changedBody|changedStatus, "")
+}
--- /dev/null
+++ b/membership/core_test.go
@@ -0,0 +1,401 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"savoryreel.example/savoryreel/instance"
+)
+
+// settle is time enough, in virtual time, for suspicion, silence bounds and a
+// full round of digests.
+const settle = 60 * time.Second
+
+func start(seed uint64, nodes int) *cluster {
+	c := newCluster(seed)
+	for range nodes {
+		c.add("region-0", "zone-0")
+	}
+	c.run(10 * time.Second)
+	return c
+}
+
+func (n *simNode) serverState(id string) instance.State {
+	s, ok := n.view.Server(id)
+	if !ok {
+		return ""
+	}
+	return s.State
+}
+
+func (n *simNode) memberState(id string) instance.State {
+	m, ok := n.view.Member(id)
+	if !ok {
+		return ""
+	}
+	return m.State
+}
+
+// requireState checks what every live node holds of one server.
+func (c *cluster) requireState(t require.TestingT, id string, want instance.State) {
+	for _, n := range c.nodes {
+		if !n.dead {
+			require.Equal(t, want, n.serverState(id), "%s at %s", id, n.id)
+		}
+	}
+}
+
+// A zone is reclaimed and its server begins to leave, while a tenth of all
+// messages is lost and a tenth comes twice. An entry that doesn't hear of it in
+// time goes on sending requests to a machine that is about to vanish. Broken by
+// removing the digest comparison (antiEntropy) or the spread in takeStatus.
+func TestLeavingIsKnownEverywhereInTime(t *testing.T) {
+	for seed := range uint64(10) {
+		c := start(seed, 30)
+		s := c.serve("s", 1, "region-0", "zone-0", c.homesIn("region-0"))
+		c.run(5 * time.Second)
+		c.requireState(t, "s", instance.StateServing)
+		c.loss, c.double = 0.1, 0.1
+		s.set(instance.StateLeaving)
+		c.run(leavingBound)
+		c.requireState(t, "s", instance.StateLeaving)
+	}
+}
+
+// An announcement from before a server began to leave comes late, by another
+// entry. Believed, the server would get new work until it is reclaimed under it.
+// Broken by assigning d.Flags in joinStatus in place of setting them.
+func TestLeavingNeverReverts(t *testing.T) {
+	c := start(1, 3)
+	s := c.serve("s", 1, "region-0", "zone-0", func() *simNode { return c.nodes[0] })
+	c.run(3 * time.Second)
+	s.mute = true
+	s.set(instance.StateLeaving)
+	late := s.a
+	late.State, late.Sequence = instance.StateServing, late.Sequence+5
+	c.nodes[1].do(func(now time.Time) { require.NoError(t, c.nodes[1].core.announce(late, now)) })
+	c.run(2 * time.Second)
+	c.requireState(t, "s", instance.StateLeaving)
+}
+
+// A machine is replaced: the same address answers under a new incarnation, or
+// under a new id. Work meant for the old process must not be counted on the new
+// one, and a late word from the old one must not replace the new. Broken by
+// removing settleAddress, and by the comparison of r.inc in learnFull.
+func TestNewIncarnationWinsAtTheSameAddress(t *testing.T) {
+	c := start(2, 4)
+	old := c.serve("s", 5, "region-0", "zone-0", func() *simNode { return c.nodes[0] })
+	old.a.Address = "10.0.0.9:9000"
+	c.run(3 * time.Second)
+	old.mute = true
+	renamed := c.serve("t", 6, "region-0", "zone-0", func() *simNode { return c.nodes[1] })
+	renamed.a.Address = old.a.Address
+	c.run(2 * time.Second)
+	c.requireState(t, "s", instance.StateGone)
+	c.requireState(t, "t", instance.StateServing)
+
+	again := c.serve("t", 7, "region-0", "zone-0", func() *simNode { return c.nodes[2] })
+	again.a.Address = old.a.Address
+	renamed.mute = true
+	c.run(2 * time.Second)
+	renamed.a.Sequence += 1000
+	renamed.announce()
+	c.run(2 * time.Second)
+	for _, n := range c.nodes {
+		got, _ := n.view.Server("t")
+		require.EqualValues(t, 7, got.Incarnation, n.id)
+		require.Equal(t, instance.StateServing, got.State, n.id)
+	}
+}
+
+// A backend server dies without a word. Its entry no longer hears it; the
+// others never did and must learn it. Broken by removing scanOwn.
+func TestSilentServerIsGone(t *testing.T) {
+	c := start(3, 8)
+	s := c.serve("s", 1, "region-0", "zone-0", c.homesIn("region-0"))
+	c.run(5 * time.Second)
+	s.mute = true
+	c.run(c.cfg.ServerSilence + 2*time.Second)
+	c.requireState(t, "s", instance.StateGone)
+	s.mute = false
+	s.beat()
+	c.run(2 * time.Second)
+	c.requireState(t, "s", instance.StateServing)
+}
+
+// The entry that hears a server dies and the server moves to another. No entry
+// may lose sight of a server that is well, for a moment without servers means
+// refused requests.
+func TestServerMovesWhenItsEntryDies(t *testing.T) {
+	c := start(4, 8)
+	s := c.serve("s", 1, "region-0", "zone-0", c.homesIn("region-0"))
+	c.run(5 * time.Second)
+	for _, n := range c.nodes {
+		n.onEvent = func(e Event) { require.NotEqual(t, ServerGone, e.Kind, "at %s", n.id) }
+	}
+	dead := s.home
+	dead.dead = true
+	c.run(settle)
+	for _, n := range c.nodes {
+		if n != dead {
+			require.Equal(t, instance.StateGone, n.memberState(dead.id), "at %s", n.id)
+		}
+	}
+	c.requireState(t, "s", instance.StateServing)
+}
+
+// Entry and server die together, so nobody is left whose task it is to miss the
+// server. Broken by removing the stamp of orphanAt in scanServer.
+func TestServerDiesWithItsEntry(t *testing.T) {
+	c := start(5, 8)
+	s := c.serve("s", 1, "region-0", "zone-0", c.homesIn("region-0"))
+	c.run(5 * time.Second)
+	s.mute = true
+	s.home.dead = true
+	c.run(settle)
+	c.requireState(t, "s", instance.StateGone)
+}
+
+// An entry is stopped for half a minute (SIGSTOP, a starved machine) and comes
+// back. To itself everybody else seems to have been silent. If it said so, all
+// other entries and all servers would be dropped everywhere for a moment, and
+// callers refused. Broken by removing the call of thaw in tick.
+func TestFrozenEntryDeclaresNobodyGone(t *testing.T) {
+	c := start(6, 6)
+	frozen := c.nodes[2]
+	for i := range 4 {
+		c.serve(fmt.Sprintf("s%d", i), 1, "region-0", "zone-0", func() *simNode {
+			if frozen.frozen {
+				return c.nodes[3]
+			}
+			return frozen
+		})
+	}
+	c.run(5 * time.Second)
+	frozen.freeze()
+	c.run(30 * time.Second)
+	require.Equal(t, instance.StateGone, c.nodes[0].memberState(frozen.id))
+	for _, n := range c.nodes {
+		n.onEvent = func(e Event) {
+			require.NotEqual(t, ServerGone, e.Kind, "at %s", n.id)
+			require.NotEqual(t, MemberGone, e.Kind, "at %s", n.id)
+		}
+	}
+	frozen.thaw()
+	c.run(settle)
+	for _, n := range c.nodes {
+		require.Len(t, n.view.Members(instance.RoleEntry), 6, "at %s", n.id)
+		require.Len(t, n.view.AllServers(), 4, "at %s", n.id)
+	}
+}
+
+// Two entries can't reach each other while all else works. Taken for a death by
+// one of them, a healthy entry would be dropped everywhere. Broken by removing
+// the indirect probes in probeFailed.
+func TestCutBetweenTwoIsNoDeath(t *testing.T) {
+	c := start(7, 5)
+	a, b := c.nodes[1], c.nodes[3]
+	c.cut = func(x, y *simNode) bool { return (x == a && y == b) || (x == b && y == a) }
+	for _, n := range c.nodes {
+		n.onEvent = func(e Event) { require.NotEqual(t, MemberGone, e.Kind, "at %s", n.id) }
+	}
+	c.run(2 * settle)
+}
+
+// Two regions lose each other for minutes and meet again. While apart each goes
+// on with its own servers; when they meet, each hears from the other that its
+// own members are gone. If that were believed even for a moment, every entry
+// would drop its peers just when the network is back. Broken by removing
+// believedGone in state.
+func TestRegionsMeetAgain(t *testing.T) {
+	c := newCluster(8)
+	for i := range 12 {
+		region := fmt.Sprintf("region-%d", i%2)
+		c.add(region, region)
+		c.serve(fmt.Sprintf("s%02d", i), 1, region, region, c.homesIn(region))
+		c.run(time.Second)
+	}
+	c.run(20 * time.Second)
+	c.cut = func(x, y *simNode) bool { return x.region != y.region }
+	c.run(5 * time.Minute)
+	for _, n := range c.nodes {
+		require.Len(t, n.view.AllServers(), 6, "the own region's at %s", n.id)
+		require.Len(t, n.view.Members(""), 6, "at %s", n.id)
+		n.onEvent = func(e Event) {
+			require.NotEqual(t, ServerGone, e.Kind, "at %s", n.id)
+			require.NotEqual(t, MemberGone, e.Kind, "at %s", n.id)
+		}
+	}
+	c.cut = func(_, _ *simNode) bool { return false }
+	c.run(settle)
+	for _, n := range c.nodes {
+		require.Len(t, n.view.AllServers(), 12, "at %s", n.id)
+		require.Len(t, n.view.Members(""), 12, "at %s", n.id)
+	}
+}
+
+// An entry restarts with a clock that runs behind, or under an incarnation that
+// it has had before. The others hold a newer record of its dead self; without
+// an answer to that it would stay unknown for good. Broken by removing outbid.
+func TestRestartWithAnOlderIncarnation(t *testing.T) {
+	for _, inc := range []uint64{1, 9} {
+		c := start(9, 3)
+		first := c.addAs("entry-x", 9, "region-0", "zone-0")
+		c.run(5 * time.Second)
+		first.do(func(now time.Time) { first.core.setSelf(instance.Member{State: instance.StateGone}, now) })
+		c.run(time.Second)
+		first.dead = true
+		c.run(time.Second)
+		require.Equal(t, instance.StateGone, c.nodes[0].memberState("entry-x"))
+		c.addAs("entry-x", inc, "region-0", "zone-0")
+		c.run(settle)
+		for _, n := range c.nodes[:3] {
+			require.Equal(t, instance.StateServing, n.memberState("entry-x"), "incarnation %d at %s", inc, n.id)
+		}
+	}
+}
+
+func TestSharedRecordsMerge(t *testing.T) {
+	c := newCluster(10)
+	c.cfg.Merge = func(_ string, a, b []byte) []byte { return []byte{max(a[0], b[0])} }
+	for range 4 {
+		c.add("region-0", "zone-0")
+	}
+	c.run(10 * time.Second)
+	for i, n := range c.nodes {
+		n.do(func(now time.Time) { n.core.put("quarantine/f1", 1, []byte{byte(i)}, now) })
+	}
+	c.run(15 * time.Second)
+	for _, n := range c.nodes {
+		r, ok := n.view.Record("quarantine/f1")
+		require.True(t, ok)
+		require.Equal(t, []byte{3}, r.Body, "at %s", n.id)
+	}
+}
+
+// chaos is one random run: entries die, freeze, come back and are cut apart,
+// servers leave, die and restart, messages are lost and doubled.
+type chaos struct {
+	*cluster
+	t       *rapid.T
+	servers []*simServer
+	seen    map[string]sighting // by node and server
+}
+
+// sighting is the most that a node has ever known of a server.
+type sighting struct {
+	inc     uint64
+	leaving bool
+}
+
+// watch checks at each event what must hold at every moment.
+func (c *chaos) watch(n *simNode) {
+	n.onEvent = func(e Event) {
+		if e.Server == nil {
+			return
+		}
+		key := n.id + "/" + e.Server.ID
+		last := c.seen[key]
+		require.GreaterOrEqual(c.t, e.Server.Incarnation, last.inc, "incarnation of %s", key)
+		if e.Server.Incarnation == last.inc && last.leaving {
+			require.NotEqual(c.t, instance.StateServing, e.Server.State, "%s reverted", key)
+		}
+		c.seen[key] = sighting{inc: e.Server.Incarnation, leaving: e.Server.State == instance.StateLeaving ||
+			(last.inc == e.Server.Incarnation && last.leaving)}
+	}
+}
+
+func (c *chaos) act() {
+	n := c.nodes[rapid.IntRange(0, len(c.nodes)-1).Draw(c.t, "node")]
+	s := c.servers[rapid.IntRange(0, len(c.servers)-1).Draw(c.t, "server")]
+	switch rapid.SampledFrom([]string{"freeze", "thaw", "cut", "heal", "leave", "die", "restart", "put"}).Draw(c.t, "action") {
+	case "freeze":
+		n.freeze()
+	case "thaw":
+		n.thaw()
+	case "cut":
+		side := rapid.SliceOfN(rapid.Bool(), len(c.nodes), len(c.nodes)).Draw(c.t, "sides")
+		c.cut = func(x, y *simNode) bool { return side[c.index(x)] != side[c.index(y)] }
+	case "heal":
+		c.cut = func(_, _ *simNode) bool { return false }
+	case "leave":
+		s.set(instance.StateLeaving)
+	case "die":
+		s.mute = true
+	case "restart":
+		s.a.Incarnation, s.a.Sequence, s.a.State = s.a.Incarnation+1, 0, instance.StateServing
+		if s.mute {
+			s.mute = false
+			s.beat()
+		}
+	case "put":
+		version := rapid.Uint64Range(1, 9).Draw(c.t, "version")
+		n.do(func(now time.Time) { n.core.put("k", version, []byte(n.id), now) })
+	}
+}
+
+func (c *cluster) index(n *simNode) int {
+	for i, other := range c.nodes {
+		if n == other {
+			return i
+		}
+	}
+	return -1
+}
+
+// Whatever has been lost, doubled, frozen or cut: once the network is whole
+// again, all entries hold the same, every server that announces itself is known
+// under its newest incarnation, and one that is silent is gone. A server seen to
+// leave is never taken for serving again under that incarnation.
+func TestConvergenceAfterAnything(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := &chaos{cluster: start(rapid.Uint64().Draw(rt, "seed"), 5), t: rt, seen: make(map[string]sighting)}
+		c.loss, c.double = 0.1, 0.1
+		for _, n := range c.nodes {
+			c.watch(n)
+		}
+		home := func() *simNode { return c.nodes[c.rng.IntN(len(c.nodes))] }
+		for i := range 3 {
+			c.servers = append(c.servers, c.serve(fmt.Sprintf("s%d", i), 1, "region-0", "zone-0", home))
+		}
+		for range rapid.IntRange(3, 12).Draw(rt, "actions") {
+			c.act()
+			c.run(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "pause")) * time.Millisecond)
+		}
+		c.loss, c.double = 0, 0
+		c.cut = func(_, _ *simNode) bool { return false }
+		for _, n := range c.nodes {
+			n.thaw()
+		}
+		c.run(2 * settle)
+		c.requireConverged(rt)
+	})
+}
+
+func (c *chaos) requireConverged(t *rapid.T) {
+	for _, s := range c.servers {
+		want := s.a.State
+		if s.mute {
+			want = instance.StateGone
+		}
+		for _, n := range c.nodes {
+			got, ok := n.view.Server(s.a.ID)
+			if !ok && s.mute {
+				continue
+			}
+			require.True(t, ok, "%s at %s", s.a.ID, n.id)
+			require.Equal(t, want, got.State, "%s at %s", s.a.ID, n.id)
+			if !s.mute { // a silent one may have died before it said its new incarnation
+				require.Equal(t, s.a.Incarnation, got.Incarnation, "%s at %s", s.a.ID, n.id)
+			}
+		}
+	}
+	for _, n := range c.nodes {
+		require.Len(t, n.view.Members(""), len(c.nodes), "members at %s", n.id)
+		require.Equal(t, c.nodes[0].core.digest(), n.core.digest(), "digest at %s", n.id)
+	}
+}
--- /dev/null
+++ b/membership/detect.go
@@ -0,0 +1,247 @@
+package membership
+
+import (
+	"time"
+
+	"savoryreel.example/savoryreel/instance"
+)
+
+// indirectProbes is the number of other members asked to probe one that didn't
+// answer: a cut between two instances must not look like the death of one.
+const indirectProbes = 3
+
+// probe is an attempt to hear from a silent member.
+type probe struct {
+	nonce    uint32
+	deadline time.Time
+	indirect bool // others have been asked
+}
+
+// relayed is a probe that this member makes for another.
+type relayed struct {
+	asker    sender
+	nonce    uint32 // of the one who asked
+	deadline time.Time
+}
+
+const scanEvery = 250 * time.Millisecond
+
+// tick does all that is due at time now.
+func (c *core) tick(now time.Time) {
+	gap := now.Sub(c.lastTick)
+	c.lastTick = now
+	c.tokens = min(c.cfg.BudgetBurst, c.tokens+gap.Seconds()*c.cfg.Budget)
+	if gap > c.cfg.FreezeBound {
+		c.thaw(gap, now)
+	}
+	if !now.Before(c.nextScan) {
+		c.nextScan = now.Add(scanEvery)
+		c.scan(now)
+	}
+	if c.ringDirty {
+		c.rebuildRing(now)
+	}
+	c.join(now)
+	c.antiEntropy(now)
+	c.flush(now)
+}
+
+// thaw is called when this process was stopped or starved for a while: its own
+// clock jumped between two ticks. Everybody else seems to have been silent for
+// just as long. Without this it would count all members that it watches and all
+// backend servers that it hears as gone at once, though only it was away, and
+// callers would find no server. So all its waiting starts anew.
+func (c *core) thaw(gap time.Duration, now time.Time) {
+	clear(c.probes)
+	for id := range c.watches {
+		c.watches[id] = now.Add(c.cfg.MemberSilence)
+	}
+	for _, r := range c.records {
+		for _, at := range []*time.Time{&r.heardAt, &r.suspectAt, &r.goneAt, &r.orphanAt} {
+			if !at.IsZero() {
+				*at = earlier(at.Add(gap), now)
+			}
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// scan looks for bounds that have run out.
+func (c *core) scan(now time.Time) {
+	for _, id := range sortedKeys(c.watches) {
+		if now.After(c.watches[id]) {
+			delete(c.watches, id)
+			c.startProbe(id, now)
+		}
+	}
+	for _, id := range sortedKeys(c.probes) {
+		if now.After(c.probes[id].deadline) {
+			c.probeFailed(id, c.probes[id], now)
+		}
+	}
+	for nonce, r := range c.relays {
+		if now.After(r.deadline) {
+			delete(c.relays, nonce)
+		}
+	}
+	for _, ref := range sortedKeys(c.records) {
+		c.scanRecord(c.records[ref], now)
+	}
+	c.reportSelf(now)
+}
+
+func (c *core) scanRecord(r *record, now time.Time) {
+	switch r.kind {
+	case recordMember:
+		c.scanMember(r, now)
+	case recordServer:
+		c.scanServer(r, now)
+	default:
+		return
+	}
+	state := r.state(now, &c.cfg)
+	if state != r.lastState {
+		// Time alone may change the state: a grace that has run out, a home
+		// that is gone. Nobody is told, every member judges this alike.
+		r.lastState = state
+		c.changed[r.ref] = r
+		c.ringDirty = c.ringDirty || r.kind == recordMember
+	}
+	stamp(&r.deadSince, state == instance.StateGone, now)
+	if state == instance.StateGone && now.Sub(r.deadSince) >= c.cfg.Forget && r != c.self {
+		c.remove(r)
+		c.changed[r.ref] = r
+	}
+}
+
+func (c *core) scanMember(r *record, now time.Time) {
+	if r.suspected() && !r.markedGone() && !r.left() && r != c.self && now.Sub(r.suspectAt) >= c.cfg.SuspectFor {
+		r.joinStatus(statusDelta{Gone: r.status.Seq})
+		c.touched(r, now)
+		c.spread(r, changedStatus, "")
+	}
+}
+
+// scanServer judges the backend servers whose home this is, and those whose
+// home is gone.
+func (c *core) scanServer(r *record, now time.Time) {
+	if r.left() || r.markedGone() {
+		return
+	}
+	if r.status.Home == homeRef(c.self.id) {
+		c.scanOwn(r, now)
+		return
+	}
+	// Each entry judges this by itself and spreads nothing: after a partition
+	// the other region must not be told that its own servers are gone.
+	stamp(&r.orphanAt, c.homeOf(r) == "", now)
+}
+
+// scanOwn counts a backend server as gone that this member alone should hear
+// and doesn't. If another entry has heard it since, its higher sequence refutes.
+func (c *core) scanOwn(r *record, now time.Time) {
+	r.orphanAt = time.Time{}
+	if r.heardAt.IsZero() {
+		// This member is named as home, by an earlier life of its own.
+		r.heardAt = now
+	}
+	if now.Sub(r.heardAt) < c.cfg.ServerSilence {
+		return
+	}
+	seq := max(r.heardSeq, r.status.Seq)
+	r.joinStatus(statusDelta{Seq: seq, Gone: seq})
+	c.touched(r, now)
+	c.spread(r, changedStatus, "")
+}
+
+// unreachable is called when the runner couldn't send to a member.
+func (c *core) unreachable(id string, now time.Time) {
+	r := c.lookup(recordMember, id)
+	if r == nil || r.state(now, &c.cfg) == instance.StateGone {
+		return
+	}
+	c.startProbe(id, now)
+}
+
+func (c *core) startProbe(id string, now time.Time) {
+	r := c.lookup(recordMember, id)
+	if r == nil || c.probes[id] != nil || r.suspected() || r.state(now, &c.cfg) == instance.StateGone {
+		return
+	}
+	c.nonce++
+	c.probes[id] = &probe{nonce: c.nonce, deadline: now.Add(c.cfg.ProbeTimeout)}
+	c.ringDirty = true // news goes another way until this is settled
+	c.send(r.member.Link, id, &message{Kind: kindPing, Nonce: c.nonce, Target: id}, true)
+}
+
+// probeFailed asks others to probe, and after that suspects the member.
+func (c *core) probeFailed(id string, p *probe, now time.Time) {
+	r := c.lookup(recordMember, id)
+	if r == nil {
+		delete(c.probes, id)
+		return
+	}
+	if !p.indirect && len(c.ring.alive) > 1 {
+		p.indirect, p.deadline = true, now.Add(c.cfg.ProbeTimeout)
+		for _, helper := range c.draw(indirectProbes, id) {
+			c.send(helper.member.Link, helper.id, &message{Kind: kindPingReq, Nonce: p.nonce, Target: id}, true)
+		}
+		return
+	}
+	delete(c.probes, id)
+	if r.left() || r.suspected() {
+		return
+	}
+	r.joinStatus(statusDelta{Suspect: r.status.Seq})
+	c.touched(r, now)
+	c.spread(r, changedStatus, "")
+	// The member itself gets it too: it may be alive behind a one-way cut.
+	c.box(id).refs[r.ref] |= needStatus
+	if !c.isNeighbour(id) {
+		c.box(id).temporary = true
+	}
+}
+
+// draw picks up to n live members other than the one named.
+func (c *core) draw(n int, except string) []*record {
+	var picked []*record
+	for _, i := range c.rng.Perm(len(c.ring.alive)) {
+		r := c.ring.alive[i]
+		if r.id != except && !r.suspected() && len(picked) < n {
+			picked = append(picked, r)
+		}
+	}
+	return picked
+}
+
+// probeFor pings a member for another that doesn't hear it.
+func (c *core) probeFor(from sender, m *message, now time.Time) {
+	r := c.lookup(recordMember, m.Target)
+	if r == nil || len(c.relays) >= maxRelays {
+		return
+	}
+	c.nonce++
+	c.relays[c.nonce] = relayed{asker: from, nonce: m.Nonce, deadline: now.Add(c.cfg.ProbeTimeout)}
+	c.send(r.member.Link, r.id, &message{Kind: kindPing, Nonce: c.nonce, Target: r.id}, true)
+}
+
+const maxRelays = 1024
+
+// acknowledged takes an ack, its own or one to pass on.
+func (c *core) acknowledged(m *message, now time.Time) {
+	if r, ok := c.relays[m.Nonce]; ok {
+		delete(c.relays, m.Nonce)
+		c.send(c.addressOf(r.asker.ID, r.asker.Address), r.asker.ID, &message{Kind: kindAck, Nonce: r.nonce, Target: m.Target}, true)
+		return
+	}
+	if p := c.probes[m.Target]; p != nil && p.nonce == m.Nonce {
+		delete(c.probes, m.Target)
+		c.ringDirty = true
+	}
+}
--- /dev/null
+++ b/membership/load.go
@@ -0,0 +1,81 @@
+package membership
+
+import (
+	"math"
+	"time"
+
+	"savoryreel.example/savoryreel/instance"
+)
+
+// loadTimeUnit is the grain of a report's time. With 16 bits the time is known
+// within two hours, far more than any report is old.
+const loadTimeUnit = 125 * time.Millisecond
+
+// Steps that a load must move by before it is worth a report. Routers correct
+// reports by their own counts, so smaller moves would cost bytes and change no
+// decision.
+const (
+	runningStep = 1.0 / 8 // of the slots
+	cacheStep   = 10      // hundredths
+	tokensStep  = 1.0 / 4 // of the last report
+	memberStep  = 5       // hundredths of a member's load
+)
+
+func packLoad(seq uint64, l instance.Load) loadDelta {
+	return loadDelta{
+		Seq:     seq,
+		At:      uint16(l.At.UnixMilli() / loadTimeUnit.Milliseconds()),
+		Running: clamp32(float64(l.Running)),
+		Waiting: clamp32(float64(l.Waiting)),
+		Tokens:  clamp32(math.Round(l.TokensPerSec)),
+		Cache:   uint8(min(100, max(0, math.Round(l.CacheUsed*100)))),
+	}
+}
+
+func clamp32(v float64) uint32 {
+	return uint32(min(math.MaxUint32, max(0, v)))
+}
+
+// unpackLoad restores a report near time now.
+func unpackLoad(d loadDelta, now time.Time) instance.Load {
+	if d.Seq == 0 {
+		return instance.Load{}
+	}
+	units := now.UnixMilli() / loadTimeUnit.Milliseconds()
+	age := int64(int16(uint16(units) - d.At))
+	return instance.Load{
+		At:           time.UnixMilli((units - age) * loadTimeUnit.Milliseconds()),
+		Running:      int(d.Running),
+		Waiting:      int(d.Waiting),
+		TokensPerSec: float64(d.Tokens),
+		CacheUsed:    float64(d.Cache) / 100,
+	}
+}
+
+// loadMoved says whether next is worth a report after last.
+func loadMoved(last, next loadDelta, slots int) bool {
+	step := max(1, float64(slots)*runningStep)
+	switch {
+	case last.Seq == 0, last.Catalogue != next.Catalogue:
+		return true
+	case differ(last.Running, next.Running) >= step:
+		return true
+	case (last.Waiting == 0) != (next.Waiting == 0), differ(last.Waiting, next.Waiting) >= max(step, float64(last.Waiting)/2):
+		return true
+	case differ(uint32(last.Cache), uint32(next.Cache)) >= cacheStep:
+		return true
+	default:
+		return differ(last.Tokens, next.Tokens) > max(step, float64(last.Tokens)*tokensStep)
+	}
+}
+
+func differ(a, b uint32) float64 { return math.Abs(float64(a) - float64(b)) }
+
+// packMemberLoad gives a member's load in hundredths.
+func packMemberLoad(seq uint64, m instance.Member) loadDelta {
+	return loadDelta{Seq: seq, Running: clamp32(math.Round(m.Load * 100)), Catalogue: m.Catalogue}
+}
+
+func memberLoadMoved(last, next loadDelta) bool {
+	return last.Catalogue != next.Catalogue || differ(last.Running, next.Running) >= memberStep
+}
--- /dev/null
+++ b/membership/node.go
@@ -0,0 +1,206 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/link"
+)
+
+// Method is the notice under which members talk to each other.
+const Method = "membership.gossip"
+
+// MaxShared bounds key and body of a shared record, in bytes, so that it fits
+// one message with room to spare.
+const MaxShared = 4 << 10
+
+// Deps are what a Node needs from outside. Pool is required.
+type Deps struct {
+	Pool *link.Pool
+	Log  *slog.Logger
+	Rand *rand.Rand // nil: seeded by the runtime
+}
+
+// Node is one member: an entry or a control replica.
+type Node struct {
+	cfg  Config
+	pool *link.Pool
+	log  *slog.Logger
+	view *instance.View
+	wake chan struct{} // events wait
+
+	mu     sync.Mutex // guards all below; no call to the network under it
+	core   *core
+	events []Event
+
+	subMu sync.Mutex // guards subs; never held together with mu
+	subs  []func(Event)
+}
+
+// New returns a node that knows only itself. It joins the others in Run.
+func New(cfg Config, deps Deps) (*Node, error) {
+	if cfg.Self.ID == "" || cfg.Self.LinkAddress == "" {
+		return nil, trace.BadParameter("membership: own id and link address are required")
+	}
+	if deps.Pool == nil {
+		return nil, trace.BadParameter("membership: a link pool is required")
+	}
+	if deps.Rand == nil {
+		deps.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if deps.Log == nil {
+		deps.Log = slog.New(slog.DiscardHandler)
+	}
+	cfg = cfg.withDefaults()
+	c, err := newCore(cfg, deps.Rand, time.Now())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n := &Node{cfg: cfg, pool: deps.Pool, log: deps.Log, view: instance.NewView(), core: c, wake: make(chan struct{}, 1)}
+	n.step(func(time.Time) {})
+	n.pool.OnLost(func(addr string) {
+		n.step(func(time.Time) { n.core.linkLost(addr) })
+	})
+	return n, nil
+}
+
+// Run takes part until ctx ends. It returns nil then. It does not say goodbye:
+// set the state with SetSelf before.
+func (n *Node) Run(ctx context.Context) error {
+	tick := time.NewTicker(n.cfg.Tick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			n.step(n.core.tick)
+		case <-n.wake:
+		}
+		n.deliver()
+	}
+}
+
+// Register adds the handler for other members' messages to s.
+func (n *Node) Register(s *link.Server) {
+	link.HandleNotice(s, Method, func(_ context.Context, from link.PeerInfo, body msgpack.RawMessage) {
+		m, err := decodeMessage(body)
+		if err != nil {
+			n.log.Warn("gossip refused", "peer", from.ID, "address", from.Address, "err", err)
+			return
+		}
+		n.step(func(now time.Time) {
+			n.core.receive(sender{ID: from.ID, Address: from.Address}, m, now)
+		})
+	})
+}
+
+// Announce takes in what a backend server said of itself to this process. An
+// announcement that is older than what is known is ignored without an error.
+func (n *Node) Announce(a instance.Announcement) error {
+	if a.ID == "" || a.Address == "" {
+		return trace.BadParameter("announcement: id and address are required")
+	}
+	if a.State != instance.StateServing && a.State != instance.StateLeaving && a.State != instance.StateGone {
+		return trace.BadParameter("announcement of %q: unknown state %q", a.ID, a.State)
+	}
+	var err error
+	n.step(func(now time.Time) { err = n.core.announce(a, now) })
+	return trace.Wrap(err)
+}
+
+// SetSelf lets fn change this member's State, Load and Catalogue; changes of
+// other fields are ignored. Leaving and gone can't be taken back.
+func (n *Node) SetSelf(fn func(*instance.Member)) {
+	n.step(func(now time.Time) {
+		m := n.core.me
+		fn(&m)
+		n.core.setSelf(m, now)
+	})
+}
+
+// Put shares a small record, at most MaxShared bytes of key and body together.
+// A larger one is refused with a log line.
+func (n *Node) Put(key string, version uint64, body []byte) {
+	if size := len(key) + len(body); size > MaxShared {
+		n.log.Error("shared record refused", "key", key, "bytes", size, "bound", MaxShared)
+		return
+	}
+	n.step(func(now time.Time) { n.core.put(key, version, body, now) })
+}
+
+// View returns the view that this node keeps up to date.
+func (n *Node) View() *instance.View { return n.view }
+
+// Subscribe has fn called for each event from now on, one at a time and in
+// order, by the goroutine of Run. The view is already up to date by then. fn
+// must not block.
+func (n *Node) Subscribe(fn func(Event)) {
+	n.subMu.Lock()
+	defer n.subMu.Unlock()
+	n.subs = append(n.subs, fn)
+}
+
+// step runs fn on the core, updates the view, and then sends what came out.
+func (n *Node) step(fn func(now time.Time)) {
+	n.mu.Lock()
+	now := time.Now()
+	fn(now)
+	updates, events := n.core.takeChanges(now)
+	// Under the lock, so that the view changes in the order of the core.
+	n.view.Apply(updates)
+	n.events = append(n.events, events...)
+	out := n.core.out
+	n.core.out = nil
+	n.mu.Unlock()
+	if len(events) > 0 {
+		n.signal()
+	}
+	n.send(out)
+}
+
+func (n *Node) signal() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) deliver() {
+	n.mu.Lock()
+	events := n.events
+	n.events = nil
+	n.mu.Unlock()
+	n.subMu.Lock()
+	subs := n.subs
+	n.subMu.Unlock()
+	for _, e := range events {
+		for _, fn := range subs {
+			fn(e)
+		}
+	}
+}
+
+// send passes messages to the link. One that can't be sent is not repeated: the
+// core learns that the member can't be reached and takes another way.
+func (n *Node) send(out []outgoing) {
+	for _, o := range out {
+		err := link.Notify(n.pool, o.To, Method, msgpack.RawMessage(o.Message))
+		if err == nil || o.ID == "" {
+			continue
+		}
+		if errors.Is(err, link.ErrUnreachable) || errors.Is(err, link.ErrBusy) {
+			n.mu.Lock()
+			n.core.unreachable(o.ID, time.Now())
+			n.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/membership/node_test.go
@@ -0,0 +1,117 @@
+package membership
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/internal/relay"
+	"savoryreel.example/savoryreel/link"
+)
+
+const bound = 30 * time.Second // on waits in real time; reached only by a fault
+
+// process is one member over real connections.
+type process struct {
+	node *Node
+	addr string
+}
+
+// startProcess runs a node until the test ends. front may put a relay before
+// it and returns the address that others are told.
+func startProcess(t *testing.T, id string, seeds []string, front func(string) string) *process {
+	key := []byte("cluster")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	if front != nil {
+		addr = front(addr)
+	}
+	self := link.PeerInfo{ID: id, Incarnation: 1, Address: addr, Role: instance.RoleEntry}
+	pool := link.NewPool(link.PoolConfig{Self: self, ClusterKey: key}, link.PoolDeps{})
+	server := link.NewServer(link.ServerConfig{Self: self, ClusterKey: key}, link.ServerDeps{})
+	node, err := New(Config{
+		Self:  instance.Member{ID: id, Incarnation: 1, Role: instance.RoleEntry, Region: "r", Zone: "z", LinkAddress: addr},
+		Seeds: append(seeds, addr),
+		// The tests announce once and not every second.
+		ServerSilence: time.Hour,
+	}, Deps{Pool: pool})
+	require.NoError(t, err)
+	node.Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 2)
+	go func() { done <- server.Serve(ctx, l) }()
+	go func() { done <- node.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		pool.Close()
+		require.NoError(t, <-done)
+		require.NoError(t, <-done)
+	})
+	return &process{node: node, addr: addr}
+}
+
+func eventually(t *testing.T, what string, cond func() bool) {
+	start := time.Now()
+	require.Eventually(t, cond, bound, 5*time.Millisecond, what)
+	t.Logf("%s after %v", what, time.Since(start).Round(time.Millisecond))
+}
+
+func TestNodesOverRealLinks(t *testing.T) {
+	first := startProcess(t, "a", nil, nil)
+	second := startProcess(t, "b", []string{first.addr}, nil)
+	third := startProcess(t, "c", []string{first.addr}, nil)
+	all := []*process{first, second, third}
+	var leaving atomic.Bool
+	third.node.Subscribe(func(e Event) {
+		if e.Kind == ServerLeaving {
+			leaving.Store(true)
+		}
+	})
+	a := instance.Announcement{ID: "s", Incarnation: 1, Sequence: 1, Address: "127.0.0.1:9", State: instance.StateServing, Model: "m", Slots: 4}
+	require.NoError(t, second.node.Announce(a))
+	first.node.Put("quarantine/x", 2, []byte("body"))
+	first.node.SetSelf(func(m *instance.Member) { m.Catalogue = 7 })
+	for _, p := range all {
+		v := p.node.View()
+		eventually(t, "members", func() bool { return len(v.Members(instance.RoleEntry)) == 3 })
+		eventually(t, "server", func() bool { return len(v.Servers("m")) == 1 })
+		eventually(t, "record", func() bool { r, ok := v.Record("quarantine/x"); return ok && string(r.Body) == "body" })
+		eventually(t, "catalogue version", func() bool { m, ok := v.Member("a"); return ok && m.Catalogue == 7 })
+	}
+	a.Sequence, a.State, a.LeavingIn = 2, instance.StateLeaving, 30_000
+	require.NoError(t, second.node.Announce(a))
+	eventually(t, "leaving", func() bool {
+		s, ok := third.node.View().Server("s")
+		return ok && s.State == instance.StateLeaving && s.LeavingIn == 30_000 && len(third.node.View().Servers("m")) == 0
+	})
+	eventually(t, "event", leaving.Load)
+	require.Error(t, second.node.Announce(instance.Announcement{ID: "s"}))
+	require.Error(t, second.node.Announce(instance.Announcement{ID: "s", Address: "x:1", State: "asleep"}))
+}
+
+// The open connections to an entry go silent while new ones work. Its neighbours
+// must find that out and dial again; an entry that stays without news sends
+// requests to servers that have left.
+func TestNewsArrivesPastASilentConnection(t *testing.T) {
+	var r *relay.Relay
+	first := startProcess(t, "a", nil, nil)
+	second := startProcess(t, "b", []string{first.addr}, func(target string) string {
+		var err error
+		r, err = relay.New(target)
+		require.NoError(t, err)
+		t.Cleanup(r.Close)
+		return r.Addr()
+	})
+	v := second.node.View()
+	eventually(t, "joined", func() bool { return len(v.Members("")) == 2 && len(first.node.View().Members("")) == 2 })
+	r.Silence()
+	a := instance.Announcement{ID: "s", Incarnation: 1, Sequence: 1, Address: "127.0.0.1:9", State: instance.StateLeaving, Model: "m"}
+	require.NoError(t, first.node.Announce(a))
+	eventually(t, "news", func() bool { _, ok := v.Server("s"); return ok })
+}
--- /dev/null
+++ b/membership/scale_test.go
@@ -0,0 +1,220 @@
+package membership
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"testing"
+	"text/tabwriter"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/instance"
+)
+
+var allSizes = flag.Bool("membership.scale", false, "TestScaleTable at all sizes, up to 370 nodes and 600 servers")
+
+// The budget of letter 1 for control on one node.
+const (
+	nodeBudget   = 11 << 10 // bytes a second
+	leavingBound = 3 * time.Second
+)
+
+type scaleSize struct{ nodes, servers, wave int }
+
+type scaleRow struct {
+	size                 scaleSize
+	quiet, wave, restart traffic
+	leavingP50, leaving  time.Duration
+	cold                 time.Duration // from the first announcements of all servers until all nodes know all
+	perMessage           time.Duration
+	core                 float64 // share of one, a node, quiet
+	serverBytes          float64
+}
+
+// traffic is what one node sends and receives a second.
+type traffic struct{ sentB, gotB, msgs, worstB float64 }
+
+// TestScaleTable measures what membership costs a node, in virtual time with
+// real encoding. The counts of bytes and messages are the same in every run and
+// are judged; processor time and memory are printed only.
+func TestScaleTable(t *testing.T) {
+	sizes := []scaleSize{{7, 60, 12}, {50, 120, 24}}
+	if *allSizes {
+		sizes = []scaleSize{{7, 600, 120}, {50, 600, 120}, {150, 600, 120}, {370, 600, 120}}
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "nodes\tservers\tquiet sent B/s\trecv B/s\tworst node B/s\tmsg/s\twave sent B/s (5 s)\tworst\trestarts sent B/s\tleaving p50\tmax\tcold start\tµs/step\tcore %\tB/server\t")
+	for _, size := range sizes {
+		row := measure(t, size)
+		fmt.Fprintf(w, "%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%v\t%v\t%v\t%.1f\t%.2f\t%.0f\t\n",
+			size.nodes, size.servers, row.quiet.sentB, row.quiet.gotB, row.quiet.worstB, row.quiet.msgs,
+			row.wave.sentB, row.wave.worstB, row.restart.sentB,
+			row.leavingP50.Round(time.Millisecond), row.leaving.Round(time.Millisecond), row.cold,
+			float64(row.perMessage.Nanoseconds())/1e3, row.core*100, row.serverBytes)
+		require.Less(t, row.quiet.worstB, float64(nodeBudget), "bytes a second, quiet, %d nodes", size.nodes)
+		require.Less(t, row.restart.sentB, float64(nodeBudget), "bytes a second with restarts, %d nodes", size.nodes)
+		require.Less(t, row.leaving, leavingBound, "leaving known everywhere, %d nodes", size.nodes)
+	}
+	require.NoError(t, w.Flush())
+}
+
+func measure(t *testing.T, size scaleSize) scaleRow {
+	c, servers := scaleCluster(size)
+	row := scaleRow{size: size}
+	row.cold = c.until(3*time.Minute, func() bool {
+		return !slices.ContainsFunc(c.nodes, func(n *simNode) bool {
+			return len(n.view.AllServers()) < size.servers || len(n.view.Members(instance.RoleEntry)) < size.nodes
+		})
+	})
+	require.Less(t, row.cold, 3*time.Minute, "every node knows everything")
+	c.run(10 * time.Second)
+	work, steps := c.work, c.steps
+	const quietFor = 30 * time.Second
+	row.quiet = c.meter(quietFor)
+	row.perMessage = (c.work - work) / time.Duration(c.steps-steps)
+	row.core = (c.work - work).Seconds() / quietFor.Seconds() / float64(size.nodes)
+	row.wave, row.leavingP50, row.leaving = c.wave(servers, size)
+	row.restart = c.restarts(size)
+	row.serverBytes = memoryPerServer(t)
+	return row
+}
+
+// scaleCluster starts the nodes in two regions and five zones and spreads the
+// servers over them.
+func scaleCluster(size scaleSize) (*cluster, []*simServer) {
+	c := newCluster(20261202)
+	for i := range size.nodes {
+		zone := i % 5
+		c.add(fmt.Sprintf("region-%d", zone/3), fmt.Sprintf("zone-%d", zone))
+	}
+	c.run(10 * time.Second)
+	var servers []*simServer
+	for i := range size.servers {
+		zone := i % 5
+		region := fmt.Sprintf("region-%d", zone/3)
+		s := c.serve(fmt.Sprintf("gpu-server-%04d", i), uint64(c.now.UnixNano()), region, fmt.Sprintf("zone-%d", zone), c.homesIn(region))
+		s.busy = true
+		servers = append(servers, s)
+	}
+	return c, servers
+}
+
+// homesIn chooses any live entry of a region.
+func (c *cluster) homesIn(region string) func() *simNode {
+	return func() *simNode {
+		var live []*simNode
+		for _, n := range c.nodes {
+			if n.region == region && !n.dead && !n.frozen {
+				live = append(live, n)
+			}
+		}
+		return live[c.rng.IntN(len(live))]
+	}
+}
+
+// meter runs for d and returns what nodes sent and received meanwhile.
+func (c *cluster) meter(d time.Duration) traffic {
+	type mark struct{ sentB, gotB, sent, got uint64 }
+	read := func(n *simNode) mark {
+		return mark{n.core.sent.Bytes, n.gotB, n.core.sent.Messages, n.gotMsgs}
+	}
+	before := make([]mark, len(c.nodes))
+	for i, n := range c.nodes {
+		before[i] = read(n)
+	}
+	c.run(d)
+	var out traffic
+	for i, n := range c.nodes[:len(before)] {
+		after := read(n)
+		sent := float64(after.sentB-before[i].sentB) + frameBytes*float64(after.sent-before[i].sent)
+		got := float64(after.gotB-before[i].gotB) + frameBytes*float64(after.got-before[i].got)
+		out.sentB += sent
+		out.gotB += got
+		out.msgs += float64(after.sent - before[i].sent)
+		out.worstB = max(out.worstB, sent/d.Seconds())
+	}
+	per := d.Seconds() * float64(len(before))
+	out.sentB, out.gotB, out.msgs = out.sentB/per, out.gotB/per, out.msgs/per
+	return out
+}
+
+// frameBytes is what link adds to a notice: header, id, timeout, method.
+const frameBytes = 8.0 + 1 + 1 + 1 + float64(len(Method))
+
+// wave has all servers of one zone leave within half a second.
+func (c *cluster) wave(servers []*simServer, size scaleSize) (traffic, time.Duration, time.Duration) {
+	started := make(map[string]time.Time)
+	var took []time.Duration
+	for _, n := range c.nodes {
+		n.onEvent = func(e Event) {
+			if e.Kind == ServerLeaving {
+				took = append(took, c.now.Sub(started[e.Server.ID]))
+			}
+		}
+	}
+	left := 0
+	for _, s := range servers {
+		if s.a.Zone == "zone-4" && left < size.wave {
+			left++
+			c.after(time.Duration(c.rng.Int64N(int64(500*time.Millisecond))), func() {
+				started[s.a.ID] = c.now
+				s.set(instance.StateLeaving)
+			})
+		}
+	}
+	out := c.meter(5 * time.Second)
+	for _, n := range c.nodes {
+		n.onEvent = nil
+	}
+	if len(took) != left*size.nodes {
+		return out, 0, time.Hour // some node never heard of it
+	}
+	slices.SortFunc(took, cmp.Compare[time.Duration])
+	return out, took[len(took)/2], took[len(took)-1]
+}
+
+// restarts replaces nodes at ten times the rate of 290 a day, for two minutes.
+func (c *cluster) restarts(size scaleSize) traffic {
+	const pace = 24 * time.Hour / 290 / 10
+	n := 0
+	const span = 2 * time.Minute
+	for at := time.Duration(0); at < span; at += pace {
+		c.after(at, func() {
+			n++
+			old := c.nodes[2+n%(size.nodes-2)]
+			old.dead = true
+			c.addAs(old.id, 1+uint64(n), old.region, old.zone)
+		})
+	}
+	return c.meter(span)
+}
+
+// memoryPerServer weighs what a core and its view hold for one more server.
+func memoryPerServer(t *testing.T) float64 {
+	const servers = 2000
+	c := newCluster(1)
+	n := c.add("region-0", "zone-0")
+	before := heapInUse()
+	for i := range servers {
+		id := fmt.Sprintf("gpu-server-%04d", i)
+		a := instance.Announcement{ID: id, Incarnation: 1, Sequence: 1, Address: id + ":9000", State: instance.StateServing, Model: "llama-70b", Slots: 64}
+		require.NoError(t, n.core.announce(a, c.now))
+		updates, _ := n.core.takeChanges(c.now)
+		n.view.Apply(updates)
+	}
+	used := heapInUse() - before
+	runtime.KeepAlive(n)
+	return used / servers
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
