fake, platform: cloud API and weight store with their clients

Cause: the fleet decisions need prices, refused starts, reclaim notices in waves and a paced weight store to act on.

A start carries a client token, and the stand-in gives the first instance to a repeated one, so that a doubled start shows in its count. A first sketch loaded models inside the order's request; ruled out, since the order would outlast its client's patience, so the announcements show when the model is there.

--- /dev/null
+++ b/internal/fake/announce_test.go
@@ -0,0 +1,198 @@
+package fake_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/internal/fake"
+	"savoryreel.example/savoryreel/platform"
+)
+
+const (
+	announceKey   = "announce-key"
+	testHeartbeat = 10 * time.Millisecond
+)
+
+// listener is an entry that takes announcements and cache events in.
+type listener struct {
+	*httptest.Server
+	mu            sync.Mutex
+	refuse        bool
+	announcements []instance.Announcement
+	events        []instance.CacheEvent
+}
+
+func startListener(t *testing.T) *listener {
+	l := &listener{}
+	l.Server = httptest.NewServer(l)
+	t.Cleanup(l.Close)
+	return l
+}
+
+// ServeHTTP implements http.Handler.
+func (l *listener) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.refuse || r.Header.Get("Authorization") != "Bearer "+announceKey {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if strings.HasSuffix(r.URL.Path, platform.PathCacheEvents) {
+		var batch platform.CacheEventBatch
+		_ = json.NewDecoder(r.Body).Decode(&batch)
+		l.events = append(l.events, batch.Events...)
+		return
+	}
+	var msg instance.Announcement
+	_ = json.NewDecoder(r.Body).Decode(&msg)
+	l.announcements = append(l.announcements, msg)
+}
+
+func (l *listener) setRefuse(refuse bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuse = refuse
+}
+
+// heard reports whether an announcement like that came in.
+func (l *listener) heard(like func(instance.Announcement) bool) func() bool {
+	return func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, msg := range l.announcements {
+			if like(msg) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func inState(s instance.State) func(instance.Announcement) bool {
+	return func(msg instance.Announcement) bool { return msg.State == s }
+}
+
+// The entry that a server announces itself to refuses or dies. If the server
+// kept to it, the system would lose a healthy server with it.
+func TestAnnouncerMovesToTheNextEntry(t *testing.T) {
+	first, second := startListener(t), startListener(t)
+	e := startEngine(t, fake.EngineConfig{ID: "e1", Zone: "z1", Announcing: fake.Announcing{
+		Entries:   []string{first.URL, second.URL},
+		Key:       announceKey,
+		Heartbeat: testHeartbeat,
+	}})
+	isE1 := func(msg instance.Announcement) bool {
+		return msg.ID == "e1" && msg.Address == e.address && msg.Model == testModel
+	}
+	require.Eventually(t, first.heard(isE1), waitBound, pollEvery)
+	first.setRefuse(true)
+	require.Eventually(t, second.heard(isE1), waitBound, pollEvery)
+	first.setRefuse(false)
+	second.Close()
+	e.Leave(time.Minute)
+	require.Eventually(t, first.heard(func(msg instance.Announcement) bool {
+		return msg.State == instance.StateLeaving && msg.LeavingIn > 0 && msg.LeavingIn <= 60_000
+	}), waitBound, pollEvery)
+}
+
+// A server that ends in good order says so; one that dies says nothing.
+func TestAnnouncerTellsTheEnd(t *testing.T) {
+	for _, killed := range []bool{false, true} {
+		entry := startListener(t)
+		p := fake.NewPlain(fake.PlainConfig{ID: "p1", Announcing: fake.Announcing{
+			Entries:   []string{entry.URL},
+			Key:       announceKey,
+			Heartbeat: testHeartbeat,
+		}}, fake.Deps{})
+		server, ended := startPlain(t, p)
+		require.Eventually(t, entry.heard(inState(instance.StateServing)), waitBound, pollEvery)
+		if killed {
+			p.Kill()
+			require.ErrorIs(t, <-ended, fake.ErrKilled)
+		} else {
+			server.cancel()
+			require.NoError(t, <-ended)
+		}
+		require.Equal(t, !killed, entry.heard(inState(instance.StateGone))())
+	}
+}
+
+func TestEnginePushesCacheEventsWithGaps(t *testing.T) {
+	entry := startListener(t)
+	e := startEngine(t, fake.EngineConfig{
+		ID:          "e1",
+		CacheTokens: 1 << 20,
+		EventDelay:  testHeartbeat,
+		EventGap:    2,
+		Announcing:  fake.Announcing{Entries: []string{entry.URL}, Key: announceKey},
+	})
+	for _, text := range []string{"one", "two", "three"} {
+		_, _ = take(e.chat(t, text, ask(text, 1)), -1)
+	}
+	require.Eventually(t, func() bool {
+		entry.mu.Lock()
+		defer entry.mu.Unlock()
+		return len(entry.events) == 3
+	}, waitBound, pollEvery)
+	for i, event := range entry.events {
+		require.EqualValues(t, 2*i+1, event.Sequence)
+	}
+	listing, err := e.client.Listing(context.Background(), e.address)
+	require.NoError(t, err)
+	require.EqualValues(t, 6, listing.Sequence)
+	require.Len(t, listing.Entries, 6)
+}
+
+// A leader that has been replaced without knowing gives an order. A server that
+// checks fences must refuse it; one that does not check follows it.
+func TestEngineChecksFences(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		e := startEngine(t, fake.EngineConfig{ChecksFences: checks})
+		ctx := context.Background()
+		newer := platform.Order{Fence: 7, Kind: platform.OrderRole, Role: "prefill"}
+		older := platform.Order{Fence: 6, Kind: platform.OrderRole, Role: "decode"}
+		require.NoError(t, e.client.Order(ctx, e.address, newer))
+		err := e.client.Order(ctx, e.address, older)
+		require.Equal(t, checks, platform.OldFence(err))
+		want := []platform.Order{newer}
+		if !checks {
+			want = append(want, older)
+		}
+		require.Equal(t, want, e.Stats().Orders)
+	}
+}
+
+// Many servers load a model at once and the store turns some away for a while.
+// The order must still end with the model loaded.
+func TestEngineLoadsAModelFromABusyStore(t *testing.T) {
+	store := fake.NewStore(fake.StoreConfig{WeightBytes: 1 << 16, ReadsPerSecond: 5, Burst: 1}, fake.Deps{})
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	client := platform.NewStore(platform.StoreConfig{})
+	defer client.Close()
+	_, err := client.Fetch(context.Background(), address, "other", "1")
+	require.NoError(t, err)
+
+	entry := startListener(t)
+	e := startEngine(t, fake.EngineConfig{ID: "e1", Store: address, Announcing: fake.Announcing{
+		Entries:   []string{entry.URL},
+		Key:       announceKey,
+		Heartbeat: testHeartbeat,
+	}})
+	order := platform.Order{Fence: 1, Kind: platform.OrderLoadModel, Model: "m2", Version: "3"}
+	require.NoError(t, e.client.Order(context.Background(), e.address, order))
+	require.Eventually(t, entry.heard(func(msg instance.Announcement) bool {
+		return msg.Model == "m2" && msg.Version == "3"
+	}), waitBound, pollEvery)
+	require.Equal(t, fake.StoreStats{Served: 2, Refused: 1}, store.Stats())
+}
--- /dev/null
+++ b/internal/fake/cloud_test.go
@@ -0,0 +1,92 @@
+package fake_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/internal/fake"
+	"savoryreel.example/savoryreel/platform"
+)
+
+func startCloud(t *testing.T) (*fake.Cloud, *platform.CloudClient) {
+	t.Helper()
+	cloud := fake.NewCloud(fake.CloudConfig{Prices: []platform.Price{
+		{Zone: "z1", Class: "gpu", Kind: platform.Reclaimable, PerHour: 1},
+		{Zone: "z1", Class: "gpu", Kind: platform.OnDemand, PerHour: 3},
+		{Zone: "z2", Class: "gpu", Kind: platform.Reclaimable, PerHour: 2},
+	}}, fake.Deps{})
+	server := httptest.NewServer(cloud.Handler())
+	client := platform.NewCloud(platform.CloudConfig{Address: server.Listener.Addr().String()})
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return cloud, client
+}
+
+// The answer to a start is lost and the leader asks again, or its successor
+// does. Without the token the fleet would pay for two instances.
+func TestCloudStartsOncePerToken(t *testing.T) {
+	cloud, client := startCloud(t)
+	ctx := context.Background()
+	req := platform.StartRequest{ClientToken: "t1", Zone: "z1", Class: "gpu", Kind: platform.Reclaimable}
+	first, err := client.Start(ctx, req)
+	require.NoError(t, err)
+	again, err := client.Start(ctx, req)
+	require.NoError(t, err)
+	require.Equal(t, first, again)
+	require.Equal(t, fake.CloudStats{Started: 1, Repeated: 1}, cloud.Stats())
+	require.NoError(t, client.Stop(ctx, first.ID))
+	list, err := client.Instances(ctx)
+	require.NoError(t, err)
+	require.Len(t, list, 1)
+	require.Equal(t, platform.InstanceStopped, list[0].State)
+}
+
+func TestCloudRefusesStartsByZone(t *testing.T) {
+	cloud, client := startCloud(t)
+	cloud.Refuse("z1")
+	ctx := context.Background()
+	_, err := client.Start(ctx, platform.StartRequest{ClientToken: "a", Zone: "z1", Class: "gpu", Kind: platform.OnDemand})
+	require.True(t, platform.NoCapacity(err))
+	require.True(t, platform.NotRun(err))
+	_, err = client.Start(ctx, platform.StartRequest{ClientToken: "b", Zone: "z2", Class: "gpu", Kind: platform.Reclaimable})
+	require.NoError(t, err)
+}
+
+// A whole zone is reclaimed. Its reclaimable instances are noticed together,
+// and a client that was waiting hears of it at once.
+func TestCloudReclaimsAZoneInOneWave(t *testing.T) {
+	cloud, client := startCloud(t)
+	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
+	defer cancel()
+	for token, kind := range map[string]platform.PurchaseKind{
+		"a": platform.Reclaimable, "b": platform.Reclaimable, "c": platform.OnDemand,
+	} {
+		_, err := client.Start(ctx, platform.StartRequest{ClientToken: token, Zone: "z1", Class: "gpu", Kind: kind})
+		require.NoError(t, err)
+	}
+	pages := make(chan platform.NoticePage, 1)
+	go func() {
+		page, _ := client.Notices(ctx, 0, waitBound)
+		pages <- page
+	}()
+	require.Len(t, cloud.Wave("z1", 0), 2)
+	page := <-pages
+	require.Len(t, page.Notices, 2)
+	require.EqualValues(t, 2, page.Last(0))
+	empty, err := client.Notices(ctx, page.Last(0), time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, empty.Notices)
+	list, err := client.Instances(ctx)
+	require.NoError(t, err)
+	states := make(map[platform.InstanceState]int)
+	for _, i := range list {
+		states[i.State]++
+	}
+	require.Equal(t, map[platform.InstanceState]int{platform.InstanceReclaimed: 2, platform.InstanceRunning: 1}, states)
+}
--- /dev/null
+++ b/internal/fake/store.go
@@ -0,0 +1,139 @@
+package fake
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"savoryreel.example/savoryreel/platform"
+)
+
+// storeStep is the time between two writes of a paced body.
+const storeStep = 10 * time.Millisecond
+
+// StoreConfig describes a stand-in weight store.
+type StoreConfig struct {
+	WeightBytes    int64   // size of every model's weights
+	BytesPerSecond int64   // of each reader; 0: as fast as it goes
+	ReadsPerSecond float64 // over all readers; beyond it 429 with Retry-After; 0: no limit
+	Burst          int     // reads at once; at least 1
+}
+
+// StoreStats is what a Store did: the body of GET /fake/stats.
+type StoreStats struct {
+	Served  int `json:"served"`  // whole bodies
+	Refused int `json:"refused"` // by the rate limit
+}
+
+// Store is a stand-in weight store. It has every model in every version. It is
+// safe for concurrent use.
+type Store struct {
+	cfg     StoreConfig
+	faults  *faultState
+	limiter *rate.Limiter
+
+	mu    sync.Mutex
+	stats StoreStats
+}
+
+// NewStore returns a weight store.
+func NewStore(cfg StoreConfig, _ Deps) *Store {
+	limit := rate.Limit(cfg.ReadsPerSecond)
+	if limit == 0 {
+		limit = rate.Inf
+	}
+	return &Store{
+		cfg:     cfg,
+		faults:  newFaultState(),
+		limiter: rate.NewLimiter(limit, max(1, cfg.Burst)),
+	}
+}
+
+// Handler serves the weights and the /fake/ paths.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(PathFaults, faultHandler(s.faults))
+	mux.HandleFunc("GET "+PathStats, s.serveStats)
+	weights := http.HandlerFunc(s.serveWeights)
+	mux.Handle("GET "+platform.PathWeights+"{model}/{version}", s.faults.guard(weights))
+	return mux
+}
+
+// Run serves on ln until ctx ends.
+func (s *Store) Run(ctx context.Context, ln net.Listener) error {
+	return serve(ctx, ln, s.Handler(), s.faults)
+}
+
+// SetFaults replaces the faults in force: Freeze, SlowFactor and Refuse.
+func (s *Store) SetFaults(f Faults) { s.faults.set(f) }
+
+// Stats returns what the store has done so far.
+func (s *Store) Stats() StoreStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+func (s *Store) serveStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Stats())
+}
+
+func (s *Store) serveWeights(w http.ResponseWriter, r *http.Request) {
+	if s.faults.refuses(w) {
+		return
+	}
+	if after := s.reserve(); after > 0 {
+		s.count(func(st *StoreStats) { st.Refused++ })
+		refuse(w, http.StatusTooManyRequests, after, "rate_limited", "too many reads")
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.FormatInt(s.cfg.WeightBytes, 10))
+	if s.writeBody(w, r) != nil {
+		abort()
+	}
+	s.count(func(st *StoreStats) { st.Served++ })
+}
+
+// reserve returns zero when the read may go on now, else when to come back.
+func (s *Store) reserve() time.Duration {
+	reservation := s.limiter.Reserve()
+	delay := reservation.Delay()
+	if delay > 0 {
+		reservation.Cancel()
+	}
+	return delay
+}
+
+func (s *Store) writeBody(w http.ResponseWriter, r *http.Request) error {
+	step := int64(streamChunk)
+	var pause time.Duration
+	if s.cfg.BytesPerSecond > 0 {
+		step = max(1, s.cfg.BytesPerSecond*int64(storeStep)/int64(time.Second))
+		pause = storeStep
+	}
+	zeros := make([]byte, step)
+	for left := s.cfg.WeightBytes; left > 0; left -= step {
+		if err := wait(r.Context(), s.faults, time.Duration(float64(pause)*s.faults.slow())); err != nil {
+			return err
+		}
+		if err := s.faults.pass(r.Context()); err != nil {
+			return err
+		}
+		if _, err := w.Write(zeros[:min(step, left)]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) count(f func(*StoreStats)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.stats)
+}
