load: open-loop load with percentiles, JSON and a self-contained HTML report

Cause: every later measurement needs one tool whose figures a slow system cannot flatter, and an overhead ratio from one run.

Arrivals are settled beforehand by a seeded Poisson process per part, thinned for surges; latencies count from the intended start. A closed loop was ruled out (it asks less of a slow system), and one goroutine per arrival too (no bound): MaxInFlight callers work the schedule off, and requests never started are counted. Direct parts run beside those through an entry in the same run.

A test of a frozen engine hung for ten minutes: net/http notices a client that has gone only once the body is read, which a frozen server never does. Run now ends such handlers through the server's base context; for a bare Handler the docs say to thaw it first.

--- a/internal/fake/doc.go
+++ b/internal/fake/doc.go
@@ -14,5 +14,7 @@
 //
 // Each has faults that a test sets in code (SetFaults) or by POST
 // /fake/faults, and shows what it did by Stats or GET /fake/stats. The /fake/
-// paths answer also while the stand-in is frozen.
+// paths answer also while the stand-in is frozen. A frozen one does not notice
+// that a client has gone; where only its Handler is used, thaw it before the
+// server around it is closed.
 package fake
--- a/internal/fake/engine_test.go
+++ b/internal/fake/engine_test.go
@@ -258,3 +258,23 @@
 	}
 	require.Subset(t, listed, hashes)
 }
+
+// A process is stopped by the kernel: it takes connections and nothing more.
+// Its callers must not read its silence as a refusal, nor as an end.
+func TestEngineFreezes(t *testing.T) {
+	e := startEngine(t, fake.EngineConfig{TokenTime: time.Millisecond})
+	req := ask("x", 200)
+	stream := e.chat(t, "r1", req)
+	head, err := take(stream, 3)
+	require.NoError(t, err)
+	e.SetFaults(fake.Faults{Freeze: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, e.client.Probe(ctx, e.address), context.DeadlineExceeded)
+	require.Zero(t, e.Stats().Finished["r1"])
+	e.SetFaults(fake.Faults{})
+	rest, err := take(stream, -1)
+	require.Equal(t, io.EOF, err)
+	require.Equal(t, fake.Answer(testModel, req.Messages, 200), append(head, rest...))
+	e.SetFaults(fake.Faults{Freeze: true}) // Run must end all the same
+}
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -60,6 +60,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx }, // ends handlers that wait while frozen
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	var group run.Group
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,229 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"savoryreel.example/savoryreel/internal/fake"
+	"savoryreel.example/savoryreel/load"
+	"savoryreel.example/savoryreel/platform"
+)
+
+const (
+	testModel = "m1"
+	testKey   = "bearer-key"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// entry answers as an entry does, with a handler for what callers send.
+func startEntry(t *testing.T, calls http.Handler) *httptest.Server {
+	t.Helper()
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	mux.HandleFunc("GET /v1/entries", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"entries":[{"id":"gone","address":"127.0.0.1:1"},{"id":"a","address":%q}],"validSeconds":30}`,
+			server.Listener.Addr().String())
+	})
+	mux.Handle("/", calls)
+	t.Cleanup(server.Close)
+	return server
+}
+
+func startEngine(t *testing.T, cfg fake.EngineConfig) (*fake.Engine, http.Handler) {
+	t.Helper()
+	cfg.Model = testModel
+	e := fake.NewEngine(cfg, fake.Deps{})
+	return e, e.Handler()
+}
+
+func chatPart(name string) load.Part {
+	return load.Part{
+		Name: name, Weight: 1, Kind: load.Chat, Service: testModel, Key: testKey,
+		PrefixBytes: 200, PromptBytes: 50, MaxTokens: 4,
+	}
+}
+
+func TestRunChecksAnswersAndComparesWithTheEngine(t *testing.T) {
+	_, engine := startEngine(t, fake.EngineConfig{Slots: 64})
+	entry := startEntry(t, engine)
+	direct := chatPart("direct")
+	direct.Direct = entry.Listener.Addr().String()
+	cfg := load.Config{
+		Entries: []string{entry.URL}, Rate: 400, Duration: 500 * time.Millisecond, Seed: 1,
+		Parts:  []load.Part{chatPart("through"), direct},
+		Expect: fake.Answer,
+	}
+	result, err := load.Run(context.Background(), cfg)
+	require.NoError(t, err)
+	require.Equal(t, result.Total.Requests, result.Total.Outcomes.Answered, "%v", result.Total.Errors)
+	require.Equal(t, 4*result.Total.Requests, result.Total.Tokens)
+	require.EqualValues(t, 3*result.Total.Requests, result.Total.Between.Count)
+	require.Positive(t, result.Total.Redials, "the list's first entry cannot be reached")
+	require.Zero(t, result.Parts[1].Redials)
+	overhead, err := result.Overhead("through", "direct")
+	require.NoError(t, err)
+	t.Logf("through the same server: %+v", overhead)
+
+	again, err := load.Run(context.Background(), cfg)
+	require.NoError(t, err)
+	require.Equal(t, result.Total.Requests, again.Total.Requests, "one seed, one schedule")
+
+	cfg.Expect = func(string, []platform.Message, int) []string { return []string{"other"} }
+	wrong, err := load.Run(context.Background(), cfg)
+	require.NoError(t, err)
+	require.Equal(t, wrong.Total.Requests, wrong.Total.Outcomes.Wrong)
+}
+
+// A system answers one request at a time and each takes long. A closed loop
+// would send the next one only then, and report every answer as quick. Here
+// each request's wait for a free caller counts. Giving runner.work's call the
+// present time in place of the intended one breaks this test.
+func TestRunCountsLateStartsAgainstTheSystem(t *testing.T) {
+	const answer = 20 * time.Millisecond
+	_, engine := startEngine(t, fake.EngineConfig{FirstToken: answer})
+	entry := startEntry(t, engine)
+	part := chatPart("slow")
+	part.MaxTokens = 1
+	result, err := load.Run(context.Background(), load.Config{
+		Entries: []string{entry.URL}, Rate: 100, Duration: 400 * time.Millisecond, MaxInFlight: 1, Seed: 7,
+		Parts: []load.Part{part},
+	})
+	require.NoError(t, err)
+	n := result.Total.Requests
+	require.Greater(t, n, 20, "the seed's schedule must exceed what the system can do")
+	require.Equal(t, n, result.Total.Outcomes.Answered)
+	// All n run one after the other and the last was meant to start by 400 ms.
+	// The bound holds on any machine: a timer may fire late and never early.
+	least := time.Duration(n)*answer - 400*time.Millisecond
+	require.GreaterOrEqual(t, result.Total.FirstToken.Max, 0.99*float64(least.Milliseconds()))
+}
+
+// The system stops answering. A run must end all the same, and a request that
+// never started must not vanish from the figures.
+func TestRunEndsWhenTheSystemIsFrozen(t *testing.T) {
+	e, engine := startEngine(t, fake.EngineConfig{})
+	e.SetFaults(fake.Faults{Freeze: true})
+	entry := startEntry(t, engine)
+	result, err := load.Run(context.Background(), load.Config{
+		Entries: []string{entry.URL}, Rate: 100, Duration: 200 * time.Millisecond, Drain: 50 * time.Millisecond,
+		MaxInFlight: 2, Parts: []load.Part{chatPart("frozen")},
+	})
+	e.SetFaults(fake.Faults{})
+	require.NoError(t, err)
+	o := result.Total.Outcomes
+	require.Greater(t, result.Total.Requests, 2)
+	require.Equal(t, load.Outcomes{Broken: o.Broken, Unstarted: result.Total.Requests - o.Broken}, o)
+	require.LessOrEqual(t, o.Broken, 2, "more requests ran than there are callers")
+}
+
+func TestRunCountsOutcomesOfPlainCalls(t *testing.T) {
+	var calls atomic.Int64
+	keys := make(chan string, 1000)
+	entry := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/svc/statements/credit" || r.Header.Get("Authorization") != "Bearer "+testKey ||
+			r.Header.Get("Savoryreel-Deadline-Ms") != "1500" || r.Method != http.MethodPut {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		keys <- r.Header.Get("Idempotency-Key")
+		switch calls.Add(1) % 3 {
+		case 0:
+			w.Header().Set("Savoryreel-Outcome", "not_run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 1:
+			w.Header().Set("Savoryreel-Outcome", "unknown")
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	}))
+	result, err := load.Run(context.Background(), load.Config{
+		Entries: []string{entry.URL}, Rate: 300, Duration: 200 * time.Millisecond, Seed: 3,
+		Surges: []load.Surge{{Part: "credit", From: 100 * time.Millisecond, For: 100 * time.Millisecond, Factor: 3}},
+		Parts: []load.Part{{
+			Name: "credit", Weight: 1, Kind: load.Plain, Service: "statements", Path: "credit",
+			Method: http.MethodPut, Key: testKey, Deadline: 1500 * time.Millisecond, Once: true, BodyBytes: 10,
+		}},
+	})
+	require.NoError(t, err)
+	n := int(calls.Load())
+	require.Equal(t, n, result.Total.Requests)
+	require.Equal(t, load.Outcomes{Answered: n - n/3 - (n+2)/3, NotRun: n / 3, Unknown: (n + 2) / 3}, result.Total.Outcomes)
+	close(keys)
+	seen := make(map[string]bool)
+	for key := range keys {
+		require.NotEmpty(t, key)
+		require.False(t, seen[key], "key %s twice", key)
+		seen[key] = true
+	}
+}
+
+// An entry drains and sends its callers to another one. The key must go along,
+// or the other entry would turn the caller away as unknown.
+func TestRunFollowsARedirectWithItsKey(t *testing.T) {
+	_, engine := startEngine(t, fake.EngineConfig{})
+	other := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer "+testKey {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		engine.ServeHTTP(w, r)
+	}))
+	leaving := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Location", other.URL+r.URL.Path)
+		w.WriteHeader(http.StatusTemporaryRedirect)
+	}))
+	result, err := load.Run(context.Background(), load.Config{
+		Entries: []string{leaving.URL}, Rate: 100, Duration: 100 * time.Millisecond, Seed: 5,
+		Parts: []load.Part{chatPart("moved")}, Expect: fake.Answer,
+	})
+	require.NoError(t, err)
+	require.Positive(t, result.Total.Requests)
+	require.Equal(t, result.Total.Requests, result.Total.Outcomes.Answered, "%v", result.Total.Errors)
+}
+
+func TestResultIsWrittenWithoutKeysAndOutsideResources(t *testing.T) {
+	_, engine := startEngine(t, fake.EngineConfig{})
+	entry := startEntry(t, engine)
+	result, err := load.Run(context.Background(), load.Config{
+		Entries: []string{entry.URL}, Rate: 200, Duration: 100 * time.Millisecond,
+		Parts: []load.Part{chatPart("a <b>")},
+	})
+	require.NoError(t, err)
+	var asJSON, asHTML bytes.Buffer
+	require.NoError(t, result.WriteJSON(&asJSON))
+	require.NoError(t, result.WriteHTML(&asHTML))
+	var back load.Result
+	require.NoError(t, json.Unmarshal(asJSON.Bytes(), &back))
+	require.Equal(t, *result, back)
+	page := asHTML.String()
+	require.Equal(t, 3, strings.Count(page, "<svg"))
+	require.NotContains(t, page, "a <b>")
+	require.NotContains(t, page, "://")
+	require.NotContains(t, page+asJSON.String(), testKey)
+	if path := os.Getenv("LOAD_REPORT"); path != "" {
+		require.NoError(t, os.WriteFile(path, asHTML.Bytes(), 0o600))
+	}
+}
+
+func TestConfigNamesAllItsFaults(t *testing.T) {
+	err := load.Config{
+		Rate:   -1,
+		Parts:  []load.Part{{Name: "a", Weight: 1, Kind: "x", Service: "s"}, {Name: "a"}},
+		Surges: []load.Surge{{Part: "b"}},
+	}.Validate()
+	for _, want := range []string{"rate", "duration", "kind", "unique", "weight", "service", "entry", `no part "b"`} {
+		require.ErrorContains(t, err, want)
+	}
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,211 @@
+package load
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+//go:embed report.html.tmpl
+var reportTemplate string
+
+// Size of a plot in its own units, and of its frame.
+const (
+	plotWidth  = 640.0
+	plotHeight = 240.0
+	frameLeft  = 56.0
+	frameRight = 12.0
+	frameTop   = 12.0
+	frameBase  = 28.0
+	plotTicks  = 5
+)
+
+// plot is a line plot, drawn by the template as inline SVG.
+type plot struct {
+	Title  string
+	XLabel string
+	YLabel string
+	Lines  []line
+	XTicks []tick
+	YTicks []tick
+	W, H   float64
+	Left   float64
+	Top    float64
+	Right  float64
+	Base   float64
+}
+
+// line is one series: its points in the plot's units, as SVG wants them.
+type line struct {
+	Name   string
+	Colour string
+	Points string
+	LabelX float64
+}
+
+type tick struct {
+	At    float64
+	Label string
+}
+
+// series is a line before it is scaled.
+type series struct {
+	name   string
+	colour string
+	x, y   []float64
+}
+
+type reportPage struct {
+	Result *Result
+	Rows   []PartResult
+	Plots  []plot
+}
+
+// WriteHTML writes the result as one HTML page with inline plots. The page
+// loads nothing from elsewhere.
+func (r *Result) WriteHTML(w io.Writer) error {
+	tmpl, err := template.New("report").Funcs(template.FuncMap{"ms": formatMS}).Parse(reportTemplate)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	page := reportPage{
+		Result: r,
+		Rows:   append([]PartResult{r.Total}, r.Parts...),
+		Plots:  []plot{r.outcomePlot(), r.firstTokenPlot(), r.curvePlot()},
+	}
+	return trace.Wrap(tmpl.Execute(w, page))
+}
+
+func formatMS(v float64) string {
+	if v == 0 {
+		return "–"
+	}
+	return fmt.Sprintf("%.2f", v)
+}
+
+func (r *Result) outcomePlot() plot {
+	pick := func(name, colour string, count func(Outcomes) int) series {
+		s := series{name: name, colour: colour}
+		for _, second := range r.Timeline {
+			s.x = append(s.x, float64(second.Second))
+			s.y = append(s.y, float64(count(second.Outcomes)))
+		}
+		return s
+	}
+	return newPlot("Outcomes by second of intended start", "s", "requests", []series{
+		pick("answered", "#2a7d4f", func(o Outcomes) int { return o.Answered }),
+		pick("not run", "#c98a1b", func(o Outcomes) int { return o.NotRun }),
+		pick("unknown", "#8a4fbf", func(o Outcomes) int { return o.Unknown }),
+		pick("failed, broken, wrong, unstarted", "#c0392b", func(o Outcomes) int {
+			return o.Failed + o.Broken + o.Wrong + o.Unstarted
+		}),
+	})
+}
+
+func (r *Result) firstTokenPlot() plot {
+	p50 := series{name: "p50", colour: "#2a6f9e"}
+	p95 := series{name: "p95", colour: "#c0392b"}
+	for _, s := range r.Timeline {
+		p50.x = append(p50.x, float64(s.Second))
+		p50.y = append(p50.y, s.P50)
+		p95.x = append(p95.x, float64(s.Second))
+		p95.y = append(p95.y, s.P95)
+	}
+	return newPlot("First token by second of intended start", "s", "ms", []series{p50, p95})
+}
+
+// curvePlot draws latency against percentile on an axis of nines, so that the
+// tail has as much room as the rest.
+func (r *Result) curvePlot() plot {
+	pick := func(name, colour string, d Distribution) series {
+		s := series{name: name, colour: colour}
+		for _, point := range d.Curve {
+			s.x = append(s.x, nines(point.Percent))
+			s.y = append(s.y, point.Value)
+		}
+		return s
+	}
+	p := newPlot("Latency by percentile", "percentile", "ms", []series{
+		pick("first token", "#2a6f9e", r.Total.FirstToken),
+		pick("between tokens", "#2a7d4f", r.Total.Between),
+		pick("whole answer", "#8a4fbf", r.Total.Whole),
+	})
+	p.XTicks = nil
+	for _, percent := range []float64{0, 50, 90, 99, 99.9, 99.99} {
+		at := p.Left + (p.Right-p.Left)*nines(percent)/nines(100)
+		p.XTicks = append(p.XTicks, tick{At: at, Label: fmt.Sprint(percent)})
+	}
+	return p
+}
+
+// nines maps 0, 90, 99, 99.9, ... percent to 0, 1, 2, 3, ..., and 100 to 4.5.
+func nines(percent float64) float64 {
+	const last = 4.5
+	if percent >= 100 {
+		return last
+	}
+	return min(last, -math.Log10(1-percent/100))
+}
+
+func newPlot(title, xLabel, yLabel string, all []series) plot {
+	p := plot{
+		Title:  title,
+		XLabel: xLabel,
+		YLabel: yLabel,
+		W:      plotWidth,
+		H:      plotHeight,
+		Left:   frameLeft,
+		Top:    frameTop,
+		Right:  plotWidth - frameRight,
+		Base:   plotHeight - frameBase,
+	}
+	xMax, yMax := extent(all)
+	for i, s := range all {
+		p.Lines = append(p.Lines, line{
+			Name:   s.name,
+			Colour: s.colour,
+			Points: p.points(s, xMax, yMax),
+			LabelX: p.Left + float64(i)*(p.Right-p.Left)/float64(len(all)),
+		})
+	}
+	for i := range plotTicks + 1 {
+		share := float64(i) / plotTicks
+		p.XTicks = append(p.XTicks, tick{At: p.Left + share*(p.Right-p.Left), Label: formatTick(share * xMax)})
+		p.YTicks = append(p.YTicks, tick{At: p.Base - share*(p.Base-p.Top), Label: formatTick(share * yMax)})
+	}
+	return p
+}
+
+func (p plot) points(s series, xMax, yMax float64) string {
+	var b strings.Builder
+	for i := range s.x {
+		x := p.Left + s.x[i]/xMax*(p.Right-p.Left)
+		y := p.Base - s.y[i]/yMax*(p.Base-p.Top)
+		fmt.Fprintf(&b, "%.1f,%.1f ", x, y)
+	}
+	return strings.TrimSpace(b.String())
+}
+
+// extent returns the highest values; at least 1, so that nothing divides by 0.
+func extent(all []series) (x, y float64) {
+	x, y = 1, 1
+	for _, s := range all {
+		for i := range s.x {
+			x = max(x, s.x[i])
+			y = max(y, s.y[i])
+		}
+	}
+	return x, y
+}
+
+func formatTick(v float64) string {
+	if v == math.Trunc(v) || v >= 100 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
--- /dev/null
+++ b/load/result.go
@@ -0,0 +1,246 @@
+package load
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gravitational/trace"
+)
+
+// Outcomes counts requests by how they ended.
+type Outcomes struct {
+	Answered  int `json:"answered"`
+	NotRun    int `json:"notRun"`
+	Unknown   int `json:"unknown"`
+	Failed    int `json:"failed"`
+	Broken    int `json:"broken"`
+	Wrong     int `json:"wrong"`
+	Unstarted int `json:"unstarted"`
+}
+
+func (o *Outcomes) add(outcome Outcome) {
+	switch outcome {
+	case Answered:
+		o.Answered++
+	case NotRun:
+		o.NotRun++
+	case Unknown:
+		o.Unknown++
+	case Failed:
+		o.Failed++
+	case Broken:
+		o.Broken++
+	case Wrong:
+		o.Wrong++
+	case Unstarted:
+		o.Unstarted++
+	}
+}
+
+func (o *Outcomes) merge(other Outcomes) {
+	o.Answered += other.Answered
+	o.NotRun += other.NotRun
+	o.Unknown += other.Unknown
+	o.Failed += other.Failed
+	o.Broken += other.Broken
+	o.Wrong += other.Wrong
+	o.Unstarted += other.Unstarted
+}
+
+// Total returns the number of requests.
+func (o Outcomes) Total() int {
+	return o.Answered + o.NotRun + o.Unknown + o.Failed + o.Broken + o.Wrong + o.Unstarted
+}
+
+// Result is what a run measured. Every scheduled request is in it once. All
+// latencies count from the intended start and are in milliseconds.
+type Result struct {
+	Started  time.Time    `json:"started"`
+	Seconds  float64      `json:"seconds"` // of the schedule
+	Elapsed  float64      `json:"elapsed"` // seconds until the last request ended
+	Seed     uint64       `json:"seed,string"`
+	Rate     float64      `json:"rate"` // requests a second as configured, outside surges
+	Total    PartResult   `json:"total"`
+	Parts    []PartResult `json:"parts"`
+	Timeline []Second     `json:"timeline"`
+}
+
+// PartResult is what one part of the mix met.
+type PartResult struct {
+	Name         string       `json:"name"`
+	Service      string       `json:"service,omitempty"`
+	Workspace    string       `json:"workspace,omitempty"`
+	Requests     int          `json:"requests"`
+	Outcomes     Outcomes     `json:"outcomes"`
+	OnTarget     int          `json:"onTarget"` // answered, with the first token within the part's target
+	Tokens       int          `json:"tokens"`
+	TokensPerSec float64      `json:"tokensPerSecond"` // over the elapsed time
+	Redials      int          `json:"redials"`         // entries that could not be reached
+	Errors       []string     `json:"errors,omitempty"`
+	FirstToken   Distribution `json:"firstToken"`    // of every request that had one
+	Between      Distribution `json:"betweenTokens"` // of every pair of tokens
+	Whole        Distribution `json:"whole"`         // of answered requests
+	Refusal      Distribution `json:"refusal"`       // of requests not run, to their refusal
+	StartLag     Distribution `json:"startLag"`      // between intended and real start
+}
+
+// Distribution sums up latencies in milliseconds.
+type Distribution struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	P999  float64 `json:"p99.9"`
+	Max   float64 `json:"max"`
+	Curve []Point `json:"curve,omitempty"`
+}
+
+// Point says that Percent of the values are at most Value (milliseconds).
+type Point struct {
+	Percent float64 `json:"percent"`
+	Value   float64 `json:"value"`
+}
+
+// Second is what became of the requests that should have started within one
+// second of the run.
+type Second struct {
+	Second   int      `json:"second"`
+	Outcomes Outcomes `json:"outcomes"`
+	P50      float64  `json:"firstTokenP50"` // milliseconds; 0: no request had a token
+	P95      float64  `json:"firstTokenP95"`
+}
+
+// Overhead compares the first token of two parts of one run.
+type Overhead struct {
+	P50       float64 `json:"p50"` // ratio
+	P99       float64 `json:"p99"` // ratio
+	AddedP50  float64 `json:"addedP50Ms"`
+	AddedP99  float64 `json:"addedP99Ms"`
+	Through   int64   `json:"through"` // first tokens compared
+	ReachedBy int64   `json:"direct"`
+}
+
+// Overhead returns what the way of the part through adds to the first token of
+// the part direct, as ratios and milliseconds.
+func (r *Result) Overhead(through, direct string) (Overhead, error) {
+	a, err := r.part(through)
+	if err != nil {
+		return Overhead{}, err
+	}
+	b, err := r.part(direct)
+	if err != nil {
+		return Overhead{}, err
+	}
+	x, y := a.FirstToken, b.FirstToken
+	if x.Count == 0 || y.Count == 0 {
+		return Overhead{}, trace.Wrap(errNothingToCompare)
+	}
+	return Overhead{
+		P50:       x.P50 / y.P50,
+		P99:       x.P99 / y.P99,
+		AddedP50:  x.P50 - y.P50,
+		AddedP99:  x.P99 - y.P99,
+		Through:   x.Count,
+		ReachedBy: y.Count,
+	}, nil
+}
+
+var errNothingToCompare = errors.New("a part had no first token")
+
+func (r *Result) part(name string) (PartResult, error) {
+	i := slices.IndexFunc(r.Parts, func(p PartResult) bool { return p.Name == name })
+	if i < 0 {
+		return PartResult{}, trace.Wrap(fmt.Errorf("the result has no part %q", name))
+	}
+	return r.Parts[i], nil
+}
+
+// WriteJSON writes the result as indented JSON.
+func (r *Result) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return trace.Wrap(encoder.Encode(r))
+}
+
+func (t *tally) result(elapsed time.Duration) PartResult {
+	return PartResult{
+		Name:         t.part.Name,
+		Service:      t.part.Service,
+		Workspace:    t.part.Workspace,
+		Requests:     t.count,
+		Outcomes:     t.outcomes,
+		OnTarget:     t.onTarget,
+		Tokens:       t.tokens,
+		TokensPerSec: float64(t.tokens) / elapsed.Seconds(),
+		Redials:      t.redials,
+		Errors:       t.errors,
+		FirstToken:   newDistribution(t.first),
+		Between:      newDistribution(t.between),
+		Whole:        newDistribution(t.whole),
+		Refusal:      newDistribution(t.refusal),
+		StartLag:     newDistribution(t.lag),
+	}
+}
+
+func (t *tally) timeline() []Second {
+	seconds := make([]Second, len(t.seconds))
+	for i, s := range t.seconds {
+		slices.Sort(s.firsts)
+		seconds[i] = Second{
+			Second:   i,
+			Outcomes: s.outcomes,
+			P50:      quantile(s.firsts, 0.50),
+			P95:      quantile(s.firsts, 0.95),
+		}
+	}
+	return seconds
+}
+
+// quantile returns the smallest value that at least the share q of the sorted
+// values does not exceed.
+func quantile(sorted []time.Duration, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	i := int(q * float64(len(sorted)))
+	return milliseconds(sorted[min(i, len(sorted)-1)])
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+// curvePercents are the points of a distribution's curve, closer towards the tail.
+var curvePercents = [...]float64{0, 10, 25, 50, 75, 90, 95, 97.5, 99, 99.5, 99.9, 99.95, 99.99, 100}
+
+func newDistribution(h *hdrhistogram.Histogram) Distribution {
+	if h.TotalCount() == 0 {
+		return Distribution{}
+	}
+	at := func(percent float64) float64 { return fromMicroseconds(float64(h.ValueAtQuantile(percent))) }
+	d := Distribution{
+		Count: h.TotalCount(),
+		Mean:  fromMicroseconds(h.Mean()),
+		P50:   at(50),
+		P90:   at(90),
+		P95:   at(95),
+		P99:   at(99),
+		P999:  at(99.9),
+		Max:   fromMicroseconds(float64(h.Max())),
+	}
+	for _, percent := range curvePercents {
+		d.Curve = append(d.Curve, Point{Percent: percent, Value: at(percent)})
+	}
+	return d
+}
+
+func fromMicroseconds(us float64) float64 {
+	return us * float64(time.Microsecond) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+)
+
+// Run puts the configured load on the system and returns what callers got. It
+// takes at most Duration and Drain together; requests that have not started by
+// then count as unstarted, and those still running as broken. When ctx ends
+// earlier, the same holds from that moment on, and the result is still whole.
+func Run(ctx context.Context, cfg Config) (*Result, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r := newRunner(cfg)
+	defer r.caller.client.CloseIdleConnections()
+	started := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, started.Add(cfg.Duration+cfg.Drain))
+	defer cancel()
+	r.run(ctx, started)
+	return r.result(started, time.Since(started)), nil
+}
+
+// runner is one run.
+type runner struct {
+	cfg      Config
+	caller   *caller
+	schedule []arrival
+	next     atomic.Int64 // index in schedule
+	tallies  []*tally     // by part
+}
+
+func newRunner(cfg Config) *runner {
+	client := newClient(cfg.MaxInFlight)
+	r := &runner{
+		cfg:      cfg,
+		schedule: newSchedule(cfg),
+		caller: &caller{
+			cfg:    cfg,
+			runID:  uuid.NewString(),
+			client: client,
+			choice: newEntryChoice(client, cfg.Entries),
+		},
+	}
+	for _, p := range cfg.Parts {
+		r.tallies = append(r.tallies, newTally(p, cfg.Duration))
+	}
+	return r
+}
+
+// run lets MaxInFlight callers work through the schedule. Each takes the next
+// arrival and waits for its time; when all are busy, arrivals become late, and
+// their lag is part of their latency.
+func (r *runner) run(ctx context.Context, started time.Time) {
+	var callers sync.WaitGroup
+	for range min(r.cfg.MaxInFlight, len(r.schedule)) {
+		callers.Go(func() { r.work(ctx, started) })
+	}
+	callers.Wait()
+}
+
+func (r *runner) work(ctx context.Context, started time.Time) {
+	for {
+		i := int(r.next.Add(1)) - 1
+		if i >= len(r.schedule) {
+			return
+		}
+		a := r.schedule[i]
+		intended := started.Add(a.at)
+		rep := report{outcome: Unstarted}
+		if sleepUntil(ctx, intended) {
+			rep = r.caller.call(ctx, a, intended)
+		}
+		r.tallies[a.part].add(a.at, rep)
+	}
+}
+
+// sleepUntil reports whether the time came before ctx ended.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *runner) result(started time.Time, elapsed time.Duration) *Result {
+	res := &Result{
+		Started: started.UTC(),
+		Seconds: r.cfg.Duration.Seconds(),
+		Elapsed: elapsed.Seconds(),
+		Seed:    r.cfg.Seed,
+		Rate:    r.cfg.Rate,
+	}
+	total := newTally(Part{Name: "total"}, r.cfg.Duration)
+	for _, t := range r.tallies {
+		res.Parts = append(res.Parts, t.result(elapsed))
+		total.merge(t)
+	}
+	res.Total = total.result(elapsed)
+	res.Timeline = total.timeline()
+	return res
+}
