--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -173,6 +173,7 @@
 	}
 	e.mu.Unlock()
 	defer e.store.Close()
+	defer e.deps.Client.CloseIdleConnections()
 	return serve(ctx, ln, e.Handler(), e.faults, e.announcer.run, e.pushEvents, e.runLoads)
 }
 
--- a/internal/fake/plain.go
+++ b/internal/fake/plain.go
@@ -121,6 +121,7 @@
 		p.address = ln.Addr().String()
 	}
 	p.mu.Unlock()
+	defer p.announcer.client.CloseIdleConnections()
 	return serve(ctx, ln, p.Handler(), p.faults, p.announcer.run)
 }
 
--- a/load/caller.go
+++ b/load/caller.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"strings"
 	"time"
 
@@ -21,11 +19,13 @@
 	headerDeadline = "Savoryreel-Deadline-Ms"
 	headerOutcome  = "Savoryreel-Outcome"
 	headerKey      = "Idempotency-Key"
+	headerLastID   = "Last-Event-ID"
 )
 
 const (
 	deadlineGrace  = 2 * time.Second // how long past its deadline a caller still listens
 	maxRedirects   = 4
+	maxReconnects  = 3 // of one stream
 	maxEvent       = 64 << 10
 	doneMark       = "[DONE]"
 	eventError     = "error"
@@ -62,6 +62,8 @@
 	tokens  int
 	redials int // entries that could not be reached before one could
 	err     error
+
+	reconnects int // streams that broke and were taken up again
 }
 
 // caller makes requests. It is safe for concurrent use.
@@ -89,22 +91,37 @@
 	r := report{lag: time.Since(intended)}
 	ctx, cancel := context.WithTimeout(ctx, part.timeout())
 	defer cancel()
-	resp, err := c.send(ctx, part, a, &r)
-	if err == nil {
-		defer resp.Body.Close()
-		r.outcome, r.err = c.take(resp, part, a, intended, &r)
-	} else {
-		r.outcome, r.err = Broken, err
+	var state streamState
+	for {
+		r.outcome, r.err = c.attempt(ctx, part, a, intended, &state, &r)
+		broken := r.outcome == Broken && ctx.Err() == nil
+		if !broken || state.lastID == "" || r.reconnects == maxReconnects {
+			break
+		}
+		r.reconnects++
 	}
 	r.end = time.Since(intended)
 	return r
 }
 
+// attempt sends the request, or takes its stream up again, and reads the answer.
+func (c *caller) attempt(ctx context.Context, p Part, a arrival, intended time.Time, state *streamState, r *report) (Outcome, error) {
+	resp, err := c.send(ctx, p, a, state, r)
+	if err != nil {
+		return Broken, err
+	}
+	defer resp.Body.Close()
+	if state.requestID == "" {
+		state.requestID = resp.Header.Get(platform.HeaderRequestID)
+	}
+	return c.take(resp, p, a, intended, state, r)
+}
+
 // send tries the entries in their order until one can be reached. Nothing is
 // sent twice: it goes on only while no connection was made.
-func (c *caller) send(ctx context.Context, p Part, a arrival, r *report) (*http.Response, error) {
+func (c *caller) send(ctx context.Context, p Part, a arrival, state *streamState, r *report) (*http.Response, error) {
 	if p.Direct != "" {
-		return c.sendTo(ctx, "http://"+p.Direct, p, a)
+		return c.sendTo(ctx, "http://"+p.Direct, p, a, state)
 	}
 	urls, err := c.choice.get(ctx)
 	if err != nil {
@@ -114,7 +131,7 @@
 		connected := false
 		trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 		var resp *http.Response
-		resp, err = c.sendTo(httptrace.WithClientTrace(ctx, trace), url, p, a)
+		resp, err = c.sendTo(httptrace.WithClientTrace(ctx, trace), url, p, a, state)
 		if err == nil {
 			return resp, nil
 		}
@@ -130,10 +147,10 @@
 
 // sendTo sends the request to the entry or engine at base, and on to where a
 // temporary redirect points: an entry that drains sends its callers away so.
-func (c *caller) sendTo(ctx context.Context, base string, p Part, a arrival) (*http.Response, error) {
+func (c *caller) sendTo(ctx context.Context, base string, p Part, a arrival, state *streamState) (*http.Response, error) {
 	url := base + p.path()
 	for range maxRedirects {
-		resp, err := c.sendOnce(ctx, url, p, a)
+		resp, err := c.sendOnce(ctx, url, p, a, state)
 		if err != nil || resp.StatusCode != http.StatusTemporaryRedirect {
 			return resp, err
 		}
@@ -147,17 +164,10 @@
 	return nil, errRedirects
 }
 
-func (p Part) path() string {
-	if p.Kind == Chat {
-		return platform.PathChat
-	}
-	return pathPlainCalls + p.Service + "/" + strings.TrimPrefix(p.Path, "/")
-}
-
 // sendOnce hides the body's type from net/http, which would otherwise repeat a
 // request with a key on its own when a connection breaks: the run is to count
 // what breaks.
-func (c *caller) sendOnce(ctx context.Context, url string, p Part, a arrival) (*http.Response, error) {
+func (c *caller) sendOnce(ctx context.Context, url string, p Part, a arrival, state *streamState) (*http.Response, error) {
 	body, err := requestBody(p, a.index)
 	if err != nil {
 		return nil, err
@@ -168,64 +178,15 @@
 	}
 	req.ContentLength = int64(len(body))
 	c.setHeaders(req, p, a)
-	return c.client.Do(req)
-}
-
-func (p Part) method() string {
-	if p.Kind == Chat {
-		return http.MethodPost
-	}
-	return p.Method
-}
-
-func (c *caller) setHeaders(req *http.Request, p Part, a arrival) {
-	if p.Kind == Chat {
-		req.Header.Set("Content-Type", "application/json")
-	}
-	if p.Key != "" {
-		req.Header.Set("Authorization", "Bearer "+p.Key)
-	}
-	if p.Deadline > 0 {
-		req.Header.Set(headerDeadline, strconv.FormatInt(p.Deadline.Milliseconds(), 10))
-	}
-	if p.Once {
-		req.Header.Set(headerKey, fmt.Sprintf("load-%s-%s-%d", c.runID, p.Name, a.index))
-	}
-}
-
-func requestBody(p Part, index int) ([]byte, error) {
-	if p.Kind == Plain {
-		return []byte(filler(index, p.BodyBytes)), nil
+	if state.lastID != "" {
+		req.Header.Set(headerLastID, state.lastID)
+		req.Header.Set(platform.HeaderRequestID, state.requestID)
 	}
-	return json.Marshal(platform.ChatRequest{
-		Model:     p.Service,
-		Messages:  messages(p, index),
-		MaxTokens: p.MaxTokens,
-		Stream:    true,
-	})
-}
-
-// messages returns the prompt of a part's request with an index.
-func messages(p Part, index int) []platform.Message {
-	var list []platform.Message
-	if p.PrefixBytes > 0 {
-		list = append(list, platform.Message{
-			Role:    "system",
-			Content: p.Name + " " + filler(index%p.Prefixes, p.PrefixBytes),
-		})
-	}
-	text := p.Name + " request " + strconv.Itoa(index) + " " + filler(index, p.PromptBytes)
-	return append(list, platform.Message{Role: "user", Content: text})
-}
-
-// filler returns n bytes of text that begins differently for each index.
-func filler(index, n int) string {
-	unit := "station " + strconv.Itoa(index) + " "
-	return strings.Repeat(unit, n/len(unit)+1)[:n]
+	return c.client.Do(req)
 }
 
 // take reads the answer and says how the request ended.
-func (c *caller) take(resp *http.Response, p Part, a arrival, intended time.Time, r *report) (Outcome, error) {
+func (c *caller) take(resp *http.Response, p Part, a arrival, intended time.Time, state *streamState, r *report) (Outcome, error) {
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEvent))
 		return statedOutcome(Outcome(resp.Header.Get(headerOutcome)), Failed),
@@ -234,12 +195,12 @@
 	if p.Kind == Plain {
 		return takePlain(resp, intended, r)
 	}
-	text, outcome, err := takeStream(resp.Body, intended, r)
+	outcome, err := takeStream(resp.Body, intended, state, r)
 	if outcome != Answered || c.cfg.Expect == nil {
 		return outcome, err
 	}
 	want := c.cfg.Expect(p.Model, messages(p, a.index), p.MaxTokens)
-	if text != strings.Join(want, "") {
+	if state.text.String() != strings.Join(want, "") {
 		return Wrong, errWrongAnswer
 	}
 	return Answered, nil
@@ -263,58 +224,3 @@
 	}
 	return Answered, nil
 }
-
-// takeStream reads a streamed chat to its end mark.
-func takeStream(body io.Reader, intended time.Time, r *report) (string, Outcome, error) {
-	events := platform.NewEventReader(body, maxEvent)
-	var text strings.Builder
-	var last time.Duration
-	for {
-		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			err = errCutStream
-		}
-		if err != nil {
-			return "", Broken, err
-		}
-		if string(event.Name) == eventError {
-			return "", errorOutcome(event.Data), fmt.Errorf("error event: %s", event.Data)
-		}
-		if string(event.Data) == doneMark {
-			return text.String(), Answered, nil
-		}
-		var chunk platform.ChatChunk
-		if err := json.Unmarshal(event.Data, &chunk); err != nil {
-			return "", Broken, err
-		}
-		for _, choice := range chunk.Choices {
-			if choice.Delta.Content == "" {
-				continue
-			}
-			text.WriteString(choice.Delta.Content)
-			now := time.Since(intended)
-			r.addToken(now, last)
-			last = now
-		}
-	}
-}
-
-func (r *report) addToken(now, last time.Duration) {
-	r.tokens++
-	if r.tokens == 1 {
-		r.first = now
-		return
-	}
-	r.gaps = append(r.gaps, now-last)
-}
-
-// errorOutcome reads the outcome of a problem that ends a stream.
-func errorOutcome(data []byte) Outcome {
-	var problem struct {
-		Outcome Outcome `json:"outcome"`
-	}
-	if json.Unmarshal(data, &problem) != nil {
-		return Unknown
-	}
-	return statedOutcome(problem.Outcome, Unknown)
-}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -193,6 +193,40 @@
 	require.Equal(t, result.Total.Requests, result.Total.Outcomes.Answered, "%v", result.Total.Errors)
 }
 
+// An entry dies in the middle of a stream, and another one goes on with it. The
+// caller reads one whole answer, whose gap is in the figures.
+func TestRunTakesUpABrokenStream(t *testing.T) {
+	const cut = 2 // tokens before the entry dies
+	entry := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var req platform.ChatRequest
+		_ = json.NewDecoder(r.Body).Decode(&req)
+		answer := fake.Answer(testModel, req.Messages, req.MaxTokens)
+		from, to := 0, cut
+		if id := r.Header.Get("Last-Event-ID"); id != "" {
+			from, to = cut, len(answer)
+			if id != fmt.Sprint(cut-1) || r.Header.Get("X-Request-Id") != "req-1" {
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
+		}
+		w.Header().Set("X-Request-Id", "req-1")
+		for i := from; i < to; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", i, answer[i])
+		}
+		if to == len(answer) {
+			fmt.Fprint(w, "data: [DONE]\n\n")
+		}
+	}))
+	result, err := load.Run(context.Background(), load.Config{
+		Entries: []string{entry.URL}, Rate: 100, Duration: 100 * time.Millisecond, Seed: 5,
+		Parts: []load.Part{chatPart("resumed")}, Expect: fake.Answer,
+	})
+	require.NoError(t, err)
+	require.Positive(t, result.Total.Requests)
+	require.Equal(t, result.Total.Requests, result.Total.Outcomes.Answered, "%v", result.Total.Errors)
+	require.Equal(t, result.Total.Requests, result.Total.Reconnects)
+}
+
 func TestResultIsWrittenWithoutKeysAndOutsideResources(t *testing.T) {
 	_, engine := startEngine(t, fake.EngineConfig{})
 	entry := startEntry(t, engine)
--- a/load/result.go
+++ b/load/result.go
@@ -81,6 +81,7 @@
 	Tokens       int          `json:"tokens"`
 	TokensPerSec float64      `json:"tokensPerSecond"` // over the elapsed time
 	Redials      int          `json:"redials"`         // entries that could not be reached
+	Reconnects   int          `json:"reconnects"`      // streams that broke and were taken up again by Last-Event-ID
 	Errors       []string     `json:"errors,omitempty"`
 	FirstToken   Distribution `json:"firstToken"`    // of every request that had one
 	Between      Distribution `json:"betweenTokens"` // of every pair of tokens
@@ -119,12 +120,12 @@
 
 // Overhead compares the first token of two parts of one run.
 type Overhead struct {
-	P50       float64 `json:"p50"` // ratio
-	P99       float64 `json:"p99"` // ratio
-	AddedP50  float64 `json:"addedP50Ms"`
-	AddedP99  float64 `json:"addedP99Ms"`
-	Through   int64   `json:"through"` // first tokens compared
-	ReachedBy int64   `json:"direct"`
+	P50      float64 `json:"p50"` // ratio
+	P99      float64 `json:"p99"` // ratio
+	AddedP50 float64 `json:"addedP50Ms"`
+	AddedP99 float64 `json:"addedP99Ms"`
+	Through  int64   `json:"through"` // first tokens compared
+	Direct   int64   `json:"direct"`
 }
 
 // Overhead returns what the way of the part through adds to the first token of
@@ -143,12 +144,12 @@
 		return Overhead{}, trace.Wrap(errNothingToCompare)
 	}
 	return Overhead{
-		P50:       x.P50 / y.P50,
-		P99:       x.P99 / y.P99,
-		AddedP50:  x.P50 - y.P50,
-		AddedP99:  x.P99 - y.P99,
-		Through:   x.Count,
-		ReachedBy: y.Count,
+		P50:      x.P50 / y.P50,
+		P99:      x.P99 / y.P99,
+		AddedP50: x.P50 - y.P50,
+		AddedP99: x.P99 - y.P99,
+		Through:  x.Count,
+		Direct:   y.Count,
 	}, nil
 }
 
@@ -180,6 +181,7 @@
 		Tokens:       t.tokens,
 		TokensPerSec: float64(t.tokens) / elapsed.Seconds(),
 		Redials:      t.redials,
+		Reconnects:   t.reconnects,
 		Errors:       t.errors,
 		FirstToken:   newDistribution(t.first),
 		Between:      newDistribution(t.between),
--- a/load/tally.go
+++ b/load/tally.go
@@ -28,20 +28,21 @@
 
 // tally collects the reports of one part under its own lock.
 type tally struct {
-	mu       sync.Mutex
-	part     Part
-	count    int
-	outcomes Outcomes
-	onTarget int
-	tokens   int
-	redials  int
-	errors   []string
-	first    *hdrhistogram.Histogram
-	between  *hdrhistogram.Histogram
-	whole    *hdrhistogram.Histogram
-	lag      *hdrhistogram.Histogram
-	refusal  *hdrhistogram.Histogram
-	seconds  []second
+	mu         sync.Mutex
+	part       Part
+	count      int
+	outcomes   Outcomes
+	onTarget   int
+	tokens     int
+	redials    int
+	reconnects int
+	errors     []string
+	first      *hdrhistogram.Histogram
+	between    *hdrhistogram.Histogram
+	whole      *hdrhistogram.Histogram
+	lag        *hdrhistogram.Histogram
+	refusal    *hdrhistogram.Histogram
+	seconds    []second
 }
 
 // second is what became of the requests that should have started within one
@@ -73,6 +74,7 @@
 	s.outcomes.add(r.outcome)
 	t.tokens += r.tokens
 	t.redials += r.redials
+	t.reconnects += r.reconnects
 	if r.err != nil && len(t.errors) < keptErrors {
 		t.errors = append(t.errors, string(r.outcome)+": "+r.err.Error())
 	}
@@ -109,6 +111,7 @@
 	t.onTarget += other.onTarget
 	t.tokens += other.tokens
 	t.redials += other.redials
+	t.reconnects += other.reconnects
 	t.first.Merge(other.first)
 	t.between.Merge(other.between)
 	t.whole.Merge(other.whole)
