fake, load: all four stand-ins documented, refused calls proved without effect

Cause: doc.go named only two of the stand-ins, and nothing proved that a plain call refused as not run has no effect.

--- a/internal/fake/doc.go
+++ b/internal/fake/doc.go
@@ -12,6 +12,13 @@
 // received, and counts the effect of each call, so that a test sees a call that
 // ran twice or one that ran although it was refused.
 //
+// Cloud is a cloud API: prices, starts by client token that a zone may refuse,
+// stops, and reclaim notices by long poll, which a test sends out for a zone at
+// a time (Wave or POST /fake/wave). Its instances are entries in a list only.
+//
+// Store is a weight store: it has every model, paces each reader, and answers
+// 429 with Retry-After beyond its rate.
+//
 // Each has faults that a test sets in code (SetFaults) or by POST
 // /fake/faults, and shows what it did by Stats or GET /fake/stats. The /fake/
 // paths answer also while the stand-in is frozen. A frozen one does not notice
--- a/internal/fake/engine_test.go
+++ b/internal/fake/engine_test.go
@@ -171,11 +171,11 @@
 // with it, and nothing answers at that address any more.
 func TestEngineCrashesOnARequest(t *testing.T) {
 	e := startEngine(t, fake.EngineConfig{TokenTime: time.Millisecond})
-	e.SetFaults(fake.Faults{CrashOn: "poison"})
+	e.SetFaults(fake.Faults{CrashOn: "trigger"})
 	bystander := e.chat(t, "bystander", ask("harmless", 1<<20))
 	_, err := take(bystander, 1)
 	require.NoError(t, err)
-	crash := e.chat(t, "crash", ask("some poison here", 5))
+	crash := e.chat(t, "crash", ask("some trigger here", 5))
 	_, err = take(crash, -1)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	require.False(t, platform.NotRun(err))
@@ -207,7 +207,8 @@
 }
 
 // An engine that is overloaded or told to refuse must say so before it runs
-// anything, and the client must pass on that the request did not run.
+// anything, and the client must pass on that the request did not run. Removing
+// the line that sets HeaderNotRun in refuse breaks this test.
 func TestEngineRefusesBeforeRunning(t *testing.T) {
 	e := startEngine(t, fake.EngineConfig{Slots: 1, MaxWaiting: -1, TokenTime: time.Millisecond})
 	holder := e.chat(t, "holder", ask("x", 1<<20))
--- a/internal/fake/plain_test.go
+++ b/internal/fake/plain_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -112,8 +113,8 @@
 func TestPlainCrashesAfterTheBody(t *testing.T) {
 	p := fake.NewPlain(fake.PlainConfig{}, fake.Deps{})
 	s, ended := startPlain(t, p)
-	p.SetFaults(fake.Faults{CrashOn: "poison"})
-	_, err := s.do(t, http.MethodPost, "/counter?name=a", "k", bytes.NewReader([]byte("a poison b")))
+	p.SetFaults(fake.Faults{CrashOn: "trigger"})
+	_, err := s.do(t, http.MethodPost, "/counter?name=a", "k", bytes.NewReader([]byte("a trigger b")))
 	require.Error(t, err)
 	require.False(t, platform.NotRun(err))
 	require.ErrorIs(t, <-ended, fake.ErrCrashed)
@@ -138,3 +139,23 @@
 	cancel()
 	require.False(t, platform.NotRun(<-failed))
 }
+
+// A test in another process sets the faults over HTTP. A call that the service
+// refuses as not run must have had no effect, or a caller that sends it again
+// doubles it.
+func TestPlainRefusesWithoutEffect(t *testing.T) {
+	s, _ := startPlain(t, fake.NewPlain(fake.PlainConfig{}, fake.Deps{}))
+	resp, err := s.do(t, http.MethodPost, fake.PathFaults, "", strings.NewReader(`{"refuse":true}`))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	resp, err = s.do(t, http.MethodPost, "/counter?name=a", "k", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get(platform.HeaderNotRun))
+	require.NotEmpty(t, resp.Header.Get(platform.HeaderRetryAfter))
+	resp, err = s.do(t, http.MethodGet, fake.PathStats, "", nil)
+	require.NoError(t, err)
+	var stats fake.PlainStats
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&stats))
+	require.Zero(t, stats.Calls)
+}
--- a/load/doc.go
+++ b/load/doc.go
@@ -7,4 +7,10 @@
 // loop would ask less of a slow system and so hide how slow it is (coordinated
 // omission); here a request that starts late because all callers are busy has
 // waited in the system's name.
+//
+// A caller of this package does what the system asks of its callers: it keeps
+// the list of entries for as long as it is valid, goes on to the next one when no
+// connection is made, follows a temporary redirect, and takes a broken stream up
+// again with Last-Event-ID where its events had ids. It never sends a refused
+// request again.
 package load
