--- /dev/null
+++ b/load/caller.go
@@ -0,0 +1,226 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"savoryreel.example/savoryreel/platform"
+)
+
+// Headers of the system towards callers.
+const (
+	headerDeadline = "Savoryreel-Deadline-Ms"
+	headerOutcome  = "Savoryreel-Outcome"
+	headerKey      = "Idempotency-Key"
+	headerLastID   = "Last-Event-ID"
+)
+
+const (
+	deadlineGrace  = 2 * time.Second // how long past its deadline a caller still listens
+	maxRedirects   = 4
+	maxReconnects  = 3 // of one stream
+	maxEvent       = 64 << 10
+	doneMark       = "[DONE]"
+	eventError     = "error"
+	pathPlainCalls = "/svc/"
+)
+
+var (
+	errWrongAnswer = errors.New("the answer is not the one expected")
+	errCutStream   = errors.New("the stream ended without its end mark")
+	errRedirects   = errors.New("too many redirects")
+)
+
+// Outcome is how a request ended at the caller.
+type Outcome string
+
+// The outcomes. The first three are the system's own word.
+const (
+	Answered  Outcome = "answered"
+	NotRun    Outcome = "not_run"
+	Unknown   Outcome = "unknown"
+	Failed    Outcome = "failed"    // an error status without an outcome
+	Broken    Outcome = "broken"    // no answer, a cut one, or none in time
+	Wrong     Outcome = "wrong"     // answered, but not with the expected answer
+	Unstarted Outcome = "unstarted" // still waiting for a free caller at the run's end
+)
+
+// report is what one request met. Times count from its intended start.
+type report struct {
+	outcome Outcome
+	lag     time.Duration // of the real start
+	first   time.Duration // to the first token, or to a plain answer's head; 0: none
+	end     time.Duration
+	gaps    []time.Duration // between tokens
+	tokens  int
+	redials int // entries that could not be reached before one could
+	err     error
+
+	reconnects int // streams that broke and were taken up again
+}
+
+// caller makes requests. It is safe for concurrent use.
+type caller struct {
+	cfg    Config
+	runID  string // makes idempotency keys unique over runs
+	client *http.Client
+	choice *entryChoice
+}
+
+func newClient(maxInFlight int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxInFlight,
+			IdleConnTimeout:     platform.DefaultIdleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// call makes one request whose start was intended at the given time.
+func (c *caller) call(ctx context.Context, a arrival, intended time.Time) report {
+	part := c.cfg.Parts[a.part]
+	r := report{lag: time.Since(intended)}
+	ctx, cancel := context.WithTimeout(ctx, part.timeout())
+	defer cancel()
+	var state streamState
+	for {
+		r.outcome, r.err = c.attempt(ctx, part, a, intended, &state, &r)
+		broken := r.outcome == Broken && ctx.Err() == nil
+		if !broken || state.lastID == "" || r.reconnects == maxReconnects {
+			break
+		}
+		r.reconnects++
+	}
+	r.end = time.Since(intended)
+	return r
+}
+
+// attempt sends the request, or takes its stream up again, and reads the answer.
+func (c *caller) attempt(ctx context.Context, p Part, a arrival, intended time.Time, state *streamState, r *report) (Outcome, error) {
+	resp, err := c.send(ctx, p, a, state, r)
+	if err != nil {
+		return Broken, err
+	}
+	defer resp.Body.Close()
+	if state.requestID == "" {
+		state.requestID = resp.Header.Get(platform.HeaderRequestID)
+	}
+	return c.take(resp, p, a, intended, state, r)
+}
+
+// send tries the entries in their order until one can be reached. Nothing is
+// sent twice: it goes on only while no connection was made.
+func (c *caller) send(ctx context.Context, p Part, a arrival, state *streamState, r *report) (*http.Response, error) {
+	if p.Direct != "" {
+		return c.sendTo(ctx, "http://"+p.Direct, p, a, state)
+	}
+	urls, err := c.choice.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, url := range urls {
+		connected := false
+		trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+		var resp *http.Response
+		resp, err = c.sendTo(httptrace.WithClientTrace(ctx, trace), url, p, a, state)
+		if err == nil {
+			return resp, nil
+		}
+		c.choice.demote(url)
+		if connected || ctx.Err() != nil {
+			return nil, err
+		}
+		r.redials++
+	}
+	c.choice.expire()
+	return nil, err
+}
+
+// sendTo sends the request to the entry or engine at base, and on to where a
+// temporary redirect points: an entry that drains sends its callers away so.
+func (c *caller) sendTo(ctx context.Context, base string, p Part, a arrival, state *streamState) (*http.Response, error) {
+	url := base + p.path()
+	for range maxRedirects {
+		resp, err := c.sendOnce(ctx, url, p, a, state)
+		if err != nil || resp.StatusCode != http.StatusTemporaryRedirect {
+			return resp, err
+		}
+		location, err := resp.Location()
+		resp.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+		url = location.String()
+	}
+	return nil, errRedirects
+}
+
+// sendOnce hides the body's type from net/http, which would otherwise repeat a
+// request with a key on its own when a connection breaks: the run is to count
+// what breaks.
+func (c *caller) sendOnce(ctx context.Context, url string, p Part, a arrival, state *streamState) (*http.Response, error) {
+	body, err := requestBody(p, a.index)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, p.method(), url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	c.setHeaders(req, p, a)
+	if state.lastID != "" {
+		req.Header.Set(headerLastID, state.lastID)
+		req.Header.Set(platform.HeaderRequestID, state.requestID)
+	}
+	return c.client.Do(req)
+}
+
+// take reads the answer and says how the request ended.
+func (c *caller) take(resp *http.Response, p Part, a arrival, intended time.Time, state *streamState, r *report) (Outcome, error) {
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEvent))
+		return statedOutcome(Outcome(resp.Header.Get(headerOutcome)), Failed),
+			fmt.Errorf("status %d", resp.StatusCode)
+	}
+	if p.Kind == Plain {
+		return takePlain(resp, intended, r)
+	}
+	outcome, err := takeStream(resp.Body, intended, state, r)
+	if outcome != Answered || c.cfg.Expect == nil {
+		return outcome, err
+	}
+	want := c.cfg.Expect(p.Model, messages(p, a.index), p.MaxTokens)
+	if state.text.String() != strings.Join(want, "") {
+		return Wrong, errWrongAnswer
+	}
+	return Answered, nil
+}
+
+// statedOutcome returns the system's own word, or other where there is none.
+// An error that calls itself answered is a plain service's own error status.
+func statedOutcome(stated, other Outcome) Outcome {
+	switch stated {
+	case Answered, NotRun, Unknown:
+		return stated
+	default:
+		return other
+	}
+}
+
+func takePlain(resp *http.Response, intended time.Time, r *report) (Outcome, error) {
+	r.first = time.Since(intended)
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return Broken, err
+	}
+	return Answered, nil
+}
