--- /dev/null
+++ b/cmd/savoryreel/dev.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/spf13/cobra"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/control"
+	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/entry"
+	"savoryreel.example/savoryreel/internal/fake"
+	"savoryreel.example/savoryreel/operator"
+	"savoryreel.example/savoryreel/settings"
+)
+
+// Keys and addresses of the dev command. They are no secrets: dev listens on
+// loopback addresses only.
+const (
+	devWorkspaceKey = "dev-key"
+	devOperatorKey  = "dev-operator"
+	devAnnounceKey  = "dev-announce"
+	devClusterKey   = "dev-cluster"
+	devCallers      = "127.0.0.1:7001"
+	devOperators    = "127.0.0.1:7102"
+	devEngine       = "127.0.0.1:7201"
+	devPlain        = "127.0.0.1:7301"
+	devStartTimeout = 20 * time.Second
+	devStartPause   = 100 * time.Millisecond
+)
+
+// devCatalogue is the catalogue built into dev.
+func devCatalogue() contract.Catalogue {
+	return contract.Catalogue{
+		Workspaces: []contract.Workspace{{
+			Name: "dev", Owner: "dev@example.com", Class: contract.ClassInteractive, Weight: 1,
+			Keys: []contract.KeyHash{contract.HashKey(devWorkspaceKey)},
+		}},
+		Services: []contract.Service{
+			{Name: "chat", Owner: "dev@example.com", Kind: contract.KindModel, Model: "demo"},
+			{Name: "echo", Owner: "dev@example.com", Kind: contract.KindPlain},
+		},
+	}
+}
+
+func newDev() *cobra.Command {
+	var level string
+	declare := func(s *settings.Set) {
+		s.String(&level, "log-level", "warn", "debug, info, warn or error", settings.LogLevel)
+	}
+	return daemonCommand("dev", "Run a whole system with stand-in backend servers in one process", declare, &level, runDev)
+}
+
+func runDev(ctx context.Context, log *slog.Logger) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	folder, err := os.MkdirTemp("", "savoryreel-dev-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var g run.Group
+	if err := addDevDaemons(ctx, &g, log, folder); err != nil {
+		return err
+	}
+	if err := addDevStandIns(ctx, &g, log); err != nil {
+		return err
+	}
+	daemon.Actor(&g, func(c context.Context) error {
+		if err := applyDevCatalogue(c); err != nil {
+			return err
+		}
+		printDevTour()
+		<-c.Done()
+		return nil
+	})
+	daemon.Signals(&g, func(context.Context) {}, log)
+	return g.Run()
+}
+
+func addDevDaemons(ctx context.Context, g *run.Group, log *slog.Logger, folder string) error {
+	c := control.Config{}
+	if err := devDefaults(c.Declare, map[string]string{
+		"cluster-key": devClusterKey, "operator-key": devOperatorKey, "data": filepath.Join(folder, "control-1"),
+	}); err != nil {
+		return err
+	}
+	replica, err := control.New(c, control.Deps{Log: log, Now: time.Now})
+	if err != nil {
+		return err
+	}
+	e := entry.Config{}
+	if err := devDefaults(e.Declare, map[string]string{
+		"cluster-key": devClusterKey, "announce-key": devAnnounceKey, "list-validity": "1s", "drain-timeout": "3s",
+	}); err != nil {
+		return err
+	}
+	front, err := entry.New(e, entry.Deps{Log: log, Now: time.Now})
+	if err != nil {
+		return err
+	}
+	daemon.Actor(g, replica.Run)
+	daemon.Actor(g, front.Run)
+	return nil
+}
+
+// devDefaults loads a daemon's defaults with a few settings given.
+func devDefaults(declare func(*settings.Set), given map[string]string) error {
+	flags := (&cobra.Command{}).Flags()
+	set := settings.New(flags)
+	declare(set)
+	for name, value := range given {
+		if err := flags.Set(name, value); err != nil {
+			return err
+		}
+	}
+	return set.Load()
+}
+
+func addDevStandIns(ctx context.Context, g *run.Group, log *slog.Logger) error {
+	announcing := fake.Announcing{Entries: []string{"http://" + devCallers}, Key: devAnnounceKey}
+	engine := fake.NewEngine(fake.EngineConfig{
+		ID: "engine-1", Region: "r1", Zone: "z1", Class: "g1", Model: "demo", CacheTokens: 100_000, AnswerTokens: 24,
+		FirstToken: 50 * time.Millisecond, TokenTime: 30 * time.Millisecond, Announcing: announcing,
+	}, fake.Deps{Log: log})
+	plain := fake.NewPlain(fake.PlainConfig{
+		ID: "plain-1", Region: "r1", Zone: "z1", Class: "c1", Services: []string{"echo"}, Announcing: announcing,
+	}, fake.Deps{Log: log})
+	for address, s := range map[string]standIn{devEngine: engine, devPlain: plain} {
+		l, err := daemon.Listen(ctx, log, "backend server", address)
+		if err != nil {
+			return err
+		}
+		daemon.Actor(g, func(c context.Context) error { return s.Run(c, l) })
+	}
+	return nil
+}
+
+// applyDevCatalogue waits for the control replica and applies the catalogue.
+func applyDevCatalogue(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, devStartTimeout)
+	defer cancel()
+	doc, err := contract.Format(devCatalogue())
+	if err != nil {
+		return err
+	}
+	c := operator.New([]string{devOperators}, devOperatorKey)
+	for {
+		if _, err = c.Apply(ctx, doc, 0); err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(devStartPause):
+		}
+	}
+}
+
+func printDevTour() {
+	fmt.Printf(`savoryreel dev is up. Try, in another terminal:
+
+  curl -s http://%[1]s/v1/entries
+  curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' \
+    -d '{"model":"chat","messages":[{"role":"user","content":"Good morning"}]}'
+  curl -sN http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' \
+    -d '{"model":"chat","stream":true,"messages":[{"role":"user","content":"Good morning"}]}'
+  curl -s http://%[1]s/svc/echo/credits -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: k1' -d '{"amount":1}'
+
+Operators' key: %[3]s (SAVORYREEL_OPERATOR_KEY); stop with Ctrl-C.
+`, devCallers, devWorkspaceKey, devOperatorKey)
+}
--- /dev/null
+++ b/cmd/savoryreel/load.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"savoryreel.example/savoryreel/load"
+	"savoryreel.example/savoryreel/settings"
+)
+
+// loadConfig holds the settings of the load command.
+type loadConfig struct {
+	entries                      []string
+	key, service, path, kind     string
+	rate, inFlight, seed, tokens int
+	prompt, prefix, prefixes     int
+	duration, deadline, target   time.Duration
+	jsonFile, htmlFile           string
+	once                         bool
+}
+
+func (c *loadConfig) declare(s *settings.Set) {
+	s.Strings(&c.entries, "entries", []string{"127.0.0.1:7001"}, "caller addresses of entries", settings.HostPorts)
+	s.Secret(&c.key, "key", "workspace key", settings.Required)
+	s.String(&c.service, "service", "chat", "service to call", settings.Required)
+	s.String(&c.kind, "kind", "chat", "chat or plain", oneOf("chat", "plain"))
+	s.String(&c.path, "path", "/", "path of plain calls")
+	s.Bool(&c.once, "once", false, "send plain calls with an Idempotency-Key")
+	s.Int(&c.rate, "rate", 20, "requests a second, whatever the system answers", settings.Between(1, 100_000))
+	s.Int(&c.inFlight, "in-flight", 256, "callers at work at once", settings.Between(1, 100_000))
+	s.Int(&c.seed, "seed", 1, "seed of arrivals and prompts", settings.Between(0, 1<<30))
+	s.Int(&c.tokens, "tokens", 32, "tokens of each answer", settings.Between(1, 100_000))
+	s.Int(&c.prompt, "prompt-bytes", 400, "length of each new prompt", settings.Between(1, 1<<20))
+	s.Int(&c.prefix, "prefix-bytes", 2000, "length of the shared first message; 0: none", settings.Between(0, 1<<20))
+	s.Int(&c.prefixes, "prefixes", 8, "different first messages", settings.Between(1, 1<<20))
+	s.Duration(&c.duration, "duration", 10*time.Second, "length of the run", settings.Between(100*time.Millisecond, time.Hour))
+	s.Duration(&c.deadline, "deadline", 30*time.Second, "deadline of each request", settings.Between(time.Millisecond, time.Hour))
+	s.Duration(&c.target, "target", 720*time.Millisecond, "first-token target", settings.Between(time.Millisecond, time.Hour))
+	s.String(&c.jsonFile, "json", "", "file for the result as JSON")
+	s.String(&c.htmlFile, "html", "", "file for the report as HTML")
+}
+
+func oneOf(words ...string) settings.Check[string] {
+	return func(v string) error {
+		for _, w := range words {
+			if v == w {
+				return nil
+			}
+		}
+		return fmt.Errorf("%q is not one of %v", v, words)
+	}
+}
+
+func (c *loadConfig) load() load.Config {
+	part := load.Part{
+		Name: c.service, Weight: 1, Kind: load.Kind(c.kind), Service: c.service, Workspace: "load", Key: c.key,
+		Deadline: c.deadline, FirstTokenTarget: c.target, PrefixBytes: c.prefix, Prefixes: c.prefixes,
+		PromptBytes: c.prompt, MaxTokens: c.tokens, Path: c.path, BodyBytes: c.prompt, Once: c.once,
+	}
+	cfg := load.Config{
+		Rate: float64(c.rate), Duration: c.duration, MaxInFlight: c.inFlight, Seed: uint64(c.seed), Parts: []load.Part{part},
+	}
+	for _, addr := range c.entries {
+		cfg.Entries = append(cfg.Entries, "http://"+addr)
+	}
+	return cfg
+}
+
+func newLoad() *cobra.Command {
+	var c loadConfig
+	cmd := &cobra.Command{Use: "load", Short: "Send bounded load to entries and report what callers got", Args: cobra.NoArgs}
+	set := settings.New(cmd.Flags())
+	c.declare(set)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if err := set.Load(); err != nil {
+			return err
+		}
+		ctx, cancel := clientContext(cmd)
+		defer cancel()
+		result, err := load.Run(ctx, c.load())
+		if err != nil {
+			return err
+		}
+		return writeResult(cmd.OutOrStdout(), result, &c)
+	}
+	return cmd
+}
+
+func writeResult(w io.Writer, r *load.Result, c *loadConfig) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	writeTable(tw, &r.Total)
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	if err := writeFile(c.jsonFile, r.WriteJSON); err != nil {
+		return err
+	}
+	return writeFile(c.htmlFile, r.WriteHTML)
+}
+
+// writeTable prints what callers got, times in milliseconds.
+func writeTable(w io.Writer, t *load.PartResult) {
+	o := &t.Outcomes
+	fmt.Fprintf(w, "requests\t%d\nanswered\t%d\non target\t%d\nnot run\t%d\nunknown\t%d\nfailed\t%d\nbroken\t%d\nwrong\t%d\n",
+		t.Requests, o.Answered, t.OnTarget, o.NotRun, o.Unknown, o.Failed, o.Broken, o.Wrong)
+	for _, row := range []struct {
+		name string
+		l    load.Distribution
+	}{{"first token", t.FirstToken}, {"between tokens", t.Between}, {"whole answer", t.Whole}} {
+		fmt.Fprintf(w, "%s\tp50 %.1f\tp95 %.1f\tp99 %.1f\tmax %.1f ms\n", row.name, row.l.P50, row.l.P95, row.l.P99, row.l.Max)
+	}
+}
+
+// writeFile writes a file, unless its name is empty.
+func writeFile(name string, write func(io.Writer) error) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	if err := write(f); err != nil {
+		_ = f.Close() // the error of the write counts
+		return err
+	}
+	return f.Close()
+}
--- a/cmd/savoryreel/main.go
+++ b/cmd/savoryreel/main.go
@@ -2,4 +2,96 @@
 // daemon or a client over the packages of this module.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/settings"
+)
+
+func main() {
+	os.Exit(execute(os.Args[1:]))
+}
+
+// execute runs one command line and returns the process's exit code.
+func execute(args []string) int {
+	root := newRoot()
+	root.SetArgs(args)
+	err := root.Execute()
+	if err == nil {
+		return daemon.ExitOK
+	}
+	fmt.Fprintln(os.Stderr, "savoryreel:", err)
+	var invalid *settings.InvalidError
+	var usage *usageError
+	if errors.As(err, &invalid) || errors.As(err, &usage) {
+		return daemon.ExitUsage
+	}
+	return daemon.ExitFailed
+}
+
+// usageError is a command line that makes no sense.
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+func (e *usageError) Unwrap() error { return e.err }
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "savoryreel",
+		Short:         "Serve model answers and web calls from reclaimable instances",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
+	root.AddCommand(newEntry(), newControl(), newStandIn(), newCatalogue(), newStop(), newStatus(), newKey(), newDev(), newLoad())
+	return root
+}
+
+// daemonCommand builds a command whose settings come from declare, with
+// --print-settings, and that runs until it is told to stop.
+func daemonCommand(use, short string, declare func(*settings.Set), level *string, start func(ctx context.Context, log *slog.Logger) error) *cobra.Command {
+	var printOnly bool
+	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs}
+	set := settings.New(cmd.Flags())
+	declare(set)
+	cmd.Flags().BoolVar(&printOnly, "print-settings", false, "print the settings in force and exit")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if err := set.Load(); err != nil {
+			event.Log(context.Background(), newLogger(""), slog.LevelError, event.SettingsRefused, slog.String("error", err.Error()))
+			return err
+		}
+		if printOnly {
+			set.Print(cmd.OutOrStdout())
+			return nil
+		}
+		return start(cmd.Context(), newLogger(*level))
+	}
+	return cmd
+}
+
+func newLogger(level string) *slog.Logger {
+	var l slog.Level
+	if l.UnmarshalText([]byte(level)) != nil {
+		l = slog.LevelInfo // before the settings are read there is no level
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
+}
+
+// clientContext ends at SIGINT or SIGTERM, for commands that are no daemons.
+func clientContext(cmd *cobra.Command) (context.Context, context.CancelFunc) {
+	ctx := cmd.Context()
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	return signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+}
--- /dev/null
+++ b/contract/book_test.go
@@ -0,0 +1,97 @@
+package contract
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func catalogueOf(names ...string) *Catalogue {
+	c := &Catalogue{}
+	for _, n := range names {
+		c.Workspaces = append(c.Workspaces, Workspace{
+			Name: n, Owner: "o", Class: ClassStandard, Weight: 1, Keys: []KeyHash{HashKey(n)},
+		})
+	}
+	return c
+}
+
+func applyChange(id string, base uint64, names ...string) Change {
+	return Change{ID: id, Kind: ChangeApply, Base: base, Catalogue: catalogueOf(names...)}
+}
+
+// Two operators edit the same version at the same time. Were the second change
+// taken too, it would silently undo the first, and the first operator would
+// find his workspace gone the next morning.
+// Without the comparison of Base in applyCatalogue this test fails.
+func TestBookRefusesTheSecondOfTwoEqualVersions(t *testing.T) {
+	b := NewBook()
+	require.Equal(t, CodeAccepted, b.Apply(applyChange("one", 0, "a")).Code)
+	r := b.Apply(applyChange("two", 0, "b"))
+	require.Equal(t, CodeConflict, r.Code)
+	require.Equal(t, "one", r.Winner.ChangeID)
+	require.Equal(t, "a", b.Catalogue().Workspaces[0].Name)
+}
+
+// The answer to an accepted change gets lost and the operator's client sends
+// the change again. Judged anew it would conflict with itself, and the operator
+// would believe that it had not taken hold.
+// Without the look-up in Book.Apply this test fails.
+func TestBookAnswersAResendWithTheFirstResult(t *testing.T) {
+	b := NewBook()
+	first := b.Apply(applyChange("one", 0, "a"))
+	b.Apply(applyChange("two", 1, "a", "b"))
+	require.Equal(t, first, b.Apply(applyChange("one", 0, "a")))
+	require.EqualValues(t, 2, b.Version())
+	require.Equal(t, CodeReused, b.Apply(applyChange("one", 2, "c")).Code)
+}
+
+func TestBookPlansAndCancelsStops(t *testing.T) {
+	b := NewBook()
+	stop := &Stop{ID: "zone-z1", Scope: StopZone, Name: "z1"}
+	require.Equal(t, CodeAccepted, b.Apply(Change{ID: "1", Kind: ChangeStopPlan, Stop: stop}).Code)
+	require.Equal(t, CodeInvalid, b.Apply(Change{ID: "2", Kind: ChangeStopPlan, Stop: stop}).Code)
+	require.True(t, b.Stops()[0].Covers("any", "z1"))
+	require.Equal(t, CodeAccepted, b.Apply(Change{ID: "3", Kind: ChangeStopCancel, Stop: stop}).Code)
+	require.Equal(t, CodeNotFound, b.Apply(Change{ID: "4", Kind: ChangeStopCancel, Stop: stop}).Code)
+	require.Empty(t, b.Stops())
+}
+
+// Operators race each other with equal versions and resend at random, and each
+// replica restarts from a snapshot at a moment of its own. If versions could
+// repeat, skip or go back, or two replicas come to differ, an accepted change
+// would be in force at one entry and not at another.
+func TestBookKeepsAcceptedChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewBook(), NewBook()
+		var sent []Change
+		for i := range rapid.IntRange(1, 60).Draw(t, "changes") {
+			c := applyChange(fmt.Sprint("c", i), a.Version(), fmt.Sprint("w", i))
+			if back := rapid.Uint64Range(0, 2).Draw(t, "behind"); back <= c.Base {
+				c.Base -= back
+			}
+			if len(sent) > 0 && rapid.Bool().Draw(t, "resend") {
+				c = rapid.SampledFrom(sent).Draw(t, "which")
+			}
+			sent = append(sent, c)
+			before := a.Version()
+			r := a.Apply(c)
+			require.Equal(t, r, b.Apply(c))
+			require.LessOrEqual(t, a.Version(), before+1)
+			require.GreaterOrEqual(t, a.Version(), before)
+			if rapid.Bool().Draw(t, "restart") {
+				snap, err := b.Snapshot()
+				require.NoError(t, err)
+				b, err = RestoreBook(snap)
+				require.NoError(t, err)
+			}
+		}
+		for i, e := range a.History(HistoryLength) {
+			require.EqualValues(t, a.Version()-uint64(i), e.Version)
+		}
+		require.Equal(t, a.Version(), b.Version())
+		require.Empty(t, Diff(a.Catalogue(), b.Catalogue()))
+	})
+}
--- /dev/null
+++ b/contract/diff.go
@@ -0,0 +1,78 @@
+package contract
+
+import (
+	"fmt"
+	"reflect"
+	"sort"
+)
+
+// Difference is one object that two catalogues hold differently.
+type Difference struct {
+	Object string `json:"object"` // "workspace broker-desk"
+	Change string `json:"change"` // added, removed or changed
+	Fields string `json:"fields,omitempty"`
+}
+
+// String gives "workspace broker-desk: changed (limits, weight)".
+func (d Difference) String() string {
+	if d.Fields == "" {
+		return d.Object + ": " + d.Change
+	}
+	return fmt.Sprintf("%s: %s (%s)", d.Object, d.Change, d.Fields)
+}
+
+// Diff lists what changes from a to b, sorted by object.
+func Diff(a, b Catalogue) []Difference {
+	out := diffObjects("workspace", a.Workspaces, b.Workspaces, func(w Workspace) string { return w.Name })
+	out = append(out, diffObjects("service", a.Services, b.Services, func(s Service) string { return s.Name })...)
+	sort.Slice(out, func(i, j int) bool { return out[i].Object < out[j].Object })
+	return out
+}
+
+func diffObjects[T any](kind string, a, b []T, name func(T) string) []Difference {
+	before := make(map[string]T, len(a))
+	for _, o := range a {
+		before[name(o)] = o
+	}
+	var out []Difference
+	for _, o := range b {
+		old, had := before[name(o)]
+		delete(before, name(o))
+		object := kind + " " + name(o)
+		if !had {
+			out = append(out, Difference{Object: object, Change: "added"})
+			continue
+		}
+		if fields := changedFields(old, o); fields != "" {
+			out = append(out, Difference{Object: object, Change: "changed", Fields: fields})
+		}
+	}
+	for gone := range before {
+		out = append(out, Difference{Object: kind + " " + gone, Change: "removed"})
+	}
+	return out
+}
+
+// changedFields names the fields, as YAML spells them, that differ.
+func changedFields[T any](a, b T) string {
+	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
+	names := ""
+	for i := range va.NumField() {
+		if sameValue(va.Field(i), vb.Field(i)) {
+			continue
+		}
+		if names != "" {
+			names += ", "
+		}
+		names += va.Type().Field(i).Tag.Get("yaml")
+	}
+	return names
+}
+
+// sameValue takes an empty list and an absent one as the same.
+func sameValue(a, b reflect.Value) bool {
+	if a.Kind() == reflect.Slice && a.Len() == 0 && b.Len() == 0 {
+		return true
+	}
+	return reflect.DeepEqual(a.Interface(), b.Interface())
+}
--- /dev/null
+++ b/contract/validate.go
@@ -0,0 +1,229 @@
+package contract
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of catalogue values. They keep a slip of the keyboard from becoming a
+// change that takes hold everywhere.
+const (
+	MaxWeight       = 1000
+	MaxConcurrency  = 1_000_000
+	MaxRate         = 1e9       // requests or tokens a second
+	MaxMaxBody      = 256 << 20 // bytes
+	MaxTarget       = 10 * time.Minute
+	MaxNameLength   = 63
+	MaxKeysPerSpace = 16
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+// Violation is one fault of a catalogue. Path is a YAML path such as
+// $.workspaces[1].limits.concurrency; Line is 0 where no document is at hand.
+type Violation struct {
+	Path   string `json:"path"`
+	Line   int    `json:"line,omitempty"`
+	Reason string `json:"reason"`
+}
+
+// String gives "line 7: $.workspaces[1].name: reason".
+func (v Violation) String() string {
+	if v.Line == 0 {
+		return v.Path + ": " + v.Reason
+	}
+	return fmt.Sprintf("line %d: %s: %s", v.Line, v.Path, v.Reason)
+}
+
+// InvalidError lists every fault of a catalogue, in document order.
+type InvalidError struct {
+	Violations []Violation
+}
+
+// Error joins all violations, one a line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Violations))
+	for i, v := range e.Violations {
+		lines[i] = v.String()
+	}
+	return "catalogue refused:\n  " + strings.Join(lines, "\n  ")
+}
+
+// Validate checks every value and reference of c. It returns nil or an
+// *InvalidError that lists all faults.
+func (c *Catalogue) Validate() error {
+	v := validator{workspaces: map[string]bool{}, services: map[string]bool{}, keys: map[KeyHash]string{}}
+	for i := range c.Workspaces {
+		v.workspace(fmt.Sprintf("$.workspaces[%d]", i), &c.Workspaces[i])
+	}
+	for i := range c.Services {
+		v.service(fmt.Sprintf("$.services[%d]", i), &c.Services[i])
+	}
+	if len(v.found) == 0 {
+		return nil
+	}
+	return &InvalidError{Violations: v.found}
+}
+
+type validator struct {
+	found      []Violation
+	workspaces map[string]bool
+	services   map[string]bool
+	keys       map[KeyHash]string // hash to the workspace that has it
+}
+
+func (v *validator) fault(path, format string, args ...any) {
+	v.found = append(v.found, Violation{Path: path, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (v *validator) name(path, name string, seen map[string]bool) {
+	switch {
+	case len(name) > MaxNameLength:
+		v.fault(path, "%d characters, at most %d", len(name), MaxNameLength)
+	case !namePattern.MatchString(name):
+		v.fault(path, "%q is not a name: lower-case letters, digits, '-' and '.'", name)
+	case seen[name]:
+		v.fault(path, "duplicate name %q", name)
+	}
+	seen[name] = true
+}
+
+func (v *validator) workspace(path string, w *Workspace) {
+	v.name(path+".name", w.Name, v.workspaces)
+	if w.Owner == "" {
+		v.fault(path+".owner", "missing")
+	}
+	if !w.Class.Valid() {
+		v.fault(path+".class", "%q is not one of interactive, standard, batch", w.Class)
+	}
+	if w.Weight < 1 || w.Weight > MaxWeight {
+		v.fault(path+".weight", "%d is out of range 1..%d", w.Weight, MaxWeight)
+	}
+	v.limits(path+".limits", w.Limits)
+	v.workspaceKeys(path+".keys", w)
+}
+
+func (v *validator) limits(path string, l Limits) {
+	if !(l.RequestsPerSecond >= 0 && l.RequestsPerSecond <= MaxRate) {
+		v.fault(path+".requestsPerSecond", "%g is out of range 0..%g", l.RequestsPerSecond, MaxRate)
+	}
+	if l.Concurrency < 0 || l.Concurrency > MaxConcurrency {
+		v.fault(path+".concurrency", "%d is out of range 0..%d", l.Concurrency, MaxConcurrency)
+	}
+	if !(l.TokensPerSecond >= 0 && l.TokensPerSecond <= MaxRate) {
+		v.fault(path+".tokensPerSecond", "%g is out of range 0..%g", l.TokensPerSecond, MaxRate)
+	}
+}
+
+func (v *validator) workspaceKeys(path string, w *Workspace) {
+	if len(w.Keys) == 0 {
+		v.fault(path, "missing: without a key nobody can call")
+	}
+	if len(w.Keys) > MaxKeysPerSpace {
+		v.fault(path, "%d keys, at most %d", len(w.Keys), MaxKeysPerSpace)
+	}
+	for i, k := range w.Keys {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		if !k.Valid() {
+			v.fault(at, "not a key hash: \"sha256:\" and 64 lower-case hex digits")
+			continue
+		}
+		if owner, dup := v.keys[k]; dup {
+			v.fault(at, "duplicate key: workspace %q has it too", owner)
+		}
+		v.keys[k] = w.Name
+	}
+}
+
+func (v *validator) service(path string, s *Service) {
+	v.name(path+".name", s.Name, v.services)
+	if s.Owner == "" {
+		v.fault(path+".owner", "missing")
+	}
+	switch s.Kind {
+	case KindModel:
+		v.modelService(path, s)
+	case KindPlain:
+		v.plainService(path, s)
+	default:
+		v.fault(path+".kind", "%q is not one of model, plain", s.Kind)
+	}
+	for i, name := range s.Workspaces {
+		if !v.workspaces[name] {
+			v.fault(fmt.Sprintf("%s.workspaces[%d]", path, i), "no workspace %q", name)
+		}
+	}
+	if s.MaxBody < 0 || s.MaxBody > MaxMaxBody {
+		v.fault(path+".maxBodyBytes", "%d is out of range 0..%d", s.MaxBody, MaxMaxBody)
+	}
+	v.target(path+".target.firstToken", s.Target.FirstToken)
+	v.target(path+".target.betweenTokens", s.Target.BetweenTokens)
+}
+
+func (v *validator) target(path string, d time.Duration) {
+	if d < 0 || d > MaxTarget {
+		v.fault(path, "%s is out of range 0..%s", d, MaxTarget)
+	}
+}
+
+func (v *validator) modelService(path string, s *Service) {
+	if s.Model == "" {
+		v.fault(path+".model", "missing: a model service names its model")
+	}
+	if len(s.Calls) > 0 {
+		v.fault(path+".calls", "only plain services have call rules")
+	}
+}
+
+func (v *validator) plainService(path string, s *Service) {
+	if s.Model != "" {
+		v.fault(path+".model", "only model services name a model")
+	}
+	if s.Adapter != "" {
+		v.fault(path+".adapter", "only model services name an adapter")
+	}
+	for i, r := range s.Calls {
+		at := fmt.Sprintf("%s.calls[%d]", path, i)
+		if r.Method == "" || r.Method != strings.ToUpper(r.Method) {
+			v.fault(at+".method", "%q is not an upper-case method or \"*\"", r.Method)
+		}
+		if !strings.HasPrefix(r.PathPrefix, "/") {
+			v.fault(at+".pathPrefix", "%q does not begin with /", r.PathPrefix)
+		}
+	}
+}
+
+// Allows reports whether the service may be called by the workspace.
+func (s *Service) Allows(workspace string) bool {
+	return len(s.Workspaces) == 0 || slices.Contains(s.Workspaces, workspace)
+}
+
+// BodyLimit is the largest request body in bytes that the service takes.
+func (s *Service) BodyLimit() int64 {
+	if s.MaxBody == 0 {
+		return DefaultMaxBody
+	}
+	return s.MaxBody
+}
+
+// Idempotent reports whether a call may be repeated. Model calls may: a second
+// run recomputes the same answer and changes nothing.
+func (s *Service) Idempotent(method, path string) bool {
+	if s.Kind == KindModel {
+		return true
+	}
+	for _, r := range s.Calls {
+		if (r.Method == "*" || r.Method == method) && strings.HasPrefix(path, r.PathPrefix) {
+			return r.Idempotent
+		}
+	}
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE":
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/control/api/api.go
@@ -0,0 +1,98 @@
+// Package api holds what control replicas and their clients say to each other
+// over a link: the methods, the messages, and a client that finds its way to
+// the leader.
+package api
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/contract"
+)
+
+// Methods of a control replica's link server.
+const (
+	MethodVersion   = "control.version"
+	MethodCatalogue = "control.catalogue"
+	MethodPropose   = "control.propose"
+	MethodStatus    = "control.status"
+	MethodLeases    = "control.leases"  // admit.Report to the leader, admit.Reply back
+	MethodReplica   = "control.replica" // notices between replicas
+)
+
+// ProposalKind says which state machine a proposal is for. The numbers are
+// those of the replicated log's entries.
+type ProposalKind uint8
+
+// The kinds of proposal.
+const (
+	KindCatalogue ProposalKind = 16 // a contract.Change
+	KindLedger    ProposalKind = 17 // a ledger.Command
+)
+
+// Error codes of a control replica's answers.
+const (
+	CodeNoLeader = "no_leader"       // surely not appended
+	CodeUnknown  = "outcome_unknown" // it may yet be committed
+	CodeBusy     = "busy"            // surely not appended
+	CodeInvalid  = "invalid"
+)
+
+// VersionRequest asks a replica how far its log goes.
+type VersionRequest struct{}
+
+// VersionReply says how far a replica's log goes. Index is the log index of its
+// newest catalogue change, committed or not: an accepted change is in the log
+// of a majority, so among any majority one replica names its index or a later one.
+type VersionReply struct {
+	Replica string `msgpack:"id"`
+	Index   uint64 `msgpack:"idx"`
+}
+
+// CatalogueRequest asks for the catalogue in force unless Have is its index.
+type CatalogueRequest struct {
+	Have uint64 `msgpack:"have"`
+}
+
+// CatalogueReply is the catalogue as one replica has applied it. Unchanged says
+// that it has nothing newer than the index asked with.
+type CatalogueReply struct {
+	Unchanged bool               `msgpack:"same"`
+	Index     uint64             `msgpack:"idx"`
+	Version   uint64             `msgpack:"ver"`
+	Catalogue contract.Catalogue `msgpack:"cat"`
+	Stops     []contract.Stop    `msgpack:"stops"`
+}
+
+// ProposeRequest asks for a change of the replicated state. Forwarded marks a
+// request that a replica has passed on once; it is not passed on again, so that
+// two replicas that each take the other for the leader cannot send it in a circle.
+type ProposeRequest struct {
+	Kind      ProposalKind       `msgpack:"kind"`
+	Data      msgpack.RawMessage `msgpack:"data"`
+	Forwarded bool               `msgpack:"fwd"`
+}
+
+// ProposeReply carries the state machine's result, msgpack-encoded: a
+// contract.Result or a ledger.Result.
+type ProposeReply struct {
+	Result msgpack.RawMessage `msgpack:"res"`
+}
+
+// StatusRequest asks a replica for its state.
+type StatusRequest struct{}
+
+// ReplicaStatus is one replica as status shows it.
+type ReplicaStatus struct {
+	ID        string   `json:"id" msgpack:"id"`
+	Role      string   `json:"role" msgpack:"role"`
+	Term      uint64   `json:"term" msgpack:"term"`
+	Leader    string   `json:"leader" msgpack:"leader"`
+	Last      uint64   `json:"lastIndex" msgpack:"last"`
+	Commit    uint64   `json:"commitIndex" msgpack:"commit"`
+	Applied   uint64   `json:"appliedIndex" msgpack:"applied"`
+	Catalogue uint64   `json:"catalogueVersion" msgpack:"cat"`
+	Ledger    int      `json:"ledgerRecords" msgpack:"ledger"`
+	Voters    []uint64 `json:"voters" msgpack:"voters"`
+	Learners  []uint64 `json:"learners,omitempty" msgpack:"learners"`
+	Error     string   `json:"error,omitempty" msgpack:"-"`
+}
--- /dev/null
+++ b/control/api/client.go
@@ -0,0 +1,210 @@
+package api
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/ledger"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/policy/admit"
+)
+
+// attemptTimeout bounds one call to one replica, so that a replica that has
+// frozen costs a client this long and not its whole deadline.
+const attemptTimeout = 900 * time.Millisecond
+
+// retryPause is the wait between two rounds over all replicas. An election
+// takes a few of them.
+const retryPause = 60 * time.Millisecond
+
+// ErrNoMajority says that too few control replicas answered.
+var ErrNoMajority = errors.New("no majority of control replicas answered")
+
+// Client calls the control replicas. It is safe for concurrent use.
+type Client struct {
+	pool     *link.Pool
+	replicas []string // link addresses
+
+	mu   sync.Mutex
+	last int // the replica that answered last, tried first
+}
+
+// NewClient returns a client of the replicas at these link addresses.
+func NewClient(pool *link.Pool, replicas []string) *Client {
+	return &Client{pool: pool, replicas: slices.Clone(replicas)}
+}
+
+// Replicas returns the link addresses of the control replicas.
+func (c *Client) Replicas() []string { return c.replicas }
+
+// Confirmation is what a majority of replicas said of the catalogue.
+type Confirmation struct {
+	// Needed is an index that a catalogue must have reached to be current: no
+	// change beyond it had been accepted when the question was asked.
+	Needed uint64
+	// Newest is the highest index that any replica named.
+	Newest uint64
+}
+
+// Confirm asks every replica for the index of its newest catalogue change and
+// returns once a majority has answered and the rest has had a short grace.
+//
+// A change counts as accepted once it is in the logs of a majority. Any
+// majority of answers shares a replica with that one, so the smallest index
+// that covers a majority of answers is at least the index of every accepted
+// change; what a cut-off old leader has in its log beyond that was not accepted.
+func (c *Client) Confirm(ctx context.Context) (Confirmation, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	answers := make(chan *VersionReply, len(c.replicas))
+	for _, addr := range c.replicas {
+		go func() {
+			reply, err := link.Call[VersionReply](ctx, c.pool, addr, MethodVersion, VersionRequest{})
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &reply
+		}()
+	}
+	var indexes []uint64
+	for range c.replicas {
+		if reply := <-answers; reply != nil {
+			indexes = append(indexes, reply.Index)
+		}
+	}
+	return confirmation(indexes, len(c.replicas))
+}
+
+func confirmation(indexes []uint64, replicas int) (Confirmation, error) {
+	majority := replicas/2 + 1
+	if len(indexes) < majority {
+		return Confirmation{}, trace.Wrap(ErrNoMajority)
+	}
+	slices.Sort(indexes)
+	return Confirmation{Needed: indexes[majority-1], Newest: indexes[len(indexes)-1]}, nil
+}
+
+// Catalogue fetches the catalogue from the first replica that has one newer
+// than index have. It returns a reply marked Unchanged when none has.
+func (c *Client) Catalogue(ctx context.Context, have uint64) (CatalogueReply, error) {
+	var lastErr error
+	unchanged := false
+	for _, addr := range c.order() {
+		reply, err := callOnce[CatalogueReply](ctx, c.pool, addr, MethodCatalogue, CatalogueRequest{Have: have})
+		if err != nil {
+			lastErr = err
+			continue
+		}
+		if !reply.Unchanged {
+			return reply, nil
+		}
+		unchanged = true
+	}
+	if unchanged {
+		return CatalogueReply{Unchanged: true, Index: have}, nil
+	}
+	return CatalogueReply{}, trace.Wrap(lastErr, "step=fetch catalogue")
+}
+
+// Ledger commits one command and returns its result. Commands are idempotent,
+// so it repeats a command whose answer was lost, at another replica, until ctx
+// ends. After an error the command may or may not have been committed.
+func (c *Client) Ledger(ctx context.Context, cmd ledger.Command) (ledger.Result, error) {
+	var out ledger.Result
+	err := c.Propose(ctx, KindLedger, &cmd, &out)
+	return out, err
+}
+
+// Propose commits a proposal, msgpack-encoded from v, and decodes its result.
+// It is repeated until ctx ends: v must be idempotent.
+func (c *Client) Propose(ctx context.Context, kind ProposalKind, v, out any) error {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		return trace.Wrap(err, "step=encode proposal")
+	}
+	req := ProposeRequest{Kind: kind, Data: data}
+	for {
+		var lastErr error
+		for _, addr := range c.order() {
+			reply, err := callOnce[ProposeReply](ctx, c.pool, addr, MethodPropose, req)
+			if err == nil {
+				c.remember(addr)
+				return trace.Wrap(msgpack.Unmarshal(reply.Result, out), "step=decode result peer=%s", addr)
+			}
+			lastErr = err
+			if final(err) || ctx.Err() != nil {
+				return trace.Wrap(lastErr, "step=propose")
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(lastErr, "step=propose")
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// Leases reports an entry's demand to the leader, wherever it is, and returns
+// its leases. It asks each replica once.
+func (c *Client) Leases(ctx context.Context, r admit.Report) (admit.Reply, error) {
+	var lastErr error
+	for _, addr := range c.order() {
+		reply, err := callOnce[admit.Reply](ctx, c.pool, addr, MethodLeases, r)
+		if err == nil {
+			c.remember(addr)
+			return reply, nil
+		}
+		lastErr = err
+	}
+	return admit.Reply{}, trace.Wrap(lastErr, "step=report demand")
+}
+
+// final reports whether no replica would answer otherwise.
+func final(err error) bool {
+	var remote *link.RemoteError
+	return errors.As(err, &remote) && remote.Code == CodeInvalid
+}
+
+// Status asks every replica for its state; one that does not answer is shown
+// with its error.
+func (c *Client) Status(ctx context.Context) []ReplicaStatus {
+	out := make([]ReplicaStatus, len(c.replicas))
+	var wg sync.WaitGroup
+	for i, addr := range c.replicas {
+		wg.Go(func() {
+			s, err := callOnce[ReplicaStatus](ctx, c.pool, addr, MethodStatus, StatusRequest{})
+			if err != nil {
+				s = ReplicaStatus{ID: addr, Error: err.Error()}
+			}
+			out[i] = s
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+func callOnce[Resp any](ctx context.Context, p *link.Pool, addr, method string, req any) (Resp, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return link.Call[Resp](ctx, p, addr, method, req)
+}
+
+// order returns the replicas, the one that answered last first.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append(slices.Clone(c.replicas[c.last:]), c.replicas[:c.last]...)
+}
+
+func (c *Client) remember(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = max(0, slices.Index(c.replicas, addr))
+}
--- /dev/null
+++ b/control/config.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/settings"
+)
+
+// Config holds a control replica's settings.
+type Config struct {
+	ID            int
+	Region        string
+	Zone          string
+	DataDir       string
+	LinkListen    string
+	OperatorAddr  string
+	OpsAddr       string
+	Replicas      []string // "id=ip:port" of every control replica, this one included
+	Entries       []string // link addresses of entries to meet first; may be empty
+	ClusterKey    string
+	OperatorKey   string
+	LogLevel      string
+	TickInterval  time.Duration
+	SnapshotEvery int
+	MaxEntries    int // entries that may hold a part of the limits at a time
+}
+
+// Declare declares the settings on s.
+func (c *Config) Declare(s *settings.Set) {
+	s.Int(&c.ID, "id", 1, "number of this control replica; a replica that lost its disk comes back under a new one", settings.Between(1, 1<<30))
+	s.String(&c.Region, "region", "r1", "region of this instance", settings.Required)
+	s.String(&c.Zone, "zone", "z1", "zone of this instance", settings.Required)
+	s.String(&c.DataDir, "data", "", "data folder", settings.Required)
+	s.String(&c.LinkListen, "link-listen", "127.0.0.1:7101", "address for links of other processes", settings.HostPort)
+	s.String(&c.OperatorAddr, "operator-listen", "127.0.0.1:7102", "address of the operators' API", settings.HostPort)
+	s.String(&c.OpsAddr, "ops-listen", "127.0.0.1:7103", "address of health, metrics and profiles", settings.HostPort)
+	s.Strings(&c.Replicas, "replicas", []string{"1=127.0.0.1:7101"}, "every control replica as id=ip:port", replicaList)
+	s.Strings(&c.Entries, "entries", nil, "link addresses of some entries", settings.HostPorts)
+	s.Secret(&c.ClusterKey, "cluster-key", "key that the system's own processes share", settings.Required)
+	s.Secret(&c.OperatorKey, "operator-key", "bearer key of the operators", settings.Required)
+	s.String(&c.LogLevel, "log-level", "info", "debug, info, warn or error", settings.LogLevel)
+	s.Duration(&c.TickInterval, "tick", 10*time.Millisecond, "time unit of elections and heartbeats", settings.Between(time.Millisecond, time.Second))
+	s.Int(&c.MaxEntries, "max-entries", 16, "entries that share the workspaces' limits", settings.Between(1, 10_000))
+	s.Int(&c.SnapshotEvery, "snapshot-every", 10_000, "log entries between snapshots", settings.Between(10, 10_000_000))
+}
+
+func replicaList(list []string) error {
+	if len(list) == 0 {
+		return fmt.Errorf("missing")
+	}
+	_, err := parseReplicas(list)
+	return err
+}
+
+// parseReplicas reads "id=ip:port" items.
+func parseReplicas(list []string) (map[uint64]string, error) {
+	out := make(map[uint64]string, len(list))
+	for _, item := range list {
+		id, addr, found := strings.Cut(item, "=")
+		n, err := strconv.ParseUint(id, 10, 64)
+		if !found || err != nil || n == 0 {
+			return nil, fmt.Errorf("%q is not id=ip:port", item)
+		}
+		if err := settings.HostPort(addr); err != nil {
+			return nil, err
+		}
+		if _, dup := out[n]; dup {
+			return nil, fmt.Errorf("replica %d is listed twice", n)
+		}
+		out[n] = addr
+	}
+	return out, nil
+}
+
+func (c *Config) operatorKeyHash() contract.KeyHash { return contract.HashKey(c.OperatorKey) }
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,217 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/host"
+	"savoryreel.example/savoryreel/replica/storage"
+)
+
+// Control is one control replica.
+type Control struct {
+	cfg     Config
+	log     *slog.Logger
+	now     func() time.Time
+	metrics *metrics.Set
+
+	machine *Machine
+	host    *host.Host
+	pool    *link.Pool
+	service *service
+	leases  *limitLeases
+	folder  *storage.Log
+}
+
+// Deps is what a Control works with.
+type Deps struct {
+	Log *slog.Logger
+	Now func() time.Time // must carry a monotonic reading
+}
+
+// New opens the data folder and builds the replica. Close or Run releases it.
+func New(cfg Config, deps Deps) (*Control, error) {
+	peers, err := parseReplicas(cfg.Replicas)
+	if err != nil {
+		return nil, trace.Wrap(err, "step=read replicas")
+	}
+	c := &Control{cfg: cfg, log: deps.Log, now: deps.Now, metrics: metrics.NewSet()}
+	c.machine = NewMachine(c.catalogueChanged)
+	traffic := link.NewTraffic(c.metrics)
+	c.pool = link.NewPool(link.PoolConfig{Self: c.peerInfo(), ClusterKey: []byte(cfg.ClusterKey)},
+		link.PoolDeps{Log: deps.Log, Traffic: traffic})
+	if c.folder, err = storage.Open(storage.Config{Dir: cfg.DataDir, Replica: uint64(cfg.ID)}, storage.OS{}); err != nil {
+		c.pool.Close()
+		return nil, trace.Wrap(err, "step=open data folder")
+	}
+	c.host, err = host.New(c.hostConfig(peers), host.Deps{
+		Storage: c.folder, Transport: &transport{pool: c.pool, peers: peers}, Machine: c.machine,
+		Logger: deps.Log, Now: deps.Now, Rand: rand.Int64N,
+	})
+	if err != nil {
+		c.pool.Close()
+		_ = c.folder.Close() // the error of New counts
+		return nil, trace.Wrap(err, "step=start replica")
+	}
+	c.leases = &limitLeases{leader: c.host, machine: c.machine, entries: cfg.MaxEntries, now: deps.Now}
+	c.service = &service{log: c.host, machine: c.machine, pool: c.pool, peers: peers, now: deps.Now}
+	return c, nil
+}
+
+func (c *Control) hostConfig(peers map[uint64]string) host.Config {
+	cfg := host.Config{ID: uint64(c.cfg.ID), TickInterval: c.cfg.TickInterval, SnapshotEvery: uint64(c.cfg.SnapshotEvery)}
+	for id := range peers {
+		cfg.Voters = append(cfg.Voters, id)
+	}
+	return cfg
+}
+
+func (c *Control) peerInfo() link.PeerInfo {
+	return link.PeerInfo{
+		ID: "control-" + strconv.Itoa(c.cfg.ID), Incarnation: uint64(c.now().UnixMilli()),
+		Address: c.cfg.LinkListen, Role: "control",
+	}
+}
+
+func (c *Control) catalogueChanged(r api.CatalogueReply) {
+	event.Log(context.Background(), c.log, slog.LevelInfo, event.CatalogueChanged,
+		slog.Uint64("version", r.Version), slog.Uint64("index", r.Index))
+}
+
+// transport sends the replicated log's messages over links. Messages that a
+// full queue or a dead link loses are sent again by the log itself.
+type transport struct {
+	pool  *link.Pool
+	peers map[uint64]string
+}
+
+// Send implements host.Transport.
+func (t *transport) Send(m replica.Message) {
+	if addr, known := t.peers[m.To]; known {
+		_ = link.Notify(t.pool, addr, api.MethodReplica, m) // lost messages are sent again
+	}
+}
+
+// Run serves until ctx ends, a signal comes or a component fails.
+func (c *Control) Run(ctx context.Context) error {
+	defer c.folder.Close()
+	defer c.pool.Close()
+	var g run.Group
+	if err := c.actors(ctx, &g); err != nil {
+		return err
+	}
+	event.Log(ctx, c.log, slog.LevelInfo, event.ProcessStarted,
+		slog.String("role", "control"), slog.Int("id", c.cfg.ID), slog.String("zone", c.cfg.Zone))
+	err := g.Run()
+	event.Log(context.Background(), c.log, slog.LevelInfo, event.ProcessStopped, slog.Any("error", err))
+	return err
+}
+
+func (c *Control) actors(ctx context.Context, g *run.Group) error {
+	links, err := daemon.Listen(ctx, c.log, "link", c.cfg.LinkListen)
+	if err != nil {
+		return err
+	}
+	operators, err := daemon.Listen(ctx, c.log, "operator", c.cfg.OperatorAddr)
+	if err != nil {
+		return err
+	}
+	ops, err := daemon.Listen(ctx, c.log, "operations", c.cfg.OpsAddr)
+	if err != nil {
+		return err
+	}
+	srv := link.NewServer(link.ServerConfig{Self: c.peerInfo(), ClusterKey: []byte(c.cfg.ClusterKey)}, link.ServerDeps{Log: c.log})
+	c.service.register(srv)
+	link.Handle(srv, api.MethodLeases, c.leases.report)
+	operatorsAPI := &operatorAPI{service: c.service, log: c.log, key: c.cfg.operatorKeyHash()}
+	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
+	daemon.Actor(g, c.runReplica)
+	daemon.Actor(g, c.watchLeader)
+	daemon.Actor(g, func(actorCtx context.Context) error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-actorCtx.Done():
+			return nil
+		}
+	})
+	daemon.Serve(g, operators, operatorsAPI.handler(), daemon.CloseGrace, c.log)
+	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.CloseGrace, c.log)
+	daemon.Signals(g, c.handOverLeadership, c.log)
+	return nil
+}
+
+// runReplica runs the replicated log. It ends with an error when the disk has
+// failed, and the process must end with it: what the disk holds is not known any
+// more.
+func (c *Control) runReplica(ctx context.Context) error {
+	err := c.host.Run(ctx)
+	if err != nil && ctx.Err() == nil {
+		event.Log(ctx, c.log, slog.LevelError, event.ReplicaFailed, slog.String("error", err.Error()))
+	}
+	return err
+}
+
+// watchLeader logs each change of leader.
+func (c *Control) watchLeader(ctx context.Context) error {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	var last uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		if st := c.host.Status(); st.Leader != last {
+			last = st.Leader
+			event.Log(ctx, c.log, slog.LevelInfo, event.LeaderChanged,
+				slog.Uint64("leader", st.Leader), slog.Uint64("term", st.Term), slog.String("role", st.Role.String()))
+		}
+	}
+}
+
+// watchEvery is how often a replica looks who leads.
+const watchEvery = 200 * time.Millisecond
+
+// handOverLeadership moves the leadership elsewhere before this replica stops,
+// so that a planned stop costs no election.
+func (c *Control) handOverLeadership(ctx context.Context) {
+	st := c.host.Status()
+	if st.Role != replica.Leader {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	for _, id := range st.Voters {
+		if id == st.ID {
+			continue
+		}
+		if c.host.TransferLeadership(ctx, id) == nil {
+			return
+		}
+	}
+}
+
+// handOverTimeout bounds the search for a successor at a planned stop.
+const handOverTimeout = 2 * time.Second
+
+// ready reports whether this replica knows a leader.
+func (c *Control) ready() error {
+	if c.host.Status().Leader == 0 {
+		return trace.ConnectionProblem(nil, "no leader is known")
+	}
+	return nil
+}
--- /dev/null
+++ b/control/machine.go
@@ -0,0 +1,154 @@
+// Package control is a control replica: it keeps the catalogue, the planned
+// stops and the ledger in the replicated log, answers operators and entries,
+// and, while it leads, gives orders to backend servers.
+package control
+
+import (
+	"sync"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/ledger"
+	"savoryreel.example/savoryreel/replica"
+)
+
+// Machine is the replicated state: what the log's entries build up. Apply is
+// called by one goroutine; the readers may be called from any.
+type Machine struct {
+	mu        sync.RWMutex
+	book      *contract.Book
+	ledger    *ledger.Ledger
+	catalogue uint64 // log index of the last catalogue entry applied
+
+	onCatalogue func(api.CatalogueReply)
+}
+
+// NewMachine returns the empty state. onCatalogue is told of each accepted
+// change, outside any lock; it may be nil.
+func NewMachine(onCatalogue func(api.CatalogueReply)) *Machine {
+	if onCatalogue == nil {
+		onCatalogue = func(api.CatalogueReply) {}
+	}
+	return &Machine{book: contract.NewBook(), ledger: ledger.New(ledger.MaxRecords), onCatalogue: onCatalogue}
+}
+
+// Apply takes one committed entry and returns a contract.Result or a
+// ledger.Result. An entry that cannot be decoded is an error here and on every
+// other replica alike, and changes nothing.
+func (m *Machine) Apply(e replica.Entry) (any, error) {
+	switch api.ProposalKind(e.Kind) {
+	case api.KindCatalogue:
+		return m.applyChange(e)
+	case api.KindLedger:
+		return m.applyLedger(e)
+	default:
+		return nil, trace.BadParameter("log entry %d has unknown kind %d", e.Index, e.Kind)
+	}
+}
+
+func (m *Machine) applyChange(e replica.Entry) (any, error) {
+	var c contract.Change
+	if err := msgpack.Unmarshal(e.Data, &c); err != nil {
+		m.passCatalogueEntry(e.Index)
+		return nil, trace.Wrap(err, "step=apply change")
+	}
+	m.mu.Lock()
+	result := m.book.Apply(c)
+	m.catalogue = e.Index
+	m.mu.Unlock()
+	if result.Code == contract.CodeAccepted {
+		m.onCatalogue(m.Catalogue(0))
+	}
+	return result, nil
+}
+
+// passCatalogueEntry counts an entry that changed nothing: entries wait until
+// their catalogue has reached the index of the newest catalogue entry.
+func (m *Machine) passCatalogueEntry(index uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.catalogue = index
+}
+
+func (m *Machine) applyLedger(e replica.Entry) (any, error) {
+	var c ledger.Command
+	if err := msgpack.Unmarshal(e.Data, &c); err != nil {
+		return nil, trace.Wrap(err, "step=apply ledger command")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.Apply(c), nil
+}
+
+// Catalogue returns what is in force here, or Unchanged if its index is have.
+func (m *Machine) Catalogue(have uint64) api.CatalogueReply {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.catalogue <= have && have > 0 {
+		return api.CatalogueReply{Unchanged: true, Index: m.catalogue}
+	}
+	return api.CatalogueReply{
+		Index: m.catalogue, Version: m.book.Version(),
+		Catalogue: m.book.Catalogue(), Stops: m.book.Stops(),
+	}
+}
+
+// History returns the newest n accepted changes, newest first.
+func (m *Machine) History(n int) []contract.Entry {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.book.History(n)
+}
+
+// Counts returns the catalogue's version and the number of ledger records.
+func (m *Machine) Counts() (version uint64, records int) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.book.Version(), m.ledger.Len()
+}
+
+type machineSnapshot struct {
+	Book      []byte `msgpack:"book"`
+	Ledger    []byte `msgpack:"ledger"`
+	Catalogue uint64 `msgpack:"index"`
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	book, err := m.book.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	records, err := m.ledger.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	enc, err := msgpack.Marshal(&machineSnapshot{Book: book, Ledger: records, Catalogue: m.catalogue})
+	return enc, trace.Wrap(err, "step=snapshot")
+}
+
+// Restore replaces the whole state by what Snapshot wrote.
+func (m *Machine) Restore(enc []byte) error {
+	var s machineSnapshot
+	if err := msgpack.Unmarshal(enc, &s); err != nil {
+		return trace.Wrap(err, "step=restore")
+	}
+	book, err := contract.RestoreBook(s.Book)
+	if err != nil {
+		return err
+	}
+	records, err := ledger.Restore(s.Ledger, ledger.MaxRecords)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.book, m.ledger, m.catalogue = book, records, s.Catalogue
+	m.mu.Unlock()
+	m.onCatalogue(m.Catalogue(0))
+	return nil
+}
--- /dev/null
+++ b/control/operator.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/request"
+)
+
+// operatorTimeout bounds one operator's call, an election included.
+const operatorTimeout = 5 * time.Second
+
+// defaultHistory is how many changes the history shows where none is asked for.
+const defaultHistory = 20
+
+// operatorAPI serves operators over HTTP and JSON. Every replica takes every
+// call; the log finds the leader.
+type operatorAPI struct {
+	service *service
+	log     *slog.Logger
+	key     contract.KeyHash // of the operators' bearer key
+}
+
+func (o *operatorAPI) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/catalogue", o.get)
+	mux.HandleFunc("PUT /v1/catalogue", o.apply)
+	mux.HandleFunc("GET /v1/history", o.history)
+	mux.HandleFunc("GET /v1/stops", o.stops)
+	mux.HandleFunc("POST /v1/stops", o.planStop)
+	mux.HandleFunc("DELETE /v1/stops/{id}", o.cancelStop)
+	mux.HandleFunc("GET /v1/replica", o.replica)
+	return o.authenticated(mux)
+}
+
+func (o *operatorAPI) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, _ := request.BearerKey(r.Header)
+		if !contract.HashKey(key).Equal(o.key) {
+			request.NewProblem(request.CodeUnauthorized, request.NotRun, "the operators' key is missing or wrong").Write(w)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+		defer cancel()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// current waits until this replica has applied everything that was accepted
+// before the call. Without it, an operator who asks a replica that lags would
+// edit an old catalogue and believe a change lost.
+func (o *operatorAPI) current(w http.ResponseWriter, r *http.Request) (api.CatalogueReply, bool) {
+	if err := o.service.log.ReadBarrier(r.Context()); err != nil {
+		noLeader(w, err)
+		return api.CatalogueReply{}, false
+	}
+	return o.service.machine.Catalogue(0), true
+}
+
+func (o *operatorAPI) get(w http.ResponseWriter, r *http.Request) {
+	c, ok := o.current(w, r)
+	if !ok {
+		return
+	}
+	if r.URL.Query().Get("format") != "yaml" {
+		writeJSON(w, http.StatusOK, api.CatalogueView{Version: c.Version, Catalogue: c.Catalogue})
+		return
+	}
+	doc, err := contract.Format(c.Catalogue)
+	if err != nil {
+		request.NewProblem(request.CodeInternal, request.NotRun, "%v", err).Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/yaml")
+	w.Header().Set(api.HeaderVersion, strconv.FormatUint(c.Version, 10))
+	_, _ = w.Write(doc) // the operator's connection is gone: nobody to tell
+}
+
+func (o *operatorAPI) history(w http.ResponseWriter, r *http.Request) {
+	if _, ok := o.current(w, r); !ok {
+		return
+	}
+	n := defaultHistory
+	if text := r.URL.Query().Get("n"); text != "" {
+		var err error
+		if n, err = strconv.Atoi(text); err != nil || n < 1 {
+			request.NewProblem(request.CodeBadRequest, request.NotRun, "n=%q is not a count", text).Write(w)
+			return
+		}
+	}
+	writeJSON(w, http.StatusOK, o.service.machine.History(n))
+}
+
+func (o *operatorAPI) stops(w http.ResponseWriter, r *http.Request) {
+	if c, ok := o.current(w, r); ok {
+		writeJSON(w, http.StatusOK, c.Stops)
+	}
+}
+
+func (o *operatorAPI) replica(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, o.service.describe())
+}
+
+func (o *operatorAPI) apply(w http.ResponseWriter, r *http.Request) {
+	doc, err := io.ReadAll(http.MaxBytesReader(w, r.Body, contract.MaxDocument))
+	if err != nil {
+		request.NewProblem(request.CodeTooLarge, request.NotRun, "%v", err).Write(w)
+		return
+	}
+	base, err := strconv.ParseUint(r.Header.Get(api.HeaderBase), 10, 64)
+	if err != nil {
+		request.NewProblem(request.CodeBadRequest, request.NotRun, "header %s names no version", api.HeaderBase).Write(w)
+		return
+	}
+	c, err := contract.Parse(doc)
+	if err != nil {
+		request.NewProblem(request.CodeRefusedCatalogue, request.NotRun, "%v", err).Write(w)
+		return
+	}
+	o.change(w, r, contract.Change{Kind: contract.ChangeApply, Base: base, Catalogue: &c})
+}
+
+func (o *operatorAPI) planStop(w http.ResponseWriter, r *http.Request) {
+	var s contract.Stop
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, contract.MaxDocument))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		request.NewProblem(request.CodeBadRequest, request.NotRun, "%v", err).Write(w)
+		return
+	}
+	if s.From.IsZero() {
+		s.From = o.service.now().UTC()
+	}
+	o.change(w, r, contract.Change{Kind: contract.ChangeStopPlan, Stop: &s})
+}
+
+func (o *operatorAPI) cancelStop(w http.ResponseWriter, r *http.Request) {
+	s := contract.Stop{ID: r.PathValue("id")}
+	o.change(w, r, contract.Change{Kind: contract.ChangeStopCancel, Stop: &s})
+}
+
+// change commits one change and answers with its result.
+func (o *operatorAPI) change(w http.ResponseWriter, r *http.Request, c contract.Change) {
+	c.ID, c.By = r.Header.Get(api.HeaderChangeID), r.Header.Get(api.HeaderOperator)
+	if c.ID == "" {
+		request.NewProblem(request.CodeBadRequest, request.NotRun, "header %s is missing", api.HeaderChangeID).Write(w)
+		return
+	}
+	result, err := o.commit(r.Context(), c)
+	if err != nil {
+		proposeProblem(err).Write(w)
+		return
+	}
+	if result.Code != contract.CodeAccepted {
+		event.Log(r.Context(), o.log, slog.LevelWarn, event.CatalogueRefused, slog.String("changeId", c.ID),
+			slog.String("by", c.By), slog.String("code", string(result.Code)), slog.String("reason", result.Reason))
+	}
+	writeJSON(w, resultStatus(result.Code), result)
+}
+
+func (o *operatorAPI) commit(ctx context.Context, c contract.Change) (contract.Result, error) {
+	data, err := msgpack.Marshal(&c)
+	if err != nil {
+		return contract.Result{}, trace.Wrap(err, "step=encode change")
+	}
+	for {
+		reply, err := o.service.propose(ctx, link.PeerInfo{}, api.ProposeRequest{Kind: api.KindCatalogue, Data: data})
+		if err == nil {
+			var out contract.Result
+			return out, trace.Wrap(msgpack.Unmarshal(reply.Result, &out), "step=decode result")
+		}
+		select { // a change carries its id, so it may be proposed again
+		case <-ctx.Done():
+			return contract.Result{}, err
+		case <-time.After(operatorPause):
+		}
+	}
+}
+
+// operatorPause is the wait between two tries to reach a leader.
+const operatorPause = 100 * time.Millisecond
+
+func resultStatus(c contract.Code) int {
+	switch c {
+	case contract.CodeAccepted:
+		return http.StatusOK
+	case contract.CodeConflict, contract.CodeReused:
+		return http.StatusConflict
+	case contract.CodeNotFound:
+		return http.StatusNotFound
+	default:
+		return http.StatusUnprocessableEntity
+	}
+}
+
+// proposeProblem tells an operator whether a change surely was not taken.
+func proposeProblem(err error) *request.Problem {
+	var remote *link.RemoteError
+	var coded *codedError
+	unknown := errors.Is(err, link.ErrLost) ||
+		errors.As(err, &remote) && remote.Code == api.CodeUnknown ||
+		errors.As(err, &coded) && coded.code == api.CodeUnknown
+	outcome := request.NotRun
+	if unknown {
+		outcome = request.Unknown
+	}
+	return request.NewProblem(request.CodeNotLeader, outcome, "%v", err).After(time.Second)
+}
+
+func noLeader(w http.ResponseWriter, err error) {
+	request.NewProblem(request.CodeNotLeader, request.NotRun, "%v", err).After(time.Second).Write(w)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the operator's connection is gone: nobody to tell
+}
--- /dev/null
+++ b/control/service.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/ledger"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/host"
+)
+
+// Log is the replicated log as the control replica uses it; host.Host is one.
+type Log interface {
+	Propose(ctx context.Context, kind uint8, data []byte) (any, error)
+	ReadBarrier(ctx context.Context) error
+	LastIndexOf(kind uint8) uint64
+	Status() host.Status
+	Step(m replica.Message)
+}
+
+// codedError is an error with a code that the caller on the other side of a
+// link can act on.
+type codedError struct {
+	code string
+	err  error
+}
+
+func (e *codedError) Error() string { return e.err.Error() }
+func (e *codedError) Code() string  { return e.code }
+func (e *codedError) Unwrap() error { return e.err }
+
+// service answers entries and other replicas over the link.
+type service struct {
+	log     Log
+	machine *Machine
+	pool    *link.Pool
+	peers   map[uint64]string // link addresses of all replicas by id
+	now     func() time.Time
+}
+
+func (s *service) register(srv *link.Server) {
+	link.Handle(srv, api.MethodVersion, s.version)
+	link.Handle(srv, api.MethodCatalogue, s.catalogue)
+	link.Handle(srv, api.MethodPropose, s.propose)
+	link.Handle(srv, api.MethodStatus, s.status)
+	link.HandleNotice(srv, api.MethodReplica, func(_ context.Context, _ link.PeerInfo, m replica.Message) {
+		s.log.Step(m)
+	})
+}
+
+func (s *service) version(context.Context, link.PeerInfo, api.VersionRequest) (api.VersionReply, error) {
+	index := s.log.LastIndexOf(uint8(api.KindCatalogue))
+	return api.VersionReply{Replica: s.self(), Index: index}, nil
+}
+
+func (s *service) catalogue(_ context.Context, _ link.PeerInfo, r api.CatalogueRequest) (api.CatalogueReply, error) {
+	return s.machine.Catalogue(r.Have), nil
+}
+
+func (s *service) status(context.Context, link.PeerInfo, api.StatusRequest) (api.ReplicaStatus, error) {
+	return s.describe(), nil
+}
+
+func (s *service) self() string { return strconv.FormatUint(s.log.Status().ID, 10) }
+
+func (s *service) describe() api.ReplicaStatus {
+	st := s.log.Status()
+	version, records := s.machine.Counts()
+	return api.ReplicaStatus{
+		ID: strconv.FormatUint(st.ID, 10), Role: st.Role.String(), Term: st.Term,
+		Leader: strconv.FormatUint(st.Leader, 10),
+		Last:   st.Last, Commit: st.Commit, Applied: st.Applied,
+		Catalogue: version, Ledger: records, Voters: st.Voters, Learners: st.Learners,
+	}
+}
+
+// propose commits here, or at the leader when this replica follows.
+func (s *service) propose(ctx context.Context, _ link.PeerInfo, r api.ProposeRequest) (api.ProposeReply, error) {
+	data, err := s.stamp(r)
+	if err != nil {
+		return api.ProposeReply{}, &codedError{code: api.CodeInvalid, err: err}
+	}
+	result, err := s.log.Propose(ctx, uint8(r.Kind), data)
+	var notLeader *host.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return s.forward(ctx, r, notLeader.Leader)
+	}
+	if err != nil {
+		return api.ProposeReply{}, &codedError{code: proposeCode(err), err: err}
+	}
+	enc, err := msgpack.Marshal(result)
+	if err != nil {
+		return api.ProposeReply{}, trace.Wrap(err, "step=encode result")
+	}
+	return api.ProposeReply{Result: enc}, nil
+}
+
+func proposeCode(err error) string {
+	switch {
+	case errors.Is(err, host.ErrBusy):
+		return api.CodeBusy
+	case errors.Is(err, host.ErrUnknown):
+		return api.CodeUnknown
+	default:
+		return api.CodeNoLeader
+	}
+}
+
+// forward passes a proposal on to the leader, once.
+func (s *service) forward(ctx context.Context, r api.ProposeRequest, leader uint64) (api.ProposeReply, error) {
+	addr, known := s.peers[leader]
+	if r.Forwarded || !known {
+		return api.ProposeReply{}, &codedError{code: api.CodeNoLeader, err: trace.ConnectionProblem(nil, "no leader is known")}
+	}
+	r.Forwarded = true
+	reply, err := link.Call[api.ProposeReply](ctx, s.pool, addr, api.MethodPropose, r)
+	return reply, trace.Wrap(err, "step=forward peer=%s", addr)
+}
+
+// stamp decodes a proposal, so that nothing malformed enters the log, and gives
+// it this replica's time: entries' clocks are many and need not agree.
+func (s *service) stamp(r api.ProposeRequest) ([]byte, error) {
+	switch r.Kind {
+	case api.KindCatalogue:
+		var c contract.Change
+		if err := msgpack.Unmarshal(r.Data, &c); err != nil {
+			return nil, trace.Wrap(err, "step=decode change")
+		}
+		c.At = s.now().UTC()
+		return msgpack.Marshal(&c)
+	case api.KindLedger:
+		var c ledger.Command
+		if err := msgpack.Unmarshal(r.Data, &c); err != nil {
+			return nil, trace.Wrap(err, "step=decode ledger command")
+		}
+		c.Now = s.now().UnixMilli()
+		return msgpack.Marshal(&c)
+	default:
+		return nil, trace.BadParameter("unknown kind of proposal %d", r.Kind)
+	}
+}
--- /dev/null
+++ b/e2e/operate_test.go
@@ -0,0 +1,216 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/internal/relay"
+)
+
+// An operator plans a stop of the zone of an entry, while callers hold older
+// answers to which entry to use and keep calling it. None is cut off: those
+// who come in the meantime are served, the entry is no longer named, and it
+// stays stopped until the stop is cancelled.
+func TestPlannedStopOfAnEntry(t *testing.T) {
+	s, _, _ := smallSite(t, 2)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var wg sync.WaitGroup
+	var answered atomic.Int32
+	var broken atomic.Pointer[string]
+	for k := range 4 {
+		wg.Go(func() { s.callAsListed(ctx, k, &answered, &broken) })
+	}
+	_, err := s.operator().PlanStop(t.Context(), contract.Stop{ID: "stop-entry", Scope: contract.StopInstance, Name: "entry-1"})
+	require.NoError(t, err)
+	s.knowsEntries(2, 1)
+	s.eventually("the entry is closed", func() error {
+		if !strings.Contains(s.status(1), `"phase":"closed"`) {
+			return fmt.Errorf("not closed")
+		}
+		return nil
+	})
+	have := answered.Load()
+	s.eventually("callers go on", func() error {
+		if answered.Load() < have+20 {
+			return fmt.Errorf("%d answers", answered.Load())
+		}
+		return nil
+	})
+	stop()
+	wg.Wait()
+	if p := broken.Load(); p != nil {
+		t.Fatal(*p)
+	}
+	_, err = s.operator().CancelStop(t.Context(), "stop-entry")
+	require.NoError(t, err)
+	s.knowsEntries(2, 2)
+}
+
+// callAsListed calls as a client does: it asks which entry to use, keeps the
+// answer as long as it is valid, and calls the first one.
+func (s *site) callAsListed(ctx context.Context, k int, answered *atomic.Int32, broken *atomic.Pointer[string]) {
+	target := 1 + k%2
+	var until time.Time
+	body, _ := chatBody("short", 2, false)
+	for ctx.Err() == nil {
+		if time.Now().After(until) {
+			r, err := s.call(ctx, 2, "GET", "/v1/entries", "", nil)
+			if err == nil && strings.Contains(r.body, `"entry-1"`) && k%2 == 0 {
+				target = 1
+			} else {
+				target = 2
+			}
+			until = time.Now().Add(time.Second)
+		}
+		r, err := s.call(ctx, target, "POST", "/v1/chat/completions", body, nil)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil || r.status != http.StatusOK:
+			text := fmt.Sprintf("entry %d: %v, status %d: %s", target, err, r.status, r.body)
+			broken.CompareAndSwap(nil, &text)
+		default:
+			answered.Add(1)
+		}
+	}
+}
+
+// An operator stops a backend server that says of itself that it serves. It
+// gets no new work a few seconds later, and serves again once the stop is
+// cancelled.
+func TestPlannedStopOfABackendServer(t *testing.T) {
+	s, _, _ := smallSite(t, 2)
+	_, err := s.operator().PlanStop(t.Context(), contract.Stop{ID: "stop-engine", Scope: contract.StopInstance, Name: "engine-1"})
+	require.NoError(t, err)
+	body, _ := chatBody("anything", 1, false)
+	quiet := func() error {
+		before := len(s.engineStats(1).Runs)
+		for range 10 {
+			if r, err := s.call(t.Context(), 1, "POST", "/v1/chat/completions", body, nil); err != nil || r.status != http.StatusOK {
+				return fmt.Errorf("%v %s", err, r.body)
+			}
+		}
+		if n := len(s.engineStats(1).Runs) - before; n > 0 {
+			return fmt.Errorf("%d requests reached the stopped server", n)
+		}
+		return nil
+	}
+	s.within(3*time.Second, "the stopped server gets no work", quiet)
+	require.NoError(t, quiet())
+	_, err = s.operator().CancelStop(t.Context(), "stop-engine")
+	require.NoError(t, err)
+	s.eventually("the server works again", func() error {
+		if quiet() == nil {
+			return fmt.Errorf("no request reached it")
+		}
+		return nil
+	})
+}
+
+// An operator takes a workspace's key away. Within six seconds no entry lets
+// its requests in, and none does afterwards, whatever restarts.
+func TestKeyTakenAwayIsInForceEverywhere(t *testing.T) {
+	s, entries, _ := smallSite(t, 1)
+	c := testCatalogue()
+	c.Workspaces = c.Workspaces[1:]
+	s.apply(c)
+	accepted := time.Now()
+	body, _ := chatBody("anything", 1, false)
+	refused := func(i int) error {
+		r, err := s.call(t.Context(), i, "POST", "/v1/chat/completions", body, nil)
+		if err == nil && r.status == http.StatusOK {
+			err = fmt.Errorf("entry %d still serves", i)
+		}
+		return err
+	}
+	for i := 1; i <= 2; i++ {
+		s.within(6*time.Second, "the change is in force", func() error { return refused(i) })
+	}
+	t.Logf("in force at both entries after %s", time.Since(accepted).Round(time.Millisecond))
+	entries[0].kill(t)
+	s.startEntry(1, "z1")
+	s.eventually("the entry is back and refuses", func() error {
+		r, err := s.call(t.Context(), 1, "POST", "/v1/chat/completions", body, nil)
+		if err == nil && r.status != http.StatusUnauthorized {
+			err = fmt.Errorf("status %d", r.status)
+		}
+		return err
+	})
+}
+
+// All control replicas are frozen: no entry can tell whether its catalogue is
+// current. After four seconds new requests are refused as not run, with when to
+// come back; requests that were let in before are answered.
+func TestEntryWithoutControl(t *testing.T) {
+	s := newSite(t)
+	replicas := s.startControl(1)
+	s.startEntry(1, "z1")
+	s.startEngine(1, "z1", "--token-time", "10ms")
+	s.apply(testCatalogue())
+	body, _ := chatBody("ready?", 1, false)
+	s.ready(1, "/v1/chat/completions", body)
+	errs := s.streams(t.Context(), 1, 2, 900, func() {
+		s.waitForTokens(1, 10)
+		replicas[0].signal(t, syscall.SIGSTOP)
+		s.within(8*time.Second, "new requests are refused", func() error {
+			r, err := s.call(t.Context(), 1, "POST", "/v1/chat/completions", body, nil)
+			if err == nil && !strings.Contains(r.body, "catalogue_unconfirmed") {
+				err = fmt.Errorf("status %d: %s", r.status, r.body)
+			}
+			if err == nil {
+				require.NotEmpty(t, r.header.Get("Retry-After"))
+				require.Equal(t, "not_run", r.header.Get("Savoryreel-Outcome"))
+			}
+			return err
+		})
+	})
+	requireNone(t, errs)
+	replicas[0].signal(t, syscall.SIGCONT)
+	s.ready(1, "/v1/chat/completions", body)
+}
+
+// Something between an entry and control loses track of their connection: it
+// stays open and brings nothing, while new connections work. The entry must
+// notice, connect anew, and have the next change in force within six seconds.
+func TestSilentLinkToControl(t *testing.T) {
+	s := newSite(t)
+	s.startControl(1)
+	r, err := relay.New(s.control[0])
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	s.control = []string{r.Addr()}
+	s.startEntry(1, "z1")
+	s.startEngine(1, "z1")
+	s.apply(testCatalogue())
+	body, _ := chatBody("ready?", 1, false)
+	s.ready(1, "/v1/chat/completions", body)
+	r.Silence()
+	c := testCatalogue()
+	c.Workspaces = c.Workspaces[1:]
+	s.apply(c)
+	s.within(6*time.Second, "the change is in force", func() error {
+		r, err := s.call(t.Context(), 1, "POST", "/v1/chat/completions", body, nil)
+		if err == nil && r.status == http.StatusOK {
+			err = fmt.Errorf("still served")
+		}
+		return err
+	})
+	s.eventually("the key is refused by the new catalogue", func() error {
+		r, err := s.call(t.Context(), 1, "POST", "/v1/chat/completions", body, nil)
+		if err == nil && r.status != http.StatusUnauthorized {
+			err = fmt.Errorf("status %d", r.status)
+		}
+		return err
+	})
+}
--- /dev/null
+++ b/e2e/reclaim_test.go
@@ -0,0 +1,199 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/internal/fake"
+)
+
+// smallSite starts two control-backed entries in two zones and n engines that
+// take a while for each answer, and waits until both entries serve.
+func smallSite(t *testing.T, engines int) (s *site, entries, servers []*process) {
+	s = newSite(t)
+	s.startControl(1)
+	for i := 1; i <= 2; i++ {
+		entries = append(entries, s.startEntry(i, fmt.Sprint("z", i)))
+	}
+	for i := 1; i <= engines; i++ {
+		servers = append(servers, s.startEngine(i, fmt.Sprint("z", i), "--token-time", "10ms"))
+	}
+	s.startPlain(1, "z1")
+	s.apply(testCatalogue())
+	body, _ := chatBody("ready?", 1, false)
+	for i := 1; i <= 2; i++ {
+		s.ready(i, "/v1/chat/completions", body)
+		s.ready(i, "/svc/echo/ready", "x")
+		s.knowsServers(i, engines+1)
+		s.knowsEntries(i, 2)
+	}
+	return s, entries, servers
+}
+
+// knowsServers waits until entry i knows n serving backend servers.
+func (s *site) knowsServers(i, n int) {
+	s.t.Helper()
+	s.eventually(fmt.Sprintf("entry %d knows %d servers", i, n), func() error {
+		if have := strings.Count(s.status(i), `"machineClass"`); have != n {
+			return fmt.Errorf("%d servers", have)
+		}
+		return nil
+	})
+}
+
+// knowsEntries waits until entry i names n entries to callers.
+func (s *site) knowsEntries(i, n int) {
+	s.t.Helper()
+	s.eventually(fmt.Sprintf("entry %d names %d entries", i, n), func() error {
+		r, err := s.call(s.t.Context(), i, "GET", "/v1/entries", "", nil)
+		if have := strings.Count(r.body, `"address"`); err == nil && have != n {
+			err = fmt.Errorf("%d entries", have)
+		}
+		return err
+	})
+}
+
+// status is entry i's own view, as JSON text; empty while it does not answer.
+func (s *site) status(i int) string {
+	req, err := http.NewRequestWithContext(s.t.Context(), "GET", "http://"+s.addr(entryPort(i)+2)+"/v1/status", nil)
+	require.NoError(s.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var b strings.Builder
+	_, _ = fmt.Fprint(&b, readAll(resp))
+	return b.String()
+}
+
+// streams runs n streamed chats at entry i and gives each answer's error, if
+// its content is not exactly right.
+func (s *site) streams(ctx context.Context, i, n, tokens int, during func()) []error {
+	errs := make([]error, n)
+	var started, done sync.WaitGroup
+	started.Add(n)
+	for k := range n {
+		done.Go(func() {
+			body, want := chatBody(fmt.Sprintf("question %d", k), tokens, true)
+			started.Done()
+			c, err := s.stream(ctx, i, body)
+			switch {
+			case err != nil:
+				errs[k] = err
+			case !c.done:
+				errs[k] = fmt.Errorf("request %d: not done after %d tokens: %s", k, len(c.tokens), c.other)
+			case strings.Join(c.tokens, "") != strings.Join(want, ""):
+				errs[k] = fmt.Errorf("request %d: got %q want %q", k, c.tokens, want)
+			}
+		})
+	}
+	started.Wait()
+	during()
+	done.Wait()
+	return errs
+}
+
+func requireNone(t *testing.T, errs []error) {
+	t.Helper()
+	for _, err := range errs {
+		require.NoError(t, err)
+	}
+}
+
+// A backend server is reclaimed with three seconds of notice while it streams
+// answers that take longer. Each caller sees one unbroken answer: no token is
+// missing, none comes twice, none is another request's.
+func TestReclaimOfABackendServer(t *testing.T) {
+	s, _, servers := smallSite(t, 2)
+	errs := s.streams(t.Context(), 1, 8, 500, func() {
+		s.waitForTokens(2, 40)
+		servers[0].signal(t, syscall.SIGTERM)
+	})
+	requireNone(t, errs)
+}
+
+// A backend server dies without a word while it streams. The callers' answers
+// go on elsewhere after the tokens that they have.
+func TestDeathOfABackendServer(t *testing.T) {
+	s, _, servers := smallSite(t, 2)
+	errs := s.streams(t.Context(), 1, 8, 300, func() {
+		s.waitForTokens(2, 40)
+		servers[0].kill(t)
+	})
+	requireNone(t, errs)
+}
+
+// waitForTokens waits until the site's engines that answer have generated n
+// tokens since the first of these waits.
+func (s *site) waitForTokens(engines, n int) {
+	s.t.Helper()
+	s.eventually("the engines generate", func() error {
+		have := 0
+		for i := 1; i <= engines; i++ {
+			have += s.engineStats(i).Tokens
+		}
+		if have < n {
+			return fmt.Errorf("%d tokens", have)
+		}
+		return nil
+	})
+}
+
+// Something between entry and server loses track of open connections: they stay
+// open and bring nothing, while new ones work. Without a bound the callers
+// would wait until their deadlines.
+func TestSilentStream(t *testing.T) {
+	s, _, _ := smallSite(t, 2)
+	s.setFaults(7201, fake.Faults{StallAfterTokens: 5})
+	errs := s.streams(t.Context(), 1, 4, 40, func() {})
+	requireNone(t, errs)
+}
+
+// An entry's instance is reclaimed with notice while it streams answers that
+// take longer than that. The callers are told where their answers go on, come
+// back with the last event they have, and get the rest.
+func TestReclaimOfAnEntry(t *testing.T) {
+	s, entries, _ := smallSite(t, 2)
+	errs := s.streams(t.Context(), 1, 6, 600, func() {
+		s.waitForTokens(2, 40)
+		resp, err := http.Post("http://"+s.addr(entryPort(1)+2)+"/v1/leave?notice=4s", "", nil)
+		require.NoError(t, err)
+		_ = resp.Body.Close()
+	})
+	requireNone(t, errs)
+	select {
+	case <-entries[0].done:
+	case <-time.After(bound):
+		t.Fatal("the entry has not ended")
+	}
+	require.NoError(t, entries[0].err)
+}
+
+// An entry is reclaimed while a caller waits for a whole answer, of which no
+// byte has gone out. Its client follows the redirect and gets the answer.
+func TestReclaimOfAnEntryBeforeTheFirstByte(t *testing.T) {
+	s, _, _ := smallSite(t, 2)
+	body, want := chatBody("a long briefing", 600, false)
+	var got reply
+	var err error
+	var done sync.WaitGroup
+	done.Go(func() { got, err = s.call(t.Context(), 1, "POST", "/v1/chat/completions", body, nil) })
+	s.waitForTokens(2, 10)
+	resp, postErr := http.Post("http://"+s.addr(entryPort(1)+2)+"/v1/leave?notice=4s", "", nil)
+	require.NoError(t, postErr)
+	_ = resp.Body.Close()
+	done.Wait()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, got.status, got.body)
+	require.Contains(t, got.body, want[len(want)-1])
+	require.Contains(t, got.body, strings.Join(want, ""))
+}
--- /dev/null
+++ b/entry/admission.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"context"
+	"hash/maphash"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/policy/admit"
+	"savoryreel.example/savoryreel/request"
+)
+
+// leaseEvery is how often an entry reports its demand and has its parts of the
+// workspaces' limits renewed; admit.DefaultShareConfig is made for it.
+const leaseEvery = time.Second
+
+// admissionShards spreads the workspaces over locks.
+const admissionShards = 16
+
+// leaser is how an entry gets its parts of the limits; api.Client is one.
+type leaser interface {
+	Leases(ctx context.Context, r admit.Report) (admit.Reply, error)
+}
+
+// admission holds this entry's part of the workspaces' limits, in shards by
+// workspace.
+type admission struct {
+	entry  string
+	now    func() time.Time
+	seed   maphash.Seed
+	shards [admissionShards]admissionShard
+
+	// Of the reports to the control leader; only the lease loop uses them.
+	term     uint64
+	sequence uint64
+}
+
+type admissionShard struct {
+	mu       sync.Mutex
+	admitter *admit.Admitter
+	known    map[string]bool // workspaces that have limits set
+}
+
+func newAdmission(entry string, now func() time.Time) (*admission, error) {
+	a := &admission{entry: entry, now: now, seed: maphash.MakeSeed()}
+	for i := range a.shards {
+		admitter, err := admit.New(admit.DefaultConfig())
+		if err != nil {
+			return nil, err
+		}
+		a.shards[i].admitter, a.shards[i].known = admitter, map[string]bool{}
+	}
+	return a, nil
+}
+
+func (a *admission) shard(workspace string) *admissionShard {
+	return &a.shards[maphash.String(a.seed, workspace)%admissionShards]
+}
+
+// limits takes the limits of a new catalogue version.
+func (a *admission) limits(c *catalogue) {
+	now := a.now()
+	for name, w := range c.byName {
+		s := a.shard(name)
+		s.mu.Lock()
+		s.admitter.SetLimits(now, name, w.Limits)
+		s.known[name] = true
+		s.mu.Unlock()
+	}
+	for i := range a.shards {
+		a.shards[i].forget(c)
+	}
+}
+
+// forget drops the workspaces that the catalogue no longer has.
+func (s *admissionShard) forget(c *catalogue) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.known {
+		if _, still := c.byName[name]; !still {
+			s.admitter.Forget(name)
+			delete(s.known, name)
+		}
+	}
+}
+
+func (a *admission) decide(r admit.Request) admit.Verdict {
+	s := a.shard(r.Workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.admitter.Decide(a.now(), r, rand.Float64())
+}
+
+// resume counts a request that another entry had admitted.
+func (a *admission) resume(workspace string) {
+	s := a.shard(workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admitter.Resume(workspace)
+}
+
+func (a *admission) done(r *request.Request, actual int) {
+	s := a.shard(r.Workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admitter.Done(a.now(), r.Workspace, int64(r.Cost), int64(actual))
+}
+
+// leaseLoop renews this entry's parts of the limits until ctx ends.
+func (a *admission) leaseLoop(ctx context.Context, control leaser) error {
+	tick := time.NewTicker(leaseEvery)
+	defer tick.Stop()
+	for {
+		a.renew(ctx, control)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// renew reports once, and a second time under the term of a new leader.
+func (a *admission) renew(ctx context.Context, control leaser) {
+	for range 2 {
+		asked := a.now()
+		reply, err := control.Leases(ctx, a.report(asked))
+		if err != nil {
+			return // what is leased runs out by itself
+		}
+		a.term = reply.Term
+		if reply.Status == admit.Leased {
+			a.apply(asked, reply.Leases)
+			return
+		}
+	}
+}
+
+func (a *admission) report(now time.Time) admit.Report {
+	a.sequence++
+	r := admit.Report{Entry: a.entry, Term: a.term, Sequence: a.sequence}
+	for i := range a.shards {
+		s := &a.shards[i]
+		s.mu.Lock()
+		r.Demands = append(r.Demands, s.admitter.Demands(now, a.term)...)
+		s.mu.Unlock()
+	}
+	return r
+}
+
+func (a *admission) apply(asked time.Time, leases []admit.Lease) {
+	for _, l := range leases {
+		s := a.shard(l.Workspace)
+		s.mu.Lock()
+		s.admitter.Apply(a.now(), asked, l)
+		s.mu.Unlock()
+	}
+}
+
+// admit lets a request in by its workspace's limits and by what the queue can
+// start in time, or refuses it at once.
+func (e *Entry) admit(w *contract.Workspace, s *contract.Service, r *request.Request, answer int) *request.Problem {
+	l, err := e.lanes.of(laneOf(s))
+	if err != nil {
+		return request.NewProblem(request.CodeInternal, request.NotRun, "%v", err)
+	}
+	v := e.admitter.decide(admit.Request{
+		Workspace: w.Name, Class: r.Class, Cost: int64(r.Cost), Answer: int64(answer),
+		Deadline: r.Deadline, Target: s.Target.FirstToken, Estimate: l.estimate(r, w.Weight),
+	})
+	if v.Admit {
+		return nil
+	}
+	p := request.NewProblem(refusalCode(v.Reason), request.NotRun, "workspace %s: %s", w.Name, v.Reason).After(v.RetryAfter)
+	p.RequestID = r.ID
+	return p
+}
+
+func refusalCode(r admit.Reason) request.Code {
+	switch {
+	case r.Limit():
+		return request.CodeLimit
+	case r == admit.DeadlinePassed:
+		return request.CodeDeadlineExpired
+	case r == admit.DeadlineTooNear:
+		return request.CodeDeadlineUnmet
+	default:
+		return request.CodeQueueFull
+	}
+}
+
+// release gives back what an admitted request held. actual is its work in
+// tokens as it turned out.
+func (e *Entry) release(r *request.Request, actual int) { e.admitter.done(r, actual) }
--- /dev/null
+++ b/entry/answer.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/request"
+)
+
+// answerWriter writes one answer to one caller.
+type answerWriter struct {
+	entry *Entry
+	w     http.ResponseWriter
+	work  *work
+	next  int  // number of tokens that the caller has
+	begun bool // whether the head of the answer is out
+}
+
+// eventID reads Last-Event-ID: the number of tokens that the caller has.
+func eventID(r *http.Request, have int) (int, *request.Problem) {
+	text := r.Header.Get(request.HeaderEventID)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 || n > have {
+		return 0, request.NewProblem(request.CodeBadRequest, request.NotRun, "%s %q names no token of this answer", request.HeaderEventID, text)
+	}
+	return n, nil
+}
+
+// location is where the answer goes on at another entry.
+func (a *answerWriter) location(end *request.End) string {
+	return "http://" + end.MovedTo + "/v1/answers/" + string(a.work.request.ID)
+}
+
+// stream sends the answer as server-sent events, one a token. The id of an
+// event is the number of tokens up to it.
+func (a *answerWriter) stream(ctx context.Context) {
+	for {
+		tokens, end, err := a.work.journal.Next(ctx, a.next)
+		if err != nil {
+			return // the caller has left
+		}
+		if end != nil {
+			a.streamEnd(end)
+			return
+		}
+		a.head("text/event-stream")
+		for _, t := range tokens {
+			a.next++
+			a.event(a.chunk(platform.ChunkChoice{Delta: platform.Delta{Content: t}}, nil))
+		}
+		if !a.flush() {
+			return
+		}
+	}
+}
+
+// head sends the status line and headers once.
+func (a *answerWriter) head(contentType string) {
+	if a.begun {
+		return
+	}
+	a.begun = true
+	if a.next == 0 {
+		a.entry.metrics.firstToken.UpdateDuration(a.work.request.Accepted)
+	}
+	h := a.w.Header()
+	h.Set("Content-Type", contentType)
+	h.Set("Cache-Control", "no-store")
+	h.Set(request.HeaderRequestID, string(a.work.request.ID))
+	h.Set("Trailer", request.HeaderOutcome)
+	a.w.WriteHeader(http.StatusOK)
+}
+
+func (a *answerWriter) chunk(c platform.ChunkChoice, u *platform.Usage) platform.ChatChunk {
+	return platform.ChatChunk{
+		ID: string(a.work.request.ID), Object: "chat.completion.chunk", Model: a.work.request.Service,
+		Choices: []platform.ChunkChoice{c}, Usage: u,
+	}
+}
+
+// event writes one event; a broken connection shows at the flush.
+func (a *answerWriter) event(v any) {
+	enc, err := json.Marshal(v)
+	if err != nil {
+		return // typed values of strings and numbers always encode
+	}
+	fmt.Fprintf(a.w, "id: %d\ndata: %s\n\n", a.next, enc)
+}
+
+// flushTimeout bounds one write to a caller. A caller's connection that went
+// silent for good would otherwise hold this goroutine as long as the kernel
+// goes on retrying, a quarter of an hour.
+const flushTimeout = 10 * time.Second
+
+// flush pushes what was written to the caller and reports whether it went out.
+func (a *answerWriter) flush() bool {
+	rc := http.NewResponseController(a.w)
+	_ = rc.SetWriteDeadline(time.Now().Add(flushTimeout)) // not every writer has one; then the kernel's bound holds
+	return rc.Flush() == nil
+}
+
+func (a *answerWriter) streamEnd(end *request.End) {
+	switch {
+	case end.MovedTo != "" && !a.begun:
+		a.redirect(end)
+	case end.MovedTo != "":
+		fmt.Fprintf(a.w, "id: %d\nevent: moved\nretry: 0\ndata: {\"location\":%q}\n\n", a.next, a.location(end))
+		a.flush()
+	case end.Problem != nil && !a.begun:
+		a.problem(end.Problem)
+	case end.Problem != nil:
+		a.streamProblem(end.Problem)
+	default:
+		a.head("text/event-stream")
+		a.event(a.chunk(platform.ChunkChoice{FinishReason: end.Finish}, a.usage(end)))
+		fmt.Fprint(a.w, "data: [DONE]\n\n")
+		a.w.Header().Set(request.HeaderOutcome, string(request.Answered))
+		a.flush()
+	}
+}
+
+func (a *answerWriter) streamProblem(p *request.Problem) {
+	p = a.named(p)
+	enc, err := json.Marshal(p)
+	if err != nil {
+		return // typed values of strings and numbers always encode
+	}
+	fmt.Fprintf(a.w, "event: error\ndata: %s\n\n", enc)
+	a.w.Header().Set(request.HeaderOutcome, string(p.Outcome))
+	a.flush()
+}
+
+// named returns a copy of p that names the request.
+func (a *answerWriter) named(p *request.Problem) *request.Problem {
+	c := *p
+	c.RequestID = a.work.request.ID
+	return &c
+}
+
+func (a *answerWriter) problem(p *request.Problem) { a.named(p).Write(a.w) }
+
+// redirect sends the caller to the entry that has its request now. 307 keeps
+// the method; the id in the address stands for the key that clients drop when
+// they follow a redirect to another host.
+func (a *answerWriter) redirect(end *request.End) {
+	h := a.w.Header()
+	h.Set("Location", a.location(end))
+	h.Set(request.HeaderRequestID, string(a.work.request.ID))
+	h.Set("Cache-Control", "no-store")
+	a.w.WriteHeader(http.StatusTemporaryRedirect)
+}
+
+// whole waits for the whole answer and sends it as one JSON document.
+func (a *answerWriter) whole(ctx context.Context) {
+	for {
+		tokens, end, err := a.work.journal.Next(ctx, a.next)
+		if err != nil {
+			return // the caller has left
+		}
+		a.next += len(tokens)
+		if end == nil {
+			continue
+		}
+		switch {
+		case end.MovedTo != "":
+			a.redirect(end)
+		case end.Problem != nil:
+			a.problem(end.Problem)
+		default:
+			a.response(end)
+		}
+		return
+	}
+}
+
+func (a *answerWriter) response(end *request.End) {
+	h := a.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	h.Set(request.HeaderRequestID, string(a.work.request.ID))
+	h.Set(request.HeaderOutcome, string(request.Answered))
+	a.entry.metrics.firstToken.UpdateDuration(a.work.request.Accepted)
+	text := strings.Join(a.work.journal.Tokens(), "")
+	_ = json.NewEncoder(a.w).Encode(platform.ChatResponse{ // the caller is gone: nobody to tell
+		ID: string(a.work.request.ID), Object: "chat.completion", Model: a.work.request.Service,
+		Choices: []platform.Choice{{
+			Message:      platform.Message{Role: "assistant", Content: text},
+			FinishReason: end.Finish,
+		}},
+		Usage: *a.usage(end),
+	})
+}
+
+func (a *answerWriter) usage(end *request.End) *platform.Usage {
+	return &platform.Usage{
+		Prompt: end.Prompt, Completion: len(a.work.journal.Tokens()),
+		Cached: end.Cached, Recomputed: end.Recomputed,
+	}
+}
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,250 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/request"
+)
+
+// engineClient is how an entry calls model engines; platform.EngineClient is one.
+type engineClient interface {
+	Chat(ctx context.Context, address, requestID string, req platform.ChatRequest) (*platform.ChatStream, error)
+	Probe(ctx context.Context, address string) error
+}
+
+// Bounds of the attempts of one chat request.
+const (
+	// maxAttempts bounds how many servers one request may be sent to. An answer
+	// that breaks off goes on elsewhere; eight breaks in one answer are no
+	// longer a wave of reclaims.
+	maxAttempts = 8
+	// rerouteEvery is how often a request that lost its server looks for
+	// another while none can take it.
+	rerouteEvery = 50 * time.Millisecond
+	// streamSilence is how long a stream may bring nothing before its server is
+	// probed on a new connection: over forty times the target between tokens.
+	streamSilence = 2 * time.Second
+	// streamStalled is how long a stream may bring nothing although its server
+	// answers probes. A connection that something between the ends has lost
+	// track of looks just so, and would otherwise hold its caller for good.
+	streamStalled = 6 * time.Second
+	// firstTokenStalled is the same before the first token, where a long prompt
+	// may rightly take long.
+	firstTokenStalled = 30 * time.Second
+	probeTimeout      = 800 * time.Millisecond
+	// refusedMin and refusedMax bound the pause after a refusal.
+	refusedMin = 40 * time.Millisecond
+	refusedMax = time.Second
+)
+
+// runner runs chat requests on model engines.
+type runner struct {
+	engines engineClient
+	log     *slog.Logger
+	now     func() time.Time
+	metrics *Metrics
+	guard   *guard
+}
+
+// run answers w's request through to the end of its journal. first is the
+// server that the queue granted, or nil for work that came from another entry.
+func (r *runner) run(w *work, body platform.ChatRequest, first *grant) {
+	g, backoff := first, refusedMin
+	for failures := 0; failures < maxAttempts; {
+		ctx, cancel := w.arm()
+		end, err := r.step(ctx, w, body, g)
+		paused := errors.Is(context.Cause(ctx), errPaused)
+		cancel(nil)
+		g = nil
+		switch {
+		case err == nil:
+			w.journal.Finish(end)
+			return
+		case paused && w.park():
+			continue
+		case w.ctx.Err() != nil:
+			w.journal.Finish(request.End{Problem: endedProblem(w.ctx, w.request)})
+			return
+		}
+		var final *request.Problem
+		if errors.As(err, &final) {
+			w.journal.Finish(request.End{Problem: final})
+			return
+		}
+		if platform.NotRun(err) {
+			backoff = r.pause(w, backoff)
+			continue
+		}
+		failures++
+	}
+	w.journal.Finish(request.End{Problem: request.NewProblem(request.CodeServerFailed, request.Unknown,
+		"%d backend servers failed on this request", maxAttempts).After(time.Second)})
+}
+
+// pause waits before a request that a server refused, or that did not reach it,
+// tries another, and returns the next pause. At saturation every server refuses
+// for a while; without the pause, each waiting request would ask all of them
+// over and over.
+func (r *runner) pause(w *work, backoff time.Duration) time.Duration {
+	select {
+	case <-w.ctx.Done():
+	case <-time.After(rand.N(backoff)):
+	}
+	return min(2*backoff, refusedMax)
+}
+
+// step makes one attempt, on the granted server or on another one.
+func (r *runner) step(ctx context.Context, w *work, body platform.ChatRequest, g *grant) (request.End, error) {
+	if g == nil {
+		var err error
+		if g, err = r.reroute(ctx, w); err != nil {
+			return request.End{}, err
+		}
+	}
+	g, err := r.guard.clear(ctx, w.ticket, g)
+	if err != nil {
+		return request.End{}, err
+	}
+	end, err := r.attempt(ctx, w, body, g)
+	if err == nil {
+		r.guard.finish(g.lane.key, g.run)
+		return end, nil
+	}
+	if ctx.Err() != nil {
+		g.cancelled()
+		r.guard.end(g.lane.key, g.run)
+		return end, err
+	}
+	r.lost(ctx, w, g, err)
+	w.ticket.route.Exclude = append(w.ticket.route.Exclude, g.verdict.Server)
+	return end, err
+}
+
+// endedProblem is the problem of a request whose context ended: its deadline
+// passed, or nobody waits for it any more.
+func endedProblem(ctx context.Context, r *request.Request) *request.Problem {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return request.NewProblem(request.CodeDeadlineExpired, request.Unknown, "the deadline passed while the request ran")
+	}
+	return request.NewProblem(request.CodeInternal, request.Unknown, "request %s was cancelled", r.ID)
+}
+
+// reroute finds another server for a request that lost its own.
+func (r *runner) reroute(ctx context.Context, w *work) (*grant, error) {
+	tick := time.NewTicker(rerouteEvery)
+	defer tick.Stop()
+	for waits := 0; ; waits++ {
+		if g, ok := w.ticket.lane.again(w.ticket); ok {
+			return g, nil
+		}
+		if waits == 0 {
+			event.Log(ctx, r.log, slog.LevelWarn, event.RouteWaits,
+				slog.String("request", string(w.request.ID)), slog.String("service", w.request.Service))
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// lost ends a failed attempt.
+func (r *runner) lost(ctx context.Context, w *work, g *grant, err error) {
+	g.failed()
+	r.metrics.attemptsFailed.Inc()
+	event.Log(ctx, r.log, slog.LevelWarn, event.AttemptFailed,
+		slog.String("request", string(w.request.ID)), slog.String("server", g.verdict.Server),
+		slog.Int("tokens", len(w.journal.Tokens())), slog.String("error", err.Error()))
+	r.guard.lost(ctx, g, err)
+}
+
+// attempt sends the request to one server and appends what comes to the
+// journal. It returns a nil error only for a whole answer.
+func (r *runner) attempt(ctx context.Context, w *work, body platform.ChatRequest, g *grant) (request.End, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if done := w.journal.Tokens(); len(done) > 0 {
+		body.Resume = &platform.Resume{Tokens: done}
+		r.metrics.resumed.Inc()
+		event.Log(ctx, r.log, slog.LevelInfo, event.StreamResumed,
+			slog.String("request", string(w.request.ID)), slog.String("server", g.verdict.Server),
+			slog.Int("tokens", len(done)))
+	}
+	watch := newWatch(r, g.verdict.Address, cancel)
+	go watch.run(ctx)
+	stream, err := r.engines.Chat(ctx, g.verdict.Address, string(w.request.ID), body)
+	if err != nil {
+		return request.End{}, causeOf(ctx, err)
+	}
+	defer stream.Close()
+	return r.read(ctx, w, stream, g, watch)
+}
+
+// read copies the stream to the journal.
+func (r *runner) read(ctx context.Context, w *work, stream *platform.ChatStream, g *grant, watch *watch) (request.End, error) {
+	var end request.End
+	sent := r.now()
+	last := sent
+	before := len(w.journal.Tokens())
+	for {
+		chunk, err := stream.Next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			if n := len(w.journal.Tokens()) - before; n > 1 {
+				g.pace(last.Sub(sent) / time.Duration(n))
+			}
+			return r.whole(w, stream, g, end)
+		}
+		if err != nil {
+			return request.End{}, causeOf(ctx, err)
+		}
+		watch.heard()
+		for _, c := range chunk.Choices {
+			if c.Delta.Content != "" {
+				last = r.token(w, g, c.Delta.Content, sent, last)
+			}
+			if c.FinishReason != "" {
+				end.Finish = c.FinishReason
+			}
+		}
+	}
+}
+
+// token appends one token and returns when it came.
+func (r *runner) token(w *work, g *grant, text string, sent, last time.Time) time.Time {
+	now := r.now()
+	if last.Equal(sent) {
+		g.firstToken(now.Sub(sent))
+		r.metrics.engineFirstToken.UpdateDuration(sent)
+	} else {
+		r.metrics.betweenTokens.Update(now.Sub(last).Seconds())
+	}
+	w.journal.Append(text)
+	return now
+}
+
+func (r *runner) whole(w *work, stream *platform.ChatStream, g *grant, end request.End) (request.End, error) {
+	g.finished(w.cost())
+	usage := stream.Usage()
+	end.Prompt, end.Cached, end.Recomputed = usage.Prompt, usage.Cached, usage.Recomputed
+	r.metrics.recomputed.Add(usage.Recomputed)
+	r.metrics.cached.Add(usage.Cached)
+	r.metrics.prompt.Add(usage.Prompt)
+	return end, nil
+}
+
+// causeOf prefers the reason for which this side ended the attempt over the
+// broken connection that it made.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errStalled) || errors.Is(cause, errSilent) {
+		return cause
+	}
+	return err
+}
--- /dev/null
+++ b/entry/callers.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/request"
+)
+
+// Bounds of a caller's deadline.
+const (
+	defaultChatDeadline  = 5 * time.Minute
+	defaultPlainDeadline = 60 * time.Second
+	maxDeadline          = 30 * time.Minute
+)
+
+// maxKeyLength bounds an Idempotency-Key, which the ledger keeps for a day.
+const maxKeyLength = 255
+
+// staleRetry is when a caller should come back to an entry that cannot confirm
+// its catalogue; meanwhile another entry may take it.
+const staleRetry = 2 * time.Second
+
+// call is one caller's request on its way to acceptance.
+type call struct {
+	http      *http.Request
+	arrived   time.Time
+	catalogue *catalogue
+	workspace *contract.Workspace
+}
+
+// authenticate finds the workspace of the request's bearer key in a catalogue
+// that is surely in force.
+func (e *Entry) authenticate(r *http.Request) (*call, *request.Problem) {
+	c := &call{http: r, arrived: e.deps.Now()}
+	if !e.accepting() {
+		return nil, e.drainingProblem()
+	}
+	if c.catalogue = e.follower.inForce(); c.catalogue == nil {
+		return nil, request.NewProblem(request.CodeCatalogueStale, request.NotRun,
+			"no majority of control replicas has confirmed this entry's catalogue; other entries: %s", e.otherEntries()).After(staleRetry)
+	}
+	key, _ := request.BearerKey(r.Header)
+	var known bool
+	if c.workspace, known = c.catalogue.workspaceOf(key); !known {
+		return nil, request.NewProblem(request.CodeUnauthorized, request.NotRun, "send the workspace's key as Authorization: Bearer")
+	}
+	return c, nil
+}
+
+// service finds the service that the caller names and may call.
+func (c *call) service(name string, kind contract.Kind) (*contract.Service, *request.Problem) {
+	s, known := c.catalogue.services[name]
+	switch {
+	case !known || s.Kind != kind:
+		return nil, request.NewProblem(request.CodeUnknownService, request.NotRun, "no %s service %q", kind, name)
+	case !s.Allows(c.workspace.Name):
+		return nil, request.NewProblem(request.CodeForbidden, request.NotRun, "workspace %s may not call %q", c.workspace.Name, name)
+	case c.catalogue.stopped(name, c.arrived):
+		return nil, request.NewProblem(request.CodeStopped, request.NotRun, "service %q has a planned stop", name).After(stoppedRetry)
+	}
+	return s, nil
+}
+
+// stoppedRetry is when a caller of a stopped service should ask again: stops
+// last minutes, and nobody knows how many.
+const stoppedRetry = 30 * time.Second
+
+// request builds the part of a request that chat and plain calls share.
+func (e *Entry) newRequest(c *call, s *contract.Service, fallback time.Duration) (*request.Request, *request.Problem) {
+	h := c.http.Header
+	deadline, p := deadlineOf(h, c.arrived, fallback)
+	if p != nil {
+		return nil, p
+	}
+	key := h.Get(request.HeaderKey)
+	if len(key) > maxKeyLength {
+		return nil, request.NewProblem(request.CodeBadRequest, request.NotRun, "%s is longer than %d bytes", request.HeaderKey, maxKeyLength)
+	}
+	e.shares.add(c.workspace.Name, c.arrived)
+	return &request.Request{
+		ID: request.NewID(e.cfg.Region), Workspace: c.workspace.Name, Service: s.Name,
+		Class:  c.workspace.Class.Lower(contract.Class(h.Get(request.HeaderClass))),
+		Method: c.http.Method, ContentType: h.Get("Content-Type"), Accept: h.Get("Accept"),
+		Key: key, Keep: h.Get(request.HeaderKeep) == "true",
+		Deadline: deadline, Accepted: c.arrived,
+	}, nil
+}
+
+// deadlineOf reads the caller's deadline, milliseconds from now. It travels
+// with the request, so that no engine works on an answer that nobody awaits.
+func deadlineOf(h http.Header, now time.Time, fallback time.Duration) (time.Time, *request.Problem) {
+	text := h.Get(request.HeaderDeadline)
+	if text == "" {
+		return now.Add(fallback), nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return time.Time{}, request.NewProblem(request.CodeBadRequest, request.NotRun, "%s: %q is not a count of milliseconds", request.HeaderDeadline, text)
+	}
+	if ms <= 0 {
+		return time.Time{}, request.NewProblem(request.CodeDeadlineExpired, request.NotRun, "the deadline has passed already")
+	}
+	return now.Add(min(time.Duration(min(ms, maxDeadline.Milliseconds()))*time.Millisecond, maxDeadline)), nil
+}
+
+// readBody reads a whole request body of at most limit bytes. Nothing goes to a
+// backend server before the body is whole, so a caller that breaks off half way
+// is "not run" and no server waits for its rest.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *request.Problem) {
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return body, nil
+	}
+	if _, over := err.(*http.MaxBytesError); over {
+		return nil, tooLarge(limit)
+	}
+	return nil, request.NewProblem(request.CodeBadRequest, request.NotRun, "the request body broke off: %v", err)
+}
+
+func tooLarge(limit int64) *request.Problem {
+	return request.NewProblem(request.CodeTooLarge, request.NotRun, "the body is larger than %d bytes", limit)
+}
+
+// refuse gives a request its final answer, at once, and logs it.
+func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, p *request.Problem) {
+	e.metrics.ended(p.Outcome, p.Code)
+	event.Log(r.Context(), e.deps.Log, slog.LevelInfo, event.RequestRefused,
+		slog.String("request", string(p.RequestID)), slog.String("method", r.Method), slog.String("path", r.URL.Path),
+		slog.String("code", string(p.Code)), slog.String("outcome", string(p.Outcome)),
+		slog.Duration("retryAfter", p.RetryAfter), slog.String("detail", p.Detail))
+	p.Write(w)
+}
+
+// logEnd writes the one line that tells how an accepted request ended.
+func (e *Entry) logEnd(r *request.Request, o request.Outcome, c request.Code, tokens int) {
+	e.metrics.ended(o, c)
+	event.Log(e.ctx, e.deps.Log, slog.LevelInfo, event.RequestEnded,
+		slog.String("request", string(r.ID)), slog.String("workspace", r.Workspace), slog.String("service", r.Service),
+		slog.String("outcome", string(o)), slog.String("code", string(c)), slog.Int("tokens", tokens),
+		slog.Duration("took", e.deps.Now().Sub(r.Accepted)))
+}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"time"
+
+	"savoryreel.example/savoryreel/policy/pick"
+	"savoryreel.example/savoryreel/settings"
+)
+
+// Config holds an entry's settings.
+type Config struct {
+	ID           string
+	Region       string
+	Zone         string
+	CallerListen string
+	CallerAddr   string // as callers are told; empty: CallerListen
+	LinkListen   string
+	OpsAddr      string
+	Control      []string // link addresses of the control replicas
+	Seeds        []string // link addresses of other entries to meet first
+	ClusterKey   string
+	AnnounceKey  string
+	LogLevel     string
+	FreshFor     time.Duration
+	Lax          bool
+	ListValidity time.Duration
+	DrainTimeout time.Duration
+	Capacity     int // requests in flight that count as a full load
+}
+
+// Declare declares the settings on s.
+func (c *Config) Declare(s *settings.Set) {
+	s.String(&c.ID, "id", "entry-1", "name of this entry, unique among all instances", settings.Required)
+	s.String(&c.Region, "region", "r1", "region of this instance", settings.Required)
+	s.String(&c.Zone, "zone", "z1", "zone of this instance", settings.Required)
+	s.String(&c.CallerListen, "listen", "127.0.0.1:7001", "address for callers and for backend servers' announcements", settings.HostPort)
+	s.String(&c.CallerAddr, "advertise", "", "address that callers are told, if it differs from --listen", settings.Optional(settings.HostPort))
+	s.String(&c.LinkListen, "link-listen", "127.0.0.1:7002", "address for links of other processes", settings.HostPort)
+	s.String(&c.OpsAddr, "ops-listen", "127.0.0.1:7003", "address of health, metrics and profiles", settings.HostPort)
+	s.Strings(&c.Control, "control", []string{"127.0.0.1:7101"}, "link addresses of all control replicas", settings.HostPorts)
+	s.Strings(&c.Seeds, "entries", nil, "link addresses of other entries to meet first", settings.HostPorts)
+	s.Secret(&c.ClusterKey, "cluster-key", "key that the system's own processes share", settings.Required)
+	s.Secret(&c.AnnounceKey, "announce-key", "bearer key of backend servers' announcements", settings.Required)
+	s.String(&c.LogLevel, "log-level", "info", "debug, info, warn or error", settings.LogLevel)
+	s.Duration(&c.FreshFor, "fresh-for", 4*time.Second, "how long a confirmed catalogue counts as current", settings.Between(time.Second, time.Minute))
+	s.Bool(&c.Lax, "serve-unconfirmed", false, "let requests in by a catalogue that control has not confirmed; an operator's change may then not be in force here")
+	s.Duration(&c.ListValidity, "list-validity", 30*time.Second, "how long callers keep the answer to which entry to use", settings.Between(time.Second, 10*time.Minute))
+	s.Int(&c.Capacity, "capacity", 1000, "requests in flight that count as a full load when callers are spread", settings.Between(1, 1_000_000))
+	s.Duration(&c.DrainTimeout, "drain-timeout", 5*time.Minute, "how long a stop waits for requests to end before it hands them over", settings.Between(time.Second, time.Hour))
+}
+
+// advertised is the address that callers are told.
+func (c *Config) advertised() string {
+	if c.CallerAddr != "" {
+		return c.CallerAddr
+	}
+	return c.CallerListen
+}
+
+// pick is the policy by which callers are told which entry to use.
+func (c *Config) pick() pick.Config {
+	p := pick.DefaultConfig()
+	p.Validity = c.ListValidity
+	p.HeavyValidity = min(p.HeavyValidity, c.ListValidity)
+	return p
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,302 @@
+// Package entry is the daemon that stands before callers: it tells them which
+// entry to use, lets requests in, queues them by workspace, routes them to
+// backend servers, streams the answers, and hands its requests over to another
+// entry when its instance is taken away.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/membership"
+	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/policy/pick"
+)
+
+// Periods of an entry's own work.
+const (
+	followEvery  = 500 * time.Millisecond // asks for the catalogue's version; far below the 6 s in which a change must be in force
+	laneEvery    = 20 * time.Millisecond  // looks after deadlines; a request that is given up waits this long at most
+	planEvery    = 250 * time.Millisecond // looks for planned stops that have begun
+	syncEvery    = 100 * time.Millisecond // takes over load reports, which come every second at the most
+	sweepEvery   = time.Second
+	orphanedFor  = 30 * time.Second // a request from another entry whose caller never came is ended
+	closeTimeout = 5 * time.Second
+)
+
+// Deps is what an Entry works with.
+type Deps struct {
+	Log *slog.Logger
+	Now func() time.Time // must carry a monotonic reading
+}
+
+// Entry is one entry.
+type Entry struct {
+	cfg         Config
+	deps        Deps
+	incarnation uint64
+	announceKey contract.KeyHash
+	metrics     *Metrics
+
+	ctx    context.Context // ends with the process, after the drain
+	cancel context.CancelFunc
+
+	pool     *link.Pool
+	members  *membership.Node
+	control  *api.Client
+	ledger   ledgerClient
+	follower *follower
+	lanes    *lanes
+	prefixes *prefixes
+	registry *registry
+	onces    *onces
+	runner   *runner
+	plain    plainClient
+	admitter *admission
+	retries  *retries
+	picker   *pick.Picker
+	guard    *guard
+	shares   *shares
+	life     *life
+
+	notices      chan time.Duration // reclaim notices for this instance
+	plainRunning atomic.Int64
+
+	running  sync.WaitGroup // requests
+	settling sync.WaitGroup // ends that the ledger has yet to hear
+	fetching sync.WaitGroup // listings of prefix caches
+}
+
+// New builds an entry. Run starts it.
+func New(cfg Config, deps Deps) (*Entry, error) {
+	set := metrics.NewSet()
+	e := &Entry{
+		cfg: cfg, deps: deps, incarnation: uint64(deps.Now().UnixMilli()),
+		announceKey: contract.HashKey(cfg.AnnounceKey),
+		metrics:     NewMetrics(set), registry: newRegistry(), onces: newOnces(),
+		shares: newShares(), life: newLife(deps.Now), notices: make(chan time.Duration, 1),
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.pool = link.NewPool(link.PoolConfig{Self: e.peerInfo(), ClusterKey: []byte(cfg.ClusterKey)},
+		link.PoolDeps{Log: deps.Log, Traffic: link.NewTraffic(set)})
+	e.control = api.NewClient(e.pool, cfg.Control)
+	e.ledger = e.control
+	e.lanes = newLanes(laneSelf{zone: cfg.Zone, region: cfg.Region}, deps.Log, deps.Now)
+	var err error
+	if e.admitter, err = newAdmission(cfg.ID, deps.Now); err != nil {
+		return nil, err
+	}
+	if e.retries, err = newRetries(); err != nil {
+		return nil, err
+	}
+	if e.picker, err = pick.New(cfg.pick()); err != nil {
+		return nil, err
+	}
+	if e.guard, err = newGuard(e); err != nil {
+		return nil, err
+	}
+	engines := platform.NewEngine(platform.EngineConfig{})
+	e.plain = platform.NewPlain(platform.PlainConfig{})
+	e.runner = &runner{
+		engines: engines, log: deps.Log, now: deps.Now, metrics: e.metrics, guard: e.guard,
+	}
+	e.prefixes = &prefixes{
+		lanes: e.lanes, engines: engines, log: deps.Log, work: &e.fetching, ctx: e.ctx, fetches: map[string]bool{},
+	}
+	e.follower = &follower{
+		control: e.control, pool: e.pool, peers: e.peerLinks, log: deps.Log, now: deps.Now,
+		freshFor: cfg.FreshFor, every: followEvery, lax: cfg.Lax, onChange: e.catalogueTaken,
+	}
+	return e, e.join()
+}
+
+func (e *Entry) peerInfo() link.PeerInfo {
+	return link.PeerInfo{ID: e.cfg.ID, Incarnation: e.incarnation, Address: e.cfg.LinkListen, Role: "entry"}
+}
+
+// Run serves until ctx ends, a signal comes or a component fails.
+func (e *Entry) Run(ctx context.Context) error {
+	defer e.pool.Close()
+	defer e.cancel()
+	var g run.Group
+	if err := e.actors(ctx, &g); err != nil {
+		return err
+	}
+	event.Log(ctx, e.deps.Log, slog.LevelInfo, event.ProcessStarted,
+		slog.String("role", "entry"), slog.String("id", e.cfg.ID), slog.String("zone", e.cfg.Zone),
+		slog.Uint64("incarnation", e.incarnation))
+	err := g.Run()
+	e.cancel()
+	e.running.Wait()
+	e.settling.Wait()
+	e.fetching.Wait()
+	event.Log(context.Background(), e.deps.Log, slog.LevelInfo, event.ProcessStopped, slog.Any("error", err))
+	return err
+}
+
+func (e *Entry) actors(ctx context.Context, g *run.Group) error {
+	callers, err := daemon.Listen(ctx, e.deps.Log, "callers", e.cfg.CallerListen)
+	if err != nil {
+		return err
+	}
+	links, err := daemon.Listen(ctx, e.deps.Log, "link", e.cfg.LinkListen)
+	if err != nil {
+		return err
+	}
+	ops, err := daemon.Listen(ctx, e.deps.Log, "operations", e.cfg.OpsAddr)
+	if err != nil {
+		return err
+	}
+	srv := link.NewServer(link.ServerConfig{Self: e.peerInfo(), ClusterKey: []byte(e.cfg.ClusterKey)}, link.ServerDeps{Log: e.deps.Log})
+	e.register(srv)
+	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
+	daemon.Actor(g, e.members.Run)
+	daemon.Actor(g, e.follower.run)
+	daemon.Actor(g, func(c context.Context) error { return e.lanes.tick(c, laneEvery) })
+	daemon.Actor(g, func(c context.Context) error { return e.admitter.leaseLoop(c, e.control) })
+	daemon.Actor(g, e.planLoop)
+	daemon.Actor(g, e.syncLoop)
+	daemon.Actor(g, e.guard.expireLoop)
+	daemon.Actor(g, e.sweepLoop)
+	daemon.Actor(g, e.awaitNotice)
+	daemon.Actor(g, func(actorCtx context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-actorCtx.Done():
+		}
+		return nil
+	})
+	daemon.Serve(g, callers, e.Handler(), closeTimeout, e.deps.Log)
+	daemon.Serve(g, ops, e.operations(), daemon.CloseGrace, e.deps.Log)
+	daemon.Signals(g, func(c context.Context) { e.leave(c, e.cfg.DrainTimeout) }, e.deps.Log)
+	return nil
+}
+
+func (e *Entry) register(srv *link.Server) {
+	e.members.Register(srv)
+	e.follower.register(srv)
+	e.guard.register(srv)
+	link.Handle(srv, methodOwner, e.answerOwner)
+	link.Handle(srv, methodTakeOver, e.takeOver)
+}
+
+// Handler serves callers and backend servers.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/entries", e.handleEntries)
+	mux.HandleFunc("POST /v1/chat/completions", e.handleChat)
+	mux.HandleFunc("/v1/answers/{id}", e.handleAnswer)
+	mux.HandleFunc("/svc/{service}/{path...}", e.handlePlain)
+	mux.HandleFunc("POST /v1/backend-servers", e.handleAnnounce)
+	mux.HandleFunc("POST /v1/backend-servers/{id}/cache-events", e.handleCacheEvents)
+	mux.HandleFunc("GET /healthz", daemon.Health)
+	return mux
+}
+
+func (e *Entry) operations() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", daemon.Operations(e.metrics.set, e.ready))
+	mux.HandleFunc("POST /v1/leave", e.handleLeave)
+	mux.HandleFunc("GET /v1/status", e.handleStatus)
+	return mux
+}
+
+// ready reports why this entry takes no new requests, or nil.
+func (e *Entry) ready() error {
+	if !e.accepting() {
+		return trace.ConnectionProblem(nil, "leaving")
+	}
+	if e.follower.inForce() == nil {
+		return trace.ConnectionProblem(nil, "catalogue is not confirmed")
+	}
+	return nil
+}
+
+// catalogueTaken applies a new catalogue version.
+func (e *Entry) catalogueTaken(c *catalogue) {
+	e.admitter.limits(c)
+	e.plan(c)
+	e.tellVersion(c.reply.Version)
+}
+
+// planLoop applies planned stops as they begin.
+func (e *Entry) planLoop(ctx context.Context) error {
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		if c := e.follower.current.Load(); c != nil {
+			e.plan(c)
+		}
+	}
+}
+
+// plan applies the planned stops in force now to backend servers and to this
+// entry itself.
+func (e *Entry) plan(c *catalogue) {
+	now := e.deps.Now()
+	e.lanes.plan(func(id, zone string) bool { return c.covered(id, zone, now) })
+	e.planSelf(c.covered(e.cfg.ID, e.cfg.Zone, now))
+}
+
+// sweepLoop forgets answers that nobody comes back for.
+func (e *Entry) sweepLoop(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		e.sweep()
+		e.tellLoad()
+		for _, l := range e.lanes.all() {
+			l.logSlow()
+		}
+	}
+}
+
+func (e *Entry) sweep() {
+	now := e.deps.Now()
+	for _, w := range e.registry.all() {
+		switch {
+		case w.disposable(now, answerGrace):
+			e.registry.remove(w.request.ID)
+		case w.orphaned(now, orphanedFor):
+			w.cancel()
+		}
+	}
+}
+
+// syncLoop takes the backend servers' loads from the membership, which reports
+// changes of state as events but not those of load alone.
+func (e *Entry) syncLoop(ctx context.Context) error {
+	tick := time.NewTicker(syncEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		e.lanes.sync(e.members.View().AllServers())
+	}
+}
--- /dev/null
+++ b/entry/lane.go
@@ -0,0 +1,435 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/admit"
+	"savoryreel.example/savoryreel/policy/quarantine"
+	"savoryreel.example/savoryreel/policy/queue"
+	"savoryreel.example/savoryreel/policy/route"
+	"savoryreel.example/savoryreel/request"
+)
+
+// laneKey names a pool of backend servers that can stand in for each other: all
+// servers of one model, or all servers of one plain service.
+type laneKey struct {
+	kind contract.Kind
+	name string
+}
+
+func laneOf(s *contract.Service) laneKey {
+	if s.Kind == contract.KindModel {
+		return laneKey{kind: s.Kind, name: s.Model}
+	}
+	return laneKey{kind: s.Kind, name: s.Name}
+}
+
+// lane is one pool's queue and router under one lock. It is the shard by which
+// requests of different pools do not wait for each other.
+type lane struct {
+	key  laneKey
+	self laneSelf
+	log  *slog.Logger
+	now  func() time.Time
+
+	mu      sync.Mutex
+	queue   *queue.Queue
+	router  *route.Router
+	drain   *admit.Drain
+	starter *queue.Starter
+	slots   map[string]int  // by backend server that serves
+	slow    map[string]bool // servers that are eased off, as last logged
+	tickets map[string]*ticket
+	entries int // how many entries share the servers
+	number  int // this entry's number among them, from 0
+
+	// Scratch space of free.
+	occupancies []route.Occupancy
+	parts       []int
+}
+
+// laneSelf is what a lane knows of the entry it belongs to.
+type laneSelf struct {
+	zone, region string
+}
+
+// ticket is one request's place in a lane, from submit until it is granted a
+// server or refused.
+type ticket struct {
+	request  *request.Request
+	lane     *lane
+	route    route.Request
+	weight   int
+	decision chan decision // receives exactly one
+}
+
+// decision ends a wait: a grant, or the problem that the caller gets.
+type decision struct {
+	grant   *grant
+	problem *request.Problem
+}
+
+// grant is the right to send one attempt to one backend server. Its holder
+// calls exactly one of Finished, Failed and Cancelled.
+type grant struct {
+	lane    *lane
+	verdict route.Verdict
+	attempt route.Attempt
+	run     quarantine.Run
+
+	workspace string
+	estimate  int64 // tokens of work that the queue has charged
+	over      bool  // has been closed
+}
+
+// unroutedRetry is when a caller should come back if no backend server is
+// known: announcements repeat each second, so two seconds bring the next ones.
+const unroutedRetry = 2 * time.Second
+
+func newLane(key laneKey, self laneSelf, log *slog.Logger, now func() time.Time) (*lane, error) {
+	q, err := queue.New(queue.DefaultConfig())
+	if err != nil {
+		return nil, err
+	}
+	r, err := route.New(route.DefaultConfig())
+	if err != nil {
+		return nil, err
+	}
+	starter, err := queue.NewStarter(queue.DefaultStartConfig())
+	if err != nil {
+		return nil, err
+	}
+	return &lane{
+		key: key, starter: starter, entries: 1, self: self, log: log, now: now, queue: q, router: r,
+		drain: admit.NewDrain(admit.DefaultConfig().Memory),
+		slots: map[string]int{}, slow: map[string]bool{}, tickets: map[string]*ticket{},
+	}, nil
+}
+
+// submit queues a new request and returns its ticket, or the problem with which
+// it is refused at once.
+func (l *lane) submit(t *ticket) *request.Problem {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.slots) == 0 {
+		return request.NewProblem(request.CodeNoServer, request.NotRun, "no backend server serves %s", l.key.name).After(unroutedRetry)
+	}
+	item := itemOf(t.request, t.weight, now)
+	l.starter.Seen(now, &item)
+	verdict := l.queue.Push(now, item)
+	for _, item := range verdict.Evicted {
+		l.refuse(item.ID, l.fullProblem(item.Workspace, now))
+	}
+	if !verdict.Accepted {
+		if verdict.Reason == queue.AlreadyExpired {
+			return expiredProblem()
+		}
+		return l.fullProblem(t.request.Workspace, now)
+	}
+	l.tickets[string(t.request.ID)] = t
+	l.pump(now)
+	return nil
+}
+
+func itemOf(r *request.Request, weight int, now time.Time) queue.Item {
+	return queue.Item{
+		ID: string(r.ID), Workspace: r.Workspace, Service: r.Service, Class: r.Class, Weight: weight,
+		Cost: int64(r.Cost), Deadline: r.Deadline, Enqueued: now,
+	}
+}
+
+// estimate judges how a request that came now would fare.
+func (l *lane) estimate(r *request.Request, weight int) admit.Estimate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	item := itemOf(r, weight, now)
+	b := l.queue.Backlog(r.Workspace, r.Class, weight)
+	b.Lasting = l.starter.Share(r.Workspace)
+	stats, _ := l.queue.Stats(r.Workspace)
+	v := l.starter.DecideBehind(now, &item, l.free(now), stats.Items)
+	b.Starts, b.Held = v.Start, v.Held()
+	return l.drain.Estimate(now, b)
+}
+
+// free sums up the slots of the lane's servers as this entry sees them. The lock
+// is held.
+func (l *lane) free(now time.Time) queue.Slots {
+	turn := l.number + int(now.Unix())
+	s := queue.Slots{Entries: l.entries, Entry: l.number, Report: int(now.Unix())}
+	l.occupancies = l.router.Occupancies(l.occupancies[:0])
+	l.parts = l.parts[:0]
+	for _, o := range l.occupancies {
+		l.parts = append(l.parts, o.Slots-o.Reported)
+	}
+	queue.Parts(l.parts, l.entries, turn)
+	for i, o := range l.occupancies {
+		reported := max(0, o.Slots-o.Reported)
+		believed := max(0, o.Slots-o.Reported-o.Own)
+		s.Total += o.Slots
+		s.Free += reported
+		s.Own += reported - believed
+		if believed > 0 {
+			s.Mine += max(0, l.parts[i]-o.Own)
+		}
+	}
+	return s
+}
+
+func expiredProblem() *request.Problem {
+	return request.NewProblem(request.CodeDeadlineExpired, request.NotRun, "the deadline passed before a backend server was free")
+}
+
+func (l *lane) fullProblem(workspace string, now time.Time) *request.Problem {
+	return request.NewProblem(request.CodeQueueFull, request.NotRun,
+		"workspace %s has too many requests waiting for %s", workspace, l.key.name).After(l.drainTime(now))
+}
+
+// drainTime is a refused caller's wait before it asks again: the whole queue at
+// the rate at which it drains, from one second to a minute, spread upwards by
+// half so that those refused together do not come back together.
+func (l *lane) drainTime(now time.Time) time.Duration {
+	cfg := admit.DefaultConfig()
+	rate, known := l.drain.Rate(now)
+	if !known || rate <= 0 {
+		return cfg.MinRetryAfter
+	}
+	wait := float64(l.queue.Tokens()) / rate * (1 + cfg.Jitter*rand.Float64())
+	return min(max(time.Duration(wait*float64(time.Second)), cfg.MinRetryAfter), cfg.MaxRetryAfter)
+}
+
+// refuse ends a waiting request's wait with a problem. The lock is held.
+func (l *lane) refuse(id string, p *request.Problem) {
+	t, waits := l.tickets[id]
+	if !waits {
+		return
+	}
+	delete(l.tickets, id)
+	t.decision <- decision{problem: p}
+}
+
+// pump grants servers to waiting requests, in the queue's order, for as long as
+// there are slots that this entry may take. The lock is held.
+func (l *lane) pump(now time.Time) {
+	for _, item := range l.queue.Expired(now) {
+		l.refuse(item.ID, expiredProblem())
+	}
+	for l.startNext(now) {
+	}
+	slots := l.free(now)
+	l.drain.Full(now, slots.Free <= slots.Own || l.queue.Len() > 0)
+}
+
+// startNext grants a server to the next request that may start now.
+func (l *lane) startNext(now time.Time) bool {
+	slots := l.free(now)
+	var chosen route.Verdict
+	item, ok := l.queue.PopFunc(now, func(it *queue.Item) queue.Eligibility {
+		v := l.starter.Decide(now, it, slots)
+		if !v.Start {
+			return v.Eligibility()
+		}
+		t := l.tickets[it.ID]
+		t.route.Now, t.route.Seed = now, rand.Uint64()
+		if chosen = l.router.Choose(&t.route); !chosen.OK() {
+			return queue.Waits
+		}
+		return queue.Runs
+	})
+	if !ok {
+		return false
+	}
+	t := l.tickets[item.ID]
+	delete(l.tickets, item.ID)
+	t.decision <- decision{grant: l.grant(&chosen, &item, now)}
+	l.logRoute(t.request, &chosen, now.Sub(item.Enqueued))
+	return true
+}
+
+// grant counts a start on the verdict's server.
+func (l *lane) grant(v *route.Verdict, item *queue.Item, now time.Time) *grant {
+	l.starter.Started(now, item)
+	return &grant{lane: l, verdict: *v, attempt: l.router.Started(v, now), workspace: item.Workspace, estimate: item.Cost}
+}
+
+// again grants a server to a request that has been granted one before and lost
+// it. It does not queue: its turn has come once, and behind a long queue its
+// caller would see the answer stop. ok is false while no server can take it.
+func (l *lane) again(t *ticket) (*grant, bool) {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.route.Now, t.route.Seed, t.route.NoProbe = now, rand.Uint64(), true
+	v := l.router.Choose(&t.route)
+	if !v.OK() && v.Reason == route.ReasonAllExcluded {
+		t.route.Exclude = nil // better a server that failed once than none
+		v = l.router.Choose(&t.route)
+	}
+	if !v.OK() {
+		return nil, false
+	}
+	l.logRoute(t.request, &v, 0)
+	item := itemOf(t.request, t.weight, now)
+	item.Resumed = true
+	return l.grant(&v, &item, now), true
+}
+
+// withdraw takes a waiting request out of the queue, because its caller left.
+// It reports false when the request has been decided meanwhile.
+func (l *lane) withdraw(id request.ID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, waits := l.tickets[string(id)]; !waits {
+		return false
+	}
+	delete(l.tickets, string(id))
+	l.queue.Remove(string(id))
+	return true
+}
+
+// tick refuses requests whose deadline has passed and grants what has room.
+func (l *lane) tick() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pump(l.now())
+}
+
+// slowShare is the part of its full share below which a server counts as eased
+// off in the log. A new server begins at a tenth and is not slow.
+const slowShare = 0.5
+
+// logSlow logs each server that begins or ceases to be eased off.
+func (l *lane) logSlow() {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.slots {
+		slow := l.router.Eased(id) < slowShare
+		if slow == l.slow[id] {
+			continue
+		}
+		l.slow[id] = slow
+		event.Log(context.Background(), l.log, slog.LevelWarn, event.ServerSlow,
+			slog.String("server", id), slog.Bool("slow", slow), slog.Float64("share", l.router.Share(id, now)))
+	}
+}
+
+// announce takes in a backend server's announcement.
+func (l *lane) announce(a *instance.Announcement, loadAt time.Time) {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.router.Announce(a, loadAt, now) {
+		return
+	}
+	if a.State == instance.StateServing {
+		l.slots[a.ID] = max(a.Slots, 1)
+	} else {
+		delete(l.slots, a.ID)
+	}
+	l.pump(now)
+}
+
+// leave stops new work to a server, whatever it last said of itself.
+func (l *lane) leave(id string, incarnation uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.router.Leave(id, incarnation)
+	delete(l.slots, id)
+}
+
+// restore gives work again to a server whose planned stop was cancelled. The
+// router takes a server that has begun to leave back only as a new one.
+func (l *lane) restore(a *instance.Announcement, loadAt time.Time) {
+	l.remove(a.ID)
+	l.announce(a, loadAt)
+}
+
+// remove forgets a server.
+func (l *lane) remove(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.router.Remove(id)
+	delete(l.slots, id)
+	delete(l.slow, id)
+}
+
+// setEntries tells how many entries share the servers and which this one is.
+func (l *lane) setEntries(n, number int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries, l.number = n, number
+	l.router.SetEntries(n)
+}
+
+// firstToken notes that the attempt's server has begun to answer, took after
+// the request was sent.
+func (g *grant) firstToken(took time.Duration) {
+	g.lane.mu.Lock()
+	defer g.lane.mu.Unlock()
+	g.lane.router.FirstToken(&g.attempt, g.lane.now())
+	g.lane.drain.FirstToken(took)
+}
+
+// pace notes the mean time between the tokens of an answer.
+func (g *grant) pace(gap time.Duration) {
+	g.lane.mu.Lock()
+	defer g.lane.mu.Unlock()
+	g.lane.drain.BetweenTokens(gap)
+}
+
+// finished ends an attempt that was answered. work is its tokens, prompt and
+// answer, as they turned out.
+func (g *grant) finished(work int) { g.end((*route.Router).Finished, int64(work)) }
+
+// failed ends an attempt that the server did not answer.
+func (g *grant) failed() { g.end((*route.Router).Failed, 0) }
+
+// cancelled ends an attempt that was given up here; the server is not to blame.
+func (g *grant) cancelled() { g.end((*route.Router).Cancelled, 0) }
+
+// end closes the grant. Calls after the first have no effect.
+func (g *grant) end(how func(*route.Router, *route.Attempt, time.Time), work int64) {
+	l := g.lane
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if g.over {
+		return
+	}
+	g.over = true
+	now := l.now()
+	how(l.router, &g.attempt, now)
+	l.starter.Ended(g.workspace)
+	l.queue.Charge(g.workspace, work-g.estimate)
+	if work > 0 {
+		l.drain.Ended(now, work)
+	}
+	l.pump(now)
+}
+
+// logRoute writes one line per routing decision, with the runners-up.
+func (l *lane) logRoute(r *request.Request, v *route.Verdict, waited time.Duration) {
+	ctx := context.Background()
+	if !l.log.Enabled(ctx, slog.LevelInfo) {
+		return
+	}
+	others := make([]string, 0, len(v.RunnersUp()))
+	for _, c := range v.RunnersUp() {
+		others = append(others, c.Server+":"+strconv.FormatInt(c.Score.Milliseconds(), 10)+"ms")
+	}
+	event.Log(ctx, l.log, slog.LevelInfo, event.RouteChosen,
+		slog.String("request", string(r.ID)), slog.String("workspace", r.Workspace),
+		slog.String("service", r.Service), slog.String("class", string(r.Class)),
+		slog.String("server", v.Server), slog.String("reason", v.Reason.String()),
+		slog.Duration("score", v.Score), slog.Int("load", v.Load), slog.Int("cachedTokens", v.CachedTokens),
+		slog.Duration("waited", waited), slog.Any("runnersUp", others))
+}
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"slices"
+
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/membership"
+)
+
+// join builds this entry's part in the membership.
+func (e *Entry) join() error {
+	var err error
+	e.members, err = membership.New(membership.Config{
+		Self: instance.Member{
+			ID: e.cfg.ID, Incarnation: e.incarnation, Role: instance.RoleEntry, Region: e.cfg.Region, Zone: e.cfg.Zone,
+			CallerAddress: e.cfg.advertised(), LinkAddress: e.cfg.LinkListen, State: instance.StateServing,
+		},
+		Seeds: e.cfg.Seeds, Merge: mergeRecords,
+	}, membership.Deps{Pool: e.pool, Log: e.deps.Log})
+	if err != nil {
+		return err
+	}
+	e.members.Subscribe(e.memberEvent)
+	return nil
+}
+
+// tellLeaving spreads that this entry leaves for good.
+func (e *Entry) tellLeaving() {
+	e.members.SetSelf(func(m *instance.Member) { m.State = instance.StateLeaving })
+}
+
+// tellLoad spreads how much of its capacity this entry uses.
+func (e *Entry) tellLoad() {
+	load := float64(e.unfinished()) / float64(e.cfg.Capacity)
+	e.members.SetSelf(func(m *instance.Member) { m.Load = load })
+}
+
+// tellVersion spreads which catalogue version is in force here.
+func (e *Entry) tellVersion(version uint64) {
+	e.members.SetSelf(func(m *instance.Member) { m.Catalogue = version })
+}
+
+// servingEntries lists the entries that callers may be sent to: those that serve
+// and that no planned stop covers.
+func (e *Entry) servingEntries() []*instance.Member {
+	c, now := e.follower.current.Load(), e.deps.Now()
+	var out []*instance.Member
+	for _, m := range e.members.View().Members(instance.RoleEntry) {
+		stopped := c != nil && c.covered(m.ID, m.Zone, now)
+		if m.State == instance.StateServing && !m.Suspected && !stopped {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// peerLinks lists the link addresses of other entries.
+func (e *Entry) peerLinks() []string {
+	var out []string
+	for _, m := range e.members.View().Members(instance.RoleEntry) {
+		if m.ID != e.cfg.ID {
+			out = append(out, m.LinkAddress)
+		}
+	}
+	return out
+}
+
+// StatusView is an entry's state for operators.
+type StatusView struct {
+	ID             string             `json:"id"`
+	Zone           string             `json:"zone"`
+	Phase          string             `json:"phase"`
+	Catalogue      uint64             `json:"catalogueVersion"`
+	ConfirmedAgeMs int64              `json:"confirmedAgeMs"`
+	Unfinished     int                `json:"unfinished"`
+	Members        []*instance.Member `json:"members"`
+	Servers        []*instance.Server `json:"servers"`
+	Error          string             `json:"error,omitempty"`
+}
+
+func (e *Entry) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	v := StatusView{
+		ID: e.cfg.ID, Zone: e.cfg.Zone, Phase: e.life.is().String(), Unfinished: e.unfinished(),
+		Members: e.members.View().Members(""), Servers: e.members.View().AllServers(),
+	}
+	if c := e.follower.current.Load(); c != nil {
+		v.Catalogue = c.reply.Version
+		v.ConfirmedAgeMs = e.follower.describe().Age.Milliseconds()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the operator's connection is gone: nobody to tell
+}
+
+// memberEvent takes in one change of the membership.
+func (e *Entry) memberEvent(ev membership.Event) {
+	switch {
+	case ev.Server != nil:
+		e.serverChanged(ev.Server)
+	case ev.Member != nil:
+		e.memberChanged(ev.Member)
+	case ev.Record != nil:
+		e.guard.recordChanged(ev.Record)
+	}
+}
+
+func (e *Entry) serverChanged(s *instance.Server) {
+	kind := event.ServerAnnounced
+	switch s.State {
+	case instance.StateLeaving:
+		kind = event.ServerLeaving
+	case instance.StateGone:
+		kind = event.ServerGone
+	}
+	event.Log(e.ctx, e.deps.Log, slog.LevelDebug, kind,
+		slog.String("server", s.ID), slog.Uint64("incarnation", s.Incarnation),
+		slog.String("zone", s.Zone), slog.String("heardBy", s.HeardBy))
+	e.lanes.sync(e.members.View().AllServers())
+	e.guard.serverChanged(s)
+	e.guard.membersChanged()
+	e.retries.setServers(len(e.members.View().AllServers()))
+}
+
+func (e *Entry) memberChanged(m *instance.Member) {
+	event.Log(e.ctx, e.deps.Log, slog.LevelInfo, event.MemberChanged,
+		slog.String("id", m.ID), slog.String("role", m.Role), slog.String("state", string(m.State)))
+	e.guard.membersChanged()
+	e.shareServers()
+}
+
+// reclaimed reports whether an attempt's server is known to leave or to be gone:
+// its work goes on elsewhere and is no retry.
+func (e *Entry) reclaimed(g *grant) bool {
+	s, known := e.members.View().Server(g.verdict.Server)
+	return known && (s.State != instance.StateServing || s.Incarnation != g.verdict.Incarnation)
+}
+
+// shareServers tells the lanes how many entries send work to the servers. Those
+// that leave still do, for what they have accepted.
+func (e *Entry) shareServers() {
+	members := e.members.View().Members(instance.RoleEntry)
+	number := slices.IndexFunc(members, func(m *instance.Member) bool { return m.ID == e.cfg.ID })
+	e.lanes.setEntries(max(1, len(members)), max(0, number))
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"savoryreel.example/savoryreel/request"
+)
+
+// Metrics are an entry's counters, all in one set that the operations listener
+// shows.
+type Metrics struct {
+	set *metrics.Set
+
+	attemptsFailed   *metrics.Counter
+	resumed          *metrics.Counter
+	recomputed       *metrics.Counter
+	cached           *metrics.Counter
+	prompt           *metrics.Counter
+	handedOver       *metrics.Counter
+	takenOver        *metrics.Counter
+	quarantined      *metrics.Counter
+	queueWait        *metrics.Histogram
+	firstToken       *metrics.Histogram // from arrival at this entry
+	engineFirstToken *metrics.Histogram // from sending to the engine
+	betweenTokens    *metrics.Histogram
+	ledgerCommit     *metrics.Histogram
+}
+
+// NewMetrics registers an entry's metrics on set.
+func NewMetrics(set *metrics.Set) *Metrics {
+	return &Metrics{
+		set:              set,
+		attemptsFailed:   set.NewCounter("savoryreel_attempts_failed_total"),
+		resumed:          set.NewCounter("savoryreel_answers_resumed_total"),
+		recomputed:       set.NewCounter("savoryreel_tokens_recomputed_total"),
+		cached:           set.NewCounter("savoryreel_prompt_tokens_cached_total"),
+		prompt:           set.NewCounter("savoryreel_prompt_tokens_total"),
+		handedOver:       set.NewCounter("savoryreel_requests_handed_over_total"),
+		takenOver:        set.NewCounter("savoryreel_requests_taken_over_total"),
+		quarantined:      set.NewCounter("savoryreel_requests_quarantined_total"),
+		queueWait:        set.NewHistogram("savoryreel_queue_wait_seconds"),
+		firstToken:       set.NewHistogram("savoryreel_first_token_seconds"),
+		engineFirstToken: set.NewHistogram("savoryreel_engine_first_token_seconds"),
+		betweenTokens:    set.NewHistogram("savoryreel_between_tokens_seconds"),
+		ledgerCommit:     set.NewHistogram("savoryreel_ledger_commit_seconds"),
+	}
+}
+
+// ended counts one request by outcome and, where it has one, problem code.
+func (m *Metrics) ended(o request.Outcome, c request.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("savoryreel_requests_total{outcome=%q,code=%q}", o, c)).Inc()
+}
--- /dev/null
+++ b/entry/prefixes.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/policy/route"
+)
+
+// listingClient fetches the full listing of a model server's prefix cache.
+type listingClient interface {
+	Listing(ctx context.Context, address string) (platform.CacheListing, error)
+}
+
+// listingTimeout bounds one fetch of a listing.
+const listingTimeout = 2 * time.Second
+
+// prefixes feeds the lanes' prefix indexes with cache events, and repairs an
+// index whose events have a gap by the server's full listing.
+//
+// Events get lost and come late. An index that missed an eviction sends
+// requests to a server that must prefill them again; one that missed a store
+// sends them elsewhere. Neither shows but as recomputed tokens, for as long as
+// the gap is not repaired.
+type prefixes struct {
+	lanes   *lanes
+	engines listingClient
+	log     *slog.Logger
+	work    *sync.WaitGroup
+	ctx     context.Context
+
+	mu      sync.Mutex
+	fetches map[string]bool // servers whose listing is being fetched
+}
+
+// take applies a batch of events of one incarnation of a server.
+func (p *prefixes) take(server string, incarnation uint64, events []instance.CacheEvent) {
+	l, address, ok := p.laneOf(server, incarnation)
+	if !ok {
+		return // not announced here yet: its listing is fetched when it is
+	}
+	if l.cacheEvents(server, incarnation, events) {
+		return
+	}
+	p.repair(l, server, address)
+}
+
+func (p *prefixes) laneOf(server string, incarnation uint64) (*lane, string, bool) {
+	p.lanes.mu.RLock()
+	h, known := p.lanes.servers[server]
+	p.lanes.mu.RUnlock()
+	if !known || h.server.Incarnation != incarnation || h.server.Model == "" {
+		return nil, "", false
+	}
+	a := h.server
+	l, err := p.lanes.of(laneKey{kind: contract.KindModel, name: a.Model})
+	return l, a.Address, err == nil
+}
+
+// repair fetches the full listing, once at a time for each server.
+func (p *prefixes) repair(l *lane, server, address string) {
+	p.mu.Lock()
+	busy := p.fetches[server]
+	p.fetches[server] = true
+	p.mu.Unlock()
+	if busy {
+		return
+	}
+	event.Log(p.ctx, p.log, slog.LevelInfo, event.CacheGap, slog.String("server", server))
+	p.work.Go(func() {
+		defer p.fetched(server)
+		ctx, cancel := context.WithTimeout(p.ctx, listingTimeout)
+		defer cancel()
+		listing, err := p.engines.Listing(ctx, address)
+		if err != nil {
+			return // the next events show the gap again
+		}
+		l.cacheListing(server, listing)
+	})
+}
+
+func (p *prefixes) fetched(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.fetches, server)
+}
+
+// cacheEvents applies events and reports false where some are missing.
+func (l *lane) cacheEvents(server string, incarnation uint64, events []instance.CacheEvent) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	whole := true
+	for _, ev := range events {
+		if l.router.Prefixes().Apply(server, incarnation, ev) == route.Gap {
+			whole = false
+		}
+	}
+	return whole
+}
+
+func (l *lane) cacheListing(server string, c platform.CacheListing) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	listing := route.Listing{Incarnation: c.Incarnation, Sequence: c.Sequence}
+	for _, entry := range c.Entries {
+		listing.Prefixes = append(listing.Prefixes, route.CachedPrefix{Prefix: entry.Prefix, Tokens: entry.Tokens})
+	}
+	l.router.Prefixes().Replace(server, listing)
+}
--- /dev/null
+++ b/entry/work.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/request"
+)
+
+// work is one accepted chat request while this entry holds it.
+type work struct {
+	request *request.Request
+	journal *request.Journal
+	ticket  *ticket
+
+	ctx    context.Context    // of the attempts; ends at the deadline
+	cancel context.CancelFunc // ends the attempts
+
+	mu        sync.Mutex
+	followers int       // callers that read the answer now
+	lastLeft  time.Time // when the last follower left; zero: none has
+	taken     bool      // came from another entry: its caller may still be on the way
+	done      time.Time // when the answer ended; zero: it goes on
+	interrupt context.CancelCauseFunc
+	parked    chan struct{} // not nil: the work is to pause; closed once it has
+	resumed   chan struct{} // closed when the work may go on
+}
+
+// errPaused is why an attempt ends when its request is to be handed over.
+var errPaused = errors.New("paused for a hand-over")
+
+// arm returns the context of the next step, which a pause interrupts.
+func (w *work) arm() (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(w.ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.interrupt = cancel
+	if w.parked != nil {
+		cancel(errPaused)
+	}
+	return ctx, cancel
+}
+
+// park waits out a pause. It reports false when the work has ended meanwhile.
+func (w *work) park() bool {
+	w.mu.Lock()
+	parked, resumed := w.parked, w.resumed
+	w.mu.Unlock()
+	if parked == nil {
+		return w.ctx.Err() == nil
+	}
+	close(parked)
+	select {
+	case <-resumed:
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
+}
+
+// pause stops the work's attempts and returns once no more tokens can come. It
+// reports false when the answer has ended.
+func (w *work) pause() bool {
+	w.mu.Lock()
+	if w.parked != nil || w.journal.Ended() != nil {
+		w.mu.Unlock()
+		return false
+	}
+	w.parked, w.resumed = make(chan struct{}), make(chan struct{})
+	parked, interrupt := w.parked, w.interrupt
+	w.mu.Unlock()
+	if interrupt != nil {
+		interrupt(errPaused)
+	}
+	select {
+	case <-parked:
+	case <-w.ctx.Done():
+	}
+	return w.journal.Ended() == nil
+}
+
+// resume lets paused work go on.
+func (w *work) resume() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.resumed)
+	w.parked = nil
+}
+
+// orphaned reports whether the work came from another entry and its caller has
+// not come for it.
+func (w *work) orphaned(now time.Time, after time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.taken && w.followers == 0 && !w.request.Keep && now.Sub(w.lastLeft) > after
+}
+
+// follow counts a caller that reads the answer.
+func (w *work) follow() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.followers++
+	w.taken = false // its caller has come
+}
+
+// unfollow counts a caller that stopped reading and reports whether nobody is
+// left who wants the answer.
+func (w *work) unfollow(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.followers--
+	w.lastLeft = now
+	return w.followers == 0 && !w.request.Keep && !w.taken
+}
+
+// ended notes when the answer ended: from then on it is only held for callers
+// that come back.
+func (w *work) ended(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done = now
+}
+
+// disposable reports whether the answer has ended and nobody has asked for it
+// for long.
+func (w *work) disposable(now time.Time, after time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.done.IsZero() && w.followers == 0 && now.Sub(w.done) > after && now.Sub(w.lastLeft) > after
+}
+
+// registryShards is a power of two well above the number of cores, so that two
+// requests seldom want the same shard at once.
+const registryShards = 64
+
+// registry holds this entry's work by request id.
+type registry struct {
+	seed   maphash.Seed
+	shards [registryShards]registryShard
+}
+
+type registryShard struct {
+	mu   sync.Mutex
+	work map[request.ID]*work
+}
+
+func newRegistry() *registry {
+	r := &registry{seed: maphash.MakeSeed()}
+	for i := range r.shards {
+		r.shards[i].work = map[request.ID]*work{}
+	}
+	return r
+}
+
+func (r *registry) shard(id request.ID) *registryShard {
+	return &r.shards[maphash.String(r.seed, string(id))%registryShards]
+}
+
+// add registers w unless its id is registered already, and returns what is
+// registered: a request handed over twice must run once.
+func (r *registry) add(w *work) (*work, bool) {
+	s := r.shard(w.request.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, known := s.work[w.request.ID]; known {
+		return old, false
+	}
+	s.work[w.request.ID] = w
+	return w, true
+}
+
+func (r *registry) get(id request.ID) (*work, bool) {
+	s := r.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.work[id]
+	return w, ok
+}
+
+func (r *registry) remove(id request.ID) {
+	s := r.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.work, id)
+}
+
+// all returns the work held now.
+func (r *registry) all() []*work {
+	var out []*work
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for _, w := range s.work {
+			out = append(out, w)
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// unfinished counts the work whose answer is not whole yet.
+func (r *registry) unfinished() int {
+	n := 0
+	for _, w := range r.all() {
+		if w.journal.Ended() == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// cost is the request's work in tokens as it turned out: its prompt as
+// estimated and the tokens of its answer.
+func (w *work) cost() int {
+	return w.ticket.route.PromptTokens + len(w.journal.Tokens())
+}
+
+// followed counts the callers that read an answer now.
+func (r *registry) followed() int {
+	n := 0
+	for _, w := range r.all() {
+		w.mu.Lock()
+		n += w.followers
+		w.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,133 @@
+// Package event numbers the log lines of the system. Each kind of line has one
+// number, kept for good, so that an operator can search for it and find in
+// docs/EVENTS.md what it means and what to do.
+package event
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+)
+
+// Kind is the number of one kind of log line.
+type Kind uint16
+
+// The kinds. 1xxx is the life of a process, 2xxx requests, 3xxx backend servers
+// and membership, 4xxx catalogue and planned stops, 5xxx control replicas.
+const (
+	ProcessStarted   Kind = 1001
+	ProcessStopping  Kind = 1002
+	ProcessStopped   Kind = 1003
+	SettingsRefused  Kind = 1004
+	ListenerOpen     Kind = 1005
+	DrainBegun       Kind = 1010
+	DrainDone        Kind = 1011
+	RequestEnded     Kind = 2001
+	RequestRefused   Kind = 2002
+	RouteChosen      Kind = 2101
+	RouteWaits       Kind = 2102
+	AttemptFailed    Kind = 2103
+	StreamResumed    Kind = 2104
+	CallerLeft       Kind = 2105
+	CallerReturned   Kind = 2106
+	RequestTaken     Kind = 2110
+	RequestHandedOff Kind = 2111
+	HandOffFailed    Kind = 2112
+	LedgerAnswered   Kind = 2201
+	LedgerFailed     Kind = 2202
+	EntryPicked      Kind = 2120
+	SuspectHeld      Kind = 2301
+	Quarantined      Kind = 2302
+	ServerAnnounced  Kind = 3001
+	ServerLeaving    Kind = 3002
+	ServerGone       Kind = 3003
+	ServerRefused    Kind = 3004
+	ServerSlow       Kind = 3005
+	CacheGap         Kind = 3006
+	MemberChanged    Kind = 3101
+	CatalogueChanged Kind = 4001
+	CatalogueRefused Kind = 4002
+	CatalogueTaken   Kind = 4003
+	FreshnessLost    Kind = 4004
+	FreshnessBack    Kind = 4005
+	StopBegun        Kind = 4101
+	LeaderChanged    Kind = 5001
+	ReplicaFailed    Kind = 5002
+	OrderGiven       Kind = 5101
+	OrderRefused     Kind = 5102
+	PlacementChosen  Kind = 5201
+	StartRefused     Kind = 5202
+)
+
+// Description is a line of the catalogue of events.
+type Description struct {
+	Kind Kind
+	Name string // the log line's message
+}
+
+// catalogue lists every kind; docs/EVENTS.md repeats it with what to do.
+var catalogue = [...]Description{
+	{ProcessStarted, "process started"},
+	{ProcessStopping, "process stopping"},
+	{ProcessStopped, "process stopped"},
+	{SettingsRefused, "settings refused"},
+	{ListenerOpen, "listener open"},
+	{DrainBegun, "drain begun"},
+	{DrainDone, "drain done"},
+	{RequestEnded, "request ended"},
+	{RequestRefused, "request refused"},
+	{RouteChosen, "route chosen"},
+	{RouteWaits, "no route yet, request waits"},
+	{AttemptFailed, "attempt failed"},
+	{StreamResumed, "answer resumed on another backend server"},
+	{CallerLeft, "caller left"},
+	{CallerReturned, "caller came back for its answer"},
+	{RequestTaken, "request taken over from another entry"},
+	{RequestHandedOff, "request handed over to another entry"},
+	{HandOffFailed, "hand-over failed"},
+	{EntryPicked, "entries named to a caller"},
+	{LedgerAnswered, "ledger answered"},
+	{LedgerFailed, "ledger failed"},
+	{SuspectHeld, "suspect request held back from shared servers"},
+	{Quarantined, "request quarantined"},
+	{ServerAnnounced, "backend server announced"},
+	{ServerLeaving, "backend server leaving"},
+	{ServerGone, "backend server gone"},
+	{ServerRefused, "announcement refused"},
+	{ServerSlow, "backend server slow"},
+	{CacheGap, "cache events have a gap"},
+	{MemberChanged, "instance changed"},
+	{CatalogueChanged, "catalogue changed"},
+	{CatalogueRefused, "catalogue change refused"},
+	{CatalogueTaken, "catalogue version in force here"},
+	{FreshnessLost, "catalogue may be out of date, new requests refused"},
+	{FreshnessBack, "catalogue confirmed again"},
+	{StopBegun, "planned stop in force"},
+	{LeaderChanged, "leader changed"},
+	{ReplicaFailed, "replica failed"},
+	{OrderGiven, "order given"},
+	{OrderRefused, "order refused"},
+	{PlacementChosen, "placement chosen"},
+	{StartRefused, "start of an instance refused"},
+}
+
+// All returns the catalogue of events, by number.
+func All() []Description { return catalogue[:] }
+
+// String is the kind's message.
+func (k Kind) String() string {
+	for _, d := range catalogue {
+		if d.Kind == k {
+			return d.Name
+		}
+	}
+	return "event " + strconv.Itoa(int(k))
+}
+
+// Log writes one line of kind k with its number as attribute "event".
+func Log(ctx context.Context, l *slog.Logger, level slog.Level, k Kind, attrs ...slog.Attr) {
+	if !l.Enabled(ctx, level) {
+		return
+	}
+	l.LogAttrs(ctx, level, k.String(), append([]slog.Attr{slog.Int("event", int(k))}, attrs...)...)
+}
--- /dev/null
+++ b/operator/entry.go
@@ -0,0 +1,36 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"savoryreel.example/savoryreel/entry"
+)
+
+// EntryStatus asks an entry's operations listener for its state. An entry that
+// does not answer is shown with its error.
+func EntryStatus(ctx context.Context, address string) entry.StatusView {
+	v, err := entryStatus(ctx, address)
+	if err != nil {
+		return entry.StatusView{ID: address, Error: err.Error()}
+	}
+	return v
+}
+
+func entryStatus(ctx context.Context, address string) (entry.StatusView, error) {
+	var v entry.StatusView
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
+	if err != nil {
+		return v, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return v, err
+	}
+	defer resp.Body.Close()
+	return v, json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(&v)
+}
--- a/policy/quarantine/record.go
+++ b/policy/quarantine/record.go
@@ -170,3 +170,14 @@
 	c.Exposures = slices.Clone(r.Exposures)
 	return c
 }
+
+// Merge returns the union of two records of one fingerprint, for a store that
+// joins what several entries have written. Order and doubles don't matter.
+func Merge(a, b Record) Record {
+	out := a.clone()
+	out.Struck = a.Struck || b.Struck
+	for _, e := range b.Exposures {
+		out.raise(e)
+	}
+	return out
+}
--- a/policy/route/router.go
+++ b/policy/route/router.go
@@ -22,6 +22,8 @@
 	median     float64       // of the servers' health ratios
 	firstToken time.Duration // moving average over all servers
 
+	order []int // slots of the servers, by id; nil: to be sorted again
+
 	// Scratch space, so that Choose does not allocate.
 	ratios  []float64
 	matched []int32   // cached tokens by slot
@@ -53,6 +55,7 @@
 	s := &r.servers[slot]
 	if s.id == "" {
 		r.index.servers[slot].pinned = true
+		r.order = nil
 		s.id = a.ID
 		s.hash = xxhash.Sum64String(a.ID)
 	} else if !newer(a, s) {
@@ -84,6 +87,7 @@
 	if slot < len(r.servers) {
 		r.servers[slot] = server{}
 	}
+	r.order = nil
 	r.index.servers[slot].pinned = false
 	r.index.Forget(id)
 }
@@ -99,6 +103,16 @@
 	return s.health.share * s.ramp(&r.cfg, now)
 }
 
+// Eased returns the part of its share that a server gets because of slowness
+// alone, slow start left out; 1 for one that is not known.
+func (r *Router) Eased(id string) float64 {
+	slot, ok := r.index.slots[id]
+	if !ok || slot >= len(r.servers) || r.servers[slot].id == "" {
+		return 1
+	}
+	return r.servers[slot].health.share
+}
+
 func (r *Router) grow(n int) {
 	for len(r.servers) < n {
 		r.servers = append(r.servers, server{})
@@ -443,3 +457,18 @@
 	}
 	b.n = min(b.n+1, 2)
 }
+
+// ChooseServer is Choose with the server given, for a request that may run only
+// there. The verdict has no server if that one may not run the request.
+func (r *Router) ChooseServer(req *Request, id string) Verdict {
+	r.assess(req.Now)
+	t := r.weigh(req)
+	slot, known := r.index.slots[id]
+	if !known || slot >= len(r.weights) || r.weights[slot] == 0 {
+		return Verdict{Reason: t.refusal()}
+	}
+	r.index.match(req.Prefixes, r.matched)
+	var p picks
+	p.add(slot)
+	return r.verdict(req, &p, ReasonGiven)
+}
--- a/policy/route/verdict.go
+++ b/policy/route/verdict.go
@@ -27,6 +27,7 @@
 	ReasonSpread                     // servers that would come first are at their load bound
 	ReasonLeastCost                  // the cheapest of a random sample
 	ReasonProbe                      // trial of a server that had been slow
+	ReasonGiven                      // the only one that the request may run on
 	ReasonAllAtBound                 // every server is at its bound: the cheapest of a random sample
 	ReasonNoServer                   // no serving server is known
 	ReasonNoVersion                  // servers serve, none the version asked for
@@ -37,7 +38,7 @@
 // String returns the reason in lower case with underscores, for logs.
 func (r Reason) String() string {
 	names := [...]string{
-		"cached_prefix", "rendezvous", "spread", "least_cost", "probe",
+		"cached_prefix", "rendezvous", "spread", "least_cost", "probe", "given",
 		"all_at_bound", "no_server", "no_version", "no_adapter", "all_excluded",
 	}
 	if int(r) < len(names) {
--- /dev/null
+++ b/request/journal_test.go
@@ -0,0 +1,71 @@
+package request
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Callers lose their connection and come back at any position while the answer
+// grows. Each must end up with every token once and in order, whatever the
+// interleaving.
+func TestJournalGivesEveryReaderEveryTokenOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := rapid.SliceOfN(rapid.String(), 0, 40).Draw(t, "tokens")
+		handed := rapid.IntRange(0, len(want)).Draw(t, "handed over")
+		j := NewJournal(append([]string{}, want[:handed]...))
+		var readers sync.WaitGroup
+		got := make([][]string, 3)
+		for i := range got {
+			from := rapid.IntRange(0, handed).Draw(t, "from")
+			readers.Go(func() {
+				got[i] = append(got[i], want[:from]...)
+				for {
+					tokens, end, err := j.Next(context.Background(), len(got[i]))
+					if err != nil || end != nil {
+						return
+					}
+					got[i] = append(got[i], tokens...)
+				}
+			})
+		}
+		for _, token := range want[handed:] {
+			j.Append(token)
+		}
+		j.Finish(End{Finish: "stop"})
+		j.Append("late") // from an attempt already given up
+		readers.Wait()
+		for i := range got {
+			require.Equal(t, len(want), len(got[i]))
+			for k := range want {
+				require.Equal(t, want[k], got[i][k])
+			}
+		}
+	})
+}
+
+func TestJournalNextEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, _, err := NewJournal(nil).Next(ctx, 0)
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+func TestProblemWriteRoundsRetryAfterUp(t *testing.T) {
+	w := httptest.NewRecorder()
+	NewProblem(CodeLimit, NotRun, "busy").After(1200 * time.Millisecond).Write(w)
+	require.Equal(t, 429, w.Code)
+	require.Equal(t, "2", w.Header().Get("Retry-After"))
+	require.Equal(t, "not_run", w.Header().Get(HeaderOutcome))
+}
+
+func TestFingerprintKeepsPartsApart(t *testing.T) {
+	a := &Request{Workspace: "ab", Service: "c"}
+	b := &Request{Workspace: "a", Service: "bc"}
+	require.NotEqual(t, a.Fingerprint(), b.Fingerprint())
+}
