--- a/cmd/savoryreel/load.go
+++ b/cmd/savoryreel/load.go
@@ -21,6 +21,7 @@
 	prompt, prefix, prefixes     int
 	duration, deadline, target   time.Duration
 	jsonFile, htmlFile           string
+	direct, model                string
 	once                         bool
 }
 
@@ -41,10 +42,15 @@
 	s.Duration(&c.duration, "duration", 10*time.Second, "length of the run", settings.Between(100*time.Millisecond, time.Hour))
 	s.Duration(&c.deadline, "deadline", 30*time.Second, "deadline of each request", settings.Between(time.Millisecond, time.Hour))
 	s.Duration(&c.target, "target", 720*time.Millisecond, "first-token target", settings.Between(time.Millisecond, time.Hour))
+	s.String(&c.direct, "direct", "", "address of a model engine to call directly beside, for comparison", settings.Optional(settings.HostPort))
+	s.String(&c.model, "model", "demo", "model of that engine")
 	s.String(&c.jsonFile, "json", "", "file for the result as JSON")
 	s.String(&c.htmlFile, "html", "", "file for the report as HTML")
 }
 
+// directPart names the requests that go to an engine directly.
+const directPart = "direct"
+
 func oneOf(words ...string) settings.Check[string] {
 	return func(v string) error {
 		for _, w := range words {
@@ -65,6 +71,11 @@
 	cfg := load.Config{
 		Rate: float64(c.rate), Duration: c.duration, MaxInFlight: c.inFlight, Seed: uint64(c.seed), Parts: []load.Part{part},
 	}
+	if c.direct != "" {
+		beside := part
+		beside.Name, beside.Direct, beside.Service = directPart, c.direct, c.model
+		cfg.Parts = append(cfg.Parts, beside)
+	}
 	for _, addr := range c.entries {
 		cfg.Entries = append(cfg.Entries, "http://"+addr)
 	}
@@ -93,7 +104,17 @@
 
 func writeResult(w io.Writer, r *load.Result, c *loadConfig) error {
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	writeTable(tw, &r.Total)
+	for i := range r.Parts {
+		fmt.Fprintf(tw, "%s\n", r.Parts[i].Name)
+		writeTable(tw, &r.Parts[i])
+	}
+	if c.direct != "" {
+		o, err := r.Overhead(c.service, directPart)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(tw, "first token against direct\tp50 x%.3f (%+.2f ms)\tp99 x%.3f (%+.2f ms)\n", o.P50, o.AddedP50, o.P99, o.AddedP99)
+	}
 	if err := tw.Flush(); err != nil {
 		return err
 	}
