--- /dev/null
+++ b/replica/host/fault_test.go
@@ -0,0 +1,76 @@
+package host_test
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/host"
+	"savoryreel.example/savoryreel/replica/storage"
+)
+
+// slowStorage is an empty storage whose saves wait for a verdict.
+type slowStorage struct {
+	saving   chan struct{}
+	verdicts chan error
+}
+
+func (s *slowStorage) State() replica.State { return replica.State{} }
+
+func (s *slowStorage) Save(replica.HardState, []replica.Entry) error {
+	s.saving <- struct{}{}
+	return <-s.verdicts
+}
+
+func (s *slowStorage) SaveSnapshot(replica.Snapshot) error { return nil }
+
+func (s *slowStorage) Install(replica.HardState, replica.Snapshot) error { return nil }
+
+// recorder keeps what a host sends.
+type recorder chan replica.Message
+
+func (r recorder) Send(m replica.Message) { r <- m }
+
+// A follower's disk is slow, and then a sync fails. Had it answered the leader
+// before the sync, the leader would have told a caller that the change is safe,
+// and the power loss that follows would take it away. After the failure the
+// process must stop, without any answer.
+//
+// Breaks when work sends rd.Messages before persist, or goes on after its error.
+func TestNothingIsAcknowledgedBeforeTheSync(t *testing.T) {
+	disk := &slowStorage{saving: make(chan struct{}), verdicts: make(chan error)}
+	sent := make(recorder, 100)
+	h, err := host.New(host.Config{ID: 1, Voters: []uint64{1, 2, 3}, TickInterval: time.Hour}, host.Deps{
+		Storage: disk, Transport: sent, Machine: &machine{},
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Now:    time.Now, Rand: rand.New(rand.NewPCG(1, 1)).Int64N,
+	})
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(t.Context()) }()
+
+	first := replica.Entry{Index: 1, Term: 1, Kind: kindMark}
+	h.Step(replica.Message{Type: replica.MsgAppend, From: 2, To: 1, Term: 1, Entries: []replica.Entry{first}})
+	<-disk.saving
+	require.Empty(t, sent)
+	require.Zero(t, h.LastIndexOf(kindMark))
+	disk.verdicts <- nil
+	reply := <-sent
+	require.Equal(t, uint64(1), reply.Index)
+	require.Equal(t, replica.MsgAppendReply, reply.Type)
+
+	second := replica.Entry{Index: 2, Term: 1, Kind: kindMark}
+	h.Step(replica.Message{Type: replica.MsgAppend, From: 2, To: 1, Term: 1, Index: 1, LogTerm: 1, Entries: []replica.Entry{second}})
+	<-disk.saving
+	disk.verdicts <- storage.ErrFailed
+	require.ErrorIs(t, <-ended, storage.ErrFailed)
+	require.Empty(t, sent)
+	require.Equal(t, uint64(1), h.LastIndexOf(kindMark))
+	_, err = h.Propose(t.Context(), kindPut, nil)
+	require.ErrorIs(t, err, host.ErrStopped)
+}
--- a/replica/host/loop.go
+++ b/replica/host/loop.go
@@ -13,14 +13,13 @@
 
 // loopState is what only the loop touches: the requests it has taken on.
 type loopState struct {
-	term      uint64 // in which this replica leads and appended the requests; 0: none
-	appended  map[uint64]appended
-	reads     map[uint64]*command // waiting for a majority, by read id
-	confirmed []confirmedRead
-	transfer  *command
-	nextRead  uint64
-	finished  []finished
-	lost      int // replicas reported as lost
+	term     uint64 // in which this replica leads and appended the requests; 0: none
+	appended map[uint64]appended
+	reads    map[uint64]*command // waiting for a majority, by read id
+	transfer *command
+	nextRead uint64
+	finished []finished
+	lost     int // replicas reported as lost
 }
 
 // appended is a request whose entry is in the log.
@@ -29,12 +28,6 @@
 	term    uint64
 }
 
-// confirmedRead waits until the entry at index is applied.
-type confirmedRead struct {
-	command *command
-	index   uint64
-}
-
 // finished is an outcome that is told once the loop's state is published, so
 // that a caller finds its own proposal in Status and LastIndexOf.
 type finished struct {
@@ -141,10 +134,17 @@
 }
 
 func (h *Host) takeTransfer(c *command) {
-	if err := h.core.Transfer(c.transfer); err != nil {
-		h.finish(&c.request, nil, h.refusal(err))
+	err := h.core.Transfer(c.transfer)
+	if errors.Is(err, replica.ErrNotLeader) {
+		err = h.notLeader()
+	}
+	if err != nil {
+		h.finish(&c.request, nil, err)
 		return
 	}
+	if old := h.loop.transfer; old != nil {
+		h.finish(&old.request, nil, ErrTransferFailed)
+	}
 	h.loop.transfer = c
 }
 
@@ -253,22 +253,15 @@
 	h.finish(a.request, result, err)
 }
 
+// answerReads ends the reads that a majority has confirmed. Their index is at
+// most that of the last entry in rd.Committed, which is applied by now.
 func (h *Host) answerReads(reads []replica.ReadState) {
 	for _, r := range reads {
 		if c, ok := h.loop.reads[r.ID]; ok {
 			delete(h.loop.reads, r.ID)
-			h.loop.confirmed = append(h.loop.confirmed, confirmedRead{command: c, index: r.Index})
-		}
-	}
-	waiting := h.loop.confirmed[:0]
-	for _, r := range h.loop.confirmed {
-		if r.index > h.core.AppliedIndex() {
-			waiting = append(waiting, r)
-			continue
+			h.finish(&c.request, nil, nil)
 		}
-		h.finish(&r.command.request, nil, nil)
 	}
-	h.loop.confirmed = waiting
 }
 
 // snapshot keeps the state machine's state every SnapshotEvery entries, so that
@@ -355,9 +348,6 @@
 // themselves when they see stopped closed.
 func (h *Host) stop() {
 	h.abandon(ErrStopped)
-	for _, r := range h.loop.confirmed {
-		h.finish(&r.command.request, nil, ErrStopped)
-	}
 	if t := h.loop.transfer; t != nil {
 		h.finish(&t.request, nil, ErrStopped)
 	}
--- /dev/null
+++ b/replica/lease_test.go
@@ -0,0 +1,38 @@
+package replica_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/replica"
+)
+
+// An answer to a heartbeat is long under way, and the voter's clock runs faster
+// than the leader's. A lease counted from the answer, or without a margin for the
+// clocks, would outlast the voter's promise, and two leaders would give orders.
+//
+// Breaks when handleHeartbeatReply takes c.now, or leaseDuration has no margin.
+func TestLeaseCountsFromTheSendingOfTheHeartbeat(t *testing.T) {
+	const late = 3 * simElection / 2
+	c := leader1(t)
+	step(t, c, replica.Message{Type: replica.MsgAppendReply, From: 2, Term: 4, Index: 3})
+	_, _, ok := c.Lease()
+	require.False(t, ok, "no heartbeat is answered yet")
+
+	answer := replica.Message{Type: replica.MsgHeartbeatReply, From: 2, To: 1, Term: 4, Round: 1, Sent: simElection}
+	require.NoError(t, c.Step(late, answer))
+	term, until, ok := c.Lease()
+	require.True(t, ok)
+	require.Equal(t, uint64(4), term)
+	require.Equal(t, simElection+simElection*(100-replica.DefaultMaxDriftPercent)/100, until)
+
+	c.Tick(until)
+	_, _, ok = c.Lease()
+	require.False(t, ok)
+	c.Tick(simElection + simElection - time.Nanosecond)
+	require.Equal(t, replica.Leader, c.Role())
+	c.Tick(simElection + simElection)
+	require.Equal(t, replica.Follower, c.Role(), "a leader that no majority answers steps down")
+}
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -15,11 +15,12 @@
 	MustSync  bool
 	Messages  []Message
 	Committed []Entry
-	Reads     []ReadState
+	Reads     []ReadState // answered once Committed is applied
 }
 
 // ReadState answers ReadIndex: once the entry at Index is applied, the state
-// machine holds everything acknowledged before the read was asked for.
+// machine holds everything acknowledged before the read was asked for. That entry
+// is in Committed or was applied before.
 type ReadState struct {
 	ID    uint64
 	Index uint64
