policy/policytest, docs: patterns of load in virtual time, and what callers get

Cause: whether the decisions hold under load can only be seen where they act together: several entries with late reports, servers with slots, surges.

Removing the headroom, the request limit, the wait's 95th percentile, the parts of slots, the headroom for short work and the retry budget were each seen to fail a test.

--- a/policy/admit/admitter.go
+++ b/policy/admit/admitter.go
@@ -165,12 +165,12 @@
 	if a.standing.since(now) < a.cfg.Standing {
 		return r.Estimate.Wait - time.Duration(a.cfg.Burst*float64(r.Target))
 	}
-	if r.Estimate.Wait == 0 {
-		return 0
-	}
 	if r.Estimate.Held {
 		return max(r.Estimate.Wait, a.cfg.MinRetryAfter)
 	}
+	if r.Estimate.Wait == 0 {
+		return 0
+	}
 	return r.Estimate.WaitP95 + r.Estimate.First - r.Target
 }
 
--- a/policy/admit/admitter_test.go
+++ b/policy/admit/admitter_test.go
@@ -243,6 +243,11 @@
 	assert.InDelta(t, 0.05+tail*0.0224, e.WaitP95.Seconds(), 0.01, "one of each other workspace may come first")
 	e = d.Estimate(now, queue.Backlog{Ahead: 1_000, Total: 1_000, Share: 0.5, Starts: true})
 	assert.Zero(t, e.Wait)
+	e = d.Estimate(now, queue.Backlog{Ahead: 1_000, Total: 1_000, Share: 0.5, Held: true})
+	assert.True(t, e.Held)
+	assert.Zero(t, e.Wait, "the first of its workspace to be held")
+	e = d.Estimate(now, queue.Backlog{Ahead: 1_000, Total: 1_000, Share: 0.5, Held: true, Waiting: 1})
+	assert.InDelta(t, 0.21, e.Wait.Seconds(), 0.01)
 }
 
 // The same inputs give the same verdicts, and a refused caller is always told a
--- a/policy/admit/drain.go
+++ b/policy/admit/drain.go
@@ -127,6 +127,12 @@
 	if !known || backlog.Starts {
 		return e
 	}
+	if backlog.Held && backlog.Waiting == 0 {
+		// It starts as soon as one slot more comes free than is kept for
+		// others. To count that as a wait would take a workspace that holds
+		// more than its share by long work for an overload.
+		return e
+	}
 	interval := d.cost.value / rate
 	starts := min(float64(backlog.Ahead)/backlog.Share, float64(backlog.Total))/d.cost.value + 1
 	e.Wait = seconds(starts * interval)
--- /dev/null
+++ b/policy/policytest/policies.go
@@ -0,0 +1,73 @@
+package policytest
+
+import (
+	"time"
+
+	"savoryreel.example/savoryreel/policy/queue"
+	"savoryreel.example/savoryreel/policy/retry"
+)
+
+// Set is the policies of one entry, made anew for each entry and run.
+type Set struct {
+	Name   string
+	Line   func(*Scenario) Line
+	Gate   func(*Scenario) Gate
+	Router func(s *Scenario, entry int) Router
+	Retry  func() *retry.Policy // nil: nothing is retried but what was reclaimed
+	Hedge  bool
+
+	// Exchange, if set, is called once a second with all gates, as the control
+	// leader meets the entries.
+	Exchange func(now time.Time, gates []Gate)
+}
+
+// Line is where admitted jobs wait.
+type Line interface {
+	// Push adds a job. evicted have left to make room; the job itself may be
+	// among them.
+	Push(now time.Time, j *Job) (evicted []*Job)
+	// Next takes out a job that may start now, or nil.
+	Next(now time.Time, slots queue.Slots) *Job
+	// Expired takes out the jobs whose callers have left.
+	Expired(now time.Time) []*Job
+	// Ended notes that a started job has given its slot back; work is what it
+	// took, in the unit of Job.Estimate.
+	Ended(now time.Time, j *Job, work int64)
+	// Backlog is what j would wait behind.
+	Backlog(now time.Time, j *Job, slots queue.Slots) queue.Backlog
+	// Held returns the slots held for a workspace, and Elsewhere tells what the
+	// other entries hold.
+	Held(workspace string) int
+	Elsewhere(workspace string, slots int)
+	Len() int
+}
+
+// Gate admits jobs.
+type Gate interface {
+	Admit(now time.Time, j *Job, backlog queue.Backlog) bool
+	Full(now time.Time, full bool) // whether a job that came now would have to wait
+	FirstToken(now time.Time, j *Job)
+	Done(now time.Time, j *Job, work int64) // also of a job that left without running
+}
+
+// View is what an entry believes of a backend server.
+type View struct {
+	Alive    bool
+	Zone     int
+	Slots    int
+	Reported int // running and waiting, as last reported
+	Believed int // Reported, corrected by own starts and ends since
+	Free     int // the entry's part of the slots that are free
+}
+
+// Router chooses a backend server.
+type Router interface {
+	// Route returns the server to use; ok is false if there is none. tried are
+	// servers not to use.
+	Route(now time.Time, j *Job, view []View, tried []int) (server int, ok bool)
+	Started(now time.Time, j *Job, server int)
+	FirstToken(now time.Time, j *Job, server int)
+	Ended(now time.Time, j *Job, server int, failed bool)
+	Report(now, at time.Time, view []View)
+	Cached(now time.Time, server, source, prefix, tokens int, stored bool)
+}
--- /dev/null
+++ b/policy/policytest/routed.go
@@ -0,0 +1,132 @@
+package policytest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/route"
+)
+
+// routed is policy/route as a Router.
+type routed struct {
+	router    *route.Router
+	rng       *rand.Rand
+	sequence  uint64   // of announcements
+	events    []uint64 // of cache events, by server
+	attempts  map[int]*attempt
+	exclude   []string
+	announced bool
+}
+
+// attempt is a job's attempt as the router knows it.
+type attempt struct {
+	verdict  route.Verdict
+	open     route.Attempt
+	answered bool // its first token has come
+}
+
+// incarnation is that of all servers: none restarts in the model.
+const incarnation = 1
+
+// Routed is a Router of route.Router with its default configuration, but for the
+// fleet's own figures, and for slow start: the fleet has been up for long.
+func Routed(s *Scenario, entry int) Router {
+	cfg := route.DefaultConfig()
+	cfg.Entries = s.Entries
+	cfg.PrefillRate = s.Fleet.PrefillRate
+	cfg.SlotTime = s.Fleet.slotTime(promptTokens-prefixTokens, answerTokens)
+	cfg.SlowStart = 0
+	router, err := route.New(cfg)
+	if err != nil {
+		panic(err)
+	}
+	return &routed{
+		router:   router,
+		rng:      rand.New(rand.NewPCG(uint64(entry), 78)),
+		events:   make([]uint64, s.Fleet.Servers),
+		attempts: make(map[int]*attempt),
+	}
+}
+
+func (r *routed) Report(now, at time.Time, view []View) {
+	r.sequence++
+	r.announced = true
+	for i, v := range view {
+		if !v.Alive {
+			r.router.Leave(serverName(i), incarnation)
+			continue
+		}
+		r.router.Announce(&instance.Announcement{
+			ID: serverName(i), Incarnation: incarnation, Sequence: r.sequence, State: instance.StateServing,
+			Zone: fmt.Sprint(v.Zone), Slots: v.Slots, Load: instance.Load{At: at, Running: v.Reported},
+		}, at, now)
+	}
+}
+
+func (r *routed) Cached(_ time.Time, server, source, prefix, tokens int, stored bool) {
+	r.events[server]++
+	r.router.Prefixes().Apply(serverName(server), incarnation, instance.CacheEvent{
+		Sequence: r.events[server], Prefix: prefixHash(source, prefix), Stored: stored, Tokens: tokens,
+	})
+}
+
+func prefixHash(source, prefix int) uint64 { return uint64(source)<<32 | uint64(prefix) + 1 }
+
+// Route asks for a server among those of which the entry has a free slot, or
+// among all if it has none.
+func (r *routed) Route(now time.Time, j *Job, view []View, tried []int) (int, bool) {
+	if !r.announced {
+		r.Report(now, now, view)
+	}
+	req := &route.Request{Now: now, Seed: r.rng.Uint64(), PromptTokens: j.Prompt}
+	if j.Prefix >= 0 {
+		req.Prefixes = []uint64{prefixHash(j.sourceNumber, j.Prefix)}
+	}
+	for _, strict := range []bool{true, false} {
+		r.excluded(view, tried, strict)
+		req.Exclude = r.exclude
+		if v := r.router.Choose(req); v.OK() {
+			r.attempts[j.ID] = &attempt{verdict: v}
+			return serverNumber(v.Server), true
+		}
+	}
+	return 0, false
+}
+
+func (r *routed) excluded(view []View, tried []int, strict bool) {
+	r.exclude = r.exclude[:0]
+	for i, v := range view {
+		if !v.Alive || (strict && (v.Free <= 0 || v.Believed >= v.Slots)) {
+			r.exclude = append(r.exclude, serverName(i))
+		}
+	}
+	for _, i := range tried {
+		r.exclude = append(r.exclude, serverName(i))
+	}
+}
+
+func (r *routed) Started(now time.Time, j *Job, _ int) {
+	a := r.attempts[j.ID]
+	a.open = r.router.Started(&a.verdict, now)
+}
+
+func (r *routed) FirstToken(now time.Time, j *Job, _ int) {
+	a := r.attempts[j.ID]
+	a.answered = true
+	r.router.FirstToken(&a.open, now)
+}
+
+func (r *routed) Ended(now time.Time, j *Job, _ int, failed bool) {
+	a := r.attempts[j.ID]
+	delete(r.attempts, j.ID)
+	switch {
+	case failed:
+		r.router.Failed(&a.open, now)
+	case a.answered:
+		r.router.Finished(&a.open, now)
+	default:
+		r.router.Cancelled(&a.open, now)
+	}
+}
--- a/policy/queue/queue_test.go
+++ b/policy/queue/queue_test.go
@@ -324,7 +324,7 @@
 	q.Push(at(0), Item{ID: "a", Workspace: "w", Class: contract.ClassInteractive, Weight: 3, Cost: 100})
 	q.Push(at(time.Second), Item{ID: "b", Workspace: "w", Class: contract.ClassBatch, Cost: 200})
 	q.Push(at(0), Item{ID: "c", Workspace: "v", Class: contract.ClassBatch, Cost: 400})
-	assert.Equal(t, Backlog{Ahead: 100, Total: 700, Others: 1, Share: 0.75}, q.Backlog("w", contract.ClassStandard, 0))
+	assert.Equal(t, Backlog{Ahead: 100, Total: 700, Waiting: 1, Others: 1, Share: 0.75}, q.Backlog("w", contract.ClassStandard, 0))
 	assert.Equal(t, Backlog{Ahead: 0, Total: 700, Others: 2, Share: 0.2}, q.Backlog("new", contract.ClassStandard, 1))
 
 	stats, ok := q.Stats("w")
--- a/policy/queue/stats.go
+++ b/policy/queue/stats.go
@@ -61,10 +61,11 @@
 type Backlog struct {
 	// Ahead is the tokens of its own workspace, of its class or a more urgent
 	// one, and what the workspace has had lately beyond its share.
-	Ahead  int64
-	Total  int64   // tokens of all waiting items
-	Others int     // other workspaces with waiting items: each may start one first
-	Share  float64 // the workspace's part of the service while all of them wait, 0..1
+	Ahead   int64
+	Total   int64   // tokens of all waiting items
+	Waiting int     // items among Ahead
+	Others  int     // other workspaces with waiting items: each may start one first
+	Share   float64 // the workspace's part of the service while all of them wait, 0..1
 
 	// Lasting is its part of the service while all workspaces ask for theirs
 	// that have lately, 0..1: for the caller to fill in, by Starter.Share. 0
@@ -95,6 +96,7 @@
 		b.Ahead = int64(max(0, f.start-q.virtual) * float64(f.weight))
 		for rank := 0; rank <= class.Rank(); rank++ {
 			b.Ahead += f.lanes[rank].tokens
+			b.Waiting += f.lanes[rank].byUrgency.len()
 		}
 	}
 	if weight > 0 {
--- a/policy/retry/config.go
+++ b/policy/retry/config.go
@@ -31,6 +31,10 @@
 	WaveWindow  time.Duration
 	WaveSpread  time.Duration
 
+	// HedgeAfter is after how many times the usual time to the first token an
+	// attempt counts as slow.
+	HedgeAfter float64 // at least 1
+
 	// MaxHedgeLoad is the load, as a part of all slots in use, from which on
 	// nothing is hedged.
 	MaxHedgeLoad float64 // 0 to 1
@@ -57,6 +61,7 @@
 		WaveShare:    0.05,
 		WaveWindow:   5 * time.Second,
 		WaveSpread:   time.Second,
+		HedgeAfter:   2,
 		MaxHedgeLoad: 0.7,
 	}
 }
@@ -82,6 +87,8 @@
 		return &FieldError{Field: "WaveWindow", Want: "above 0"}
 	case c.WaveSpread < 0:
 		return &FieldError{Field: "WaveSpread", Want: "at least 0"}
+	case !(c.HedgeAfter >= 1):
+		return &FieldError{Field: "HedgeAfter", Want: "at least 1"}
 	case !(c.MaxHedgeLoad >= 0 && c.MaxHedgeLoad <= 1):
 		return &FieldError{Field: "MaxHedgeLoad", Want: "between 0 and 1"}
 	}
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -134,6 +134,7 @@
 // backend server, of which the first answer counts. After says when to ask
 // again if it is too early.
 func (p *Policy) Slow(now time.Time, s Slowness) Verdict {
+	slow := time.Duration(p.cfg.HedgeAfter * float64(s.Usual))
 	switch {
 	case !s.Call.Idempotent:
 		return Verdict{Reason: NotIdempotent}
@@ -141,8 +142,8 @@
 		return Verdict{Reason: ClassNotHedged}
 	case s.Hedged:
 		return Verdict{Reason: AlreadyHedged}
-	case s.Waited < s.Usual:
-		return Verdict{Reason: TooEarly, After: s.Usual - s.Waited}
+	case s.Waited < slow:
+		return Verdict{Reason: TooEarly, After: slow - s.Waited}
 	case s.Load >= p.cfg.MaxHedgeLoad:
 		return Verdict{Reason: LoadTooHigh}
 	case p.InWave(now):
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -38,6 +38,7 @@
 		"WaveShare":    func(c *Config) { c.WaveShare = 2 },
 		"WaveWindow":   func(c *Config) { c.WaveWindow = 0 },
 		"WaveSpread":   func(c *Config) { c.WaveSpread = -1 },
+		"HedgeAfter":   func(c *Config) { c.HedgeAfter = 0 },
 		"MaxHedgeLoad": func(c *Config) { c.MaxHedgeLoad = 2 },
 	} {
 		cfg := DefaultConfig()
@@ -174,7 +175,7 @@
 	for reason, change := range map[Reason]func(*Slowness){
 		ClassNotHedged: func(s *Slowness) { s.Call.Class = contract.ClassBatch },
 		AlreadyHedged:  func(s *Slowness) { s.Hedged = true },
-		TooEarly:       func(s *Slowness) { s.Waited = 300 * time.Millisecond },
+		TooEarly:       func(s *Slowness) { s.Waited = 700 * time.Millisecond },
 		LoadTooHigh:    func(s *Slowness) { s.Load = 0.7 },
 		NoTimeLeft:     func(s *Slowness) { s.Call.Deadline = epoch.Add(-time.Second) },
 	} {
