policy/admit: a report costs the same with 7 entries and with 370

Cause: each report summed up and split the demands of all entries. At the size to design for that is 370 times 370 visits a second for each workspace.

A pool now looks at all its holders once a second and keeps the sum in between. What an entry holds only falls as time goes by, so the sum is never too small. NoPredecessor says that no leader came before, so that a new deployment leases at once instead of waiting for leases that nobody holds.

--- a/policy/admit/share.go
+++ b/policy/admit/share.go
@@ -27,6 +27,7 @@
 	term    uint64
 	started time.Time
 	number  uint64           // of the last lease
+	first   bool             // no leader came before
 	pools   map[string]*pool // by workspace
 	reports map[string]uint64
 }
@@ -47,6 +48,12 @@
 	}, nil
 }
 
+// NoPredecessor says that no leader has given out leases before: in a new
+// deployment, and where control and entries start together in one process. Call
+// it before SetLimits. Called wrongly, it lets entries use up to twice the limits
+// until the earlier leases have ended.
+func (s *Shares) NoPredecessor() { s.first = true }
+
 // SetLimits sets the limits of a workspace. Lowered limits hold at all entries
 // that the leader reaches once they have reported again, and at others within
 // ShareConfig.TTL, but for their floors.
@@ -54,7 +61,7 @@
 	p, ok := s.pools[workspace]
 	if !ok {
 		p = &pool{cfg: &s.cfg, workspace: workspace}
-		if !now.After(s.started) {
+		if !s.first && !now.After(s.started) {
 			p.inherit(s.started)
 		}
 		s.pools[workspace] = p
@@ -72,6 +79,7 @@
 	delete(s.reports, entry)
 	for _, p := range s.pools {
 		p.holders = slices.DeleteFunc(p.holders, func(h *holder) bool { return h.entry == entry })
+		p.rebalanced = time.Time{}
 	}
 }
 
@@ -141,6 +149,10 @@
 	return p.outstanding(now)
 }
 
+// rebalanceEvery is how often a pool looks at all its holders. In between, a
+// report costs the same however many entries there are.
+const rebalanceEvery = time.Second
+
 // pool is one workspace's limits and who holds parts of them.
 type pool struct {
 	cfg       *ShareConfig
@@ -149,6 +161,13 @@
 	floor     Amount    // one floor
 	holders   []*holder // by entry
 
+	// used is the sum of what was counted for each holder when it was last
+	// looked at. What is held only falls as time goes by, so used is never too
+	// small.
+	used       Amount
+	claimed    int // sum of holder.claimed
+	rebalanced time.Time
+
 	// Of leases that an earlier leader gave out; zero if there was none.
 	learnt     time.Time // all of them have ended or been reported
 	floorsFree time.Time // the same for floors
@@ -176,12 +195,16 @@
 }
 
 func (p *pool) lease(now time.Time, number uint64, entry string, d Demand) Lease {
-	p.prune(now)
 	h := p.holder(entry)
 	h.learn(now, p, d)
+	if now.Sub(p.rebalanced) >= rebalanceEvery || !h.balanced {
+		p.rebalance(now)
+	}
+	p.count(now, h)
 	lease := Lease{Workspace: p.workspace, Number: number, TTL: p.cfg.TTL}
-	lease.Grant = p.part(now, h, d)
+	lease.Grant = p.part(now, h)
 	h.grants = append(h.grants, grant{number: number, amount: lease.Grant, ends: now.Add(p.cfg.TTL + p.cfg.Margin)})
+	p.count(now, h)
 	if p.grantFloor(now, h, d) {
 		lease.Grant = lease.Grant.plus(p.floor)
 		lease.Floor, lease.FloorTTL = p.floor, p.cfg.FloorTTL
@@ -189,11 +212,27 @@
 	return lease
 }
 
-// prune drops holders that can hold nothing any more.
-func (p *pool) prune(now time.Time) {
+// rebalance drops holders that can hold nothing any more, sums up what the
+// others hold, and sets their targets.
+func (p *pool) rebalance(now time.Time) {
+	p.rebalanced = now
 	p.holders = slices.DeleteFunc(p.holders, func(h *holder) bool {
 		return h.held(now, p) == Amount{} && !now.Before(h.floorEnds) && !h.live(now, p)
 	})
+	p.used, p.claimed = Amount{}, 0
+	for _, h := range p.holders {
+		h.counted = h.held(now, p)
+		p.used = p.used.plus(h.counted)
+		p.claimed += h.claimed
+	}
+	p.setTargets(now)
+}
+
+// count brings what is counted for h up to date.
+func (p *pool) count(now time.Time, h *holder) {
+	held := h.held(now, p)
+	p.used = p.used.minus(h.counted).plus(held)
+	h.counted = held
 }
 
 func (p *pool) holder(entry string) *holder {
@@ -208,22 +247,14 @@
 
 // part is what h gets beyond its floor: its target, as far as others have let
 // go of it.
-func (p *pool) part(now time.Time, h *holder, d Demand) Amount {
-	free := p.shared.minus(p.heldByOthers(now, h)).larger(Amount{})
+func (p *pool) part(now time.Time, h *holder) Amount {
+	others := p.used.minus(h.counted)
+	others.Concurrency += p.unknown(now)
+	free := p.shared.minus(others).larger(Amount{})
 	if now.Before(p.learnt) {
 		return h.inherited.smaller(free)
 	}
-	return p.target(now, h).smaller(free)
-}
-
-func (p *pool) heldByOthers(now time.Time, h *holder) Amount {
-	held := Amount{Concurrency: p.unknown(now)}
-	for _, other := range p.holders {
-		if other != h {
-			held = held.plus(other.held(now, p))
-		}
-	}
-	return held
+	return h.target.smaller(free)
 }
 
 // unknown is the concurrency that entries which have not reported to this
@@ -232,11 +263,7 @@
 	if !now.Before(p.settled) {
 		return 0
 	}
-	left := p.shared.Concurrency
-	for _, h := range p.holders {
-		left -= h.claimed
-	}
-	return max(0, left)
+	return max(0, p.shared.Concurrency-p.claimed)
 }
 
 // grantFloor reports whether h gets a floor and notes it. While an earlier
@@ -261,7 +288,10 @@
 }
 
 func (p *pool) outstanding(now time.Time) Amount {
-	total := p.heldByOthers(now, nil)
+	total := Amount{Concurrency: p.unknown(now)}
+	for _, h := range p.holders {
+		total = total.plus(h.held(now, p))
+	}
 	for range p.floors(now) {
 		total = total.plus(p.floor)
 	}
@@ -272,6 +302,9 @@
 type holder struct {
 	entry     string
 	wanted    Amount
+	target    Amount
+	balanced  bool   // target has been set
+	counted   Amount // its part of pool.used
 	seen      time.Time
 	grants    []grant
 	running   int // beyond the floor, as last reported
@@ -302,7 +335,9 @@
 }
 
 func (h *holder) learnInherited(now time.Time, p *pool, d Demand) {
-	h.claimed = max(h.claimed, d.LastConcurrency)
+	claimed := max(h.claimed, d.LastConcurrency)
+	p.claimed += claimed - h.claimed
+	h.claimed = claimed
 	h.inherited = d.Held
 	if d.HasFloor {
 		h.inherited = h.inherited.minus(p.floor).larger(Amount{})
--- a/policy/admit/share_test.go
+++ b/policy/admit/share_test.go
@@ -51,9 +51,8 @@
 		s.members = append(s.members, &member{name: fmt.Sprint("entry-", i), admitter: a})
 	}
 	s.lead(t)
-	// The workspace is new to the catalogue: nothing is inherited.
 	s.shares.Drop("w")
-	s.now = s.now.Add(time.Millisecond)
+	s.shares.NoPredecessor()
 	s.shares.SetLimits(s.now, "w", testLimits)
 	return s
 }
@@ -127,7 +126,7 @@
 // A caller keeps its answer to "which entry" and sends all its requests to one
 // of seven. With equal parts it would be refused at a seventh of its limit.
 //
-// Replacing the call of target in part by an equal split makes this fail.
+// Replacing h.target in part by an equal split makes this fail.
 func TestOneEntryWithAllTheDemandGetsAlmostAllOfTheLimit(t *testing.T) {
 	s := newSite(t, DefaultShareConfig(7), 7)
 	s.settle(8 * time.Second)
@@ -248,7 +247,7 @@
 // An entry is cut off with requests running, and then the leader is lost too.
 // The new leader has never heard of that entry.
 //
-// Removing the use of unknown in heldByOthers makes this fail.
+// Removing the use of unknown in part makes this fail.
 func TestNewLeaderHoldsBackTheConcurrencyOfEntriesItHasNotHeardOf(t *testing.T) {
 	s := newSite(t, DefaultShareConfig(7), 7)
 	s.settle(8 * time.Second)
@@ -415,6 +414,50 @@
 	})
 }
 
+// reports returns a function that has the next of so many entries report for one
+// workspace, each once a second.
+func reports(entries int) func() {
+	shares, _ := NewShares(DefaultShareConfig(entries), 1, epoch)
+	shares.NoPredecessor()
+	shares.SetLimits(epoch, "w", testLimits)
+	names := make([]string, entries)
+	for i := range names {
+		names[i] = fmt.Sprint("entry-", i)
+	}
+	demands := []Demand{{Workspace: "w", Wanted: Amount{RequestsPerSecond: 1, Concurrency: 1, TokensPerSecond: 100}}}
+	n := 0
+	return func() {
+		now := epoch.Add(time.Duration(n) * time.Second / time.Duration(entries))
+		demands[0].Applied = uint64(max(0, n-entries))
+		shares.Lease(now, Report{Entry: names[n%entries], Term: 1, Sequence: uint64(n + 1), Demands: demands})
+		n++
+	}
+}
+
+// At the size to design for, 370 entries report each second for each workspace
+// with limits, so the cost of a report must not grow with their number.
+func BenchmarkLease(b *testing.B) {
+	for _, entries := range []int{7, 370} {
+		b.Run(fmt.Sprint(entries, " entries"), func(b *testing.B) {
+			report := reports(entries)
+			b.ReportAllocs()
+			for b.Loop() {
+				report()
+			}
+		})
+	}
+}
+
+func TestLeaseAllocatesLittle(t *testing.T) {
+	for _, entries := range []int{7, 370} {
+		report := reports(entries)
+		for range 5 * entries {
+			report()
+		}
+		assert.LessOrEqual(t, testing.AllocsPerRun(2*entries, report), 4.0, "%d entries", entries)
+	}
+}
+
 func TestShareConfigValidateNamesTheField(t *testing.T) {
 	for field, spoil := range map[string]func(*ShareConfig){
 		"TTL":           func(c *ShareConfig) { c.TTL = 0 },
--- a/policy/admit/target.go
+++ b/policy/admit/target.go
@@ -6,27 +6,31 @@
 	"time"
 )
 
-// target is the part of the pool that h should have by the demands of all live
-// entries: max-min fair, with what nobody asks for split evenly, so that each
-// entry can let in the first requests of a caller that moves to it.
-func (p *pool) target(now time.Time, h *holder) Amount {
-	requests, tokens, running := demands{}, demands{}, demands{}
-	own := -1
-	for _, other := range p.holders {
-		if !other.live(now, p) {
+// setTargets sets the part of the pool that each live entry should have by the
+// demands of all: max-min fair, with what nobody asks for split evenly, so that
+// each entry can let in the first requests of a caller that moves to it.
+func (p *pool) setTargets(now time.Time) {
+	var live []*holder
+	var requests, tokens, running demands
+	for _, h := range p.holders {
+		h.target, h.balanced = Amount{}, true
+		if !h.live(now, p) {
 			continue
 		}
-		if other == h {
-			own = len(requests)
-		}
-		requests = append(requests, other.wanted.RequestsPerSecond)
-		tokens = append(tokens, other.wanted.TokensPerSecond)
-		running = append(running, float64(other.wanted.Concurrency))
+		live = append(live, h)
+		requests = append(requests, h.wanted.RequestsPerSecond)
+		tokens = append(tokens, h.wanted.TokensPerSecond)
+		running = append(running, float64(h.wanted.Concurrency))
 	}
-	return Amount{
-		RequestsPerSecond: requests.split(p.shared.RequestsPerSecond)[own],
-		TokensPerSecond:   tokens.split(p.shared.TokensPerSecond)[own],
-		Concurrency:       running.splitWhole(p.shared.Concurrency)[own],
+	requestParts := requests.split(p.shared.RequestsPerSecond)
+	tokenParts := tokens.split(p.shared.TokensPerSecond)
+	runningParts := running.splitWhole(p.shared.Concurrency)
+	for i, h := range live {
+		h.target = Amount{
+			RequestsPerSecond: requestParts[i],
+			TokensPerSecond:   tokenParts[i],
+			Concurrency:       runningParts[i],
+		}
 	}
 }
 
--- a/policy/policytest/decided.go
+++ b/policy/policytest/decided.go
@@ -182,11 +182,11 @@
 }
 
 func newShares(s *Scenario, now time.Time) *admit.Shares {
-	started := now.Add(-time.Nanosecond)
-	shares, err := admit.NewShares(admit.DefaultShareConfig(s.Entries), 1, started)
+	shares, err := admit.NewShares(admit.DefaultShareConfig(s.Entries), 1, now)
 	if err != nil {
 		panic(err)
 	}
+	shares.NoPredecessor()
 	for _, src := range s.Sources {
 		shares.SetLimits(now, src.Workspace, src.Limits)
 	}
