policy/queue, policy/policytest: one call for what a request would wait behind

Cause: a caller that lets requests in had to fill in three fields of Backlog by the right calls of Starter; Starter.Backlog does it. And the half of the retry budget that batch work leaves behind had no measurement.

Without the rule in Failed the test was seen to fail. The table is unchanged.

--- a/policy/policytest/decided.go
+++ b/policy/policytest/decided.go
@@ -91,12 +91,7 @@
 
 func (l *fairLine) Backlog(now time.Time, j *Job, slots queue.Slots) queue.Backlog {
 	it := item(j)
-	b := l.queue.Backlog(j.Source.Workspace, j.Class(), j.Source.Weight)
-	b.Lasting = l.starter.Share(j.Source.Workspace)
-	stats, _ := l.queue.Stats(j.Source.Workspace)
-	v := l.starter.DecideBehind(now, &it, slots, stats.Items)
-	b.Starts, b.Held = v.Start, v.Held()
-	return b
+	return l.starter.Backlog(now, l.queue, &it, slots)
 }
 
 func (l *fairLine) Held(workspace string) int { return l.held[workspace] }
--- a/policy/policytest/decisions_test.go
+++ b/policy/policytest/decisions_test.go
@@ -237,6 +237,23 @@
 	assert.LessOrEqual(t, float64(r.Retries+r.Hedges), 0.1*float64(len(s.arrivals(1))))
 }
 
+// A third of the servers fails and the budget runs dry. What batch work leaves of
+// it goes to those somebody waits for.
+func TestBatchLeavesTheBudgetToInteractive(t *testing.T) {
+	failed := func(set func(*Scenario) *Set) (interactive, batch, offered int) {
+		for _, r := range runSeeds(FourFailing, set) {
+			interactive += r.Interactive.Failed
+			batch += r.Batch.Failed
+			offered += r.Interactive.Offered
+		}
+		return interactive, batch, offered
+	}
+	interactive, batch, offered := failed(All)
+	blind, blindBatch, _ := failed(OneClass)
+	t.Logf("of %d interactive failed %d, without regard to class %d; batch %d and %d", offered, interactive, blind, batch, blindBatch)
+	assert.Less(t, float64(interactive), 0.8*float64(blind))
+}
+
 // One server answers five times slower than the others.
 func TestSlowServer(t *testing.T) {
 	s := OneSlow()
--- a/policy/policytest/fault.go
+++ b/policy/policytest/fault.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/policy/retry"
 )
 
@@ -87,7 +88,11 @@
 		return
 	}
 	e.retry.ServerFailed(m.now, serverName(server))
-	v := e.retry.Failed(m.now, retry.Failure{Call: call(j), Attempts: j.Attempts, NotRun: true}, m.rng.Float64())
+	c := call(j)
+	if m.set.OneClass {
+		c.Class = contract.ClassStandard
+	}
+	v := e.retry.Failed(m.now, retry.Failure{Call: c, Attempts: j.Attempts, NotRun: true}, m.rng.Float64())
 	if !v.Go {
 		m.fail(j)
 		return
--- a/policy/policytest/patterns.go
+++ b/policy/policytest/patterns.go
@@ -151,6 +151,21 @@
 	return s
 }
 
+// FourFailing is Steady with four servers that fail every attempt for fifteen
+// seconds, and half of each workspace's requests of class batch.
+func FourFailing() *Scenario {
+	s := scenario("four servers fail all attempts", workspaces(0.5))
+	for i := range s.Sources {
+		s.Sources[i].Rate /= 2
+		batch := s.Sources[i]
+		batch.Class = contract.ClassBatch
+		batch.Target, batch.GapTarget = 0, 0
+		s.Sources = append(s.Sources, batch)
+	}
+	s.Faults = []Fault{{Kind: FailingServer, At: 30 * time.Second, Until: 45 * time.Second, Servers: []int{0, 1, 2, 3}}}
+	return s
+}
+
 // Patterns are all scenarios of the table in docs/DECISIONS.md.
 func Patterns() []*Scenario {
 	return []*Scenario{
--- a/policy/policytest/policies.go
+++ b/policy/policytest/policies.go
@@ -16,6 +16,9 @@
 	Retry  func() *retry.Policy // nil: nothing is retried but what was reclaimed
 	Hedge  bool
 
+	// OneClass has retries decided as if all jobs were of class standard.
+	OneClass bool
+
 	// Exchange, if set, is called once a second with all gates, as the control
 	// leader meets the entries.
 	Exchange func(now time.Time, gates []Gate)
--- a/policy/policytest/result.go
+++ b/policy/policytest/result.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"savoryreel.example/savoryreel/contract"
 )
 
 // Result is what callers got in one run. It counts jobs that arrived after the
@@ -19,10 +21,24 @@
 	Cost                    float64       // server-seconds for 1,000 answers that met their targets
 	Recomputed              int           // tokens
 	Jain                    float64       // of the workspaces' work done, each over its max-min fair part
+	Interactive, Batch      ClassResult
 	Workspaces              []WorkspaceResult
 	capacity, serverSeconds float64
 }
 
+// ClassResult is what the jobs of one class got.
+type ClassResult struct {
+	Offered int
+	Failed  int
+}
+
+func (c *ClassResult) count(j *Job) {
+	c.Offered++
+	if j.Outcome == Failed {
+		c.Failed++
+	}
+}
+
 // WorkspaceResult is what one workspace's callers got.
 type WorkspaceResult struct {
 	Workspace string
@@ -98,6 +114,12 @@
 
 func (r *Result) count(j *Job) {
 	r.Offered++
+	switch j.Class() {
+	case contract.ClassInteractive:
+		r.Interactive.count(j)
+	case contract.ClassBatch:
+		r.Batch.count(j)
+	}
 	switch j.Outcome {
 	case Answered:
 		r.Answered++
--- a/policy/policytest/sets.go
+++ b/policy/policytest/sets.go
@@ -47,6 +47,14 @@
 	return set
 }
 
+// OneClass is all decisions, but a retry of a batch job is decided like any
+// other.
+func OneClass(s *Scenario) *Set {
+	set := All(s)
+	set.Name, set.OneClass = "all, one class of retries", true
+	return set
+}
+
 // All is all decisions with their default configurations.
 func All(s *Scenario) *Set {
 	return &Set{
--- a/policy/queue/start.go
+++ b/policy/queue/start.go
@@ -315,6 +315,19 @@
 	}
 }
 
+// Backlog returns what item would wait behind in q if it were let in now, with
+// what depends on the slots filled in.
+func (s *Starter) Backlog(now time.Time, q *Queue, item *Item, slots Slots) Backlog {
+	b := q.Backlog(item.Workspace, item.Class, item.Weight)
+	waiting := 0
+	if f, ok := q.flows[item.Workspace]; ok {
+		waiting = f.items
+	}
+	v := s.DecideBehind(now, item, slots, waiting)
+	b.Lasting, b.Starts, b.Held = s.Share(item.Workspace), v.Start, v.Held()
+	return b
+}
+
 // Share returns a workspace's part of the service, 0 to 1, by its weight among
 // the workspaces that run something or have lately.
 func (s *Starter) Share(workspace string) float64 {
--- a/policy/queue/start_test.go
+++ b/policy/queue/start_test.go
@@ -98,6 +98,22 @@
 	assert.InDelta(t, 0.1, s.Share("quiet"), 1e-9)
 }
 
+func TestBacklogSaysWhetherAnItemWouldStart(t *testing.T) {
+	q := newQueue(t, nil)
+	s, err := NewStarter(DefaultStartConfig())
+	require.NoError(t, err)
+	item := &Item{ID: "a", Workspace: "w", Class: contract.ClassStandard, Weight: 1, Cost: 200}
+	s.Seen(at(0), item)
+	s.Seen(at(0), &Item{Workspace: "v", Weight: 3, Cost: 200})
+	assert.Equal(t, Backlog{Share: 1, Lasting: 0.25, Starts: true}, s.Backlog(at(0), q, item, Slots{Total: 8, Free: 2}))
+	for range 2 {
+		s.Started(at(0), item)
+	}
+	fill(t, q, at(0), 1, *item)
+	b := s.Backlog(at(0), q, item, Slots{Total: 8, Free: 1})
+	assert.Equal(t, Backlog{Ahead: 200, Total: 200, Waiting: 1, Share: 1, Lasting: 0.25, Held: true}, b)
+}
+
 // Seven entries learn of the same free slots. If each took them all, six of
 // seven requests would wait at the servers.
 func TestPartsOfAllEntriesAddUp(t *testing.T) {
--- a/policy/queue/stats.go
+++ b/policy/queue/stats.go
@@ -67,18 +67,11 @@
 	Others  int     // other workspaces with waiting items: each may start one first
 	Share   float64 // the workspace's part of the service while all of them wait, 0..1
 
-	// Lasting is its part of the service while all workspaces ask for theirs
-	// that have lately, 0..1: for the caller to fill in, by Starter.Share. 0
-	// counts as Share.
-	Lasting float64
+	// The rest is filled in by Starter.Backlog.
 
-	// Starts says that the item would start at once, whatever waits: for the
-	// caller to fill in, by Starter.Decide and what the servers have free.
-	Starts bool
-
-	// Held says that the item would not start even as the first of the queue,
-	// since the free slots are kept for others: from the same decision.
-	Held bool
+	Lasting float64 // the part of the service while all workspaces ask for theirs that have lately, 0..1; 0 counts as Share
+	Starts  bool    // it would start at once, whatever waits
+	Held    bool    // it would not start even as the first of the queue, since the free slots are kept for others
 }
 
 // Backlog returns what a new item of this workspace, class and weight would
