policy, docs: the field's words in tests and patterns

Workspaces of the model are named by their size, and the tests tell their failures without the users' own examples.

--- a/policy/admit/admitter_test.go
+++ b/policy/admit/admitter_test.go
@@ -194,7 +194,7 @@
 	return d
 }
 
-// A quiet night is followed by a surge. If the night's rate were taken for what
+// A quiet hour is followed by a surge. If that hour's rate were taken for what
 // the fleet can do, the surge's first seconds would be refused while servers
 // are idle.
 //
--- a/policy/admit/drain.go
+++ b/policy/admit/drain.go
@@ -14,8 +14,8 @@
 //
 // The rate is tokens of work that ended for each second in which this entry had
 // no free slot. Other times say nothing of what the fleet can do: if they
-// counted, the first seconds of a surge after a quiet night would be judged by
-// the night's rate and refused.
+// counted, the first seconds of a surge after a quiet hour would be judged by
+// that hour's rate and refused.
 type Drain struct {
 	memory time.Duration
 
--- a/policy/policytest/decisions_test.go
+++ b/policy/policytest/decisions_test.go
@@ -188,8 +188,8 @@
 func TestFewCallersGetTheirLimit(t *testing.T) {
 	s := FewCallers()
 	allowed := s.Sources[0].Limits.RequestsPerSecond * (s.Length - s.Warmup).Seconds()
-	leased := float64(Run(s, All(s), 1).Workspace("premium").Answered)
-	equal := float64(Run(s, EqualLimits(s), 1).Workspace("premium").Answered)
+	leased := float64(Run(s, All(s), 1).Workspace("large-a").Answered)
+	equal := float64(Run(s, EqualLimits(s), 1).Workspace("large-a").Answered)
 	t.Logf("of %.0f allowed: leased shares %.0f, equal parts %.0f", allowed, leased, equal)
 	assert.Greater(t, leased, 0.85*allowed)
 	assert.LessOrEqual(t, leased, allowed+float64(s.Entries))
@@ -205,15 +205,15 @@
 	assert.LessOrEqual(t, float64(r.Refused), 0.02*float64(r.Offered))
 }
 
-// Briefings of 2,500 tokens would fill every slot. Short answers must still come
-// in time, and the briefings must get what the others leave.
+// Answers of 2,500 tokens would fill every slot. Short answers must still come
+// in time, and the long ones must get what the others leave.
 func TestLongAmongShort(t *testing.T) {
 	s := LongAmongShort()
 	r, baseline := Run(s, All(s), 1), Run(s, Arrival(), 1)
 	t.Logf("p95 first token %v (first come %v), goodput %.3f", r.FirstP95, baseline.FirstP95, r.Goodput)
 	assert.Less(t, r.FirstP95, firstTarget)
 	assert.Greater(t, baseline.FirstP95, 10*time.Second)
-	long := r.Workspace("claims")
+	long := r.Workspace("large-b")
 	assert.Greater(t, long.Done, 0.9*long.Fair)
 }
 
--- a/policy/policytest/patterns.go
+++ b/policy/policytest/patterns.go
@@ -49,7 +49,7 @@
 		weight int
 		part   float64
 	}{
-		{"premium", 3, 0.3}, {"claims", 3, 0.3}, {"clinics", 2, 0.2}, {"tourism", 1, 0.1}, {"quiet", 1, 0.1},
+		{"large-a", 3, 0.3}, {"large-b", 3, 0.3}, {"medium", 2, 0.2}, {"small", 1, 0.1}, {"quiet", 1, 0.1},
 	}
 	var sources []Source
 	for _, p := range parts {
@@ -104,13 +104,13 @@
 	return s
 }
 
-// LongAmongShort is Steady with briefings of 2,500 tokens that would take more
+// LongAmongShort is Steady with answers of 2,500 tokens that would take more
 // than the rest of the slots.
 func LongAmongShort() *Scenario {
 	sources := workspaces(0.5)
 	sources[1].Rate /= 2
 	sources = append(sources, Source{
-		Workspace: "claims", Class: contract.ClassStandard, Weight: 3, Rate: 8, Callers: 1_000,
+		Workspace: "large-b", Class: contract.ClassStandard, Weight: 3, Rate: 8, Callers: 1_000,
 		Prompt: 2_000, Answer: 2_500, Patience: 10 * time.Minute,
 	})
 	s := scenario("long among short", sources)
--- a/policy/queue/config.go
+++ b/policy/queue/config.go
@@ -50,7 +50,7 @@
 // MaxItems is three seconds of the arrival rate of 3,500 requests a second that
 // the system is designed for: what waits longer misses the first-token target
 // of 0.72 s several times over. Horizon is the usual timeout of HTTP clients.
-// LongRate makes a briefing of 8,000 tokens wait for up to eight seconds of
+// LongRate makes a request of 8,000 tokens wait for up to eight seconds of
 // short work. AgedShare of an eighth leaves interactive work seven eighths.
 func DefaultConfig() Config {
 	return Config{
--- a/policy/queue/queue.go
+++ b/policy/queue/queue.go
@@ -133,7 +133,7 @@
 
 // activate enters a flow that has its first item. A workspace that was idle
 // starts at the present virtual time: idle time earns no credit, or a workspace
-// that was quiet all night could hold up all others in the morning.
+// that was idle for hours could hold up all others for as long.
 func (q *Queue) activate(f *flow) {
 	f.start = max(f.start, q.virtual)
 	q.weights += f.weight
--- a/policy/queue/queue_test.go
+++ b/policy/queue/queue_test.go
@@ -66,7 +66,7 @@
 // Removing the line "f.start += ..." in serve makes this fail.
 func TestSurgeOfOneWorkspaceDoesNotDelayAnother(t *testing.T) {
 	q := newQueue(t, nil)
-	fill(t, q, at(0), 500, Item{Workspace: "brokers", Class: contract.ClassInteractive, Cost: 400})
+	fill(t, q, at(0), 500, Item{Workspace: "busy", Class: contract.ClassInteractive, Cost: 400})
 	_, ok := q.Pop(at(0), anyItem)
 	require.True(t, ok)
 	fill(t, q, at(0), 1, Item{Workspace: "quiet", Class: contract.ClassInteractive, Cost: 400})
@@ -175,8 +175,8 @@
 	assert.Equal(t, []string{"interactive", "standard-soon", "standard-late", "batch"}, order)
 }
 
-// One workspace sends long briefings and then short questions. In order of
-// arrival each question would wait for all the briefings.
+// One workspace sends long documents and then short questions. In order of
+// arrival each question would wait for all the documents.
 func TestShortPassesLongThatCameALittleEarlier(t *testing.T) {
 	q := newQueue(t, nil)
 	fill(t, q, at(0), 20, Item{Workspace: "w", Class: contract.ClassStandard, Cost: 9_000})
@@ -188,7 +188,7 @@
 }
 
 // Short questions come without a pause, faster than they are served. If they
-// always went first, the briefing would never start and its caller would wait
+// always went first, the document would never start and its caller would wait
 // until the deadline for nothing.
 //
 // Removing the bound by LongMax in urgency makes this fail.
@@ -225,8 +225,8 @@
 	return started
 }
 
-// A night's backlog of batch work has aged when interactive work comes in the
-// morning. If aged work simply went first, brokers would wait for the backlog.
+// A large backlog of batch work has aged when interactive work comes. If aged
+// work simply went first, people would wait for the whole backlog.
 //
 // Removing the test of f.repay in pick makes this fail.
 func TestAgedBacklogTakesABoundedShare(t *testing.T) {
@@ -298,8 +298,8 @@
 	assert.InDelta(t, 11, run, 1)
 }
 
-// A workspace is quiet all night while another works. If the night counted as
-// credit, the other would get nothing for as long in the morning.
+// A workspace is idle for hours while another works. If idle time counted as
+// credit, the other would get nothing for as long afterwards.
 //
 // Removing the use of q.virtual in activate makes this fail.
 func TestIdleTimeEarnsNoCredit(t *testing.T) {
--- a/policy/queue/start_test.go
+++ b/policy/queue/start_test.go
@@ -37,7 +37,7 @@
 	assert.Equal(t, NoSlot, s.Decide(at(0), quiet, Slots{Total: 100}).Reason)
 }
 
-// Briefings of minutes take every slot as it comes free, and questions of a
+// Answers of minutes take every slot as it comes free, and questions of a
 // second wait for minutes.
 //
 // Removing the use of keptForShort in Decide makes this fail.
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -50,17 +50,17 @@
 	}
 }
 
-// A statement credit was written to a backend server that died. Sent again, it
-// might credit a cedent twice.
+// A payment was written to a backend server that died. Sent again, it might be
+// made twice.
 //
 // Removing the first test in Failed makes this fail.
 func TestWhatMayHaveRunIsNotRepeated(t *testing.T) {
 	p := newPolicy(t, 100)
-	credit := chat
-	credit.Idempotent = false
-	assert.Equal(t, Verdict{Reason: MayHaveRun}, p.Failed(epoch, Failure{Call: credit, Attempts: 1, Reclaimed: true}, 0))
-	assert.True(t, p.Failed(epoch, Failure{Call: credit, Attempts: 1, NotRun: true}, 0).Go)
-	assert.Equal(t, NotIdempotent, p.Slow(epoch, Slowness{Call: credit, Waited: time.Hour}).Reason)
+	payment := chat
+	payment.Idempotent = false
+	assert.Equal(t, Verdict{Reason: MayHaveRun}, p.Failed(epoch, Failure{Call: payment, Attempts: 1, Reclaimed: true}, 0))
+	assert.True(t, p.Failed(epoch, Failure{Call: payment, Attempts: 1, NotRun: true}, 0).Go)
+	assert.Equal(t, NotIdempotent, p.Slow(epoch, Slowness{Call: payment, Waited: time.Hour}).Reason)
 }
 
 // Every attempt fails because a service is down. Unbounded retries would triple
@@ -147,7 +147,7 @@
 	assert.Equal(t, TooManyAttempts, p.Failed(epoch, f, 0.5).Reason)
 }
 
-// A backfill and a page that a clinician waits for fail together. If the
+// A backfill and a page that a person waits for fail together. If the
 // backfill could spend the whole budget, the page would not be retried.
 //
 // Removing the use of leave in allows makes this fail.
