policy/policytest: callers that come back when they were told to

Cause: Retry-After from the real drain had unit tests only; whether it keeps refused callers from coming back in vain was not measured.

--- a/policy/policytest/baseline.go
+++ b/policy/policytest/baseline.go
@@ -81,10 +81,10 @@
 // Open is a Gate without limits.
 func Open(*Scenario) Gate { return openGate{} }
 
-func (openGate) Admit(time.Time, *Job, queue.Backlog) bool { return true }
-func (openGate) Full(time.Time, bool)                      {}
-func (openGate) FirstToken(time.Time, *Job)                {}
-func (openGate) Done(time.Time, *Job, int64)               {}
+func (openGate) Admit(time.Time, *Job, queue.Backlog) (bool, time.Duration) { return true, 0 }
+func (openGate) Full(time.Time, bool)                                       {}
+func (openGate) FirstToken(time.Time, *Job)                                 {}
+func (openGate) Done(time.Time, *Job, int64)                                {}
 
 // silentRouter ignores all but Route.
 type silentRouter struct{}
--- a/policy/policytest/decided.go
+++ b/policy/policytest/decided.go
@@ -127,7 +127,7 @@
 	}
 }
 
-func (g *learntGate) Admit(now time.Time, j *Job, backlog queue.Backlog) bool {
+func (g *learntGate) Admit(now time.Time, j *Job, backlog queue.Backlog) (bool, time.Duration) {
 	v := g.admitter.Decide(now, admit.Request{
 		Workspace: j.Source.Workspace,
 		Class:     j.Class(),
@@ -137,7 +137,7 @@
 		Target:    j.Source.Target,
 		Estimate:  g.drain.Estimate(now, backlog),
 	}, g.rng.Float64())
-	return v.Admit
+	return v.Admit, v.RetryAfter
 }
 
 func (g *learntGate) Full(now time.Time, full bool) { g.drain.Full(now, full) }
--- a/policy/policytest/decisions_test.go
+++ b/policy/policytest/decisions_test.go
@@ -254,6 +254,26 @@
 	assert.Less(t, float64(interactive), 0.8*float64(blind))
 }
 
+// Callers ask for three times the capacity for ten seconds, and those refused come
+// back when they were told to. Told all the same second, they would be refused
+// again and again.
+func TestCallersComeBackWhenThereIsRoom(t *testing.T) {
+	play := func(after time.Duration) *Result {
+		s := Overload()
+		set := All(s)
+		set.ComeBack, set.RetryAfter = true, after
+		r := Run(s, set, 1)
+		t.Logf("told %v (0: what was learnt): came back %d times, answered %d of %d, p95 from first asking to first token %v",
+			after, r.Returns, r.Answered, r.Offered, r.FirstP95)
+		return r
+	}
+	learnt, second, five := play(0), play(time.Second), play(5*time.Second)
+	assert.Less(t, learnt.Returns, second.Returns/5)
+	assert.Less(t, learnt.Returns, five.Returns)
+	assert.Less(t, learnt.FirstP95.Seconds(), 1.2*second.FirstP95.Seconds())
+	assert.GreaterOrEqual(t, float64(learnt.Answered), 0.99*float64(learnt.Offered))
+}
+
 // One server answers five times slower than the others.
 func TestSlowServer(t *testing.T) {
 	s := OneSlow()
--- a/policy/policytest/doc.go
+++ b/policy/policytest/doc.go
@@ -7,7 +7,8 @@
 // by side in slots, prefill what their prefix cache does not hold and generate
 // tokens at a speed that falls as slots fill. Entries see each other's work only
 // through load reports that are late. It leaves out the network, the time that
-// decisions take, and callers that come back after a refusal.
+// decisions take and, unless a Set asks for them, callers that come back after a
+// refusal.
 //
 // Arrivals depend on the scenario and the seed only, so that every set of
 // policies meets the same requests, and a run repeats exactly.
--- a/policy/policytest/model.go
+++ b/policy/policytest/model.go
@@ -30,6 +30,7 @@
 	computed map[prefix]bool // prefixes that some server has prefilled
 	retries  int
 	hedges   int
+	returns  int
 	reports  int
 }
 
@@ -227,8 +228,8 @@
 		e.retry.First(m.now, call(j))
 	}
 	backlog := e.line.Backlog(m.now, j, e.slots(len(m.entries)))
-	if !e.gate.Admit(m.now, j, backlog) {
-		m.end(j, Refused)
+	if ok, after := e.gate.Admit(m.now, j, backlog); !ok {
+		m.refuse(j, after)
 		return
 	}
 	m.push(e, j)
@@ -236,6 +237,20 @@
 	m.dispatch(e)
 }
 
+// refuse ends a job, or lets its caller come back.
+func (m *model) refuse(j *Job, after time.Duration) {
+	if m.set.RetryAfter > 0 {
+		after = m.set.RetryAfter
+	}
+	back := m.now.Add(after)
+	if !m.set.ComeBack || !back.Before(j.Deadline) {
+		m.end(j, Refused)
+		return
+	}
+	m.returns++
+	m.at(back, func() { m.arrive(j) })
+}
+
 func call(j *Job) retry.Call {
 	return retry.Call{
 		Workspace: j.Source.Workspace, Service: "chat", Class: j.Class(), Idempotent: true, Deadline: j.Deadline,
--- a/policy/policytest/patterns.go
+++ b/policy/policytest/patterns.go
@@ -87,6 +87,19 @@
 	return scenario("burst of all workspaces, 6x for 1 s", sources)
 }
 
+// Overload is Steady, with all workspaces at three times the capacity for ten
+// seconds.
+func Overload() *Scenario {
+	sources := workspaces(0.5)
+	for i := range sources {
+		sources[i].Surge = Surge{From: 25 * time.Second, To: 35 * time.Second, Factor: 6}
+		sources[i].Patience = 60 * time.Second
+	}
+	s := scenario("three times the capacity for 10 s", sources)
+	s.Length = 100 * time.Second
+	return s
+}
+
 // FewCallers is one workspace of two callers that asks for the whole capacity
 // and has a limit of 40% of it.
 func FewCallers() *Scenario {
--- a/policy/policytest/policies.go
+++ b/policy/policytest/policies.go
@@ -19,6 +19,11 @@
 	// OneClass has retries decided as if all jobs were of class standard.
 	OneClass bool
 
+	// ComeBack has refused callers come back when they were told to, as long as
+	// their patience lasts. RetryAfter, if set, is what all are told.
+	ComeBack   bool
+	RetryAfter time.Duration
+
 	// Exchange, if set, is called once a second with all gates, as the control
 	// leader meets the entries.
 	Exchange func(now time.Time, gates []Gate)
@@ -47,7 +52,8 @@
 
 // Gate admits jobs.
 type Gate interface {
-	Admit(now time.Time, j *Job, backlog queue.Backlog) bool
+	// Admit admits j, or says after what time to come back.
+	Admit(now time.Time, j *Job, backlog queue.Backlog) (ok bool, retryAfter time.Duration)
 	Full(now time.Time, full bool) // whether a job that came now would have to wait
 	FirstToken(now time.Time, j *Job)
 	Done(now time.Time, j *Job, work int64) // also of a job that left without running
--- a/policy/policytest/result.go
+++ b/policy/policytest/result.go
@@ -15,6 +15,7 @@
 	Refused, Evicted        int
 	Expired, Late, Failed   int
 	Retries, Hedges         int           // over the whole run
+	Returns                 int           // arrivals of callers that had been refused before, over the whole run
 	FirstP95                time.Duration // arrival to first token, of answered jobs that have a target
 	GapP95                  time.Duration // between tokens, of the same
 	Goodput                 float64       // work of answers that met their targets, as a part of the capacity
@@ -65,7 +66,7 @@
 }
 
 func (m *model) result() *Result {
-	r := &Result{Retries: m.retries, Hedges: m.hedges}
+	r := &Result{Retries: m.retries, Hedges: m.hedges, Returns: m.returns}
 	window := (m.scenario.Length - m.scenario.Warmup).Seconds()
 	for _, b := range m.servers {
 		if b.alive {
