policy/queue, policy/admit: say how many of each an entry keeps

Cause: whoever wires them has to know that slots and drain belong to a set of backend servers and limits to a workspace. Comments only; tests as before.

--- a/policy/admit/doc.go
+++ b/policy/admit/doc.go
@@ -12,6 +12,9 @@
 // parts out as leases. At each entry, Admitter holds requests to the leased
 // part, and to what the queue can start in time as judged by Drain.
 //
+// An entry keeps one Admitter, since limits are a workspace's over all services,
+// and one Drain for each set of backend servers that do the same work.
+//
 // The package has no clock and no source of randomness: both come in as
 // arguments. Its types are not safe for concurrent use; their owner holds a
 // lock around them. Every refusal is final and immediate.
--- a/policy/queue/doc.go
+++ b/policy/queue/doc.go
@@ -11,6 +11,10 @@
 // workspace. It is bounded, and what leaves it without running is always named
 // to the caller, so that each request still gets its final answer at once.
 //
+// Starter decides when the next item may take a slot. Keep one Queue and one
+// Starter for each set of backend servers that do the same work.
+//
 // The package has no clock: each call that depends on time takes it. A Queue
-// is not safe for concurrent use; its owner holds a lock around it.
+// and a Starter are not safe for concurrent use; their owner holds a lock around
+// them.
 package queue
