zone, policy/scale: zones with prices, and the size and place of the fleet

Cause: on-demand instances cost about three times the reclaimable ones, and reclaimable ones in one data centre go in one wave.

--- /dev/null
+++ b/policy/scale/state.go
@@ -0,0 +1,167 @@
+package scale
+
+import (
+	"slices"
+	"time"
+
+	"savoryreel.example/savoryreel/zone"
+)
+
+// Option is one way to have an instance.
+type Option struct {
+	Zone   string      `msgpack:"zone"`
+	Class  string      `msgpack:"class"`
+	Market zone.Market `msgpack:"market"`
+}
+
+// State is what Decide remembers from one decision to the next. The zero State
+// is that of a fleet not decided on before. It belongs into the replicated log:
+// with a State of its own, a new leader would give the starts of the old one
+// new tokens, and the cloud would run each of them twice.
+type State struct {
+	Capacity float64   `msgpack:"cap"` // held, in work per second
+	Demand   float64   `msgpack:"dem"` // at the last decision
+	Slope    float64   `msgpack:"slope"`
+	At       time.Time `msgpack:"at"` // of the last decision
+	LowSince time.Time `msgpack:"low"`
+	LastDown time.Time `msgpack:"down"`
+	LastSwap time.Time `msgpack:"swap"`
+
+	// Day is the highest demand in each dayBucket of the last 24 hours, by time of day.
+	Day []float64 `msgpack:"day"`
+
+	Backoffs []Backoff `msgpack:"backoffs"`
+	Ordinals []Ordinal `msgpack:"ordinals"`
+}
+
+// Backoff says that starts of an option were refused.
+type Backoff struct {
+	Option   Option    `msgpack:"opt"`
+	Refusals int       `msgpack:"n"` // in a row
+	Until    time.Time `msgpack:"until"`
+}
+
+// Ordinal counts the accepted starts of an option.
+type Ordinal struct {
+	Option Option `msgpack:"opt"`
+	Next   uint64 `msgpack:"next"`
+}
+
+// Refused notes that the cloud refused a start of the option.
+func (s *Scaler) Refused(state State, option Option, now time.Time) State {
+	state.Backoffs = slices.Clone(state.Backoffs)
+	i := slices.IndexFunc(state.Backoffs, func(b Backoff) bool { return b.Option == option })
+	if i < 0 {
+		i = len(state.Backoffs)
+		state.Backoffs = append(state.Backoffs, Backoff{Option: option})
+	}
+	b := &state.Backoffs[i]
+	if now.Before(b.Until) {
+		return state // several starts of one plan were refused: one refusal
+	}
+	b.Refusals++
+	wait := s.cfg.BackoffMin << min(b.Refusals-1, 16)
+	b.Until = now.Add(min(wait, s.cfg.BackoffMax))
+	return state
+}
+
+// Accepted notes that the cloud accepted a start. Until it is called, Decide
+// gives the same start the same token again.
+func (s *Scaler) Accepted(state State, start Start) State {
+	state.Backoffs = slices.DeleteFunc(slices.Clone(state.Backoffs), func(b Backoff) bool { return b.Option == start.Option })
+	state.Ordinals = slices.Clone(state.Ordinals)
+	for i := range state.Ordinals {
+		if o := &state.Ordinals[i]; o.Option == start.Option {
+			o.Next = max(o.Next, start.Ordinal+1)
+			return state
+		}
+	}
+	state.Ordinals = append(state.Ordinals, Ordinal{start.Option, start.Ordinal + 1})
+	return state
+}
+
+func (s *State) open(option Option, now time.Time) bool {
+	return !slices.ContainsFunc(s.Backoffs, func(b Backoff) bool {
+		return b.Option == option && now.Before(b.Until)
+	})
+}
+
+func (s *State) next(option Option) uint64 {
+	for _, o := range s.Ordinals {
+		if o.Option == option {
+			return o.Next
+		}
+	}
+	return 0
+}
+
+// hold moves the capacity held towards what the demand wants: up at once, down
+// late and in steps.
+func (c *Config) hold(s *State, demand float64, now time.Time) Reason {
+	if passed := now.Sub(s.At).Seconds(); !s.At.IsZero() && passed > 0 {
+		s.Slope += slopeWeight * ((demand-s.Demand)/passed - s.Slope)
+	}
+	s.remember(demand, now)
+	s.Demand = demand
+	s.At = now
+	ahead := demand + max(s.Slope, 0)*c.Lead.Seconds()
+	want := max(ahead, s.expected(now, c.Lead)) * c.Headroom
+	if want >= s.Capacity {
+		s.Capacity = want
+		s.LowSince = time.Time{}
+		return ReasonUp
+	}
+	if want >= s.Capacity*c.DownBelow {
+		s.LowSince = time.Time{}
+		return ReasonHold
+	}
+	if s.LowSince.IsZero() {
+		s.LowSince = now
+	}
+	if now.Sub(s.LowSince) < c.DownAfter || now.Sub(s.LastDown) < c.DownEvery {
+		return ReasonHold
+	}
+	s.Capacity = max(want, s.Capacity*(1-c.DownStep))
+	s.LastDown = now
+	return ReasonDown
+}
+
+// slopeWeight is the weight of the newest change of the demand in its slope.
+// With decisions a minute apart, a surge counts for half after the first.
+const slopeWeight = 0.5
+
+// dayBucket divides the day for remembering the demand.
+const dayBucket = 5 * time.Minute
+
+const dayBuckets = int(24 * time.Hour / dayBucket)
+
+func bucketOf(t time.Time) int {
+	return int(t.Unix()/int64(dayBucket.Seconds())) % dayBuckets
+}
+
+// remember notes the demand for the next day.
+func (s *State) remember(demand float64, now time.Time) {
+	if len(s.Day) != dayBuckets || now.Sub(s.At) >= 24*time.Hour {
+		s.Day = make([]float64, dayBuckets)
+	} else {
+		s.Day = slices.Clone(s.Day)
+	}
+	i := bucketOf(now)
+	if i != bucketOf(s.At) {
+		s.Day[i] = 0
+	}
+	s.Day[i] = max(s.Day[i], demand)
+}
+
+// expected returns the highest demand of the day before within the lead time
+// from now. Brokers call in at the same hour each morning, and their demand
+// doubles within the time that a start takes: by the time it shows, it is too
+// late. A surge that came once is paid for once more a day later, for as long as
+// it lasted.
+func (s *State) expected(now time.Time, lead time.Duration) float64 {
+	most := 0.0
+	for ahead := dayBucket; ahead <= lead+dayBucket; ahead += dayBucket {
+		most = max(most, s.Day[bucketOf(now.Add(ahead))])
+	}
+	return most
+}
