--- /dev/null
+++ b/policy/evacuate/evacuate_test.go
@@ -0,0 +1,157 @@
+package evacuate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func planner(t require.TestingT) *Planner {
+	p, err := New(DefaultConfig())
+	require.NoError(t, err)
+	return p
+}
+
+// bytesPerToken is 128 KiB, that of a model with 32 layers, 8 KV heads of 128
+// values and 2 bytes each.
+const bytesPerToken = 128 << 10
+
+func mixed(rng *rand.Rand, n int) []Request {
+	var requests []Request
+	for i := range n {
+		tokens := 100 + rng.IntN(900)
+		if rng.IntN(5) == 0 {
+			tokens = 8000 + rng.IntN(24_000)
+		}
+		left := time.Duration(1+rng.IntN(60)) * time.Second
+		requests = append(requests, Request{fmt.Sprint(i), tokens, int64(tokens) * bytesPerToken, left})
+	}
+	return requests
+}
+
+// A server with long briefings among short replies has ten seconds. Moved in the
+// order of arrival, the time goes to short replies, and briefings that took
+// half a minute to write are prefilled again; their readers see them stall.
+// Breaks without the sort in choose.
+func TestFewerTokensRecomputedThanInOrderOfArrival(t *testing.T) {
+	rng := rand.New(rand.NewPCG(8, 9))
+	ours, arrival, all, least := 0, 0, 0, 0
+	for range 200 {
+		in := Input{Notice: 10 * time.Second, Bandwidth: 1.2e9, PrefillRate: 8000, Requests: mixed(rng, 24)}
+		ours += planner(t).Decide(in).Recomputed
+		used := time.Duration(0)
+		bound := -int(8 * in.Bandwidth / bytesPerToken) // what the network can carry at best
+		for _, r := range in.Requests {
+			all += r.Tokens
+			if r.Left > 5600*time.Millisecond {
+				bound += r.Tokens
+			}
+			took := 20*time.Millisecond + time.Duration(float64(r.Bytes)/in.Bandwidth*1e9)
+			if used+took > 8*time.Second {
+				arrival += r.Tokens
+				continue
+			}
+			used += took
+		}
+		least += max(bound, 0)
+	}
+	percent := func(n int) float64 { return 100 * float64(n) / float64(all) }
+	t.Logf("tokens recomputed of %d: in order of arrival %.1f%%, planned %.1f%%, bandwidth allows %.1f%%",
+		all, percent(arrival), percent(ours), percent(least))
+	require.Less(t, ours*5, arrival*4)
+	require.Less(t, ours*10, least*11)
+}
+
+// The exports of any plan fit the notice, every request is in it once, and it
+// saves at least half of what the best choice could. A plan that overran would
+// lose the last request's tokens with the server.
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := Input{
+			Notice:      time.Duration(rapid.IntRange(0, 12_000).Draw(t, "ms")) * time.Millisecond,
+			Bandwidth:   float64(rapid.IntRange(0, 1000).Draw(t, "bandwidth")),
+			PrefillRate: float64(rapid.IntRange(1, 100).Draw(t, "prefill")),
+		}
+		for i := range rapid.IntRange(0, 9).Draw(t, "requests") {
+			r := Request{ID: fmt.Sprint(i), Tokens: rapid.IntRange(1, 500).Draw(t, "tokens")}
+			r.Bytes = int64(rapid.IntRange(1, 4000).Draw(t, "bytes"))
+			in.Requests = append(in.Requests, r)
+		}
+		p := planner(t)
+		plan := p.Decide(in)
+		require.Equal(t, plan, p.Decide(in))
+		require.Len(t, plan.Moves, len(in.Requests))
+		usable := max(in.Notice-p.cfg.Reserve, 0)
+		seen := map[string]bool{}
+		free := time.Duration(0) // of the transfer before
+		for _, m := range plan.Moves {
+			require.False(t, seen[m.ID])
+			seen[m.ID] = true
+			require.LessOrEqual(t, m.Start, usable)
+			if m.Method == MethodExport {
+				require.GreaterOrEqual(t, m.Start, free)
+				free = m.Start + m.Takes
+				require.LessOrEqual(t, m.Start+m.Takes, usable)
+			}
+		}
+		best, total := 0, 0
+		for set := range 1 << len(in.Requests) {
+			saved, used := 0, time.Duration(0)
+			for i, r := range in.Requests {
+				c := p.candidate(r, in)
+				if set>>i&1 == 1 && c.transfer.Seconds() <= p.cfg.MaxSlowdown*c.prefill.Seconds() {
+					saved += r.Tokens
+					used += c.transfer
+				}
+			}
+			if used <= usable {
+				best = max(best, saved)
+			}
+			total = max(total, saved)
+		}
+		sum := 0
+		for _, r := range in.Requests {
+			sum += r.Tokens
+		}
+		require.GreaterOrEqual(t, 2*(sum-plan.Recomputed), best)
+	})
+}
+
+// One long request would fill the notice. A short one that is a little better
+// per second must not push it out. Breaks without the comparison with the
+// largest request in choose.
+func TestLargestAloneBeatsManySmall(t *testing.T) {
+	in := Input{Notice: 3 * time.Second, Bandwidth: 1000, PrefillRate: 100, Requests: []Request{
+		{ID: "short", Tokens: 10, Bytes: 10},
+		{ID: "long", Tokens: 300, Bytes: 980},
+	}}
+	require.Equal(t, 10, planner(t).Decide(in).Recomputed)
+}
+
+func TestShortOnesFinishAndSlowTransfersAreRecomputed(t *testing.T) {
+	in := Input{Notice: 10 * time.Second, Bandwidth: 1000, PrefillRate: 100, Requests: []Request{
+		{"ends", 100, 100, 2 * time.Second},
+		{"slow", 10, 5000, time.Minute},
+		{"export", 100, 1000, time.Minute},
+	}}
+	plan := planner(t).Decide(in)
+	require.Equal(t, []Move{
+		{"export", MethodExport, ReasonSavesMost, 0, 1020 * time.Millisecond},
+		{"slow", MethodRecompute, ReasonPrefillFaster, 0, 100 * time.Millisecond},
+		{"ends", MethodFinish, ReasonEndsInTime, 8 * time.Second, time.Second},
+	}, plan.Moves)
+	require.Equal(t, 10, plan.Recomputed)
+}
+
+func TestConfigNamesTheField(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MaxSlowdown = 0
+	_, err := New(cfg)
+	var fault *ConfigError
+	require.ErrorAs(t, err, &fault)
+	require.Equal(t, "MaxSlowdown", fault.Field)
+}
--- a/policy/scale/scale_test.go
+++ b/policy/scale/scale_test.go
@@ -128,7 +128,7 @@
 // and at its top the cloud takes the cheapest data centre away for two hours and
 // refuses to start there. Callers must not notice. On the first day the surge
 // outruns the starts for a moment; on the second it is expected. Breaks without
-// the loss in survives and without expected.
+// the loss in survives, the slope in hold and expected.
 func TestCostThroughAMorningSurgeWithAZoneReclaimed(t *testing.T) {
 	c := newCloud(t)
 	rng := rand.New(rand.NewPCG(1, 2))
@@ -156,7 +156,7 @@
 	t.Logf("cost %.0f; all on demand %.0f without spare (%.0f%% below), %.0f with one data centre of five as spare (%.0f%% below)",
 		cost, bare, 100*(1-cost/bare), spread, 100*(1-cost/spread))
 	t.Logf("%d starts, %d refused, %d stops; minutes short of the demand by day: %v", c.starts, c.refused, c.stops, short)
-	require.LessOrEqual(t, short[0], 5)
+	require.LessOrEqual(t, short[0], 3)
 	require.Zero(t, short[1])
 	require.Less(t, cost, 0.6*bare)
 }
