entry: move requests off a reclaimed server within its notice

Cause: answers on a server that gave notice were resumed only when it had gone, all at once and each prefilled from the start.

--- a/cmd/savoryreel/standin.go
+++ b/cmd/savoryreel/standin.go
@@ -19,6 +19,7 @@
 	id, listen, region, zone, class string
 	entries                         []string
 	announceKey, logLevel           string
+	notice                          time.Duration
 }
 
 func (c *standInConfig) declare(s *settings.Set, id, listen string) {
@@ -29,6 +30,7 @@
 	s.String(&c.class, "machine-class", "g1", "machine class")
 	s.Strings(&c.entries, "announce-to", []string{"127.0.0.1:7001"}, "caller addresses of entries to announce to", settings.HostPorts)
 	s.Secret(&c.announceKey, "announce-key", "bearer key of announcements", settings.Required)
+	s.Duration(&c.notice, "notice", 3*time.Second, "notice given at SIGTERM, after which it ends", settings.Between(0, time.Hour))
 	s.String(&c.logLevel, "log-level", "info", "debug, info, warn or error", settings.LogLevel)
 }
 
@@ -68,7 +70,7 @@
 			Slots: slots, AnswerTokens: answer, CacheTokens: cache, PrefillRate: float64(prefill),
 			FirstToken: first, TokenTime: token, Announcing: c.announcing(),
 		}, fake.Deps{Log: log})
-		return runStandIn(ctx, log, c.listen, e)
+		return runStandIn(ctx, log, &c, e)
 	})
 }
 
@@ -83,7 +85,7 @@
 		p := fake.NewPlain(fake.PlainConfig{
 			ID: c.id, Region: c.region, Zone: c.zone, Class: c.class, Services: services, Announcing: c.announcing(),
 		}, fake.Deps{Log: log})
-		return runStandIn(ctx, log, c.listen, p)
+		return runStandIn(ctx, log, &c, p)
 	})
 }
 
@@ -93,24 +95,22 @@
 	Leave(notice time.Duration)
 }
 
-// standInNotice is the notice a stopped stand-in gives: it announces that it
-// leaves, waits so long, and ends.
-const standInNotice = 3 * time.Second
-
-func runStandIn(ctx context.Context, log *slog.Logger, address string, s standIn) error {
+// runStandIn serves until a signal comes; then the stand-in announces that it
+// leaves, goes on for the notice, and ends.
+func runStandIn(ctx context.Context, log *slog.Logger, cfg *standInConfig, s standIn) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
-	l, err := daemon.Listen(ctx, log, "backend server", address)
+	l, err := daemon.Listen(ctx, log, "backend server", cfg.listen)
 	if err != nil {
 		return err
 	}
 	var g run.Group
 	daemon.Actor(&g, func(c context.Context) error { return s.Run(c, l) })
 	daemon.Signals(&g, func(c context.Context) {
-		s.Leave(standInNotice)
+		s.Leave(cfg.notice)
 		select {
-		case <-time.After(standInNotice):
+		case <-time.After(cfg.notice):
 		case <-c.Done():
 		}
 	}, log)
--- a/control/leases.go
+++ b/control/leases.go
@@ -62,6 +62,9 @@
 		if err != nil {
 			return admit.Reply{}, trace.Wrap(err)
 		}
+		if l.machine.FirstTerm() == term {
+			shares.NoPredecessor() // earlier leaders knew no workspace, so they gave out nothing
+		}
 		l.shares, l.term, l.version, l.known = shares, term, 0, map[string]bool{}
 	}
 	l.setLimits(now)
--- a/control/machine.go
+++ b/control/machine.go
@@ -22,6 +22,7 @@
 	book      *contract.Book
 	ledger    *ledger.Ledger
 	catalogue uint64 // log index of the last catalogue entry applied
+	firstTerm uint64 // term of the first catalogue entry; 0: there is none
 
 	onCatalogue func(api.CatalogueReply)
 }
@@ -58,6 +59,9 @@
 	m.mu.Lock()
 	result := m.book.Apply(c)
 	m.catalogue = e.Index
+	if m.firstTerm == 0 {
+		m.firstTerm = e.Term
+	}
 	m.mu.Unlock()
 	if result.Code == contract.CodeAccepted {
 		m.onCatalogue(m.Catalogue(0))
@@ -103,6 +107,14 @@
 	return m.book.History(n)
 }
 
+// FirstTerm is the term in which the first catalogue change was committed, 0
+// before that. No leader of an earlier term knew any workspace.
+func (m *Machine) FirstTerm() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.firstTerm
+}
+
 // Counts returns the catalogue's version and the number of ledger records.
 func (m *Machine) Counts() (version uint64, records int) {
 	m.mu.RLock()
@@ -114,6 +126,7 @@
 	Book      []byte `msgpack:"book"`
 	Ledger    []byte `msgpack:"ledger"`
 	Catalogue uint64 `msgpack:"index"`
+	FirstTerm uint64 `msgpack:"first"`
 }
 
 // Snapshot encodes the whole state.
@@ -128,7 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
-	enc, err := msgpack.Marshal(&machineSnapshot{Book: book, Ledger: records, Catalogue: m.catalogue})
+	enc, err := msgpack.Marshal(&machineSnapshot{Book: book, Ledger: records, Catalogue: m.catalogue, FirstTerm: m.firstTerm})
 	return enc, trace.Wrap(err, "step=snapshot")
 }
 
@@ -147,7 +160,7 @@
 		return err
 	}
 	m.mu.Lock()
-	m.book, m.ledger, m.catalogue = book, records, s.Catalogue
+	m.book, m.ledger, m.catalogue, m.firstTerm = book, records, s.Catalogue, s.FirstTerm
 	m.mu.Unlock()
 	m.onCatalogue(m.Catalogue(0))
 	return nil
--- a/e2e/reclaim_test.go
+++ b/e2e/reclaim_test.go
@@ -17,14 +17,14 @@
 
 // smallSite starts two control-backed entries in two zones and n engines that
 // take a while for each answer, and waits until both entries serve.
-func smallSite(t *testing.T, engines int) (s *site, entries, servers []*process) {
+func smallSite(t *testing.T, engines int, settings ...string) (s *site, entries, servers []*process) {
 	s = newSite(t)
 	s.startControl(1)
 	for i := 1; i <= 2; i++ {
 		entries = append(entries, s.startEntry(i, fmt.Sprint("z", i)))
 	}
 	for i := 1; i <= engines; i++ {
-		servers = append(servers, s.startEngine(i, fmt.Sprint("z", i), "--token-time", "10ms"))
+		servers = append(servers, s.startEngine(i, fmt.Sprint("z", i), append([]string{"--token-time", "10ms"}, settings...)...))
 	}
 	s.startPlain(1, "z1")
 	s.apply(testCatalogue())
@@ -78,12 +78,17 @@
 // streams runs n streamed chats at entry i and gives each answer's error, if
 // its content is not exactly right.
 func (s *site) streams(ctx context.Context, i, n, tokens int, during func()) []error {
+	return s.streamsOf(ctx, i, n, tokens, "question", during)
+}
+
+// streamsOf is streams with a text that begins each prompt.
+func (s *site) streamsOf(ctx context.Context, i, n, tokens int, prompt string, during func()) []error {
 	errs := make([]error, n)
 	var started, done sync.WaitGroup
 	started.Add(n)
 	for k := range n {
 		done.Go(func() {
-			body, want := chatBody(fmt.Sprintf("question %d", k), tokens, true)
+			body, want := chatBody(fmt.Sprintf("%s %d", prompt, k), tokens, true)
 			started.Done()
 			c, err := s.stream(ctx, i, body)
 			switch {
@@ -197,3 +202,39 @@
 	require.Contains(t, got.body, want[len(want)-1])
 	require.Contains(t, got.body, strings.Join(want, ""))
 }
+
+// carried and recomputed sum up the tokens that answers took along, or had
+// prefilled again, at entry i.
+func (s *site) counter(i int, name string) int {
+	s.t.Helper()
+	resp, err := http.Get("http://" + s.addr(entryPort(i)+2) + "/metrics")
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	n := 0
+	for line := range strings.SplitSeq(readAll(resp), "\n") {
+		if rest, found := strings.CutPrefix(line, name+" "); found {
+			_, err := fmt.Sscan(rest, &n)
+			require.NoError(s.t, err)
+		}
+	}
+	return n
+}
+
+// A backend server with long prompts is reclaimed with ten seconds of notice,
+// time enough to take the KV caches along. The answers go on elsewhere unbroken
+// and none of their tokens is prefilled again.
+// Without the call of carry in attempt this test fails.
+func TestReclaimCarriesTheCache(t *testing.T) {
+	s, _, servers := smallSite(t, 1, "--notice", "10s")
+	briefing := strings.Repeat("station history ", 1500)
+	errs := s.streamsOf(t.Context(), 1, 4, 1500, briefing, func() {
+		s.waitForTokens(1, 100)
+		s.startEngine(2, "z2", "--token-time", "10ms")
+		s.knowsServers(1, 3)
+		servers[0].signal(t, syscall.SIGTERM)
+	})
+	requireNone(t, errs)
+	t.Logf("tokens carried %d, recomputed %d", s.counter(1, "savoryreel_tokens_carried_total"), s.counter(1, "savoryreel_tokens_recomputed_total"))
+	require.Positive(t, s.counter(1, "savoryreel_tokens_carried_total"))
+	require.Zero(t, s.counter(1, "savoryreel_tokens_recomputed_total"))
+}
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -27,7 +27,7 @@
 // admission holds this entry's part of the workspaces' limits, in shards by
 // workspace.
 type admission struct {
-	entry  string
+	entry  string // this life of this entry: a new one holds none of the old one's leases
 	now    func() time.Time
 	seed   maphash.Seed
 	shards [admissionShards]admissionShard
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -17,6 +17,8 @@
 type engineClient interface {
 	Chat(ctx context.Context, address, requestID string, req platform.ChatRequest) (*platform.ChatStream, error)
 	Probe(ctx context.Context, address string) error
+	ExportKV(ctx context.Context, address, requestID string) (platform.ExportReply, error)
+	ImportKV(ctx context.Context, address string, from platform.ImportRequest) (platform.ExportReply, error)
 }
 
 // Bounds of the attempts of one chat request.
@@ -60,14 +62,14 @@
 	for failures := 0; failures < maxAttempts; {
 		ctx, cancel := w.arm()
 		end, err := r.step(ctx, w, body, g)
-		paused := errors.Is(context.Cause(ctx), errPaused)
+		cause := context.Cause(ctx)
 		cancel(nil)
 		g = nil
 		switch {
 		case err == nil:
 			w.journal.Finish(end)
 			return
-		case paused && w.park():
+		case errors.Is(cause, errPaused) && w.park(), errors.Is(cause, errMoved):
 			continue
 		case w.ctx.Err() != nil:
 			w.journal.Finish(request.End{Problem: endedProblem(w.ctx, w.request)})
@@ -112,7 +114,9 @@
 	if err != nil {
 		return request.End{}, err
 	}
+	w.setCurrent(g)
 	end, err := r.attempt(ctx, w, body, g)
+	w.setCurrent(nil)
 	if err == nil {
 		r.guard.finish(g.lane.key, g.run)
 		return end, nil
@@ -171,8 +175,12 @@
 func (r *runner) attempt(ctx context.Context, w *work, body platform.ChatRequest, g *grant) (request.End, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	prefilled := 0
 	if done := w.journal.Tokens(); len(done) > 0 {
-		body.Resume = &platform.Resume{Tokens: done}
+		body.Resume = &platform.Resume{Tokens: done, Handle: r.carry(ctx, w, g.verdict.Address)}
+		if body.Resume.Handle == "" {
+			prefilled = w.held()
+		}
 		r.metrics.resumed.Inc()
 		event.Log(ctx, r.log, slog.LevelInfo, event.StreamResumed,
 			slog.String("request", string(w.request.ID)), slog.String("server", g.verdict.Server),
@@ -185,7 +193,11 @@
 		return request.End{}, causeOf(ctx, err)
 	}
 	defer stream.Close()
-	return r.read(ctx, w, stream, g, watch)
+	end, err := r.read(ctx, w, stream, g, watch)
+	if err != nil {
+		r.metrics.recomputed.Add(prefilled) // no usage comes from an attempt that broke off
+	}
+	return end, err
 }
 
 // read copies the stream to the journal.
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -59,7 +59,7 @@
 		return nil, p
 	}
 	req.Body, req.Stream, req.Idempotent = body, chat.Stream, true
-	req.Cost = promptTokens(chat.Messages) + answerTokens(chat)
+	req.Cost = answerCost(promptTokens(chat.Messages), answerTokens(chat))
 	return e.startChat(c, s, req, chat)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -69,6 +70,8 @@
 	retries  *retries
 	picker   *pick.Picker
 	guard    *guard
+	holdings *holdings
+	moves    *evacuations
 	shares   *shares
 	life     *life
 
@@ -96,7 +99,7 @@
 	e.ledger = e.control
 	e.lanes = newLanes(laneSelf{zone: cfg.Zone, region: cfg.Region}, deps.Log, deps.Now)
 	var err error
-	if e.admitter, err = newAdmission(cfg.ID, deps.Now); err != nil {
+	if e.admitter, err = newAdmission(fmt.Sprintf("%s/%d", cfg.ID, e.incarnation), deps.Now); err != nil {
 		return nil, err
 	}
 	if e.retries, err = newRetries(); err != nil {
@@ -105,6 +108,10 @@
 	if e.picker, err = pick.New(cfg.pick()); err != nil {
 		return nil, err
 	}
+	e.holdings = newHoldings(e)
+	if e.moves, err = newEvacuations(e); err != nil {
+		return nil, err
+	}
 	if e.guard, err = newGuard(e); err != nil {
 		return nil, err
 	}
@@ -170,6 +177,7 @@
 	daemon.Actor(g, e.planLoop)
 	daemon.Actor(g, e.syncLoop)
 	daemon.Actor(g, e.guard.expireLoop)
+	daemon.Actor(g, e.holdings.loop)
 	daemon.Actor(g, e.sweepLoop)
 	daemon.Actor(g, e.awaitNotice)
 	daemon.Actor(g, func(actorCtx context.Context) error {
@@ -189,6 +197,7 @@
 	e.members.Register(srv)
 	e.follower.register(srv)
 	e.guard.register(srv)
+	e.holdings.register(srv)
 	link.Handle(srv, methodOwner, e.answerOwner)
 	link.Handle(srv, methodTakeOver, e.takeOver)
 }
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -47,9 +47,12 @@
 	starter *queue.Starter
 	slots   map[string]int  // by backend server that serves
 	slow    map[string]bool // servers that are eased off, as last logged
-	tickets map[string]*ticket
-	entries int // how many entries share the servers
-	number  int // this entry's number among them, from 0
+	held    map[string]int  // slots by workspace
+
+	elsewhere map[string]int // slots by workspace at other entries, as last heard
+	tickets   map[string]*ticket
+	entries   int // how many entries share the servers
+	number    int // this entry's number among them, from 0
 
 	// Scratch space of free.
 	occupancies []route.Occupancy
@@ -110,7 +113,7 @@
 	return &lane{
 		key: key, starter: starter, entries: 1, self: self, log: log, now: now, queue: q, router: r,
 		drain: admit.NewDrain(admit.DefaultConfig().Memory),
-		slots: map[string]int{}, slow: map[string]bool{}, tickets: map[string]*ticket{},
+		slots: map[string]int{}, slow: map[string]bool{}, held: map[string]int{}, tickets: map[string]*ticket{},
 	}, nil
 }
 
@@ -153,12 +156,7 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	item := itemOf(r, weight, now)
-	b := l.queue.Backlog(r.Workspace, r.Class, weight)
-	b.Lasting = l.starter.Share(r.Workspace)
-	stats, _ := l.queue.Stats(r.Workspace)
-	v := l.starter.DecideBehind(now, &item, l.free(now), stats.Items)
-	b.Starts, b.Held = v.Start, v.Held()
-	return l.drain.Estimate(now, b)
+	return l.drain.Estimate(now, l.starter.Backlog(now, l.queue, &item, l.free(now)))
 }
 
 // free sums up the slots of the lane's servers as this entry sees them. The lock
@@ -258,6 +256,7 @@
 // grant counts a start on the verdict's server.
 func (l *lane) grant(v *route.Verdict, item *queue.Item, now time.Time) *grant {
 	l.starter.Started(now, item)
+	l.held[item.Workspace]++
 	return &grant{lane: l, verdict: *v, attempt: l.router.Started(v, now), workspace: item.Workspace, estimate: item.Cost}
 }
 
@@ -409,6 +408,9 @@
 	now := l.now()
 	how(l.router, &g.attempt, now)
 	l.starter.Ended(g.workspace)
+	if l.held[g.workspace]--; l.held[g.workspace] <= 0 {
+		delete(l.held, g.workspace)
+	}
 	l.queue.Charge(g.workspace, work-g.estimate)
 	if work > 0 {
 		l.drain.Ended(now, work)
--- a/entry/members.go
+++ b/entry/members.go
@@ -100,6 +100,9 @@
 	switch {
 	case ev.Server != nil:
 		e.serverChanged(ev.Server)
+		if ev.Kind == membership.ServerLeaving {
+			e.moves.leaving(ev.Server)
+		}
 	case ev.Member != nil:
 		e.memberChanged(ev.Member)
 	case ev.Record != nil:
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -17,6 +17,7 @@
 	resumed          *metrics.Counter
 	recomputed       *metrics.Counter
 	cached           *metrics.Counter
+	carried          *metrics.Counter
 	prompt           *metrics.Counter
 	handedOver       *metrics.Counter
 	takenOver        *metrics.Counter
@@ -36,6 +37,7 @@
 		resumed:          set.NewCounter("savoryreel_answers_resumed_total"),
 		recomputed:       set.NewCounter("savoryreel_tokens_recomputed_total"),
 		cached:           set.NewCounter("savoryreel_prompt_tokens_cached_total"),
+		carried:          set.NewCounter("savoryreel_tokens_carried_total"),
 		prompt:           set.NewCounter("savoryreel_prompt_tokens_total"),
 		handedOver:       set.NewCounter("savoryreel_requests_handed_over_total"),
 		takenOver:        set.NewCounter("savoryreel_requests_taken_over_total"),
--- a/entry/work.go
+++ b/entry/work.go
@@ -24,6 +24,8 @@
 	lastLeft  time.Time // when the last follower left; zero: none has
 	taken     bool      // came from another entry: its caller may still be on the way
 	done      time.Time // when the answer ended; zero: it goes on
+	current   *grant    // where the attempt runs; nil: nowhere
+	carryFrom string    // address of the engine whose KV cache goes along
 	interrupt context.CancelCauseFunc
 	parked    chan struct{} // not nil: the work is to pause; closed once it has
 	resumed   chan struct{} // closed when the work may go on
@@ -212,10 +214,9 @@
 	return n
 }
 
-// cost is the request's work in tokens as it turned out: its prompt as
-// estimated and the tokens of its answer.
+// cost is the request's work in tokens as it turned out.
 func (w *work) cost() int {
-	return w.ticket.route.PromptTokens + len(w.journal.Tokens())
+	return answerCost(w.ticket.route.PromptTokens, len(w.journal.Tokens()))
 }
 
 // followed counts the callers that read an answer now.
--- a/event/event.go
+++ b/event/event.go
@@ -15,48 +15,50 @@
 // The kinds. 1xxx is the life of a process, 2xxx requests, 3xxx backend servers
 // and membership, 4xxx catalogue and planned stops, 5xxx control replicas.
 const (
-	ProcessStarted   Kind = 1001
-	ProcessStopping  Kind = 1002
-	ProcessStopped   Kind = 1003
-	SettingsRefused  Kind = 1004
-	ListenerOpen     Kind = 1005
-	DrainBegun       Kind = 1010
-	DrainDone        Kind = 1011
-	RequestEnded     Kind = 2001
-	RequestRefused   Kind = 2002
-	RouteChosen      Kind = 2101
-	RouteWaits       Kind = 2102
-	AttemptFailed    Kind = 2103
-	StreamResumed    Kind = 2104
-	CallerLeft       Kind = 2105
-	CallerReturned   Kind = 2106
-	RequestTaken     Kind = 2110
-	RequestHandedOff Kind = 2111
-	HandOffFailed    Kind = 2112
-	LedgerAnswered   Kind = 2201
-	LedgerFailed     Kind = 2202
-	EntryPicked      Kind = 2120
-	SuspectHeld      Kind = 2301
-	Quarantined      Kind = 2302
-	ServerAnnounced  Kind = 3001
-	ServerLeaving    Kind = 3002
-	ServerGone       Kind = 3003
-	ServerRefused    Kind = 3004
-	ServerSlow       Kind = 3005
-	CacheGap         Kind = 3006
-	MemberChanged    Kind = 3101
-	CatalogueChanged Kind = 4001
-	CatalogueRefused Kind = 4002
-	CatalogueTaken   Kind = 4003
-	FreshnessLost    Kind = 4004
-	FreshnessBack    Kind = 4005
-	StopBegun        Kind = 4101
-	LeaderChanged    Kind = 5001
-	ReplicaFailed    Kind = 5002
-	OrderGiven       Kind = 5101
-	OrderRefused     Kind = 5102
-	PlacementChosen  Kind = 5201
-	StartRefused     Kind = 5202
+	ProcessStarted    Kind = 1001
+	ProcessStopping   Kind = 1002
+	ProcessStopped    Kind = 1003
+	SettingsRefused   Kind = 1004
+	ListenerOpen      Kind = 1005
+	DrainBegun        Kind = 1010
+	DrainDone         Kind = 1011
+	RequestEnded      Kind = 2001
+	RequestRefused    Kind = 2002
+	RouteChosen       Kind = 2101
+	RouteWaits        Kind = 2102
+	AttemptFailed     Kind = 2103
+	StreamResumed     Kind = 2104
+	CallerLeft        Kind = 2105
+	CallerReturned    Kind = 2106
+	EvacuationPlanned Kind = 2107
+	CarryFailed       Kind = 2108
+	RequestTaken      Kind = 2110
+	RequestHandedOff  Kind = 2111
+	HandOffFailed     Kind = 2112
+	LedgerAnswered    Kind = 2201
+	LedgerFailed      Kind = 2202
+	EntryPicked       Kind = 2120
+	SuspectHeld       Kind = 2301
+	Quarantined       Kind = 2302
+	ServerAnnounced   Kind = 3001
+	ServerLeaving     Kind = 3002
+	ServerGone        Kind = 3003
+	ServerRefused     Kind = 3004
+	ServerSlow        Kind = 3005
+	CacheGap          Kind = 3006
+	MemberChanged     Kind = 3101
+	CatalogueChanged  Kind = 4001
+	CatalogueRefused  Kind = 4002
+	CatalogueTaken    Kind = 4003
+	FreshnessLost     Kind = 4004
+	FreshnessBack     Kind = 4005
+	StopBegun         Kind = 4101
+	LeaderChanged     Kind = 5001
+	ReplicaFailed     Kind = 5002
+	OrderGiven        Kind = 5101
+	OrderRefused      Kind = 5102
+	PlacementChosen   Kind = 5201
+	StartRefused      Kind = 5202
 )
 
 // Description is a line of the catalogue of events.
@@ -82,6 +84,8 @@
 	{StreamResumed, "answer resumed on another backend server"},
 	{CallerLeft, "caller left"},
 	{CallerReturned, "caller came back for its answer"},
+	{EvacuationPlanned, "moves off a leaving backend server planned"},
+	{CarryFailed, "KV cache could not be taken along"},
 	{RequestTaken, "request taken over from another entry"},
 	{RequestHandedOff, "request handed over to another entry"},
 	{HandOffFailed, "hand-over failed"},
