policy/route: tell queueing from a fault; keep the newest prefixes; fewer cache lines

Cause: with demand equal to capacity a quarter of the servers, the most allowed, were eased off though healthy (shares summed to 9.1 to 10.1 of 12 in runs of the new saturation test), and a hot prefix took one to three of twelve out in each entry: late first tokens of one burst counted again at each judgement. A full index took no new prefixes.

Change: the wait for a slot is part of what a first token may take; each cut needs evidence newer than the last and goes to a quarter; the score no longer multiplies by slowness, which the share does already; own starts are counted per 10 ms; the bound is checked only for servers that would be candidates; the index drops the oldest prefixes at 1024 a server (180 bytes each, measured).

Ruled out: counting starts only, or a doubled random part, in the others' share of the headroom: 432 of 3673 and 313 of 3606 starts over the bound, no better. Reports every 250 ms, 50 ms late, bring it to 50 of 3666, at four times the bytes.

Measured (go test -v ./policy/route): saturation 1x, 2x, 5x: shares sum 12.00 of 12; uncached 18.2% against 81.5% for least reported, p95 170 ms against 4.9 s; hot prefix, 7 entries: 292 of 3571 starts over the bound, fullest server's mean load 1.09 of fair, peak 1.74; short prompts beside long ones p95 1.82 s against 2.22 s for the best baseline; herding with 7 and 100 entries: peak 1.65 and 2.29 of fair against 12.72 and 11.87 for least reported.

Mutations tried and seen to fail: slotWait, maxEased, fresh evidence, the cut, failures, probe, hot keys either way, dropOldest, full, the others' part.

--- a/policy/route/attempt.go
+++ b/policy/route/attempt.go
@@ -9,8 +9,8 @@
 	incarnation uint64
 	started     time.Time
 	uncached    int
-	ahead       int  // uncached tokens that this entry had waiting there before it
-	waiting     bool // for the first token
+	expected    time.Duration // until the first token
+	waiting     bool          // for the first token
 	open        bool
 }
 
@@ -24,12 +24,32 @@
 	}
 	a.slot, a.waiting, a.open = slot, true, true
 	s := &r.servers[slot]
-	a.ahead = s.health.prefill
+	a.expected = r.expected(s, a.uncached)
 	s.started(now)
 	s.health.started(now, a.uncached)
 	return a
 }
 
+// expected is how long a healthy server may take to the first token: the prefill
+// of the request and of those that this entry has waiting there, and the wait
+// for a slot.
+func (r *Router) expected(s *server, uncached int) time.Duration {
+	prefill := float64(uncached+s.health.prefill) / r.cfg.PrefillRate
+	return overhead + seconds(prefill) + r.slotWait(s)
+}
+
+// slotWait is how long a request may wait for a slot: not at all on a server
+// that has room, and on a full one for one slot and for each turn that is queued
+// before it. Without it, queueing at saturation passes for a fault (run, demand
+// equal to capacity: a quarter of the servers, the most allowed, eased off).
+func (r *Router) slotWait(s *server) time.Duration {
+	use := (s.load() + 1) / s.slots
+	if use < nearlyFull {
+		return 0
+	}
+	return seconds((1 + max(use-1, 0)) * r.cfg.SlotTime.Seconds())
+}
+
 // FirstToken notes the first byte of the answer.
 func (r *Router) FirstToken(a *Attempt, now time.Time) {
 	s := r.serverOf(a)
@@ -40,8 +60,7 @@
 	s.health.settled(now, a.uncached)
 	s.health.failures = 0
 	elapsed := now.Sub(a.started)
-	expected := overhead + seconds(float64(a.uncached+a.ahead)/r.cfg.PrefillRate)
-	s.health.sample(float64(elapsed) / float64(expected))
+	s.health.sample(float64(elapsed) / float64(a.expected))
 	r.firstToken += time.Duration(sampleWeight * float64(elapsed-r.firstToken) / float64(len(r.servers)))
 }
 
@@ -58,7 +77,7 @@
 // timeout or server error. Calls after the first have no effect.
 func (r *Router) Failed(a *Attempt, now time.Time) {
 	if s := r.serverOf(a); s != nil {
-		s.health.failures++
+		s.health.failed()
 		r.close(s, a, now)
 	}
 	a.open = false
--- a/policy/route/config.go
+++ b/policy/route/config.go
@@ -46,8 +46,8 @@
 	SilentAfter time.Duration
 	// FailuresInRow failures with no success between them make a server slow at once.
 	FailuresInRow int
-	// AssessEvery is how often servers are judged. A slow server's share halves
-	// at each judgement down to MinShare.
+	// AssessEvery is how often servers are judged. A slow server's share falls to
+	// a quarter at each judgement that has new evidence, down to MinShare.
 	AssessEvery time.Duration
 	MinShare    float64
 	// ProbeEvery is the time between single trial requests to a server at
@@ -67,14 +67,14 @@
 //     holds for any factor above 1.
 //   - FreeLoad 0.5: with 0, at a quarter of the capacity (run: 150 callers, 7
 //     entries, 12 servers of 16 slots) random arrivals alone put the bound in the
-//     way of conversations: 30.4% of the prompt tokens were prefilled and the p95
-//     first token was 520 ms, against 19.9% and 220 ms with 0.5.
+//     way of conversations: 30.5% of the prompt tokens were prefilled and the p95
+//     first token was 563 ms, against 18.2% and 170 ms with 0.5.
 //   - ZoneCost 1 ms is a round trip between data centres of one site (0.5 ms one
 //     way, the users' figure); RegionCost 60 ms keeps work in its region until the
 //     region's servers are worse by that.
 //   - SlowFactor 2.5 with SlowSamples 3 and AssessEvery 250 ms takes a share from
-//     1 to MinShare in six judgements, 1.5 s, which leaves 3.5 s of the 5 s
-//     aimed at for the samples to come in. Lower factors take queueing noise for
+//     1 to MinShare in three judgements, with five samples or so, which leaves
+//     most of the 5 s aimed at for the samples to come in. Lower factors take queueing noise for
 //     a fault: at a load of 0.7, waits vary by about a factor of 2 between peers.
 //   - SilentAfter 1 s is above the users' 0.72 s target for a first token.
 //   - SlowStart 10 s covers the filling of an empty prefix cache and of the batch.
--- a/policy/route/health.go
+++ b/policy/route/health.go
@@ -18,6 +18,16 @@
 // long ones.
 const overhead = 50 * time.Millisecond
 
+// nearlyFull is the use of a server's slots from which on a request may have to
+// wait: the estimate of the load is old, and a few requests off.
+const nearlyFull = 0.75
+
+// Factors by which a share changes at each step.
+const (
+	easeStep    = 4
+	recoverStep = 2
+)
+
 // maxEased is the part of the servers that may be eased off at a time. Slow
 // machines are a few in a hundred; a quarter also fits a site of four servers.
 const maxEased = 0.25
@@ -33,7 +43,7 @@
 	share        float64 // part of its full share that it gets, MinShare..1
 	ratio        float64 // moving average of measured over expected
 	samples      int
-	fresh        int // good samples since share last changed
+	fresh        int // samples and failures since the last judgement that used them
 	failures     int // in a row
 	pending      int // own requests without a first token
 	pendingSince time.Time
@@ -61,6 +71,11 @@
 	h.pendingSince = now
 }
 
+func (h *health) failed() {
+	h.failures++
+	h.fresh++
+}
+
 func (h *health) sample(ratio float64) {
 	weight := sampleWeight
 	if h.share < 1 {
@@ -103,17 +118,18 @@
 	}
 	eased, known := r.countEased()
 	for i := range r.servers {
-		if r.servers[i].id == "" {
+		s := &r.servers[i]
+		if s.id == "" {
 			continue
 		}
-		h := &r.servers[i].health
+		h := &s.health
 		// Where many servers look slow it is the load that is too high. Easing
 		// them off would put all of it on the rest and make those slow as well,
 		// until one server is left with everything.
 		if h.share == 1 && eased >= max(1, int(maxEased*float64(known))) {
 			continue
 		}
-		r.judge(h, now)
+		r.judge(s, now)
 		if h.share < 1 {
 			eased++
 		}
@@ -134,32 +150,35 @@
 	return eased, known
 }
 
-// judge halves the share of a slow server, and doubles that of a server that
-// has answered well since the last step.
-func (r *Router) judge(h *health, now time.Time) {
-	if r.slow(h, now) {
-		h.fresh = 0
-		if h.share > r.cfg.MinShare {
-			h.share = max(h.share/2, r.cfg.MinShare)
-			h.lastStep = now
-		}
+// judge cuts the share of a slow server, and doubles that of a server that has
+// answered well. Each step needs evidence that is newer than the last one, which
+// for a silent server is its silence. Without that, a handful of first tokens
+// that were late together, as at the start of a surge, would count again at each
+// judgement and take the server out (run, 7 entries and a hot prefix: one to
+// three healthy servers of twelve at MinShare in each entry).
+func (r *Router) judge(s *server, now time.Time) {
+	h := &s.health
+	silent := h.silent(now, r.cfg.PrefillRate) > r.silentAfter()+r.slotWait(s)
+	if h.fresh == 0 && !silent {
 		return
 	}
-	if h.share == 1 || h.fresh == 0 || now.Sub(h.lastStep) < r.cfg.RecoverEvery {
+	next := min(h.share*recoverStep, 1)
+	if silent || r.slow(h) {
+		next = max(h.share/easeStep, r.cfg.MinShare)
+	} else if now.Sub(h.lastStep) < r.cfg.RecoverEvery {
 		return
 	}
-	h.share = min(h.share*2, 1)
-	h.lastStep = now
 	h.fresh = 0
+	if next != h.share {
+		h.share = next
+		h.lastStep = now
+	}
 }
 
-func (r *Router) slow(h *health, now time.Time) bool {
+func (r *Router) slow(h *health) bool {
 	if h.failures >= r.cfg.FailuresInRow {
 		return true
 	}
-	if h.silent(now, r.cfg.PrefillRate) > r.silentAfter() {
-		return true
-	}
 	return h.samples >= r.cfg.SlowSamples && h.ratio > r.cfg.SlowFactor*max(r.median, 1)
 }
 
--- a/policy/route/index.go
+++ b/policy/route/index.go
@@ -2,16 +2,18 @@
 
 import (
 	"math/bits"
+	"slices"
 
 	"savoryreel.example/savoryreel/instance"
 )
 
 // Limits of a PrefixIndex.
 const (
-	// maxServerPrefixes bounds the prefixes kept for one server. 600 servers at
-	// the bound, sharing nothing, are 2.4 million prefixes; a server that stores
-	// more is routed to as if it lacked the rest.
-	maxServerPrefixes = 4096
+	// maxServerPrefixes bounds the prefixes kept for one server, the newest. A
+	// prefix that one server holds takes 180 bytes (measured), so that 600
+	// servers at the bound that share nothing take 111 MB. A prefix that is not
+	// kept costs one prefill.
+	maxServerPrefixes = 1024
 	// maxHeldEvents bounds the events kept for replay while a listing is on its
 	// way: more than a server stores in the second that a listing takes.
 	maxHeldEvents = 256
@@ -82,6 +84,7 @@
 	gap         bool
 	pinned      bool // a Router uses the slot
 	prefixes    map[uint64]struct{}
+	order       []uint64              // of prefixes, as stored, with some that were evicted since
 	held        []instance.CacheEvent // in order, since the gap, for replay over a listing
 }
 
@@ -242,9 +245,13 @@
 
 func (x *PrefixIndex) store(slot int, prefix uint64, tokens int) {
 	s := &x.servers[slot]
-	if _, ok := s.prefixes[prefix]; ok || len(s.prefixes) >= maxServerPrefixes {
+	if _, ok := s.prefixes[prefix]; ok {
 		return
 	}
+	for len(s.prefixes) >= maxServerPrefixes {
+		x.dropOldest(slot)
+	}
+	s.note(prefix)
 	if s.prefixes == nil {
 		s.prefixes = make(map[uint64]struct{})
 	}
@@ -262,6 +269,32 @@
 	entry.count++
 }
 
+// dropOldest makes room by forgetting the prefix that was stored longest ago. To
+// ignore new ones instead would leave every conversation that began after the
+// bound was reached without its cache.
+func (x *PrefixIndex) dropOldest(slot int) {
+	s := &x.servers[slot]
+	oldest := s.order[0]
+	s.order = s.order[1:]
+	if _, ok := s.prefixes[oldest]; ok {
+		delete(s.prefixes, oldest)
+		x.unset(slot, oldest)
+	}
+}
+
+// note appends the prefix to the order of storing. Prefixes that were evicted
+// meanwhile stay in it until it has grown to twice what is held.
+func (s *indexedServer) note(prefix uint64) {
+	if len(s.order) >= 2*maxServerPrefixes {
+		gone := func(p uint64) bool {
+			_, ok := s.prefixes[p]
+			return !ok
+		}
+		s.order = slices.Clone(slices.DeleteFunc(s.order, gone))
+	}
+	s.order = append(s.order, prefix)
+}
+
 func (x *PrefixIndex) unset(slot int, prefix uint64) {
 	entry := x.entries[prefix]
 	entry.holders[slot/64] &^= 1 << (slot % 64)
--- a/policy/route/index_test.go
+++ b/policy/route/index_test.go
@@ -57,6 +57,22 @@
 	return l
 }
 
+// A server holds more prefixes than the index keeps. Those of the conversations
+// that go on now are the newest, and must be the ones kept. Breaks without
+// dropOldest.
+func TestIndexKeepsTheNewest(t *testing.T) {
+	x := NewPrefixIndex()
+	const stored = 5 * maxServerPrefixes
+	for i := range uint64(stored) {
+		x.Apply("s", 1, instance.CacheEvent{Sequence: 2*i + 1, Prefix: i, Stored: true, Tokens: 9})
+		evicted := instance.CacheEvent{Sequence: 2*i + 2, Prefix: i, Stored: i%3 > 0, Tokens: 9}
+		x.Apply("s", 1, evicted)
+	}
+	require.LessOrEqual(t, x.Len(), maxServerPrefixes)
+	require.LessOrEqual(t, len(x.servers[0].order), 2*maxServerPrefixes)
+	require.Contains(t, x.entries, uint64(stored-1))
+}
+
 // A server restarts under its old id. What its old process had cached is gone;
 // late events of that process must not bring it back.
 func TestNewIncarnationStartsEmpty(t *testing.T) {
--- a/policy/route/model_test.go
+++ b/policy/route/model_test.go
@@ -28,6 +28,7 @@
 	cached   int
 	entry    int
 	attempt  Attempt
+	first    func() // at the first token; may be nil
 	done     func() // may be nil
 }
 
@@ -250,6 +251,9 @@
 		m.store(e, j)
 		m.first = append(m.first, m.now.Sub(j.arrive))
 		m.routers[j.entry].FirstToken(&j.attempt, m.now)
+		if j.first != nil {
+			j.first()
+		}
 		m.after(seconds(float64(j.output)*m.tokenTime.Seconds()*e.slowdown), func() {
 			m.routers[j.entry].Finished(&j.attempt, m.now)
 			e.running--
--- a/policy/route/router.go
+++ b/policy/route/router.go
@@ -230,7 +230,7 @@
 // decisions, however attractive its cache and its empty queue make it.
 func (r *Router) gather(req *Request, t *tally) (picks, Reason) {
 	var held, ranked, sampled, over, rest best2
-	depth := int32(0)
+	depth := int32(1)
 	top := uint64(0) // best rank of all, also of those at their bound
 	topFull := false
 	key := affinityKey(req)
@@ -239,16 +239,22 @@
 		if r.weights[i] == 0 {
 			continue
 		}
-		s := &r.servers[i]
-		noise := mix(req.Seed, s.hash)
+		hash := r.servers[i].hash
+		noise := mix(req.Seed, hash)
 		rest.offer(i, noise)
 		if r.weights[i] < t.top && unit(mix(noise, saltShare))*t.top >= r.weights[i] {
 			continue
 		}
 		over.offer(i, noise)
-		own := lone && 2*int(r.matched[i]) >= req.PromptTokens
-		full := r.full(i, t, own, noise)
-		rank := mix(key, s.hash)
+		rank := mix(key, hash)
+		m := r.matched[i]
+		// The bound is checked only where it matters: few of many servers are
+		// among the best so far.
+		holds := m > depth || m == depth && held.wants(^noise)
+		if rank < top && !holds && !sampled.wants(noise) && !ranked.wants(rank) {
+			continue
+		}
+		full := r.full(i, t, lone && 2*int(m) >= req.PromptTokens, noise)
 		if rank >= top {
 			top, topFull = rank, full
 		}
@@ -259,12 +265,12 @@
 		if key != 0 {
 			ranked.offer(i, rank)
 		}
-		if m := r.matched[i]; m > depth {
+		if m > depth {
 			depth = m
 			held = best2{}
 		}
-		if m := r.matched[i]; m > 0 && m == depth {
-			held.offer(i, mix(key, noise))
+		if m == depth {
+			held.offer(i, ^noise) // another sample than that of all servers
 		}
 	}
 	var p picks
@@ -299,7 +305,7 @@
 // than one request, the entry takes one with the probability that makes the n
 // entries together fill it; without this, 100 entries that see room for one
 // request would each send one. Run with 7 entries, a hot prefix and reports 0.2
-// to 1.2 s old: 19% of the starts were over the bound without it, 6% with it.
+// to 1.2 s old: 19% of the starts were over the bound without it, 8% with it.
 func (r *Router) full(i int, t *tally, own bool, noise uint64) bool {
 	s := &r.servers[i]
 	limit := t.perSlot * r.weights[i] * s.slots // its ceiling is what the load may become
@@ -336,9 +342,6 @@
 	use := (s.load() + 1) / s.slots
 	cost += min(use, 1) * r.cfg.BusyCost.Seconds()
 	cost += max(use-1, 0) * r.cfg.SlotTime.Seconds()
-	if s.health.samples >= r.cfg.SlowSamples && r.median > 0 {
-		cost *= max(s.health.ratio/r.median, 1)
-	}
 	return seconds(cost) + r.distance(req, s)
 }
 
@@ -431,6 +434,10 @@
 	rank [2]uint64
 }
 
+func (b *best2) wants(rank uint64) bool {
+	return b.n < 2 || rank > b.rank[1]
+}
+
 func (b *best2) offer(slot int, rank uint64) {
 	switch {
 	case b.n == 0 || rank > b.rank[0]:
--- a/policy/route/router_test.go
+++ b/policy/route/router_test.go
@@ -109,7 +109,7 @@
 		spread := map[string]float64{}
 		for name, p := range map[string]chooser{"least reported": leastReported{}, "least, own": leastReported{own: true}, "route": routed{}} {
 			m := newModel(3, 24, 16, entries, p)
-			m.distinct(120, 40*time.Second)
+			m.distinct(120, 20*time.Second)
 			spread[name] = m.peak
 			t.Logf("entries %3d %-15s peak load %.2f of fair, p95 %v", entries, name, m.peak, m.percentile(0.95))
 		}
@@ -118,6 +118,52 @@
 	}
 }
 
+// One prompt in twenty is a seasonal briefing of 16000 tokens, two seconds of
+// prefill. A router that counts requests alone puts short chat replies behind
+// them. Breaks without health.prefill in cost.
+func TestShortPromptsBesideLongOnes(t *testing.T) {
+	run := func(name string, p chooser) time.Duration {
+		m := newModel(9, 12, 32, 3, p)
+		var short []time.Duration
+		var arrive func()
+		arrive = func() {
+			j := &job{prefixes: []uint64{m.rng.Uint64()}, lengths: []int{300}, output: 60}
+			if m.rng.IntN(20) == 0 {
+				j.lengths[0] = 16_000
+			} else {
+				j.first = func() { short = append(short, m.now.Sub(j.arrive)) }
+			}
+			m.submit(j)
+			m.after(seconds(m.rng.ExpFloat64()/40), arrive)
+		}
+		m.after(0, arrive)
+		m.run(120 * time.Second)
+		m.first = short
+		t.Logf("%-15s short prompts: p50 %v p95 %v", name, m.percentile(0.5), m.percentile(0.95))
+		return m.percentile(0.95)
+	}
+	best := min(run("round robin", &roundRobin{}), run("least reported", leastReported{}), run("least, own", leastReported{own: true}))
+	require.Less(t, run("route", routed{}), best)
+}
+
+// Demand is 1, 2 and 5 times what the servers can do, so all of them are slow.
+// If that were taken for a fault, the share of one after the other would fall
+// and the rest would drown. Breaks without slotWait in expected.
+func TestSaturationEasesNobodyOff(t *testing.T) {
+	for _, times := range []float64{1, 2, 5} {
+		m := newModel(13, 12, 8, 3, routed{})
+		m.distinct(times*12*8/2.1, 20*time.Second)
+		shares, least := 0.0, 1.0
+		for _, e := range m.engines {
+			share := m.routers[0].Share(e.id, m.now)
+			shares += share
+			least = min(least, share)
+		}
+		t.Logf("%gx: answered %d, shares sum %.2f of 12, least %.2f, peak load %.2f of fair", times, len(m.first), shares, least, m.peak)
+		require.GreaterOrEqual(t, shares, 11.5)
+	}
+}
+
 // distinct plays rate requests a second that share nothing.
 func (m *model) distinct(rate float64, until time.Duration) {
 	var arrive func()
@@ -132,7 +178,7 @@
 // A server's accelerator throttles: it answers everything, ten times slower,
 // and announces itself as healthy. Without judging it by its latency a twelfth
 // of all users wait ten times as long until somebody looks. Breaks without the
-// halving in judge.
+// cut in judge.
 func TestSlowServerIsEasedOffAndComesBack(t *testing.T) {
 	m := newModel(7, 12, 16, 3, routed{})
 	slow := m.engines[4]
@@ -148,7 +194,8 @@
 	m.distinct(60, 150*time.Second)
 	share := float64(late) / float64(total)
 	t.Logf("first 5 s: %d requests; next 20 s: %d of %d (%.2f%% of all, %.1f%% of a fair share)", early, late, total, 100*share, 1200*share)
-	require.Less(t, share*12, 0.1, "of a fair share, from 5 s on")
+	// The aim is a tenth; the load bound alone gives 0.096 here, so less is asked.
+	require.Less(t, share*12, 0.05, "of a fair share, from 5 s on")
 	recovered := 0.0
 	for _, r := range m.routers {
 		recovered += r.Share(slow.id, m.now) / 3
@@ -174,6 +221,48 @@
 	require.Equal(t, 1.0, r.Share("server-1", now.Add(4*time.Second)))
 }
 
+// A server refuses every connection, or answers each with an error. It has no
+// load and no late first token, so all else makes it look best, and callers see
+// a twelfth of their requests retried. Breaks without FailuresInRow in slow.
+func TestFailingServerIsEasedOff(t *testing.T) {
+	r, now := testRouter(t, 6, 16)
+	failed := 0
+	for i := range 600 {
+		at := now.Add(time.Duration(i) * 20 * time.Millisecond)
+		v := r.Choose(&Request{Now: at, Seed: uint64(i), PromptTokens: 100})
+		a := r.Started(&v, at)
+		if v.Server != "server-0" {
+			r.Finished(&a, at.Add(15*time.Millisecond))
+			continue
+		}
+		failed++
+		r.Failed(&a, at.Add(time.Millisecond))
+	}
+	t.Logf("%d of 600 requests in 12 s went to the failing server, 100 would be its share", failed)
+	require.Less(t, failed, 20)
+}
+
+// A few first tokens are late together and the server gets no request for a
+// while. The old evidence must not be held against it again and again. Breaks
+// without the check of fresh in judge.
+func TestOldEvidenceCountsOnce(t *testing.T) {
+	r, now := testRouter(t, 6, 16)
+	for i := range 200 {
+		at := now.Add(time.Duration(i) * 20 * time.Millisecond)
+		v := r.Choose(&Request{Now: at, Seed: uint64(i), PromptTokens: 100, Exclude: []string{"server-0"}})
+		if i < 3 {
+			v = r.Choose(&Request{Now: at, Seed: uint64(i), PromptTokens: 100, Exclude: []string{"server-1", "server-2", "server-3", "server-4", "server-5"}})
+		}
+		a := r.Started(&v, at)
+		took := 10 * time.Millisecond
+		if v.Server == "server-0" {
+			took = 900 * time.Millisecond
+		}
+		r.Finished(&a, at.Add(took))
+	}
+	require.InDelta(t, 0.25, r.Share("server-0", now.Add(4*time.Second)), 1e-9)
+}
+
 // A replacement starts with an empty cache and no load, so every report makes
 // it look best, and the first seconds of traffic would all go there.
 func TestNewServerIsNotFlooded(t *testing.T) {
--- a/policy/route/server.go
+++ b/policy/route/server.go
@@ -10,8 +10,8 @@
 // Window of own starts and ends kept for correcting a late load report. A
 // report older than the window is corrected by the whole window.
 const (
-	historyBuckets = 64
-	historyWidth   = 100 * time.Millisecond
+	historyBuckets = 512
+	historyWidth   = 10 * time.Millisecond
 )
 
 // history counts own starts less own ends per historyWidth.
@@ -48,27 +48,28 @@
 
 // server is what a Router knows of one backend server.
 type server struct {
+	// What each decision reads of every server comes first, in one cache line or
+	// two: at 600 servers the reads from memory are most of a decision's time.
+	serving  bool // has not begun to leave in this incarnation
+	grown    bool // slow start is over
+	slots    float64
+	hash     uint64 // of id, for rendezvous
+	reported int    // running and waiting as of reportAt
+	net      int    // own starts less own ends since reportAt
+	own      int    // own requests not ended
+	health   health
+
 	id          string
 	address     string
 	zone        string
 	region      string
 	version     string
 	adapters    []string
-	hash        uint64 // of id, for rendezvous
 	incarnation uint64
 	sequence    uint64
-	serving     bool // has not begun to leave in this incarnation
-	slots       float64
 	since       time.Time // first seen in this incarnation
-	grown       bool      // slow start is over
-
-	reportAt time.Time
-	reported int // running and waiting as of reportAt
-	net      int // own starts less own ends since reportAt
-	own      int // own requests not ended
-	history  *history
-
-	health health
+	reportAt    time.Time
+	history     *history
 }
 
 // announce takes in a newer announcement. at is when its load held, on the
