--- a/policy/route/router_test.go
+++ b/policy/route/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -278,6 +279,28 @@
 	require.InDelta(t, 1, r.Share("new", now.Add(10*time.Second)), 1e-9)
 }
 
+// The same work is done in another region, tens of milliseconds away, only when
+// the servers of the region are worse by that. Breaks without distance in cost.
+func TestWorkStaysNearUntilNearIsWorse(t *testing.T) {
+	r, err := New(DefaultConfig())
+	require.NoError(t, err)
+	for _, region := range []string{"here", "there"} {
+		a := announcement(region, 1, 1)
+		a.Region, a.Slots = region, 100
+		r.Announce(a, epoch, epoch)
+	}
+	now := epoch.Add(time.Minute)
+	got := ""
+	for i := range 60 {
+		v := r.Choose(&Request{Now: now, Seed: uint64(i), Region: "here"})
+		r.Started(&v, now)
+		got += v.Server[:1]
+	}
+	require.Equal(t, "h", got[:1])
+	require.Contains(t, got, "t", "the load bound sends the rest there")
+	require.Greater(t, strings.Count(got, "h"), strings.Count(got, "t"))
+}
+
 func testRouter(t require.TestingT, servers, slots int) (*Router, time.Time) {
 	r, err := New(DefaultConfig())
 	require.NoError(t, err)
