control: linearizable reads at followers; tests of frozen entries and leaders

Cause: an operator who asked a replica that had just lost the leadership got no_leader for good (TestFrozenLeader, 30 s without an answer). Followers now ask the leader for a read point and answer once they have applied the log up to it.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -15,6 +15,7 @@
 	MethodCatalogue = "control.catalogue"
 	MethodPropose   = "control.propose"
 	MethodStatus    = "control.status"
+	MethodBarrier   = "control.barrier"
 	MethodLeases    = "control.leases"  // admit.Report to the leader, admit.Reply back
 	MethodReplica   = "control.replica" // notices between replicas
 )
@@ -78,6 +79,16 @@
 	Result msgpack.RawMessage `msgpack:"res"`
 }
 
+// BarrierRequest asks the leader for a point up to which a follower must have
+// applied the log before it may answer a read.
+type BarrierRequest struct{}
+
+// BarrierReply names that point: everything accepted before the request is at or
+// before Index.
+type BarrierReply struct {
+	Index uint64 `msgpack:"idx"`
+}
+
 // StatusRequest asks a replica for its state.
 type StatusRequest struct{}
 
--- a/control/operator.go
+++ b/control/operator.go
@@ -63,7 +63,7 @@
 // before the call. Without it, an operator who asks a replica that lags would
 // edit an old catalogue and believe a change lost.
 func (o *operatorAPI) current(w http.ResponseWriter, r *http.Request) (api.CatalogueReply, bool) {
-	if err := o.service.log.ReadBarrier(r.Context()); err != nil {
+	if err := o.service.barrier(r.Context()); err != nil {
 		noLeader(w, err)
 		return api.CatalogueReply{}, false
 	}
--- a/control/service.go
+++ b/control/service.go
@@ -51,6 +51,7 @@
 	link.Handle(srv, api.MethodCatalogue, s.catalogue)
 	link.Handle(srv, api.MethodPropose, s.propose)
 	link.Handle(srv, api.MethodStatus, s.status)
+	link.Handle(srv, api.MethodBarrier, s.leaderBarrier)
 	link.HandleNotice(srv, api.MethodReplica, func(_ context.Context, _ link.PeerInfo, m replica.Message) {
 		s.log.Step(m)
 	})
@@ -147,3 +148,43 @@
 		return nil, trace.BadParameter("unknown kind of proposal %d", r.Kind)
 	}
 }
+
+// leaderBarrier answers a follower. A replica that does not lead, or no longer,
+// answers with an error: its own log may lack what was accepted elsewhere.
+func (s *service) leaderBarrier(ctx context.Context, _ link.PeerInfo, _ api.BarrierRequest) (api.BarrierReply, error) {
+	if err := s.log.ReadBarrier(ctx); err != nil {
+		return api.BarrierReply{}, &codedError{code: api.CodeNoLeader, err: err}
+	}
+	return api.BarrierReply{Index: s.log.Status().Applied}, nil
+}
+
+// barrierPoll is how often a follower looks whether it has caught up.
+const barrierPoll = 5 * time.Millisecond
+
+// barrier returns once this replica has applied everything that was accepted
+// before the call, whether it leads or follows.
+func (s *service) barrier(ctx context.Context) error {
+	err := s.log.ReadBarrier(ctx)
+	var notLeader *host.NotLeaderError
+	if !errors.As(err, &notLeader) {
+		return err
+	}
+	addr, known := s.peers[notLeader.Leader]
+	if !known {
+		return err
+	}
+	reply, err := link.Call[api.BarrierReply](ctx, s.pool, addr, api.MethodBarrier, api.BarrierRequest{})
+	if err != nil {
+		return trace.Wrap(err, "step=read barrier peer=%s", addr)
+	}
+	tick := time.NewTicker(barrierPoll)
+	defer tick.Stop()
+	for s.log.Status().Applied < reply.Index {
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err(), "step=catch up")
+		case <-tick.C:
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/e2e/fault_test.go
@@ -0,0 +1,166 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/contract"
+)
+
+// changeBound is within what time an accepted change is in force everywhere.
+const changeBound = 6 * time.Second
+
+// A zone is reclaimed whole: its entry and two of its three model servers get
+// notice in the same moment, with answers running on all of them. Each caller
+// gets the whole of its own answer.
+func TestReclaimOfAZone(t *testing.T) {
+	s, entries, servers := smallSite(t, 3, "--notice", "6s")
+	errs := s.streams(t.Context(), 1, 9, 900, func() {
+		s.waitForTokens(3, 60)
+		servers[0].signal(t, syscall.SIGTERM)
+		servers[1].signal(t, syscall.SIGTERM)
+		resp, err := http.Post("http://"+s.addr(entryPort(1)+2)+"/v1/leave?notice=6s", "", nil)
+		require.NoError(t, err)
+		_ = resp.Body.Close()
+	})
+	requireNone(t, errs)
+	select {
+	case <-entries[0].done:
+	case <-time.After(bound):
+		t.Fatal("the entry has not ended")
+	}
+}
+
+// A model server dies without a word while a reclaim of another is under way,
+// and the requests that were moved to it have to move again.
+func TestDeathDuringAReclaim(t *testing.T) {
+	s, _, servers := smallSite(t, 3, "--notice", "3s")
+	errs := s.streams(t.Context(), 2, 9, 600, func() {
+		s.waitForTokens(3, 60)
+		servers[0].signal(t, syscall.SIGTERM)
+		<-servers[0].done
+		servers[1].kill(t)
+	})
+	requireNone(t, errs)
+}
+
+// An entry freezes for a while, as when its instance is moved to another host.
+// Meanwhile an operator takes a workspace away. When it wakes up it must not
+// serve that workspace by what it knew, not even for a moment, nor take all
+// others for dead.
+func TestFrozenEntry(t *testing.T) {
+	s, entries, _ := smallSite(t, 1)
+	body, _ := chatBody("anything", 1, false)
+	entries[0].signal(t, syscall.SIGSTOP)
+	c := testCatalogue()
+	c.Workspaces = c.Workspaces[1:]
+	s.apply(c)
+	inForce := time.After(changeBound)
+	var wg sync.WaitGroup
+	replies := make([]reply, 5)
+	errs := make([]error, len(replies))
+	for k := range replies { // the kernel takes their connections while the entry is frozen
+		wg.Go(func() { replies[k], errs[k] = s.call(t.Context(), 1, "POST", "/v1/chat/completions", body, nil) })
+	}
+	s.within(bound, "the change is in force at the other entry", func() error {
+		r, err := s.call(t.Context(), 2, "POST", "/v1/chat/completions", body, nil)
+		if err == nil && r.status != http.StatusUnauthorized {
+			err = fmt.Errorf("status %d", r.status)
+		}
+		return err
+	})
+	s.eventually("the other entry takes the frozen one for gone", func() error {
+		r, err := s.call(t.Context(), 2, "GET", "/v1/entries", "", nil)
+		if err == nil && strings.Contains(r.body, `"entry-1"`) {
+			err = fmt.Errorf("still named")
+		}
+		return err
+	})
+	<-inForce
+	entries[0].signal(t, syscall.SIGCONT)
+	wg.Wait()
+	for k, r := range replies {
+		require.NoError(t, errs[k])
+		require.NotEqual(t, http.StatusOK, r.status, r.body)
+		require.Equal(t, "not_run", r.header.Get("Savoryreel-Outcome"))
+	}
+	s.knowsEntries(1, 2)
+	s.knowsEntries(2, 2)
+}
+
+// The control leader freezes. The others elect a new one and a change is
+// accepted. When the old leader wakes up, it must neither show the old
+// catalogue as the one in force nor accept a change against it.
+func TestFrozenLeader(t *testing.T) {
+	s := newSite(t)
+	replicas := s.startControl(3)
+	first := s.apply(testCatalogue())
+	leader := s.leader()
+	replicas[leader].signal(t, syscall.SIGSTOP)
+	c := testCatalogue()
+	c.Workspaces = c.Workspaces[1:]
+	second := s.apply(c)
+	require.Greater(t, second, first)
+	replicas[leader].signal(t, syscall.SIGCONT)
+	old := s.operatorAt(leader)
+	s.eventually("the old leader answers", func() error {
+		v, err := old.Catalogue(t.Context())
+		if err == nil {
+			require.Equal(t, second, v.Version)
+			require.Len(t, v.Catalogue.Workspaces, 1)
+		}
+		return err
+	})
+	doc, err := contract.Format(testCatalogue())
+	require.NoError(t, err)
+	_, err = old.Apply(t.Context(), doc, first)
+	require.ErrorContains(t, err, "conflict")
+}
+
+// A control replica is down while hundreds of changes pass, comes back, and one
+// of the others dies right after. The catalogue is still the last one accepted,
+// and further changes are taken.
+func TestReplicaFarBehind(t *testing.T) {
+	s := newSite(t)
+	replicas := s.startControl(3)
+	s.apply(testCatalogue())
+	replicas[2].kill(t)
+	for k := range 300 {
+		stop := contract.Stop{ID: fmt.Sprint("stop-", k), Scope: contract.StopZone, Name: "z9"}
+		_, err := s.operator().PlanStop(t.Context(), stop)
+		require.NoError(t, err)
+	}
+	list := make([]string, 3)
+	for i := range list {
+		list[i] = fmt.Sprintf("%d=%s", i+1, s.control[i])
+	}
+	s.startReplica(3, list)
+	began := time.Now()
+	s.eventually("the replica has caught up", func() error {
+		r := s.operator().Replicas(t.Context())[2]
+		if r.Catalogue < 301 {
+			return fmt.Errorf("version %d %s", r.Catalogue, r.Error)
+		}
+		return nil
+	})
+	t.Logf("caught up with 300 changes after %s", time.Since(began).Round(time.Millisecond))
+	replicas[0].kill(t)
+	var stops []contract.Stop
+	s.eventually("the stops are all there", func() error {
+		var err error
+		stops, err = s.operator().Stops(t.Context())
+		return err
+	})
+	require.Len(t, stops, 300)
+	s.eventually("a further change is accepted", func() error {
+		_, err := s.operator().CancelStop(t.Context(), "stop-7")
+		return err
+	})
+}
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -137,13 +137,7 @@
 	s.startPlain(1, "z1")
 	s.apply(testCatalogue())
 	s.ready(1, "/svc/echo/ready", "x")
-	leader := -1
-	for i, r := range s.operator().Replicas(t.Context()) {
-		if r.Role == "leader" {
-			leader = i
-		}
-	}
-	require.GreaterOrEqual(t, leader, 0)
+	leader := s.leader()
 	var wg sync.WaitGroup
 	replies := make([]reply, 60)
 	errs := make([]error, len(replies))
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -45,7 +45,7 @@
 		panic(err)
 	}
 	binary = filepath.Join(folder, "savoryreel")
-	build := exec.Command("go", "build", "-o", binary, "../cmd/savoryreel")
+	build := exec.Command("go", append(append([]string{"build"}, buildFlags...), "-o", binary, "../cmd/savoryreel")...)
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
@@ -135,6 +135,9 @@
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
 		<-p.done
+		if strings.Contains(p.log.String(), "WARNING: DATA RACE") {
+			s.t.Errorf("data race in %s", name)
+		}
 		if s.t.Failed() {
 			s.t.Logf("log of %s:\n%s", name, tail(p.log.String(), logTail))
 		}
@@ -220,6 +223,27 @@
 
 func (s *site) operator() *operator.Client { return operator.New(s.operators, operatorKey) }
 
+// operatorAt is a client of one control replica, counted from 0.
+func (s *site) operatorAt(i int) *operator.Client {
+	return operator.New(s.operators[i:i+1], operatorKey)
+}
+
+// leader waits for a control leader and returns its place, counted from 0.
+func (s *site) leader() int {
+	s.t.Helper()
+	leader := -1
+	s.eventually("there is a leader", func() error {
+		for i, r := range s.operator().Replicas(s.t.Context()) {
+			if r.Role == "leader" {
+				leader = i
+				return nil
+			}
+		}
+		return fmt.Errorf("no leader")
+	})
+	return leader
+}
+
 // apply puts a catalogue in force, waiting for a leader if there is none yet.
 func (s *site) apply(c contract.Catalogue) uint64 {
 	s.t.Helper()
