--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -101,6 +101,7 @@
 			return c, err
 		}
 		req.Header.Set("Authorization", "Bearer "+workspaceKey)
+		req.Header.Set("Savoryreel-Deadline-Ms", "60000")
 		if c.last != "" {
 			req.Header.Set("Last-Event-ID", c.last)
 		}
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -106,9 +106,16 @@
 
 var sites atomic.Int32
 
+// turn bounds the sites that run at once. Their processes mostly wait; more of
+// them would make the machine the slowest part of each test.
+var turn = make(chan struct{}, 4)
+
 // newSite returns a site without processes, on an address that no other site of
 // this run uses.
 func newSite(t *testing.T) *site {
+	t.Parallel()
+	turn <- struct{}{}
+	t.Cleanup(func() { <-turn })
 	n := sites.Add(1)
 	pid := os.Getpid()
 	return &site{
