replica: steadier host tests, the found fault as a test, lines named

Cause: on a busy machine a test's leader may lose its office at any moment; the tests now repeat an unknown outcome, as a client would, instead of failing, and give a leader 400 ms.

--- a/replica/core_test.go
+++ b/replica/core_test.go
@@ -244,7 +244,12 @@
 // user would notice a statement credited that later is gone, two leaders giving
 // orders at once, or a read that shows old state.
 //
-// Lines whose removal breaks it: see the table in mutations_test.go.
+// Breaks without any one of these, as was seen with 1,500 runs: free, and upToDate
+// in both votes (handleVote, handlePreVote); bound in enterTerm and both votes;
+// matches in handleAppend and appendAfter; the reset of lastOf in truncate; Sent
+// in handleHeartbeatReply; the wait for leaseHeld in tryHandover; the halt of
+// extendLease in Lease; round+1 and lead.start in assignReads; stalled in
+// resendStalledChunk. The directed tests beside it name those that it misses.
 func TestPromisesUnderRandomFaults(t *testing.T) {
 	steps := 1500
 	if *long {
--- a/replica/host/cluster_test.go
+++ b/replica/host/cluster_test.go
@@ -226,22 +226,21 @@
 	return found
 }
 
-func (c *cluster) put(key, value string) (any, error) {
+// mustPut sets a key, again if a busy machine has cost the leader its office: to
+// set it twice does no harm.
+func (c *cluster) mustPut(key, value string) {
+	c.t.Helper()
 	data, err := msgpack.Marshal(put{Key: key, Value: value})
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
 	defer cancel()
 	for {
-		result, err := c.leader().Propose(ctx, kindPut, data)
+		_, err := c.leader().Propose(ctx, kindPut, data)
 		var notLeader *host.NotLeaderError
-		if !errors.As(err, &notLeader) {
-			return result, err
+		if !errors.As(err, &notLeader) && !errors.Is(err, host.ErrUnknown) {
+			require.NoError(c.t, err)
+			return
 		}
+		require.NoError(c.t, ctx.Err())
 	}
 }
-
-func (c *cluster) mustPut(key, value string) {
-	c.t.Helper()
-	_, err := c.put(key, value)
-	require.NoError(c.t, err)
-}
--- a/replica/host/host_test.go
+++ b/replica/host/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -16,7 +17,7 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // quick makes elections fast enough for tests and slow enough for a busy machine.
-var quick = host.Config{TickInterval: 5 * time.Millisecond, ElectionTicks: 40, HeartbeatTicks: 8}
+var quick = host.Config{TickInterval: 5 * time.Millisecond, ElectionTicks: 80, HeartbeatTicks: 8}
 
 func TestSingleReplicaKeepsWhatItAcknowledged(t *testing.T) {
 	byEntries := quick
@@ -143,12 +144,18 @@
 	require.Equal(t, to, c.leader().Status().ID)
 }
 
-// change repeats a membership change until the leader accepts it: a learner may
-// not have caught up yet, or the leader may just have been elected.
+// change repeats a membership change until it is in force: a learner may not have
+// caught up yet, the leader may just have been elected, or the outcome be unknown.
 func (c *cluster) change(ch replica.Change) {
 	c.t.Helper()
 	c.eventually("membership change", func() bool {
-		return c.leader().ChangeMembers(context.Background(), ch) == nil
+		if c.leader().ChangeMembers(context.Background(), ch) == nil {
+			return true
+		}
+		s := c.leader().Status()
+		voter, learner := slices.Contains(s.Voters, ch.ID), slices.Contains(s.Learners, ch.ID)
+		inForce := map[replica.ChangeKind]bool{replica.AddLearner: learner, replica.Promote: voter, replica.Remove: !voter && !learner}
+		return inForce[ch.Kind]
 	})
 }
 
--- /dev/null
+++ b/replica/snapshot_test.go
@@ -0,0 +1,42 @@
+package replica_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/replica"
+)
+
+// A replica was cut off with entries that were never committed, while the others
+// went on and dropped from memory what it lacks. The random faults found that it
+// was offered the entry at the snapshot's index for ever, which it holds with
+// another term; its operator would see a replica that never catches up.
+//
+// Breaks when lastAtMost returns the base whatever its term.
+func TestReplicaThatDiffersAtTheSnapshotIsSentIt(t *testing.T) {
+	c, err := replica.NewCore(replica.Config{
+		ID: 1, ElectionTimeout: simElection, HeartbeatInterval: simHeartbeat,
+		MaxMessageBytes: 4, Rand: func(int64) int64 { return 0 },
+	}, replica.State{
+		HardState: replica.HardState{Term: 3},
+		Snapshot: replica.Snapshot{
+			Meta: replica.SnapshotMeta{Index: 5, Term: 3, Members: replica.Members{Voters: []uint64{1, 2, 3}}},
+			Data: []byte("state"),
+		},
+	}, 0)
+	require.NoError(t, err)
+	c.Tick(simElection)
+	step(t, c, replica.Message{Type: replica.MsgPreVoteReply, From: 2, Term: 4})
+	step(t, c, replica.Message{Type: replica.MsgVoteReply, From: 2, Term: 4})
+	drain(c)
+
+	step(t, c, replica.Message{Type: replica.MsgAppendReply, From: 3, Term: 4, Reject: true, Index: 5, Hint: 5, HintTerm: 2})
+	first := drain(c)
+	require.Len(t, first, 1)
+	require.Equal(t, "stat", string(first[0].Chunk.Data))
+	step(t, c, replica.Message{Type: replica.MsgSnapshotReply, From: 3, Term: 4, Index: 5, Hint: 4})
+	require.Equal(t, "e", string(drain(c)[0].Chunk.Data))
+	step(t, c, replica.Message{Type: replica.MsgAppendReply, From: 3, Term: 4, Index: 5})
+	require.Equal(t, uint64(6), drain(c)[0].Entries[0].Index)
+}
