link: a caller's own cancellation is always ErrLost; silent relay keeps still

Cause: two tests of link failed once in a run beside other work. One, a fault of await: it sent the cancel frame and then looked for an answer once more, so the handler's report of that very cancellation could come back as the call's error. It now looks first and cancels after. Two, a fault of the test relay: a silent connection still passed on that one end had closed, so the other end saw EOF and not silence. It passes on nothing now.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -114,13 +114,17 @@
 
 // copy forwards from src to dst until either ends. A silent pipe goes on
 // reading, so that the sender's writes succeed, as they do when a device on the
-// way drops packets and the sender's kernel still buffers.
+// way drops packets and the sender's kernel still buffers. It doesn't pass on
+// that an end has closed either: the other end must find out by itself.
 func (r *Relay) copy(p *pipe, dst, src net.Conn) {
-	defer r.forget(p)
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := src.Read(buf)
+		if err != nil && p.silent.Load() {
+			return
+		}
 		if err != nil {
+			r.forget(p)
 			return
 		}
 		if p.silent.Load() {
@@ -128,6 +132,7 @@
 		}
 		time.Sleep(time.Duration(r.delay.Load()))
 		if _, err := dst.Write(buf[:n]); err != nil {
+			r.forget(p)
 			return
 		}
 	}
--- a/link/call.go
+++ b/link/call.go
@@ -124,7 +124,8 @@
 }
 
 // await waits for the answer. An answer that is there counts, also when the
-// connection or ctx has ended in the same moment.
+// connection or ctx has ended in the same moment. One that comes after the
+// cancel frame doesn't: it would be the handler's report of the cancellation.
 func (c *clientConn) await(ctx context.Context, id uint64, call *pendingCall) (frame, error) {
 	var err error
 	select {
@@ -134,12 +135,12 @@
 		err = context.Cause(c.ctx)
 	case <-ctx.Done():
 		err = ctx.Err()
-		c.sendCancel(id)
 	}
 	select {
 	case f := <-call.answer:
 		return f, nil
 	default:
+		c.sendCancel(id)
 		return frame{}, err
 	}
 }
