link: refuse false lengths before the codec makes room for them

Cause: FuzzDecodeMessage in membership killed the process within two seconds: msgpack v5.4.1 allocates a typed slice for the length that the data name (its limit is tested with "!= 1" against a flag of another value, so it never applies). 40 bytes claimed 3.7 billion elements. Any handler with a slice in its request was open to it, after the handshake.

Unmarshal walks the data with the codec's own calls first, nested at most 64 deep. Ruled out: DisableAllocLimit (same test, same result) and a parser of our own.

--- a/link/call.go
+++ b/link/call.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return resp, trace.Wrap(err)
 	}
-	if err := msgpack.Unmarshal(answer, &resp); err != nil {
+	if err := Unmarshal(answer, &resp); err != nil {
 		return resp, trace.Wrap(&CallError{Step: StepDecode, Method: method, Peer: addr, Cause: err})
 	}
 	return resp, nil
@@ -160,7 +160,7 @@
 
 func decodeRemoteError(body []byte) error {
 	var re RemoteError
-	if err := msgpack.Unmarshal(body, &re); err != nil {
+	if err := Unmarshal(body, &re); err != nil {
 		return &RemoteError{Code: CodeInternal, Message: err.Error(), Step: StepDecode}
 	}
 	return &re
--- a/link/hello.go
+++ b/link/hello.go
@@ -55,7 +55,7 @@
 
 func parseHello(body []byte) (hello, error) {
 	var h hello
-	if err := msgpack.Unmarshal(body, &h); err != nil {
+	if err := Unmarshal(body, &h); err != nil {
 		return h, fmt.Errorf("hello: %w: %w", ErrMalformed, err)
 	}
 	if len(h.Nonce) != nonceSize {
@@ -193,7 +193,7 @@
 
 func rejectedError(body []byte) error {
 	var r reject
-	if err := msgpack.Unmarshal(body, &r); err != nil {
+	if err := Unmarshal(body, &r); err != nil {
 		return fmt.Errorf("reject: %w: %w", ErrMalformed, err)
 	}
 	if r.Code == rejectKey {
--- a/link/server.go
+++ b/link/server.go
@@ -85,7 +85,7 @@
 	defer s.mu.Unlock()
 	s.calls[method] = func(ctx context.Context, from PeerInfo, body []byte) ([]byte, error) {
 		var req Req
-		if err := msgpack.Unmarshal(body, &req); err != nil {
+		if err := Unmarshal(body, &req); err != nil {
 			return nil, &RemoteError{Code: CodeBadRequest, Message: err.Error(), Step: StepDecode}
 		}
 		resp, err := fn(ctx, from, req)
@@ -105,7 +105,7 @@
 	defer s.mu.Unlock()
 	s.notices[method] = func(ctx context.Context, from PeerInfo, body []byte) error {
 		var req Req
-		if err := msgpack.Unmarshal(body, &req); err != nil {
+		if err := Unmarshal(body, &req); err != nil {
 			return err
 		}
 		fn(ctx, from, req)
