replica: entries are known at a replica before it acknowledges them

Cause: LastIndexOf was updated at the end of a round, after the acknowledgement had gone out. For that moment an entry could be committed while a majority still denied that it was there; an entry process that asks a majority whether its catalogue is the latest would have been told yes. It is now published between the sync and the messages; the test sees the old order fail.

A transfer to a replica that is cut off ends with ErrTransferFailed; tested now. Reads queue as many as proposals may (256 before).

--- a/replica/host/config.go
+++ b/replica/host/config.go
@@ -45,7 +45,7 @@
 	KeepEntries   uint64
 	KeepBytes     int
 
-	// Proposals waiting, each for its commit. More are refused with ErrBusy: the log
+	// Proposals waiting, each for its commit, and reads queued. More are refused with ErrBusy: the log
 	// in memory would otherwise grow without bound while no majority answers.
 	MaxPending      int
 	MaxPendingBytes int
--- a/replica/host/fault_test.go
+++ b/replica/host/fault_test.go
@@ -32,45 +32,59 @@
 
 func (s *slowStorage) Install(replica.HardState, replica.Snapshot) error { return nil }
 
+// sending is a message sent and what LastIndexOf(kindMark) said at that moment.
+type sending struct {
+	message replica.Message
+	last    uint64
+}
+
 // recorder keeps what a host sends.
-type recorder chan replica.Message
+type recorder struct {
+	host *host.Host
+	sent chan sending
+}
 
-func (r recorder) Send(m replica.Message) { r <- m }
+func (r *recorder) Send(m replica.Message) {
+	r.sent <- sending{message: m, last: r.host.LastIndexOf(kindMark)}
+}
 
 // A follower's disk is slow, and then a sync fails. Had it answered the leader
 // before the sync, the leader would have told a caller that the change is safe,
 // and the power loss that follows would take it away. After the failure the
 // process must stop, without any answer.
 //
-// Breaks when work sends rd.Messages before persist, or goes on after its error.
+// Breaks when work sends rd.Messages before persist, or goes on after its error;
+// and when persist does not call publishLast.
 func TestNothingIsAcknowledgedBeforeTheSync(t *testing.T) {
 	disk := &slowStorage{saving: make(chan struct{}), verdicts: make(chan error)}
-	sent := make(recorder, 100)
+	transport := &recorder{sent: make(chan sending, 100)}
 	h, err := host.New(host.Config{ID: 1, Voters: []uint64{1, 2, 3}, TickInterval: time.Hour}, host.Deps{
-		Storage: disk, Transport: sent, Machine: newMachine(),
+		Storage: disk, Transport: transport, Machine: newMachine(),
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Now:    time.Now, Rand: rand.New(rand.NewPCG(1, 1)).Int64N,
 	})
 	require.NoError(t, err)
+	transport.host = h
 	ended := make(chan error, 1)
 	go func() { ended <- h.Run(t.Context()) }()
 
 	first := replica.Entry{Index: 1, Term: 1, Kind: kindMark}
 	h.Step(replica.Message{Type: replica.MsgAppend, From: 2, To: 1, Term: 1, Entries: []replica.Entry{first}})
 	<-disk.saving
-	require.Empty(t, sent)
+	require.Empty(t, transport.sent)
 	require.Zero(t, h.LastIndexOf(kindMark))
 	disk.verdicts <- nil
-	reply := <-sent
-	require.Equal(t, uint64(1), reply.Index)
-	require.Equal(t, replica.MsgAppendReply, reply.Type)
+	reply := <-transport.sent
+	require.Equal(t, uint64(1), reply.message.Index)
+	require.Equal(t, replica.MsgAppendReply, reply.message.Type)
+	require.Equal(t, uint64(1), reply.last, "acknowledged and denied at once")
 
 	second := replica.Entry{Index: 2, Term: 1, Kind: kindMark}
 	h.Step(replica.Message{Type: replica.MsgAppend, From: 2, To: 1, Term: 1, Index: 1, LogTerm: 1, Entries: []replica.Entry{second}})
 	<-disk.saving
 	disk.verdicts <- storage.ErrFailed
 	require.ErrorIs(t, <-ended, storage.ErrFailed)
-	require.Empty(t, sent)
+	require.Empty(t, transport.sent)
 	require.Equal(t, uint64(1), h.LastIndexOf(kindMark))
 	_, err = h.Propose(t.Context(), kindPut, nil)
 	require.ErrorIs(t, err, host.ErrStopped)
@@ -85,7 +99,7 @@
 	const callers = 100
 	disk := &slowStorage{saving: make(chan struct{}), verdicts: make(chan error)}
 	h, err := host.New(host.Config{ID: 1, Voters: []uint64{1}, TickInterval: time.Millisecond, MaxPending: callers}, host.Deps{
-		Storage: disk, Transport: make(recorder), Machine: newMachine(),
+		Storage: disk, Transport: &recorder{}, Machine: newMachine(),
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Now:    time.Now, Rand: rand.New(rand.NewPCG(1, 1)).Int64N,
 	})
--- a/replica/host/host.go
+++ b/replica/host/host.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	inboxSize   = 1_024 // messages received and not yet handled; more are dropped
-	commandSize = 256
+	inboxSize = 1_024 // messages received and not yet handled; more are dropped
 	// roundLimit bounds the inputs of one round, so that ticks are not starved.
 	roundLimit = 1_024
 )
@@ -50,12 +49,13 @@
 		loop:    newLoopState(),
 		inbox:   make(chan replica.Message, inboxSize),
 		propose: make(chan *proposal, cfg.MaxPending),
-		command: make(chan *command, commandSize),
+		command: make(chan *command, cfg.MaxPending),
 		stopped: make(chan struct{}),
 	}
 	if err := h.load(); err != nil {
 		return nil, trace.Wrap(err, "start replica %d", cfg.ID)
 	}
+	h.publishLast()
 	h.publish()
 	return h, nil
 }
--- a/replica/host/host_test.go
+++ b/replica/host/host_test.go
@@ -144,6 +144,22 @@
 	require.Equal(t, to, c.leader().Status().ID)
 }
 
+// The target of a transfer is cut off. The operator must be told, instead of
+// waiting for ever, and the group must go on under some leader.
+//
+// Breaks when settleTransfer does not end a transfer under another leader.
+func TestTransferToUnreachableReplicaFails(t *testing.T) {
+	c := newCluster(t, quick, 1, 2, 3)
+	c.mustPut("key", "before")
+	old := c.leader()
+	to := 1 + old.Status().ID%3
+	c.net.setCut(to, true)
+	ctx, cancel := context.WithTimeout(t.Context(), waitBound)
+	defer cancel()
+	require.ErrorIs(t, old.TransferLeadership(ctx, to), host.ErrTransferFailed)
+	c.mustPut("key", "after")
+}
+
 // change repeats a membership change until it is in force: a learner may not have
 // caught up yet, the leader may just have been elected, or the outcome be unknown.
 func (c *cluster) change(ch replica.Change) {
--- a/replica/host/loop.go
+++ b/replica/host/loop.go
@@ -215,17 +215,22 @@
 	}
 }
 
-// persist syncs what the messages of rd acknowledge.
+// persist syncs what the messages of rd acknowledge, and then makes it known here.
 func (h *Host) persist(rd replica.Ready) error {
 	if rd.Snapshot != nil {
 		if err := h.deps.Storage.Install(rd.HardState, *rd.Snapshot); err != nil {
 			return err
 		}
 	}
-	if !rd.MustSync {
-		return nil
+	if rd.MustSync {
+		if err := h.deps.Storage.Save(rd.HardState, rd.Entries); err != nil {
+			return err
+		}
 	}
-	return h.deps.Storage.Save(rd.HardState, rd.Entries)
+	if rd.Snapshot != nil || len(rd.Entries) > 0 {
+		h.publishLast()
+	}
+	return nil
 }
 
 func (h *Host) apply(rd replica.Ready) error {
--- a/replica/host/status.go
+++ b/replica/host/status.go
@@ -6,7 +6,8 @@
 	"savoryreel.example/savoryreel/replica"
 )
 
-// Status is what a replica knows of itself at one moment.
+// Status is what a replica knows of itself at one moment. Its slices must not be
+// changed.
 type Status struct {
 	ID       uint64
 	Term     uint64
@@ -58,8 +59,7 @@
 	return h.view.lastOf[kind]
 }
 
-// publish makes the loop's state visible. Everything in the log is synced when
-// it runs.
+// publish makes the loop's state visible at the end of a round.
 func (h *Host) publish() {
 	c := h.core
 	members := c.Members()
@@ -76,7 +76,16 @@
 	h.view.term = term
 	h.view.until = h.start.Add(until)
 	h.view.leased = leased
+}
+
+// publishLast makes LastIndexOf tell of the entries just synced. It must run
+// before they are acknowledged to the leader: otherwise an entry could be
+// committed while a majority still denies that it is there, and whoever asks a
+// majority for the highest index would take an old catalogue for the latest.
+func (h *Host) publishLast() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for kind := range h.view.lastOf {
-		h.view.lastOf[kind] = c.LastIndexOf(uint8(kind))
+		h.view.lastOf[kind] = h.core.LastIndexOf(uint8(kind))
 	}
 }
