--- a/replica/host/bench_test.go
+++ b/replica/host/bench_test.go
@@ -159,3 +159,29 @@
 	b.ReportMetric(float64(c.net.recorded())/elapsed.Seconds(), "leader-bytes/s")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkTransfer prints how long a planned transfer takes and the longest time
+// that one caller, who proposes without a break, was without a commit.
+func BenchmarkTransfer(b *testing.B) {
+	c := newCluster(b, host.Config{}, 1, 2, 3)
+	c.leader()
+	ctx, cancel := context.WithCancel(b.Context())
+	worst := make(chan time.Duration)
+	go func() {
+		longest := time.Duration(0)
+		for ctx.Err() == nil {
+			begin := time.Now()
+			c.mustPut("key", "value")
+			longest = max(longest, time.Since(begin))
+		}
+		worst <- longest
+	}()
+	begin := time.Now()
+	for range b.N {
+		c.transfer(1 + c.leader().Status().ID%3)
+	}
+	b.ReportMetric(float64(time.Since(begin).Milliseconds())/float64(b.N), "ms/transfer")
+	cancel()
+	b.ReportMetric(float64((<-worst).Microseconds())/1e3, "longest-gap-ms")
+	b.ReportMetric(0, "ns/op")
+}
--- a/replica/host/config.go
+++ b/replica/host/config.go
@@ -102,6 +102,9 @@
 	// error go to the caller of Propose; an error does not stop the replica, and it
 	// too must be the same everywhere.
 	Apply(e replica.Entry) (any, error)
+	// Snapshot returns the whole state. The replica does nothing else meanwhile, so
+	// it must take far less than an election timeout; the bytes stay in memory, and
+	// are sent as they are to a replica that is far behind.
 	Snapshot() ([]byte, error)
 	// Restore replaces the state by that of a snapshot.
 	Restore(b []byte) error
--- a/replica/host/host.go
+++ b/replica/host/host.go
@@ -18,7 +18,9 @@
 	roundLimit = 1_024
 )
 
-// Host runs one replica. Its methods are safe for concurrent use.
+// Host runs one replica. Its methods are safe for concurrent use. Before a planned
+// stop of the leader call TransferLeadership: proposals go on until the hand-over,
+// which takes milliseconds, instead of stopping for an election.
 type Host struct {
 	cfg   Config
 	deps  Deps
