--- a/replica/host/host.go
+++ b/replica/host/host.go
@@ -13,13 +13,14 @@
 )
 
 const (
-	inboxSize   = 1_024 // messages received and not yet handled; more are dropped
-	commandSize = 256
+	inboxSize = 1_024 // messages received and not yet handled; more are dropped
 	// roundLimit bounds the inputs of one round, so that ticks are not starved.
 	roundLimit = 1_024
 )
 
-// Host runs one replica. Its methods are safe for concurrent use.
+// Host runs one replica. Its methods are safe for concurrent use. Before a planned
+// stop of the leader call TransferLeadership: proposals go on until the hand-over,
+// which takes milliseconds, instead of stopping for an election.
 type Host struct {
 	cfg   Config
 	deps  Deps
@@ -50,12 +51,13 @@
 		loop:    newLoopState(),
 		inbox:   make(chan replica.Message, inboxSize),
 		propose: make(chan *proposal, cfg.MaxPending),
-		command: make(chan *command, commandSize),
+		command: make(chan *command, cfg.MaxPending),
 		stopped: make(chan struct{}),
 	}
 	if err := h.load(); err != nil {
 		return nil, trace.Wrap(err, "start replica %d", cfg.ID)
 	}
+	h.publishLast()
 	h.publish()
 	return h, nil
 }
