--- /dev/null
+++ b/membership/compress_test.go
@@ -0,0 +1,35 @@
+package membership
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestPackRoundTrip(t *testing.T) {
+	var p packer
+	rapid.Check(t, func(rt *rapid.T) {
+		unit := rapid.SliceOfN(rapid.Byte(), 1, 64).Draw(rt, "unit")
+		data := append([]byte{0x9a}, bytes.Repeat(unit, rapid.IntRange(1, 200).Draw(rt, "times"))...)
+		packed, err := p.pack(data)
+		require.NoError(rt, err)
+		require.LessOrEqual(rt, len(packed), len(data))
+		out, err := unpack(packed)
+		require.NoError(rt, err)
+		require.Equal(rt, data, out)
+	})
+}
+
+// A faulty or hostile member sends a few bytes that unpack to gigabytes. The
+// receiver must stop at the bound and not run out of memory. Broken by removing
+// the comparison with maxUnpacked.
+func TestUnpackIsBounded(t *testing.T) {
+	var p packer
+	packed, err := p.pack(make([]byte, 64*maxUnpacked))
+	require.NoError(t, err)
+	require.Less(t, len(packed), maxUnpacked)
+	_, err = unpack(packed)
+	require.ErrorContains(t, err, "grows over")
+}
--- a/membership/config.go
+++ b/membership/config.go
@@ -25,9 +25,9 @@
 	Forget        time.Duration // for which an instance that is gone stays known [30 min]
 
 	LoadInterval  time.Duration // least time between load reports of one instance [2 s]
-	LoadPerSecond float64       // load reports a second in a region; the interval grows to keep it [60]
+	LoadPerSecond float64       // load reports a second in a region; the interval grows to keep it [120]
 	MaxMessage    int           // bytes of one message [8 KiB]
-	Budget        float64       // bytes a second for all that isn't urgent [6 KiB]
+	Budget        float64       // bytes a second for all that isn't urgent [8 KiB]
 	BudgetBurst   float64       // bytes [48 KiB]
 
 	// Merge joins two bodies of one shared record. It must be commutative,
@@ -68,13 +68,13 @@
 		}
 	}
 	if c.LoadPerSecond <= 0 {
-		c.LoadPerSecond = 60
+		c.LoadPerSecond = 120
 	}
 	if c.MaxMessage <= 0 {
 		c.MaxMessage = 8 << 10
 	}
 	if c.Budget <= 0 {
-		c.Budget = 6 << 10
+		c.Budget = 8 << 10
 	}
 	if c.BudgetBurst <= 0 {
 		c.BudgetBurst = 48 << 10
--- a/membership/core.go
+++ b/membership/core.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"savoryreel.example/savoryreel/instance"
 )
 
@@ -37,6 +39,7 @@
 
 	ring       ring
 	ringDirty  bool
+	reporting  int                // instances of this region that report their load, as of the last scan
 	boxes      map[string]*outbox // by member id
 	watches    map[string]time.Time
 	probes     map[string]*probe
@@ -53,6 +56,7 @@
 	digests    int
 	tokens     float64 // of the budget, in bytes; below zero after urgent news
 
+	packer  packer
 	out     []outgoing
 	changed map[uint64]*record
 	sent    sentBytes
@@ -273,6 +277,9 @@
 	if err != nil {
 		return err
 	}
+	if size := len(a.ID) + len(body); size > MaxShared {
+		return trace.LimitExceeded("announcement of %d bytes, bound %d", size, MaxShared)
+	}
 	r := c.lookup(recordServer, a.ID)
 	if r != nil && (r.inc > a.Incarnation || (r.inc == a.Incarnation && r.heardSeq >= a.Sequence)) {
 		return nil
@@ -365,7 +372,7 @@
 // loadInterval grows with the instances of the region, so that their reports
 // together stay under LoadPerSecond however many they are.
 func (c *core) loadInterval() time.Duration {
-	need := time.Duration(float64(c.ring.reporting) / c.cfg.LoadPerSecond * float64(time.Second))
+	need := time.Duration(float64(c.reporting) / c.cfg.LoadPerSecond * float64(time.Second))
 	return max(c.cfg.LoadInterval, need)
 }
 
--- a/membership/detect.go
+++ b/membership/detect.go
@@ -50,9 +50,13 @@
 // clock jumped between two ticks. Everybody else seems to have been silent for
 // just as long. Without this it would count all members that it watches and all
 // backend servers that it hears as gone at once, though only it was away, and
-// callers would find no server. So all its waiting starts anew.
+// callers would find no server. So all its waiting starts anew, and it compares
+// its state with its neighbours at once to learn what it has missed.
 func (c *core) thaw(gap time.Duration, now time.Time) {
 	clear(c.probes)
+	for _, nb := range c.ring.neighbours {
+		c.compare[c.addressOf(nb.id, "")] = true
+	}
 	for id := range c.watches {
 		c.watches[id] = now.Add(c.cfg.MemberSilence)
 	}
@@ -90,8 +94,9 @@
 			delete(c.relays, nonce)
 		}
 	}
-	for _, ref := range sortedKeys(c.records) {
-		c.scanRecord(c.records[ref], now)
+	c.reporting = 0
+	for _, r := range c.records { // in any order: each is judged by itself
+		c.scanRecord(r, now)
 	}
 	c.reportSelf(now)
 }
@@ -113,6 +118,9 @@
 		c.changed[r.ref] = r
 		c.ringDirty = c.ringDirty || r.kind == recordMember
 	}
+	if state != instance.StateGone && c.regionOf(r) == c.self.member.Region {
+		c.reporting++
+	}
 	stamp(&r.deadSince, state == instance.StateGone, now)
 	if state == instance.StateGone && now.Sub(r.deadSince) >= c.cfg.Forget && r != c.self {
 		c.remove(r)
@@ -202,7 +210,7 @@
 	c.touched(r, now)
 	c.spread(r, changedStatus, "")
 	// The member itself gets it too: it may be alive behind a one-way cut.
-	c.box(id).refs[r.ref] |= needStatus
+	c.enqueue(c.box(id), r, needStatus)
 	if !c.isNeighbour(id) {
 		c.box(id).temporary = true
 	}
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -157,7 +157,7 @@
 	}
 	for ref, r := range c.records {
 		if !listed[ref] && slices.Contains(m.Which, bucketOf(ref)) && c.current(r) {
-			b.refs[ref] |= needFull
+			c.enqueue(b, r, needFull)
 		}
 	}
 }
@@ -170,10 +170,10 @@
 	case uint32(r.hash()) == it.Hash:
 	case r.bodySeq == it.BodySeq && r.kind != recordShared:
 		// Statuses travel both ways: neither side need be ahead in all parts.
-		b.refs[it.Ref] |= needStatus
+		c.enqueue(b, r, needStatus)
 		b.pull(it.Ref)
 	default:
-		b.refs[it.Ref] |= needFull
+		c.enqueue(b, r, needFull)
 		b.pull(it.Ref)
 	}
 }
--- a/membership/message.go
+++ b/membership/message.go
@@ -6,6 +6,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/link"
 )
 
 // messageKind says what a message wants of its receiver.
@@ -126,8 +128,12 @@
 }
 
 func decodeMessage(data []byte) (*message, error) {
+	data, err := unpack(data)
+	if err != nil {
+		return nil, trace.Wrap(err, "unpack gossip")
+	}
 	var m message
-	if err := msgpack.Unmarshal(data, &m); err != nil {
+	if err := link.Unmarshal(data, &m); err != nil {
 		return nil, trace.Wrap(err, "decode gossip")
 	}
 	if m.Kind < kindPush || m.Kind > kindItems {
--- a/membership/node.go
+++ b/membership/node.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
@@ -18,8 +17,8 @@
 // Method is the notice under which members talk to each other.
 const Method = "membership.gossip"
 
-// MaxShared bounds key and body of a shared record, in bytes, so that it fits
-// one message with room to spare.
+// MaxShared bounds key and body of a shared record, and id and description of a
+// backend server, in bytes, so that each fits one message with room to spare.
 const MaxShared = 4 << 10
 
 // Deps are what a Node needs from outside. Pool is required.
@@ -91,7 +90,7 @@
 
 // Register adds the handler for other members' messages to s.
 func (n *Node) Register(s *link.Server) {
-	link.HandleNotice(s, Method, func(_ context.Context, from link.PeerInfo, body msgpack.RawMessage) {
+	link.HandleNotice(s, Method, func(_ context.Context, from link.PeerInfo, body []byte) {
 		m, err := decodeMessage(body)
 		if err != nil {
 			n.log.Warn("gossip refused", "peer", from.ID, "address", from.Address, "err", err)
@@ -104,7 +103,9 @@
 }
 
 // Announce takes in what a backend server said of itself to this process. An
-// announcement that is older than what is known is ignored without an error.
+// announcement that is older than what is known is ignored without an error; one
+// without id or address, of an unknown state, or too large for one message is
+// refused.
 func (n *Node) Announce(a instance.Announcement) error {
 	if a.ID == "" || a.Address == "" {
 		return trace.BadParameter("announcement: id and address are required")
@@ -193,7 +194,7 @@
 // core learns that the member can't be reached and takes another way.
 func (n *Node) send(out []outgoing) {
 	for _, o := range out {
-		err := link.Notify(n.pool, o.To, Method, msgpack.RawMessage(o.Message))
+		err := link.Notify(n.pool, o.To, Method, o.Message)
 		if err == nil || o.ID == "" {
 			continue
 		}
--- a/membership/push.go
+++ b/membership/push.go
@@ -22,6 +22,8 @@
 	pulls     []uint64
 	temporary bool      // the peer is no neighbour, the box holds an answer to it
 	fast      bool      // it holds the answer to a join, which the budget doesn't delay
+	urgent    bool      // something in refs is urgent
+	news      bool      // something in refs is more than a load report
 	address   string    // of the peer, which may not be known as a member
 	lastPush  time.Time // when something last went out to this peer
 }
@@ -60,17 +62,23 @@
 	for id, b := range c.boxes {
 		// A newcomer whose answer waits is nobody's neighbour yet.
 		if b.fast && id != except && id != r.id {
-			b.refs[r.ref] |= n
+			c.enqueue(b, r, n)
 		}
 	}
 	for _, nb := range c.ring.neighbours {
 		if nb.id == except || nb.id == r.id || (load && !c.getsLoad(nb, r)) {
 			continue
 		}
-		c.box(nb.id).refs[r.ref] |= n
+		c.enqueue(c.box(nb.id), r, n)
 	}
 }
 
+func (c *core) enqueue(b *outbox, r *record, n need) {
+	b.refs[r.ref] |= n
+	b.news = b.news || n != needLoad
+	b.urgent = b.urgent || c.urgency(r, n) == urgentNews
+}
+
 // getsLoad keeps a load report inside its region: routers elsewhere seldom send
 // work over, and at 600 servers reports are most of the traffic.
 func (c *core) getsLoad(nb neighbour, r *record) bool {
@@ -81,7 +89,7 @@
 func (c *core) spreadFar(r *record, except string) {
 	for _, nb := range c.ring.neighbours {
 		if nb.id != except && nb.id != r.id {
-			c.box(nb.id).refs[r.ref] |= needLoad
+			c.enqueue(c.box(nb.id), r, needLoad)
 		}
 	}
 }
@@ -113,14 +121,13 @@
 // way out first, for work is still being sent there, and with it shared records,
 // for a quarantined request may be about to crash the next server; load reports
 // come last.
-func (c *core) urgency(ref uint64, n need) int {
-	r := c.records[ref]
+func (c *core) urgency(r *record, n need) int {
 	switch {
 	case n == needLoad:
 		return 3
 	case r.leaving(), r.left(), r.markedGone(), r.suspected(), r.kind == recordShared:
 		return urgentNews
-	case n&needFull == 0:
+	case r.kind == recordMember, n&needFull == 0:
 		return 1
 	default:
 		return 2
@@ -158,40 +165,53 @@
 }
 
 func (c *core) flushBox(id string, b *outbox, other, loads bool, now time.Time) {
+	if len(b.refs) == 0 && len(b.pulls) == 0 {
+		c.dropIfDone(id, b)
+		return
+	}
+	if !b.urgent && (!b.due(other, loads) || (c.tokens <= 0 && !b.fast)) {
+		return
+	}
+	picks := c.picks(b)
+	if len(picks) == 0 && len(b.pulls) == 0 {
+		return
+	}
+	urgent := b.urgent
+	m := c.compose(b, picks, loads)
+	b.urgent, b.news = false, false
+	for ref, n := range b.refs { // what found no room
+		c.enqueue(b, c.records[ref], n)
+	}
+	c.push(id, b, m, urgent, now)
+}
+
+// picks lists what the box holds in the order in which it should go out.
+func (c *core) picks(b *outbox) []pick {
 	picks := make([]pick, 0, len(b.refs))
-	urgent := false
 	for ref, n := range b.refs {
-		if c.records[ref] == nil {
+		r := c.records[ref]
+		if r == nil {
 			delete(b.refs, ref)
 			continue
 		}
-		p := pick{ref: ref, need: n, urgency: c.urgency(ref, n)}
-		urgent = urgent || p.urgency == urgentNews
-		picks = append(picks, p)
-	}
-	if len(picks) == 0 && len(b.pulls) == 0 {
-		c.dropIfDone(id, b)
-		return
-	}
-	if !urgent && (!c.dueBox(b, picks, other, loads) || (c.tokens <= 0 && !b.fast)) {
-		return
+		picks = append(picks, pick{ref: ref, need: n, urgency: c.urgency(r, n)})
 	}
 	slices.SortFunc(picks, func(x, y pick) int {
 		return cmp.Or(cmp.Compare(x.urgency, y.urgency), cmp.Compare(x.ref, y.ref))
 	})
-	c.push(id, b, c.compose(b, picks, loads), urgent, now)
+	return picks
 }
 
-// dueBox says whether the interval of anything in the box has come.
-func (c *core) dueBox(b *outbox, picks []pick, other, loads bool) bool {
-	if b.fast {
+// due says whether the interval of anything in the box has come.
+func (b *outbox) due(other, loads bool) bool {
+	switch {
+	case b.fast:
 		return true
-	}
-	if b.temporary || len(b.pulls) > 0 {
+	case b.temporary, b.news, len(b.pulls) > 0:
 		return other
+	default:
+		return loads
 	}
-	news := slices.ContainsFunc(picks, func(p pick) bool { return p.need != needLoad })
-	return (news && other) || loads
 }
 
 // dropIfDone forgets an empty outbox of a peer that is no neighbour.
@@ -277,8 +297,14 @@
 
 // send hands a message to the runner and charges the budget.
 func (c *core) send(to, id string, m *message, urgent bool) {
+	if to == "" || id == c.self.id {
+		return
+	}
 	data, err := encodeBounded(m, c.cfg.MaxMessage)
-	if err != nil || to == "" || id == c.self.id {
+	if err != nil {
+		return
+	}
+	if data, err = c.packer.pack(data); err != nil {
 		return
 	}
 	c.tokens = max(c.tokens-float64(len(data)), -float64(c.cfg.MaxMessage))
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -64,7 +64,7 @@
 	if r != nil && (r.left() || r.markedGone() || r.suspected()) {
 		// It lives and may not know what is said of it, or of an earlier life
 		// of its: it must hear of it to be able to refute.
-		c.reply(from).refs[r.ref] |= needStatus
+		c.enqueue(c.reply(from), r, needStatus)
 	}
 }
 
@@ -81,7 +81,7 @@
 	}
 	for _, ref := range m.Pull {
 		if r := c.records[ref]; r != nil {
-			c.reply(from).refs[ref] |= needFull
+			c.enqueue(c.reply(from), r, needFull)
 		}
 	}
 }
@@ -97,7 +97,7 @@
 	switch {
 	case r.inc > f.Inc:
 		// The sender still holds an earlier incarnation.
-		c.reply(from).refs[r.ref] |= needFull
+		c.enqueue(c.reply(from), r, needFull)
 	case f.BodySeq == r.bodySeq && f.Status == r.status:
 		c.known(from.ID, r.ref, needFull|needStatus)
 	}
@@ -147,9 +147,9 @@
 func (c *core) answerJoin(from sender) {
 	b := c.reply(from)
 	b.fast = true
-	for ref, r := range c.records {
+	for _, r := range c.records {
 		if r.id != from.ID && c.current(r) {
-			b.refs[ref] |= needFull
+			c.enqueue(b, r, needFull)
 		}
 	}
 }
--- a/membership/record.go
+++ b/membership/record.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/link"
 )
 
 // record is what this process knows of one instance or shared record.
@@ -83,13 +83,13 @@
 	switch r.kind {
 	case recordMember:
 		var m memberBody
-		if err := msgpack.Unmarshal(body, &m); err != nil {
+		if err := link.Unmarshal(body, &m); err != nil {
 			return err
 		}
 		r.member = &m
 	case recordServer:
 		var s serverBody
-		if err := msgpack.Unmarshal(body, &s); err != nil {
+		if err := link.Unmarshal(body, &s); err != nil {
 			return err
 		}
 		r.server = &s
--- a/membership/ring.go
+++ b/membership/ring.go
@@ -17,13 +17,12 @@
 	alive      []*record         // members but for this one that are not gone, by id
 	gone       []*record         // members that are marked gone without having left, by id
 	homes      map[uint64]string // ids of this member and of those alive, by homeRef
-	reporting  int               // instances of this region that report their load
 }
 
 // neighbour is a member that this one pushes to.
 type neighbour struct {
 	id     string
-	region bool // in this member's region, so it gets the region's load reports
+	region bool // successor in a ring over the region, so it gets the load reports
 }
 
 // rebuildRing computes the neighbours anew.
@@ -40,22 +39,18 @@
 		return r.member.Region != c.self.member.Region
 	})
 	for n := range regionRings {
-		c.addSuccessor(near, "region", n)
+		c.addSuccessor(near, "region", n, true)
 	}
 	for n := range globalRings {
-		c.addSuccessor(c.ring.alive, "all", n)
+		c.addSuccessor(c.ring.alive, "all", n, false)
 	}
 	c.dropOldBoxes()
 }
 
 func (c *core) sortIn(r *record, now time.Time) {
-	state := r.state(now, &c.cfg)
-	if c.regionOf(r) == c.self.member.Region && state != instance.StateGone {
-		c.ring.reporting++
-	}
 	switch {
 	case r.kind != recordMember || r == c.self || r.left():
-	case state == instance.StateGone:
+	case r.state(now, &c.cfg) == instance.StateGone:
 		c.ring.gone = append(c.ring.gone, r)
 	default:
 		c.ring.alive = append(c.ring.alive, r)
@@ -77,7 +72,7 @@
 // addSuccessor adds the next member after this one in a ring that is not yet a
 // neighbour. Members that can't be reached at present are passed over, so that
 // news doesn't wait until their failure is established.
-func (c *core) addSuccessor(members []*record, name string, number int) {
+func (c *core) addSuccessor(members []*record, name string, number int, region bool) {
 	own := ringPosition(name, number, c.self.id)
 	var best *record
 	var bestDistance uint64
@@ -91,8 +86,7 @@
 		}
 	}
 	if best != nil {
-		near := best.member.Region == c.self.member.Region
-		c.ring.neighbours = append(c.ring.neighbours, neighbour{id: best.id, region: near})
+		c.ring.neighbours = append(c.ring.neighbours, neighbour{id: best.id, region: region})
 	}
 }
 
@@ -125,8 +119,8 @@
 		for _, n := range c.ring.neighbours {
 			box := c.box(n.id)
 			for ref, need := range b.refs {
-				if n.region || need&^needLoad != 0 {
-					box.refs[ref] |= need
+				if r := c.records[ref]; r != nil && (n.region || need&^needLoad != 0) {
+					c.enqueue(box, r, need)
 				}
 			}
 		}
