e2e: an entry's instance is taken away when its notice is over

The test now kills the entry at the end of the notice and uses tokens of 1 ms. Messages from the network are decoded by link.Unmarshal, which refuses lengths that the data does not hold.

Removals tried on a scratch copy (one line each, its test seen to fail): watch (TestSilentStream), resume tokens (TestDeathOfABackendServer), the check of sent (TestOnceWhenTheServerDies), the commit before the call (TestOnceWithoutAMajority), accepting while unlisted (TestPlannedStopOfAnEntry), plan (TestPlannedStopOfABackendServer), freshness (TestEntryWithoutControl, TestFrozenEntry), the read barrier (TestFrozenLeader), ownerGone (TestOnceAfterTheEntryDied), carry (TestReclaimCarriesTheCache), the ledger's look-up (TestOnceUnderResends). Without the quarantine's crash news TestRequestThatCrashesServers does not end within 150 s.

--- a/control/service.go
+++ b/control/service.go
@@ -132,14 +132,14 @@
 	switch r.Kind {
 	case api.KindCatalogue:
 		var c contract.Change
-		if err := msgpack.Unmarshal(r.Data, &c); err != nil {
+		if err := link.Unmarshal(r.Data, &c); err != nil {
 			return nil, trace.Wrap(err, "step=decode change")
 		}
 		c.At = s.now().UTC()
 		return msgpack.Marshal(&c)
 	case api.KindLedger:
 		var c ledger.Command
-		if err := msgpack.Unmarshal(r.Data, &c); err != nil {
+		if err := link.Unmarshal(r.Data, &c); err != nil {
 			return nil, trace.Wrap(err, "step=decode ledger command")
 		}
 		c.Now = s.now().UnixMilli()
--- a/e2e/fault_test.go
+++ b/e2e/fault_test.go
@@ -26,9 +26,7 @@
 		s.waitForTokens(3, 60)
 		servers[0].signal(t, syscall.SIGTERM)
 		servers[1].signal(t, syscall.SIGTERM)
-		resp, err := http.Post("http://"+s.addr(entryPort(1)+2)+"/v1/leave?notice=6s", "", nil)
-		require.NoError(t, err)
-		_ = resp.Body.Close()
+		s.leaveEntry(1, 6*time.Second)
 	})
 	requireNone(t, errs)
 	select {
--- a/e2e/reclaim_test.go
+++ b/e2e/reclaim_test.go
@@ -163,24 +163,30 @@
 	requireNone(t, errs)
 }
 
-// An entry's instance is reclaimed with notice while it streams answers that
-// take longer than that. The callers are told where their answers go on, come
-// back with the last event they have, and get the rest.
+// An entry's instance is reclaimed with four seconds of notice, and taken away
+// when they are over, while it streams answers that take longer. The callers are
+// told where their answers go on, come back with the last event they have, and
+// get the rest: no token is missing and none comes twice.
+// Without handOverAll in leave, or without the pause in handOver, this fails.
 func TestReclaimOfAnEntry(t *testing.T) {
-	s, entries, _ := smallSite(t, 2)
-	errs := s.streams(t.Context(), 1, 6, 600, func() {
+	const notice = 4 * time.Second
+	s, entries, _ := smallSite(t, 2, "--token-time", "1ms")
+	errs := s.streams(t.Context(), 1, 8, 6000, func() {
 		s.waitForTokens(2, 40)
-		resp, err := http.Post("http://"+s.addr(entryPort(1)+2)+"/v1/leave?notice=4s", "", nil)
-		require.NoError(t, err)
-		_ = resp.Body.Close()
+		s.leaveEntry(1, notice)
+		<-time.After(notice)
+		entries[0].kill(t)
 	})
 	requireNone(t, errs)
-	select {
-	case <-entries[0].done:
-	case <-time.After(bound):
-		t.Fatal("the entry has not ended")
-	}
-	require.NoError(t, entries[0].err)
+}
+
+// leaveEntry gives entry i's instance a reclaim notice.
+func (s *site) leaveEntry(i int, notice time.Duration) {
+	s.t.Helper()
+	resp, err := http.Post("http://"+s.addr(entryPort(i)+2)+"/v1/leave?notice="+notice.String(), "", nil)
+	require.NoError(s.t, err)
+	_ = resp.Body.Close()
+	require.Equal(s.t, http.StatusAccepted, resp.StatusCode)
 }
 
 // An entry is reclaimed while a caller waits for a whole answer, of which no
@@ -193,9 +199,7 @@
 	var done sync.WaitGroup
 	done.Go(func() { got, err = s.call(t.Context(), 1, "POST", "/v1/chat/completions", body, nil) })
 	s.waitForTokens(2, 10)
-	resp, postErr := http.Post("http://"+s.addr(entryPort(1)+2)+"/v1/leave?notice=4s", "", nil)
-	require.NoError(t, postErr)
-	_ = resp.Body.Close()
+	s.leaveEntry(1, 4*time.Second)
 	done.Wait()
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, got.status, got.body)
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -294,7 +294,7 @@
 // recordChanged takes in a record that another entry has spread.
 func (q *guard) recordChanged(r *instance.Record) {
 	var record quarantine.Record
-	if msgpack.Unmarshal(r.Body, &record) == nil {
+	if link.Unmarshal(r.Body, &record) == nil {
 		q.merge(record)
 	}
 }
@@ -309,10 +309,10 @@
 // that cannot be read counts for nothing.
 func mergeRecords(_ string, a, b []byte) []byte {
 	var ra, rb quarantine.Record
-	if msgpack.Unmarshal(a, &ra) != nil {
+	if link.Unmarshal(a, &ra) != nil {
 		return b
 	}
-	if msgpack.Unmarshal(b, &rb) != nil {
+	if link.Unmarshal(b, &rb) != nil {
 		return a
 	}
 	merged := quarantine.Merge(ra, rb)
