entry: requests start in time to be answered, or leave the queue

Cause: under a surge, 44 of 308 requests that were started were cut off by their deadlines in the middle of the answer (TestQuietWorkspaceUnderASurge, 790 requests, deadline 5 s, queue of 4 s). The queue dropped a request only when its deadline had passed.

The queue's deadline is now the latest start: the deadline less the learnt time to the first token and the expected answer. Ruled out: a wrong estimate at admission (the wait had been estimated right; the answer's own time was left out at the pop).

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -161,13 +161,13 @@
 
 // admit lets a request in by its workspace's limits and by what the queue can
 // start in time, or refuses it at once.
-func (e *Entry) admit(w *contract.Workspace, s *contract.Service, r *request.Request, answer int) *request.Problem {
+func (e *Entry) admit(w *contract.Workspace, s *contract.Service, r *request.Request) *request.Problem {
 	l, err := e.lanes.of(laneOf(s))
 	if err != nil {
 		return request.NewProblem(request.CodeInternal, request.NotRun, "%v", err)
 	}
 	v := e.admitter.decide(admit.Request{
-		Workspace: w.Name, Class: r.Class, Cost: int64(r.Cost), Answer: int64(answer),
+		Workspace: w.Name, Class: r.Class, Cost: int64(r.Cost), Answer: int64(r.Answer),
 		Deadline: r.Deadline, Target: s.Target.FirstToken, Estimate: l.estimate(r, w.Weight),
 	})
 	if v.Admit {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -59,7 +59,8 @@
 		return nil, p
 	}
 	req.Body, req.Stream, req.Idempotent = body, chat.Stream, true
-	req.Cost = answerCost(promptTokens(chat.Messages), answerTokens(chat))
+	req.Answer = answerTokens(chat)
+	req.Cost = answerCost(promptTokens(chat.Messages), req.Answer)
 	return e.startChat(c, s, req, chat)
 }
 
@@ -102,7 +103,7 @@
 
 // startChat queues an admitted request and starts its work.
 func (e *Entry) startChat(c *call, s *contract.Service, req *request.Request, chat platform.ChatRequest) (*work, *request.Problem) {
-	if p := e.admit(c.workspace, s, req, answerTokens(chat)); p != nil {
+	if p := e.admit(c.workspace, s, req); p != nil {
 		return nil, p
 	}
 	wk, err := e.newWork(s, req, chat, nil, c.workspace.Weight)
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -127,6 +127,7 @@
 		return request.NewProblem(request.CodeNoServer, request.NotRun, "no backend server serves %s", l.key.name).After(unroutedRetry)
 	}
 	item := itemOf(t.request, t.weight, now)
+	item.Deadline = l.latestStart(t.request, now)
 	l.starter.Seen(now, &item)
 	verdict := l.queue.Push(now, item)
 	for _, item := range verdict.Evicted {
@@ -143,6 +144,17 @@
 	return nil
 }
 
+// latestStart is when a request must start at the latest to be answered before
+// its deadline, as far as is learnt of this lane. Without it, a queue that has
+// stood for long starts requests just before their deadlines: each takes a slot
+// and is cut off in the middle, and the fleet works for callers that have gone.
+func (l *lane) latestStart(r *request.Request, now time.Time) time.Time {
+	e := l.drain.Estimate(now, queue.Backlog{})
+	takes := e.First + time.Duration(r.Answer)*e.Gap
+	left := r.Deadline.Sub(now)
+	return r.Deadline.Add(-min(takes, left*9/10))
+}
+
 func itemOf(r *request.Request, weight int, now time.Time) queue.Item {
 	return queue.Item{
 		ID: string(r.ID), Workspace: r.Workspace, Service: r.Service, Class: r.Class, Weight: weight,
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, request.NewProblem(request.CodeInternal, request.NotRun, "%v", err)
 	}
-	if p := e.admit(c.workspace, s, req, 0); p != nil {
+	if p := e.admit(c.workspace, s, req); p != nil {
 		return nil, p
 	}
 	t := &ticket{
--- a/request/request.go
+++ b/request/request.go
@@ -57,7 +57,8 @@
 	Keep        bool           `msgpack:"keep"` // goes on when the caller leaves
 	Deadline    time.Time      `msgpack:"deadline"`
 	Accepted    time.Time      `msgpack:"accepted"`
-	Cost        int            `msgpack:"cost"` // tokens of work, estimated
+	Cost        int            `msgpack:"cost"`   // tokens of work, estimated
+	Answer      int            `msgpack:"answer"` // tokens of the answer, estimated; 0: not known
 }
 
 // Fingerprint is the same for a resend of the same request and, but for
