capacity: measure what the system's own work costs

Cause: docs/CAPACITY.md has to work out the size to design for from slopes, each by a command in the repository.

Ruled out: tests with flags (a command shows its sizes and takes others), and tests inside package entry (an entry's log and metrics tell enough). Processor time is net of what the idle system uses, and of both ends where two ends run here.

Tests bound bytes, not times. Tried removals: Fit without its mean product fails TestFitFindsTheLine; one more float in admit.Demand (157 B against 150) and one more field in api.VersionReply (45 B against 34) fail TestBytesOfControlMessages.

--- /dev/null
+++ b/capacity/announcements.go
@@ -0,0 +1,213 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"savoryreel.example/savoryreel/entry"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/internal/fake"
+	"savoryreel.example/savoryreel/membership"
+	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/policy/quarantine"
+)
+
+// announcementsQuiet is below the silence after which a server counts as gone.
+const announcementsQuiet = 2 * time.Second
+
+// Announcements measures what backend servers of one model cost one real entry,
+// by their number: the announcement by which a server becomes known, one that
+// brings nothing new, and the share of a core that the entry then uses while
+// nothing arrives. The announcing side runs in this process too.
+func Announcements(ctx context.Context, servers ...int) (*Table, error) {
+	t := &Table{Size: "backend servers", Columns: []string{"first µs", "later µs", "quiet core %"}}
+	for _, n := range servers {
+		s, err := newServingSite(ctx, 1, 0, 0)
+		if err != nil {
+			return nil, err
+		}
+		values, err := s.announcements(n)
+		s.close()
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, Row{float64(n), values})
+	}
+	return t, nil
+}
+
+func (s *site) announcements(n int) ([]float64, error) {
+	if err := s.eventually("announce", func() error { return s.announce(announcement(0)) }); err != nil {
+		return nil, err
+	}
+	<-time.After(settle)
+	m := newMeter()
+	idle := m.idle
+	if err := s.announceAll(n, 1); err != nil {
+		return nil, err
+	}
+	first := m.perUnit(n)
+	m.start()
+	if err := s.announceAll(n, 2); err != nil {
+		return nil, err
+	}
+	later := m.perUnit(n)
+	used := processorTime()
+	<-time.After(announcementsQuiet)
+	quiet := (processorTime()-used).Seconds()/announcementsQuiet.Seconds() - idle
+	return []float64{first, later, quiet * 100}, nil
+}
+
+func (s *site) announceAll(n int, sequence uint64) error {
+	for i := range n {
+		a := announcement(i)
+		a.Sequence = sequence
+		if err := s.announce(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *site) announce(a instance.Announcement) error {
+	body, err := json.Marshal(&a)
+	if err != nil {
+		return trace.Wrap(err, "step=encode announcement")
+	}
+	address := s.entries[0].callers
+	req, err := http.NewRequestWithContext(s.ctx, http.MethodPost, "http://"+address+platform.PathAnnounce, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+announceKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return trace.Wrap(err, "step=announce peer=%s", address)
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body) // so that the connection is used again
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("announcement: status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// Join measures what two entries send a third one until it knows all backend
+// servers, by their number: beyond what they send each other anyway. An entry
+// does not count what arrives over links that others have dialled.
+func Join(ctx context.Context, servers ...int) (*Table, error) {
+	t := &Table{Size: "backend servers", Columns: []string{"membership B", "ms"}}
+	for _, n := range servers {
+		s, err := newServingSite(ctx, 2, 0, 0)
+		if err != nil {
+			return nil, err
+		}
+		values, err := s.join(n)
+		s.close()
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, Row{float64(n), values})
+	}
+	return t, nil
+}
+
+func (s *site) join(servers int) ([]float64, error) {
+	if err := s.eventually("announce", func() error { return s.announceAll(1, 1) }); err != nil {
+		return nil, err
+	}
+	<-time.After(settle)
+	s.run("announcements", func(ctx context.Context) error {
+		for sequence := uint64(2); ctx.Err() == nil; sequence++ {
+			if err := s.announceAll(servers, sequence); err != nil {
+				return err
+			}
+			<-time.After(fake.DefaultHeartbeat / 2)
+		}
+		return nil
+	})
+	known := func(e entryAddresses) func() error { return func() error { return s.knows(e, servers) } }
+	if err := s.eventually("servers known", known(s.entries[1])); err != nil {
+		return nil, err
+	}
+	quiet, err := s.membershipSent(2)
+	if err != nil {
+		return nil, err
+	}
+	<-time.After(quietPeriod)
+	before, err := s.membershipSent(2)
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	if err := s.startEntries(1); err != nil {
+		return nil, err
+	}
+	if err := s.eventually("newcomer knows all", known(s.entries[2])); err != nil {
+		return nil, err
+	}
+	took := time.Since(began)
+	after, err := s.membershipSent(2)
+	usual := (before - quiet) * took.Seconds() / quietPeriod.Seconds()
+	return []float64{after - before - usual, float64(took.Milliseconds())}, err
+}
+
+// membershipSent is what the first n entries have sent of membership, in bytes.
+func (s *site) membershipSent(n int) (float64, error) {
+	var sum float64
+	for _, e := range s.entries[:n] {
+		traffic, err := s.linkTraffic(e.ops)
+		if err != nil {
+			return 0, err
+		}
+		sum += traffic[membership.Method].bytes
+	}
+	return sum, nil
+}
+
+// knows reports whether an entry's status lists so many backend servers.
+func (s *site) knows(e entryAddresses, servers int) error {
+	resp, err := http.Get("http://" + e.ops + "/v1/status")
+	if err != nil {
+		return trace.Wrap(err, "step=read status peer=%s", e.ops)
+	}
+	defer resp.Body.Close()
+	var v entry.StatusView
+	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil {
+		return trace.Wrap(err, "step=read status peer=%s", e.ops)
+	}
+	if len(v.Servers) < servers {
+		return fmt.Errorf("%s knows %d servers of %d", v.ID, len(v.Servers), servers)
+	}
+	return nil
+}
+
+// Ownership measures the rebuilding of who owns which server, which an entry
+// does for each change of a server or an entry, by the number of entries.
+func Ownership(_ context.Context, entries ...int) (*Table, error) {
+	const servers, rounds = 600, 20
+	t := &Table{Size: "entries", Columns: []string{"µs/change"}}
+	var all []quarantine.Server
+	for i := range servers {
+		all = append(all, quarantine.Server{ID: announcement(i).ID, Incarnation: 1})
+	}
+	for _, n := range entries {
+		var ids []string
+		for i := range n {
+			ids = append(ids, fmt.Sprintf("entry-%03d", i))
+		}
+		used := processorTime()
+		for range rounds {
+			quarantine.NewView(ids[0], ids, all)
+		}
+		t.Rows = append(t.Rows, Row{float64(n), []float64{(processorTime() - used).Seconds() * 1e6 / rounds}})
+	}
+	return t, nil
+}
--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,64 @@
+package capacity
+
+import (
+	"context"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+)
+
+// A least-squares fit with an error in it would make every figure that the page
+// works out wrong, and nobody would see it: the page's numbers look plausible
+// whatever they are. A reader would size a site by them. Fails without "- sx*sy/n" in Table.Fit.
+func TestFitFindsTheLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, slope := rapid.Float64Range(-1e3, 1e3).Draw(t, "base"), rapid.Float64Range(-1e3, 1e3).Draw(t, "slope")
+		noise := rapid.Float64Range(0, 10).Draw(t, "noise")
+		table := &Table{Columns: []string{"y"}}
+		for i, sign := range []float64{1, -1, -1, 1} { // of no slope and no base
+			x := float64(i + 1)
+			table.Rows = append(table.Rows, Row{Size: x, Values: []float64{base + slope*x + sign*noise}})
+		}
+		line := table.Fit(0)
+		require.InDelta(t, base, line.Base, 1e-6)
+		require.InDelta(t, slope, line.Slope, 1e-6)
+		require.InDelta(t, noise*math.Sqrt(4.0/2/5), line.Error, 1e-6) // sqrt(residuals / (n-2) / spread)
+	})
+}
+
+// A message that grows by a field is paid for by every entry every second; at
+// the size to design for nobody notices until control's budget is gone. The
+// bounds are the measured bytes and a tenth; for the index's memory, which depends
+// on how full its map happens to be, more. Fails when admit.Demand gets one more
+// float, or when api.VersionReply gets a third field.
+func TestBytesOfControlMessages(t *testing.T) {
+	bounds := []struct {
+		name  string
+		run   func(context.Context, ...int) (*Table, error)
+		sizes []int
+		most  map[int]float64 // bytes for one more of the size, by column
+	}{
+		{"confirm", Confirm, []int{1, 3}, map[int]float64{0: 32, 1: 34}},
+		{"leases", Leases, []int{5, 50}, map[int]float64{0: 150, 1: 172}},
+		{"catalogue", Catalogue, []int{10, 100}, map[int]float64{0: 420}},
+		{"ledger", Ledger, []int{1000, 2000}, map[int]float64{2: 503}},
+		{"prefixes", Prefixes, []int{1000, 2000}, map[int]float64{0: 200}},
+	}
+	for _, b := range bounds {
+		t.Run(b.name, func(t *testing.T) {
+			table, err := b.run(t.Context(), b.sizes...)
+			require.NoError(t, err)
+			for column, most := range b.most {
+				slope := table.Fit(column).Slope
+				t.Logf("%s: %.1f, bound %.1f", table.Columns[column], slope, most)
+				require.Positive(t, slope, table.Columns[column])
+				require.LessOrEqual(t, slope, most, table.Columns[column])
+			}
+		})
+	}
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/capacity/commits.go
@@ -0,0 +1,112 @@
+package capacity
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"savoryreel.example/savoryreel/control/api"
+)
+
+const (
+	commitPeriod  = 3 * time.Second
+	commitCallers = 64 // where the number of replicas varies
+)
+
+// Commits measures ledger records a second through control replicas with real
+// syncs, by the number of callers at work, with three replicas.
+func Commits(ctx context.Context, callers ...int) (*Table, error) {
+	return commitTable(ctx, "callers, 3 replicas", callers, func(n int) (replicas, atWork int) { return 3, n })
+}
+
+// CommitReplicas measures the same by the number of replicas, with 64 callers.
+// All replicas share this machine's disk and processors.
+func CommitReplicas(ctx context.Context, replicas ...int) (*Table, error) {
+	return commitTable(ctx, "replicas, 64 callers", replicas, func(n int) (int, int) { return n, commitCallers })
+}
+
+func commitTable(ctx context.Context, size string, sizes []int, of func(int) (int, int)) (*Table, error) {
+	t := &Table{Size: size, Columns: []string{
+		"commits/s", "p50 ms", "p99 ms", "all ends µs/commit", "replication B/commit, all replicas", "idle replication B/s, all replicas",
+	}}
+	for _, n := range sizes {
+		replicas, callers := of(n)
+		s, err := newSite(ctx, replicas, slog.New(slog.DiscardHandler))
+		if err != nil {
+			return nil, err
+		}
+		values, err := s.commits(callers)
+		s.close()
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, Row{float64(n), values})
+	}
+	return t, nil
+}
+
+func (s *site) commits(callers int) ([]float64, error) {
+	if _, err := s.client.Ledger(s.ctx, ledgerCommand(0)); err != nil { // dials
+		return nil, err
+	}
+	quiet, err := s.replicationBytes()
+	if err != nil {
+		return nil, err
+	}
+	m := newMeter()
+	before, err := s.replicationBytes()
+	if err != nil {
+		return nil, err
+	}
+	var number atomic.Int64
+	latencies := make([]*hdrhistogram.Histogram, callers)
+	ctx, cancel := context.WithTimeout(s.ctx, commitPeriod)
+	defer cancel()
+	var group sync.WaitGroup
+	began := time.Now()
+	for i := range callers {
+		latencies[i] = hdrhistogram.New(1, int64(time.Minute), 3)
+		group.Go(func() {
+			for ctx.Err() == nil {
+				start := time.Now()
+				if _, err := s.client.Ledger(ctx, ledgerCommand(int(number.Add(1)))); err == nil {
+					_ = latencies[i].RecordValue(int64(time.Since(start))) // within the histogram's range
+				}
+			}
+		})
+	}
+	group.Wait()
+	elapsed := time.Since(began)
+	all := latencies[0]
+	for _, h := range latencies[1:] {
+		all.Merge(h)
+	}
+	done := int(all.TotalCount())
+	used := m.perUnit(done)
+	after, err := s.replicationBytes()
+	if err != nil {
+		return nil, err
+	}
+	idle := (before - quiet) / idlePeriod.Seconds()
+	return []float64{
+		float64(done) / elapsed.Seconds(), float64(all.ValueAtQuantile(50)) / 1e6, float64(all.ValueAtQuantile(99)) / 1e6,
+		used, (after - before - idle*elapsed.Seconds()) / float64(done), idle,
+	}, nil
+}
+
+// replicationBytes is what all replicas have sent each other, in bytes.
+func (s *site) replicationBytes() (float64, error) {
+	var sum float64
+	for _, ops := range s.ops {
+		traffic, err := s.linkTraffic(ops)
+		if err != nil {
+			return 0, err
+		}
+		sum += traffic[api.MethodReplica].bytes
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/capacity/requests.go
@@ -0,0 +1,242 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"savoryreel.example/savoryreel/platform"
+)
+
+const (
+	streamCallers = 50
+	tokenTime     = 5 * time.Millisecond
+	askRequests   = 400
+	askEngines    = 64 // so that nearly every entry owns one
+	methodAsk     = "entry.quarantine.ask"
+	methodTell    = "entry.quarantine.tell"
+)
+
+// Streaming measures the processor time and the heap objects of streamed
+// answers, by their length in tokens, through an entry and at the engine
+// directly. The entry's part is the difference: caller and engine run in this
+// process too. Each token comes by itself, 5 ms after the one before.
+func Streaming(ctx context.Context, tokens ...int) (*Table, error) {
+	t := &Table{Size: "tokens/answer", Columns: []string{
+		"through µs/answer", "direct µs/answer", "entry µs/answer", "entry objects/answer",
+	}}
+	s, err := newServingSite(ctx, 1, 1, tokenTime)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	for _, n := range tokens {
+		through, objects, err := s.answers(s.entries[0].callers, "chat", n)
+		if err != nil {
+			return nil, err
+		}
+		direct, directObjects, err := s.answers(s.engine, model, n)
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, Row{float64(n), []float64{through, direct, through - direct, objects - directObjects}})
+	}
+	return t, nil
+}
+
+// newServingSite starts control, entries and engines and waits until all entries
+// serve, if there are engines.
+func newServingSite(ctx context.Context, entries, engines int, tokenTime time.Duration) (*site, error) {
+	s, err := newSite(ctx, 1, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return nil, err
+	}
+	err = s.startEntries(entries)
+	for range engines {
+		if err == nil {
+			err = s.startEngine(tokenTime)
+		}
+	}
+	for _, e := range s.entries {
+		if err == nil && engines > 0 {
+			err = s.eventually("serve", func() error { return s.chat(s.ctx, e.callers, "chat", 1) })
+		}
+	}
+	if err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// answers has streamCallers callers get one answer each, at the same time.
+func (s *site) answers(address, service string, tokens int) (processor, objects float64, err error) {
+	round := func() error {
+		return together(streamCallers, func() error { return s.chat(s.ctx, address, service, tokens) })
+	}
+	if err := round(); err != nil { // dials
+		return 0, 0, err
+	}
+	const rounds = 3
+	m := newMeter()
+	for range rounds {
+		if err := round(); err != nil {
+			return 0, 0, err
+		}
+	}
+	return m.perUnit(rounds * streamCallers), m.objectsPerUnit(rounds * streamCallers), nil
+}
+
+// together runs f n times at once and returns one of the errors, if any.
+func together(n int, f func() error) error {
+	errs := make(chan error, n)
+	var group sync.WaitGroup
+	for range n {
+		group.Go(func() { errs <- f() })
+	}
+	group.Wait()
+	close(errs)
+	for err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// chat gets one whole streamed answer.
+func (s *site) chat(ctx context.Context, address, service string, tokens int) error {
+	resp, err := s.open(ctx, address, service, tokens)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return trace.Wrap(err, "step=read answer peer=%s", address)
+	}
+	if got := bytes.Count(body, []byte(`"content":`)); resp.StatusCode != http.StatusOK || got < tokens {
+		return fmt.Errorf("%s: status %d, %d tokens of %d", address, resp.StatusCode, got, tokens)
+	}
+	return nil
+}
+
+func (s *site) open(ctx context.Context, address, service string, tokens int) (*http.Response, error) {
+	body, err := json.Marshal(platform.ChatRequest{
+		Model: service, Stream: true, MaxTokens: tokens, Messages: []platform.Message{{Role: "user", Content: fmt.Sprintf("Question %d", s.questions.Add(1))}},
+	})
+	if err != nil {
+		return nil, trace.Wrap(err, "step=encode request")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+workspaceKey)
+	resp, err := http.DefaultClient.Do(req)
+	return resp, trace.Wrap(err, "step=send request peer=%s", address)
+}
+
+// InFlight measures the memory of requests that wait for their second token, by
+// their number, through an entry and at the engine directly; the entry's part is
+// the difference.
+func InFlight(ctx context.Context, requests ...int) (*Table, error) {
+	t := &Table{Size: "requests in flight", Columns: []string{"through B", "direct B", "entry B"}}
+	s, err := newServingSite(ctx, 1, 1, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	for _, n := range requests {
+		through, err := s.inFlight(s.entries[0].callers, "chat", n)
+		if err != nil {
+			return nil, err
+		}
+		direct, err := s.inFlight(s.engine, model, n)
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, Row{float64(n), []float64{through, direct, through - direct}})
+	}
+	return t, nil
+}
+
+func (s *site) inFlight(address, service string, n int) (float64, error) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	http.DefaultClient.CloseIdleConnections()
+	<-time.After(settle) // until the requests of the size before have ended
+	before := memoryInUse()
+	var mu sync.Mutex
+	var open []*http.Response
+	err := together(n, func() error {
+		resp, err := s.open(ctx, address, service, 1000)
+		if err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		open = append(open, resp)
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s: status %d", address, resp.StatusCode)
+		}
+		return nil
+	})
+	memory := memoryInUse() - before
+	cancel()
+	for _, resp := range open {
+		_ = resp.Body.Close() // given up
+	}
+	return memory, err
+}
+
+// Asks measures what an entry asks the owner of a request's fingerprint before
+// the request runs, and tells it afterwards, by the number of entries, with 64
+// engines. All requests differ. An ask's bytes are of question and answer.
+func Asks(ctx context.Context, entries ...int) (*Table, error) {
+	t := &Table{Size: "entries", Columns: []string{"asks/request", "B/ask", "B/tell"}}
+	for _, n := range entries {
+		s, err := newServingSite(ctx, n, askEngines, 0)
+		if err != nil {
+			return nil, err
+		}
+		values, err := s.asks()
+		s.close()
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, Row{float64(n), values})
+	}
+	return t, nil
+}
+
+func (s *site) asks() ([]float64, error) {
+	first := s.entries[0]
+	before, err := s.linkTraffic(first.ops)
+	if err != nil {
+		return nil, err
+	}
+	for range askRequests {
+		if err := s.chat(s.ctx, first.callers, "chat", 1); err != nil {
+			return nil, err
+		}
+	}
+	after, err := s.linkTraffic(first.ops)
+	if err != nil {
+		return nil, err
+	}
+	ask, tell := after[methodAsk].since(before[methodAsk]), after[methodTell].since(before[methodTell])
+	asks := ask.messages / 2 // the question and its answer
+	if asks == 0 {
+		return []float64{0, 0, 0}, nil
+	}
+	return []float64{asks / askRequests, ask.bytes / asks, tell.bytes / tell.messages}, nil
+}
--- /dev/null
+++ b/capacity/site.go
@@ -0,0 +1,311 @@
+package capacity
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/control"
+	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/entry"
+	"savoryreel.example/savoryreel/internal/fake"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/operator"
+	"savoryreel.example/savoryreel/settings"
+)
+
+// Keys of the sites that are measured; they listen on loopback addresses only.
+const (
+	clusterKey   = "capacity-cluster"
+	operatorKey  = "capacity-operator"
+	announceKey  = "capacity-announce"
+	workspaceKey = "capacity-workspace"
+)
+
+const (
+	model       = "demo"
+	startBound  = 60 * time.Second
+	retryPause  = 20 * time.Millisecond
+	maxEntries  = 370 // of letter 1: entries that share the limits
+	engineSlots = 4096
+)
+
+// site is a set of control replicas, entries and one engine in this process.
+type site struct {
+	ctx      context.Context
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
+	folder   string
+	log      *slog.Logger
+	control  []string // link addresses
+	ops      []string // of the control replicas
+	operator *operator.Client
+	entries  []entryAddresses
+	engine   string // address of the last one
+	engines  int
+	pool     *link.Pool
+	traffic  *link.Traffic // of pool
+	client   *api.Client
+	version  uint64
+
+	questions atomic.Int64 // asked so far; each is another request
+}
+
+type entryAddresses struct{ callers, link, ops string }
+
+// newSite starts control replicas and waits until they have a leader.
+func newSite(ctx context.Context, replicas int, log *slog.Logger) (*site, error) {
+	folder, err := os.MkdirTemp("", "savoryreel-capacity-")
+	if err != nil {
+		return nil, trace.Wrap(err, "step=make folder")
+	}
+	s := &site{folder: folder, log: log, traffic: link.NewTraffic(nil)}
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	if err := s.startControl(replicas); err != nil {
+		s.close()
+		return nil, err
+	}
+	s.pool = link.NewPool(link.PoolConfig{Self: link.PeerInfo{ID: "capacity", Incarnation: 1, Role: "entry"}, ClusterKey: []byte(clusterKey)},
+		link.PoolDeps{Log: log, Traffic: s.traffic})
+	s.client = api.NewClient(s.pool, s.control)
+	return s, s.apply(baseCatalogue())
+}
+
+// close ends everything that the site has started and removes its files.
+func (s *site) close() {
+	s.cancel()
+	s.work.Wait()
+	if s.pool != nil {
+		s.pool.Close()
+	}
+	_ = os.RemoveAll(s.folder) // temporary; nothing depends on its end
+}
+
+// run runs one daemon until the site is closed.
+func (s *site) run(name string, f func(context.Context) error) {
+	s.work.Go(func() {
+		if err := f(s.ctx); err != nil && s.ctx.Err() == nil {
+			s.log.Error("daemon ended", "name", name, "error", err)
+		}
+	})
+}
+
+func (s *site) startControl(replicas int) error {
+	var list, operators []string
+	addresses, err := freeAddresses(3 * replicas)
+	if err != nil {
+		return err
+	}
+	for i := range replicas {
+		a := addresses[3*i:]
+		s.control, operators, s.ops = append(s.control, a[0]), append(operators, a[1]), append(s.ops, a[2])
+		list = append(list, fmt.Sprintf("%d=%s", i+1, a[0]))
+	}
+	s.operator = operator.New(operators, operatorKey)
+	for i := range replicas {
+		cfg := control.Config{}
+		err := configure(cfg.Declare, map[string]string{
+			"id": strconv.Itoa(i + 1), "data": filepath.Join(s.folder, strconv.Itoa(i+1)), "replicas": strings.Join(list, ","),
+			"link-listen": s.control[i], "operator-listen": operators[i], "ops-listen": s.ops[i],
+			"cluster-key": clusterKey, "operator-key": operatorKey, "max-entries": strconv.Itoa(maxEntries),
+		})
+		if err != nil {
+			return err
+		}
+		c, err := control.New(cfg, control.Deps{Log: s.log, Now: time.Now})
+		if err != nil {
+			return err
+		}
+		s.run("control", c.Run)
+	}
+	return nil
+}
+
+// startEntries starts n more entries, in five zones of two regions.
+func (s *site) startEntries(n int) error {
+	addresses, err := freeAddresses(3 * n)
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		a := addresses[3*i:]
+		s.entries = append(s.entries, entryAddresses{callers: a[0], link: a[1], ops: a[2]})
+	}
+	for i := len(s.entries) - n; i < len(s.entries); i++ {
+		a := s.entries[i]
+		zone := i % 5
+		cfg := entry.Config{}
+		err := configure(cfg.Declare, map[string]string{
+			"id": fmt.Sprintf("entry-%d", i+1), "region": fmt.Sprintf("r%d", 1+zone/3), "zone": fmt.Sprintf("z%d", zone+1),
+			"listen": a.callers, "link-listen": a.link, "ops-listen": a.ops, "control": strings.Join(s.control, ","),
+			"entries": s.entries[0].link, "cluster-key": clusterKey, "announce-key": announceKey,
+			"drain-timeout": "1s", "capacity": "100000",
+		})
+		if err != nil {
+			return err
+		}
+		e, err := entry.New(cfg, entry.Deps{Log: s.log, Now: time.Now})
+		if err != nil {
+			return err
+		}
+		s.run("entry", e.Run)
+	}
+	return nil
+}
+
+// startEngine starts a stand-in engine that announces itself to the first entry.
+func (s *site) startEngine(tokenTime time.Duration) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return trace.Wrap(err, "step=listen")
+	}
+	s.engine = l.Addr().String()
+	s.engines++
+	e := fake.NewEngine(fake.EngineConfig{
+		ID: fmt.Sprintf("engine-%d", s.engines), Region: "r1", Zone: "z1", Class: "g1", Model: model, Slots: engineSlots, MaxWaiting: engineSlots,
+		TokenTime:  tokenTime,
+		Announcing: fake.Announcing{Entries: []string{"http://" + s.entries[0].callers}, Key: announceKey},
+	}, fake.Deps{Log: s.log})
+	s.run("engine", func(ctx context.Context) error { return e.Run(ctx, l) })
+	return nil
+}
+
+// apply puts a catalogue in force, waiting for a leader if there is none yet.
+func (s *site) apply(c contract.Catalogue) error {
+	doc, err := contract.Format(c)
+	if err != nil {
+		return err
+	}
+	return s.eventually("apply catalogue", func() error {
+		current, err := s.operator.Catalogue(s.ctx)
+		if err != nil {
+			return err
+		}
+		r, err := s.operator.Apply(s.ctx, doc, current.Version)
+		s.version = r.Version
+		return err
+	})
+}
+
+// eventually repeats try until it succeeds or startBound has passed.
+func (s *site) eventually(step string, try func() error) error {
+	end := time.Now().Add(startBound)
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		if s.ctx.Err() != nil || time.Now().After(end) {
+			return trace.Wrap(err, "step=%s", step)
+		}
+		<-time.After(retryPause)
+	}
+}
+
+// linkTraffic is what a process has sent and received over links by one method.
+type linkTraffic struct{ messages, bytes float64 }
+
+func (t linkTraffic) since(before linkTraffic) linkTraffic {
+	return linkTraffic{messages: t.messages - before.messages, bytes: t.bytes - before.bytes}
+}
+
+// linkTraffic asks the process behind an operations address for its traffic by
+// method.
+func (s *site) linkTraffic(ops string) (map[string]linkTraffic, error) {
+	resp, err := http.Get("http://" + ops + "/metrics")
+	if err != nil {
+		return nil, trace.Wrap(err, "step=read metrics peer=%s", ops)
+	}
+	defer resp.Body.Close()
+	out := map[string]linkTraffic{}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		rest, found := strings.CutPrefix(lines.Text(), "savoryreel_link_")
+		what, rest, _ := strings.Cut(rest, `_total{method="`)
+		method, rest, _ := strings.Cut(rest, `"`)
+		_, value, _ := strings.Cut(rest, "} ")
+		n, err := strconv.ParseFloat(value, 64)
+		if !found || err != nil {
+			continue
+		}
+		t := out[method]
+		switch what {
+		case "messages":
+			t.messages += n
+		case "bytes":
+			t.bytes += n
+		}
+		out[method] = t
+	}
+	return out, trace.Wrap(lines.Err(), "step=read metrics peer=%s", ops)
+}
+
+// baseCatalogue has one workspace without limits and one model service.
+func baseCatalogue() contract.Catalogue {
+	return contract.Catalogue{
+		Workspaces: []contract.Workspace{{
+			Name: "capacity", Owner: "capacity@example.com", Class: contract.ClassInteractive, Weight: 1,
+			Keys: []contract.KeyHash{contract.HashKey(workspaceKey)},
+		}},
+		Services: []contract.Service{{Name: "chat", Owner: "capacity@example.com", Kind: contract.KindModel, Model: model}},
+	}
+}
+
+// limitedCatalogue adds n workspaces that have all three limits.
+func limitedCatalogue(n int) contract.Catalogue {
+	c := baseCatalogue()
+	for i := range n {
+		c.Workspaces = append(c.Workspaces, workspaceNumber(i))
+	}
+	return c
+}
+
+func workspaceNumber(i int) contract.Workspace {
+	name := fmt.Sprintf("workspace-%04d", i)
+	return contract.Workspace{
+		Name: name, Owner: name + "@example.com", Class: contract.ClassStandard, Weight: 1 + i%10,
+		Limits: contract.Limits{RequestsPerSecond: 100_000, Concurrency: 100_000, TokensPerSecond: 10_000_000},
+		Keys:   []contract.KeyHash{contract.HashKey(name)},
+	}
+}
+
+// configure loads a daemon's defaults with a few settings given.
+func configure(declare func(*settings.Set), given map[string]string) error {
+	flags := (&cobra.Command{}).Flags()
+	set := settings.New(flags)
+	declare(set)
+	for name, value := range given {
+		if err := flags.Set(name, value); err != nil {
+			return trace.Wrap(err, "step=set %s", name)
+		}
+	}
+	return set.Load()
+}
+
+// freeAddresses returns loopback addresses that nobody listens on now.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, trace.Wrap(err, "step=find a free address")
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
--- /dev/null
+++ b/capacity/state.go
@@ -0,0 +1,227 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/control"
+	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/ledger"
+	"savoryreel.example/savoryreel/policy/route"
+	"savoryreel.example/savoryreel/replica"
+)
+
+// Catalogue measures a catalogue by its number of workspaces; it has as many
+// services.
+func Catalogue(_ context.Context, sizes ...int) (*Table, error) {
+	t := &Table{Size: "workspaces and services", Columns: []string{"B/transfer", "memory B", "decode µs", "apply a change µs"}}
+	for _, n := range sizes {
+		values, err := catalogueCost(n)
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, Row{float64(n), values})
+	}
+	return t, nil
+}
+
+func catalogueCost(n int) ([]float64, error) {
+	const rounds = 20
+	c := limitedCatalogue(n)
+	for i := range n {
+		c.Services = append(c.Services, serviceNumber(i))
+	}
+	enc, err := msgpack.Marshal(&api.CatalogueReply{Index: 1, Version: 1, Catalogue: c})
+	if err != nil {
+		return nil, trace.Wrap(err, "step=encode catalogue")
+	}
+	before := memoryInUse()
+	var reply api.CatalogueReply
+	if err := msgpack.Unmarshal(enc, &reply); err != nil {
+		return nil, trace.Wrap(err, "step=decode catalogue")
+	}
+	memory := memoryInUse() - before
+	runtime.KeepAlive(&reply)
+	decode := processorTime()
+	for range rounds {
+		var again api.CatalogueReply
+		if err := msgpack.Unmarshal(enc, &again); err != nil {
+			return nil, trace.Wrap(err, "step=decode catalogue")
+		}
+	}
+	decode = processorTime() - decode
+	book := contract.NewBook()
+	apply := processorTime()
+	for i := range rounds {
+		c.Workspaces[0].Weight = 1 + i
+		r := book.Apply(contract.Change{ID: fmt.Sprint(i), Kind: contract.ChangeApply, Base: book.Version(), Catalogue: &c})
+		if r.Code != contract.CodeAccepted {
+			return nil, fmt.Errorf("change refused: %s", r.Reason)
+		}
+	}
+	apply = processorTime() - apply
+	return []float64{float64(len(enc)), memory, decode.Seconds() * 1e6 / rounds, apply.Seconds() * 1e6 / rounds}, nil
+}
+
+// Ledger measures a control replica's state machine by the number of records
+// that the ledger holds, each with a kept answer of 200 bytes.
+func Ledger(_ context.Context, sizes ...int) (*Table, error) {
+	t := &Table{Size: "ledger records", Columns: []string{"memory B", "µs/command", "snapshot B", "snapshot ms", "restore ms"}}
+	for _, n := range sizes {
+		values, err := ledgerCost(n)
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, Row{float64(n), values})
+	}
+	return t, nil
+}
+
+func ledgerCost(n int) ([]float64, error) {
+	before := memoryInUse()
+	m := control.NewMachine(nil)
+	used := processorTime()
+	for i := range n {
+		if err := recordCall(m, i); err != nil {
+			return nil, err
+		}
+	}
+	used = processorTime() - used
+	memory := memoryInUse() - before
+	began := time.Now()
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	took := time.Since(began)
+	began = time.Now()
+	if err := control.NewMachine(nil).Restore(snapshot); err != nil {
+		return nil, err
+	}
+	restore := time.Since(began)
+	runtime.KeepAlive(m)
+	return []float64{
+		memory, used.Seconds() * 1e6 / float64(2*n), float64(len(snapshot)),
+		took.Seconds() * 1e3, restore.Seconds() * 1e3,
+	}, nil
+}
+
+// recordCall begins and finishes call number i.
+func recordCall(m *control.Machine, i int) error {
+	begin := ledgerCommand(i)
+	finish := begin
+	finish.Op, finish.Answer = ledger.OpFinish, &ledger.Answer{Status: 200, ContentType: "application/json", Body: make([]byte, 200)}
+	for k, c := range []ledger.Command{begin, finish} {
+		enc, err := msgpack.Marshal(&c)
+		if err != nil {
+			return trace.Wrap(err, "step=encode command")
+		}
+		if _, err := m.Apply(replica.Entry{Index: uint64(2*i + k + 1), Term: 1, Kind: uint8(api.KindLedger), Data: enc}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func ledgerCommand(i int) ledger.Command {
+	return ledger.Command{
+		Op: ledger.OpBegin, Key: ledger.Key{Workspace: "workspace-0001", Value: fmt.Sprintf("key-%032d", i)},
+		Fingerprint: uint64(i), RequestID: fmt.Sprintf("r1-%032d", i), Owner: ledger.Owner{Entry: "entry-001", Incarnation: 1},
+		Now: time.Now().UnixMilli(),
+	}
+}
+
+// Servers measures what an entry holds for backend servers of one model: the
+// view and the router. A decision has eight prefixes, none of them cached.
+func Servers(_ context.Context, sizes ...int) (*Table, error) {
+	t := &Table{Size: "backend servers", Columns: []string{"view B", "router B", "decision µs"}}
+	for _, n := range sizes {
+		values, err := serverCost(n)
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, Row{float64(n), values})
+	}
+	return t, nil
+}
+
+func serverCost(n int) ([]float64, error) {
+	const decisions = 20_000
+	before := memoryInUse()
+	view := instance.NewView()
+	for i := range n {
+		view.Apply([]instance.Update{{Server: &instance.Server{Announcement: announcement(i), HeardBy: "entry-001"}}})
+	}
+	inView := memoryInUse()
+	router, err := route.New(route.DefaultConfig())
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	for _, s := range view.AllServers() {
+		router.Announce(&s.Announcement, now, now)
+	}
+	inRouter := memoryInUse()
+	used := processorTime()
+	for i := range decisions {
+		router.Choose(&route.Request{
+			Now: now, Seed: uint64(i), PromptTokens: 500, Zone: "z1", Region: "r1",
+			Prefixes: []uint64{uint64(i), 1, 2, 3, 4, 5, 6, 7},
+		})
+	}
+	used = processorTime() - used
+	runtime.KeepAlive(view)
+	runtime.KeepAlive(router)
+	return []float64{inView - before, inRouter - inView, used.Seconds() * 1e6 / decisions}, nil
+}
+
+// announcement is of backend server number i. Nobody listens at its address.
+func announcement(i int) instance.Announcement {
+	return instance.Announcement{
+		ID: fmt.Sprintf("gpu-server-%04d", i), Incarnation: 1, Sequence: 1, Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Region: "r1", Zone: fmt.Sprintf("z%d", 1+i%3), Class: "g1",
+		State: instance.StateServing, Model: model, Slots: 64,
+	}
+}
+
+// Prefixes measures the index of cached prefixes by the number of prefixes,
+// spread over 100 servers, and the events that fill it.
+func Prefixes(_ context.Context, sizes ...int) (*Table, error) {
+	t := &Table{Size: "cached prefixes", Columns: []string{"memory B", "event µs", "event B as JSON"}}
+	for _, n := range sizes {
+		values, err := prefixCost(n)
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, Row{float64(n), values})
+	}
+	return t, nil
+}
+
+func prefixCost(n int) ([]float64, error) {
+	const servers = 100
+	before := memoryInUse()
+	index := route.NewPrefixIndex()
+	used := processorTime()
+	for i := range n {
+		event := instance.CacheEvent{Sequence: uint64(i/servers + 1), Prefix: uint64(i) * 0x9e3779b97f4a7c15, Stored: true, Tokens: 500}
+		index.Apply(announcement(i%servers).ID, 1, event)
+	}
+	used = processorTime() - used
+	memory := memoryInUse() - before
+	enc, err := json.Marshal(instance.CacheEvent{Sequence: 10_000, Prefix: 0x9e3779b97f4a7c15, Stored: true, Tokens: 500})
+	if err != nil {
+		return nil, trace.Wrap(err, "step=encode event")
+	}
+	if index.Len() != n {
+		return nil, fmt.Errorf("%d prefixes indexed of %d", index.Len(), n)
+	}
+	return []float64{memory, used.Seconds() * 1e6 / float64(n), float64(len(enc))}, nil
+}
--- /dev/null
+++ b/capacity/table.go
@@ -0,0 +1,85 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+)
+
+// Table is what one measurement found at several sizes.
+type Table struct {
+	Size    string   // what differs from row to row
+	Columns []string // with their units
+	Rows    []Row
+}
+
+// Row is one size. Values are in the order of the table's columns.
+type Row struct {
+	Size   float64
+	Values []float64
+}
+
+// Line is the straight line that fits a column best by least squares.
+type Line struct {
+	Base  float64 // at size 0
+	Slope float64 // per unit of size
+	Error float64 // standard error of the slope; NaN with fewer than three sizes
+}
+
+// At is the line's value at a size.
+func (l Line) At(size float64) float64 { return l.Base + l.Slope*size }
+
+// Fit returns the line through a column of the table.
+func (t *Table) Fit(column int) Line {
+	n := float64(len(t.Rows))
+	var sx, sy, sxx, sxy float64
+	for _, r := range t.Rows {
+		y := r.Values[column]
+		sx, sy = sx+r.Size, sy+y
+		sxx, sxy = sxx+r.Size*r.Size, sxy+r.Size*y
+	}
+	spread := sxx - sx*sx/n
+	slope := (sxy - sx*sy/n) / spread
+	line := Line{Slope: slope, Base: (sy - slope*sx) / n}
+	var residuals float64
+	for _, r := range t.Rows {
+		d := r.Values[column] - line.At(r.Size)
+		residuals += d * d
+	}
+	line.Error = math.NaN()
+	if n > 2 {
+		line.Error = math.Sqrt(residuals / (n - 2) / spread)
+	}
+	return line
+}
+
+// Write prints the rows and, below them, the line of each column.
+func (t *Table) Write(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(tw, "%s\t", t.Size)
+	for _, c := range t.Columns {
+		fmt.Fprintf(tw, "%s\t", c)
+	}
+	fmt.Fprintln(tw)
+	for _, r := range t.Rows {
+		writeRow(tw, fmt.Sprint(r.Size), r.Values)
+	}
+	var bases, slopes, errors []float64
+	for i := range t.Columns {
+		l := t.Fit(i)
+		bases, slopes, errors = append(bases, l.Base), append(slopes, l.Slope), append(errors, l.Error)
+	}
+	writeRow(tw, "base", bases)
+	writeRow(tw, "slope", slopes)
+	writeRow(tw, "error of slope", errors)
+	return tw.Flush()
+}
+
+func writeRow(w io.Writer, name string, values []float64) {
+	fmt.Fprintf(w, "%s\t", name)
+	for _, v := range values {
+		fmt.Fprintf(w, "%.4g\t", v)
+	}
+	fmt.Fprintln(w)
+}
