entry: a once-only call goes on when its caller's connection breaks

Cause: such a call was run under its caller's connection. A connection that broke cut the call off in the middle, its record ended as unknown, and the resend got neither an answer nor a later one. Ruled out: sending the record's outcome later (the server's answer is lost with the cancelled call). Measured: TestOnceWhenTheCallerLeaves fails without callContext (502 outcome_unknown in place of 200) and passes with it; all Once tests pass.

--- a/cmd/savoryreel/standin.go
+++ b/cmd/savoryreel/standin.go
@@ -77,13 +77,15 @@
 func newStandInPlain() *cobra.Command {
 	var c standInConfig
 	var services []string
+	var work time.Duration
 	declare := func(s *settings.Set) {
 		c.declare(s, "plain-1", "127.0.0.1:7301")
 		s.Strings(&services, "services", []string{"echo"}, "services that it serves")
+		s.Duration(&work, "work", 0, "time that each call takes", settings.Between(0, time.Hour))
 	}
 	return daemonCommand("plain", "A plain web service", declare, &c.logLevel, func(ctx context.Context, log *slog.Logger) error {
 		p := fake.NewPlain(fake.PlainConfig{
-			ID: c.id, Region: c.region, Zone: c.zone, Class: c.class, Services: services, Announcing: c.announcing(),
+			ID: c.id, Region: c.region, Zone: c.zone, Class: c.class, Services: services, Work: work, Announcing: c.announcing(),
 		}, fake.Deps{Log: log})
 		return runStandIn(ctx, log, &c, p)
 	})
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -22,8 +22,7 @@
 // A caller loses patience and sends its credit to both entries at the same
 // time, several times over. It runs once, and each arrival gets the one answer.
 func TestOnceUnderResendsToBothEntries(t *testing.T) {
-	s, _, _ := smallSite(t, 1)
-	s.setFaults(7301, fake.Faults{SlowFactor: 3})
+	s := onceSite(t, 400*time.Millisecond)
 	var wg sync.WaitGroup
 	bodies := make([]string, 8)
 	for k := range bodies {
@@ -43,6 +42,21 @@
 	require.Equal(t, 1, s.plainStats(1).Executions["credit-7"])
 }
 
+// A caller's connection breaks while its credit runs. The credit runs on and its
+// answer is kept, so the caller that sends it again gets the answer and not
+// "unknown". Without callContext this test fails.
+func TestOnceWhenTheCallerLeaves(t *testing.T) {
+	s := onceSite(t, 700*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := s.credit(ctx, 1, "credit-8")
+	require.Error(t, err)
+	r, err := s.credit(t.Context(), 2, "credit-8")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, r.status, r.body)
+	require.Equal(t, 1, s.plainStats(1).Executions["credit-8"])
+}
+
 // The entry that runs a credit is killed before the answer is out. The caller
 // sends it again to the other entry, which cannot know whether it ran. It must
 // say so, at once and each time, and never run it a second time.
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -209,9 +209,27 @@
 }
 
 // startPlain starts stand-in plain service i.
-func (s *site) startPlain(i int, zone string) *process {
-	return s.start(fmt.Sprintf("plain-%d", i), "standin", "plain", "--id", fmt.Sprintf("plain-%d", i), "--zone", zone,
-		"--listen", s.addr(7300+i), "--announce-to", s.addr(entryPort(1))+","+s.addr(entryPort(2)))
+func (s *site) startPlain(i int, zone string, more ...string) *process {
+	args := []string{
+		"standin", "plain", "--id", fmt.Sprintf("plain-%d", i), "--zone", zone,
+		"--listen", s.addr(7300 + i), "--announce-to", s.addr(entryPort(1)) + "," + s.addr(entryPort(2)),
+	}
+	return s.start(fmt.Sprintf("plain-%d", i), append(args, more...)...)
+}
+
+// onceSite is a site with two entries and a plain service whose calls take a
+// while.
+func onceSite(t *testing.T, work time.Duration) *site {
+	s := newSite(t)
+	s.startControl(1)
+	s.startEntry(1, "z1")
+	s.startEntry(2, "z2")
+	s.startPlain(1, "z1", "--work", work.String())
+	s.apply(testCatalogue())
+	for i := 1; i <= 2; i++ {
+		s.ready(i, "/svc/echo/ready", "x")
+	}
+	return s
 }
 
 // testCatalogue has two workspaces, a model service and a plain one.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -55,7 +55,7 @@
 		return
 	}
 	defer e.release(call.request, plainCost)
-	ctx, cancel := context.WithDeadline(r.Context(), call.request.Deadline)
+	ctx, cancel := context.WithDeadline(callContext(r.Context(), call.request), call.request.Deadline)
 	defer cancel()
 	call.ctx = ctx
 	e.plainRunning.Add(1)
@@ -66,6 +66,17 @@
 	}
 }
 
+// callContext is the context of a call's run. A call that may run once goes on
+// when its caller's connection breaks: cut off there, it would end as unknown
+// although the server was about to answer, and the resend that follows a broken
+// connection would get no answer, nor any later one.
+func callContext(caller context.Context, r *request.Request) context.Context {
+	if r.Idempotent {
+		return caller
+	}
+	return context.WithoutCancel(caller)
+}
+
 // acceptPlain checks a plain call and has it admitted.
 func (e *Entry) acceptPlain(w http.ResponseWriter, c *call) (*plainCall, *request.Problem) {
 	s, p := c.service(c.http.PathValue("service"), contract.KindPlain)
