entry: one job a file; periodic work through daemon.Every

Cause: the same loop around a ticker stood eight times, and two files held two jobs each: guard and who owns a fingerprint, lane and the grants it gives.

--- a/control/control.go
+++ b/control/control.go
@@ -166,21 +166,16 @@
 
 // watchLeader logs each change of leader.
 func (c *Control) watchLeader(ctx context.Context) error {
-	tick := time.NewTicker(watchEvery)
-	defer tick.Stop()
 	var last uint64
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		if st := c.host.Status(); st.Leader != last {
-			last = st.Leader
-			event.Log(ctx, c.log, slog.LevelInfo, event.LeaderChanged,
-				slog.Uint64("leader", st.Leader), slog.Uint64("term", st.Term), slog.String("role", st.Role.String()))
+	return daemon.Every(ctx, watchEvery, func() {
+		st := c.host.Status()
+		if st.Leader == last {
+			return
 		}
-	}
+		last = st.Leader
+		event.Log(ctx, c.log, slog.LevelInfo, event.LeaderChanged,
+			slog.Uint64("leader", st.Leader), slog.Uint64("term", st.Term), slog.String("role", st.Role.String()))
+	})
 }
 
 // watchEvery is how often a replica looks who leads.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,6 +69,20 @@
 	}, func(error) { cancel() })
 }
 
+// Every calls fn once a period until ctx ends, and returns ctx's error.
+func Every(ctx context.Context, period time.Duration, fn func()) error {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		fn()
+	}
+}
+
 // Signals adds an actor that ends the group at SIGTERM or SIGINT, once drain
 // has returned. A second signal ends the process at once.
 func Signals(g *run.Group, drain func(ctx context.Context), log *slog.Logger) {
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -120,7 +121,8 @@
 	if err == nil {
 		return body, nil
 	}
-	if _, over := err.(*http.MaxBytesError); over {
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
 		return nil, tooLarge(limit)
 	}
 	return nil, request.NewProblem(request.CodeBadRequest, request.NotRun, "the request body broke off: %v", err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -172,13 +172,13 @@
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, e.members.Run)
 	daemon.Actor(g, e.follower.run)
-	daemon.Actor(g, func(c context.Context) error { return e.lanes.tick(c, laneEvery) })
+	every(g, laneEvery, e.lanes.tick)
 	daemon.Actor(g, func(c context.Context) error { return e.admitter.leaseLoop(c, e.control) })
-	daemon.Actor(g, e.planLoop)
-	daemon.Actor(g, e.syncLoop)
-	daemon.Actor(g, e.guard.expireLoop)
-	daemon.Actor(g, e.holdings.loop)
-	daemon.Actor(g, e.sweepLoop)
+	every(g, planEvery, e.planNow)
+	every(g, syncEvery, e.syncServers)
+	every(g, expireEvery, e.guard.expire)
+	every(g, holdingsEvery, e.holdings.exchange)
+	every(g, sweepEvery, e.housekeep)
 	daemon.Actor(g, e.awaitNotice)
 	daemon.Actor(g, func(actorCtx context.Context) error {
 		select {
@@ -193,6 +193,11 @@
 	return nil
 }
 
+// every adds an actor that calls fn once a period.
+func every(g *run.Group, period time.Duration, fn func()) {
+	daemon.Actor(g, func(ctx context.Context) error { return daemon.Every(ctx, period, fn) })
+}
+
 func (e *Entry) register(srv *link.Server) {
 	e.members.Register(srv)
 	e.follower.register(srv)
@@ -242,19 +247,10 @@
 	e.tellVersion(c.reply.Version)
 }
 
-// planLoop applies planned stops as they begin.
-func (e *Entry) planLoop(ctx context.Context) error {
-	tick := time.NewTicker(planEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		if c := e.follower.current.Load(); c != nil {
-			e.plan(c)
-		}
+// planNow applies planned stops as they begin.
+func (e *Entry) planNow() {
+	if c := e.follower.current.Load(); c != nil {
+		e.plan(c)
 	}
 }
 
@@ -266,24 +262,16 @@
 	e.planSelf(c.covered(e.cfg.ID, e.cfg.Zone, now))
 }
 
-// sweepLoop forgets answers that nobody comes back for.
-func (e *Entry) sweepLoop(ctx context.Context) error {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		e.sweep()
-		e.tellLoad()
-		for _, l := range e.lanes.all() {
-			l.logSlow()
-		}
+// housekeep does what is due each second.
+func (e *Entry) housekeep() {
+	e.sweep()
+	e.tellLoad()
+	for _, l := range e.lanes.all() {
+		l.logSlow()
 	}
 }
 
+// sweep forgets answers that nobody comes back for.
 func (e *Entry) sweep() {
 	now := e.deps.Now()
 	for _, w := range e.registry.all() {
@@ -296,17 +284,6 @@
 	}
 }
 
-// syncLoop takes the backend servers' loads from the membership, which reports
+// syncServers takes the backend servers' loads from the membership, which reports
 // changes of state as events but not those of load alone.
-func (e *Entry) syncLoop(ctx context.Context) error {
-	tick := time.NewTicker(syncEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		e.lanes.sync(e.members.View().AllServers())
-	}
-}
+func (e *Entry) syncServers() { e.lanes.sync(e.members.View().AllServers()) }
--- a/entry/holdings.go
+++ b/entry/holdings.go
@@ -59,18 +59,10 @@
 	})
 }
 
-func (h *holdings) loop(ctx context.Context) error {
-	tick := time.NewTicker(holdingsEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		h.tell()
-		h.apply()
-	}
+// exchange tells the others and takes in what they told.
+func (h *holdings) exchange() {
+	h.tell()
+	h.apply()
 }
 
 func (h *holdings) tell() {
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -12,7 +12,6 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/policy/admit"
-	"savoryreel.example/savoryreel/policy/quarantine"
 	"savoryreel.example/savoryreel/policy/queue"
 	"savoryreel.example/savoryreel/policy/route"
 	"savoryreel.example/savoryreel/request"
@@ -80,19 +79,6 @@
 	problem *request.Problem
 }
 
-// grant is the right to send one attempt to one backend server. Its holder
-// calls exactly one of Finished, Failed and Cancelled.
-type grant struct {
-	lane    *lane
-	verdict route.Verdict
-	attempt route.Attempt
-	run     quarantine.Run
-
-	workspace string
-	estimate  int64 // tokens of work that the queue has charged
-	over      bool  // has been closed
-}
-
 // unroutedRetry is when a caller should come back if no backend server is
 // known: announcements repeat each second, so two seconds bring the next ones.
 const unroutedRetry = 2 * time.Second
@@ -382,54 +368,6 @@
 	l.router.SetEntries(n)
 }
 
-// firstToken notes that the attempt's server has begun to answer, took after
-// the request was sent.
-func (g *grant) firstToken(took time.Duration) {
-	g.lane.mu.Lock()
-	defer g.lane.mu.Unlock()
-	g.lane.router.FirstToken(&g.attempt, g.lane.now())
-	g.lane.drain.FirstToken(took)
-}
-
-// pace notes the mean time between the tokens of an answer.
-func (g *grant) pace(gap time.Duration) {
-	g.lane.mu.Lock()
-	defer g.lane.mu.Unlock()
-	g.lane.drain.BetweenTokens(gap)
-}
-
-// finished ends an attempt that was answered. work is its tokens, prompt and
-// answer, as they turned out.
-func (g *grant) finished(work int) { g.end((*route.Router).Finished, int64(work)) }
-
-// failed ends an attempt that the server did not answer.
-func (g *grant) failed() { g.end((*route.Router).Failed, 0) }
-
-// cancelled ends an attempt that was given up here; the server is not to blame.
-func (g *grant) cancelled() { g.end((*route.Router).Cancelled, 0) }
-
-// end closes the grant. Calls after the first have no effect.
-func (g *grant) end(how func(*route.Router, *route.Attempt, time.Time), work int64) {
-	l := g.lane
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if g.over {
-		return
-	}
-	g.over = true
-	now := l.now()
-	how(l.router, &g.attempt, now)
-	l.starter.Ended(g.workspace)
-	if l.held[g.workspace]--; l.held[g.workspace] <= 0 {
-		delete(l.held, g.workspace)
-	}
-	l.queue.Charge(g.workspace, work-g.estimate)
-	if work > 0 {
-		l.drain.Ended(now, work)
-	}
-	l.pump(now)
-}
-
 // logRoute writes one line per routing decision, with the runners-up.
 func (l *lane) logRoute(r *request.Request, v *route.Verdict, waited time.Duration) {
 	ctx := context.Background()
--- a/entry/lanes.go
+++ b/entry/lanes.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"log/slog"
 	"slices"
 	"sync"
@@ -236,18 +235,9 @@
 	}
 }
 
-// tick looks after deadlines and room in every lane, until ctx ends.
-func (ls *lanes) tick(ctx context.Context, every time.Duration) error {
-	t := time.NewTicker(every)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
-		for _, l := range ls.all() {
-			l.tick()
-		}
+// tick looks after deadlines and room in every lane.
+func (ls *lanes) tick() {
+	for _, l := range ls.all() {
+		l.tick()
 	}
 }
--- /dev/null
+++ b/entry/ownership.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/policy/quarantine"
+)
+
+// askMessage passes a request's fingerprint to its owner with what is known. The
+// record goes along only where it holds something: most requests have run
+// nowhere yet, and entries ask this for each of them.
+type askMessage struct {
+	Print  uint64             `msgpack:"f"`
+	Record *quarantine.Record `msgpack:"r,omitempty"`
+	Server quarantine.Server  `msgpack:"s"` // where routing would send it
+	Kind   contract.Kind      `msgpack:"k"` // of the pool whose servers can run it
+	Pool   string             `msgpack:"p"`
+}
+
+// askReply is the owner's verdict. Server and Record go along only where they
+// differ from what the asking entry knows or must be told.
+type askReply struct {
+	Action quarantine.Action  `msgpack:"a"`
+	Reason quarantine.Reason  `msgpack:"y"`
+	Grant  uint64             `msgpack:"g,omitempty"`
+	Server *quarantine.Server `msgpack:"s,omitempty"`
+	Until  int64              `msgpack:"u,omitempty"` // Unix milliseconds
+	Record *quarantine.Record `msgpack:"r,omitempty"`
+}
+
+// answer decides as the owner of a fingerprint.
+func (q *guard) answer(_ context.Context, _ link.PeerInfo, m askMessage) (askReply, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	if m.Record != nil {
+		q.set.Merge(*m.Record, now)
+	}
+	v := q.set.Admit(quarantine.Ask{Now: now, Fingerprint: m.Print, Server: m.Server, View: q.view(laneKey{m.Kind, m.Pool})})
+	reply := askReply{Action: v.Action, Reason: v.Reason, Grant: v.Grant}
+	if v.Server != m.Server {
+		reply.Server = &v.Server
+	}
+	if !v.Until.IsZero() {
+		reply.Until = v.Until.UnixMilli()
+	}
+	if v.Record.Struck {
+		reply.Record = &v.Record
+	}
+	return reply, nil
+}
+
+// verdict restores the owner's verdict at the entry that asked.
+func (r *askReply) verdict(ask quarantine.Ask) quarantine.Verdict {
+	v := quarantine.Verdict{Action: r.Action, Reason: r.Reason, Server: ask.Server, Grant: r.Grant}
+	if r.Server != nil {
+		v.Server = *r.Server
+	}
+	if r.Until != 0 {
+		v.Until = time.UnixMilli(r.Until)
+	}
+	switch {
+	case r.Record != nil:
+		v.Record = *r.Record
+	case r.Grant != 0:
+		trial := quarantine.Exposure{Server: v.Server, Grant: r.Grant, State: quarantine.StateTrial, At: ask.Now}
+		v.Record = quarantine.Record{Fingerprint: ask.Fingerprint, Exposures: []quarantine.Exposure{trial}}
+	default:
+		v.Record.Fingerprint = ask.Fingerprint
+	}
+	return v
+}
+
+// membersChanged notes that an entry or a server came or went. Who owns what is
+// worked out at the next question: when a data centre goes, hundreds of changes
+// come within a second, and each would otherwise be worked out for nothing.
+func (q *guard) membersChanged() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.stale = true
+}
+
+// rebuild works out who owns what. The lock is held; the view takes none.
+func (q *guard) rebuild() {
+	var entries []string
+	for _, m := range q.entry.members.View().Members(instance.RoleEntry) {
+		if m.State == instance.StateServing {
+			entries = append(entries, m.ID)
+		}
+	}
+	pools := map[laneKey][]quarantine.Server{}
+	for _, s := range q.entry.members.View().AllServers() {
+		if s.State != instance.StateServing {
+			continue
+		}
+		for _, key := range keysOf(s) {
+			pools[key] = append(pools[key], quarantine.Server{ID: s.ID, Incarnation: s.Incarnation})
+		}
+	}
+	views := make(map[laneKey]*quarantine.View, len(pools))
+	for key, servers := range pools {
+		views[key] = quarantine.NewView(q.entry.cfg.ID, entries, servers)
+	}
+	q.views, q.stale = views, false
+}
+
+// view is the picture of one pool. The lock is held.
+func (q *guard) view(key laneKey) *quarantine.View {
+	if q.stale {
+		q.rebuild()
+	}
+	if v, known := q.views[key]; known {
+		return v
+	}
+	return quarantine.NewView(q.entry.cfg.ID, nil, nil)
+}
+
+// decide asks this entry's own records and, where another entry owns the
+// fingerprint, that one.
+func (q *guard) decide(ctx context.Context, key laneKey, fingerprint uint64, server quarantine.Server) quarantine.Verdict {
+	ask := quarantine.Ask{Now: q.now(), Fingerprint: fingerprint, Server: server}
+	v := q.admit(key, ask)
+	if v.Action != quarantine.ActionPass {
+		return v
+	}
+	m, known := q.entry.members.View().Member(v.Owner)
+	if !known {
+		return q.unasked(key, ask, v)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	msg := askMessage{Print: fingerprint, Server: server, Kind: key.kind, Pool: key.name}
+	if len(v.Record.Exposures) > 0 {
+		msg.Record = &v.Record
+	}
+	reply, err := link.Call[askReply](ctx, q.entry.pool, m.LinkAddress, methodAskOwner, msg)
+	if err != nil || reply.Action == quarantine.ActionPass {
+		return q.unasked(key, ask, v)
+	}
+	granted := reply.verdict(ask)
+	q.merge(granted.Record)
+	return granted
+}
+
+// unasked decides where the owner cannot be reached. A suspect waits: its owner
+// may have a trial open elsewhere. A request that nothing speaks against runs:
+// else each loss of an entry would hold up the requests that it owned until the
+// others have noticed, some seconds in which callers of a healthy system wait.
+// While owners are out of reach, a request that crashes servers can take one
+// more than two for each entry that it comes through.
+func (q *guard) unasked(key laneKey, ask quarantine.Ask, v quarantine.Verdict) quarantine.Verdict {
+	if v.Record.Struck {
+		ask.Unreachable = true
+		return q.admit(key, ask)
+	}
+	return quarantine.Verdict{Action: quarantine.ActionRun, Reason: quarantine.ReasonNoSuspicion, Server: ask.Server}
+}
+
+func (q *guard) admit(key laneKey, ask quarantine.Ask) quarantine.Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	ask.View = q.view(key)
+	return q.set.Admit(ask)
+}
+
+// spread gives a record to all entries.
+func (q *guard) spread(r quarantine.Record) {
+	body, err := msgpack.Marshal(&r)
+	if err != nil {
+		return // typed values of numbers, strings and times always encode
+	}
+	q.entry.members.Put(recordPrefix+strconv.FormatUint(r.Fingerprint, 16), uint64(q.now().UnixMilli()), body)
+}
+
+// recordChanged takes in a record that another entry has spread.
+func (q *guard) recordChanged(r *instance.Record) {
+	var record quarantine.Record
+	if link.Unmarshal(r.Body, &record) == nil {
+		q.merge(record)
+	}
+}
+
+func (q *guard) merge(r quarantine.Record) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.set.Merge(r, q.now())
+}
+
+// mergeRecords joins two bodies of one shared record for the membership. A body
+// that cannot be read counts for nothing.
+func mergeRecords(_ string, a, b []byte) []byte {
+	var ra, rb quarantine.Record
+	if link.Unmarshal(a, &ra) != nil {
+		return b
+	}
+	if link.Unmarshal(b, &rb) != nil {
+		return a
+	}
+	merged := quarantine.Merge(ra, rb)
+	body, err := msgpack.Marshal(&merged)
+	if err != nil {
+		return a // typed values of numbers, strings and times always encode
+	}
+	return body
+}
