--- a/link/call.go
+++ b/link/call.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return resp, trace.Wrap(err)
 	}
-	if err := msgpack.Unmarshal(answer, &resp); err != nil {
+	if err := Unmarshal(answer, &resp); err != nil {
 		return resp, trace.Wrap(&CallError{Step: StepDecode, Method: method, Peer: addr, Cause: err})
 	}
 	return resp, nil
@@ -124,7 +124,8 @@
 }
 
 // await waits for the answer. An answer that is there counts, also when the
-// connection or ctx has ended in the same moment.
+// connection or ctx has ended in the same moment. One that comes after the
+// cancel frame doesn't: it would be the handler's report of the cancellation.
 func (c *clientConn) await(ctx context.Context, id uint64, call *pendingCall) (frame, error) {
 	var err error
 	select {
@@ -134,12 +135,12 @@
 		err = context.Cause(c.ctx)
 	case <-ctx.Done():
 		err = ctx.Err()
-		c.sendCancel(id)
 	}
 	select {
 	case f := <-call.answer:
 		return f, nil
 	default:
+		c.sendCancel(id)
 		return frame{}, err
 	}
 }
@@ -159,7 +160,7 @@
 
 func decodeRemoteError(body []byte) error {
 	var re RemoteError
-	if err := msgpack.Unmarshal(body, &re); err != nil {
+	if err := Unmarshal(body, &re); err != nil {
 		return &RemoteError{Code: CodeInternal, Message: err.Error(), Step: StepDecode}
 	}
 	return &re
