--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -31,7 +31,7 @@
 
 // A message that grows by a field is paid for by every entry every second; at
 // the size to design for nobody notices until control's budget is gone. The
-// bounds are the measured bytes and a tenth; for the index's memory, which depends
+// bounds are the bytes first measured and a tenth; for the index's memory, which depends
 // on how full its map happens to be, more. Fails when admit.Demand gets one more
 // float, or when api.VersionReply gets a third field.
 func TestBytesOfControlMessages(t *testing.T) {
--- a/capacity/state.go
+++ b/capacity/state.go
@@ -191,8 +191,9 @@
 	}
 }
 
-// Prefixes measures the index of cached prefixes by the number of prefixes,
-// spread over 100 servers, and the events that fill it.
+// Prefixes measures the index of cached prefixes by the number of prefixes, 1,000
+// for each server, and the events that fill it. The index keeps few more of one
+// server.
 func Prefixes(_ context.Context, sizes ...int) (*Table, error) {
 	t := &Table{Size: "cached prefixes", Columns: []string{"memory B", "event µs", "event B as JSON"}}
 	for _, n := range sizes {
@@ -206,7 +207,8 @@
 }
 
 func prefixCost(n int) ([]float64, error) {
-	const servers = 100
+	const perServer = 1000
+	servers := max(1, n/perServer)
 	before := memoryInUse()
 	index := route.NewPrefixIndex()
 	used := processorTime()
