fleet: orders that a replaced leader cannot give

Cause: a control leader that is cut off or frozen does not know that it was replaced. A backend server that ignores the fencing number would follow its order after the new leader's.

Ruled out: platform.EngineClient.Order for this. net/http writes from buffers at its own time and may try again on another connection, after the lease was asked for. The order is one write on a connection of its own, after the lease is asked for; what is not through before the lease ends is cut off, in the kernel too (TCP_USER_TIMEOUT, no linger). Also ruled out: a wait of the new leader alone, as it bounds nothing for a leader frozen between its check and its write.

--- /dev/null
+++ b/fleet/exchange.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"savoryreel.example/savoryreel/platform"
+)
+
+// maxAnswer bounds the answer to an order, in bytes.
+const maxAnswer = 64 << 10
+
+// encodeOrder returns the whole HTTP request of an order. It is written in one
+// piece over a connection of its own: net/http would keep it in buffers, write
+// it at a time of its own choosing and try again on another connection, all
+// after the lease was asked for.
+func encodeOrder(address string, order platform.Order) ([]byte, error) {
+	refuse := func(err error) ([]byte, error) {
+		return nil, &platform.CallError{Step: platform.StepEncode, Peer: address, Delivery: platform.NotSent, Err: err}
+	}
+	body, err := json.Marshal(order)
+	if err != nil {
+		return refuse(err)
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+platform.PathOrders, bytes.NewReader(body))
+	if err != nil {
+		return refuse(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Close = true
+	var out bytes.Buffer
+	if err := req.Write(&out); err != nil {
+		return refuse(err)
+	}
+	return out.Bytes(), nil
+}
+
+// dial connects over TCP.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
+// limit makes the connection end at the time end, left from now, with whatever
+// it carries. A lingering close or the kernel's retransmissions would else
+// deliver an order to a server that was out of reach until after a new leader's
+// order, even while this process is frozen.
+func limit(conn net.Conn, end time.Time, left time.Duration) {
+	_ = conn.SetDeadline(end) // a connection without deadlines is not one of dial's
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetLinger(0) // fails only on a connection that is closed
+	limitUnacknowledged(tcp, left)
+}
+
+// exchange writes the request and reads the answer.
+func exchange(conn net.Conn, address string, message []byte) error {
+	if n, err := conn.Write(message); err != nil {
+		delivery := platform.MaybeRan
+		if n == 0 {
+			delivery = platform.NotSent
+		}
+		return &platform.CallError{Step: platform.StepForward, Peer: address, Delivery: delivery, Err: err}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxAnswer)), nil)
+	if err != nil {
+		return &platform.CallError{Step: platform.StepForward, Peer: address, Delivery: platform.MaybeRan, Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return nil
+	}
+	return refusal(address, resp)
+}
+
+// refusal turns an error status into an error. A server's 4xx says that it has
+// not followed the order; a 5xx may come from anything between.
+func refusal(address string, resp *http.Response) error {
+	call := &platform.CallError{Step: platform.StepStatus, Peer: address, Delivery: platform.MaybeRan, Status: resp.StatusCode}
+	if resp.StatusCode < http.StatusInternalServerError || resp.Header.Get(platform.HeaderNotRun) != "" {
+		call.Delivery = platform.Refused
+	}
+	var problem platform.Problem
+	if json.NewDecoder(resp.Body).Decode(&problem) == nil { // without a body there is no code
+		call.Code, call.Message = problem.Code, problem.Detail
+	}
+	return call
+}
