--- a/policy/admit/drain.go
+++ b/policy/admit/drain.go
@@ -14,8 +14,8 @@
 //
 // The rate is tokens of work that ended for each second in which this entry had
 // no free slot. Other times say nothing of what the fleet can do: if they
-// counted, the first seconds of a surge after a quiet night would be judged by
-// the night's rate and refused.
+// counted, the first seconds of a surge after a quiet hour would be judged by
+// that hour's rate and refused.
 type Drain struct {
 	memory time.Duration
 
@@ -127,6 +127,12 @@
 	if !known || backlog.Starts {
 		return e
 	}
+	if backlog.Held && backlog.Waiting == 0 {
+		// It starts as soon as one slot more comes free than is kept for
+		// others. To count that as a wait would take a workspace that holds
+		// more than its share by long work for an overload.
+		return e
+	}
 	interval := d.cost.value / rate
 	starts := min(float64(backlog.Ahead)/backlog.Share, float64(backlog.Total))/d.cost.value + 1
 	e.Wait = seconds(starts * interval)
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -38,6 +38,7 @@
 		"WaveShare":    func(c *Config) { c.WaveShare = 2 },
 		"WaveWindow":   func(c *Config) { c.WaveWindow = 0 },
 		"WaveSpread":   func(c *Config) { c.WaveSpread = -1 },
+		"HedgeAfter":   func(c *Config) { c.HedgeAfter = 0 },
 		"MaxHedgeLoad": func(c *Config) { c.MaxHedgeLoad = 2 },
 	} {
 		cfg := DefaultConfig()
@@ -49,17 +50,17 @@
 	}
 }
 
-// A statement credit was written to a backend server that died. Sent again, it
-// might credit a cedent twice.
+// A payment was written to a backend server that died. Sent again, it might be
+// made twice.
 //
 // Removing the first test in Failed makes this fail.
 func TestWhatMayHaveRunIsNotRepeated(t *testing.T) {
 	p := newPolicy(t, 100)
-	credit := chat
-	credit.Idempotent = false
-	assert.Equal(t, Verdict{Reason: MayHaveRun}, p.Failed(epoch, Failure{Call: credit, Attempts: 1, Reclaimed: true}, 0))
-	assert.True(t, p.Failed(epoch, Failure{Call: credit, Attempts: 1, NotRun: true}, 0).Go)
-	assert.Equal(t, NotIdempotent, p.Slow(epoch, Slowness{Call: credit, Waited: time.Hour}).Reason)
+	payment := chat
+	payment.Idempotent = false
+	assert.Equal(t, Verdict{Reason: MayHaveRun}, p.Failed(epoch, Failure{Call: payment, Attempts: 1, Reclaimed: true}, 0))
+	assert.True(t, p.Failed(epoch, Failure{Call: payment, Attempts: 1, NotRun: true}, 0).Go)
+	assert.Equal(t, NotIdempotent, p.Slow(epoch, Slowness{Call: payment, Waited: time.Hour}).Reason)
 }
 
 // Every attempt fails because a service is down. Unbounded retries would triple
@@ -146,7 +147,7 @@
 	assert.Equal(t, TooManyAttempts, p.Failed(epoch, f, 0.5).Reason)
 }
 
-// A backfill and a page that a clinician waits for fail together. If the
+// A backfill and a page that a person waits for fail together. If the
 // backfill could spend the whole budget, the page would not be retried.
 //
 // Removing the use of leave in allows makes this fail.
@@ -174,7 +175,7 @@
 	for reason, change := range map[Reason]func(*Slowness){
 		ClassNotHedged: func(s *Slowness) { s.Call.Class = contract.ClassBatch },
 		AlreadyHedged:  func(s *Slowness) { s.Hedged = true },
-		TooEarly:       func(s *Slowness) { s.Waited = 300 * time.Millisecond },
+		TooEarly:       func(s *Slowness) { s.Waited = 700 * time.Millisecond },
 		LoadTooHigh:    func(s *Slowness) { s.Load = 0.7 },
 		NoTimeLeft:     func(s *Slowness) { s.Call.Deadline = epoch.Add(-time.Second) },
 	} {
