control: operators add, promote and remove replicas

Cause: a replica that lost its disk could not be replaced: addresses came from the settings alone, and an entry counted its majority over the replicas that its settings name.

Done: POST /v1/replicas and 'savoryreel replica add|promote|remove'. The address is committed before the membership entry, so that no leader has a member that it cannot reach; an id is never used twice; the leader hands over before it is removed; a removal after which no majority would answer is refused, since the new set counts from the moment it is in the log. A replica that restarts answers whoever sends it a message, before it has applied the end of its log. Entries learn the voters with each confirmation, told apart by the log's last term and the set's index.

Ruled out: new settings at every process for each replacement (a majority counted over an old list is not one), and the set with the highest index alone (a replaced leader may hold one that was never committed).

Removed once each, and seen to fail: caughtUp, the refusal of a used id, adopt in Confirm. addressBook.hear was removed too and the test still passed: that line is not proved.

Conclusion: a lost replica is replaced by three commands, and a second loss just after it changes nothing for callers.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -17,6 +17,7 @@
 	MethodStatus    = "control.status"
 	MethodLeases    = "control.leases"  // admit.Report to the leader, admit.Reply back
 	MethodReplica   = "control.replica" // notices between replicas
+	MethodChange    = "control.change"  // ReplicaChange to the leader, ReplicaStatus back
 )
 
 // ProposalKind says which state machine a proposal is for. The numbers are
@@ -27,6 +28,7 @@
 const (
 	KindCatalogue ProposalKind = 16 // a contract.Change
 	KindLedger    ProposalKind = 17 // a ledger.Command
+	KindReplica   ProposalKind = 18 // a ReplicaCommand
 )
 
 // Error codes of a control replica's answers.
@@ -35,6 +37,7 @@
 	CodeUnknown  = "outcome_unknown" // it may yet be committed
 	CodeBusy     = "busy"            // surely not appended
 	CodeInvalid  = "invalid"
+	CodeBehind   = "not_caught_up" // the learner lacks too much to be promoted; nothing was done
 )
 
 // VersionRequest asks a replica how far its log goes.
@@ -43,9 +46,16 @@
 // VersionReply says how far a replica's log goes. Index is the log index of its
 // newest catalogue change, committed or not: an accepted change is in the log
 // of a majority, so among any majority one replica names its index or a later one.
+//
+// Members is the log index of the replica set that this replica has in force,
+// Voters are that set's voters, and Term is the term of the log's last entry:
+// who asks learns of a change of the set from any replica that has it.
 type VersionReply struct {
-	Replica string `msgpack:"id"`
-	Index   uint64 `msgpack:"idx"`
+	Replica string           `msgpack:"id"`
+	Index   uint64           `msgpack:"idx"`
+	Term    uint64           `msgpack:"term"`
+	Members uint64           `msgpack:"mem"`
+	Voters  []ReplicaAddress `msgpack:"voters"`
 }
 
 // CatalogueRequest asks for the catalogue in force unless Have is its index.
--- a/control/api/client.go
+++ b/control/api/client.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -28,20 +29,32 @@
 
 // Client calls the control replicas. It is safe for concurrent use.
 type Client struct {
-	pool     *link.Pool
-	replicas []string // link addresses
+	pool    *link.Pool
+	founded []string // link addresses of the settings
 
-	mu   sync.Mutex
-	last int // the replica that answered last, tried first
+	mu       sync.Mutex
+	replicas []string // link addresses of the voters, as last learnt; empty: not known
+	last     int      // the replica that answered last, tried first
 }
 
-// NewClient returns a client of the replicas at these link addresses.
+// NewClient returns a client that knows the replicas at these link addresses and
+// learns of later ones from them.
 func NewClient(pool *link.Pool, replicas []string) *Client {
-	return &Client{pool: pool, replicas: slices.Clone(replicas)}
+	return &Client{pool: pool, founded: slices.Clone(replicas), replicas: slices.Clone(replicas)}
 }
 
 // Replicas returns the link addresses of the control replicas.
-func (c *Client) Replicas() []string { return c.replicas }
+func (c *Client) Replicas() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.replicas)
+}
+
+func (c *Client) adopt(replicas []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replicas, c.last = replicas, 0
+}
 
 // Confirmation is what a majority of replicas said of the catalogue.
 type Confirmation struct {
@@ -52,19 +65,52 @@
 	Newest uint64
 }
 
-// Confirm asks every replica for the index of its newest catalogue change and
-// returns once a majority has answered and the rest has had a short grace.
+// Confirm asks every voter for the index of its newest catalogue change and
+// returns once all have answered or their time is over.
 //
 // A change counts as accepted once it is in the logs of a majority. Any
 // majority of answers shares a replica with that one, so the smallest index
 // that covers a majority of answers is at least the index of every accepted
 // change; what a cut-off old leader has in its log beyond that was not accepted.
+//
+// That holds for the voters in force only, so it asks again as long as an answer
+// names other voters than those asked. It ends with the right ones: a set
+// differs from the next by one replica, so a majority of one shares a replica
+// with the majority that committed the next, and that replica names it. A set
+// that a replaced leader left in one log and never committed is told by that
+// log's older term, as in an election.
 func (c *Client) Confirm(ctx context.Context) (Confirmation, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	answers := make(chan *VersionReply, len(c.replicas))
-	for _, addr := range c.replicas {
+	asked := c.Replicas()
+	for range maxSets {
+		answers := c.versions(ctx, asked)
+		voters := newestVoters(answers)
+		switch {
+		case len(voters) == 0:
+			c.adopt(slices.Clone(c.founded)) // all it knew are gone: back to the settings
+			return Confirmation{}, trace.Wrap(ErrNoMajority)
+		case sameReplicas(voters, asked):
+			return confirmation(answers, len(voters))
+		}
+		asked = voters
+		c.adopt(voters)
+	}
+	return Confirmation{}, trace.Wrap(ErrNoMajority)
+}
+
+// maxSets bounds the replica sets that one confirmation follows.
+const maxSets = 8
+
+// versions asks the replicas and returns the answers that came.
+func (c *Client) versions(ctx context.Context, replicas []string) []VersionReply {
+	answers := make(chan *VersionReply, len(replicas))
+	for _, addr := range replicas {
 		go func() {
+			if addr == "" {
+				answers <- nil // not known to the replica that named this voter
+				return
+			}
 			reply, err := link.Call[VersionReply](ctx, c.pool, addr, MethodVersion, VersionRequest{})
 			if err != nil {
 				answers <- nil
@@ -73,20 +119,45 @@
 			answers <- &reply
 		}()
 	}
-	var indexes []uint64
-	for range c.replicas {
+	var out []VersionReply
+	for range replicas {
 		if reply := <-answers; reply != nil {
-			indexes = append(indexes, reply.Index)
+			out = append(out, *reply)
+		}
+	}
+	return out
+}
+
+// newestVoters returns the addresses of the latest set of voters that an answer
+// names; an address that is not known is empty.
+func newestVoters(answers []VersionReply) []string {
+	var newest VersionReply
+	for _, a := range answers {
+		later := cmp.Or(cmp.Compare(a.Term, newest.Term), cmp.Compare(a.Members, newest.Members)) > 0
+		if len(a.Voters) > 0 && (len(newest.Voters) == 0 || later) {
+			newest = a
 		}
 	}
-	return confirmation(indexes, len(c.replicas))
+	out := make([]string, 0, len(newest.Voters))
+	for _, v := range newest.Voters {
+		out = append(out, v.Address)
+	}
+	return out
 }
 
-func confirmation(indexes []uint64, replicas int) (Confirmation, error) {
-	majority := replicas/2 + 1
-	if len(indexes) < majority {
+func sameReplicas(a, b []string) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+func confirmation(answers []VersionReply, voters int) (Confirmation, error) {
+	majority := voters/2 + 1
+	if len(answers) < majority {
 		return Confirmation{}, trace.Wrap(ErrNoMajority)
 	}
+	indexes := make([]uint64, 0, len(answers))
+	for _, a := range answers {
+		indexes = append(indexes, a.Index)
+	}
 	slices.Sort(indexes)
 	return Confirmation{Needed: indexes[majority-1], Newest: indexes[len(indexes)-1]}, nil
 }
@@ -175,9 +246,10 @@
 // Status asks every replica for its state; one that does not answer is shown
 // with its error.
 func (c *Client) Status(ctx context.Context) []ReplicaStatus {
-	out := make([]ReplicaStatus, len(c.replicas))
+	replicas := c.Replicas()
+	out := make([]ReplicaStatus, len(replicas))
 	var wg sync.WaitGroup
-	for i, addr := range c.replicas {
+	for i, addr := range replicas {
 		wg.Go(func() {
 			s, err := callOnce[ReplicaStatus](ctx, c.pool, addr, MethodStatus, StatusRequest{})
 			if err != nil {
@@ -200,7 +272,8 @@
 func (c *Client) order() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append(slices.Clone(c.replicas[c.last:]), c.replicas[:c.last]...)
+	known := append(slices.Clone(c.replicas[c.last:]), c.replicas[:c.last]...)
+	return slices.DeleteFunc(known, func(addr string) bool { return addr == "" })
 }
 
 func (c *Client) remember(addr string) {
--- /dev/null
+++ b/control/api/replica.go
@@ -0,0 +1,46 @@
+package api
+
+// MaxReplicas bounds the replicas whose addresses the state holds. A group has at
+// most seven, and one more for each replacement under way.
+const MaxReplicas = 16
+
+// ReplicaAddress is where a control replica takes links. Address is empty where
+// it is not known.
+type ReplicaAddress struct {
+	ID      uint64 `json:"id" msgpack:"id"`
+	Address string `json:"address" msgpack:"addr"` // ip:port
+}
+
+// ReplicaAction names a change of the replica set.
+type ReplicaAction string
+
+// The actions. A replica is added as a learner, which counts for nothing, and is
+// promoted once it has caught up.
+const (
+	ReplicaAdd     ReplicaAction = "add"
+	ReplicaPromote ReplicaAction = "promote"
+	ReplicaRemove  ReplicaAction = "remove"
+)
+
+// ReplicaChange is the body of POST /v1/replicas: one change of the replica set.
+// Address goes with ReplicaAdd. A change that is in force already is answered
+// like one that was made, so it may be sent again.
+type ReplicaChange struct {
+	ID        uint64        `json:"id" msgpack:"id"`
+	Address   string        `json:"address,omitempty" msgpack:"addr"` // ip:port
+	Action    ReplicaAction `json:"action" msgpack:"act"`
+	Forwarded bool          `json:"-" msgpack:"fwd"` // passed on once, by a replica that does not lead
+}
+
+// ReplicaCommand notes a replica's address in the replicated state before it is
+// added, or that its id is not to be used again.
+type ReplicaCommand struct {
+	ID      uint64 `msgpack:"id"`
+	Address string `msgpack:"addr"` // empty: the replica is removed
+}
+
+// ReplicaResult is the state machine's answer to a ReplicaCommand. Refused is
+// empty if the command took hold.
+type ReplicaResult struct {
+	Refused string `msgpack:"refused"`
+}
--- a/control/config.go
+++ b/control/config.go
@@ -19,7 +19,7 @@
 	LinkListen    string
 	OperatorAddr  string
 	OpsAddr       string
-	Replicas      []string // "id=ip:port" of every control replica, this one included
+	Replicas      []string // "id=ip:port" of the replicas that found the group; without this one if it is added later
 	Entries       []string // link addresses of entries to meet first; may be empty
 	ClusterKey    string
 	OperatorKey   string
@@ -38,7 +38,7 @@
 	s.String(&c.LinkListen, "link-listen", "127.0.0.1:7101", "address for links of other processes", settings.HostPort)
 	s.String(&c.OperatorAddr, "operator-listen", "127.0.0.1:7102", "address of the operators' API", settings.HostPort)
 	s.String(&c.OpsAddr, "ops-listen", "127.0.0.1:7103", "address of health, metrics and profiles", settings.HostPort)
-	s.Strings(&c.Replicas, "replicas", []string{"1=127.0.0.1:7101"}, "every control replica as id=ip:port", replicaList)
+	s.Strings(&c.Replicas, "replicas", []string{"1=127.0.0.1:7101"}, "the control replicas that found the group, as id=ip:port; one that is added later is not among them", replicaList)
 	s.Strings(&c.Entries, "entries", nil, "link addresses of some entries", settings.HostPorts)
 	s.Secret(&c.ClusterKey, "cluster-key", "key that the system's own processes share", settings.Required)
 	s.Secret(&c.OperatorKey, "operator-key", "bearer key of the operators", settings.Required)
--- a/control/control.go
+++ b/control/control.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -48,7 +50,8 @@
 		return nil, trace.Wrap(err, "step=read replicas")
 	}
 	c := &Control{cfg: cfg, log: deps.Log, now: deps.Now, metrics: metrics.NewSet()}
-	c.machine = NewMachine(c.catalogueChanged)
+	book := newAddressBook(peers)
+	c.machine = NewMachine(c.catalogueChanged, book.learn)
 	traffic := link.NewTraffic(c.metrics)
 	c.pool = link.NewPool(link.PoolConfig{Self: c.peerInfo(), ClusterKey: []byte(cfg.ClusterKey)},
 		link.PoolDeps{Log: deps.Log, Traffic: traffic})
@@ -57,7 +60,7 @@
 		return nil, trace.Wrap(err, "step=open data folder")
 	}
 	c.host, err = host.New(c.hostConfig(peers), host.Deps{
-		Storage: c.folder, Transport: &transport{pool: c.pool, peers: peers}, Machine: c.machine,
+		Storage: c.folder, Transport: &transport{pool: c.pool, peers: book}, Machine: c.machine,
 		Logger: deps.Log, Now: deps.Now, Rand: rand.Int64N,
 	})
 	if err != nil {
@@ -66,15 +69,13 @@
 		return nil, trace.Wrap(err, "step=start replica")
 	}
 	c.leases = &limitLeases{leader: c.host, machine: c.machine, entries: cfg.MaxEntries, now: deps.Now}
-	c.service = &service{log: c.host, machine: c.machine, pool: c.pool, peers: peers, now: deps.Now}
+	c.service = &service{log: c.host, machine: c.machine, pool: c.pool, peers: book, now: deps.Now}
 	return c, nil
 }
 
 func (c *Control) hostConfig(peers map[uint64]string) host.Config {
 	cfg := host.Config{ID: uint64(c.cfg.ID), TickInterval: c.cfg.TickInterval, SnapshotEvery: uint64(c.cfg.SnapshotEvery)}
-	for id := range peers {
-		cfg.Voters = append(cfg.Voters, id)
-	}
+	cfg.Voters = slices.Sorted(maps.Keys(peers))
 	return cfg
 }
 
@@ -94,12 +95,12 @@
 // full queue or a dead link loses are sent again by the log itself.
 type transport struct {
 	pool  *link.Pool
-	peers map[uint64]string
+	peers *addressBook
 }
 
 // Send implements host.Transport.
 func (t *transport) Send(m replica.Message) {
-	if addr, known := t.peers[m.To]; known {
+	if addr, known := t.peers.address(m.To); known {
 		_ = link.Notify(t.pool, addr, api.MethodReplica, m) // lost messages are sent again
 	}
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -23,17 +23,26 @@
 	ledger    *ledger.Ledger
 	catalogue uint64 // log index of the last catalogue entry applied
 	firstTerm uint64 // term of the first catalogue entry; 0: there is none
+	replicas  replicaTable
 
 	onCatalogue func(api.CatalogueReply)
+	onReplicas  func([]api.ReplicaAddress)
 }
 
 // NewMachine returns the empty state. onCatalogue is told of each accepted
-// change, outside any lock; it may be nil.
-func NewMachine(onCatalogue func(api.CatalogueReply)) *Machine {
+// change and onReplicas of the replicas' addresses, outside any lock; either may
+// be nil.
+func NewMachine(onCatalogue func(api.CatalogueReply), onReplicas func([]api.ReplicaAddress)) *Machine {
 	if onCatalogue == nil {
 		onCatalogue = func(api.CatalogueReply) {}
 	}
-	return &Machine{book: contract.NewBook(), ledger: ledger.New(ledger.MaxRecords), onCatalogue: onCatalogue}
+	if onReplicas == nil {
+		onReplicas = func([]api.ReplicaAddress) {}
+	}
+	return &Machine{
+		book: contract.NewBook(), ledger: ledger.New(ledger.MaxRecords),
+		onCatalogue: onCatalogue, onReplicas: onReplicas,
+	}
 }
 
 // Apply takes one committed entry and returns a contract.Result or a
@@ -45,6 +54,8 @@
 		return m.applyChange(e)
 	case api.KindLedger:
 		return m.applyLedger(e)
+	case api.KindReplica:
+		return m.applyReplica(e)
 	default:
 		return nil, trace.BadParameter("log entry %d has unknown kind %d", e.Index, e.Kind)
 	}
@@ -127,6 +138,8 @@
 	Ledger    []byte `msgpack:"ledger"`
 	Catalogue uint64 `msgpack:"index"`
 	FirstTerm uint64 `msgpack:"first"`
+
+	Replicas replicaTable `msgpack:"replicas"`
 }
 
 // Snapshot encodes the whole state.
@@ -141,7 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	enc, err := msgpack.Marshal(&machineSnapshot{Book: book, Ledger: records, Catalogue: m.catalogue, FirstTerm: m.firstTerm})
+	enc, err := msgpack.Marshal(&machineSnapshot{Book: book, Ledger: records, Catalogue: m.catalogue, FirstTerm: m.firstTerm, Replicas: m.replicas})
 	return enc, trace.Wrap(err, "step=snapshot")
 }
 
@@ -161,7 +174,9 @@
 	}
 	m.mu.Lock()
 	m.book, m.ledger, m.catalogue, m.firstTerm = book, records, s.Catalogue, s.FirstTerm
+	m.replicas = s.Replicas
 	m.mu.Unlock()
 	m.onCatalogue(m.Catalogue(0))
+	m.onReplicas(m.Replicas())
 	return nil
 }
--- a/control/operator.go
+++ b/control/operator.go
@@ -43,6 +43,7 @@
 	mux.HandleFunc("POST /v1/stops", o.planStop)
 	mux.HandleFunc("DELETE /v1/stops/{id}", o.cancelStop)
 	mux.HandleFunc("GET /v1/replica", o.replica)
+	mux.HandleFunc("POST /v1/replicas", o.changeReplicas)
 	return o.authenticated(mux)
 }
 
@@ -190,6 +191,62 @@
 	}
 }
 
+// changeReplicas changes the replica set and answers with the leader's state.
+// A change names its end and not a step, so it is made again after a lost answer.
+func (o *operatorAPI) changeReplicas(w http.ResponseWriter, r *http.Request) {
+	var ch api.ReplicaChange
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, contract.MaxDocument))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&ch); err != nil {
+		request.NewProblem(request.CodeBadRequest, request.NotRun, "%v", err).Write(w)
+		return
+	}
+	for {
+		status, err := o.service.change(r.Context(), link.PeerInfo{}, ch)
+		if err == nil {
+			writeJSON(w, http.StatusOK, status)
+			return
+		}
+		if p := changeProblem(err); p != nil {
+			p.Write(w)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			proposeProblem(err).Write(w)
+			return
+		case <-time.After(operatorPause):
+		}
+	}
+}
+
+// changeProblem returns the answer to a refused change of the replica set, or
+// nil if it is to be tried again.
+func changeProblem(err error) *request.Problem {
+	switch errorCode(err) {
+	case api.CodeInvalid:
+		return request.NewProblem(request.CodeReplicaRefused, request.NotRun, "%v", err)
+	case api.CodeBehind:
+		return request.NewProblem(request.CodeReplicaBehind, request.NotRun, "%v", err).After(time.Second)
+	default:
+		return nil
+	}
+}
+
+// errorCode returns the code of an error from here or from another replica.
+func errorCode(err error) string {
+	var remote *link.RemoteError
+	var coded *codedError
+	switch {
+	case errors.As(err, &coded):
+		return coded.code
+	case errors.As(err, &remote):
+		return remote.Code
+	default:
+		return ""
+	}
+}
+
 // operatorPause is the wait between two tries to reach a leader.
 const operatorPause = 100 * time.Millisecond
 
--- a/control/service.go
+++ b/control/service.go
@@ -21,6 +21,8 @@
 type Log interface {
 	Propose(ctx context.Context, kind uint8, data []byte) (any, error)
 	ReadBarrier(ctx context.Context) error
+	ChangeMembers(ctx context.Context, ch replica.Change) error
+	TransferLeadership(ctx context.Context, to uint64) error
 	LastIndexOf(kind uint8) uint64
 	Status() host.Status
 	Step(m replica.Message)
@@ -42,7 +44,7 @@
 	log     Log
 	machine *Machine
 	pool    *link.Pool
-	peers   map[uint64]string // link addresses of all replicas by id
+	peers   *addressBook
 	now     func() time.Time
 }
 
@@ -51,16 +53,13 @@
 	link.Handle(srv, api.MethodCatalogue, s.catalogue)
 	link.Handle(srv, api.MethodPropose, s.propose)
 	link.Handle(srv, api.MethodStatus, s.status)
-	link.HandleNotice(srv, api.MethodReplica, func(_ context.Context, _ link.PeerInfo, m replica.Message) {
+	link.Handle(srv, api.MethodChange, s.change)
+	link.HandleNotice(srv, api.MethodReplica, func(_ context.Context, from link.PeerInfo, m replica.Message) {
+		s.peers.hear(m.From, from.Address)
 		s.log.Step(m)
 	})
 }
 
-func (s *service) version(context.Context, link.PeerInfo, api.VersionRequest) (api.VersionReply, error) {
-	index := s.log.LastIndexOf(uint8(api.KindCatalogue))
-	return api.VersionReply{Replica: s.self(), Index: index}, nil
-}
-
 func (s *service) catalogue(_ context.Context, _ link.PeerInfo, r api.CatalogueRequest) (api.CatalogueReply, error) {
 	return s.machine.Catalogue(r.Have), nil
 }
@@ -114,11 +113,13 @@
 	}
 }
 
+var errNoLeader = &codedError{code: api.CodeNoLeader, err: trace.ConnectionProblem(nil, "no leader is known")}
+
 // forward passes a proposal on to the leader, once.
 func (s *service) forward(ctx context.Context, r api.ProposeRequest, leader uint64) (api.ProposeReply, error) {
-	addr, known := s.peers[leader]
+	addr, known := s.peers.address(leader)
 	if r.Forwarded || !known {
-		return api.ProposeReply{}, &codedError{code: api.CodeNoLeader, err: trace.ConnectionProblem(nil, "no leader is known")}
+		return api.ProposeReply{}, errNoLeader
 	}
 	r.Forwarded = true
 	reply, err := link.Call[api.ProposeReply](ctx, s.pool, addr, api.MethodPropose, r)
--- a/operator/client.go
+++ b/operator/client.go
@@ -114,6 +114,20 @@
 	return out
 }
 
+// ChangeReplicas changes the set of control replicas by one and returns the
+// leader's state. The same change may be made again after a lost answer.
+func (c *Client) ChangeReplicas(ctx context.Context, ch api.ReplicaChange) (api.ReplicaStatus, error) {
+	var v api.ReplicaStatus
+	body, err := json.Marshal(ch)
+	if err != nil {
+		return v, trace.Wrap(err)
+	}
+	err = c.eachUntil(func(addr string) error {
+		return c.call(ctx, addr, http.MethodPost, "/v1/replicas", nil, body, &v)
+	})
+	return v, err
+}
+
 func (c *Client) get(ctx context.Context, path string, into any) error {
 	return c.eachUntil(func(addr string) error {
 		return c.call(ctx, addr, http.MethodGet, path, nil, nil, into)
--- a/replica/core.go
+++ b/replica/core.go
@@ -261,6 +261,9 @@
 // LastIndex returns the index of the last entry, synced or not.
 func (c *Core) LastIndex() uint64 { return c.log.last() }
 
+// LastTerm returns the term of the last entry, 0 for an empty log.
+func (c *Core) LastTerm() uint64 { return c.log.lastTerm() }
+
 // CommitIndex returns the index of the last entry known to be committed.
 func (c *Core) CommitIndex() uint64 { return c.log.commit }
 
--- a/replica/host/status.go
+++ b/replica/host/status.go
@@ -13,6 +13,7 @@
 	Leader   uint64 // 0: unknown
 	Role     replica.Role
 	Last     uint64 // index of the last entry, synced
+	LastTerm uint64 // term of the last entry
 	Commit   uint64
 	Applied  uint64
 	Snapshot uint64 // index of the latest snapshot
@@ -66,7 +67,7 @@
 	term, until, leased := c.Lease()
 	status := Status{
 		ID: c.ID(), Term: c.Term(), Leader: c.Leader(), Role: c.Role(),
-		Last: c.LastIndex(), Commit: c.CommitIndex(), Applied: c.AppliedIndex(),
+		Last: c.LastIndex(), LastTerm: c.LastTerm(), Commit: c.CommitIndex(), Applied: c.AppliedIndex(),
 		Snapshot: c.SnapshotIndex(),
 		Voters:   members.Voters, Learners: members.Learners, Lost: c.Lost(),
 	}
--- a/request/problem.go
+++ b/request/problem.go
@@ -39,6 +39,8 @@
 	CodeRefusedCatalogue  Code = "catalogue_refused"
 	CodeNotLeader         Code = "no_leader"
 	CodeInternal          Code = "internal"
+	CodeReplicaRefused    Code = "replica_refused"
+	CodeReplicaBehind     Code = "replica_not_caught_up"
 	CodeAnnounceRefused   Code = "announcement_refused"
 	CodeConcurrentRequest Code = "request_running"
 )
@@ -96,6 +98,8 @@
 	CodeNoSuchAnswer:      {http.StatusNotFound, "No answer is held under this id"},
 	CodeRefusedCatalogue:  {http.StatusUnprocessableEntity, "The catalogue change is refused"},
 	CodeNotLeader:         {http.StatusServiceUnavailable, "No control leader can be reached"},
+	CodeReplicaRefused:    {http.StatusUnprocessableEntity, "The replica set cannot be changed like this"},
+	CodeReplicaBehind:     {http.StatusConflict, "The replica has not caught up yet"},
 	CodeInternal:          {http.StatusInternalServerError, "Internal error"},
 	CodeAnnounceRefused:   {http.StatusForbidden, "The announcement is refused"},
 	CodeConcurrentRequest: {http.StatusConflict, "The same request is still running"},
