fleet: manager of the fleet: notices, starts, stops

Cause: nothing took in reclaim notices or sized the fleet, and a leader lost in the middle of its starts would have them started twice by the next one.

Done: the state of the decisions is one value in the replicated log, replaced only if its version is the one that the leader read. Starts are in it before the cloud is asked, and those accepted stay in it until the cloud lists them. Notices go to the entries as shared records first, then as orders to leave.

Ruled out: tokens from the counted starts alone. They repeat only while the next leader decides the same, which it does not when prices have moved; a first form of the test with fixed prices and a list that is never behind let the missing commit pass. Also ruled out: a decision before the view is whole, which would end instances under their requests.

Conclusion: proved against the stand-in cloud in one process; not yet wired into control.

--- /dev/null
+++ b/fleet/manager.go
@@ -0,0 +1,414 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/policy/scale"
+	"savoryreel.example/savoryreel/zone"
+)
+
+// Cloud is the cloud API; platform.CloudClient is one.
+type Cloud interface {
+	Prices(ctx context.Context) ([]platform.Price, error)
+	Instances(ctx context.Context) ([]platform.CloudInstance, error)
+	Start(ctx context.Context, start platform.StartRequest) (platform.CloudInstance, error)
+	Stop(ctx context.Context, id string) error
+	Notices(ctx context.Context, after uint64, wait time.Duration) (platform.NoticePage, error)
+}
+
+// Log keeps the fleet's State in the replicated log.
+type Log interface {
+	// Fleet returns the state once this replica, the leader, has applied everything
+	// that was committed before the call.
+	Fleet(ctx context.Context) (State, error)
+	// Commit changes the state. After an error it may yet take hold.
+	Commit(ctx context.Context, c Command) (Result, error)
+}
+
+// Members is the membership; membership.Node is one.
+type Members interface {
+	View() *instance.View
+	Put(key string, version uint64, body []byte)
+}
+
+// Orderer gives orders to backend servers; Orders is one.
+type Orderer interface {
+	Give(ctx context.Context, address string, order platform.Order) error
+}
+
+// Config is the settings of a Manager.
+type Config struct {
+	Site    string // begins the client tokens; differs between sites with one cloud account
+	Zones   []zone.Zone
+	Classes []scale.Class
+	Scale   scale.Config
+	Every   time.Duration // between two decisions
+	Poll    time.Duration // longest wait for a notice, and the pause after a failure
+}
+
+// Deps is what a Manager works with.
+type Deps struct {
+	Cloud   Cloud
+	Log     Log
+	Members Members
+	Orders  Orderer
+	Lease   Lease
+	Logger  *slog.Logger
+	Now     func() time.Time
+}
+
+// Manager keeps the fleet at the size that the demand wants, while this replica
+// leads: it takes in reclaim notices, starts and stops instances.
+//
+// Every start is in the replicated log with its client token before the cloud is
+// asked. A leader lost between the two, or before it knew the answer, leaves the
+// start there; the next one sends the same token and gets the same instance.
+type Manager struct {
+	cfg     Config
+	deps    Deps
+	scaler  *scale.Scaler
+	warm    time.Time // the view is taken to be whole from then on
+	decided time.Time // last decision here
+	refused int       // starts refused so far
+}
+
+// warmUp is how long a process that has just started hears from the others
+// before its view counts as whole. Before that, servers that run would be missing
+// from it: instances would be ended under their requests, and the demand would
+// seem to leap up as they appear.
+const warmUp = 30 * time.Second
+
+// maxRounds bounds the decisions of one step after refused starts. Each refusal
+// closes one zone, class and market for a while.
+const maxRounds = 8
+
+// NewManager returns a Manager. The error names a setting that is out of range.
+func NewManager(cfg Config, deps Deps) (*Manager, error) {
+	if err := zone.Validate(cfg.Zones); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	scaler, err := scale.New(cfg.Site, cfg.Scale)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Manager{cfg: cfg, deps: deps, scaler: scaler, warm: deps.Now().Add(warmUp)}, nil
+}
+
+// Run works until ctx ends. What fails is tried again after Poll.
+func (m *Manager) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if m.leads() && m.Step(ctx) == nil {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(m.cfg.Poll):
+		}
+	}
+	return ctx.Err()
+}
+
+func (m *Manager) leads() bool {
+	_, _, ok := m.deps.Lease.HoldsLease()
+	return ok
+}
+
+// errReplaced says that another leader has changed the state meanwhile.
+var errReplaced = errors.New("fleet: the state was changed by another leader")
+
+// Step waits for notices for up to Poll, takes them in, and decides if it is
+// time to or if there were any. It returns early when this replica was replaced.
+func (m *Manager) Step(ctx context.Context) error {
+	state, err := m.deps.Log.Fleet(ctx)
+	if err != nil {
+		return trace.Wrap(err, "step=read fleet")
+	}
+	page, err := m.deps.Cloud.Notices(ctx, state.Notice, m.cfg.Poll)
+	if err != nil {
+		return trace.Wrap(err, "step=read notices")
+	}
+	if len(page.Notices) > 0 {
+		m.spread(ctx, page.Notices)
+		state.Notice = page.Last(state.Notice)
+		if state, err = m.commit(ctx, state); err != nil {
+			return err
+		}
+	}
+	now := m.deps.Now()
+	if now.Before(m.warm) || len(page.Notices) == 0 && now.Sub(m.decided) < m.cfg.Every {
+		return nil
+	}
+	return m.resize(ctx, state)
+}
+
+// resize decides, and again at once where starts were refused: what is refused
+// in one zone is asked for in another.
+func (m *Manager) resize(ctx context.Context, state State) error {
+	state, err := m.settle(ctx, state)
+	if err != nil {
+		return err
+	}
+	for range maxRounds {
+		refused := m.refused
+		if state, err = m.decide(ctx, state); err != nil {
+			return err
+		}
+		if state, err = m.settle(ctx, state); err != nil || m.refused == refused {
+			return err
+		}
+	}
+	return nil
+}
+
+// commit writes the next state into the log and returns it as it is there.
+func (m *Manager) commit(ctx context.Context, next State) (State, error) {
+	result, err := m.deps.Log.Commit(ctx, Command{Base: next.Version, Next: next})
+	if err == nil && !result.Taken {
+		err = errReplaced
+	}
+	next.Version++
+	return next, trace.Wrap(err, "step=commit fleet")
+}
+
+// spread tells all entries of the notices, and then each server. The records go
+// first: an entry that sends no more work to a server saves it, while the order
+// only lets the server say so itself.
+func (m *Manager) spread(ctx context.Context, notices []platform.Notice) {
+	var addresses []string
+	for _, n := range notices {
+		if !m.deps.Now().Before(n.Deadline) {
+			continue // over before this leader heard of it
+		}
+		body, err := noticeOf(n).Encode()
+		if err != nil {
+			continue // a notice is two strings and a number: it encodes
+		}
+		m.deps.Members.Put(NoticeKey(n.InstanceID), n.Sequence, body)
+		if s, known := m.deps.Members.View().Server(n.InstanceID); known && s.State == instance.StateServing {
+			addresses = append(addresses, s.Address)
+		}
+	}
+	m.leave(ctx, addresses)
+}
+
+// maxOrders is how many orders are under way at a time.
+const maxOrders = 32
+
+// leave orders servers to leave. An order that fails has its log line, and the
+// entries know of the notice anyway.
+func (m *Manager) leave(ctx context.Context, addresses []string) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, maxOrders)
+	for _, addr := range addresses {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			_ = m.deps.Orders.Give(ctx, addr, platform.Order{Kind: platform.OrderLeave}) // logged by Give
+		})
+	}
+	wg.Wait()
+}
+
+// settle asks the cloud for the starts and stops that the log holds, and notes
+// there what became of them. A start whose answer was lost stays and is asked
+// for again with its token.
+func (m *Manager) settle(ctx context.Context, state State) (State, error) {
+	if len(state.Starts)+len(state.Stops) == 0 {
+		return state, nil
+	}
+	next := state
+	for _, s := range state.Starts {
+		next = m.start(ctx, next, s)
+	}
+	next = m.stop(ctx, next)
+	if len(next.Starts) == len(state.Starts) && len(next.Stops) == len(state.Stops) {
+		return state, nil // nothing is settled yet
+	}
+	return m.commit(ctx, next)
+}
+
+func (m *Manager) start(ctx context.Context, state State, s Start) State {
+	i, err := m.deps.Cloud.Start(ctx, platform.StartRequest{
+		ClientToken: s.Token, Zone: s.Option.Zone, Class: s.Option.Class, Kind: platform.PurchaseKind(s.Option.Market),
+	})
+	switch {
+	case err == nil:
+		state = state.without(s.Token)
+		state.Accepted = append(slices.Clone(state.Accepted), Accepted{ID: i.ID, Option: s.Option, At: m.deps.Now()})
+		state.Scale = m.scaler.Accepted(state.Scale, scale.Start{Token: s.Token, Option: s.Option, Ordinal: s.Ordinal})
+	case platform.NoCapacity(err):
+		state = state.without(s.Token)
+		state.Scale = m.scaler.Refused(state.Scale, s.Option, m.deps.Now())
+		m.refused++
+		event.Log(ctx, m.deps.Logger, slog.LevelWarn, event.StartRefused, slog.String("token", s.Token),
+			slog.String("zone", s.Option.Zone), slog.String("class", s.Option.Class), slog.String("market", string(s.Option.Market)))
+	}
+	return state
+}
+
+// stop orders the servers on instances to be stopped to leave, and ends each
+// instance once its server is gone: what it has accepted is answered first.
+func (m *Manager) stop(ctx context.Context, state State) State {
+	var addresses, left []string
+	for _, id := range state.Stops {
+		s, known := m.deps.Members.View().Server(id)
+		switch {
+		case known && s.State == instance.StateServing:
+			addresses = append(addresses, s.Address)
+			left = append(left, id)
+		case known && s.State == instance.StateLeaving:
+			left = append(left, id)
+		case m.deps.Cloud.Stop(ctx, id) != nil:
+			left = append(left, id) // tried again at the next step
+		}
+	}
+	m.leave(ctx, addresses)
+	state.Stops = left
+	return state
+}
+
+// decide commits what to start and stop now. While a start's outcome is not
+// known, nothing is decided: it may run already, and would be started twice.
+func (m *Manager) decide(ctx context.Context, state State) (State, error) {
+	if len(state.Starts) > 0 {
+		return state, nil
+	}
+	running, err := m.deps.Cloud.Instances(ctx)
+	if err != nil {
+		return state, trace.Wrap(err, "step=list instances")
+	}
+	next := state
+	next.Accepted = m.unlisted(state.Accepted, running)
+	in, err := m.input(ctx, next, running)
+	if err != nil {
+		return state, err
+	}
+	var plan scale.Plan
+	next.Scale, plan = m.scaler.Decide(next.Scale, in)
+	for _, s := range plan.Starts {
+		next.Starts = append(next.Starts, Start{Token: s.Token, Option: s.Option, Ordinal: s.Ordinal, Reason: s.Reason})
+	}
+	next.Stops = slices.Clone(next.Stops)
+	for _, s := range plan.Stops {
+		next.Stops = append(next.Stops, s.ID)
+	}
+	if next, err = m.commit(ctx, next); err != nil {
+		return next, err
+	}
+	m.decided = in.Now
+	m.logPlan(ctx, in, plan)
+	return next, nil
+}
+
+func (m *Manager) logPlan(ctx context.Context, in scale.Input, plan scale.Plan) {
+	for _, s := range plan.Starts {
+		event.Log(ctx, m.deps.Logger, slog.LevelInfo, event.PlacementChosen, slog.String("start", s.Token),
+			slog.String("reason", s.Reason.String()), slog.Float64("demand", in.Demand), slog.Float64("wanted", plan.Wanted),
+			slog.Float64("short", plan.Short), slog.Int("fleet", len(in.Fleet)))
+	}
+	for _, s := range plan.Stops {
+		event.Log(ctx, m.deps.Logger, slog.LevelInfo, event.PlacementChosen, slog.String("stop", s.ID),
+			slog.String("reason", s.Reason.String()), slog.Float64("demand", in.Demand), slog.Float64("wanted", plan.Wanted))
+	}
+}
+
+// unlisted returns the accepted starts that the cloud does not list yet. After
+// listLag one that is not listed has come to nothing.
+func (m *Manager) unlisted(accepted []Accepted, running []platform.CloudInstance) []Accepted {
+	return slices.DeleteFunc(slices.Clone(accepted), func(a Accepted) bool {
+		listed := slices.ContainsFunc(running, func(i platform.CloudInstance) bool { return i.ID == a.ID })
+		return listed || m.deps.Now().Sub(a.At) > listLag
+	})
+}
+
+// listLag bounds how far the cloud's list of instances is behind its answers.
+const listLag = 5 * time.Minute
+
+// input gathers what a decision looks at.
+func (m *Manager) input(ctx context.Context, state State, running []platform.CloudInstance) (scale.Input, error) {
+	prices, err := m.deps.Cloud.Prices(ctx)
+	if err != nil {
+		return scale.Input{}, trace.Wrap(err, "step=read prices")
+	}
+	in := scale.Input{Now: m.deps.Now(), Demand: m.demand(), Classes: m.cfg.Classes, Zones: priced(m.cfg.Zones, prices)}
+	for _, a := range state.Accepted {
+		in.Fleet = append(in.Fleet, scale.Instance{ID: a.ID, Option: a.Option, Phase: scale.PhaseStarting})
+	}
+	for _, i := range running {
+		ours := strings.HasPrefix(i.ClientToken, m.cfg.Site+"/")
+		if !ours || i.State == platform.InstanceReclaimed || i.State == platform.InstanceStopped {
+			continue
+		}
+		in.Fleet = append(in.Fleet, scale.Instance{
+			ID: i.ID, Option: scale.Option{Zone: i.Zone, Class: i.Class, Market: zone.Market(i.Kind)}, Phase: m.phase(i, state),
+		})
+	}
+	return in, nil
+}
+
+func (m *Manager) phase(i platform.CloudInstance, state State) scale.Phase {
+	if i.State == platform.InstanceReclaiming || slices.Contains(state.Stops, i.ID) {
+		return scale.PhaseLeaving
+	}
+	s, known := m.deps.Members.View().Server(i.ID)
+	switch {
+	case !known || s.State == instance.StateGone:
+		return scale.PhaseStarting
+	case s.State == instance.StateLeaving:
+		return scale.PhaseLeaving
+	default:
+		return scale.PhaseServing
+	}
+}
+
+// demand is the work per second that callers want: the part of each server's
+// slots that running and waiting requests take, more than one where they wait.
+func (m *Manager) demand() float64 {
+	sum := 0.0
+	for _, s := range m.deps.Members.View().AllServers() {
+		i := slices.IndexFunc(m.cfg.Classes, func(c scale.Class) bool { return c.Name == s.Class })
+		if i >= 0 && s.Slots > 0 {
+			sum += m.cfg.Classes[i].Capacity * float64(s.Load.Running+s.Load.Waiting) / float64(s.Slots)
+		}
+	}
+	return sum
+}
+
+// priced returns the zones with the prices of the moment.
+func priced(zones []zone.Zone, prices []platform.Price) []zone.Zone {
+	out := slices.Clone(zones)
+	for i := range out {
+		out[i].Prices = nil
+		for _, p := range prices {
+			if p.Zone == out[i].Name {
+				out[i].Prices = addPrice(out[i].Prices, p)
+			}
+		}
+	}
+	return out
+}
+
+func addPrice(list []zone.Price, p platform.Price) []zone.Price {
+	i := slices.IndexFunc(list, func(x zone.Price) bool { return x.Class == p.Class })
+	if i < 0 {
+		i = len(list)
+		list = append(list, zone.Price{Class: p.Class})
+	}
+	if p.Kind == platform.OnDemand {
+		list[i].OnDemand = p.PerHour
+	} else {
+		list[i].Reclaimable = p.PerHour
+	}
+	return list
+}
--- /dev/null
+++ b/fleet/manager_test.go
@@ -0,0 +1,226 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/internal/fake"
+	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/policy/scale"
+	"savoryreel.example/savoryreel/zone"
+)
+
+// site is a cloud with a fleet's state and view, without a control replica.
+type site struct {
+	t     require.TestingT
+	cloud *fake.Cloud
+	api   *platform.CloudClient
+	state State
+	view  *instance.View
+	puts  map[string][]byte
+	left  []string // addresses ordered to leave
+	clock time.Time
+	fail  func() bool // whether the next step of a leader goes wrong
+	dear  string      // a zone whose prices have gone up
+	meet  func()      // called once, before the next commit
+}
+
+func newSite(t require.TestingT) (*site, func()) {
+	var prices []platform.Price
+	for i, z := range []string{"z1", "z2", "z3"} {
+		prices = append(prices, platform.Price{Zone: z, Class: "g1", Kind: platform.Reclaimable, PerHour: 1 + float64(i)/10},
+			platform.Price{Zone: z, Class: "g1", Kind: platform.OnDemand, PerHour: 3})
+	}
+	s := &site{
+		t: t, cloud: fake.NewCloud(fake.CloudConfig{Prices: prices}, fake.Deps{}), view: instance.NewView(),
+		puts: map[string][]byte{}, clock: time.Now(), fail: func() bool { return false },
+	}
+	server := httptest.NewServer(s.cloud.Handler())
+	s.api = platform.NewCloud(platform.CloudConfig{Address: strings.TrimPrefix(server.URL, "http://")})
+	s.serve("old-1", 8, 8) // a server with work for one instance's capacity, from before
+	return s, func() { s.api.Close(); server.Close() }
+}
+
+func (s *site) serve(id string, slots, running int) {
+	a := instance.Announcement{ID: id, Address: id + ":1", Class: "g1", Model: "demo", State: instance.StateServing, Slots: slots, Load: instance.Load{Running: running}}
+	s.view.Apply([]instance.Update{{Server: &instance.Server{Announcement: a}}})
+}
+
+var errDied = errors.New("the leader died here")
+
+// Log.
+func (s *site) Fleet(context.Context) (State, error) { return s.state, nil }
+
+func (s *site) Commit(_ context.Context, c Command) (Result, error) {
+	if meet := s.meet; meet != nil {
+		s.meet = nil
+		meet()
+	}
+	if s.fail() {
+		return Result{}, errDied
+	}
+	data, err := c.Encode()
+	require.NoError(s.t, err)
+	result, err := s.state.Apply(data)
+	if s.fail() {
+		return Result{}, errDied
+	}
+	return result, err
+}
+
+// Members, Orderer and Lease.
+func (s *site) View() *instance.View                  { return s.view }
+func (s *site) Put(key string, _ uint64, body []byte) { s.puts[key] = body }
+func (s *site) HoldsLease() (uint64, time.Time, bool) { return 1, s.clock.Add(time.Hour), true }
+func (s *site) Give(_ context.Context, address string, _ platform.Order) error {
+	s.left = append(s.left, address)
+	return nil
+}
+
+// cloudOf is the cloud as a site's leaders see it: answers to starts are lost,
+// prices move, and the list of instances is behind by those of the last minutes.
+type cloudOf struct {
+	*platform.CloudClient
+	site *site
+}
+
+func (c cloudOf) Start(ctx context.Context, r platform.StartRequest) (platform.CloudInstance, error) {
+	i, err := c.CloudClient.Start(ctx, r)
+	if err == nil && c.site.fail() {
+		return i, errDied
+	}
+	return i, err
+}
+
+func (c cloudOf) Prices(ctx context.Context) ([]platform.Price, error) {
+	prices, err := c.CloudClient.Prices(ctx)
+	for i := range prices {
+		if prices[i].Zone == c.site.dear {
+			prices[i].PerHour *= 10
+		}
+	}
+	return prices, err
+}
+
+func (c cloudOf) Instances(context.Context) ([]platform.CloudInstance, error) { return nil, nil }
+
+// leader returns a new leader, which knows nothing but the log and the view.
+func (s *site) leader() *Manager {
+	cfg := Config{Site: "test", Classes: []scale.Class{{Name: "g1", Capacity: 100}}, Scale: scale.DefaultConfig(), Every: time.Minute}
+	for _, z := range []string{"z1", "z2", "z3"} {
+		cfg.Zones = append(cfg.Zones, zone.Zone{Name: z, Region: "r1", DataCentre: "dc-" + z})
+	}
+	m, err := NewManager(cfg, Deps{
+		Cloud: cloudOf{s.api, s}, Log: s, Members: s, Orders: s, Lease: s,
+		Logger: slog.New(slog.DiscardHandler), Now: func() time.Time { return s.clock },
+	})
+	require.NoError(s.t, err)
+	s.clock = s.clock.Add(warmUp)
+	return m
+}
+
+// started returns how many instances run after a number of leaders, each of
+// which does one step, or a part of one. Each finds other prices than the one
+// before it and would decide otherwise.
+func started(t require.TestingT, fail func() bool) int {
+	s, closeSite := newSite(t)
+	defer closeSite()
+	s.fail = fail
+	for i := range 10 {
+		s.dear = []string{"z1", "z2", "z3"}[i%3]
+		_ = s.leader().Step(context.Background()) // what failed is left to the next leader
+	}
+	require.Empty(t, s.state.Starts)
+	return s.cloud.Stats().Started
+}
+
+// A control leader decides to start instances and is lost at any point: before
+// the decision is in the log, after it, between two starts, or with the cloud's
+// answer under way. Its successor goes on. If it started them again, the site
+// would pay for each twice. As many run in the end as with one leader that
+// lives.
+//
+// It breaks without the commit in decide, with a token that is not the log's,
+// and without Accepted in start.
+func TestStartsSurviveTheirLeader(t *testing.T) {
+	want := started(t, func() bool { return false })
+	require.Positive(t, want)
+	rapid.Check(t, func(t *rapid.T) {
+		faults := rapid.SliceOfN(rapid.Bool(), 0, 8).Draw(t, "faults")
+		require.Equal(t, want, started(t, func() bool {
+			if len(faults) == 0 {
+				return false
+			}
+			failed := faults[0]
+			faults = faults[1:]
+			return failed
+		}))
+	})
+}
+
+// A leader is frozen after it decided and before it wrote that into the log.
+// Another one decides in the meantime, at other prices. The first one's decision
+// must not take hold when it thaws: both would be started.
+//
+// It breaks without the comparison with Base in State.Apply.
+func TestLateDecisionIsNotTaken(t *testing.T) {
+	want := started(t, func() bool { return false })
+	s, closeSite := newSite(t)
+	defer closeSite()
+	frozen := s.leader()
+	s.meet = func() {
+		s.dear = "z1"
+		require.NoError(t, s.leader().Step(t.Context()))
+	}
+	require.ErrorIs(t, frozen.Step(t.Context()), errReplaced)
+	require.Equal(t, want, s.cloud.Stats().Started)
+	require.NoError(t, s.leader().Step(t.Context()))
+	require.Equal(t, want, s.cloud.Stats().Started)
+}
+
+// The cheapest zone has no instances left. The missing ones are started in
+// another zone at once, and the full one is not asked over and over.
+func TestRefusedStartsMoveElsewhere(t *testing.T) {
+	s, closeSite := newSite(t)
+	defer closeSite()
+	s.cloud.Refuse("z1")
+	m := s.leader()
+	require.NoError(t, m.Step(t.Context()))
+	running, err := s.api.Instances(t.Context())
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(running), 4, "the demand of 100 with headroom 1.2, also without one data centre")
+	refused := s.cloud.Stats().Refused
+	require.Positive(t, refused)
+	s.clock = s.clock.Add(time.Second)
+	require.NoError(t, m.resize(t.Context(), s.state))
+	require.Equal(t, refused, s.cloud.Stats().Refused)
+}
+
+// The cloud takes back a zone's instances. Every entry learns of it from the
+// shared record, the server is told to leave, and a leader that comes later does
+// not give the order once more.
+func TestNoticeIsSpread(t *testing.T) {
+	s, closeSite := newSite(t)
+	defer closeSite()
+	started, err := s.api.Start(t.Context(), platform.StartRequest{ClientToken: "test/x", Zone: "z1", Class: "g1", Kind: platform.Reclaimable})
+	require.NoError(t, err)
+	s.serve(started.ID, 8, 0)
+	wave := s.cloud.Wave("z1", time.Hour)
+	for range 2 {
+		require.NoError(t, s.leader().Step(t.Context()))
+	}
+	require.Equal(t, []string{started.ID + ":1"}, s.left)
+	n, err := DecodeNotice(s.puts[NoticeKey(started.ID)])
+	require.NoError(t, err)
+	require.Equal(t, Notice{Instance: started.ID, Zone: "z1", Deadline: wave[0].Deadline.UnixMilli()}, n)
+	require.Equal(t, uint64(1), s.state.Notice)
+}
