control: the leader manages the fleet when a cloud API is set

Cause: package fleet had no caller. Control replicas were not in the membership, so no leader saw a backend server.

Orders to leave go by the shared notice records and not by the notices at hand: the first form lost the order when the leader did not know the server yet.

It proves the path from the cloud's notice to the order of the new leader; the old one is stopped by the log before it comes to an order, so it says little about the lease check, which TestReplacedLeaderGivesNoOrder of package fleet proves.

Conclusion: notices, starts and stops are wired.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -30,6 +30,7 @@
 	KindCatalogue ProposalKind = 16 // a contract.Change
 	KindLedger    ProposalKind = 17 // a ledger.Command
 	KindReplica   ProposalKind = 18 // a ReplicaCommand
+	KindFleet     ProposalKind = 19 // a fleet.Command; by the leader itself, not over a link
 )
 
 // Error codes of a control replica's answers.
--- a/control/config.go
+++ b/control/config.go
@@ -26,6 +26,11 @@
 	LogLevel      string
 	TickInterval  time.Duration
 	SnapshotEvery int
+	Cloud         string // address of the cloud API; empty: the fleet is not managed
+	CloudSite     string
+	CloudZones    []string // "zone=region/data-centre"
+	CloudClasses  []string // "class=tokens a second"
+	FleetEvery    time.Duration
 	MaxEntries    int // entries that may hold a part of the limits at a time
 }
 
@@ -44,6 +49,11 @@
 	s.Secret(&c.OperatorKey, "operator-key", "bearer key of the operators", settings.Required)
 	s.String(&c.LogLevel, "log-level", "info", "debug, info, warn or error", settings.LogLevel)
 	s.Duration(&c.TickInterval, "tick", 10*time.Millisecond, "time unit of elections and heartbeats", settings.Between(time.Millisecond, time.Second))
+	s.String(&c.Cloud, "cloud", "", "address of the cloud API; without it, the fleet is not managed", settings.Optional(settings.HostPort))
+	s.String(&c.CloudSite, "cloud-site", "savoryreel", "begins the client tokens; differs between sites with one cloud account", settings.Required)
+	s.Strings(&c.CloudZones, "cloud-zones", nil, "zones of this region where instances may start, as zone=region/data-centre", zoneList)
+	s.Strings(&c.CloudClasses, "cloud-classes", nil, "machine classes and what each serves within the latency target, as class=tokens a second", classList)
+	s.Duration(&c.FleetEvery, "fleet-every", time.Minute, "time between two decisions on the fleet", settings.Between(time.Second, time.Hour))
 	s.Int(&c.MaxEntries, "max-entries", 16, "entries that share the workspaces' limits", settings.Between(1, 10_000))
 	s.Int(&c.SnapshotEvery, "snapshot-every", 10_000, "log entries between snapshots", settings.Between(10, 10_000_000))
 }
--- a/control/control.go
+++ b/control/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -16,7 +17,11 @@
 	"savoryreel.example/savoryreel/control/api"
 	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/fleet"
+	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/membership"
+	"savoryreel.example/savoryreel/platform"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/host"
 	"savoryreel.example/savoryreel/replica/storage"
@@ -35,6 +40,9 @@
 	service *service
 	leases  *limitLeases
 	folder  *storage.Log
+	members *membership.Node
+	cloud   *platform.CloudClient // nil: the fleet is not managed
+	fleet   *fleet.Manager
 }
 
 // Deps is what a Control works with.
@@ -68,6 +76,11 @@
 		_ = c.folder.Close() // the error of New counts
 		return nil, trace.Wrap(err, "step=start replica")
 	}
+	if err := errors.Join(c.join(), c.manage()); err != nil {
+		c.pool.Close()
+		_ = c.folder.Close() // the error of join or manage counts
+		return nil, trace.Wrap(err, "step=join")
+	}
 	c.leases = &limitLeases{leader: c.host, machine: c.machine, entries: cfg.MaxEntries, now: deps.Now}
 	c.service = &service{log: c.host, machine: c.machine, pool: c.pool, peers: book, now: deps.Now}
 	return c, nil
@@ -136,10 +149,15 @@
 	srv := link.NewServer(link.ServerConfig{Self: c.peerInfo(), ClusterKey: []byte(c.cfg.ClusterKey)}, link.ServerDeps{Log: c.log})
 	c.service.register(srv)
 	link.Handle(srv, api.MethodLeases, c.leases.report)
+	c.members.Register(srv)
 	operatorsAPI := &operatorAPI{service: c.service, log: c.log, key: c.cfg.operatorKeyHash()}
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, c.runReplica)
 	daemon.Actor(g, c.watchLeader)
+	daemon.Actor(g, c.members.Run)
+	if c.fleet != nil {
+		daemon.Actor(g, c.runFleet)
+	}
 	daemon.Actor(g, func(actorCtx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -190,6 +208,7 @@
 // handOverLeadership moves the leadership elsewhere before this replica stops,
 // so that a planned stop costs no election.
 func (c *Control) handOverLeadership(ctx context.Context) {
+	c.members.SetSelf(func(m *instance.Member) { m.State = instance.StateLeaving })
 	st := c.host.Status()
 	if st.Role != replica.Leader {
 		return
--- /dev/null
+++ b/control/fleet.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/fleet"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/membership"
+	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/policy/scale"
+	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/host"
+	"savoryreel.example/savoryreel/zone"
+)
+
+// noticePoll is how long one question for reclaim notices waits at the cloud.
+const noticePoll = time.Second
+
+// join builds this replica's part in the membership, through which the leader
+// sees the backend servers.
+func (c *Control) join() error {
+	self := c.peerInfo()
+	var err error
+	c.members, err = membership.New(membership.Config{
+		Self: instance.Member{
+			ID: self.ID, Incarnation: self.Incarnation, Role: instance.RoleControl,
+			Region: c.cfg.Region, Zone: c.cfg.Zone, LinkAddress: c.cfg.LinkListen,
+		},
+		Seeds: c.cfg.Entries,
+	}, membership.Deps{Pool: c.pool, Log: c.log})
+	return err
+}
+
+// manage builds the manager of the fleet, unless no cloud is set.
+func (c *Control) manage() error {
+	if c.cfg.Cloud == "" {
+		return nil
+	}
+	zones, err := parseZones(c.cfg.CloudZones)
+	if err != nil {
+		return trace.Wrap(err, "step=read zones")
+	}
+	classes, err := parseClasses(c.cfg.CloudClasses)
+	if err != nil {
+		return trace.Wrap(err, "step=read machine classes")
+	}
+	timeout := c.cfg.TickInterval * host.DefaultElectionTicks
+	orders := fleet.NewOrders(fleet.DefaultOrdersConfig(timeout), fleet.OrdersDeps{Lease: c.host, Log: c.log, Now: c.now})
+	c.cloud = platform.NewCloud(platform.CloudConfig{Address: c.cfg.Cloud})
+	c.fleet, err = fleet.NewManager(fleet.Config{
+		Site: c.cfg.CloudSite, Zones: zones, Classes: classes, Scale: scale.DefaultConfig(),
+		Every: c.cfg.FleetEvery, Poll: noticePoll,
+	}, fleet.Deps{
+		Cloud: c.cloud, Log: fleetLog{log: c.host, machine: c.machine}, Members: c.members, Orders: orders,
+		Lease: c.host, Logger: c.log, Now: c.now,
+	})
+	return err
+}
+
+// runFleet runs the manager until ctx ends.
+func (c *Control) runFleet(ctx context.Context) error {
+	defer c.cloud.Close()
+	return c.fleet.Run(ctx)
+}
+
+// fleetLog keeps the fleet's state in the replicated log.
+type fleetLog struct {
+	log     Log
+	machine *Machine
+}
+
+// Fleet implements fleet.Log.
+func (f fleetLog) Fleet(ctx context.Context) (fleet.State, error) {
+	if err := f.log.ReadBarrier(ctx); err != nil {
+		return fleet.State{}, err
+	}
+	return f.machine.Fleet(), nil
+}
+
+// Commit implements fleet.Log.
+func (f fleetLog) Commit(ctx context.Context, c fleet.Command) (fleet.Result, error) {
+	data, err := c.Encode()
+	if err != nil {
+		return fleet.Result{}, err
+	}
+	out, err := f.log.Propose(ctx, uint8(api.KindFleet), data)
+	if err != nil {
+		return fleet.Result{}, err
+	}
+	result, ok := out.(fleet.Result)
+	if !ok {
+		return fleet.Result{}, trace.BadParameter("fleet command gave a %T", out)
+	}
+	return result, nil
+}
+
+// Fleet returns the state of the decisions on the fleet.
+func (m *Machine) Fleet() fleet.State {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.fleet
+}
+
+func (m *Machine) applyFleet(e replica.Entry) (any, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	result, err := m.fleet.Apply(e.Data)
+	if err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
+// parseZones reads "zone=region/data-centre" items.
+func parseZones(list []string) ([]zone.Zone, error) {
+	var out []zone.Zone
+	for _, item := range list {
+		name, place, found := strings.Cut(item, "=")
+		region, centre, both := strings.Cut(place, "/")
+		if !found || !both {
+			return nil, fmt.Errorf("%q is not zone=region/data-centre", item)
+		}
+		out = append(out, zone.Zone{Name: name, Region: region, DataCentre: centre})
+	}
+	return out, zone.Validate(out)
+}
+
+// parseClasses reads "class=capacity" items, the capacity in tokens a second.
+func parseClasses(list []string) ([]scale.Class, error) {
+	var out []scale.Class
+	for _, item := range list {
+		name, text, found := strings.Cut(item, "=")
+		capacity, err := strconv.ParseFloat(text, 64)
+		if !found || name == "" || err != nil || capacity <= 0 {
+			return nil, fmt.Errorf("%q is not class=tokens a second", item)
+		}
+		out = append(out, scale.Class{Name: name, Capacity: capacity})
+	}
+	return out, nil
+}
+
+func zoneList(list []string) error {
+	_, err := parseZones(list)
+	return err
+}
+
+func classList(list []string) error {
+	_, err := parseClasses(list)
+	return err
+}
--- a/control/machine.go
+++ b/control/machine.go
@@ -11,6 +11,7 @@
 
 	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/fleet"
 	"savoryreel.example/savoryreel/ledger"
 	"savoryreel.example/savoryreel/replica"
 )
@@ -24,6 +25,7 @@
 	catalogue uint64 // log index of the last catalogue entry applied
 	firstTerm uint64 // term of the first catalogue entry; 0: there is none
 	replicas  replicaTable
+	fleet     fleet.State
 
 	onCatalogue func(api.CatalogueReply)
 	onReplicas  func([]api.ReplicaAddress)
@@ -56,6 +58,8 @@
 		return m.applyLedger(e)
 	case api.KindReplica:
 		return m.applyReplica(e)
+	case api.KindFleet:
+		return m.applyFleet(e)
 	default:
 		return nil, trace.BadParameter("log entry %d has unknown kind %d", e.Index, e.Kind)
 	}
@@ -140,6 +144,7 @@
 	FirstTerm uint64 `msgpack:"first"`
 
 	Replicas replicaTable `msgpack:"replicas"`
+	Fleet    fleet.State  `msgpack:"fleet"`
 }
 
 // Snapshot encodes the whole state.
@@ -154,7 +159,7 @@
 	if err != nil {
 		return nil, err
 	}
-	enc, err := msgpack.Marshal(&machineSnapshot{Book: book, Ledger: records, Catalogue: m.catalogue, FirstTerm: m.firstTerm, Replicas: m.replicas})
+	enc, err := msgpack.Marshal(&machineSnapshot{Book: book, Ledger: records, Catalogue: m.catalogue, FirstTerm: m.firstTerm, Replicas: m.replicas, Fleet: m.fleet})
 	return enc, trace.Wrap(err, "step=snapshot")
 }
 
@@ -174,7 +179,7 @@
 	}
 	m.mu.Lock()
 	m.book, m.ledger, m.catalogue, m.firstTerm = book, records, s.Catalogue, s.FirstTerm
-	m.replicas = s.Replicas
+	m.replicas, m.fleet = s.Replicas, s.Fleet
 	m.mu.Unlock()
 	m.onCatalogue(m.Catalogue(0))
 	m.onReplicas(m.Replicas())
--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,101 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/fleet"
+	"savoryreel.example/savoryreel/internal/fake"
+	"savoryreel.example/savoryreel/platform"
+)
+
+// startCloud serves a stand-in cloud API for the site until the test ends.
+func (s *site) startCloud() *fake.Cloud {
+	s.t.Helper()
+	var prices []platform.Price
+	for _, z := range []string{"z1", "z2"} {
+		prices = append(prices, platform.Price{Zone: z, Class: "g1", Kind: platform.Reclaimable, PerHour: 1})
+	}
+	c := fake.NewCloud(fake.CloudConfig{Prices: prices}, fake.Deps{})
+	l, err := net.Listen("tcp", s.addr(7400))
+	require.NoError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = c.Run(ctx, l) // ends with the test
+	}()
+	s.t.Cleanup(func() { cancel(); <-done })
+	s.controlArgs = []string{
+		"--cloud", s.addr(7400), "--cloud-zones", "z1=r1/dc1,z2=r1/dc2", "--cloud-classes", "g1=400",
+		"--entries", s.addr(entryPort(1) + 1),
+	}
+	return c
+}
+
+// leaveOrders returns the fencing numbers of engine i's orders to leave.
+func (s *site) leaveOrders(i int) []fleet.Fence {
+	var out []fleet.Fence
+	for _, o := range s.engineStats(i).Orders {
+		if o.Kind == platform.OrderLeave {
+			out = append(out, fleet.Fence(o.Fence))
+		}
+	}
+	return out
+}
+
+// The cloud takes back a zone while the control leader stands still, frozen in
+// the middle of its work. The next leader orders the server to leave, so that
+// its callers' answers go on elsewhere. When the old leader wakes up it finds the
+// same notice; the server, which ignores numbers, must not follow an order of it
+// after that.
+func TestFrozenLeaderGivesNoOrder(t *testing.T) {
+	s := newSite(t)
+	cloud := s.startCloud()
+	api := platform.NewCloud(platform.CloudConfig{Address: s.addr(7400)})
+	defer api.Close()
+	replicas := s.startControl(3)
+	s.startEntry(1, "z1")
+	s.apply(testCatalogue())
+	for i, z := range []string{"z1", "z2"} {
+		started, err := api.Start(t.Context(), platform.StartRequest{ClientToken: fmt.Sprint("other/", i), Zone: z, Class: "g1", Kind: platform.Reclaimable})
+		require.NoError(t, err)
+		s.startEngine(i+1, z, "--id", started.ID)
+	}
+	s.knowsServers(1, 2)
+	leaves := func(i, n int) {
+		s.eventually(fmt.Sprintf("engine %d is ordered to leave", i), func() error {
+			if got := s.leaveOrders(i); len(got) < n {
+				return fmt.Errorf("orders %v", got)
+			}
+			return nil
+		})
+	}
+	cloud.Wave("z1", time.Minute)
+	leaves(1, 1)
+	old := s.leads()
+	frozen := replicas[old[0]-'1']
+	frozen.signal(t, syscall.SIGSTOP)
+	cloud.Wave("z2", time.Minute)
+	leaves(2, 1)
+	frozen.signal(t, syscall.SIGCONT)
+	s.eventually("the old leader follows", func() error {
+		for _, r := range s.operator().Replicas(t.Context()) {
+			if r.ID == old && r.Role != "leader" && r.Leader != "0" {
+				return nil
+			}
+		}
+		return fmt.Errorf("not yet")
+	})
+	first, second := s.leaveOrders(1), s.leaveOrders(2)
+	require.Greater(t, second[0].Term(), first[0].Term())
+	for _, f := range second {
+		require.Equal(t, second[0].Term(), f.Term(), "%v", second)
+	}
+}
--- a/fleet/manager.go
+++ b/fleet/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -80,7 +81,9 @@
 	scaler  *scale.Scaler
 	warm    time.Time // the view is taken to be whole from then on
 	decided time.Time // last decision here
-	refused int       // starts refused so far
+
+	reminded map[string]time.Time // when servers were last ordered to leave, by id
+	refused  int                  // starts refused so far
 }
 
 // warmUp is how long a process that has just started hears from the others
@@ -102,7 +105,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Manager{cfg: cfg, deps: deps, scaler: scaler, warm: deps.Now().Add(warmUp)}, nil
+	return &Manager{cfg: cfg, deps: deps, scaler: scaler, warm: deps.Now().Add(warmUp), reminded: make(map[string]time.Time)}, nil
 }
 
 // Run works until ctx ends. What fails is tried again after Poll.
@@ -134,17 +137,18 @@
 	if err != nil {
 		return trace.Wrap(err, "step=read fleet")
 	}
-	page, err := m.deps.Cloud.Notices(ctx, state.Notice, m.cfg.Poll)
+	page, err := m.notices(ctx, state.Notice)
 	if err != nil {
 		return trace.Wrap(err, "step=read notices")
 	}
 	if len(page.Notices) > 0 {
-		m.spread(ctx, page.Notices)
+		m.spread(page.Notices)
 		state.Notice = page.Last(state.Notice)
 		if state, err = m.commit(ctx, state); err != nil {
 			return err
 		}
 	}
+	m.remind(ctx)
 	now := m.deps.Now()
 	if now.Before(m.warm) || len(page.Notices) == 0 && now.Sub(m.decided) < m.cfg.Every {
 		return nil
@@ -152,9 +156,24 @@
 	return m.resize(ctx, state)
 }
 
+func (m *Manager) notices(ctx context.Context, after uint64) (platform.NoticePage, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.Poll+noticeGrace)
+	defer cancel()
+	return m.deps.Cloud.Notices(ctx, after, m.cfg.Poll)
+}
+
+// Bounds on a cloud that takes a call and does not answer: on the wait for
+// notices beyond its own, and on one round of decisions.
+const (
+	noticeGrace   = 2 * time.Second
+	resizeTimeout = time.Minute
+)
+
 // resize decides, and again at once where starts were refused: what is refused
 // in one zone is asked for in another.
 func (m *Manager) resize(ctx context.Context, state State) error {
+	ctx, cancel := context.WithTimeout(ctx, resizeTimeout)
+	defer cancel()
 	state, err := m.settle(ctx, state)
 	if err != nil {
 		return err
@@ -181,27 +200,50 @@
 	return next, trace.Wrap(err, "step=commit fleet")
 }
 
-// spread tells all entries of the notices, and then each server. The records go
-// first: an entry that sends no more work to a server saves it, while the order
-// only lets the server say so itself.
-func (m *Manager) spread(ctx context.Context, notices []platform.Notice) {
-	var addresses []string
+// spread tells all entries of the notices: an entry that sends no more work to a
+// server saves it, while an order only lets the server say so itself.
+func (m *Manager) spread(notices []platform.Notice) {
 	for _, n := range notices {
-		if !m.deps.Now().Before(n.Deadline) {
-			continue // over before this leader heard of it
-		}
 		body, err := noticeOf(n).Encode()
-		if err != nil {
-			continue // a notice is two strings and a number: it encodes
+		if err != nil || !m.deps.Now().Before(n.Deadline) {
+			continue // over before this leader heard of it
 		}
 		m.deps.Members.Put(NoticeKey(n.InstanceID), n.Sequence, body)
-		if s, known := m.deps.Members.View().Server(n.InstanceID); known && s.State == instance.StateServing {
-			addresses = append(addresses, s.Address)
+	}
+}
+
+// remind orders the servers to leave that are under notice and still say that
+// they serve. It goes by the shared records, so it also finds a server that this
+// replica did not know when the notice came, and one that the leader before did
+// not reach.
+func (m *Manager) remind(ctx context.Context) {
+	now := m.deps.Now()
+	maps.DeleteFunc(m.reminded, func(_ string, at time.Time) bool { return now.Sub(at) >= remindEvery })
+	var addresses []string
+	for _, s := range m.deps.Members.View().AllServers() {
+		_, done := m.reminded[s.ID]
+		if done || s.State != instance.StateServing || !m.noticed(s.ID, now) {
+			continue
 		}
+		m.reminded[s.ID] = now
+		addresses = append(addresses, s.Address)
 	}
 	m.leave(ctx, addresses)
 }
 
+// remindEvery is the time for a server to announce that it leaves before it is
+// ordered to once more.
+const remindEvery = 5 * time.Second
+
+func (m *Manager) noticed(id string, now time.Time) bool {
+	r, known := m.deps.Members.View().Record(NoticeKey(id))
+	if !known {
+		return false
+	}
+	n, err := DecodeNotice(r.Body)
+	return err == nil && now.Before(n.Ends())
+}
+
 // maxOrders is how many orders are under way at a time.
 const maxOrders = 32
 
