fleet: model loads paced by the weight store's rate

Cause: servers that come up without a model were ordered to load none, and all at once would share the weight store's rate and all be late.

Done: servers without a model load the model with the most demand per copy, spread over data centres by scale.Place, as many at a time as weight-rate over load-rate. Loads are in the log before they are ordered.

Ruled out: the count of loads in the leader's memory; a new leader would begin another batch beside the one under way.

Conclusion: tested in one process with the stand-in's shapes, not on real processes.

--- a/control/config.go
+++ b/control/config.go
@@ -31,6 +31,8 @@
 	CloudZones    []string // "zone=region/data-centre"
 	CloudClasses  []string // "class=tokens a second"
 	FleetEvery    time.Duration
+	WeightRate    int // megabytes a second; 0: servers are not ordered to load models
+	LoadRate      int // megabytes a second
 	MaxEntries    int // entries that may hold a part of the limits at a time
 }
 
@@ -54,6 +56,8 @@
 	s.Strings(&c.CloudZones, "cloud-zones", nil, "zones of this region where instances may start, as zone=region/data-centre", zoneList)
 	s.Strings(&c.CloudClasses, "cloud-classes", nil, "machine classes and what each serves within the latency target, as class=tokens a second", classList)
 	s.Duration(&c.FleetEvery, "fleet-every", time.Minute, "time between two decisions on the fleet", settings.Between(time.Second, time.Hour))
+	s.Int(&c.WeightRate, "weight-rate", 0, "megabytes a second that the weight store delivers in all; 0: servers are not ordered to load models", settings.Between(0, 1_000_000))
+	s.Int(&c.LoadRate, "load-rate", 100, "least megabytes a second at which one model load is worth starting", settings.Between(1, 1_000_000))
 	s.Int(&c.MaxEntries, "max-entries", 16, "entries that share the workspaces' limits", settings.Between(1, 10_000))
 	s.Int(&c.SnapshotEvery, "snapshot-every", 10_000, "log entries between snapshots", settings.Between(10, 10_000_000))
 }
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/control/api"
 	"savoryreel.example/savoryreel/fleet"
 	"savoryreel.example/savoryreel/instance"
@@ -57,13 +59,32 @@
 	c.fleet, err = fleet.NewManager(fleet.Config{
 		Site: c.cfg.CloudSite, Zones: zones, Classes: classes, Scale: scale.DefaultConfig(),
 		Every: c.cfg.FleetEvery, Poll: noticePoll,
+		WeightRate: float64(c.cfg.WeightRate) * megabyte, LoadRate: float64(c.cfg.LoadRate) * megabyte,
 	}, fleet.Deps{
-		Cloud: c.cloud, Log: fleetLog{log: c.host, machine: c.machine}, Members: c.members, Orders: orders,
+		Cloud: c.cloud, Log: fleetLog{log: c.host, machine: c.machine}, Members: c.members, Orders: orders, Models: c.machine.models,
 		Lease: c.host, Logger: c.log, Now: c.now,
 	})
 	return err
 }
 
+// megabyte is the unit of the settings of rates, in bytes.
+const megabyte = 1_000_000
+
+// models lists the models that the catalogue's services use, each once.
+func (m *Machine) models() []fleet.Model {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []fleet.Model
+	services := m.book.Catalogue().Services
+	for i := range services {
+		model := fleet.Model{Name: services[i].Model, Version: services[i].Version}
+		if services[i].Kind == contract.KindModel && !slices.Contains(out, model) {
+			out = append(out, model)
+		}
+	}
+	return out
+}
+
 // runFleet runs the manager until ctx ends.
 func (c *Control) runFleet(ctx context.Context) error {
 	defer c.cloud.Close()
--- /dev/null
+++ b/fleet/loads.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/policy/scale"
+)
+
+// Model is a model that servers may be ordered to load.
+type Model struct {
+	Name    string `msgpack:"model"`
+	Version string `msgpack:"version"`
+}
+
+// ModelLoad is an order to load a model that has not been seen done.
+type ModelLoad struct {
+	Server      string    `msgpack:"server"`
+	Incarnation uint64    `msgpack:"inc"`
+	Model       Model     `msgpack:"load"`
+	At          time.Time `msgpack:"at"`
+}
+
+// loadTimeout is after how long a load that was not seen done counts as failed.
+const loadTimeout = 15 * time.Minute
+
+// load orders servers that have no model yet to load one, as many at a time as
+// the weight store serves well. Loads are in the log before the orders are given:
+// a new leader counts those under way and does not order them again.
+func (m *Manager) load(ctx context.Context, state State) (State, error) {
+	if m.cfg.WeightRate <= 0 {
+		return state, nil
+	}
+	servers := m.deps.Members.View().AllServers()
+	next := state
+	next.Loads = m.unfinished(state.Loads)
+	placement := scale.Place(scale.PlaceInput{
+		Hosts: m.hosts(servers, next.Loads), Needs: m.needs(servers),
+		Rate: m.cfg.WeightRate, LoadRate: m.cfg.LoadRate, Loading: len(next.Loads),
+	})
+	before := len(next.Loads)
+	for _, l := range placement.Loads {
+		s, _ := m.deps.Members.View().Server(l.Host)
+		next.Loads = append(next.Loads, ModelLoad{
+			Server: s.ID, Incarnation: s.Incarnation, At: m.deps.Now(),
+			Model: Model{Name: l.Artifact.Model, Version: l.Artifact.Version},
+		})
+	}
+	if len(placement.Loads) == 0 && before == len(state.Loads) {
+		return state, nil
+	}
+	next, err := m.commit(ctx, next)
+	if err != nil {
+		return next, err
+	}
+	return m.orderLoads(ctx, next, next.Loads[before:], placement.Paced)
+}
+
+// unfinished returns the loads whose servers still have to finish them.
+func (m *Manager) unfinished(loads []ModelLoad) []ModelLoad {
+	return slices.DeleteFunc(slices.Clone(loads), func(l ModelLoad) bool {
+		s, known := m.deps.Members.View().Server(l.Server)
+		over := !known || s.State != instance.StateServing || s.Incarnation != l.Incarnation
+		return over || s.Model != "" || m.deps.Now().Sub(l.At) > loadTimeout
+	})
+}
+
+// orderLoads gives the orders, and takes back the loads that surely were not
+// begun. One with an unknown outcome stays: it may be under way.
+func (m *Manager) orderLoads(ctx context.Context, state State, loads []ModelLoad, paced int) (State, error) {
+	errs := make([]error, len(loads))
+	var wg sync.WaitGroup
+	for i, l := range loads {
+		s, _ := m.deps.Members.View().Server(l.Server)
+		event.Log(ctx, m.deps.Logger, slog.LevelInfo, event.PlacementChosen, slog.String("load", l.Model.Name),
+			slog.String("version", l.Model.Version), slog.String("server", l.Server), slog.Int("paced", paced))
+		wg.Go(func() {
+			errs[i] = m.deps.Orders.Give(ctx, s.Address, platform.Order{
+				Kind: platform.OrderLoadModel, Model: l.Model.Name, Version: l.Model.Version,
+			})
+		})
+	}
+	wg.Wait()
+	next := state
+	next.Loads = slices.DeleteFunc(slices.Clone(state.Loads), func(l ModelLoad) bool {
+		i := slices.Index(loads, l)
+		return i >= 0 && notGiven(errs[i])
+	})
+	if len(next.Loads) == len(state.Loads) {
+		return state, nil
+	}
+	return m.commit(ctx, next)
+}
+
+// notGiven reports whether an error of Give proves that the server does not
+// follow the order.
+func notGiven(err error) bool {
+	sure := errors.Is(err, ErrNotLeading) || errors.Is(err, ErrInFlight) || errors.Is(err, ErrUnsettled)
+	return err != nil && (sure || platform.NotRun(err))
+}
+
+// hosts lists the model servers: one without a model has room for one, unless it
+// is loading.
+func (m *Manager) hosts(servers []*instance.Server, loads []ModelLoad) []scale.Host {
+	var out []scale.Host
+	for _, s := range servers {
+		if len(s.Services) > 0 {
+			continue
+		}
+		h := scale.Host{ID: s.ID, DataCentre: m.dataCentre(s.Zone), Leaving: s.State != instance.StateServing}
+		loading := slices.IndexFunc(loads, func(l ModelLoad) bool { return l.Server == s.ID })
+		switch {
+		case s.Model != "":
+			h.Loaded = []scale.Artifact{artifact(Model{s.Model, s.Version})}
+		case loading >= 0:
+			h.Loaded = []scale.Artifact{artifact(loads[loading].Model)}
+		default:
+			h.Room = 1
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// dataCentre returns where a zone is; one that the settings do not name stands
+// for itself.
+func (m *Manager) dataCentre(name string) string {
+	for i := range m.cfg.Zones {
+		if m.cfg.Zones[i].Name == name {
+			return m.cfg.Zones[i].DataCentre
+		}
+	}
+	return name
+}
+
+// artifact counts one model as one unit of room: a server holds one.
+func artifact(m Model) scale.Artifact {
+	return scale.Artifact{Model: m.Name, Version: m.Version, Bytes: 1}
+}
+
+// needs asks for every model on every server: the room decides, and the model
+// with the most demand per copy is placed first.
+func (m *Manager) needs(servers []*instance.Server) []scale.Need {
+	var out []scale.Need
+	for _, model := range m.deps.Models() {
+		need := scale.Need{Artifact: artifact(model), Servers: len(servers), Demand: 1}
+		for _, s := range servers {
+			if s.Model == model.Name {
+				need.Demand += float64(s.Load.Running + s.Load.Waiting)
+			}
+		}
+		out = append(out, need)
+	}
+	slices.SortFunc(out, func(a, b scale.Need) int { return cmp.Compare(a.Artifact.Model, b.Artifact.Model) })
+	return out
+}
--- a/fleet/manager.go
+++ b/fleet/manager.go
@@ -55,7 +55,12 @@
 	Classes []scale.Class
 	Scale   scale.Config
 	Every   time.Duration // between two decisions
-	Poll    time.Duration // longest wait for a notice, and the pause after a failure
+	// WeightRate is what the weight store delivers in all, and LoadRate the least
+	// rate at which one load is worth starting, in bytes per second. With a
+	// WeightRate of 0 no loads are ordered.
+	WeightRate float64
+	LoadRate   float64
+	Poll       time.Duration // longest wait for a notice, and the pause after a failure
 }
 
 // Deps is what a Manager works with.
@@ -64,6 +69,7 @@
 	Log     Log
 	Members Members
 	Orders  Orderer
+	Models  func() []Model // those that the catalogue names
 	Lease   Lease
 	Logger  *slog.Logger
 	Now     func() time.Time
@@ -150,7 +156,13 @@
 	}
 	m.remind(ctx)
 	now := m.deps.Now()
-	if now.Before(m.warm) || len(page.Notices) == 0 && now.Sub(m.decided) < m.cfg.Every {
+	if now.Before(m.warm) {
+		return nil
+	}
+	if state, err = m.load(ctx, state); err != nil {
+		return err
+	}
+	if len(page.Notices) == 0 && now.Sub(m.decided) < m.cfg.Every {
 		return nil
 	}
 	return m.resize(ctx, state)
--- a/fleet/manager_test.go
+++ b/fleet/manager_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,8 +27,10 @@
 	api   *platform.CloudClient
 	state State
 	view  *instance.View
-	puts  int      // shared records
+	puts  int // shared records
+	mu    sync.Mutex
 	left  []string // addresses ordered to leave
+	loads []string // addresses ordered to load a model
 	clock time.Time
 	fail  func() bool // whether the next step of a leader goes wrong
 	dear  string      // a zone whose prices have gone up
@@ -50,8 +53,10 @@
 	return s, func() { s.api.Close(); server.Close() }
 }
 
-func (s *site) serve(id string, slots, running int) {
-	a := instance.Announcement{ID: id, Address: id + ":1", Class: "g1", Model: "demo", State: instance.StateServing, Slots: slots, Load: instance.Load{Running: running}}
+func (s *site) serve(id string, slots, running int) { s.announce(id, "demo", slots, running) }
+
+func (s *site) announce(id, model string, slots, running int) {
+	a := instance.Announcement{ID: id, Address: id + ":1", Class: "g1", Model: model, State: instance.StateServing, Slots: slots, Load: instance.Load{Running: running}}
 	s.view.Apply([]instance.Update{{Server: &instance.Server{Announcement: a}}})
 }
 
@@ -85,7 +90,13 @@
 	s.view.Apply([]instance.Update{{Record: &instance.Record{Key: key, Version: version, Body: body}}})
 }
 func (s *site) HoldsLease() (uint64, time.Time, bool) { return 1, s.clock.Add(time.Hour), true }
-func (s *site) Give(_ context.Context, address string, _ platform.Order) error {
+func (s *site) Give(_ context.Context, address string, order platform.Order) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if order.Kind == platform.OrderLoadModel {
+		s.loads = append(s.loads, address)
+		return nil
+	}
 	s.left = append(s.left, address)
 	return nil
 }
@@ -119,12 +130,13 @@
 
 // leader returns a new leader, which knows nothing but the log and the view.
 func (s *site) leader() *Manager {
-	cfg := Config{Site: "test", Classes: []scale.Class{{Name: "g1", Capacity: 100}}, Scale: scale.DefaultConfig(), Every: time.Minute}
+	cfg := Config{WeightRate: 250, LoadRate: 100, Site: "test", Classes: []scale.Class{{Name: "g1", Capacity: 100}}, Scale: scale.DefaultConfig(), Every: time.Minute}
 	for _, z := range []string{"z1", "z2", "z3"} {
 		cfg.Zones = append(cfg.Zones, zone.Zone{Name: z, Region: "r1", DataCentre: "dc-" + z})
 	}
 	m, err := NewManager(cfg, Deps{
 		Cloud: cloudOf{s.api, s}, Log: s, Members: s, Orders: s, Lease: s,
+		Models: func() []Model { return []Model{{Name: "demo", Version: "v1"}} },
 		Logger: slog.New(slog.DiscardHandler), Now: func() time.Time { return s.clock },
 	})
 	require.NoError(s.t, err)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -25,8 +25,9 @@
 	// lag behind its answers.
 	Accepted []Accepted `msgpack:"accepted"`
 	// Stops are the instances that are to leave and then to be stopped.
-	Stops  []string `msgpack:"stops"`
-	Notice uint64   `msgpack:"notice"` // number of the last reclaim notice taken in
+	Stops  []string    `msgpack:"stops"`
+	Loads  []ModelLoad `msgpack:"loads"`
+	Notice uint64      `msgpack:"notice"` // number of the last reclaim notice taken in
 }
 
 // Start is a decided start of an instance.
