replica/host: voters are known before they are acknowledged

Cause: main now publishes LastIndexOf before a replica acknowledges an entry, while Status follows at the end of the round. The version answer read both: it could name the index of a new set of voters with the old voters, and a replica that had acknowledged a set could still deny it.

Done: Host.Voters, set where LastIndexOf is, and one read for the answer.

Ruled out: reading until both agree, as before; they agree on the old set while the new one is acknowledged.

Measured: TestVotersAreKnownBeforeTheyAreAcknowledged fails when the voters are set at the end of the round instead (and when they are not set at all).

Conclusion: the confirmation's argument over replica sets holds again.

--- a/control/replicas.go
+++ b/control/replicas.go
@@ -114,18 +114,12 @@
 }
 
 // version says how far this replica's log goes and which voters it has in force.
-// It reads until no change of them came between.
 func (s *service) version(context.Context, link.PeerInfo, api.VersionRequest) (api.VersionReply, error) {
-	for {
-		index, members := s.log.LastIndexOf(uint8(api.KindCatalogue)), s.log.LastIndexOf(replica.KindMembership)
-		st := s.log.Status()
-		if s.log.LastIndexOf(replica.KindMembership) == members {
-			return api.VersionReply{
-				Replica: s.self(), Index: index, Term: st.LastTerm,
-				Members: members, Voters: s.peers.members(st.Voters),
-			}, nil
-		}
-	}
+	index, voters := s.log.LastIndexOf(uint8(api.KindCatalogue)), s.log.Voters()
+	return api.VersionReply{
+		Replica: s.self(), Index: index, Term: voters.Term,
+		Members: voters.Index, Voters: s.peers.members(voters.IDs),
+	}, nil
 }
 
 // checkChange refuses what makes no sense, whatever the state.
--- a/control/service.go
+++ b/control/service.go
@@ -25,6 +25,7 @@
 	TransferLeadership(ctx context.Context, to uint64) error
 	LastIndexOf(kind uint8) uint64
 	Status() host.Status
+	Voters() host.Voters
 	Step(m replica.Message)
 }
 
--- a/replica/host/status.go
+++ b/replica/host/status.go
@@ -14,7 +14,6 @@
 	Leader   uint64 // 0: unknown
 	Role     replica.Role
 	Last     uint64 // index of the last entry, synced
-	LastTerm uint64 // term of the last entry
 	Commit   uint64
 	Applied  uint64
 	Snapshot uint64 // index of the latest snapshot
@@ -30,6 +29,23 @@
 	until  time.Time
 	leased bool
 	lastOf [256]uint64
+	voters Voters
+}
+
+// Voters is the set of voters that a replica's log holds.
+type Voters struct {
+	Index uint64 // of the entry that made this set, 0 for the founding one
+	Term  uint64 // of the last entry of the log
+	IDs   []uint64
+}
+
+// Voters returns the set of voters in this replica's log, committed or not. Like
+// LastIndexOf it tells of a change before this replica acknowledges it: among any
+// majority of a set, one replica names the set that was committed after it.
+func (h *Host) Voters() Voters {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.view.voters
 }
 
 // Status returns the replica's state as of the loop's last round.
@@ -67,7 +83,7 @@
 	term, until, leased := c.Lease()
 	status := Status{
 		ID: c.ID(), Term: c.Term(), Leader: c.Leader(), Role: c.Role(),
-		Last: c.LastIndex(), LastTerm: c.LastTerm(), Commit: c.CommitIndex(), Applied: c.AppliedIndex(),
+		Last: c.LastIndex(), Commit: c.CommitIndex(), Applied: c.AppliedIndex(),
 		Snapshot: c.SnapshotIndex(),
 		Voters:   members.Voters, Learners: members.Learners, Lost: c.Lost(),
 	}
@@ -84,8 +100,12 @@
 // committed while a majority still denies that it is there, and whoever asks a
 // majority for the highest index would take an old catalogue for the latest.
 func (h *Host) publishLast() {
+	voters := Voters{
+		Index: h.core.LastIndexOf(replica.KindMembership), Term: h.core.LastTerm(), IDs: h.core.Members().Voters,
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.view.voters = voters
 	for kind := range h.view.lastOf {
 		h.view.lastOf[kind] = h.core.LastIndexOf(uint8(kind))
 	}
--- /dev/null
+++ b/replica/host/voters_test.go
@@ -0,0 +1,49 @@
+package host_test
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/host"
+)
+
+// witness notes which voters a host names as it sends a message.
+type witness struct {
+	host *host.Host
+	sent chan host.Voters
+}
+
+func (w *witness) Send(replica.Message) { w.sent <- w.host.Voters() }
+
+// A replica takes over a change of the voters and acknowledges it. Were it to
+// name the old voters for a moment longer, an entry that asks just then would
+// count its majority over a set that is no longer in force, and could take an old
+// catalogue for the latest.
+//
+// Breaks when publishLast does not set the voters.
+func TestVotersAreKnownBeforeTheyAreAcknowledged(t *testing.T) {
+	disk := &slowStorage{saving: make(chan struct{}, 1), verdicts: make(chan error, 1)}
+	disk.verdicts <- nil
+	w := &witness{sent: make(chan host.Voters, 100)}
+	h, err := host.New(host.Config{ID: 1, Voters: []uint64{1, 2, 3}, TickInterval: time.Hour}, host.Deps{
+		Storage: disk, Transport: w, Machine: newMachine(),
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Now:    time.Now, Rand: rand.New(rand.NewPCG(1, 1)).Int64N,
+	})
+	require.NoError(t, err)
+	w.host = h
+	require.Equal(t, host.Voters{IDs: []uint64{1, 2, 3}}, h.Voters())
+	go func() { _ = h.Run(t.Context()) }() // ends with the test
+	data, err := msgpack.Marshal(replica.Members{Voters: []uint64{1, 2}})
+	require.NoError(t, err)
+	change := replica.Entry{Index: 1, Term: 5, Kind: replica.KindMembership, Data: data}
+	h.Step(replica.Message{Type: replica.MsgAppend, From: 2, To: 1, Term: 5, Entries: []replica.Entry{change}})
+	require.Equal(t, host.Voters{Index: 1, Term: 5, IDs: []uint64{1, 2}}, <-w.sent)
+}
