--- a/control/api/client.go
+++ b/control/api/client.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -29,25 +30,37 @@
 
 // Client calls the control replicas. It is safe for concurrent use.
 type Client struct {
-	pool     *link.Pool
-	replicas []string // link addresses
-	own      int      // where this client begins to look for a newer catalogue
+	pool    *link.Pool
+	founded []string // link addresses of the settings
+	own     uint64   // decides where this client begins to look for a newer catalogue
 
-	mu   sync.Mutex
-	last int // the replica that answered last, tried first
+	mu       sync.Mutex
+	replicas []string // link addresses of the voters, as last learnt; empty: not known
+	last     int      // the replica that answered last, tried first
 }
 
-// NewClient returns a client of the replicas at these link addresses. id names
-// the instance that asks; it decides at which replica it fetches a catalogue, so
-// that not all instances fetch a change from the same one.
+// NewClient returns a client that knows the replicas at these link addresses and
+// learns of later ones from them. id names the instance that asks; it decides at
+// which replica it fetches a catalogue, so that not all instances fetch a change
+// from the same one.
 func NewClient(pool *link.Pool, replicas []string, id string) *Client {
-	c := &Client{pool: pool, replicas: slices.Clone(replicas)}
-	c.own = int(xxhash.Sum64String(id) % uint64(max(1, len(replicas))))
-	return c
+	return &Client{
+		pool: pool, founded: slices.Clone(replicas), replicas: slices.Clone(replicas), own: xxhash.Sum64String(id),
+	}
 }
 
 // Replicas returns the link addresses of the control replicas.
-func (c *Client) Replicas() []string { return c.replicas }
+func (c *Client) Replicas() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.replicas)
+}
+
+func (c *Client) adopt(replicas []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replicas, c.last = replicas, 0
+}
 
 // Confirmation is what a majority of replicas said of the catalogue.
 type Confirmation struct {
@@ -58,19 +71,52 @@
 	Newest uint64
 }
 
-// Confirm asks every replica for the index of its newest catalogue change and
+// Confirm asks every voter for the index of its newest catalogue change and
 // returns once a majority has answered and the rest has had a short grace.
 //
 // A change counts as accepted once it is in the logs of a majority. Any
 // majority of answers shares a replica with that one, so the smallest index
 // that covers a majority of answers is at least the index of every accepted
 // change; what a cut-off old leader has in its log beyond that was not accepted.
+//
+// That holds for the voters in force only, so it asks again as long as an answer
+// names other voters than those asked. It ends with the right ones: a set
+// differs from the next by one replica, so a majority of one shares a replica
+// with the majority that committed the next, and that replica names it. A set
+// that a replaced leader left in one log and never committed is told by that
+// log's older term, as in an election.
 func (c *Client) Confirm(ctx context.Context) (Confirmation, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	answers := make(chan *VersionReply, len(c.replicas))
-	for _, addr := range c.replicas {
+	asked := c.Replicas()
+	for range maxSets {
+		answers := c.versions(ctx, asked)
+		voters := newestVoters(answers)
+		switch {
+		case len(voters) == 0:
+			c.adopt(slices.Clone(c.founded)) // all it knew are gone: back to the settings
+			return Confirmation{}, trace.Wrap(ErrNoMajority)
+		case sameReplicas(voters, asked):
+			return confirmation(answers, len(voters))
+		}
+		asked = voters
+		c.adopt(voters)
+	}
+	return Confirmation{}, trace.Wrap(ErrNoMajority)
+}
+
+// maxSets bounds the replica sets that one confirmation follows.
+const maxSets = 8
+
+// versions asks the replicas and returns the answers that came.
+func (c *Client) versions(ctx context.Context, replicas []string) []VersionReply {
+	answers := make(chan *VersionReply, len(replicas))
+	for _, addr := range replicas {
 		go func() {
+			if addr == "" {
+				answers <- nil // not known to the replica that named this voter
+				return
+			}
 			reply, err := link.Call[VersionReply](ctx, c.pool, addr, MethodVersion, VersionRequest{})
 			if err != nil {
 				answers <- nil
@@ -79,8 +125,7 @@
 			answers <- &reply
 		}()
 	}
-	indexes := c.collect(ctx, answers)
-	return confirmation(indexes, len(c.replicas))
+	return collect(ctx, answers, len(replicas))
 }
 
 // confirmGrace is how long a confirmation waits for the rest of the replicas
@@ -89,34 +134,59 @@
 // timeout.
 const confirmGrace = 20 * time.Millisecond
 
-// collect gathers the replicas' answers until all are in, or the grace after a
-// majority is over.
-func (c *Client) collect(ctx context.Context, answers <-chan *VersionReply) []uint64 {
-	var indexes []uint64
+// collect gathers the answers of so many replicas until all are in, or the grace
+// after a majority is over. A nil answer counts for nothing.
+func collect(ctx context.Context, answers <-chan *VersionReply, replicas int) []VersionReply {
+	var out []VersionReply
 	var grace <-chan time.Time
-	for range c.replicas {
+	for range replicas {
 		select {
 		case reply := <-answers:
 			if reply != nil {
-				indexes = append(indexes, reply.Index)
+				out = append(out, *reply)
 			}
 		case <-grace:
-			return indexes
+			return out
 		case <-ctx.Done():
-			return indexes
+			return out
 		}
-		if len(indexes) > len(c.replicas)/2 && grace == nil {
+		if len(out) > replicas/2 && grace == nil {
 			grace = time.After(confirmGrace)
 		}
 	}
-	return indexes
+	return out
+}
+
+// newestVoters returns the addresses of the latest set of voters that an answer
+// names; an address that is not known is empty.
+func newestVoters(answers []VersionReply) []string {
+	var newest VersionReply
+	for _, a := range answers {
+		later := cmp.Or(cmp.Compare(a.Term, newest.Term), cmp.Compare(a.Members, newest.Members)) > 0
+		if len(a.Voters) > 0 && (len(newest.Voters) == 0 || later) {
+			newest = a
+		}
+	}
+	out := make([]string, 0, len(newest.Voters))
+	for _, v := range newest.Voters {
+		out = append(out, v.Address)
+	}
+	return out
+}
+
+func sameReplicas(a, b []string) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
 }
 
-func confirmation(indexes []uint64, replicas int) (Confirmation, error) {
-	majority := replicas/2 + 1
-	if len(indexes) < majority {
+func confirmation(answers []VersionReply, voters int) (Confirmation, error) {
+	majority := voters/2 + 1
+	if len(answers) < majority {
 		return Confirmation{}, trace.Wrap(ErrNoMajority)
 	}
+	indexes := make([]uint64, 0, len(answers))
+	for _, a := range answers {
+		indexes = append(indexes, a.Index)
+	}
 	slices.Sort(indexes)
 	return Confirmation{Needed: indexes[majority-1], Newest: indexes[len(indexes)-1]}, nil
 }
@@ -126,7 +196,7 @@
 func (c *Client) Catalogue(ctx context.Context, have uint64) (CatalogueReply, error) {
 	var lastErr error
 	unchanged := false
-	for _, addr := range rotated(c.replicas, c.own) {
+	for _, addr := range c.from(c.own) {
 		reply, err := callOnce[CatalogueReply](ctx, c.pool, addr, MethodCatalogue, CatalogueRequest{Have: have})
 		if err != nil {
 			lastErr = err
@@ -205,9 +275,10 @@
 // Status asks every replica for its state; one that does not answer is shown
 // with its error.
 func (c *Client) Status(ctx context.Context) []ReplicaStatus {
-	out := make([]ReplicaStatus, len(c.replicas))
+	replicas := c.Replicas()
+	out := make([]ReplicaStatus, len(replicas))
 	var wg sync.WaitGroup
-	for i, addr := range c.replicas {
+	for i, addr := range replicas {
 		wg.Go(func() {
 			s, err := callOnce[ReplicaStatus](ctx, c.pool, addr, MethodStatus, StatusRequest{})
 			if err != nil {
@@ -229,13 +300,20 @@
 // order returns the replicas, the one that answered last first.
 func (c *Client) order() []string {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return rotated(c.replicas, c.last)
+	last := c.last
+	c.mu.Unlock()
+	return c.from(uint64(last))
 }
 
-// rotated returns the list begun at from.
-func rotated(list []string, from int) []string {
-	return append(slices.Clone(list[from:]), list[:from]...)
+// from returns the replicas whose address is known, begun at a place.
+func (c *Client) from(place uint64) []string {
+	replicas := c.Replicas()
+	if len(replicas) == 0 {
+		return nil
+	}
+	at := place % uint64(len(replicas))
+	turned := append(slices.Clone(replicas[at:]), replicas[:at]...)
+	return slices.DeleteFunc(turned, func(addr string) bool { return addr == "" })
 }
 
 func (c *Client) remember(addr string) {
--- a/control/config.go
+++ b/control/config.go
@@ -19,13 +19,20 @@
 	LinkListen    string
 	OperatorAddr  string
 	OpsAddr       string
-	Replicas      []string // "id=ip:port" of every control replica, this one included
+	Replicas      []string // "id=ip:port" of the replicas that found the group; without this one if it is added later
 	Entries       []string // link addresses of entries to meet first; may be empty
 	ClusterKey    string
 	OperatorKey   string
 	LogLevel      string
 	TickInterval  time.Duration
 	SnapshotEvery int
+	Cloud         string // address of the cloud API; empty: the fleet is not managed
+	CloudSite     string
+	CloudZones    []string // "zone=region/data-centre"
+	CloudClasses  []string // "class=tokens a second"
+	FleetEvery    time.Duration
+	WeightRate    int // megabytes a second; 0: servers are not ordered to load models
+	LoadRate      int // megabytes a second
 	MaxEntries    int // entries that may hold a part of the limits at a time
 }
 
@@ -38,12 +45,19 @@
 	s.String(&c.LinkListen, "link-listen", "127.0.0.1:7101", "address for links of other processes", settings.HostPort)
 	s.String(&c.OperatorAddr, "operator-listen", "127.0.0.1:7102", "address of the operators' API", settings.HostPort)
 	s.String(&c.OpsAddr, "ops-listen", "127.0.0.1:7103", "address of health, metrics and profiles", settings.HostPort)
-	s.Strings(&c.Replicas, "replicas", []string{"1=127.0.0.1:7101"}, "every control replica as id=ip:port", replicaList)
+	s.Strings(&c.Replicas, "replicas", []string{"1=127.0.0.1:7101"}, "the control replicas that found the group, as id=ip:port; one that is added later is not among them", replicaList)
 	s.Strings(&c.Entries, "entries", nil, "link addresses of some entries", settings.HostPorts)
 	s.Secret(&c.ClusterKey, "cluster-key", "key that the system's own processes share", settings.Required)
 	s.Secret(&c.OperatorKey, "operator-key", "bearer key of the operators", settings.Required)
 	s.String(&c.LogLevel, "log-level", "info", "debug, info, warn or error", settings.LogLevel)
 	s.Duration(&c.TickInterval, "tick", 10*time.Millisecond, "time unit of elections and heartbeats", settings.Between(time.Millisecond, time.Second))
+	s.String(&c.Cloud, "cloud", "", "address of the cloud API; without it, the fleet is not managed", settings.Optional(settings.HostPort))
+	s.String(&c.CloudSite, "cloud-site", "savoryreel", "begins the client tokens; differs between sites with one cloud account", settings.Required)
+	s.Strings(&c.CloudZones, "cloud-zones", nil, "zones of this region where instances may start, as zone=region/data-centre", zoneList)
+	s.Strings(&c.CloudClasses, "cloud-classes", nil, "machine classes and what each serves within the latency target, as class=tokens a second", classList)
+	s.Duration(&c.FleetEvery, "fleet-every", time.Minute, "time between two decisions on the fleet", settings.Between(time.Second, time.Hour))
+	s.Int(&c.WeightRate, "weight-rate", 0, "megabytes a second that the weight store delivers in all; 0: servers are not ordered to load models", settings.Between(0, 1_000_000))
+	s.Int(&c.LoadRate, "load-rate", 100, "least megabytes a second at which one model load is worth starting", settings.Between(1, 1_000_000))
 	s.Int(&c.MaxEntries, "max-entries", 16, "entries that share the workspaces' limits", settings.Between(1, 10_000))
 	s.Int(&c.SnapshotEvery, "snapshot-every", 10_000, "log entries between snapshots", settings.Between(10, 10_000_000))
 }
--- a/control/control.go
+++ b/control/control.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,7 +17,11 @@
 	"savoryreel.example/savoryreel/control/api"
 	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/fleet"
+	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/membership"
+	"savoryreel.example/savoryreel/platform"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/host"
 	"savoryreel.example/savoryreel/replica/storage"
@@ -33,6 +40,9 @@
 	service *service
 	leases  *limitLeases
 	folder  *storage.Log
+	members *membership.Node
+	cloud   *platform.CloudClient // nil: the fleet is not managed
+	fleet   *fleet.Manager
 }
 
 // Deps is what a Control works with.
@@ -48,7 +58,8 @@
 		return nil, trace.Wrap(err, "step=read replicas")
 	}
 	c := &Control{cfg: cfg, log: deps.Log, now: deps.Now, metrics: metrics.NewSet()}
-	c.machine = NewMachine(c.catalogueChanged)
+	book := newAddressBook(peers)
+	c.machine = NewMachine(c.catalogueChanged, book.learn)
 	traffic := link.NewTraffic(c.metrics)
 	c.pool = link.NewPool(link.PoolConfig{Self: c.peerInfo(), ClusterKey: []byte(cfg.ClusterKey)},
 		link.PoolDeps{Log: deps.Log, Traffic: traffic})
@@ -57,7 +68,7 @@
 		return nil, trace.Wrap(err, "step=open data folder")
 	}
 	c.host, err = host.New(c.hostConfig(peers), host.Deps{
-		Storage: c.folder, Transport: &transport{pool: c.pool, peers: peers}, Machine: c.machine,
+		Storage: c.folder, Transport: &transport{pool: c.pool, peers: book}, Machine: c.machine,
 		Logger: deps.Log, Now: deps.Now, Rand: rand.Int64N,
 	})
 	if err != nil {
@@ -65,16 +76,19 @@
 		_ = c.folder.Close() // the error of New counts
 		return nil, trace.Wrap(err, "step=start replica")
 	}
+	if err := errors.Join(c.join(), c.manage()); err != nil {
+		c.pool.Close()
+		_ = c.folder.Close() // the error of join or manage counts
+		return nil, trace.Wrap(err, "step=join")
+	}
 	c.leases = &limitLeases{leader: c.host, machine: c.machine, entries: cfg.MaxEntries, now: deps.Now}
-	c.service = &service{log: c.host, machine: c.machine, pool: c.pool, peers: peers, now: deps.Now}
+	c.service = &service{log: c.host, machine: c.machine, pool: c.pool, peers: book, now: deps.Now}
 	return c, nil
 }
 
 func (c *Control) hostConfig(peers map[uint64]string) host.Config {
 	cfg := host.Config{ID: uint64(c.cfg.ID), TickInterval: c.cfg.TickInterval, SnapshotEvery: uint64(c.cfg.SnapshotEvery)}
-	for id := range peers {
-		cfg.Voters = append(cfg.Voters, id)
-	}
+	cfg.Voters = slices.Sorted(maps.Keys(peers))
 	return cfg
 }
 
@@ -94,12 +108,12 @@
 // full queue or a dead link loses are sent again by the log itself.
 type transport struct {
 	pool  *link.Pool
-	peers map[uint64]string
+	peers *addressBook
 }
 
 // Send implements host.Transport.
 func (t *transport) Send(m replica.Message) {
-	if addr, known := t.peers[m.To]; known {
+	if addr, known := t.peers.address(m.To); known {
 		_ = link.Notify(t.pool, addr, api.MethodReplica, m) // lost messages are sent again
 	}
 }
@@ -135,10 +149,15 @@
 	srv := link.NewServer(link.ServerConfig{Self: c.peerInfo(), ClusterKey: []byte(c.cfg.ClusterKey)}, link.ServerDeps{Log: c.log})
 	c.service.register(srv)
 	link.Handle(srv, api.MethodLeases, c.leases.report)
+	c.members.Register(srv)
 	operatorsAPI := &operatorAPI{service: c.service, log: c.log, key: c.cfg.operatorKeyHash()}
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, c.runReplica)
 	daemon.Actor(g, c.watchLeader)
+	daemon.Actor(g, c.members.Run)
+	if c.fleet != nil {
+		daemon.Actor(g, c.runFleet)
+	}
 	daemon.Actor(g, func(actorCtx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -184,6 +203,7 @@
 // handOverLeadership moves the leadership elsewhere before this replica stops,
 // so that a planned stop costs no election.
 func (c *Control) handOverLeadership(ctx context.Context) {
+	c.members.SetSelf(func(m *instance.Member) { m.State = instance.StateLeaving })
 	st := c.host.Status()
 	if st.Role != replica.Leader {
 		return
