--- a/control/control.go
+++ b/control/control.go
@@ -36,6 +36,7 @@
 
 	machine *Machine
 	host    *host.Host
+	traffic *link.Traffic
 	pool    *link.Pool
 	service *service
 	leases  *limitLeases
@@ -60,9 +61,9 @@
 	c := &Control{cfg: cfg, log: deps.Log, now: deps.Now, metrics: metrics.NewSet()}
 	book := newAddressBook(peers)
 	c.machine = NewMachine(c.catalogueChanged, book.learn)
-	traffic := link.NewTraffic(c.metrics)
+	c.traffic = link.NewTraffic(c.metrics)
 	c.pool = link.NewPool(link.PoolConfig{Self: c.peerInfo(), ClusterKey: []byte(cfg.ClusterKey)},
-		link.PoolDeps{Log: deps.Log, Traffic: traffic})
+		link.PoolDeps{Log: deps.Log, Traffic: c.traffic})
 	if c.folder, err = storage.Open(storage.Config{Dir: cfg.DataDir, Replica: uint64(cfg.ID)}, storage.OS{}); err != nil {
 		c.pool.Close()
 		return nil, trace.Wrap(err, "step=open data folder")
@@ -146,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	srv := link.NewServer(link.ServerConfig{Self: c.peerInfo(), ClusterKey: []byte(c.cfg.ClusterKey)}, link.ServerDeps{Log: c.log})
+	srv := link.NewServer(link.ServerConfig{Self: c.peerInfo(), ClusterKey: []byte(c.cfg.ClusterKey)}, link.ServerDeps{Log: c.log, Traffic: c.traffic})
 	c.service.register(srv)
 	link.Handle(srv, api.MethodLeases, c.leases.report)
 	c.members.Register(srv)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,7 @@
 	ctx    context.Context // ends with the process, after the drain
 	cancel context.CancelFunc
 
+	traffic  *link.Traffic
 	pool     *link.Pool
 	members  *membership.Node
 	control  *api.Client
@@ -94,8 +95,9 @@
 		shares: newShares(), life: newLife(deps.Now), notices: make(chan time.Duration, 1),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.traffic = link.NewTraffic(set)
 	e.pool = link.NewPool(link.PoolConfig{Self: e.peerInfo(), ClusterKey: []byte(cfg.ClusterKey)},
-		link.PoolDeps{Log: deps.Log, Traffic: link.NewTraffic(set)})
+		link.PoolDeps{Log: deps.Log, Traffic: e.traffic})
 	e.control = api.NewClient(e.pool, cfg.Control, cfg.ID)
 	e.ledger = e.control
 	e.lanes = newLanes(laneSelf{zone: cfg.Zone, region: cfg.Region}, deps.Log, deps.Now)
@@ -168,7 +170,7 @@
 	if err != nil {
 		return err
 	}
-	srv := link.NewServer(link.ServerConfig{Self: e.peerInfo(), ClusterKey: []byte(e.cfg.ClusterKey)}, link.ServerDeps{Log: e.deps.Log})
+	srv := link.NewServer(link.ServerConfig{Self: e.peerInfo(), ClusterKey: []byte(e.cfg.ClusterKey)}, link.ServerDeps{Log: e.deps.Log, Traffic: e.traffic})
 	e.register(srv)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, e.members.Run)
