--- a/control/api/client.go
+++ b/control/api/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -31,6 +32,7 @@
 type Client struct {
 	pool    *link.Pool
 	founded []string // link addresses of the settings
+	own     uint64   // decides where this client begins to look for a newer catalogue
 
 	mu       sync.Mutex
 	replicas []string // link addresses of the voters, as last learnt; empty: not known
@@ -38,9 +40,14 @@
 }
 
 // NewClient returns a client that knows the replicas at these link addresses and
-// learns of later ones from them.
-func NewClient(pool *link.Pool, replicas []string) *Client {
-	return &Client{pool: pool, founded: slices.Clone(replicas), replicas: slices.Clone(replicas)}
+// learns of later ones from them. id names the instance that asks; it decides at
+// which replica it fetches a catalogue, so that not all instances fetch a change
+// from the same one.
+func NewClient(pool *link.Pool, replicas []string, id string) *Client {
+	return &Client{
+		pool: pool, founded: slices.Clone(replicas), replicas: slices.Clone(replicas),
+		own: xxhash.Sum64String(id),
+	}
 }
 
 // Replicas returns the link addresses of the control replicas.
@@ -119,10 +126,33 @@
 			answers <- &reply
 		}()
 	}
+	return collect(ctx, answers, len(replicas))
+}
+
+// confirmGrace is how long a confirmation waits for the rest of the replicas
+// once a majority has answered. The rest may name a newer index, which saves a
+// round; a frozen one would otherwise hold up each confirmation for the whole
+// timeout.
+const confirmGrace = 20 * time.Millisecond
+
+// collect gathers the answers of the replicas asked until all are in, or the
+// grace after a majority is over.
+func collect(ctx context.Context, answers <-chan *VersionReply, asked int) []VersionReply {
 	var out []VersionReply
-	for range replicas {
-		if reply := <-answers; reply != nil {
-			out = append(out, *reply)
+	var grace <-chan time.Time
+	for range asked {
+		select {
+		case reply := <-answers:
+			if reply != nil {
+				out = append(out, *reply)
+			}
+		case <-grace:
+			return out
+		case <-ctx.Done():
+			return out
+		}
+		if len(out) > asked/2 && grace == nil {
+			grace = time.After(confirmGrace)
 		}
 	}
 	return out
@@ -167,7 +197,9 @@
 func (c *Client) Catalogue(ctx context.Context, have uint64) (CatalogueReply, error) {
 	var lastErr error
 	unchanged := false
-	for _, addr := range c.order() {
+	replicas := known(c.Replicas())
+	begin := int(c.own % uint64(max(1, len(replicas))))
+	for _, addr := range rotated(replicas, begin) {
 		reply, err := callOnce[CatalogueReply](ctx, c.pool, addr, MethodCatalogue, CatalogueRequest{Have: have})
 		if err != nil {
 			lastErr = err
@@ -272,8 +304,17 @@
 func (c *Client) order() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := append(slices.Clone(c.replicas[c.last:]), c.replicas[:c.last]...)
-	return slices.DeleteFunc(known, func(addr string) bool { return addr == "" })
+	return known(rotated(c.replicas, c.last))
+}
+
+// known leaves out the addresses that are not known.
+func known(list []string) []string {
+	return slices.DeleteFunc(list, func(addr string) bool { return addr == "" })
+}
+
+// rotated returns a copy of the list begun at from.
+func rotated(list []string, from int) []string {
+	return append(slices.Clone(list[from:]), list[:from]...)
 }
 
 func (c *Client) remember(addr string) {
