control: a confirmation costs one number more, not the list of voters

The bound stays as it is.

Done: the answer carries a number that stands for the set, as an array; who sees another set than it asked asks for the voters. capacity calls NewMachine with its second callback.

Its comment named a third field as what breaks it, and names this now.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -33,7 +33,7 @@
 // the size to design for nobody notices until control's budget is gone. The
 // bounds are the measured bytes and a tenth; for the index's memory, which depends
 // on how full its map happens to be, more. Fails when admit.Demand gets one more
-// float, or when api.VersionReply gets a third field.
+// float, or when api.VersionReply goes out as a map with names.
 func TestBytesOfControlMessages(t *testing.T) {
 	bounds := []struct {
 		name  string
--- a/capacity/state.go
+++ b/capacity/state.go
@@ -87,7 +87,7 @@
 
 func ledgerCost(n int) ([]float64, error) {
 	before := memoryInUse()
-	m := control.NewMachine(nil)
+	m := control.NewMachine(nil, nil)
 	used := processorTime()
 	for i := range n {
 		if err := recordCall(m, i); err != nil {
@@ -103,7 +103,7 @@
 	}
 	took := time.Since(began)
 	began = time.Now()
-	if err := control.NewMachine(nil).Restore(snapshot); err != nil {
+	if err := control.NewMachine(nil, nil).Restore(snapshot); err != nil {
 		return nil, err
 	}
 	restore := time.Since(began)
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -12,6 +12,7 @@
 // Methods of a control replica's link server.
 const (
 	MethodVersion   = "control.version"
+	MethodVoters    = "control.voters"
 	MethodCatalogue = "control.catalogue"
 	MethodPropose   = "control.propose"
 	MethodStatus    = "control.status"
@@ -49,12 +50,24 @@
 // newest catalogue change, committed or not: an accepted change is in the log
 // of a majority, so among any majority one replica names its index or a later one.
 //
-// Members is the log index of the replica set that this replica has in force,
-// Voters are that set's voters, and Term is the term of the log's last entry:
-// who asks learns of a change of the set from any replica that has it.
+// Set is the SetOf the voters that this replica has in force: who asks learns of
+// a change of them from any replica that has it. It goes out as an array, since
+// every entry gets one of these from every replica each second.
 type VersionReply struct {
-	Replica string           `msgpack:"id"`
-	Index   uint64           `msgpack:"idx"`
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Replica string
+	Index   uint64
+	Set     uint64
+}
+
+// VotersRequest asks a replica for its voters.
+type VotersRequest struct{}
+
+// VotersReply names the voters that a replica has in force. Members is the log
+// index of that set and Term the term of the log's last entry.
+type VotersReply struct {
 	Term    uint64           `msgpack:"term"`
 	Members uint64           `msgpack:"mem"`
 	Voters  []ReplicaAddress `msgpack:"voters"`
--- a/control/api/client.go
+++ b/control/api/client.go
@@ -91,13 +91,17 @@
 	defer cancel()
 	asked := c.Replicas()
 	for range maxSets {
-		answers := c.versions(ctx, asked)
-		voters := newestVoters(answers)
+		answers := ask[VersionReply](ctx, c.pool, asked, MethodVersion, VersionRequest{})
+		if agreed(answers, SetOf(asked)) {
+			return confirmation(answers, len(asked))
+		}
+		sets := ask[VotersReply](ctx, c.pool, asked, MethodVoters, VotersRequest{})
+		voters := newestVoters(sets)
 		switch {
 		case len(voters) == 0:
 			c.adopt(slices.Clone(c.founded)) // all it knew are gone: back to the settings
 			return Confirmation{}, trace.Wrap(ErrNoMajority)
-		case sameReplicas(voters, asked):
+		case sameReplicas(voters, asked) && len(sets) > len(asked)/2:
 			return confirmation(answers, len(voters))
 		}
 		asked = voters
@@ -106,19 +110,24 @@
 	return Confirmation{}, trace.Wrap(ErrNoMajority)
 }
 
+// agreed reports whether all that answered have this set of voters.
+func agreed(answers []VersionReply, set uint64) bool {
+	return len(answers) > 0 && !slices.ContainsFunc(answers, func(a VersionReply) bool { return a.Set != set })
+}
+
 // maxSets bounds the replica sets that one confirmation follows.
 const maxSets = 8
 
-// versions asks the replicas and returns the answers that came.
-func (c *Client) versions(ctx context.Context, replicas []string) []VersionReply {
-	answers := make(chan *VersionReply, len(replicas))
+// ask asks the replicas the same and returns the answers that came.
+func ask[Resp any](ctx context.Context, p *link.Pool, replicas []string, method string, req any) []Resp {
+	answers := make(chan *Resp, len(replicas))
 	for _, addr := range replicas {
 		go func() {
 			if addr == "" {
 				answers <- nil // not known to the replica that named this voter
 				return
 			}
-			reply, err := link.Call[VersionReply](ctx, c.pool, addr, MethodVersion, VersionRequest{})
+			reply, err := link.Call[Resp](ctx, p, addr, method, req)
 			if err != nil {
 				answers <- nil
 				return
@@ -129,7 +138,7 @@
 	return collect(ctx, answers, len(replicas))
 }
 
-// confirmGrace is how long a confirmation waits for the rest of the replicas
+// confirmGrace is how long a question to all waits for the rest of the replicas
 // once a majority has answered. The rest may name a newer index, which saves a
 // round; a frozen one would otherwise hold up each confirmation for the whole
 // timeout.
@@ -137,8 +146,8 @@
 
 // collect gathers the answers of the replicas asked until all are in, or the
 // grace after a majority is over.
-func collect(ctx context.Context, answers <-chan *VersionReply, asked int) []VersionReply {
-	var out []VersionReply
+func collect[Resp any](ctx context.Context, answers <-chan *Resp, asked int) []Resp {
+	var out []Resp
 	var grace <-chan time.Time
 	for range asked {
 		select {
@@ -160,19 +169,15 @@
 
 // newestVoters returns the addresses of the latest set of voters that an answer
 // names; an address that is not known is empty.
-func newestVoters(answers []VersionReply) []string {
-	var newest VersionReply
+func newestVoters(answers []VotersReply) []string {
+	var newest VotersReply
 	for _, a := range answers {
 		later := cmp.Or(cmp.Compare(a.Term, newest.Term), cmp.Compare(a.Members, newest.Members)) > 0
 		if len(a.Voters) > 0 && (len(newest.Voters) == 0 || later) {
 			newest = a
 		}
 	}
-	out := make([]string, 0, len(newest.Voters))
-	for _, v := range newest.Voters {
-		out = append(out, v.Address)
-	}
-	return out
+	return AddressesOf(newest.Voters)
 }
 
 func sameReplicas(a, b []string) bool {
--- a/control/api/client_test.go
+++ b/control/api/client_test.go
@@ -13,11 +13,11 @@
 //
 // It breaks without Term in the comparison of newestVoters.
 func TestVotersOfTheNewestLogCount(t *testing.T) {
-	left := VersionReply{Term: 2, Members: 50, Voters: []ReplicaAddress{{1, "a"}, {2, "b"}, {3, "c"}, {4, "d"}}}
-	later := VersionReply{Term: 3, Members: 40, Voters: []ReplicaAddress{{1, "a"}, {2, "b"}, {3, "c"}}}
-	joining := VersionReply{Term: 9}
-	require.Equal(t, []string{"a", "b", "c"}, newestVoters([]VersionReply{left, later, joining}))
-	require.Equal(t, []string{"a", "b", "c"}, newestVoters([]VersionReply{joining, later, left}))
-	_, err := confirmation([]VersionReply{later}, 3)
+	left := VotersReply{Term: 2, Members: 50, Voters: []ReplicaAddress{{1, "a"}, {2, "b"}, {3, "c"}, {4, "d"}}}
+	later := VotersReply{Term: 3, Members: 40, Voters: []ReplicaAddress{{1, "a"}, {2, "b"}, {3, "c"}}}
+	joining := VotersReply{Term: 9}
+	require.Equal(t, []string{"a", "b", "c"}, newestVoters([]VotersReply{left, later, joining}))
+	require.Equal(t, []string{"a", "b", "c"}, newestVoters([]VotersReply{joining, later, left}))
+	_, err := confirmation([]VersionReply{{Index: 7}}, 3)
 	require.ErrorIs(t, err, ErrNoMajority)
 }
--- a/control/api/replica.go
+++ b/control/api/replica.go
@@ -1,5 +1,12 @@
 package api
 
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // MaxReplicas bounds the replicas whose addresses the state holds. A group has at
 // most seven, and one more for each replacement under way.
 const MaxReplicas = 16
@@ -44,3 +51,18 @@
 type ReplicaResult struct {
 	Refused string `msgpack:"refused"`
 }
+
+// SetOf returns a number for a set of voters, by their link addresses in any
+// order. It keeps the answers to an asker that knows the set short.
+func SetOf(addresses []string) uint64 {
+	return xxhash.Sum64String(strings.Join(slices.Sorted(slices.Values(addresses)), ","))
+}
+
+// AddressesOf lists the addresses of replicas.
+func AddressesOf(replicas []ReplicaAddress) []string {
+	out := make([]string, 0, len(replicas))
+	for _, r := range replicas {
+		out = append(out, r.Address)
+	}
+	return out
+}
--- a/control/replicas.go
+++ b/control/replicas.go
@@ -115,11 +115,15 @@
 
 // version says how far this replica's log goes and which voters it has in force.
 func (s *service) version(context.Context, link.PeerInfo, api.VersionRequest) (api.VersionReply, error) {
-	index, voters := s.log.LastIndexOf(uint8(api.KindCatalogue)), s.log.Voters()
-	return api.VersionReply{
-		Replica: s.self(), Index: index, Term: voters.Term,
-		Members: voters.Index, Voters: s.peers.members(voters.IDs),
-	}, nil
+	index := s.log.LastIndexOf(uint8(api.KindCatalogue))
+	members := s.peers.members(s.log.Voters().IDs)
+	return api.VersionReply{Replica: s.self(), Index: index, Set: api.SetOf(api.AddressesOf(members))}, nil
+}
+
+// voters names the voters that this replica has in force.
+func (s *service) voters(context.Context, link.PeerInfo, api.VotersRequest) (api.VotersReply, error) {
+	v := s.log.Voters()
+	return api.VotersReply{Term: v.Term, Members: v.Index, Voters: s.peers.members(v.IDs)}, nil
 }
 
 // checkChange refuses what makes no sense, whatever the state.
--- a/control/service.go
+++ b/control/service.go
@@ -51,6 +51,7 @@
 
 func (s *service) register(srv *link.Server) {
 	link.Handle(srv, api.MethodVersion, s.version)
+	link.Handle(srv, api.MethodVoters, s.voters)
 	link.Handle(srv, api.MethodCatalogue, s.catalogue)
 	link.Handle(srv, api.MethodPropose, s.propose)
 	link.Handle(srv, api.MethodStatus, s.status)
