--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,6 +72,7 @@
 	guard    *guard
 	holdings *holdings
 	moves    *evacuations
+	notes    *notes
 	shares   *shares
 	life     *life
 
@@ -89,7 +90,7 @@
 	e := &Entry{
 		cfg: cfg, deps: deps, incarnation: uint64(deps.Now().UnixMilli()),
 		announceKey: contract.HashKey(cfg.AnnounceKey),
-		metrics:     NewMetrics(set), registry: newRegistry(), onces: newOnces(),
+		metrics:     NewMetrics(set), registry: newRegistry(), onces: newOnces(), notes: &notes{ends: map[string]time.Time{}},
 		shares: newShares(), life: newLife(deps.Now), notices: make(chan time.Duration, 1),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
@@ -172,13 +173,13 @@
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, e.members.Run)
 	daemon.Actor(g, e.follower.run)
-	daemon.Actor(g, func(c context.Context) error { return e.lanes.tick(c, laneEvery) })
+	every(g, laneEvery, e.lanes.tick)
 	daemon.Actor(g, func(c context.Context) error { return e.admitter.leaseLoop(c, e.control) })
-	daemon.Actor(g, e.planLoop)
-	daemon.Actor(g, e.syncLoop)
-	daemon.Actor(g, e.guard.expireLoop)
-	daemon.Actor(g, e.holdings.loop)
-	daemon.Actor(g, e.sweepLoop)
+	every(g, planEvery, e.planNow)
+	every(g, syncEvery, e.syncServers)
+	every(g, expireEvery, e.guard.expire)
+	every(g, holdingsEvery, e.holdings.exchange)
+	every(g, sweepEvery, e.housekeep)
 	daemon.Actor(g, e.awaitNotice)
 	daemon.Actor(g, func(actorCtx context.Context) error {
 		select {
@@ -193,6 +194,11 @@
 	return nil
 }
 
+// every adds an actor that calls fn once a period.
+func every(g *run.Group, period time.Duration, fn func()) {
+	daemon.Actor(g, func(ctx context.Context) error { return daemon.Every(ctx, period, fn) })
+}
+
 func (e *Entry) register(srv *link.Server) {
 	e.members.Register(srv)
 	e.follower.register(srv)
@@ -242,19 +248,10 @@
 	e.tellVersion(c.reply.Version)
 }
 
-// planLoop applies planned stops as they begin.
-func (e *Entry) planLoop(ctx context.Context) error {
-	tick := time.NewTicker(planEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		if c := e.follower.current.Load(); c != nil {
-			e.plan(c)
-		}
+// planNow applies planned stops as they begin.
+func (e *Entry) planNow() {
+	if c := e.follower.current.Load(); c != nil {
+		e.plan(c)
 	}
 }
 
@@ -262,28 +259,20 @@
 // entry itself.
 func (e *Entry) plan(c *catalogue) {
 	now := e.deps.Now()
-	e.lanes.plan(func(id, zone string) bool { return c.covered(id, zone, now) })
+	e.lanes.plan(func(id, zone string) bool { return c.covered(id, zone, now) || e.notes.covers(id, now) })
 	e.planSelf(c.covered(e.cfg.ID, e.cfg.Zone, now))
 }
 
-// sweepLoop forgets answers that nobody comes back for.
-func (e *Entry) sweepLoop(ctx context.Context) error {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		e.sweep()
-		e.tellLoad()
-		for _, l := range e.lanes.all() {
-			l.logSlow()
-		}
+// housekeep does what is due each second.
+func (e *Entry) housekeep() {
+	e.sweep()
+	e.tellLoad()
+	for _, l := range e.lanes.all() {
+		l.logSlow()
 	}
 }
 
+// sweep forgets answers that nobody comes back for.
 func (e *Entry) sweep() {
 	now := e.deps.Now()
 	for _, w := range e.registry.all() {
@@ -296,17 +285,6 @@
 	}
 }
 
-// syncLoop takes the backend servers' loads from the membership, which reports
+// syncServers takes the backend servers' loads from the membership, which reports
 // changes of state as events but not those of load alone.
-func (e *Entry) syncLoop(ctx context.Context) error {
-	tick := time.NewTicker(syncEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		e.lanes.sync(e.members.View().AllServers())
-	}
-}
+func (e *Entry) syncServers() { e.lanes.sync(e.members.View().AllServers()) }
