--- a/control/api/client.go
+++ b/control/api/client.go
@@ -45,7 +45,8 @@
 // from the same one.
 func NewClient(pool *link.Pool, replicas []string, id string) *Client {
 	return &Client{
-		pool: pool, founded: slices.Clone(replicas), replicas: slices.Clone(replicas), own: xxhash.Sum64String(id),
+		pool: pool, founded: slices.Clone(replicas), replicas: slices.Clone(replicas),
+		own: xxhash.Sum64String(id),
 	}
 }
 
@@ -72,7 +73,7 @@
 }
 
 // Confirm asks every voter for the index of its newest catalogue change and
-// returns once a majority has answered and the rest has had a short grace.
+// returns once all have answered or their time is over.
 //
 // A change counts as accepted once it is in the logs of a majority. Any
 // majority of answers shares a replica with that one, so the smallest index
@@ -90,13 +91,17 @@
 	defer cancel()
 	asked := c.Replicas()
 	for range maxSets {
-		answers := c.versions(ctx, asked)
-		voters := newestVoters(answers)
+		answers := ask[VersionReply](ctx, c.pool, asked, MethodVersion, VersionRequest{})
+		if agreed(answers, SetOf(asked)) {
+			return confirmation(answers, len(asked))
+		}
+		sets := ask[VotersReply](ctx, c.pool, asked, MethodVoters, VotersRequest{})
+		voters := newestVoters(sets)
 		switch {
 		case len(voters) == 0:
 			c.adopt(slices.Clone(c.founded)) // all it knew are gone: back to the settings
 			return Confirmation{}, trace.Wrap(ErrNoMajority)
-		case sameReplicas(voters, asked):
+		case sameReplicas(voters, asked) && len(sets) > len(asked)/2:
 			return confirmation(answers, len(voters))
 		}
 		asked = voters
@@ -105,19 +110,24 @@
 	return Confirmation{}, trace.Wrap(ErrNoMajority)
 }
 
+// agreed reports whether all that answered have this set of voters.
+func agreed(answers []VersionReply, set uint64) bool {
+	return len(answers) > 0 && !slices.ContainsFunc(answers, func(a VersionReply) bool { return a.Set != set })
+}
+
 // maxSets bounds the replica sets that one confirmation follows.
 const maxSets = 8
 
-// versions asks the replicas and returns the answers that came.
-func (c *Client) versions(ctx context.Context, replicas []string) []VersionReply {
-	answers := make(chan *VersionReply, len(replicas))
+// ask asks the replicas the same and returns the answers that came.
+func ask[Resp any](ctx context.Context, p *link.Pool, replicas []string, method string, req any) []Resp {
+	answers := make(chan *Resp, len(replicas))
 	for _, addr := range replicas {
 		go func() {
 			if addr == "" {
 				answers <- nil // not known to the replica that named this voter
 				return
 			}
-			reply, err := link.Call[VersionReply](ctx, c.pool, addr, MethodVersion, VersionRequest{})
+			reply, err := link.Call[Resp](ctx, p, addr, method, req)
 			if err != nil {
 				answers <- nil
 				return
@@ -128,18 +138,18 @@
 	return collect(ctx, answers, len(replicas))
 }
 
-// confirmGrace is how long a confirmation waits for the rest of the replicas
+// confirmGrace is how long a question to all waits for the rest of the replicas
 // once a majority has answered. The rest may name a newer index, which saves a
 // round; a frozen one would otherwise hold up each confirmation for the whole
 // timeout.
 const confirmGrace = 20 * time.Millisecond
 
-// collect gathers the answers of so many replicas until all are in, or the grace
-// after a majority is over. A nil answer counts for nothing.
-func collect(ctx context.Context, answers <-chan *VersionReply, replicas int) []VersionReply {
-	var out []VersionReply
+// collect gathers the answers of the replicas asked until all are in, or the
+// grace after a majority is over.
+func collect[Resp any](ctx context.Context, answers <-chan *Resp, asked int) []Resp {
+	var out []Resp
 	var grace <-chan time.Time
-	for range replicas {
+	for range asked {
 		select {
 		case reply := <-answers:
 			if reply != nil {
@@ -150,7 +160,7 @@
 		case <-ctx.Done():
 			return out
 		}
-		if len(out) > replicas/2 && grace == nil {
+		if len(out) > asked/2 && grace == nil {
 			grace = time.After(confirmGrace)
 		}
 	}
@@ -159,19 +169,15 @@
 
 // newestVoters returns the addresses of the latest set of voters that an answer
 // names; an address that is not known is empty.
-func newestVoters(answers []VersionReply) []string {
-	var newest VersionReply
+func newestVoters(answers []VotersReply) []string {
+	var newest VotersReply
 	for _, a := range answers {
 		later := cmp.Or(cmp.Compare(a.Term, newest.Term), cmp.Compare(a.Members, newest.Members)) > 0
 		if len(a.Voters) > 0 && (len(newest.Voters) == 0 || later) {
 			newest = a
 		}
 	}
-	out := make([]string, 0, len(newest.Voters))
-	for _, v := range newest.Voters {
-		out = append(out, v.Address)
-	}
-	return out
+	return AddressesOf(newest.Voters)
 }
 
 func sameReplicas(a, b []string) bool {
@@ -196,7 +202,9 @@
 func (c *Client) Catalogue(ctx context.Context, have uint64) (CatalogueReply, error) {
 	var lastErr error
 	unchanged := false
-	for _, addr := range c.from(c.own) {
+	replicas := known(c.Replicas())
+	begin := int(c.own % uint64(max(1, len(replicas))))
+	for _, addr := range rotated(replicas, begin) {
 		reply, err := callOnce[CatalogueReply](ctx, c.pool, addr, MethodCatalogue, CatalogueRequest{Have: have})
 		if err != nil {
 			lastErr = err
@@ -300,20 +308,18 @@
 // order returns the replicas, the one that answered last first.
 func (c *Client) order() []string {
 	c.mu.Lock()
-	last := c.last
-	c.mu.Unlock()
-	return c.from(uint64(last))
+	defer c.mu.Unlock()
+	return known(rotated(c.replicas, c.last))
 }
 
-// from returns the replicas whose address is known, begun at a place.
-func (c *Client) from(place uint64) []string {
-	replicas := c.Replicas()
-	if len(replicas) == 0 {
-		return nil
-	}
-	at := place % uint64(len(replicas))
-	turned := append(slices.Clone(replicas[at:]), replicas[:at]...)
-	return slices.DeleteFunc(turned, func(addr string) bool { return addr == "" })
+// known leaves out the addresses that are not known.
+func known(list []string) []string {
+	return slices.DeleteFunc(list, func(addr string) bool { return addr == "" })
+}
+
+// rotated returns a copy of the list begun at from.
+func rotated(list []string, from int) []string {
+	return append(slices.Clone(list[from:]), list[:from]...)
 }
 
 func (c *Client) remember(addr string) {
