--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -127,7 +127,7 @@
 		return end, err
 	}
 	r.lost(ctx, w, g, err)
-	w.ticket.route.Exclude = append(w.ticket.route.Exclude, g.verdict.Server)
+	w.ticket.failed = append(w.ticket.failed, g.verdict.Server)
 	return end, err
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -289,4 +289,7 @@
 
 // syncServers takes the backend servers' loads from the membership, which reports
 // changes of state as events but not those of load alone.
-func (e *Entry) syncServers() { e.lanes.sync(e.members.View().AllServers()) }
+func (e *Entry) syncServers() {
+	e.lanes.sync(e.members.View().AllServers())
+	e.guard.avoided()
+}
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -83,6 +83,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
+	t.route.Exclude = nil
 	v := l.router.ChooseServer(&t.route, to.ID)
 	if !v.OK() || v.Incarnation != to.Incarnation {
 		return nil, false
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -41,6 +41,7 @@
 
 	mu    sync.Mutex
 	set   *quarantine.Set
+	told  uint64                       // version of set of which the lanes know the servers to avoid
 	stale bool                         // an entry or a server came or went since views were built
 	views map[laneKey]*quarantine.View // who owns what, of each pool: a trial needs a server that can run the request
 	seen  map[string]sighting          // backend servers by id
@@ -183,6 +184,25 @@
 	}
 }
 
+// avoided tells the lanes which servers run a suspect now. It looks at every
+// record, so only when one has changed.
+func (q *guard) avoided() {
+	q.mu.Lock()
+	if q.set.Version() == q.told {
+		q.mu.Unlock()
+		return
+	}
+	q.told = q.set.Version()
+	var servers []string
+	for _, s := range q.set.OnTrial(q.now()) {
+		servers = append(servers, s.ID)
+	}
+	q.mu.Unlock()
+	for _, l := range q.entry.lanes.all() {
+		l.setAvoid(servers)
+	}
+}
+
 // expire forgets what is older than the quarantine keeps.
 func (q *guard) expire() {
 	q.mu.Lock()
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -48,6 +49,7 @@
 	slow    map[string]bool // servers that are eased off, as last logged
 	held    map[string]int  // slots by workspace
 
+	avoid     []string       // servers on which a suspect is tried: what crashes them would take new work along
 	elsewhere map[string]int // slots by workspace at other entries, as last heard
 	tickets   map[string]*ticket
 	entries   int // how many entries share the servers
@@ -69,6 +71,7 @@
 	request  *request.Request
 	lane     *lane
 	route    route.Request
+	failed   []string // servers that failed this request
 	weight   int
 	decision chan decision // receives exactly one
 }
@@ -235,7 +238,7 @@
 			return v.Eligibility()
 		}
 		t := l.tickets[it.ID]
-		t.route.Now, t.route.Seed = now, rand.Uint64()
+		t.route.Now, t.route.Seed, t.route.Exclude = now, rand.Uint64(), l.exclusions(t)
 		if chosen = l.router.Choose(&t.route); !chosen.OK() {
 			return queue.Waits
 		}
@@ -251,6 +254,25 @@
 	return true
 }
 
+// exclusions lists the servers that a request is not sent to.
+func (l *lane) exclusions(t *ticket) []string {
+	switch {
+	case len(t.failed) == 0:
+		return l.avoid
+	case len(l.avoid) == 0:
+		return t.failed
+	default:
+		return slices.Concat(t.failed, l.avoid)
+	}
+}
+
+// setAvoid tells the lane which servers get no new work while a suspect runs there.
+func (l *lane) setAvoid(servers []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.avoid = servers
+}
+
 // grant counts a start on the verdict's server.
 func (l *lane) grant(v *route.Verdict, item *queue.Item, now time.Time) *grant {
 	l.starter.Started(now, item)
@@ -266,9 +288,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t.route.Now, t.route.Seed, t.route.NoProbe = now, rand.Uint64(), true
+	t.route.Exclude = l.exclusions(t)
 	v := l.router.Choose(&t.route)
 	if !v.OK() && v.Reason == route.ReasonAllExcluded {
-		t.route.Exclude = nil // better a server that failed once than none
+		t.failed, t.route.Exclude = nil, l.avoid // better a server that failed once than none
 		v = l.router.Choose(&t.route)
 	}
 	if !v.OK() {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -207,7 +207,7 @@
 	case <-c.ctx.Done():
 		return nil, failed
 	}
-	c.ticket.route.Exclude = append(c.ticket.route.Exclude, g.verdict.Server)
+	c.ticket.failed = append(c.ticket.failed, g.verdict.Server)
 	next, ok := c.ticket.lane.again(c.ticket)
 	if !ok {
 		return nil, failed
--- a/policy/quarantine/quarantine_test.go
+++ b/policy/quarantine/quarantine_test.go
@@ -36,6 +36,7 @@
 func newFleet(entries, servers int, ask bool) *fleet {
 	f := &fleet{now: epoch, life: make([]uint64, servers), lost: map[Server]bool{}, blamed: map[uint64]bool{}}
 	cfg := DefaultConfig()
+	cfg.Settle = 0 // the bound must hold without it; TestTrialWaitsForTheNews is about it
 	cfg.AskOwner = ask
 	for i := range entries {
 		set, err := New(cfg)
@@ -248,6 +249,33 @@
 	require.Equal(t, ReasonTrial, f.send(1, fingerprint, 3, true).Reason)
 }
 
+// A server crashes with a bystander on it, and the guilty request runs on a second
+// server at the same time, of which the bystander's owner has not heard yet. Tried
+// at once, the bystander could be put beside it and be blamed for both crashes,
+// and its caller would be refused for an hour. Breaks without lastCrash in
+// grantTrial.
+func TestTrialWaitsForTheNews(t *testing.T) {
+	cfg := DefaultConfig()
+	set, err := New(cfg)
+	require.NoError(t, err)
+	first, second := Server{"a", 1}, Server{"b", 1}
+	view := NewView("entry", []string{"entry"}, []Server{second})
+	now := time.Unix(1000, 0)
+	ask := Ask{Now: now, Fingerprint: 9, Server: first, View: view}
+	set.Start(9, set.Admit(ask))
+	require.Len(t, set.Crashed(first, now), 1)
+	require.Equal(t, ReasonSettling, set.Admit(ask).Reason)
+	guilty := Record{Fingerprint: poison, Exposures: []Exposure{
+		{Server: first, Grant: 1, State: StateCrashed, At: now}, {Server: second, Grant: 2, State: StateTrial, At: now},
+	}}
+	set.Merge(guilty, now.Add(cfg.Settle/2))
+	ask.Now = now.Add(cfg.Settle)
+	require.Equal(t, ReasonNoFreeServer, set.Admit(ask).Reason)
+	guilty.Exposures[1].State = StateCrashed
+	set.Merge(guilty, ask.Now)
+	require.Equal(t, ReasonTrial, set.Admit(ask).Reason)
+}
+
 // Records reach the entries in different orders, some twice. All entries must
 // end with the same record, or a request refused at one would run at another.
 func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
--- a/policy/quarantine/record.go
+++ b/policy/quarantine/record.go
@@ -133,6 +133,17 @@
 	return found
 }
 
+// lastCrash is when a server last crashed under the fingerprint; zero: never.
+func (r *Record) lastCrash() time.Time {
+	var last time.Time
+	for _, e := range r.Exposures {
+		if e.State == StateCrashed && e.At.After(last) {
+			last = e.At
+		}
+	}
+	return last
+}
+
 // good reports whether a run has finished and nothing speaks against it since.
 func (r *Record) good(cfg *Config, now time.Time) bool {
 	return !r.Suspect(cfg, now) && len(r.servers(StateCleared, cfg.Keep, now)) > 0
--- a/policy/quarantine/set.go
+++ b/policy/quarantine/set.go
@@ -90,6 +90,9 @@
 	if len(record.running(&s.cfg, ask.Now)) > 0 {
 		return Verdict{Action: ActionWait, Reason: ReasonOnTrial}
 	}
+	if ask.Now.Sub(record.lastCrash()) < s.cfg.Settle {
+		return Verdict{Action: ActionWait, Reason: ReasonSettling}
+	}
 	taken := s.OnTrial(ask.Now)
 	var best Server
 	top := uint64(0)
--- a/policy/quarantine/verdict.go
+++ b/policy/quarantine/verdict.go
@@ -53,6 +53,7 @@
 	ReasonNotOwner                   // pass
 	ReasonNoOwner                    // wait: the owner cannot be asked, or there is none
 	ReasonOnTrial                    // wait: another run of the fingerprint is open
+	ReasonSettling                   // wait: the crash is too recent for all to have heard of it
 	ReasonNoFreeServer               // wait: the owner's servers all run suspects
 	ReasonQuarantined                // refuse: it crashed two servers
 )
@@ -61,7 +62,7 @@
 func (r Reason) String() string {
 	names := [...]string{
 		"no_suspicion", "known_good", "first_runs", "together", "trial",
-		"not_owner", "no_owner", "on_trial", "no_free_server", "quarantined",
+		"not_owner", "no_owner", "on_trial", "settling", "no_free_server", "quarantined",
 	}
 	if int(r) < len(names) {
 		return names[r]
