control/api: tests of confirmations

A confirmation decides whether an entry may serve by its catalogue. Processes cannot show every majority of answers, so a property over a model of the replicas' logs does. The grace is measured in virtual time.

Tried once each, and seen to fail: Needed taken as the lowest and as the highest index, no grace in collect, no majority check in confirmation.

--- /dev/null
+++ b/control/api/client_test.go
@@ -0,0 +1,129 @@
+package api
+
+import (
+	"context"
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests, so that every run gives the
+// same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("20261202"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// replicaLogs is a small model of the control replicas: for each, the index of
+// the newest catalogue change in its log.
+type replicaLogs struct {
+	newest   []uint64
+	accepted uint64 // the newest change that is in the logs of a majority
+}
+
+func drawLogs(t *rapid.T) replicaLogs {
+	n := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "replicas")
+	m := replicaLogs{newest: make([]uint64, n)}
+	for index := range uint64(rapid.IntRange(0, 12).Draw(t, "changes")) {
+		holders := rapid.SliceOfNDistinct(rapid.IntRange(0, n-1), 1, n, rapid.ID[int]).Draw(t, "holders")
+		for _, r := range holders {
+			m.newest[r] = index + 1
+		}
+		if len(holders) > n/2 {
+			m.accepted = index + 1
+		}
+	}
+	return m
+}
+
+// An operator cuts a workspace off, and the change is accepted by a majority of
+// which an entry reaches only a part. If the entry takes its old catalogue for
+// confirmed, it goes on serving the workspace. Whatever majority answers, the
+// confirmation must ask for at least the newest accepted change. Broken by
+// taking indexes[0] in confirmation.
+func TestConfirmationCoversEveryAcceptedChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawLogs(t)
+		n := len(m.newest)
+		answered := rapid.SliceOfNDistinct(rapid.IntRange(0, n-1), 0, n, rapid.ID[int]).Draw(t, "answered")
+		var indexes []uint64
+		for _, r := range answered {
+			indexes = append(indexes, m.newest[r])
+		}
+		c, err := confirmation(slices.Clone(indexes), n)
+		if len(answered) <= n/2 {
+			require.ErrorIs(t, err, ErrNoMajority)
+			return
+		}
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, c.Needed, m.accepted)
+		require.Equal(t, slices.Max(indexes), c.Newest)
+	})
+}
+
+// A leader that was cut off has appended a change that nobody else has. Its
+// answer alone must not make every entry's catalogue stale: they would refuse
+// all requests until the network heals. Broken by taking the highest index in
+// confirmation.
+func TestConfirmationPassesOverACutOffLeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 5}).Draw(t, "replicas")
+		current := rapid.Uint64Range(1, 100).Draw(t, "current")
+		indexes := make([]uint64, rapid.IntRange(n/2+2, n).Draw(t, "answers"))
+		for i := range indexes {
+			indexes[i] = rapid.Uint64Range(0, current).Draw(t, "index")
+		}
+		indexes[rapid.IntRange(0, len(indexes)-1).Draw(t, "old leader")] = current + 1
+		c, err := confirmation(indexes, n)
+		require.NoError(t, err)
+		require.LessOrEqual(t, c.Needed, current)
+	})
+}
+
+// One control replica's process is frozen and its connection stays open. Each
+// confirmation would wait for it until the call times out, and the catalogue of
+// every entry would near the end of its freshness. Broken by removing the grace
+// in collect.
+func TestCollectLeavesASilentReplicaBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClient(nil, []string{"a", "b", "c"}, "entry-1")
+		answers := make(chan *VersionReply, 3)
+		answers <- &VersionReply{Index: 4}
+		answers <- &VersionReply{Index: 7}
+		ctx, cancel := context.WithTimeout(t.Context(), attemptTimeout)
+		defer cancel()
+		began := time.Now()
+		require.Equal(t, []uint64{4, 7}, c.collect(ctx, answers))
+		require.Equal(t, confirmGrace, time.Since(began))
+	})
+}
+
+// Two of three replicas fail at once. The one answer left must not pass for a
+// majority, and the question ends as soon as all are in or its time is over.
+// Broken by the majority check in confirmation.
+func TestCollectWithoutAMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClient(nil, []string{"a", "b", "c"}, "entry-1")
+		answers := make(chan *VersionReply, 3)
+		answers <- nil
+		answers <- &VersionReply{Index: 7}
+		ctx, cancel := context.WithTimeout(t.Context(), attemptTimeout)
+		defer cancel()
+		began := time.Now()
+		indexes := c.collect(ctx, answers)
+		require.Equal(t, attemptTimeout, time.Since(began))
+		_, err := confirmation(indexes, 3)
+		require.ErrorIs(t, err, ErrNoMajority)
+	})
+}
