entry: a catalogue is never paired with a newer one's confirmation

inForce loaded the catalogue before it looked at the freshness, and describe before it took the lock. A poll in between that took a newer catalogue and its confirmation made them give the old catalogue under the new confirmation: one request of a workspace just cut off was served here, and a peer that asked kept its old catalogue in force for up to freshFor more. Both now load afterwards; the index never falls, so what is loaded reaches what was confirmed.

--- a/entry/catalogue.go
+++ b/entry/catalogue.go
@@ -137,9 +137,9 @@
 }
 
 func (f *follower) describe() confirmedReply {
-	c := f.current.Load()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	c := f.current.Load() // not before the lock: a poll in between would put its confirmation beside the old index
 	if c == nil || f.confirmed.IsZero() {
 		return confirmedReply{}
 	}
@@ -246,11 +246,10 @@
 
 // inForce returns the catalogue by which new requests may be judged, or nil.
 func (f *follower) inForce() *catalogue {
-	c := f.current.Load()
-	if c == nil || !(f.lax || f.isFresh()) {
+	if !(f.lax || f.isFresh()) {
 		return nil
 	}
-	return c
+	return f.current.Load() // not before isFresh: a poll in between would confirm a newer one than was loaded
 }
 
 func (f *follower) report(ctx context.Context) {
