entry: tests of the catalogue's follower

A property over random accepts, polls, delays, losses and frozen spells on an injected clock: a catalogue in force at t lacks no change accepted before t - freshFor. A peer's word keeps its age over a real link.

Tried once each, and seen to fail: asked taken after the answer, no index check in confirm, none in take, no age in pollPeers.

--- /dev/null
+++ b/entry/catalogue_test.go
@@ -0,0 +1,217 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/link"
+)
+
+// testFreshFor is how long a confirmation holds in these tests.
+const testFreshFor = 4 * time.Second
+
+// testClock is a clock that moves only when told to.
+type testClock struct{ at time.Time }
+
+func newTestClock() *testClock { return &testClock{at: time.Unix(1_800_000_000, 0)} }
+
+func (c *testClock) now() time.Time           { return c.at }
+func (c *testClock) advance(by time.Duration) { c.at = c.at.Add(by) }
+
+// fakeControl is control as an entry sees it. accepted holds when each change
+// was accepted; change i+1 has index i+1.
+type fakeControl struct {
+	clock    *testClock
+	t        *rapid.T
+	accepted []time.Time
+}
+
+var errLost = errors.New("answer lost")
+
+func (c *fakeControl) pause(label string) {
+	c.clock.advance(time.Duration(rapid.SampledFrom([]int{0, 0, 1, 30, 900, 3900, 9000}).Draw(c.t, label)) * time.Millisecond)
+}
+
+// accept takes n changes now.
+func (c *fakeControl) accept(n int) {
+	for range n {
+		c.accepted = append(c.accepted, c.clock.at)
+	}
+}
+
+// Confirm names at least what was accepted when it was asked; replicas may have
+// more in their logs. The way there and back takes time, in which changes are accepted.
+func (c *fakeControl) Confirm(context.Context) (api.Confirmation, error) {
+	c.pause("way there")
+	needed := uint64(len(c.accepted))
+	c.accept(rapid.IntRange(0, 2).Draw(c.t, "accepted meanwhile"))
+	c.pause("way back")
+	if rapid.IntRange(0, 4).Draw(c.t, "confirmation lost") == 0 {
+		return api.Confirmation{}, errLost
+	}
+	return api.Confirmation{Needed: needed, Newest: needed + uint64(rapid.IntRange(0, 1).Draw(c.t, "uncommitted"))}, nil
+}
+
+// Catalogue answers as a replica that may lag behind.
+func (c *fakeControl) Catalogue(_ context.Context, have uint64) (api.CatalogueReply, error) {
+	c.pause("fetch")
+	if rapid.IntRange(0, 4).Draw(c.t, "catalogue lost") == 0 {
+		return api.CatalogueReply{}, errLost
+	}
+	index := uint64(rapid.IntRange(0, len(c.accepted)).Draw(c.t, "replica's index"))
+	return api.CatalogueReply{Index: index, Unchanged: index == have}, nil
+}
+
+func newTestFollower(c controlClient, now func() time.Time) *follower {
+	return &follower{
+		control: c, log: slog.New(slog.DiscardHandler), now: now, freshFor: testFreshFor,
+		peers: func() []string { return nil }, onChange: func(*catalogue) {},
+	}
+}
+
+// An operator's change is accepted while this entry's answers are late, lost or
+// old, or its process is frozen for a while. Callers of a workspace that was cut
+// off would still be served. Whenever a catalogue is in force at t, every change
+// accepted before t - freshFor is in it, and its index never falls. Broken by
+// taking asked after the answer in pollControl, by removing the index check in
+// confirm, and by removing the one in take.
+func TestCatalogueInForceLacksNoOldChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := newTestClock()
+		control := &fakeControl{clock: clock, t: t}
+		f := newTestFollower(control, clock.now)
+		last := uint64(0)
+		check := func() {
+			require.GreaterOrEqual(t, f.index(), last)
+			last = f.index()
+			c := f.inForce()
+			if c == nil {
+				return
+			}
+			for i, at := range control.accepted {
+				if at.Before(clock.at.Add(-testFreshFor)) {
+					require.GreaterOrEqual(t, c.reply.Index, uint64(i+1))
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":       func(*rapid.T) { check() },
+			"accept": func(*rapid.T) { control.accept(1) },
+			"poll":   func(*rapid.T) { f.poll(t.Context()) },
+			"freeze": func(*rapid.T) { control.pause("frozen") },
+		})
+	})
+}
+
+// serveFollower answers other entries' questions for f until the test ends, and
+// returns its link address.
+func serveFollower(t *testing.T, f *follower) string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	srv := link.NewServer(link.ServerConfig{Self: link.PeerInfo{ID: "peer", Role: "entry"}, ClusterKey: []byte("k")}, link.ServerDeps{Log: f.log})
+	f.register(srv)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = srv.Serve(ctx, listener)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return listener.Addr().String()
+}
+
+// refusingControl is control that this entry cannot reach.
+type refusingControl struct{ controlClient }
+
+func (refusingControl) Confirm(context.Context) (api.Confirmation, error) {
+	return api.Confirmation{}, errLost
+}
+
+// This entry cannot reach control, and another entry that can tells what it has
+// confirmed, on a clock that differs by an hour. Its word is as old as its own
+// confirmation; taken as fresh, the two could keep each other serving by an old
+// catalogue for good. Broken by leaving out Add(-reply.Age) in pollPeers.
+func TestPeersConfirmationsKeepTheirAge(t *testing.T) {
+	far, clock := newTestClock(), newTestClock()
+	far.advance(time.Hour)
+	peer, own := newTestFollower(nil, far.now), newTestFollower(refusingControl{}, clock.now)
+	peer.take(t.Context(), api.CatalogueReply{Index: 3})
+	peer.confirm(3, far.at.Add(-3*time.Second))
+	own.pool = link.NewPool(link.PoolConfig{Self: link.PeerInfo{ID: "own", Role: "entry"}, ClusterKey: []byte("k")}, link.PoolDeps{Log: own.log})
+	t.Cleanup(own.pool.Close)
+	addr := serveFollower(t, peer)
+	own.peers = func() []string { return []string{addr} }
+
+	own.poll(t.Context())
+	require.NotNil(t, own.inForce())
+	require.Equal(t, uint64(3), own.index())
+	clock.advance(time.Second + 1)
+	require.Nil(t, own.inForce(), "the peer's confirmation is older than freshFor now")
+}
+
+// awaitLock returns once a goroutine waits for a lock within the function of
+// this name.
+func awaitLock(t *testing.T, function string) {
+	t.Helper()
+	buf := make([]byte, 1<<20)
+	require.Eventually(t, func() bool {
+		for _, g := range strings.Split(string(buf[:runtime.Stack(buf, true)]), "\n\n") {
+			if strings.Contains(g, "sync.Mutex.Lock") && strings.Contains(g, function) {
+				return true
+			}
+		}
+		return false
+	}, 10*time.Second, time.Millisecond)
+}
+
+// replaceWhileLocked runs ask while its follower is in the middle of a poll that
+// brings catalogue 2 and its confirmation after a long time without any.
+func replaceWhileLocked[T any](t *testing.T, f *follower, function string, ask func() T) T {
+	t.Helper()
+	f.mu.Lock()
+	answer := make(chan T, 1)
+	go func() { answer <- ask() }()
+	awaitLock(t, function)
+	f.current.Store(newCatalogue(api.CatalogueReply{Index: 2}))
+	f.confirmed = f.now()
+	f.mu.Unlock()
+	return <-answer
+}
+
+// An entry was cut off for long, and its first poll afterwards brings the
+// catalogue in which a workspace is cut off. A request that arrives in the same
+// moment must be judged by that one or refused, never by the old catalogue under
+// the new confirmation. Broken by loading the catalogue before the freshness is
+// looked at in inForce.
+func TestInForcePairsCatalogueAndConfirmation(t *testing.T) {
+	clock := newTestClock()
+	f := newTestFollower(nil, clock.now)
+	f.take(t.Context(), api.CatalogueReply{Index: 1})
+	c := replaceWhileLocked(t, f, "(*follower).inForce", f.inForce)
+	require.NotNil(t, c)
+	require.Equal(t, uint64(2), c.reply.Index)
+}
+
+// Another entry asks this one in the moment in which it takes a new catalogue.
+// The answer must not pair the old index with the new confirmation: the other
+// entry would keep its old catalogue in force by it. Broken by loading the
+// catalogue before the lock in describe.
+func TestDescribePairsCatalogueAndConfirmation(t *testing.T) {
+	clock := newTestClock()
+	f := newTestFollower(nil, clock.now)
+	f.take(t.Context(), api.CatalogueReply{Index: 1})
+	f.confirm(1, clock.at.Add(-time.Minute))
+	reply := replaceWhileLocked(t, f, "(*follower).describe", f.describe)
+	require.Equal(t, confirmedReply{Index: 2, Known: true}, reply)
+}
