--- a/entry/work.go
+++ b/entry/work.go
@@ -64,7 +64,8 @@
 }
 
 // pause stops the work's attempts and returns once no more tokens can come. It
-// reports false when the answer has ended.
+// reports false when the answer has ended or is about to: its deadline passed or
+// nobody waits for it.
 func (w *work) pause() bool {
 	w.mu.Lock()
 	if w.parked != nil || w.journal.Ended() != nil {
@@ -80,6 +81,7 @@
 	select {
 	case <-parked:
 	case <-w.ctx.Done():
+		return false // a token may still be on its way, which a copy of the journal would lack
 	}
 	return w.journal.Ended() == nil
 }
