--- a/control/machine_test.go
+++ b/control/machine_test.go
@@ -58,7 +58,7 @@
 	enc, err := m.Snapshot()
 	require.NoError(t, err)
 	var told []uint64
-	restored := NewMachine(func(r api.CatalogueReply) { told = append(told, r.Index) })
+	restored := NewMachine(func(r api.CatalogueReply) { told = append(told, r.Index) }, nil)
 	require.NoError(t, restored.Restore(enc))
 	require.Equal(t, m.Catalogue(0), restored.Catalogue(0))
 	require.Equal(t, m.History(9), restored.History(9))
