--- a/e2e/fault_test.go
+++ b/e2e/fault_test.go
@@ -56,7 +56,7 @@
 func TestFrozenEntry(t *testing.T) {
 	s, entries, _ := smallSite(t, 1)
 	body, _ := chatBody("anything", 1, false)
-	entries[0].signal(t, syscall.SIGSTOP)
+	entries[0].freeze(t)
 	c := testCatalogue()
 	c.Workspaces = c.Workspaces[1:]
 	s.apply(c)
@@ -101,7 +101,7 @@
 	replicas := s.startControl(3)
 	first := s.apply(testCatalogue())
 	leader := s.leader()
-	replicas[leader].signal(t, syscall.SIGSTOP)
+	replicas[leader].freeze(t)
 	c := testCatalogue()
 	c.Workspaces = c.Workspaces[1:]
 	second := s.apply(c)
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -81,7 +81,7 @@
 	leaves(1, 1)
 	old := s.leads()
 	frozen := replicas[old[0]-'1']
-	frozen.signal(t, syscall.SIGSTOP)
+	frozen.freeze(t)
 	cloud.Wave("z2", time.Minute)
 	leaves(2, 1)
 	frozen.signal(t, syscall.SIGCONT)
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -122,7 +122,7 @@
 	s.apply(testCatalogue())
 	s.ready(1, "/svc/echo/ready", "x")
 	for _, r := range replicas[1:] {
-		r.signal(t, syscall.SIGSTOP)
+		r.freeze(t)
 	}
 	r, err := s.credit(t.Context(), 1, "credit-5")
 	require.NoError(t, err)
--- a/e2e/operate_test.go
+++ b/e2e/operate_test.go
@@ -162,7 +162,7 @@
 	s.ready(1, "/v1/chat/completions", body)
 	errs := s.streams(t.Context(), 1, 2, 900, func() {
 		s.waitForTokens(1, 10)
-		replicas[0].signal(t, syscall.SIGSTOP)
+		replicas[0].freeze(t)
 		s.within(8*time.Second, "new requests are refused", func() error {
 			r, err := s.call(t.Context(), 1, "POST", "/v1/chat/completions", body, nil)
 			if err == nil && !strings.Contains(r.body, "catalogue_unconfirmed") {
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -87,6 +87,25 @@
 	require.NoError(t, p.cmd.Process.Signal(s))
 }
 
+// freeze stops the process and returns once it has stopped. The signal alone
+// takes its time: a leader that runs on for some milliseconds still gives the
+// order that the test wants its successor to give.
+func (p *process) freeze(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGSTOP)
+	stat := fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid)
+	for end := time.Now().Add(bound); ; {
+		text, err := os.ReadFile(stat)
+		require.NoError(t, err)
+		_, state, found := strings.Cut(string(text), ") ")
+		if found && strings.HasPrefix(state, "T") {
+			return
+		}
+		require.True(t, time.Now().Before(end), "the process has not stopped: %s", text)
+		<-time.After(time.Millisecond)
+	}
+}
+
 // kill ends the process without a word and waits for its end.
 func (p *process) kill(t *testing.T) {
 	t.Helper()
