entry: slots of a server that is eased off or new are not room for others

Occupancies now count each server by its part. Ruled out: refusing a start when the chosen server looks full (its report is old, and a free one would stay idle). Measured: TestEasedServersSlotsDoNotFillOthers fails without the part and passes with it; go test ./entry -count=3 passes.

--- a/entry/lane.go
+++ b/entry/lane.go
@@ -165,7 +165,7 @@
 func (l *lane) free(now time.Time) queue.Slots {
 	turn := l.number + int(now.Unix())
 	s := queue.Slots{Entries: l.entries, Entry: l.number, Report: int(now.Unix())}
-	l.occupancies = l.router.Occupancies(l.occupancies[:0])
+	l.occupancies = l.router.Occupancies(l.occupancies[:0], now)
 	l.parts = l.parts[:0]
 	for _, o := range l.occupancies {
 		l.parts = append(l.parts, o.Slots-o.Reported)
--- a/entry/lane_test.go
+++ b/entry/lane_test.go
@@ -220,3 +220,32 @@
 	require.Nil(t, p)
 	require.NotNil(t, granted(t, k))
 }
+// count as room for work that the router sends to the other: that one would get
+// the whole queue, and neither fairness nor deadlines hold for what waits inside it.
+func TestEasedServersSlotsDoNotFillOthers(t *testing.T) {
+	l := newTestLane(t)
+	slots := map[string]int{"a": 2, "b": 8}
+	running := map[string]int{}
+	for range 40 {
+		for _, id := range []string{"a", "b"} {
+			l.announce(l.server(id, slots[id], running[id]), l.clock.now())
+			for _, k := range l.tickets {
+				if g := granted(t, k); g != nil {
+					running[g.verdict.Server]++
+					if g.verdict.Server == "a" {
+						g.firstToken(time.Millisecond)
+					}
+				}
+			}
+		}
+		k, _ := l.ask("x", time.Hour)
+		if g := granted(t, k); g != nil {
+			running[g.verdict.Server]++
+			if g.verdict.Server == "a" {
+				g.firstToken(time.Millisecond)
+			}
+		}
+		l.clock.advance(time.Second)
+	}
+	require.LessOrEqual(t, running["a"]+running["b"], 10+1, "%v", running)
+}
--- a/policy/route/occupancy.go
+++ b/policy/route/occupancy.go
@@ -2,28 +2,43 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 )
 
 // Occupancy is what an entry knows of one server's slots.
 type Occupancy struct {
-	Slots    int
+	Slots    int // as far as it gets its share of the work
 	Reported int // requests running and waiting there, as last reported
 	Own      int // of these, this entry's starts less its ends since the report
 }
 
 // Occupancies appends the occupancy of each server that takes work to dst, in
-// the order of their ids, which is the same at all entries.
-func (r *Router) Occupancies(dst []Occupancy) []Occupancy {
+// the order of their ids, which is the same at all entries. A server that gets
+// less than its full share, because it is slow or new, counts with that part of
+// its slots. What goes wrong otherwise: its free slots look like room, Choose
+// sends the work to the others, the room is never used up, and a whole queue
+// drains into servers that are full.
+func (r *Router) Occupancies(dst []Occupancy, now time.Time) []Occupancy {
 	if r.order == nil {
 		r.sortServers()
 	}
+	top := 0.0
+	for _, slot := range r.order {
+		if s := &r.servers[slot]; s.serving {
+			top = max(top, s.health.share*s.ramp(&r.cfg, now))
+		}
+	}
 	for _, slot := range r.order {
 		s := &r.servers[slot]
 		if !s.serving {
 			continue
 		}
-		dst = append(dst, Occupancy{Slots: int(s.slots), Reported: s.reported, Own: max(s.net, s.own-s.reported)})
+		part := s.health.share * s.ramp(&r.cfg, now) / top
+		dst = append(dst, Occupancy{
+			Slots: int(math.Round(s.slots * part)), Reported: s.reported, Own: max(s.net, s.own-s.reported),
+		})
 	}
 	return dst
 }
