--- a/entry/lane_test.go
+++ b/entry/lane_test.go
@@ -220,6 +220,7 @@
 	require.Nil(t, p)
 	require.NotNil(t, granted(t, k))
 }
+
 // count as room for work that the router sends to the other: that one would get
 // the whole queue, and neither fairness nor deadlines hold for what waits inside it.
 func TestEasedServersSlotsDoNotFillOthers(t *testing.T) {
