policy/admit: the start of a surge is not taken for a fleet that has stopped

Cause: the drain's rate was believed after a quarter of a second without a free slot. A rate of 0 now counts only after the memory's whole length, 2 s, without an end.

Ruled out: the machine's speed (the refusals came in the first second).

--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -34,11 +34,7 @@
 	for _, p := range r.Parts {
 		t.Logf("%s: %d requests, %+v, first token p50 %.0f p95 %.0f ms, refusal p95 %.0f ms", p.Name, p.Requests, p.Outcomes, p.FirstToken.P50, p.FirstToken.P95, p.Refusal.P95)
 	}
-	// A refusal at once, with when to come back, is an answer that a caller can
-	// live with; whether there is one depends on the machine's speed. Of the other
-	// workspace's requests about a third are answered.
-	require.Equal(t, quiet.Requests, quiet.Outcomes.Answered+quiet.Outcomes.NotRun)
-	require.GreaterOrEqual(t, 100*quiet.Outcomes.Answered, 95*quiet.Requests)
+	require.Equal(t, quiet.Requests, quiet.Outcomes.Answered)
 	require.Equal(t, surge.Requests, surge.Outcomes.Answered+surge.Outcomes.NotRun+surge.Outcomes.Unknown)
 	require.Positive(t, surge.Outcomes.NotRun)
 	require.Less(t, 10*surge.Outcomes.Unknown, surge.Outcomes.Answered, "requests cut off by their deadlines")
--- a/policy/admit/admitter_test.go
+++ b/policy/admit/admitter_test.go
@@ -307,3 +307,23 @@
 	a.Decide(epoch, r, 0.5)
 	assert.Zero(t, testing.AllocsPerRun(1_000, func() { a.Decide(epoch, r, 0.5) }))
 }
+
+// A surge takes every slot in one moment, and for half a second no answer can
+// end. Taken for a fleet that has stopped, that would have everybody refused, also
+// a workspace that asks for little; after two seconds without any end the fleet
+// has stopped, and nobody should wait for it. Breaks without stoppedEvidence in
+// Rate.
+func TestStartOfASurgeIsNoStoppedFleet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDrain(2 * time.Second)
+	d.Full(now, true)
+	_, known := d.Rate(now.Add(500 * time.Millisecond))
+	require.False(t, known)
+	rate, known := d.Rate(now.Add(2100 * time.Millisecond))
+	require.True(t, known)
+	require.Zero(t, rate)
+	d.Ended(now.Add(600*time.Millisecond), 60)
+	rate, known = d.Rate(now.Add(700 * time.Millisecond))
+	require.True(t, known)
+	require.Positive(t, rate)
+}
--- a/policy/admit/drain.go
+++ b/policy/admit/drain.go
@@ -34,6 +34,13 @@
 // long item decides.
 const minEvidence = 0.125
 
+// stoppedEvidence is the part of the memory that must have been full without any
+// end before the drain counts as stopped: 1-1/e, which is the memory's length of
+// time. With minEvidence alone, the first quarter of a second of a surge, in
+// which no answer can have ended, is taken for a fleet that has stopped, and
+// everybody is refused, also workspaces that ask for little.
+const stoppedEvidence = 0.63
+
 // NewDrain returns a Drain that forgets with the time constant memory.
 func NewDrain(memory time.Duration) *Drain {
 	return &Drain{memory: memory}
@@ -81,6 +88,9 @@
 	if seconds < minEvidence*d.memory.Seconds() {
 		return 0, false
 	}
+	if tokens == 0 && seconds < stoppedEvidence*d.memory.Seconds() {
+		return 0, false // the first answers of a surge still run
+	}
 	return tokens / seconds, true
 }
 
