--- a/instance/validate.go
+++ b/instance/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 
 	"github.com/gravitational/trace"
 )
@@ -34,6 +35,9 @@
 	case a.Model == "" && len(a.Services) == 0 && a.State == StateServing:
 		return trace.BadParameter("names neither a model nor a service")
 	}
+	if a.Load.Running < 0 || a.Load.Waiting < 0 {
+		return trace.BadParameter("load has a negative count")
+	}
 	switch a.State {
 	case StateServing, StateLeaving, StateGone:
 	default:
@@ -43,8 +47,9 @@
 }
 
 func (a *Announcement) validateAddress() error {
-	host, _, err := net.SplitHostPort(a.Address)
-	if err != nil || net.ParseIP(host) == nil {
+	host, port, err := net.SplitHostPort(a.Address)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	if err != nil || portErr != nil || number == 0 || net.ParseIP(host) == nil {
 		return trace.BadParameter("address %q is not an IP number and a port", a.Address)
 	}
 	return nil
--- /dev/null
+++ b/instance/validate_test.go
@@ -0,0 +1,40 @@
+package instance
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A faulty server announces nonsense. Taken in, it would draw requests to an
+// address that is none, or look idle for ever by a negative load.
+func TestValidateNamesTheFault(t *testing.T) {
+	good := func() Announcement {
+		return Announcement{
+			ID: "engine-1", Incarnation: 1, Address: "127.0.0.1:7201", Region: "r1", Zone: "z1",
+			State: StateServing, Model: "demo", Slots: 8,
+		}
+	}
+	a := good()
+	require.NoError(t, a.Validate())
+	cases := map[string]func(*Announcement){
+		"id":          func(a *Announcement) { a.ID = "" },
+		"incarnation": func(a *Announcement) { a.Incarnation = 0 },
+		"zone":        func(a *Announcement) { a.Zone = "" },
+		"slots":       func(a *Announcement) { a.Slots = 0 },
+		"state":       func(a *Announcement) { a.State = "asleep" },
+		"model":       func(a *Announcement) { a.Model = "" },
+		"load":        func(a *Announcement) { a.Load.Running = -100 },
+		"address":     func(a *Announcement) { a.Address = "127.0.0.1:" },
+	}
+	for field, damage := range cases {
+		a := good()
+		damage(&a)
+		require.ErrorContains(t, a.Validate(), field)
+	}
+	for _, address := range []string{"engine.example:80", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:http"} {
+		a := good()
+		a.Address = address
+		require.ErrorContains(t, a.Validate(), "address")
+	}
+}
