--- a/entry/work_test.go
+++ b/entry/work_test.go
@@ -28,7 +28,7 @@
 	for {
 		ctx, cancel := w.arm()
 		for ctx.Err() == nil && len(w.journal.Tokens()) < tokens {
-			time.Sleep(10 * time.Millisecond) // virtual: an engine's pace
+			virtualWait(10 * time.Millisecond) // virtual: an engine's pace
 			w.journal.Append(fmt.Sprint(len(w.journal.Tokens())))
 		}
 		cause := context.Cause(ctx)
@@ -54,11 +54,11 @@
 		w := newTestWork(t)
 		go generate(w, 20)
 		for round := range 2 {
-			time.Sleep(35 * time.Millisecond)
+			virtualWait(35 * time.Millisecond)
 			require.True(t, w.pause())
 			require.False(t, w.pause(), "a second pause at once is refused")
 			copied := len(w.journal.Tokens())
-			time.Sleep(time.Second)
+			virtualWait(time.Second)
 			require.Len(t, w.journal.Tokens(), copied, "round %d", round)
 			w.resume()
 		}
@@ -78,7 +78,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := newTestWork(t)
 			go generate(w, 3)
-			time.Sleep(time.Duration(at) * time.Millisecond)
+			virtualWait(time.Duration(at) * time.Millisecond)
 			if w.pause() {
 				require.Nil(t, w.journal.Ended())
 				w.resume()
@@ -99,15 +99,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newTestWork(t)
 		go generate(w, 20)
-		time.Sleep(31 * time.Millisecond)
+		virtualWait(31 * time.Millisecond)
 		go func() {
-			time.Sleep(2 * time.Millisecond)
+			virtualWait(2 * time.Millisecond)
 			w.cancel()
 		}()
 		paused := w.pause()
 		copied := len(w.journal.Tokens())
-		time.Sleep(time.Second)
+		virtualWait(time.Second)
 		require.False(t, paused && len(w.journal.Tokens()) != copied, "a token came after pause returned true")
 		require.NotNil(t, w.journal.Ended())
 	})
 }
+
+// virtualWait waits for a time on the clock of a synctest bubble, which moves only
+// when every goroutine of the test waits.
+func virtualWait(d time.Duration) { <-time.After(d) }
