--- a/policy/quarantine/doc.go
+++ b/policy/quarantine/doc.go
@@ -11,8 +11,8 @@
 //
 // # The rules
 //
-// A request is known by its fingerprint, the xxhash64 of workspace, service and
-// body. When a server crashes, every request that ran there becomes a suspect:
+// A request is known by its fingerprint (request.Request.Fingerprint), the same for
+// each resend. When a server crashes, every request that ran there becomes a suspect:
 // nobody can tell which of them did it. A suspect runs again only as a trial,
 // granted by the one entry that owns its fingerprint, on a server that the same
 // entry owns and that runs no other suspect. If that server crashes too, the
--- a/policy/quarantine/record.go
+++ b/policy/quarantine/record.go
@@ -4,23 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// Fingerprint returns the xxhash64 of workspace, service and body. Each part
-// goes in with its end marked, so that no two splits of one text are equal.
-func Fingerprint(workspace, service string, body []byte) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(workspace) // a Digest never fails
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(service)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.Write(body)
-	return digest.Sum64()
-}
-
 // Server is one life of a backend server.
 type Server struct {
 	ID          string `msgpack:"id"`
--- a/policy/route/router_test.go
+++ b/policy/route/router_test.go
@@ -10,7 +10,6 @@
 	"pgregory.net/rapid"
 
 	"savoryreel.example/savoryreel/instance"
-	"savoryreel.example/savoryreel/platform"
 )
 
 // talk is a conversation whose prompt grows by a turn at a time.
@@ -372,14 +371,6 @@
 	require.Equal(t, "LoadFactor", fault.Field)
 }
 
-func TestPrefixHashesFollowMessageBoundaries(t *testing.T) {
-	a := platform.Message{Role: "user", Content: "ab"}
-	long := PrefixHashes([]platform.Message{a, {Role: "assistant", Content: "c"}})
-	require.Equal(t, PrefixHashes([]platform.Message{a})[0], long[0])
-	shifted := PrefixHashes([]platform.Message{{Role: "user", Content: "a"}, {Role: "b", Content: ""}})
-	require.NotEqual(t, long, shifted)
-}
-
 func BenchmarkChoose600Servers64Prefixes(b *testing.B) {
 	r, req := largeRouter(b)
 	b.ReportAllocs()
