--- a/capacity/announcements.go
+++ b/capacity/announcements.go
@@ -15,7 +15,7 @@
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/internal/fake"
 	"savoryreel.example/savoryreel/membership"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/quarantine"
 )
 
@@ -82,7 +82,7 @@
 		return trace.Wrap(err, "step=encode announcement")
 	}
 	address := s.entries[0].callers
-	req, err := http.NewRequestWithContext(s.ctx, http.MethodPost, "http://"+address+platform.PathAnnounce, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(s.ctx, http.MethodPost, "http://"+address+native.PathAnnounce, bytes.NewReader(body))
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/capacity/requests.go
+++ b/capacity/requests.go
@@ -13,7 +13,7 @@
 
 	"github.com/gravitational/trace"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 const (
@@ -130,8 +130,8 @@
 }
 
 func (s *site) open(ctx context.Context, address, service string, tokens int) (*http.Response, error) {
-	body, err := json.Marshal(platform.ChatRequest{
-		Model: service, Stream: true, MaxTokens: tokens, Messages: []platform.Message{{Role: "user", Content: fmt.Sprintf("Question %d", s.questions.Add(1))}},
+	body, err := json.Marshal(native.ChatRequest{
+		Model: service, Stream: true, MaxTokens: tokens, Messages: []native.Message{{Role: "user", Content: fmt.Sprintf("Question %d", s.questions.Add(1))}},
 	})
 	if err != nil {
 		return nil, trace.Wrap(err, "step=encode request")
--- a/control/control.go
+++ b/control/control.go
@@ -21,7 +21,7 @@
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/membership"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/host"
 	"savoryreel.example/savoryreel/replica/storage"
@@ -42,7 +42,7 @@
 	leases  *limitLeases
 	folder  *storage.Log
 	members *membership.Node
-	cloud   *platform.CloudClient // nil: the fleet is not managed
+	cloud   *native.CloudClient // nil: the fleet is not managed
 	fleet   *fleet.Manager
 }
 
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -15,7 +15,7 @@
 	"savoryreel.example/savoryreel/fleet"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/membership"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/scale"
 	"savoryreel.example/savoryreel/records"
 	"savoryreel.example/savoryreel/replica"
@@ -56,7 +56,7 @@
 	}
 	timeout := c.cfg.TickInterval * host.DefaultElectionTicks
 	orders := fleet.NewOrders(fleet.DefaultOrdersConfig(timeout), fleet.OrdersDeps{Lease: c.host, Log: c.log, Now: c.now})
-	c.cloud = platform.NewCloud(platform.CloudConfig{Address: c.cfg.Cloud})
+	c.cloud = native.NewCloud(native.CloudConfig{Address: c.cfg.Cloud})
 	c.fleet, err = fleet.NewManager(fleet.Config{
 		Site: c.cfg.CloudSite, Zones: zones, Classes: classes, Scale: scale.DefaultConfig(),
 		Every: c.cfg.FleetEvery, Poll: noticePoll,
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -12,15 +12,15 @@
 
 	"savoryreel.example/savoryreel/fleet"
 	"savoryreel.example/savoryreel/internal/fake"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // startCloud serves a stand-in cloud API for the site until the test ends.
 func (s *site) startCloud() *fake.Cloud {
 	s.t.Helper()
-	var prices []platform.Price
+	var prices []native.Price
 	for _, z := range []string{"z1", "z2"} {
-		prices = append(prices, platform.Price{Zone: z, Class: "g1", Kind: platform.Reclaimable, PerHour: 1})
+		prices = append(prices, native.Price{Zone: z, Class: "g1", Kind: native.Reclaimable, PerHour: 1})
 	}
 	c := fake.NewCloud(fake.CloudConfig{Prices: prices}, fake.Deps{})
 	l, err := net.Listen("tcp", s.addr(7400))
@@ -43,7 +43,7 @@
 func (s *site) leaveOrders(i int) []fleet.Fence {
 	var out []fleet.Fence
 	for _, o := range s.engineStats(i).Orders {
-		if o.Kind == platform.OrderLeave {
+		if o.Kind == native.OrderLeave {
 			out = append(out, fleet.Fence(o.Fence))
 		}
 	}
@@ -58,13 +58,13 @@
 func TestFrozenLeaderGivesNoOrder(t *testing.T) {
 	s := newSite(t)
 	cloud := s.startCloud()
-	api := platform.NewCloud(platform.CloudConfig{Address: s.addr(7400)})
+	api := native.NewCloud(native.CloudConfig{Address: s.addr(7400)})
 	defer api.Close()
 	replicas := s.startControl(3)
 	s.startEntry(1, "z1")
 	s.apply(testCatalogue())
 	for i, z := range []string{"z1", "z2"} {
-		started, err := api.Start(t.Context(), platform.StartRequest{ClientToken: fmt.Sprint("other/", i), Zone: z, Class: "g1", Kind: platform.Reclaimable})
+		started, err := api.Start(t.Context(), native.StartRequest{ClientToken: fmt.Sprint("other/", i), Zone: z, Class: "g1", Kind: native.Reclaimable})
 		require.NoError(t, err)
 		s.startEngine(i+1, z, "--id", started.ID)
 	}
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -12,13 +12,13 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/internal/fake"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // chatBody is a chat request and the tokens of its right answer.
 func chatBody(prompt string, tokens int, stream bool) (body string, want []string) {
-	messages := []platform.Message{{Role: "user", Content: prompt}}
-	enc, err := json.Marshal(platform.ChatRequest{Model: "chat", Messages: messages, MaxTokens: tokens, Stream: stream})
+	messages := []native.Message{{Role: "user", Content: prompt}}
+	enc, err := json.Marshal(native.ChatRequest{Model: "chat", Messages: messages, MaxTokens: tokens, Stream: stream})
 	if err != nil {
 		panic(err)
 	}
@@ -70,7 +70,7 @@
 	c.events++
 	switch kind {
 	case "":
-		var chunk platform.ChatChunk
+		var chunk native.ChatChunk
 		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
 			return fmt.Errorf("chunk %q: %w", data, err)
 		}
@@ -149,7 +149,7 @@
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, r.status, r.body)
 		require.Equal(t, "answered", r.header.Get("Savoryreel-Outcome"))
-		var answer platform.ChatResponse
+		var answer native.ChatResponse
 		require.NoError(t, json.Unmarshal([]byte(r.body), &answer))
 		require.Equal(t, strings.Join(want, ""), answer.Choices[0].Message.Content)
 	})
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/request"
 )
 
@@ -55,7 +55,7 @@
 		a.head("text/event-stream")
 		for _, t := range tokens {
 			a.next++
-			a.event(a.chunk(platform.ChunkChoice{Delta: platform.Delta{Content: t}}, nil))
+			a.event(a.chunk(native.ChunkChoice{Delta: native.Delta{Content: t}}, nil))
 		}
 		if !a.flush() {
 			return
@@ -80,10 +80,10 @@
 	a.w.WriteHeader(http.StatusOK)
 }
 
-func (a *answerWriter) chunk(c platform.ChunkChoice, u *platform.Usage) platform.ChatChunk {
-	return platform.ChatChunk{
+func (a *answerWriter) chunk(c native.ChunkChoice, u *native.Usage) native.ChatChunk {
+	return native.ChatChunk{
 		ID: string(a.work.request.ID), Object: "chat.completion.chunk", Model: a.work.request.Service,
-		Choices: []platform.ChunkChoice{c}, Usage: u,
+		Choices: []native.ChunkChoice{c}, Usage: u,
 	}
 }
 
@@ -121,7 +121,7 @@
 		a.streamProblem(end.Problem)
 	default:
 		a.head("text/event-stream")
-		a.event(a.chunk(platform.ChunkChoice{FinishReason: end.Finish}, a.usage(end)))
+		a.event(a.chunk(native.ChunkChoice{FinishReason: end.Finish}, a.usage(end)))
 		fmt.Fprint(a.w, "data: [DONE]\n\n")
 		a.w.Header().Set(request.HeaderOutcome, string(request.Answered))
 		a.flush()
@@ -190,18 +190,18 @@
 	h.Set(request.HeaderOutcome, string(request.Answered))
 	a.entry.metrics.firstToken.UpdateDuration(a.work.request.Accepted)
 	text := strings.Join(a.work.journal.Tokens(), "")
-	_ = json.NewEncoder(a.w).Encode(platform.ChatResponse{ // the caller is gone: nobody to tell
+	_ = json.NewEncoder(a.w).Encode(native.ChatResponse{ // the caller is gone: nobody to tell
 		ID: string(a.work.request.ID), Object: "chat.completion", Model: a.work.request.Service,
-		Choices: []platform.Choice{{
-			Message:      platform.Message{Role: "assistant", Content: text},
+		Choices: []native.Choice{{
+			Message:      native.Message{Role: "assistant", Content: text},
 			FinishReason: end.Finish,
 		}},
 		Usage: *a.usage(end),
 	})
 }
 
-func (a *answerWriter) usage(end *request.End) *platform.Usage {
-	return &platform.Usage{
+func (a *answerWriter) usage(end *request.End) *native.Usage {
+	return &native.Usage{
 		Prompt: end.Prompt, Completion: len(a.work.journal.Tokens()),
 		Cached: end.Cached, Recomputed: end.Recomputed,
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -9,16 +9,16 @@
 	"time"
 
 	"savoryreel.example/savoryreel/event"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/request"
 )
 
-// engineClient is how an entry calls model engines; platform.EngineClient is one.
+// engineClient is how an entry calls model engines; native.EngineClient is one.
 type engineClient interface {
-	Chat(ctx context.Context, address, requestID string, req platform.ChatRequest) (*platform.ChatStream, error)
+	Chat(ctx context.Context, address, requestID string, req native.ChatRequest) (*native.ChatStream, error)
 	Probe(ctx context.Context, address string) error
-	ExportKV(ctx context.Context, address, requestID string) (platform.ExportReply, error)
-	ImportKV(ctx context.Context, address string, from platform.ImportRequest) (platform.ExportReply, error)
+	ExportKV(ctx context.Context, address, requestID string) (native.ExportReply, error)
+	ImportKV(ctx context.Context, address string, from native.ImportRequest) (native.ExportReply, error)
 }
 
 // Bounds of the attempts of one chat request.
@@ -57,7 +57,7 @@
 
 // run answers w's request through to the end of its journal. first is the
 // server that the queue granted, or nil for work that came from another entry.
-func (r *runner) run(w *work, body platform.ChatRequest, first *grant) {
+func (r *runner) run(w *work, body native.ChatRequest, first *grant) {
 	g, backoff := first, refusedMin
 	for failures := 0; failures < maxAttempts; {
 		ctx, cancel := w.arm()
@@ -83,7 +83,7 @@
 			w.journal.Finish(request.End{Problem: final})
 			return
 		}
-		if platform.NotRun(err) {
+		if native.NotRun(err) {
 			backoff = r.pause(w, backoff)
 			continue
 		}
@@ -117,7 +117,7 @@
 }
 
 // step makes one attempt, on the granted server or on another one.
-func (r *runner) step(ctx context.Context, w *work, body platform.ChatRequest, g *grant) (request.End, error) {
+func (r *runner) step(ctx context.Context, w *work, body native.ChatRequest, g *grant) (request.End, error) {
 	if g == nil {
 		var err error
 		if g, err = r.reroute(ctx, w); err != nil {
@@ -186,12 +186,12 @@
 
 // attempt sends the request to one server and appends what comes to the
 // journal. It returns a nil error only for a whole answer.
-func (r *runner) attempt(ctx context.Context, w *work, body platform.ChatRequest, g *grant) (request.End, error) {
+func (r *runner) attempt(ctx context.Context, w *work, body native.ChatRequest, g *grant) (request.End, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	prefilled := 0
 	if done := w.journal.Tokens(); len(done) > 0 {
-		body.Resume = &platform.Resume{Tokens: done, Handle: r.carry(ctx, w, g.verdict.Address)}
+		body.Resume = &native.Resume{Tokens: done, Handle: r.carry(ctx, w, g.verdict.Address)}
 		if body.Resume.Handle == "" {
 			prefilled = w.held()
 		}
@@ -215,7 +215,7 @@
 }
 
 // read copies the stream to the journal.
-func (r *runner) read(ctx context.Context, w *work, stream *platform.ChatStream, g *grant, watch *watch) (request.End, error) {
+func (r *runner) read(ctx context.Context, w *work, stream *native.ChatStream, g *grant, watch *watch) (request.End, error) {
 	var end request.End
 	sent := r.now()
 	last := sent
@@ -256,7 +256,7 @@
 	return now
 }
 
-func (r *runner) whole(w *work, stream *platform.ChatStream, g *grant, end request.End) (request.End, error) {
+func (r *runner) whole(w *work, stream *native.ChatStream, g *grant, end request.End) (request.End, error) {
 	g.finished(w.cost())
 	usage := stream.Usage()
 	end.Prompt, end.Cached, end.Recomputed = usage.Prompt, usage.Cached, usage.Recomputed
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -10,7 +10,7 @@
 
 	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/event"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/route"
 	"savoryreel.example/savoryreel/request"
 )
@@ -67,8 +67,8 @@
 // decodeChat reads a chat request strictly where it matters and leniently
 // elsewhere: clients of the OpenAI API send many fields that no engine here
 // knows, and refusing them would refuse the clients.
-func decodeChat(body []byte) (platform.ChatRequest, *request.Problem) {
-	var chat platform.ChatRequest
+func decodeChat(body []byte) (native.ChatRequest, *request.Problem) {
+	var chat native.ChatRequest
 	dec := json.NewDecoder(bytes.NewReader(body))
 	if err := dec.Decode(&chat); err != nil {
 		return chat, request.NewProblem(request.CodeBadRequest, request.NotRun, "the body is no chat request: %v", err)
@@ -86,7 +86,7 @@
 	return chat, nil
 }
 
-func promptTokens(messages []platform.Message) int {
+func promptTokens(messages []native.Message) int {
 	n := 0
 	for _, m := range messages {
 		n += len(m.Content)
@@ -94,7 +94,7 @@
 	return n/bytesPerToken + 1
 }
 
-func answerTokens(c platform.ChatRequest) int {
+func answerTokens(c native.ChatRequest) int {
 	if c.MaxTokens > 0 {
 		return c.MaxTokens
 	}
@@ -102,7 +102,7 @@
 }
 
 // startChat queues an admitted request and starts its work.
-func (e *Entry) startChat(c *call, s *contract.Service, req *request.Request, chat platform.ChatRequest) (*work, *request.Problem) {
+func (e *Entry) startChat(c *call, s *contract.Service, req *request.Request, chat native.ChatRequest) (*work, *request.Problem) {
 	if p := e.admit(c.workspace, s, req); p != nil {
 		return nil, p
 	}
@@ -123,7 +123,7 @@
 
 // newWork builds the work of a request. tokens are those that another entry
 // has received already.
-func (e *Entry) newWork(s *contract.Service, req *request.Request, chat platform.ChatRequest, tokens []string, weight int) (*work, error) {
+func (e *Entry) newWork(s *contract.Service, req *request.Request, chat native.ChatRequest, tokens []string, weight int) (*work, error) {
 	l, err := e.lanes.of(laneOf(s))
 	if err != nil {
 		return nil, err
@@ -132,7 +132,7 @@
 	t := &ticket{
 		request: req, weight: weight, lane: l, decision: make(chan decision, 1),
 		route: route.Request{
-			Prefixes: platform.PrefixHashes(chat.Messages), PromptTokens: promptTokens(chat.Messages),
+			Prefixes: native.PrefixHashes(chat.Messages), PromptTokens: promptTokens(chat.Messages),
 			Adapter: s.Adapter, Version: s.Version, Zone: e.cfg.Zone, Region: e.cfg.Region,
 		},
 	}
@@ -141,7 +141,7 @@
 
 // engineRequest is what the engine is asked: the caller's request under the
 // engine's own name for the model, and the priority of the request's class.
-func (e *Entry) engineRequest(s *contract.Service, req *request.Request, chat platform.ChatRequest) platform.ChatRequest {
+func (e *Entry) engineRequest(s *contract.Service, req *request.Request, chat native.ChatRequest) native.ChatRequest {
 	chat.Model = s.Model
 	if s.Adapter != "" {
 		chat.Model = s.Adapter
@@ -153,7 +153,7 @@
 // launch registers the work and runs it in a goroutine of its own: the answer
 // belongs to the request and not to one caller's connection. It reports false
 // when the request runs here already.
-func (e *Entry) launch(wk *work, body platform.ChatRequest, queued bool) bool {
+func (e *Entry) launch(wk *work, body native.ChatRequest, queued bool) bool {
 	if _, added := e.registry.add(wk); !added {
 		wk.cancel()
 		return false
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,7 +23,7 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/membership"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/pick"
 )
 
@@ -118,8 +118,8 @@
 	if e.guard, err = newGuard(e); err != nil {
 		return nil, err
 	}
-	engines := platform.NewEngine(platform.EngineConfig{})
-	e.plain = platform.NewPlain(platform.PlainConfig{})
+	engines := native.NewEngine(native.EngineConfig{})
+	e.plain = native.NewPlain(native.PlainConfig{})
 	e.runner = &runner{
 		engines: engines, log: deps.Log, now: deps.Now, metrics: e.metrics, guard: e.guard,
 	}
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -8,7 +8,7 @@
 
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/evacuate"
 	"savoryreel.example/savoryreel/policy/route"
 )
@@ -150,7 +150,7 @@
 	defer cancel()
 	exported, err := r.engines.ExportKV(ctx, from, string(w.request.ID))
 	if err == nil {
-		exported, err = r.engines.ImportKV(ctx, to, platform.ImportRequest{From: from, Handle: exported.Handle})
+		exported, err = r.engines.ImportKV(ctx, to, native.ImportRequest{From: from, Handle: exported.Handle})
 	}
 	if err != nil {
 		event.Log(ctx, r.log, slog.LevelWarn, event.CarryFailed,
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -11,7 +11,7 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/quarantine"
 	"savoryreel.example/savoryreel/request"
 )
@@ -223,9 +223,9 @@
 }
 
 func (q *guard) lives(ctx context.Context, g *grant, err error) bool {
-	var call *platform.CallError
+	var call *native.CallError
 	switch {
-	case platform.NotRun(err), errors.Is(err, errStalled), q.entry.onLeaving(g):
+	case native.NotRun(err), errors.Is(err, errStalled), q.entry.onLeaving(g):
 		return true
 	case errors.As(err, &call) && call.Status >= 300:
 		return true // it answered, with an error
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -15,13 +15,13 @@
 	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/ledger"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/retry"
 	"savoryreel.example/savoryreel/policy/route"
 	"savoryreel.example/savoryreel/request"
 )
 
-// plainClient is how an entry calls plain services; platform.PlainClient is one.
+// plainClient is how an entry calls plain services; native.PlainClient is one.
 type plainClient interface {
 	Do(ctx context.Context, address string, req *http.Request) (*http.Response, bool, error)
 	DoOnce(ctx context.Context, address string, req *http.Request) (*http.Response, bool, error)
@@ -177,7 +177,7 @@
 			c.relay(g, resp)
 			return nil
 		}
-		if !platform.NotRun(err) {
+		if !native.NotRun(err) {
 			outcome = request.Unknown // and stays so, whatever later attempts meet
 		}
 		if c.ctx.Err() != nil {
@@ -196,7 +196,7 @@
 func (c *plainCall) another(g *grant, n int, err error, o request.Outcome) (*grant, *request.Problem) {
 	failed := request.NewProblem(request.CodeServerFailed, o, "%v", err).After(time.Second)
 	v := c.entry.retries.failed(c.entry.deps.Now(), g.verdict.Server, retry.Failure{
-		Call: callOf(c.request), Attempts: n, NotRun: platform.NotRun(err), Reclaimed: c.entry.onLeaving(g),
+		Call: callOf(c.request), Attempts: n, NotRun: native.NotRun(err), Reclaimed: c.entry.onLeaving(g),
 	})
 	if !v.Go {
 		failed.Detail += " (" + v.Reason.String() + ")"
@@ -293,7 +293,7 @@
 
 // settle closes the attempt's grant by how the answer's body ended.
 func (c *plainCall) settle(g *grant, err error) {
-	var broken *platform.CallError
+	var broken *native.CallError
 	switch {
 	case err == nil:
 		g.finished(plainCost)
--- a/entry/prefixes.go
+++ b/entry/prefixes.go
@@ -10,13 +10,13 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/route"
 )
 
 // listingClient fetches the full listing of a model server's prefix cache.
 type listingClient interface {
-	Listing(ctx context.Context, address string) (platform.CacheListing, error)
+	Listing(ctx context.Context, address string) (native.CacheListing, error)
 }
 
 // listingTimeout bounds one fetch of a listing.
@@ -140,7 +140,7 @@
 	return whole
 }
 
-func (l *lane) cacheListing(server string, c platform.CacheListing) {
+func (l *lane) cacheListing(server string, c native.CacheListing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	listing := route.Listing{Incarnation: c.Incarnation, Sequence: c.Sequence}
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"time"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // maxAnswer bounds the answer to an order, in bytes.
@@ -20,15 +20,15 @@
 // piece over a connection of its own: net/http would keep it in buffers, write
 // it at a time of its own choosing and try again on another connection, all
 // after the lease was asked for.
-func encodeOrder(address string, order platform.Order) ([]byte, error) {
+func encodeOrder(address string, order native.Order) ([]byte, error) {
 	refuse := func(err error) ([]byte, error) {
-		return nil, &platform.CallError{Step: platform.StepEncode, Peer: address, Delivery: platform.NotSent, Err: err}
+		return nil, &native.CallError{Step: native.StepEncode, Peer: address, Delivery: native.NotSent, Err: err}
 	}
 	body, err := json.Marshal(order)
 	if err != nil {
 		return refuse(err)
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+platform.PathOrders, bytes.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+native.PathOrders, bytes.NewReader(body))
 	if err != nil {
 		return refuse(err)
 	}
@@ -63,15 +63,15 @@
 // exchange writes the request and reads the answer.
 func exchange(conn net.Conn, address string, message []byte) error {
 	if n, err := conn.Write(message); err != nil {
-		delivery := platform.MaybeRan
+		delivery := native.MaybeRan
 		if n == 0 {
-			delivery = platform.NotSent
+			delivery = native.NotSent
 		}
-		return &platform.CallError{Step: platform.StepForward, Peer: address, Delivery: delivery, Err: err}
+		return &native.CallError{Step: native.StepForward, Peer: address, Delivery: delivery, Err: err}
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxAnswer)), nil)
 	if err != nil {
-		return &platform.CallError{Step: platform.StepForward, Peer: address, Delivery: platform.MaybeRan, Err: err}
+		return &native.CallError{Step: native.StepForward, Peer: address, Delivery: native.MaybeRan, Err: err}
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode < http.StatusMultipleChoices {
@@ -83,11 +83,11 @@
 // refusal turns an error status into an error. A server's 4xx says that it has
 // not followed the order; a 5xx may come from anything between.
 func refusal(address string, resp *http.Response) error {
-	call := &platform.CallError{Step: platform.StepStatus, Peer: address, Delivery: platform.MaybeRan, Status: resp.StatusCode}
-	if resp.StatusCode < http.StatusInternalServerError || resp.Header.Get(platform.HeaderNotRun) != "" {
-		call.Delivery = platform.Refused
+	call := &native.CallError{Step: native.StepStatus, Peer: address, Delivery: native.MaybeRan, Status: resp.StatusCode}
+	if resp.StatusCode < http.StatusInternalServerError || resp.Header.Get(native.HeaderNotRun) != "" {
+		call.Delivery = native.Refused
 	}
-	var problem platform.Problem
+	var problem native.Problem
 	if json.NewDecoder(resp.Body).Decode(&problem) == nil { // without a body there is no code
 		call.Code, call.Message = problem.Code, problem.Detail
 	}
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -11,7 +11,7 @@
 
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/scale"
 )
 
@@ -83,8 +83,8 @@
 		event.Log(ctx, m.deps.Logger, slog.LevelInfo, event.PlacementChosen, slog.String("load", l.Model.Name),
 			slog.String("version", l.Model.Version), slog.String("server", l.Server), slog.Int("paced", paced))
 		wg.Go(func() {
-			errs[i] = m.deps.Orders.Give(ctx, s.Address, platform.Order{
-				Kind: platform.OrderLoadModel, Model: l.Model.Name, Version: l.Model.Version,
+			errs[i] = m.deps.Orders.Give(ctx, s.Address, native.Order{
+				Kind: native.OrderLoadModel, Model: l.Model.Name, Version: l.Model.Version,
 			})
 		})
 	}
@@ -104,7 +104,7 @@
 // follow the order.
 func notGiven(err error) bool {
 	sure := errors.Is(err, ErrNotLeading) || errors.Is(err, ErrInFlight) || errors.Is(err, ErrUnsettled)
-	return err != nil && (sure || platform.NotRun(err))
+	return err != nil && (sure || native.NotRun(err))
 }
 
 // hosts lists the model servers: one without a model has room for one, unless it
--- a/fleet/manager.go
+++ b/fleet/manager.go
@@ -14,18 +14,18 @@
 
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/scale"
 	"savoryreel.example/savoryreel/zone"
 )
 
-// Cloud is the cloud API; platform.CloudClient is one.
+// Cloud is the cloud API; native.CloudClient is one.
 type Cloud interface {
-	Prices(ctx context.Context) ([]platform.Price, error)
-	Instances(ctx context.Context) ([]platform.CloudInstance, error)
-	Start(ctx context.Context, start platform.StartRequest) (platform.CloudInstance, error)
+	Prices(ctx context.Context) ([]native.Price, error)
+	Instances(ctx context.Context) ([]native.CloudInstance, error)
+	Start(ctx context.Context, start native.StartRequest) (native.CloudInstance, error)
 	Stop(ctx context.Context, id string) error
-	Notices(ctx context.Context, after uint64, wait time.Duration) (platform.NoticePage, error)
+	Notices(ctx context.Context, after uint64, wait time.Duration) (native.NoticePage, error)
 }
 
 // Log keeps the fleet's State in the replicated log.
@@ -45,7 +45,7 @@
 
 // Orderer gives orders to backend servers; Orders is one.
 type Orderer interface {
-	Give(ctx context.Context, address string, order platform.Order) error
+	Give(ctx context.Context, address string, order native.Order) error
 }
 
 // Config is the settings of a Manager.
@@ -172,7 +172,7 @@
 	return m.resize(ctx, state)
 }
 
-func (m *Manager) notices(ctx context.Context, after uint64) (platform.NoticePage, error) {
+func (m *Manager) notices(ctx context.Context, after uint64) (native.NoticePage, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Poll+noticeGrace)
 	defer cancel()
 	return m.deps.Cloud.Notices(ctx, after, m.cfg.Poll)
@@ -213,7 +213,7 @@
 
 // spread tells all entries of the notices: an entry that sends no more work to a
 // server saves it, while an order only lets the server say so itself.
-func (m *Manager) spread(notices []platform.Notice) {
+func (m *Manager) spread(notices []native.Notice) {
 	for _, n := range notices {
 		body, err := noticeOf(n).Encode()
 		if err != nil || !m.deps.Now().Before(n.Deadline) {
@@ -268,7 +268,7 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			_ = m.deps.Orders.Give(ctx, s.Address, platform.Order{Kind: platform.OrderLeave}) // logged by Give
+			_ = m.deps.Orders.Give(ctx, s.Address, native.Order{Kind: native.OrderLeave}) // logged by Give
 		})
 	}
 	wg.Wait()
@@ -293,15 +293,15 @@
 }
 
 func (m *Manager) start(ctx context.Context, state State, s Start) State {
-	i, err := m.deps.Cloud.Start(ctx, platform.StartRequest{
-		ClientToken: s.Token, Zone: s.Option.Zone, Class: s.Option.Class, Kind: platform.PurchaseKind(s.Option.Market),
+	i, err := m.deps.Cloud.Start(ctx, native.StartRequest{
+		ClientToken: s.Token, Zone: s.Option.Zone, Class: s.Option.Class, Kind: native.PurchaseKind(s.Option.Market),
 	})
 	switch {
 	case err == nil:
 		state = state.without(s.Token)
 		state.Accepted = append(slices.Clone(state.Accepted), Accepted{ID: i.ID, Option: s.Option, At: m.deps.Now()})
 		state.Scale = m.scaler.Accepted(state.Scale, scale.Start{Token: s.Token, Option: s.Option, Ordinal: s.Ordinal})
-	case platform.NoCapacity(err):
+	case native.NoCapacity(err):
 		state = state.without(s.Token)
 		state.Scale = m.scaler.Refused(state.Scale, s.Option, m.deps.Now())
 		m.refused++
@@ -379,9 +379,9 @@
 
 // unlisted returns the accepted starts that the cloud does not list yet. After
 // listLag one that is not listed has come to nothing.
-func (m *Manager) unlisted(accepted []Accepted, running []platform.CloudInstance) []Accepted {
+func (m *Manager) unlisted(accepted []Accepted, running []native.CloudInstance) []Accepted {
 	return slices.DeleteFunc(slices.Clone(accepted), func(a Accepted) bool {
-		listed := slices.ContainsFunc(running, func(i platform.CloudInstance) bool { return i.ID == a.ID })
+		listed := slices.ContainsFunc(running, func(i native.CloudInstance) bool { return i.ID == a.ID })
 		return listed || m.deps.Now().Sub(a.At) > listLag
 	})
 }
@@ -390,7 +390,7 @@
 const listLag = 5 * time.Minute
 
 // input gathers what a decision looks at.
-func (m *Manager) input(ctx context.Context, state State, running []platform.CloudInstance) (scale.Input, error) {
+func (m *Manager) input(ctx context.Context, state State, running []native.CloudInstance) (scale.Input, error) {
 	prices, err := m.deps.Cloud.Prices(ctx)
 	if err != nil {
 		return scale.Input{}, trace.Wrap(err, "step=read prices")
@@ -407,7 +407,7 @@
 	}
 	for _, i := range running {
 		ours := strings.HasPrefix(i.ClientToken, m.cfg.Site+"/")
-		if !ours || i.State == platform.InstanceReclaimed || i.State == platform.InstanceStopped {
+		if !ours || i.State == native.InstanceReclaimed || i.State == native.InstanceStopped {
 			continue
 		}
 		in.Fleet = append(in.Fleet, scale.Instance{
@@ -417,8 +417,8 @@
 	return in, nil
 }
 
-func (m *Manager) phase(i platform.CloudInstance, state State) scale.Phase {
-	if i.State == platform.InstanceReclaiming || slices.Contains(state.Stops, i.ID) {
+func (m *Manager) phase(i native.CloudInstance, state State) scale.Phase {
+	if i.State == native.InstanceReclaiming || slices.Contains(state.Stops, i.ID) {
 		return scale.PhaseLeaving
 	}
 	s, known := m.deps.Members.View().Server(i.ID)
@@ -446,7 +446,7 @@
 }
 
 // priced returns the zones with the prices of the moment.
-func priced(zones []zone.Zone, prices []platform.Price) []zone.Zone {
+func priced(zones []zone.Zone, prices []native.Price) []zone.Zone {
 	out := slices.Clone(zones)
 	for i := range out {
 		out[i].Prices = nil
@@ -459,13 +459,13 @@
 	return out
 }
 
-func addPrice(list []zone.Price, p platform.Price) []zone.Price {
+func addPrice(list []zone.Price, p native.Price) []zone.Price {
 	i := slices.IndexFunc(list, func(x zone.Price) bool { return x.Class == p.Class })
 	if i < 0 {
 		i = len(list)
 		list = append(list, zone.Price{Class: p.Class})
 	}
-	if p.Kind == platform.OnDemand {
+	if p.Kind == native.OnDemand {
 		list[i].OnDemand = p.PerHour
 	} else {
 		list[i].Reclaimable = p.PerHour
--- a/fleet/manager_test.go
+++ b/fleet/manager_test.go
@@ -15,7 +15,7 @@
 
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/internal/fake"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/scale"
 	"savoryreel.example/savoryreel/zone"
 )
@@ -24,7 +24,7 @@
 type site struct {
 	t     require.TestingT
 	cloud *fake.Cloud
-	api   *platform.CloudClient
+	api   *native.CloudClient
 	state State
 	view  *instance.View
 	puts  int // shared records
@@ -38,17 +38,17 @@
 }
 
 func newSite(t require.TestingT) (*site, func()) {
-	var prices []platform.Price
+	var prices []native.Price
 	for i, z := range []string{"z1", "z2", "z3"} {
-		prices = append(prices, platform.Price{Zone: z, Class: "g1", Kind: platform.Reclaimable, PerHour: 1 + float64(i)/10},
-			platform.Price{Zone: z, Class: "g1", Kind: platform.OnDemand, PerHour: 3})
+		prices = append(prices, native.Price{Zone: z, Class: "g1", Kind: native.Reclaimable, PerHour: 1 + float64(i)/10},
+			native.Price{Zone: z, Class: "g1", Kind: native.OnDemand, PerHour: 3})
 	}
 	s := &site{
 		t: t, cloud: fake.NewCloud(fake.CloudConfig{Prices: prices}, fake.Deps{}), view: instance.NewView(),
 		clock: time.Now(), fail: func() bool { return false },
 	}
 	server := httptest.NewServer(s.cloud.Handler())
-	s.api = platform.NewCloud(platform.CloudConfig{Address: strings.TrimPrefix(server.URL, "http://")})
+	s.api = native.NewCloud(native.CloudConfig{Address: strings.TrimPrefix(server.URL, "http://")})
 	s.serve("old-1", 8, 8) // a server with work for one instance's capacity, from before
 	return s, func() { s.api.Close(); server.Close() }
 }
@@ -90,10 +90,10 @@
 	s.view.Apply([]instance.Update{{Record: &instance.Record{Key: key, Version: version, Body: body}}})
 }
 func (s *site) HoldsLease() (uint64, time.Time, bool) { return 1, s.clock.Add(time.Hour), true }
-func (s *site) Give(_ context.Context, address string, order platform.Order) error {
+func (s *site) Give(_ context.Context, address string, order native.Order) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if order.Kind == platform.OrderLoadModel {
+	if order.Kind == native.OrderLoadModel {
 		s.loads = append(s.loads, address)
 		return nil
 	}
@@ -104,11 +104,11 @@
 // cloudOf is the cloud as a site's leaders see it: answers to starts are lost,
 // prices move, and the list of instances is behind by those of the last minutes.
 type cloudOf struct {
-	*platform.CloudClient
+	*native.CloudClient
 	site *site
 }
 
-func (c cloudOf) Start(ctx context.Context, r platform.StartRequest) (platform.CloudInstance, error) {
+func (c cloudOf) Start(ctx context.Context, r native.StartRequest) (native.CloudInstance, error) {
 	i, err := c.CloudClient.Start(ctx, r)
 	if err == nil && c.site.fail() {
 		return i, errDied
@@ -116,7 +116,7 @@
 	return i, err
 }
 
-func (c cloudOf) Prices(ctx context.Context) ([]platform.Price, error) {
+func (c cloudOf) Prices(ctx context.Context) ([]native.Price, error) {
 	prices, err := c.CloudClient.Prices(ctx)
 	for i := range prices {
 		if prices[i].Zone == c.site.dear {
@@ -126,7 +126,7 @@
 	return prices, err
 }
 
-func (c cloudOf) Instances(context.Context) ([]platform.CloudInstance, error) { return nil, nil }
+func (c cloudOf) Instances(context.Context) ([]native.CloudInstance, error) { return nil, nil }
 
 // leader returns a new leader, which knows nothing but the log and the view.
 func (s *site) leader() *Manager {
@@ -230,7 +230,7 @@
 func TestNoticeIsSpread(t *testing.T) {
 	s, closeSite := newSite(t)
 	defer closeSite()
-	started, err := s.api.Start(t.Context(), platform.StartRequest{ClientToken: "test/x", Zone: "z1", Class: "g1", Kind: platform.Reclaimable})
+	started, err := s.api.Start(t.Context(), native.StartRequest{ClientToken: "test/x", Zone: "z1", Class: "g1", Kind: native.Reclaimable})
 	require.NoError(t, err)
 	wave := s.cloud.Wave("z1", time.Hour)
 	require.NoError(t, s.leader().Step(t.Context()))
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -6,7 +6,7 @@
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // NoticePrefix begins the key of the shared membership record of a reclaim
@@ -49,6 +49,6 @@
 	return n, nil
 }
 
-func noticeOf(n platform.Notice) Notice {
+func noticeOf(n native.Notice) Notice {
 	return Notice{Instance: n.InstanceID, Zone: n.Zone, Deadline: n.Deadline.UnixMilli()}
 }
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -12,7 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"savoryreel.example/savoryreel/event"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // Lease says whether this replica is the leader and until when surely no other
@@ -95,13 +95,13 @@
 // Give sends an order to a backend server and waits for its word. It sets the
 // order's Fence. In a new term it first waits until the lease has been held for
 // Settle. Errors: ErrNotLeading, ErrInFlight, ErrUnsettled, the context's while
-// it waits, or a *platform.CallError: platform.NotRun tells whether the order
-// surely was not followed, platform.OldFence that another replica leads.
+// it waits, or a *native.CallError: native.NotRun tells whether the order
+// surely was not followed, native.OldFence that another replica leads.
 //
 // Orders to one server go one at a time: two under way could arrive in either
 // order, and a server that checks would refuse the lower number of a leader
 // that is well in office.
-func (o *Orders) Give(ctx context.Context, address string, order platform.Order) error {
+func (o *Orders) Give(ctx context.Context, address string, order native.Order) error {
 	fence, err := o.give(ctx, address, order)
 	attrs := []slog.Attr{
 		slog.Uint64("fence", uint64(fence)), slog.Uint64("term", fence.Term()),
@@ -116,13 +116,13 @@
 }
 
 func refusalReason(err error) string {
-	if platform.OldFence(err) {
+	if native.OldFence(err) {
 		return "old fence"
 	}
 	return err.Error()
 }
 
-func (o *Orders) give(ctx context.Context, address string, order platform.Order) (Fence, error) {
+func (o *Orders) give(ctx context.Context, address string, order native.Order) (Fence, error) {
 	term, err := o.settled(ctx)
 	if err != nil {
 		return 0, err
@@ -201,7 +201,7 @@
 	now := o.deps.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if unknown := err != nil && !platform.NotRun(err) && !errors.Is(err, ErrNotLeading); unknown {
+	if unknown := err != nil && !native.NotRun(err) && !errors.Is(err, ErrNotLeading); unknown {
 		o.servers[address] = serverOrders{quiet: now.Add(o.cfg.Settle)}
 		return
 	}
@@ -211,7 +211,7 @@
 // send connects, asks for the lease, and only then writes. Connecting can take
 // long, and the process can be frozen meanwhile; an answer from before it would
 // let a leader that another has replaced give an order.
-func (o *Orders) send(ctx context.Context, address string, order platform.Order) error {
+func (o *Orders) send(ctx context.Context, address string, order native.Order) error {
 	message, err := encodeOrder(address, order)
 	if err != nil {
 		return err
@@ -224,7 +224,7 @@
 	defer cancel()
 	conn, err := o.deps.Dial(callCtx, address)
 	if err != nil {
-		return &platform.CallError{Step: platform.StepConnect, Peer: address, Delivery: platform.NotSent, Err: err}
+		return &native.CallError{Step: native.StepConnect, Peer: address, Delivery: native.NotSent, Err: err}
 	}
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // the caller has given up
--- a/fleet/orders_test.go
+++ b/fleet/orders_test.go
@@ -20,7 +20,7 @@
 	"pgregory.net/rapid"
 
 	"savoryreel.example/savoryreel/internal/fake"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/host"
 )
@@ -119,7 +119,7 @@
 		<-time.After(w.delay)
 		for _, e := range w.engines {
 			rec = httptest.NewRecorder()
-			e.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodPost, platform.PathOrders, bytes.NewReader(body)))
+			e.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodPost, native.PathOrders, bytes.NewReader(body)))
 		}
 		_ = rec.Result().Write(server) // the sender may have gone
 	})
@@ -166,7 +166,7 @@
 		})
 	}
 	give := func(o *Orders, model string) error {
-		return o.Give(ctx, "server", platform.Order{Kind: platform.OrderLoadAdapter, Adapter: model})
+		return o.Give(ctx, "server", native.Order{Kind: native.OrderLoadAdapter, Adapter: model})
 	}
 	before := orders(old, oldWire)
 	_, err := before.settled(ctx)
@@ -213,7 +213,7 @@
 			Lease: leaseFunc(func() (uint64, time.Time, bool) { return 7, time.Now().Add(400 * time.Millisecond), true }),
 			Log:   slog.New(slog.DiscardHandler), Now: time.Now, Dial: w.dial,
 		})
-		order := platform.Order{Kind: platform.OrderRole, Role: "prefill"}
+		order := native.Order{Kind: native.OrderRole, Role: "prefill"}
 		var errs [2]error
 		for i := range errs {
 			wg.Go(func() { errs[i] = o.Give(t.Context(), "server", order) })
--- a/instance/announcement.go
+++ b/instance/announcement.go
@@ -53,7 +53,7 @@
 // sees a gap asks for the full listing (GET /v1/cache at the server).
 type CacheEvent struct {
 	Sequence uint64 `json:"sequence" msgpack:"seq"`
-	Prefix   uint64 `json:"prefix,string" msgpack:"prefix"` // xxhash64 of the prefix text, see platform.PrefixHashes
+	Prefix   uint64 `json:"prefix,string" msgpack:"prefix"` // xxhash64 of the prefix text, see native.PrefixHashes
 	Stored   bool   `json:"stored" msgpack:"stored"`        // false: evicted
 	Tokens   int    `json:"tokens" msgpack:"tokens"`
 }
--- a/internal/fake/announce.go
+++ b/internal/fake/announce.go
@@ -14,7 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"savoryreel.example/savoryreel/instance"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // DefaultHeartbeat is the time between two announcements.
@@ -124,7 +124,7 @@
 		return
 	}
 	for range a.cfg.Entries {
-		err := a.post(ctx, platform.PathAnnounce, body)
+		err := a.post(ctx, native.PathAnnounce, body)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
--- a/internal/fake/announce_test.go
+++ b/internal/fake/announce_test.go
@@ -14,7 +14,7 @@
 
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/internal/fake"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 const (
@@ -46,8 +46,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if strings.HasSuffix(r.URL.Path, platform.PathCacheEvents) {
-		var batch platform.CacheEventBatch
+	if strings.HasSuffix(r.URL.Path, native.PathCacheEvents) {
+		var batch native.CacheEventBatch
 		_ = json.NewDecoder(r.Body).Decode(&batch)
 		l.events = append(l.events, batch.Events...)
 		return
@@ -158,12 +158,12 @@
 	for _, checks := range []bool{true, false} {
 		e := startEngine(t, fake.EngineConfig{ChecksFences: checks})
 		ctx := context.Background()
-		newer := platform.Order{Fence: 7, Kind: platform.OrderRole, Role: "prefill"}
-		older := platform.Order{Fence: 6, Kind: platform.OrderRole, Role: "decode"}
+		newer := native.Order{Fence: 7, Kind: native.OrderRole, Role: "prefill"}
+		older := native.Order{Fence: 6, Kind: native.OrderRole, Role: "decode"}
 		require.NoError(t, e.client.Order(ctx, e.address, newer))
 		err := e.client.Order(ctx, e.address, older)
-		require.Equal(t, checks, platform.OldFence(err))
-		want := []platform.Order{newer}
+		require.Equal(t, checks, native.OldFence(err))
+		want := []native.Order{newer}
 		if !checks {
 			want = append(want, older)
 		}
@@ -178,7 +178,7 @@
 	server := httptest.NewServer(store.Handler())
 	defer server.Close()
 	address := server.Listener.Addr().String()
-	client := platform.NewStore(platform.StoreConfig{})
+	client := native.NewStore(native.StoreConfig{})
 	defer client.Close()
 	_, err := client.Fetch(context.Background(), address, "other", "1")
 	require.NoError(t, err)
@@ -189,7 +189,7 @@
 		Key:       announceKey,
 		Heartbeat: testHeartbeat,
 	}})
-	order := platform.Order{Fence: 1, Kind: platform.OrderLoadModel, Model: "m2", Version: "3"}
+	order := native.Order{Fence: 1, Kind: native.OrderLoadModel, Model: "m2", Version: "3"}
 	require.NoError(t, e.client.Order(context.Background(), e.address, order))
 	require.Eventually(t, entry.heard(func(msg instance.Announcement) bool {
 		return msg.Model == "m2" && msg.Version == "3"
--- a/internal/fake/answer.go
+++ b/internal/fake/answer.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // bytesPerToken is how many bytes of prompt the engine counts as one token.
@@ -16,7 +16,7 @@
 // prompts differ nearly everywhere. A test that compares a caller's text with
 // the joined tokens therefore sees a missing token, a doubled one and one that
 // belongs to another request.
-func Answer(model string, messages []platform.Message, n int) []string {
+func Answer(model string, messages []native.Message, n int) []string {
 	seed := answerSeed(model, messages)
 	tokens := make([]string, n)
 	for i := range tokens {
@@ -25,10 +25,10 @@
 	return tokens
 }
 
-func answerSeed(model string, messages []platform.Message) uint64 {
+func answerSeed(model string, messages []native.Message) uint64 {
 	seed := xxhash.Sum64String(model)
 	for _, m := range messages {
-		seed = platform.NextPrefixHash(seed, m)
+		seed = native.NextPrefixHash(seed, m)
 	}
 	return seed
 }
@@ -43,7 +43,7 @@
 }
 
 // PromptTokens is the engine's count of the tokens in messages.
-func PromptTokens(messages []platform.Message) int {
+func PromptTokens(messages []native.Message) int {
 	total := 0
 	for _, m := range messages {
 		total += messageTokens(m)
@@ -52,6 +52,6 @@
 }
 
 // messageTokens counts one token for the role and the rest by length.
-func messageTokens(m platform.Message) int {
+func messageTokens(m native.Message) int {
 	return 1 + (len(m.Content)+bytesPerToken-1)/bytesPerToken
 }
--- a/internal/fake/cache.go
+++ b/internal/fake/cache.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"savoryreel.example/savoryreel/instance"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // cache is an engine's prefix cache: prefixes by hash, bounded in tokens, least
@@ -16,7 +16,7 @@
 	capacity int // tokens; 0: the engine has no cache
 	used     int
 	entries  map[uint64]*list.Element
-	recency  *list.List // of platform.CacheEntry, most recent in front
+	recency  *list.List // of native.CacheEntry, most recent in front
 	sequence uint64
 	pending  []instance.CacheEvent
 }
@@ -28,8 +28,8 @@
 	total  int
 }
 
-func newPrompt(messages []platform.Message) prompt {
-	p := prompt{hashes: platform.PrefixHashes(messages), tokens: make([]int, len(messages))}
+func newPrompt(messages []native.Message) prompt {
+	p := prompt{hashes: native.PrefixHashes(messages), tokens: make([]int, len(messages))}
 	for i, m := range messages {
 		p.tokens[i] = messageTokens(m)
 		p.total += p.tokens[i]
@@ -76,7 +76,7 @@
 		c.recency.MoveToFront(element)
 		return
 	}
-	c.entries[hash] = c.recency.PushFront(platform.CacheEntry{Prefix: hash, Tokens: tokens})
+	c.entries[hash] = c.recency.PushFront(native.CacheEntry{Prefix: hash, Tokens: tokens})
 	c.used += tokens
 	c.note(hash, tokens, true)
 }
@@ -84,7 +84,7 @@
 func (c *cache) evict() {
 	for c.used > c.capacity {
 		element := c.recency.Back()
-		entry, _ := c.recency.Remove(element).(platform.CacheEntry)
+		entry, _ := c.recency.Remove(element).(native.CacheEntry)
 		delete(c.entries, entry.Prefix)
 		c.used -= entry.Tokens
 		c.note(entry.Prefix, entry.Tokens, false)
@@ -119,13 +119,13 @@
 	return float64(c.used) / float64(c.capacity)
 }
 
-func (c *cache) listing(incarnation uint64) platform.CacheListing {
+func (c *cache) listing(incarnation uint64) native.CacheListing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	entries := make([]platform.CacheEntry, 0, c.recency.Len())
+	entries := make([]native.CacheEntry, 0, c.recency.Len())
 	for element := c.recency.Front(); element != nil; element = element.Next() {
-		entry, _ := element.Value.(platform.CacheEntry)
+		entry, _ := element.Value.(native.CacheEntry)
 		entries = append(entries, entry)
 	}
-	return platform.CacheListing{Incarnation: incarnation, Sequence: c.sequence, Entries: entries}
+	return native.CacheListing{Incarnation: incarnation, Sequence: c.sequence, Entries: entries}
 }
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // Paths of a Cloud for tests.
@@ -25,7 +25,7 @@
 
 // CloudConfig describes a stand-in cloud API.
 type CloudConfig struct {
-	Prices []platform.Price // an instance starts only where its zone, class and kind have a price
+	Prices []native.Price // an instance starts only where its zone, class and kind have a price
 }
 
 // Wave is the body of POST /fake/wave: every reclaimable instance of the zone is
@@ -60,14 +60,14 @@
 	instances map[string]*cloudInstance
 	byToken   map[string]string // client token to id
 	refused   []string          // zones
-	notices   []platform.Notice
+	notices   []native.Notice
 	changed   chan struct{} // closed and replaced with each notice
 	stats     CloudStats
 }
 
 // cloudInstance is an instance and, once noticed, when it ends.
 type cloudInstance struct {
-	platform.CloudInstance
+	native.CloudInstance
 	deadline time.Time
 }
 
@@ -85,11 +85,11 @@
 // Handler serves the cloud API and the /fake/ paths.
 func (c *Cloud) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathPrices, c.servePrices)
-	mux.HandleFunc("GET "+platform.PathInstances, c.serveList)
-	mux.HandleFunc("POST "+platform.PathInstances, c.serveStart)
-	mux.HandleFunc("DELETE "+platform.PathInstances+"/{id}", c.serveStop)
-	mux.HandleFunc("GET "+platform.PathNotices, c.serveNotices)
+	mux.HandleFunc("GET "+native.PathPrices, c.servePrices)
+	mux.HandleFunc("GET "+native.PathInstances, c.serveList)
+	mux.HandleFunc("POST "+native.PathInstances, c.serveStart)
+	mux.HandleFunc("DELETE "+native.PathInstances+"/{id}", c.serveStop)
+	mux.HandleFunc("GET "+native.PathNotices, c.serveNotices)
 	outer := http.NewServeMux()
 	outer.HandleFunc("POST "+PathWave, c.serveWave)
 	outer.HandleFunc("POST "+PathRefusals, c.serveRefusals)
@@ -117,17 +117,17 @@
 
 // Wave gives notice to every reclaimable instance of the zone that runs, and
 // returns the notices. The instances end when the notice has passed.
-func (c *Cloud) Wave(zone string, notice time.Duration) []platform.Notice {
+func (c *Cloud) Wave(zone string, notice time.Duration) []native.Notice {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	deadline := time.Now().Add(notice)
 	before := len(c.notices)
 	for _, i := range c.sorted() {
-		if i.Zone != zone || i.Kind != platform.Reclaimable || !i.deadline.IsZero() || i.State != platform.InstanceRunning {
+		if i.Zone != zone || i.Kind != native.Reclaimable || !i.deadline.IsZero() || i.State != native.InstanceRunning {
 			continue
 		}
 		i.deadline = deadline
-		c.notices = append(c.notices, platform.Notice{
+		c.notices = append(c.notices, native.Notice{
 			Sequence:   uint64(len(c.notices) + 1),
 			InstanceID: i.ID,
 			Zone:       zone,
@@ -159,31 +159,31 @@
 }
 
 // at returns the instance with its state at the time now.
-func (i *cloudInstance) at(now time.Time) platform.CloudInstance {
+func (i *cloudInstance) at(now time.Time) native.CloudInstance {
 	view := i.CloudInstance
-	if view.State != platform.InstanceRunning || i.deadline.IsZero() {
+	if view.State != native.InstanceRunning || i.deadline.IsZero() {
 		return view
 	}
-	view.State = platform.InstanceReclaiming
+	view.State = native.InstanceReclaiming
 	if !now.Before(i.deadline) {
-		view.State = platform.InstanceReclaimed
+		view.State = native.InstanceReclaimed
 	}
 	return view
 }
 
 func (c *Cloud) servePrices(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, platform.PriceList{Prices: c.cfg.Prices})
+	writeJSON(w, http.StatusOK, native.PriceList{Prices: c.cfg.Prices})
 }
 
 func (c *Cloud) serveList(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, platform.InstanceList{Instances: c.list()})
+	writeJSON(w, http.StatusOK, native.InstanceList{Instances: c.list()})
 }
 
-func (c *Cloud) list() []platform.CloudInstance {
+func (c *Cloud) list() []native.CloudInstance {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	list := make([]platform.CloudInstance, 0, len(c.instances))
+	list := make([]native.CloudInstance, 0, len(c.instances))
 	for _, i := range c.sorted() {
 		list = append(list, i.at(now))
 	}
@@ -191,7 +191,7 @@
 }
 
 func (c *Cloud) serveStart(w http.ResponseWriter, r *http.Request) {
-	var req platform.StartRequest
+	var req native.StartRequest
 	if !readJSON(w, r, maxSmallBody, &req) {
 		return
 	}
@@ -201,19 +201,19 @@
 	}
 	started, ok := c.start(req)
 	if !ok {
-		refuse(w, http.StatusServiceUnavailable, DefaultRetryAfter, platform.CodeNoCapacity, "no such instance in "+req.Zone)
+		refuse(w, http.StatusServiceUnavailable, DefaultRetryAfter, native.CodeNoCapacity, "no such instance in "+req.Zone)
 		return
 	}
 	writeJSON(w, http.StatusOK, started)
 }
 
-func (c *Cloud) offered(req platform.StartRequest) bool {
-	return slices.ContainsFunc(c.cfg.Prices, func(p platform.Price) bool {
+func (c *Cloud) offered(req native.StartRequest) bool {
+	return slices.ContainsFunc(c.cfg.Prices, func(p native.Price) bool {
 		return p.Zone == req.Zone && p.Class == req.Class && p.Kind == req.Kind
 	})
 }
 
-func (c *Cloud) start(req platform.StartRequest) (platform.CloudInstance, bool) {
+func (c *Cloud) start(req native.StartRequest) (native.CloudInstance, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -223,16 +223,16 @@
 	}
 	if slices.Contains(c.refused, req.Zone) {
 		c.stats.Refused++
-		return platform.CloudInstance{}, false
+		return native.CloudInstance{}, false
 	}
 	c.stats.Started++
-	i := &cloudInstance{CloudInstance: platform.CloudInstance{
+	i := &cloudInstance{CloudInstance: native.CloudInstance{
 		ID:          fmt.Sprintf("i-%06d", c.stats.Started),
 		ClientToken: req.ClientToken,
 		Zone:        req.Zone,
 		Class:       req.Class,
 		Kind:        req.Kind,
-		State:       platform.InstanceRunning,
+		State:       native.InstanceRunning,
 		StartedAt:   now,
 	}}
 	c.instances[i.ID] = i
@@ -242,7 +242,7 @@
 
 func (c *Cloud) serveStop(w http.ResponseWriter, r *http.Request) {
 	if !c.stop(r.PathValue("id")) {
-		writeJSON(w, http.StatusNotFound, platform.Problem{Code: "instance_not_found"})
+		writeJSON(w, http.StatusNotFound, native.Problem{Code: "instance_not_found"})
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -255,8 +255,8 @@
 	if !ok {
 		return false
 	}
-	if i.State == platform.InstanceRunning {
-		i.State = platform.InstanceStopped
+	if i.State == native.InstanceRunning {
+		i.State = native.InstanceStopped
 		c.stats.Stopped++
 	}
 	return true
@@ -276,13 +276,13 @@
 	for {
 		notices, changed := c.noticesAfter(after)
 		if len(notices) > 0 {
-			writeJSON(w, http.StatusOK, platform.NoticePage{Notices: notices})
+			writeJSON(w, http.StatusOK, native.NoticePage{Notices: notices})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writeJSON(w, http.StatusOK, platform.NoticePage{})
+			writeJSON(w, http.StatusOK, native.NoticePage{})
 			return
 		case <-r.Context().Done():
 			return
@@ -290,7 +290,7 @@
 	}
 }
 
-func (c *Cloud) noticesAfter(after uint64) ([]platform.Notice, <-chan struct{}) {
+func (c *Cloud) noticesAfter(after uint64) ([]native.Notice, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	from := min(after, uint64(len(c.notices)))
@@ -303,7 +303,7 @@
 		return
 	}
 	notices := c.Wave(wave.Zone, time.Duration(wave.NoticeMS)*time.Millisecond)
-	writeJSON(w, http.StatusOK, platform.NoticePage{Notices: notices})
+	writeJSON(w, http.StatusOK, native.NoticePage{Notices: notices})
 }
 
 func (c *Cloud) serveRefusals(w http.ResponseWriter, r *http.Request) {
--- a/internal/fake/cloud_test.go
+++ b/internal/fake/cloud_test.go
@@ -9,18 +9,18 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/internal/fake"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
-func startCloud(t *testing.T) (*fake.Cloud, *platform.CloudClient) {
+func startCloud(t *testing.T) (*fake.Cloud, *native.CloudClient) {
 	t.Helper()
-	cloud := fake.NewCloud(fake.CloudConfig{Prices: []platform.Price{
-		{Zone: "z1", Class: "gpu", Kind: platform.Reclaimable, PerHour: 1},
-		{Zone: "z1", Class: "gpu", Kind: platform.OnDemand, PerHour: 3},
-		{Zone: "z2", Class: "gpu", Kind: platform.Reclaimable, PerHour: 2},
+	cloud := fake.NewCloud(fake.CloudConfig{Prices: []native.Price{
+		{Zone: "z1", Class: "gpu", Kind: native.Reclaimable, PerHour: 1},
+		{Zone: "z1", Class: "gpu", Kind: native.OnDemand, PerHour: 3},
+		{Zone: "z2", Class: "gpu", Kind: native.Reclaimable, PerHour: 2},
 	}}, fake.Deps{})
 	server := httptest.NewServer(cloud.Handler())
-	client := platform.NewCloud(platform.CloudConfig{Address: server.Listener.Addr().String()})
+	client := native.NewCloud(native.CloudConfig{Address: server.Listener.Addr().String()})
 	t.Cleanup(func() {
 		client.Close()
 		server.Close()
@@ -33,7 +33,7 @@
 func TestCloudStartsOncePerToken(t *testing.T) {
 	cloud, client := startCloud(t)
 	ctx := context.Background()
-	req := platform.StartRequest{ClientToken: "t1", Zone: "z1", Class: "gpu", Kind: platform.Reclaimable}
+	req := native.StartRequest{ClientToken: "t1", Zone: "z1", Class: "gpu", Kind: native.Reclaimable}
 	first, err := client.Start(ctx, req)
 	require.NoError(t, err)
 	again, err := client.Start(ctx, req)
@@ -44,17 +44,17 @@
 	list, err := client.Instances(ctx)
 	require.NoError(t, err)
 	require.Len(t, list, 1)
-	require.Equal(t, platform.InstanceStopped, list[0].State)
+	require.Equal(t, native.InstanceStopped, list[0].State)
 }
 
 func TestCloudRefusesStartsByZone(t *testing.T) {
 	cloud, client := startCloud(t)
 	cloud.Refuse("z1")
 	ctx := context.Background()
-	_, err := client.Start(ctx, platform.StartRequest{ClientToken: "a", Zone: "z1", Class: "gpu", Kind: platform.OnDemand})
-	require.True(t, platform.NoCapacity(err))
-	require.True(t, platform.NotRun(err))
-	_, err = client.Start(ctx, platform.StartRequest{ClientToken: "b", Zone: "z2", Class: "gpu", Kind: platform.Reclaimable})
+	_, err := client.Start(ctx, native.StartRequest{ClientToken: "a", Zone: "z1", Class: "gpu", Kind: native.OnDemand})
+	require.True(t, native.NoCapacity(err))
+	require.True(t, native.NotRun(err))
+	_, err = client.Start(ctx, native.StartRequest{ClientToken: "b", Zone: "z2", Class: "gpu", Kind: native.Reclaimable})
 	require.NoError(t, err)
 }
 
@@ -64,13 +64,13 @@
 	cloud, client := startCloud(t)
 	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
 	defer cancel()
-	for token, kind := range map[string]platform.PurchaseKind{
-		"a": platform.Reclaimable, "b": platform.Reclaimable, "c": platform.OnDemand,
+	for token, kind := range map[string]native.PurchaseKind{
+		"a": native.Reclaimable, "b": native.Reclaimable, "c": native.OnDemand,
 	} {
-		_, err := client.Start(ctx, platform.StartRequest{ClientToken: token, Zone: "z1", Class: "gpu", Kind: kind})
+		_, err := client.Start(ctx, native.StartRequest{ClientToken: token, Zone: "z1", Class: "gpu", Kind: kind})
 		require.NoError(t, err)
 	}
-	pages := make(chan platform.NoticePage, 1)
+	pages := make(chan native.NoticePage, 1)
 	go func() {
 		page, _ := client.Notices(ctx, 0, waitBound)
 		pages <- page
@@ -84,9 +84,9 @@
 	require.Empty(t, empty.Notices)
 	list, err := client.Instances(ctx)
 	require.NoError(t, err)
-	states := make(map[platform.InstanceState]int)
+	states := make(map[native.InstanceState]int)
 	for _, i := range list {
 		states[i.State]++
 	}
-	require.Equal(t, map[platform.InstanceState]int{platform.InstanceReclaimed: 2, platform.InstanceRunning: 1}, states)
+	require.Equal(t, map[native.InstanceState]int{native.InstanceReclaimed: 2, native.InstanceRunning: 1}, states)
 }
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/instance"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // Defaults of an Engine.
@@ -99,8 +99,8 @@
 	orders    *orderBook
 	requests  *cancelTable
 	load      *loadHistory
-	loads     chan platform.Order
-	store     *platform.StoreClient
+	loads     chan native.Order
+	store     *native.StoreClient
 	announcer *announcer
 
 	mu      sync.Mutex
@@ -131,8 +131,8 @@
 		orders:   newOrderBook(cfg.ChecksFences),
 		requests: newCancelTable(),
 		load:     newLoadHistory(cfg.LoadLag),
-		loads:    make(chan platform.Order, maxQueuedLoads),
-		store:    platform.NewStore(platform.StoreConfig{}),
+		loads:    make(chan native.Order, maxQueuedLoads),
+		store:    native.NewStore(native.StoreConfig{}),
 		address:  cfg.Address,
 		model: modelState{
 			name:     cfg.Model,
@@ -148,14 +148,14 @@
 // Handler serves the engine protocol and the /fake/ paths.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathChat, e.serveChat)
-	mux.HandleFunc("DELETE "+platform.PathRequests+"{id}", e.serveCancel)
-	mux.HandleFunc("POST "+platform.PathKVExport, e.serveExport)
-	mux.HandleFunc("POST "+platform.PathKVImport, e.serveImport)
-	mux.HandleFunc("GET "+platform.PathKVFetch+"{handle}", e.serveFetch)
-	mux.HandleFunc("GET "+platform.PathCache, e.serveListing)
-	mux.HandleFunc("POST "+platform.PathOrders, e.serveOrder)
-	mux.HandleFunc("GET "+platform.PathHealth, serveHealth)
+	mux.HandleFunc("POST "+native.PathChat, e.serveChat)
+	mux.HandleFunc("DELETE "+native.PathRequests+"{id}", e.serveCancel)
+	mux.HandleFunc("POST "+native.PathKVExport, e.serveExport)
+	mux.HandleFunc("POST "+native.PathKVImport, e.serveImport)
+	mux.HandleFunc("GET "+native.PathKVFetch+"{handle}", e.serveFetch)
+	mux.HandleFunc("GET "+native.PathCache, e.serveListing)
+	mux.HandleFunc("POST "+native.PathOrders, e.serveOrder)
+	mux.HandleFunc("GET "+native.PathHealth, serveHealth)
 	outer := http.NewServeMux()
 	outer.HandleFunc(PathFaults, faultHandler(e.faults))
 	outer.HandleFunc("GET "+PathStats, e.serveStats)
--- a/internal/fake/engine_chat.go
+++ b/internal/fake/engine_chat.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/uuid"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // Finish reasons of an answer.
@@ -25,16 +25,16 @@
 // chatRun is one request on its way through the engine.
 type chatRun struct {
 	id     string
-	req    platform.ChatRequest
+	req    native.ChatRequest
 	prompt prompt
 	seed   uint64
 	given  int // tokens of the answer that another engine made
 	length int // tokens of the whole answer
 	finish string
-	usage  platform.Usage
+	usage  native.Usage
 }
 
-func (e *Engine) newChatRun(id string, req platform.ChatRequest) *chatRun {
+func (e *Engine) newChatRun(id string, req native.ChatRequest) *chatRun {
 	c := &chatRun{
 		id:     id,
 		req:    req,
@@ -56,7 +56,7 @@
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
-	var req platform.ChatRequest
+	var req native.ChatRequest
 	if !readJSON(w, r, maxChatBody, &req) {
 		return
 	}
@@ -68,7 +68,7 @@
 		refuse(w, http.StatusTooManyRequests, DefaultRetryAfter, "queue_full", "no place in the engine's queue")
 		return
 	}
-	id := r.Header.Get(platform.HeaderRequestID)
+	id := r.Header.Get(native.HeaderRequestID)
 	if id == "" {
 		id = uuid.NewString()
 	}
@@ -107,7 +107,7 @@
 }
 
 // accepts answers the request itself when the engine cannot run it.
-func (e *Engine) accepts(w http.ResponseWriter, req platform.ChatRequest) bool {
+func (e *Engine) accepts(w http.ResponseWriter, req native.ChatRequest) bool {
 	if e.faults.refuses(w) {
 		return false
 	}
@@ -196,7 +196,7 @@
 // cacheAnswer puts the conversation with its answer into the prefix cache,
 // because the next turn of the chat begins with both.
 func (e *Engine) cacheAnswer(c *chatRun, text string) {
-	turn := platform.Message{Role: "assistant", Content: text}
+	turn := native.Message{Role: "assistant", Content: text}
 	e.cache.use(newPrompt(append(slices.Clone(c.req.Messages), turn)))
 }
 
@@ -233,7 +233,7 @@
 	}
 }
 
-func promptText(messages []platform.Message) string {
+func promptText(messages []native.Message) string {
 	var b strings.Builder
 	for _, m := range messages {
 		b.WriteString(m.Content)
@@ -244,7 +244,7 @@
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	if !e.requests.cancel(r.PathValue("id")) {
-		writeJSON(w, http.StatusNotFound, platform.Problem{Code: "request_not_found"})
+		writeJSON(w, http.StatusNotFound, native.Problem{Code: "request_not_found"})
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -267,7 +267,7 @@
 
 // accept sends the head of a stream: the request has a place in the queue.
 func (o *chatWriter) accept() {
-	o.w.Header().Set(platform.HeaderRequestID, o.c.id)
+	o.w.Header().Set(native.HeaderRequestID, o.c.id)
 	if !o.c.req.Stream {
 		return
 	}
@@ -282,11 +282,11 @@
 		o.text.WriteString(token)
 		return
 	}
-	delta := platform.Delta{Content: token}
+	delta := native.Delta{Content: token}
 	if i == o.c.given {
 		delta.Role = "assistant"
 	}
-	o.event(platform.ChunkChoice{Delta: delta}, nil)
+	o.event(native.ChunkChoice{Delta: delta}, nil)
 	o.written++
 }
 
@@ -296,7 +296,7 @@
 		writeJSON(o.w, http.StatusOK, o.whole())
 		return
 	}
-	o.event(platform.ChunkChoice{FinishReason: o.c.finish}, &o.c.usage)
+	o.event(native.ChunkChoice{FinishReason: o.c.finish}, &o.c.usage)
 	if o.stalled {
 		return
 	}
@@ -304,7 +304,7 @@
 	_ = o.control.Flush()
 }
 
-func (o *chatWriter) event(choice platform.ChunkChoice, usage *platform.Usage) {
+func (o *chatWriter) event(choice native.ChunkChoice, usage *native.Usage) {
 	limit := o.faults.get().StallAfterTokens
 	if limit > 0 && o.written >= limit {
 		o.stalled = true
@@ -312,11 +312,11 @@
 	if o.stalled {
 		return
 	}
-	data, err := json.Marshal(platform.ChatChunk{
+	data, err := json.Marshal(native.ChatChunk{
 		ID:      o.c.id,
 		Object:  "chat.completion.chunk",
 		Model:   o.c.req.Model,
-		Choices: []platform.ChunkChoice{choice},
+		Choices: []native.ChunkChoice{choice},
 		Usage:   usage,
 	})
 	if err != nil {
@@ -330,13 +330,13 @@
 	_ = o.control.Flush()
 }
 
-func (o *chatWriter) whole() platform.ChatResponse {
-	return platform.ChatResponse{
+func (o *chatWriter) whole() native.ChatResponse {
+	return native.ChatResponse{
 		ID:     o.c.id,
 		Object: "chat.completion",
 		Model:  o.c.req.Model,
-		Choices: []platform.Choice{{
-			Message:      platform.Message{Role: "assistant", Content: o.text.String()},
+		Choices: []native.Choice{{
+			Message:      native.Message{Role: "assistant", Content: o.text.String()},
 			FinishReason: o.c.finish,
 		}},
 		Usage: o.c.usage,
--- a/internal/fake/engine_kv.go
+++ b/internal/fake/engine_kv.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/instance"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 var errNoHandle = errors.New("the other engine holds no such handle")
@@ -17,14 +17,14 @@
 func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
 	handle, record, ok := e.kv.export(r.URL.Query().Get("request"))
 	if !ok {
-		writeJSON(w, http.StatusNotFound, platform.Problem{Code: "request_not_found"})
+		writeJSON(w, http.StatusNotFound, native.Problem{Code: "request_not_found"})
 		return
 	}
 	writeJSON(w, http.StatusOK, e.exportReply(handle, record))
 }
 
-func (e *Engine) exportReply(handle string, r kvRecord) platform.ExportReply {
-	return platform.ExportReply{
+func (e *Engine) exportReply(handle string, r kvRecord) native.ExportReply {
+	return native.ExportReply{
 		Handle: handle,
 		Bytes:  int64(r.total()) * e.cfg.KVPerToken,
 		Tokens: r.total(),
@@ -35,7 +35,7 @@
 func (e *Engine) serveFetch(w http.ResponseWriter, r *http.Request) {
 	record, ok := e.kv.get(r.PathValue("handle"))
 	if !ok {
-		writeJSON(w, http.StatusNotFound, platform.Problem{Code: "handle_not_found"})
+		writeJSON(w, http.StatusNotFound, native.Problem{Code: "handle_not_found"})
 		return
 	}
 	writeJSON(w, http.StatusOK, record)
@@ -44,7 +44,7 @@
 // serveImport fetches a record and takes the time that its bytes would take.
 // The sender must live until the end of that time, as for real bytes.
 func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
-	var req platform.ImportRequest
+	var req native.ImportRequest
 	if !readJSON(w, r, maxSmallBody, &req) {
 		return
 	}
@@ -56,7 +56,7 @@
 		record, err = e.fetchKV(r.Context(), req)
 	}
 	if err != nil {
-		writeJSON(w, http.StatusBadGateway, platform.Problem{Code: "import_failed", Detail: err.Error()})
+		writeJSON(w, http.StatusBadGateway, native.Problem{Code: "import_failed", Detail: err.Error()})
 		return
 	}
 	writeJSON(w, http.StatusOK, e.exportReply(e.kv.imported(record), record))
@@ -67,8 +67,8 @@
 	return time.Duration(bytes / float64(e.cfg.KVRate) * float64(time.Second))
 }
 
-func (e *Engine) fetchKV(ctx context.Context, from platform.ImportRequest) (kvRecord, error) {
-	url := "http://" + from.From + platform.PathKVFetch + from.Handle
+func (e *Engine) fetchKV(ctx context.Context, from native.ImportRequest) (kvRecord, error) {
+	url := "http://" + from.From + native.PathKVFetch + from.Handle
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return kvRecord{}, err
@@ -110,12 +110,12 @@
 }
 
 func (e *Engine) pushBatch(ctx context.Context, events []instance.CacheEvent) {
-	body, err := json.Marshal(platform.CacheEventBatch{Incarnation: e.cfg.Incarnation, Events: events})
+	body, err := json.Marshal(native.CacheEventBatch{Incarnation: e.cfg.Incarnation, Events: events})
 	if err != nil {
 		e.deps.Log.Error("cache events cannot be encoded", "error", err)
 		return
 	}
-	path := platform.PathAnnounce + "/" + e.cfg.ID + platform.PathCacheEvents
+	path := native.PathAnnounce + "/" + e.cfg.ID + native.PathCacheEvents
 	if err := e.announcer.post(ctx, path, body); err != nil {
 		e.deps.Log.Debug("cache events lost", "error", err)
 	}
--- a/internal/fake/engine_orders.go
+++ b/internal/fake/engine_orders.go
@@ -6,7 +6,7 @@
 	"slices"
 	"sync"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // orderBook remembers the orders that an engine followed.
@@ -14,7 +14,7 @@
 	mu      sync.Mutex
 	checks  bool
 	highest uint64
-	orders  []platform.Order
+	orders  []native.Order
 }
 
 func newOrderBook(checks bool) *orderBook { return &orderBook{checks: checks} }
@@ -22,7 +22,7 @@
 // take reports whether the order is to be followed. An engine that checks
 // fences refuses one lower than it has seen: it comes from a leader that has
 // been replaced without knowing.
-func (b *orderBook) take(o platform.Order) bool {
+func (b *orderBook) take(o native.Order) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.checks && o.Fence < b.highest {
@@ -33,7 +33,7 @@
 	return true
 }
 
-func (b *orderBook) taken() []platform.Order {
+func (b *orderBook) taken() []native.Order {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return slices.Clone(b.orders)
@@ -41,7 +41,7 @@
 
 // serveOrder answers 202 for an order that is followed, 409 for an old fence.
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o native.Order
 	if !readJSON(w, r, maxSmallBody, &o) {
 		return
 	}
@@ -58,15 +58,15 @@
 
 // follow reports whether the order makes sense. A model takes its time to
 // load; the announcements show when it is there.
-func (e *Engine) follow(o platform.Order) bool {
+func (e *Engine) follow(o native.Order) bool {
 	switch o.Kind {
-	case platform.OrderLoadModel:
+	case native.OrderLoadModel:
 		return e.enqueueLoad(o)
-	case platform.OrderLoadAdapter:
+	case native.OrderLoadAdapter:
 		e.change(func(m *modelState) { m.adapters = withAdapter(m.adapters, o.Adapter) })
-	case platform.OrderRole:
+	case native.OrderRole:
 		e.change(func(m *modelState) { m.role = o.Role })
-	case platform.OrderLeave:
+	case native.OrderLeave:
 		e.Leave(e.cfg.Notice)
 	default:
 		return false
@@ -75,7 +75,7 @@
 }
 
 // enqueueLoad leaves the loading to runLoads, one model after the other.
-func (e *Engine) enqueueLoad(o platform.Order) bool {
+func (e *Engine) enqueueLoad(o native.Order) bool {
 	select {
 	case e.loads <- o:
 		return true
@@ -96,7 +96,7 @@
 	}
 }
 
-func (e *Engine) loadModel(ctx context.Context, o platform.Order) {
+func (e *Engine) loadModel(ctx context.Context, o native.Order) {
 	if err := e.fetchWeights(ctx, o); err != nil {
 		e.deps.Log.Warn("model not loaded", "model", o.Model, "version", o.Version, "error", err)
 		return
@@ -108,13 +108,13 @@
 }
 
 // fetchWeights reads the weights and, as the store asks for it, waits and asks again.
-func (e *Engine) fetchWeights(ctx context.Context, o platform.Order) error {
+func (e *Engine) fetchWeights(ctx context.Context, o native.Order) error {
 	if e.cfg.Store == "" {
 		return nil
 	}
 	for {
 		_, err := e.store.Fetch(ctx, e.cfg.Store, o.Model, o.Version)
-		after, again := platform.RetryAfter(err)
+		after, again := native.RetryAfter(err)
 		if !again {
 			return err
 		}
--- a/internal/fake/engine_state.go
+++ b/internal/fake/engine_state.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/instance"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // rateWindow is the time over which the generated tokens a second are counted.
@@ -15,15 +15,15 @@
 
 // EngineStats is what an Engine did: the body of GET /fake/stats.
 type EngineStats struct {
-	Runs       map[string]int   `json:"runs"`      // times that each request id got a slot and ran
-	Finished   map[string]int   `json:"finished"`  // times that each request id made its last token
-	Cancelled  map[string]int   `json:"cancelled"` // times that each request id ended before that
-	Tokens     int              `json:"tokens"`    // generated
-	Cached     int              `json:"cachedTokens"`
-	Recomputed int              `json:"recomputedTokens"`
-	Running    int              `json:"running"`
-	Waiting    int              `json:"waiting"`
-	Orders     []platform.Order `json:"orders"` // followed, in their order
+	Runs       map[string]int `json:"runs"`      // times that each request id got a slot and ran
+	Finished   map[string]int `json:"finished"`  // times that each request id made its last token
+	Cancelled  map[string]int `json:"cancelled"` // times that each request id ended before that
+	Tokens     int            `json:"tokens"`    // generated
+	Cached     int            `json:"cachedTokens"`
+	Recomputed int            `json:"recomputedTokens"`
+	Running    int            `json:"running"`
+	Waiting    int            `json:"waiting"`
+	Orders     []native.Order `json:"orders"` // followed, in their order
 }
 
 type engineStats struct {
--- a/internal/fake/engine_test.go
+++ b/internal/fake/engine_test.go
@@ -15,7 +15,7 @@
 	"go.uber.org/goleak"
 
 	"savoryreel.example/savoryreel/internal/fake"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 const (
@@ -38,7 +38,7 @@
 type running struct {
 	*fake.Engine
 	address string
-	client  *platform.EngineClient
+	client  *native.EngineClient
 	ended   chan error
 }
 
@@ -47,7 +47,7 @@
 	cfg.Model = testModel
 	r := &running{
 		Engine: fake.NewEngine(cfg, fake.Deps{}),
-		client: platform.NewEngine(platform.EngineConfig{}),
+		client: native.NewEngine(native.EngineConfig{}),
 		ended:  make(chan error, 1),
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -67,7 +67,7 @@
 	return r
 }
 
-func (r *running) chat(t *testing.T, id string, req platform.ChatRequest) *platform.ChatStream {
+func (r *running) chat(t *testing.T, id string, req native.ChatRequest) *native.ChatStream {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
 	stream, err := r.client.Chat(ctx, r.address, id, req)
@@ -77,16 +77,16 @@
 	return stream
 }
 
-func ask(text string, n int) platform.ChatRequest {
-	return platform.ChatRequest{
+func ask(text string, n int) native.ChatRequest {
+	return native.ChatRequest{
 		Model:     testModel,
-		Messages:  []platform.Message{{Role: "user", Content: text}},
+		Messages:  []native.Message{{Role: "user", Content: text}},
 		MaxTokens: n,
 	}
 }
 
 // take reads up to n tokens, and to the stream's end for a negative n.
-func take(s *platform.ChatStream, n int) ([]string, error) {
+func take(s *native.ChatStream, n int) ([]string, error) {
 	var tokens []string
 	for len(tokens) != n {
 		chunk, err := s.Next()
@@ -127,7 +127,7 @@
 	require.NoError(t, err)
 	second := startEngine(t, fake.EngineConfig{ID: "b"})
 	imported, err := second.client.ImportKV(context.Background(), second.address,
-		platform.ImportRequest{From: first.address, Handle: export.Handle})
+		native.ImportRequest{From: first.address, Handle: export.Handle})
 	require.NoError(t, err)
 
 	for name, c := range map[string]struct {
@@ -138,7 +138,7 @@
 		"by prefill":        {"", fake.PromptTokens(req.Messages) + len(head)},
 	} {
 		resumed := req
-		resumed.Resume = &platform.Resume{Tokens: head, Handle: c.handle}
+		resumed.Resume = &native.Resume{Tokens: head, Handle: c.handle}
 		stream := second.chat(t, name, resumed)
 		rest, err := take(stream, -1)
 		require.Equal(t, io.EOF, err, name)
@@ -178,12 +178,12 @@
 	crash := e.chat(t, "crash", ask("some trigger here", 5))
 	_, err = take(crash, -1)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
-	require.False(t, platform.NotRun(err))
+	require.False(t, native.NotRun(err))
 	_, err = take(bystander, -1)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	require.ErrorIs(t, <-e.ended, fake.ErrCrashed)
 	_, err = e.client.Chat(context.Background(), e.address, "later", ask("x", 1))
-	require.True(t, platform.NotRun(err), "%v", err)
+	require.True(t, native.NotRun(err), "%v", err)
 }
 
 // Something between the two ends loses track of an open connection: the stream
@@ -224,12 +224,12 @@
 
 func requireRefused(t *testing.T, err error, status int) {
 	t.Helper()
-	var call *platform.CallError
+	var call *native.CallError
 	require.True(t, errors.As(err, &call), "%v", err)
-	require.Equal(t, platform.Refused, call.Delivery)
+	require.Equal(t, native.Refused, call.Delivery)
 	require.Equal(t, status, call.Status)
 	require.Equal(t, fake.DefaultRetryAfter, call.RetryAfter)
-	require.True(t, platform.NotRun(err))
+	require.True(t, native.NotRun(err))
 }
 
 func TestEngineServesUrgentRequestsFirst(t *testing.T) {
@@ -255,14 +255,14 @@
 	req := ask(strings.Repeat("station history ", 20), 5)
 	_, err := take(e.chat(t, "r1", req), -1)
 	require.Equal(t, io.EOF, err)
-	req.Messages = append(req.Messages, platform.Message{Role: "user", Content: "and now?"})
+	req.Messages = append(req.Messages, native.Message{Role: "user", Content: "and now?"})
 	again := e.chat(t, "r2", req)
 	_, err = take(again, -1)
 	require.Equal(t, io.EOF, err)
 	require.Equal(t, fake.PromptTokens(req.Messages[:1]), again.Usage().Cached)
 	listing, err := e.client.Listing(context.Background(), e.address)
 	require.NoError(t, err)
-	hashes := platform.PrefixHashes(req.Messages)
+	hashes := native.PrefixHashes(req.Messages)
 	var listed []uint64
 	for _, entry := range listing.Entries {
 		listed = append(listed, entry.Prefix)
--- a/internal/fake/kv.go
+++ b/internal/fake/kv.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"sync"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // keptRecords bounds the KV records of ended requests and of handles, each.
@@ -99,7 +99,7 @@
 
 // planPrefill weighs a request's prompt, its tokens so far and the KV cache
 // that it names, if any.
-func planPrefill(p prompt, cached int, resume *platform.Resume, kv kvRecord, hasKV bool) resumePlan {
+func planPrefill(p prompt, cached int, resume *native.Resume, kv kvRecord, hasKV bool) resumePlan {
 	if resume == nil {
 		return resumePlan{prefill: p.total - cached, cached: cached}
 	}
--- a/internal/fake/plain.go
+++ b/internal/fake/plain.go
@@ -16,7 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"savoryreel.example/savoryreel/instance"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // Paths and headers of a Plain that tests use.
@@ -109,7 +109,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(PathFaults, faultHandler(p.faults))
 	mux.HandleFunc("GET "+PathStats, p.serveStats)
-	mux.Handle("GET "+platform.PathHealth, p.faults.guard(http.HandlerFunc(serveHealth)))
+	mux.Handle("GET "+native.PathHealth, p.faults.guard(http.HandlerFunc(serveHealth)))
 	mux.Handle("/", p.faults.guard(http.HandlerFunc(p.serveCall)))
 	return mux
 }
@@ -213,7 +213,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stats.Calls++
-	p.stats.Requests[r.Header.Get(platform.HeaderRequestID)]++
+	p.stats.Requests[r.Header.Get(native.HeaderRequestID)]++
 	if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, PathCounter) {
 		p.stats.Counters[r.URL.Query().Get("name")]++
 	}
--- a/internal/fake/plain_test.go
+++ b/internal/fake/plain_test.go
@@ -16,13 +16,13 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/internal/fake"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // plainServer is where a stand-in plain service serves.
 type plainServer struct {
 	address string
-	client  *platform.PlainClient
+	client  *native.PlainClient
 	cancel  context.CancelFunc
 }
 
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := plainServer{
 		address: ln.Addr().String(),
-		client:  platform.NewPlain(platform.PlainConfig{}),
+		client:  native.NewPlain(native.PlainConfig{}),
 		cancel:  cancel,
 	}
 	ended := make(chan error, 1)
@@ -116,7 +116,7 @@
 	p.SetFaults(fake.Faults{CrashOn: "trigger"})
 	_, err := s.do(t, http.MethodPost, "/counter?name=a", "k", bytes.NewReader([]byte("a trigger b")))
 	require.Error(t, err)
-	require.False(t, platform.NotRun(err))
+	require.False(t, native.NotRun(err))
 	require.ErrorIs(t, <-ended, fake.ErrCrashed)
 	require.Zero(t, p.Stats().Calls)
 }
@@ -137,7 +137,7 @@
 	}()
 	require.Eventually(t, func() bool { return p.Stats().Counters["alerts"] == 1 }, waitBound, pollEvery)
 	cancel()
-	require.False(t, platform.NotRun(<-failed))
+	require.False(t, native.NotRun(<-failed))
 }
 
 // A test in another process sets the faults over HTTP. A call that the service
@@ -151,8 +151,8 @@
 	resp, err = s.do(t, http.MethodPost, "/counter?name=a", "k", nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
-	require.NotEmpty(t, resp.Header.Get(platform.HeaderNotRun))
-	require.NotEmpty(t, resp.Header.Get(platform.HeaderRetryAfter))
+	require.NotEmpty(t, resp.Header.Get(native.HeaderNotRun))
+	require.NotEmpty(t, resp.Header.Get(native.HeaderRetryAfter))
 	resp, err = s.do(t, http.MethodGet, fake.PathStats, "", nil)
 	require.NoError(t, err)
 	var stats fake.PlainStats
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -14,7 +14,7 @@
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // Bounds of the stand-ins' listeners.
@@ -93,12 +93,12 @@
 
 // refuse answers a request that has not run and will not run.
 func refuse(w http.ResponseWriter, status int, after time.Duration, code, detail string) {
-	w.Header().Set(platform.HeaderNotRun, "1")
+	w.Header().Set(native.HeaderNotRun, "1")
 	if after > 0 {
 		seconds := int((after + time.Second - 1) / time.Second)
-		w.Header().Set(platform.HeaderRetryAfter, strconv.Itoa(seconds))
+		w.Header().Set(native.HeaderRetryAfter, strconv.Itoa(seconds))
 	}
-	writeJSON(w, status, platform.Problem{Code: code, Detail: detail})
+	writeJSON(w, status, native.Problem{Code: code, Detail: detail})
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // storeStep is the time between two writes of a paced body.
@@ -60,7 +60,7 @@
 	mux.HandleFunc(PathFaults, faultHandler(s.faults))
 	mux.HandleFunc("GET "+PathStats, s.serveStats)
 	weights := http.HandlerFunc(s.serveWeights)
-	mux.Handle("GET "+platform.PathWeights+"{model}/{version}", s.faults.guard(weights))
+	mux.Handle("GET "+native.PathWeights+"{model}/{version}", s.faults.guard(weights))
 	return mux
 }
 
--- a/load/caller.go
+++ b/load/caller.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // Headers of the system towards callers.
@@ -78,7 +78,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			MaxIdleConnsPerHost: maxInFlight,
-			IdleConnTimeout:     platform.DefaultIdleTimeout,
+			IdleConnTimeout:     native.DefaultIdleTimeout,
 			DisableCompression:  true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -112,7 +112,7 @@
 	}
 	defer resp.Body.Close()
 	if state.requestID == "" {
-		state.requestID = resp.Header.Get(platform.HeaderRequestID)
+		state.requestID = resp.Header.Get(native.HeaderRequestID)
 	}
 	return c.take(resp, p, a, intended, state, r)
 }
@@ -180,7 +180,7 @@
 	c.setHeaders(req, p, a)
 	if state.lastID != "" {
 		req.Header.Set(headerLastID, state.lastID)
-		req.Header.Set(platform.HeaderRequestID, state.requestID)
+		req.Header.Set(native.HeaderRequestID, state.requestID)
 	}
 	return c.client.Do(req)
 }
--- a/load/config.go
+++ b/load/config.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // Defaults and bounds of a Config.
@@ -38,7 +38,7 @@
 	Seed        uint64        // of arrivals and prompts
 	Parts       []Part        // the mix
 	Surges      []Surge
-	Expect      func(model string, messages []platform.Message, tokens int) []string // answers to check chats by; nil: unchecked
+	Expect      func(model string, messages []native.Message, tokens int) []string // answers to check chats by; nil: unchecked
 }
 
 // Part is one sort of request in the mix.
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -18,7 +18,7 @@
 
 	"savoryreel.example/savoryreel/internal/fake"
 	"savoryreel.example/savoryreel/load"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 const (
@@ -81,7 +81,7 @@
 	require.NoError(t, err)
 	require.Equal(t, result.Total.Requests, again.Total.Requests, "one seed, one schedule")
 
-	cfg.Expect = func(string, []platform.Message, int) []string { return []string{"other"} }
+	cfg.Expect = func(string, []native.Message, int) []string { return []string{"other"} }
 	wrong, err := load.Run(context.Background(), cfg)
 	require.NoError(t, err)
 	require.Equal(t, wrong.Total.Requests, wrong.Total.Outcomes.Wrong)
@@ -198,7 +198,7 @@
 func TestRunTakesUpABrokenStream(t *testing.T) {
 	const cut = 2 // tokens before the entry dies
 	entry := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var req platform.ChatRequest
+		var req native.ChatRequest
 		_ = json.NewDecoder(r.Body).Decode(&req)
 		answer := fake.Answer(testModel, req.Messages, req.MaxTokens)
 		from, to := 0, cut
--- a/load/request.go
+++ b/load/request.go
@@ -7,12 +7,12 @@
 	"strconv"
 	"strings"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 func (p Part) path() string {
 	if p.Kind == Chat {
-		return platform.PathChat
+		return native.PathChat
 	}
 	return pathPlainCalls + p.Service + "/" + strings.TrimPrefix(p.Path, "/")
 }
@@ -43,7 +43,7 @@
 	if p.Kind == Plain {
 		return []byte(filler(index, p.BodyBytes)), nil
 	}
-	return json.Marshal(platform.ChatRequest{
+	return json.Marshal(native.ChatRequest{
 		Model:     p.Service,
 		Messages:  messages(p, index),
 		MaxTokens: p.MaxTokens,
@@ -52,16 +52,16 @@
 }
 
 // messages returns the prompt of a part's request with an index.
-func messages(p Part, index int) []platform.Message {
-	var list []platform.Message
+func messages(p Part, index int) []native.Message {
+	var list []native.Message
 	if p.PrefixBytes > 0 {
-		list = append(list, platform.Message{
+		list = append(list, native.Message{
 			Role:    "system",
 			Content: p.Name + " " + filler(index%p.Prefixes, p.PrefixBytes),
 		})
 	}
 	text := p.Name + " request " + strconv.Itoa(index) + " " + filler(index, p.PromptBytes)
-	return append(list, platform.Message{Role: "user", Content: text})
+	return append(list, native.Message{Role: "user", Content: text})
 }
 
 // filler returns n bytes of text that begins differently for each index.
--- a/load/stream.go
+++ b/load/stream.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // streamState is what a caller knows of a stream that it may have to take up
@@ -22,7 +22,7 @@
 
 // takeStream reads a streamed chat to its end mark.
 func takeStream(body io.Reader, intended time.Time, state *streamState, r *report) (Outcome, error) {
-	events := platform.NewEventReader(body, maxEvent)
+	events := native.NewEventReader(body, maxEvent)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -48,7 +48,7 @@
 
 // addChunk takes the tokens of one event in, which came at the time now.
 func (s *streamState) addChunk(data []byte, now time.Duration, r *report) error {
-	var chunk platform.ChatChunk
+	var chunk native.ChatChunk
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return err
 	}
--- a/platform/paths.go
+++ b/native/paths.go
@@ -1,4 +1,4 @@
-package platform
+package native
 
 // Paths of the protocols in this package. Those with a trailing slash take an
 // id or name after it.
--- a/platform/prefix_test.go
+++ b/native/prefix_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package native_test
 
 import (
 	"testing"
@@ -7,13 +7,13 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // Two prompts share exactly the hashes of the messages that they share.
 func TestPrefixHashesFollowThePrompt(t *testing.T) {
-	message := rapid.Custom(func(t *rapid.T) platform.Message {
-		return platform.Message{
+	message := rapid.Custom(func(t *rapid.T) native.Message {
+		return native.Message{
 			Role:    rapid.SampledFrom([]string{"user", "assistant"}).Draw(t, "role"),
 			Content: rapid.StringN(0, 8, -1).Draw(t, "content"),
 		}
@@ -22,7 +22,7 @@
 		a := rapid.SliceOfN(message, 1, 6).Draw(t, "a")
 		b := rapid.SliceOfN(message, 1, 6).Draw(t, "b")
 		copy(b, a[:rapid.IntRange(0, min(len(a), len(b))).Draw(t, "shared")])
-		ha, hb := platform.PrefixHashes(a), platform.PrefixHashes(b)
+		ha, hb := native.PrefixHashes(a), native.PrefixHashes(b)
 		same := true
 		for i := range min(len(a), len(b)) {
 			same = same && a[i] == b[i]
@@ -35,7 +35,7 @@
 
 // The hash is part of the protocol with engines: these values must not change.
 func TestPrefixHashesAreStable(t *testing.T) {
-	hashes := platform.PrefixHashes([]platform.Message{
+	hashes := native.PrefixHashes([]native.Message{
 		{Role: "system", Content: "be brief"},
 		{Role: "user", Content: "pollen?"},
 	})
@@ -44,9 +44,9 @@
 }
 
 func TestPrefixHashesFollowMessageBoundaries(t *testing.T) {
-	a := platform.Message{Role: "user", Content: "ab"}
-	long := platform.PrefixHashes([]platform.Message{a, {Role: "assistant", Content: "c"}})
-	require.Equal(t, platform.PrefixHashes([]platform.Message{a})[0], long[0])
-	shifted := platform.PrefixHashes([]platform.Message{{Role: "user", Content: "a"}, {Role: "b", Content: ""}})
+	a := native.Message{Role: "user", Content: "ab"}
+	long := native.PrefixHashes([]native.Message{a, {Role: "assistant", Content: "c"}})
+	require.Equal(t, native.PrefixHashes([]native.Message{a})[0], long[0])
+	shifted := native.PrefixHashes([]native.Message{{Role: "user", Content: "a"}, {Role: "b", Content: ""}})
 	require.NotEqual(t, long, shifted)
 }
--- a/platform/stream_test.go
+++ b/native/stream_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package native_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/internal/fake"
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 // BenchmarkChat prints what a streamed answer of 64 tokens costs, the engine
@@ -20,11 +20,11 @@
 	engine := fake.NewEngine(fake.EngineConfig{Model: "m"}, fake.Deps{})
 	server := httptest.NewServer(engine.Handler())
 	defer server.Close()
-	client := platform.NewEngine(platform.EngineConfig{})
+	client := native.NewEngine(native.EngineConfig{})
 	defer client.Close()
-	req := platform.ChatRequest{
+	req := native.ChatRequest{
 		Model:     "m",
-		Messages:  []platform.Message{{Role: "user", Content: "pollen?"}},
+		Messages:  []native.Message{{Role: "user", Content: "pollen?"}},
 		MaxTokens: tokens,
 	}
 	b.ReportAllocs()
@@ -37,7 +37,7 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tokens), "ns/token")
 }
 
-func readAll(b *testing.B, stream *platform.ChatStream) int {
+func readAll(b *testing.B, stream *native.ChatStream) int {
 	b.Helper()
 	n := 0
 	for {
--- a/platform/transport_test.go
+++ b/native/transport_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package native_test
 
 import (
 	"bufio"
@@ -18,7 +18,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/native"
 )
 
 const waitBound = 10 * time.Second
@@ -96,7 +96,7 @@
 
 func checkNoReplay(t *testing.T, method, body string) {
 	c := startCutter(t)
-	client := platform.NewPlain(platform.PlainConfig{})
+	client := native.NewPlain(native.PlainConfig{})
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
 	defer cancel()
@@ -111,7 +111,7 @@
 	_, sent, err = client.Do(ctx, address, newCall(t, method, body))
 	require.Error(t, err)
 	require.True(t, sent)
-	require.False(t, platform.NotRun(err))
+	require.False(t, native.NotRun(err))
 	require.EqualValues(t, 2, c.heads.Load())
 }
 
@@ -134,13 +134,13 @@
 	require.NoError(t, err)
 	address := ln.Addr().String()
 	require.NoError(t, ln.Close())
-	client := platform.NewPlain(platform.PlainConfig{})
+	client := native.NewPlain(native.PlainConfig{})
 	defer client.Close()
 	_, sent, err := client.DoOnce(context.Background(), address, newCall(t, http.MethodPost, "credit"))
-	var failed *platform.CallError
+	var failed *native.CallError
 	require.True(t, errors.As(err, &failed))
 	require.False(t, sent)
-	require.Equal(t, platform.StepConnect, failed.Step)
+	require.Equal(t, native.StepConnect, failed.Step)
 	require.Equal(t, address, failed.Peer)
 }
 
@@ -164,7 +164,7 @@
 		cancel()
 		_, _ = io.Copy(io.Discard, conn)
 	}()
-	client := platform.NewPlain(platform.PlainConfig{})
+	client := native.NewPlain(native.PlainConfig{})
 	defer client.Close()
 	_, sent, err := client.Do(ctx, ln.Addr().String(), newCall(t, http.MethodPost, "credit"))
 	require.ErrorIs(t, err, context.Canceled)
@@ -179,7 +179,7 @@
 	f.Add(bytes.Repeat([]byte("data: long line "), 64))
 	f.Fuzz(func(t *testing.T, input []byte) {
 		const maxEvent = 128
-		events := platform.NewEventReader(bytes.NewReader(input), maxEvent)
+		events := native.NewEventReader(bytes.NewReader(input), maxEvent)
 		for range len(input) + 1 {
 			event, err := events.Next()
 			if err != nil {
@@ -202,9 +202,9 @@
 		"data: a\n\ndata: b":   io.ErrUnexpectedEOF,
 		"data: a\n\ndata: b\n": io.ErrUnexpectedEOF,
 		"data: a\n\n: ping\n":  io.EOF,
-		"data: a\n\n" + strings.Repeat("data: x\n", 100): platform.ErrEventTooLong,
+		"data: a\n\n" + strings.Repeat("data: x\n", 100): native.ErrEventTooLong,
 	} {
-		events := platform.NewEventReader(strings.NewReader(input), 64)
+		events := native.NewEventReader(strings.NewReader(input), 64)
 		first, err := events.Next()
 		require.NoError(t, err)
 		require.Equal(t, "a", string(first.Data))
@@ -219,7 +219,7 @@
 func TestEventReaderAllocatesNothingPerEvent(t *testing.T) {
 	const events = 1000
 	stream := strings.Repeat("id: 7\ndata: {\"choices\":[{\"delta\":{\"content\":\" pollen\"}}]}\n\n", events+2)
-	reader := platform.NewEventReader(strings.NewReader(stream), platform.DefaultMaxEvent)
+	reader := native.NewEventReader(strings.NewReader(stream), native.DefaultMaxEvent)
 	_, err := reader.Next()
 	require.NoError(t, err)
 	allocs := testing.AllocsPerRun(events, func() { _, err = reader.Next() })
--- a/policy/route/index.go
+++ b/policy/route/index.go
@@ -51,7 +51,7 @@
 	Prefixes    []CachedPrefix
 }
 
-// CachedPrefix is one cached prefix: its hash (see platform.PrefixHashes) and its length.
+// CachedPrefix is one cached prefix: its hash (see native.PrefixHashes) and its length.
 type CachedPrefix struct {
 	Prefix uint64
 	Tokens int
--- a/policy/route/verdict.go
+++ b/policy/route/verdict.go
@@ -6,7 +6,7 @@
 type Request struct {
 	Now          time.Time
 	Seed         uint64   // fresh randomness for this decision
-	Prefixes     []uint64 // see platform.PrefixHashes; empty for a plain service
+	Prefixes     []uint64 // see native.PrefixHashes; empty for a plain service
 	Key          uint64   // groups related requests that have no Prefixes; 0: none
 	PromptTokens int      // estimate of the whole prompt
 	Adapter      string   // must be loaded; empty: none needed
