replica/roster: the address book of a group of replicas stands on its own

Cause: a second daemon is to run replicas; the book of their link addresses and the transport over links were private to package control. Ruled out: a copy in the second daemon. Conclusion: moved, control/api.ReplicaAddress is the same type under its old name.

--- a/control/api/client_test.go
+++ b/control/api/client_test.go
@@ -132,8 +132,8 @@
 //
 // It breaks without Term in the comparison of newestVoters.
 func TestVotersOfTheNewestLogCount(t *testing.T) {
-	left := VotersReply{Term: 2, Members: 50, Voters: []ReplicaAddress{{1, "a"}, {2, "b"}, {3, "c"}, {4, "d"}}}
-	later := VotersReply{Term: 3, Members: 40, Voters: []ReplicaAddress{{1, "a"}, {2, "b"}, {3, "c"}}}
+	left := VotersReply{Term: 2, Members: 50, Voters: []ReplicaAddress{{ID: 1, Address: "a"}, {ID: 2, Address: "b"}, {ID: 3, Address: "c"}, {ID: 4, Address: "d"}}}
+	later := VotersReply{Term: 3, Members: 40, Voters: []ReplicaAddress{{ID: 1, Address: "a"}, {ID: 2, Address: "b"}, {ID: 3, Address: "c"}}}
 	joining := VotersReply{Term: 9}
 	require.Equal(t, []string{"a", "b", "c"}, newestVoters([]VotersReply{left, later, joining}))
 	require.Equal(t, []string{"a", "b", "c"}, newestVoters([]VotersReply{joining, later, left}))
--- a/control/api/replica.go
+++ b/control/api/replica.go
@@ -5,18 +5,15 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"savoryreel.example/savoryreel/replica/roster"
 )
 
-// MaxReplicas bounds the replicas whose addresses the state holds. A group has at
-// most seven, and one more for each replacement under way.
-const MaxReplicas = 16
+// MaxReplicas bounds the replicas whose addresses the state holds.
+const MaxReplicas = roster.MaxReplicas
 
-// ReplicaAddress is where a control replica takes links. Address is empty where
-// it is not known.
-type ReplicaAddress struct {
-	ID      uint64 `json:"id" msgpack:"id"`
-	Address string `json:"address" msgpack:"addr"` // ip:port
-}
+// ReplicaAddress is where a control replica takes links.
+type ReplicaAddress = roster.Member
 
 // ReplicaAction names a change of the replica set.
 type ReplicaAction string
--- a/control/control.go
+++ b/control/control.go
@@ -24,6 +24,7 @@
 	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/host"
+	"savoryreel.example/savoryreel/replica/roster"
 	"savoryreel.example/savoryreel/replica/storage"
 )
 
@@ -59,8 +60,8 @@
 		return nil, trace.Wrap(err, "step=read replicas")
 	}
 	c := &Control{cfg: cfg, log: deps.Log, now: deps.Now, metrics: metrics.NewSet()}
-	book := newAddressBook(peers)
-	c.machine = NewMachine(c.catalogueChanged, book.learn)
+	book := roster.NewBook(peers)
+	c.machine = NewMachine(c.catalogueChanged, book.Learn)
 	c.traffic = link.NewTraffic(c.metrics)
 	c.pool = link.NewPool(link.PoolConfig{Self: c.peerInfo(), ClusterKey: []byte(cfg.ClusterKey)},
 		link.PoolDeps{Log: deps.Log, Traffic: c.traffic})
@@ -69,7 +70,7 @@
 		return nil, trace.Wrap(err, "step=open data folder")
 	}
 	c.host, err = host.New(c.hostConfig(peers), host.Deps{
-		Storage: c.folder, Transport: &transport{pool: c.pool, peers: book}, Machine: c.machine,
+		Storage: c.folder, Transport: &roster.Transport{Pool: c.pool, Method: api.MethodReplica, Peers: book}, Machine: c.machine,
 		Logger: deps.Log, Now: deps.Now, Rand: rand.Int64N,
 	})
 	if err != nil {
@@ -105,20 +106,6 @@
 		slog.Uint64("version", r.Version), slog.Uint64("index", r.Index))
 }
 
-// transport sends the replicated log's messages over links. Messages that a
-// full queue or a dead link loses are sent again by the log itself.
-type transport struct {
-	pool  *link.Pool
-	peers *addressBook
-}
-
-// Send implements host.Transport.
-func (t *transport) Send(m replica.Message) {
-	if addr, known := t.peers.address(m.To); known {
-		_ = link.Notify(t.pool, addr, api.MethodReplica, m) // lost messages are sent again
-	}
-}
-
 // Run serves until ctx ends, a signal comes or a component fails.
 func (c *Control) Run(ctx context.Context) error {
 	defer c.folder.Close()
--- a/control/replicas.go
+++ b/control/replicas.go
@@ -49,81 +49,17 @@
 	return api.ReplicaResult{}
 }
 
-// addressBook knows the link addresses of the replicas: those learnt from the
-// log, those of the settings, which founded the group, and those of replicas
-// that sent a message. It is safe for concurrent use.
-type addressBook struct {
-	founders map[uint64]string
-
-	mu     sync.RWMutex
-	learnt map[uint64]string
-	heard  map[uint64]string
-}
-
-func newAddressBook(founders map[uint64]string) *addressBook {
-	return &addressBook{founders: founders, heard: make(map[uint64]string)}
-}
-
-// hear notes the address of a replica that sent a message. A replica that
-// restarts has not applied the end of its log yet. Without this it could not
-// answer one that was added there, and if both are needed for a majority, no
-// leader would ever be elected.
-func (b *addressBook) hear(id uint64, addr string) {
-	if _, known := b.address(id); known {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.heard) < api.MaxReplicas {
-		b.heard[id] = addr
-	}
-}
-
-// learn replaces what came from the log.
-func (b *addressBook) learn(list []api.ReplicaAddress) {
-	learnt := make(map[uint64]string, len(list))
-	for _, r := range list {
-		learnt[r.ID] = r.Address
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.learnt = learnt
-}
-
-func (b *addressBook) address(id uint64) (string, bool) {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	if addr, known := b.learnt[id]; known {
-		return addr, true
-	}
-	if addr, known := b.founders[id]; known {
-		return addr, true
-	}
-	addr, known := b.heard[id]
-	return addr, known
-}
-
-// members lists replicas with their addresses.
-func (b *addressBook) members(ids []uint64) []api.ReplicaAddress {
-	out := make([]api.ReplicaAddress, 0, len(ids))
-	for _, id := range ids {
-		addr, _ := b.address(id) // empty where it is not known yet
-		out = append(out, api.ReplicaAddress{ID: id, Address: addr})
-	}
-	return out
-}
-
 // version says how far this replica's log goes and which voters it has in force.
 func (s *service) version(context.Context, link.PeerInfo, api.VersionRequest) (api.VersionReply, error) {
 	index := s.log.LastIndexOf(uint8(api.KindCatalogue))
-	members := s.peers.members(s.log.Voters().IDs)
+	members := s.peers.Members(s.log.Voters().IDs)
 	return api.VersionReply{Replica: s.self(), Index: index, Set: api.SetOf(api.AddressesOf(members))}, nil
 }
 
 // voters names the voters that this replica has in force.
 func (s *service) voters(context.Context, link.PeerInfo, api.VotersRequest) (api.VotersReply, error) {
 	v := s.log.Voters()
-	return api.VotersReply{Term: v.Term, Members: v.Index, Voters: s.peers.members(v.IDs)}, nil
+	return api.VotersReply{Term: v.Term, Members: v.Index, Voters: s.peers.Members(v.IDs)}, nil
 }
 
 // checkChange refuses what makes no sense, whatever the state.
@@ -163,7 +99,7 @@
 }
 
 func (s *service) forwardChange(ctx context.Context, r api.ReplicaChange, leader uint64) (api.ReplicaStatus, error) {
-	addr, known := s.peers.address(leader)
+	addr, known := s.peers.Address(leader)
 	if r.Forwarded || !known {
 		return api.ReplicaStatus{}, errNoLeader
 	}
@@ -211,7 +147,7 @@
 // replica that no later leader can reach.
 func (s *service) addReplica(ctx context.Context, st host.Status, r api.ReplicaChange, member bool) error {
 	if member {
-		if addr, _ := s.peers.address(r.ID); addr != r.Address {
+		if addr, _ := s.peers.Address(r.ID); addr != r.Address {
 			return invalid("replica %d is a member under address %q", r.ID, addr)
 		}
 		return nil
@@ -268,7 +204,7 @@
 	var wg sync.WaitGroup
 	answered := make([]bool, len(st.Voters))
 	for i, voter := range st.Voters {
-		addr, known := s.peers.address(voter)
+		addr, known := s.peers.Address(voter)
 		switch {
 		case voter == id || !known:
 		case voter == st.ID:
--- a/control/replicas_test.go
+++ b/control/replicas_test.go
@@ -9,6 +9,7 @@
 	"savoryreel.example/savoryreel/control/api"
 	"savoryreel.example/savoryreel/fleet"
 	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/roster"
 )
 
 func entryOf(t *testing.T, kind api.ProposalKind, v any) replica.Entry {
@@ -36,12 +37,12 @@
 	}
 	enc, err := from.Snapshot()
 	require.NoError(t, err)
-	book := newAddressBook(nil)
-	to := NewMachine(nil, book.learn)
+	book := roster.NewBook(nil)
+	to := NewMachine(nil, book.Learn)
 	require.NoError(t, to.Restore(enc))
 	require.Equal(t, from.Fleet(), to.Fleet())
 	require.Equal(t, uint64(1), to.Fleet().Version)
-	addr, _ := book.address(4)
+	addr, _ := book.Address(4)
 	require.Equal(t, "127.0.0.1:7140", addr)
 	result, err := to.Apply(entryOf(t, api.KindReplica, api.ReplicaCommand{ID: 9, Address: "127.0.0.1:7190"}))
 	require.NoError(t, err)
@@ -53,13 +54,13 @@
 // knows the address from the message that asks for its vote. Otherwise it could
 // not answer, and there would be no leader.
 //
-// It breaks without hear.
+// It breaks without Book.Hear.
 func TestAddressIsHeardBeforeItIsLearnt(t *testing.T) {
-	book := newAddressBook(map[uint64]string{1: "127.0.0.1:1"})
-	book.hear(1, "127.0.0.1:9")
-	book.hear(4, "127.0.0.1:4")
-	require.Equal(t, []api.ReplicaAddress{{ID: 1, Address: "127.0.0.1:1"}, {ID: 4, Address: "127.0.0.1:4"}, {ID: 5}}, book.members([]uint64{1, 4, 5}))
-	book.learn([]api.ReplicaAddress{{ID: 4, Address: "127.0.0.1:44"}})
-	addr, _ := book.address(4)
+	book := roster.NewBook(map[uint64]string{1: "127.0.0.1:1"})
+	book.Hear(1, "127.0.0.1:9")
+	book.Hear(4, "127.0.0.1:4")
+	require.Equal(t, []api.ReplicaAddress{{ID: 1, Address: "127.0.0.1:1"}, {ID: 4, Address: "127.0.0.1:4"}, {ID: 5}}, book.Members([]uint64{1, 4, 5}))
+	book.Learn([]api.ReplicaAddress{{ID: 4, Address: "127.0.0.1:44"}})
+	addr, _ := book.Address(4)
 	require.Equal(t, "127.0.0.1:44", addr, "the log counts for more")
 }
--- a/control/service.go
+++ b/control/service.go
@@ -15,6 +15,7 @@
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/host"
+	"savoryreel.example/savoryreel/replica/roster"
 )
 
 // Log is the replicated log as the control replica uses it; host.Host is one.
@@ -45,7 +46,7 @@
 	log     Log
 	machine *Machine
 	pool    *link.Pool
-	peers   *addressBook
+	peers   *roster.Book
 	now     func() time.Time
 }
 
@@ -58,7 +59,7 @@
 	link.Handle(srv, api.MethodChange, s.change)
 	link.Handle(srv, api.MethodBarrier, s.leaderBarrier)
 	link.HandleNotice(srv, api.MethodReplica, func(_ context.Context, from link.PeerInfo, m replica.Message) {
-		s.peers.hear(m.From, from.Address)
+		s.peers.Hear(m.From, from.Address)
 		s.log.Step(m)
 	})
 }
@@ -120,7 +121,7 @@
 
 // forward passes a proposal on to the leader, once.
 func (s *service) forward(ctx context.Context, r api.ProposeRequest, leader uint64) (api.ProposeReply, error) {
-	addr, known := s.peers.address(leader)
+	addr, known := s.peers.Address(leader)
 	if r.Forwarded || !known {
 		return api.ProposeReply{}, errNoLeader
 	}
@@ -172,7 +173,7 @@
 	if !errors.As(err, &notLeader) {
 		return err
 	}
-	addr, known := s.peers.address(notLeader.Leader)
+	addr, known := s.peers.Address(notLeader.Leader)
 	if !known {
 		return err
 	}
--- /dev/null
+++ b/directory/store.go
@@ -0,0 +1,322 @@
+package directory
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/instance"
+)
+
+// Config sets when records count as old.
+type Config struct {
+	// SilentAfter is the time without a heartbeat after which a server counts as
+	// silent, and an entry is no longer named to callers.
+	SilentAfter time.Duration
+	// ForgetAfter is the time after which a record that is gone or silent is
+	// dropped. It must outlast every heartbeat that is still on its way.
+	ForgetAfter time.Duration
+}
+
+// DefaultForgetAfter is far above the seconds by which a heartbeat may be late.
+const DefaultForgetAfter = 2 * time.Minute
+
+// Store is a set of records. It is safe for concurrent use.
+type Store struct {
+	cfg Config
+
+	mu      sync.Mutex
+	seq     uint64 // of the newest change
+	servers map[string]*heldServer
+	byAddr  map[string]string // address -> id of the server that has it
+	entries map[string]*heldEntry
+	changed chan struct{} // closed at the next change
+}
+
+type heldServer struct {
+	Server
+	heard   time.Time
+	seq     uint64 // of the change that made the record what it is
+	touched uint64 // of the newest heartbeat
+}
+
+type heldEntry struct {
+	Entry
+	heard   time.Time
+	seq     uint64
+	touched uint64
+}
+
+// NewStore returns an empty store.
+func NewStore(cfg Config) *Store {
+	return &Store{
+		cfg:     cfg,
+		servers: make(map[string]*heldServer),
+		byAddr:  make(map[string]string),
+		entries: make(map[string]*heldEntry),
+		changed: make(chan struct{}),
+	}
+}
+
+// Announce takes a heartbeat that this process has received and reports whether
+// it changed what is known beyond the time of the last one.
+func (s *Store) Announce(a instance.Announcement, now time.Time) bool {
+	return s.mergeServer(Server{Announcement: a}, now)
+}
+
+// Leave notes that a server has said that it is gone. incarnation 0 stands for
+// every incarnation up to now, for a server that doesn't say which one it is.
+func (s *Store) Leave(id string, incarnation uint64, now time.Time) bool {
+	s.mu.Lock()
+	if incarnation == 0 {
+		incarnation = uint64(now.UnixMilli())
+	}
+	rec := Server{Announcement: instance.Announcement{ID: id, Incarnation: incarnation}}
+	if held, known := s.servers[id]; known && held.Incarnation <= incarnation {
+		rec.Announcement = held.Announcement
+	}
+	rec.State = instance.StateGone
+	s.mu.Unlock()
+	return s.mergeServer(rec, now)
+}
+
+// Merge takes records that another process passed on. It reports whether any
+// changed what is known.
+func (s *Store) Merge(servers []Server, entries []Entry, now time.Time) bool {
+	changed := false
+	for i := range servers {
+		changed = s.mergeServer(servers[i], now) || changed
+	}
+	for i := range entries {
+		changed = s.MergeEntry(entries[i], now) || changed
+	}
+	return changed
+}
+
+func (s *Store) mergeServer(rec Server, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	heard := now.Add(-rec.HeardAgo)
+	held, known := s.servers[rec.ID]
+	if known && !rec.version().newerThan(held.version()) {
+		return s.refresh(held, rec, heard)
+	}
+	rec.Silent = rec.Silent && rec.State == instance.StateServing
+	s.claimAddress(&rec)
+	next := &heldServer{Server: rec, heard: heard}
+	if known {
+		next.seq, next.touched = held.seq, held.touched
+		if heard.Before(held.heard) {
+			next.heard = held.heard
+		}
+	}
+	s.servers[rec.ID] = next
+	if known && sameServer(&held.Server, &next.Server) {
+		s.touchServer(next)
+		return false
+	}
+	s.changeServer(next)
+	return true
+}
+
+// refresh takes the time of an equal record, which another replica may have
+// heard later, and its word on silence.
+func (s *Store) refresh(held *heldServer, rec Server, heard time.Time) bool {
+	if rec.version() != held.version() {
+		return false
+	}
+	if heard.After(held.heard) {
+		held.heard = heard
+		s.touchServer(held)
+	}
+	if rec.Silent != held.Silent && rec.HeardAgo > 0 && held.State == instance.StateServing {
+		held.Silent = rec.Silent
+		s.changeServer(held)
+		return true
+	}
+	return false
+}
+
+// claimAddress settles which of two servers has an address. Addresses of lost
+// servers are used again; a heartbeat of the old server that was held up on its
+// way would otherwise send its requests to the new one.
+func (s *Store) claimAddress(rec *Server) {
+	if rec.State == instance.StateGone || rec.Address == "" {
+		return
+	}
+	other, taken := s.servers[s.byAddr[rec.Address]]
+	if taken && other.ID != rec.ID && other.State != instance.StateGone && other.Address == rec.Address {
+		if other.Incarnation > rec.Incarnation {
+			rec.State = instance.StateGone
+			return
+		}
+		other.State = instance.StateGone
+		s.changeServer(other)
+	}
+	s.byAddr[rec.Address] = rec.ID
+}
+
+// sameServer reports whether two announcements differ only in their number and
+// in what is measured anew each time.
+func sameServer(a, b *Server) bool {
+	return a.Incarnation == b.Incarnation && a.State == b.State && a.Address == b.Address && a.Zone == b.Zone &&
+		a.Silent == b.Silent && a.Slots == b.Slots && a.Class == b.Class && a.Version == b.Version &&
+		a.LeavingIn == b.LeavingIn && slices.Equal(a.Services, b.Services)
+}
+
+func (s *Store) changeServer(held *heldServer) {
+	s.seq++
+	held.seq, held.touched = s.seq, s.seq
+	s.signal()
+}
+
+// touchServer notes a heartbeat without news. It wakes nobody: entries need no
+// message for it, and replicas take it along with the next one.
+func (s *Store) touchServer(held *heldServer) {
+	s.seq++
+	held.touched = s.seq
+}
+
+func (s *Store) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// MergeEntry takes a record of an entry, its own or passed on.
+func (s *Store) MergeEntry(rec Entry, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	heard := now.Add(-rec.HeardAgo)
+	held, known := s.entries[rec.Name]
+	if known && !rec.version().newerThan(held.version()) {
+		if rec.version() == held.version() && heard.After(held.heard) {
+			held.heard = heard
+			s.seq++
+			held.touched = s.seq
+		}
+		return false
+	}
+	s.seq++
+	s.entries[rec.Name] = &heldEntry{Entry: rec, heard: heard, seq: s.seq, touched: s.seq}
+	s.signal()
+	return true
+}
+
+// Changes are records that changed after a point.
+type Changes struct {
+	Seq     uint64
+	Servers []Server
+	Entries []Entry
+}
+
+// Since returns what changed after seq, and with touches also what was heard
+// again since, ordered by name.
+func (s *Store) Since(seq uint64, touches bool, now time.Time) Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Changes{Seq: s.seq}
+	for _, held := range s.servers {
+		if held.seq > seq || touches && held.touched > seq {
+			rec := held.Server
+			rec.HeardAgo = now.Sub(held.heard)
+			out.Servers = append(out.Servers, rec)
+		}
+	}
+	for _, held := range s.entries {
+		if held.seq > seq || touches && held.touched > seq {
+			rec := held.Entry
+			rec.HeardAgo = now.Sub(held.heard)
+			out.Entries = append(out.Entries, rec)
+		}
+	}
+	slices.SortFunc(out.Servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(out.Entries, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Wait returns once something changed after seq or ctx ends.
+func (s *Store) Wait(ctx context.Context, seq uint64) {
+	for {
+		s.mu.Lock()
+		news, changed := s.newest() > seq, s.changed
+		s.mu.Unlock()
+		if news {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// newest is the number of the newest change, heartbeats without news left out.
+func (s *Store) newest() uint64 {
+	var n uint64
+	for _, held := range s.servers {
+		n = max(n, held.seq)
+	}
+	for _, held := range s.entries {
+		n = max(n, held.seq)
+	}
+	return n
+}
+
+// Sweep marks servers that fell silent, and drops what is long gone. judge false
+// leaves silence alone: a replica that is cut off from the others hears nothing
+// of servers that are well.
+func (s *Store) Sweep(now time.Time, judge bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, held := range s.servers {
+		age := now.Sub(held.heard)
+		if age > s.cfg.ForgetAfter {
+			delete(s.servers, id)
+			if s.byAddr[held.Address] == id {
+				delete(s.byAddr, held.Address)
+			}
+			continue
+		}
+		if silent := age > s.cfg.SilentAfter; judge && held.State == instance.StateServing && silent != held.Silent {
+			held.Silent = silent
+			s.changeServer(held)
+		}
+	}
+	for name, held := range s.entries {
+		if now.Sub(held.heard) > s.cfg.ForgetAfter {
+			delete(s.entries, name)
+		}
+	}
+}
+
+// Servers returns the servers that are not gone, ordered by id.
+func (s *Store) Servers() []Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Server, 0, len(s.servers))
+	for _, held := range s.servers {
+		if held.State != instance.StateGone {
+			out = append(out, held.Server)
+		}
+	}
+	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// LiveEntries returns the entries that serve and have been heard within
+// SilentAfter, ordered by name.
+func (s *Store) LiveEntries(now time.Time) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Entry, 0, len(s.entries))
+	for _, held := range s.entries {
+		if held.State == instance.StateServing && now.Sub(held.heard) <= s.cfg.SilentAfter {
+			out = append(out, held.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
--- /dev/null
+++ b/routes/validate.go
@@ -0,0 +1,109 @@
+package routes
+
+import (
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Validate refuses a catalogue that contradicts itself. The error names the
+// first fault.
+func (c *Catalogue) Validate() error {
+	services, err := c.checkServices()
+	if err != nil {
+		return err
+	}
+	if err := c.checkRoutes(services); err != nil {
+		return err
+	}
+	return c.checkKeys()
+}
+
+func (c *Catalogue) checkServices() (map[string]bool, error) {
+	known := make(map[string]bool, len(c.Services))
+	for i := range c.Services {
+		s := &c.Services[i]
+		if s.Name == "" {
+			return nil, trace.BadParameter("service %d has no name", i)
+		}
+		if known[s.Name] {
+			return nil, trace.BadParameter("service %s is named twice", s.Name)
+		}
+		known[s.Name] = true
+	}
+	return known, nil
+}
+
+// place is what selects a route.
+type place struct{ host, prefix string }
+
+func (c *Catalogue) checkRoutes(services map[string]bool) error {
+	taken := make(map[place]string, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if err := r.validate(services); err != nil {
+			return err
+		}
+		at := place{r.Host, r.Prefix}
+		if other, used := taken[at]; used {
+			return trace.BadParameter("routes %s and %s share host %s and prefix %s", other, r.Name, r.Host, r.Prefix)
+		}
+		taken[at] = r.Name
+	}
+	return nil
+}
+
+func (r *Route) validate(services map[string]bool) error {
+	switch {
+	case r.Host == "":
+		return trace.BadParameter("route %s has no host", r.Name)
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return trace.BadParameter("route %s: prefix %q doesn't begin and end with a slash", r.Name, r.Prefix)
+	case r.Kind < Idempotent || r.Kind > Stream:
+		return trace.BadParameter("route %s has no known kind", r.Name)
+	case r.Timeout <= 0:
+		return trace.BadParameter("route %s has no timeout", r.Name)
+	}
+	return r.checkSplit(services)
+}
+
+func (r *Route) checkSplit(services map[string]bool) error {
+	total := 0
+	for _, s := range r.Split {
+		if !services[s.Service] {
+			return trace.BadParameter("route %s names unknown service %q", r.Name, s.Service)
+		}
+		if s.Weight < 0 {
+			return trace.BadParameter("route %s: weight of service %s is negative", r.Name, s.Service)
+		}
+		total += s.Weight
+	}
+	if total <= 0 {
+		return trace.BadParameter("route %s: weights add up to nothing", r.Name)
+	}
+	return nil
+}
+
+// checkKeys refuses a key that two workspaces share: a caller that shows it
+// could not be told from another customer.
+func (c *Catalogue) checkKeys() error {
+	owner := make(map[string]string)
+	names := make(map[string]bool, len(c.Workspaces))
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		if w.Name == "" {
+			return trace.BadParameter("workspace %d has no name", i)
+		}
+		if names[w.Name] {
+			return trace.BadParameter("workspace %s is named twice", w.Name)
+		}
+		names[w.Name] = true
+		for _, key := range w.Keys {
+			if other, taken := owner[key]; taken && other != w.Name {
+				return trace.BadParameter("workspaces %s and %s share a key", other, w.Name)
+			}
+			owner[key] = w.Name
+		}
+	}
+	return nil
+}
