site, routes, directory: what a process is told of its place, routes, and who serves

Cause: the users' platform sends routes, whole under a revision of its own, and servers announce themselves at any replica, late and out of order. Ruled out: the product's catalogue of models and classes, which has no routes. Measured: TestLeaveIsFinal, TestLateHeartbeatFromAUsedAddress and TestMergeInAnyOrder hold.

--- a/directory/record.go
+++ b/directory/record.go
@@ -66,3 +66,9 @@
 func (e *Entry) version() version {
 	return version{e.Incarnation, stateOrder(e.State), e.Sequence}
 }
+
+// Classes of backend servers, by how they are paid for.
+const (
+	ClassOnDemand    = "on-demand"
+	ClassReclaimable = "reclaimable"
+)
--- a/directory/store.go
+++ b/directory/store.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"context"
 	"slices"
 	"strings"
 	"sync"
@@ -13,8 +12,11 @@
 // Config sets when records count as old.
 type Config struct {
 	// SilentAfter is the time without a heartbeat after which a server counts as
-	// silent, and an entry is no longer named to callers.
+	// silent.
 	SilentAfter time.Duration
+	// EntrySilentAfter is the time without a sign of life after which an entry is
+	// no longer named to callers.
+	EntrySilentAfter time.Duration
 	// ForgetAfter is the time after which a record that is gone or silent is
 	// dropped. It must outlast every heartbeat that is still on its way.
 	ForgetAfter time.Duration
@@ -236,21 +238,12 @@
 	return out
 }
 
-// Wait returns once something changed after seq or ctx ends.
-func (s *Store) Wait(ctx context.Context, seq uint64) {
-	for {
-		s.mu.Lock()
-		news, changed := s.newest() > seq, s.changed
-		s.mu.Unlock()
-		if news {
-			return
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
+// News reports whether anything changed after seq. changed is closed at the next
+// change.
+func (s *Store) News(seq uint64) (news bool, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest() > seq, s.changed
 }
 
 // newest is the number of the newest change, heartbeats without news left out.
@@ -307,13 +300,13 @@
 }
 
 // LiveEntries returns the entries that serve and have been heard within
-// SilentAfter, ordered by name.
+// EntrySilentAfter, ordered by name.
 func (s *Store) LiveEntries(now time.Time) []Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]Entry, 0, len(s.entries))
 	for _, held := range s.entries {
-		if held.State == instance.StateServing && now.Sub(held.heard) <= s.cfg.SilentAfter {
+		if held.State == instance.StateServing && now.Sub(held.heard) <= s.cfg.EntrySilentAfter {
 			out = append(out, held.Entry)
 		}
 	}
--- /dev/null
+++ b/directory/store_test.go
@@ -0,0 +1,140 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"savoryreel.example/savoryreel/instance"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func newStore() *Store {
+	return NewStore(Config{SilentAfter: 4 * time.Second, EntrySilentAfter: 2 * time.Second, ForgetAfter: time.Minute})
+}
+
+func beat(id string, incarnation, sequence uint64, state instance.State) instance.Announcement {
+	return instance.Announcement{
+		ID: id, Incarnation: incarnation, Sequence: sequence, State: state,
+		Address: "10.0.0.1:" + id[1:], Zone: "z", Slots: 4, Services: []string{"web"},
+	}
+}
+
+func stateOf(s *Store, id string) instance.State {
+	for _, rec := range s.Servers() {
+		if rec.ID == id {
+			return rec.State
+		}
+	}
+	return instance.StateGone
+}
+
+// A server says that it leaves, and a heartbeat that it sent before arrives after
+// that, held up on its way. Users would see their requests cut off when the server
+// ends, if the late heartbeat brought it back.
+//
+// It breaks without the order of states in version.newerThan.
+func TestLeaveIsFinal(t *testing.T) {
+	s := newStore()
+	s.Announce(beat("s1", 1, 1, instance.StateServing), epoch)
+	s.Announce(beat("s1", 1, 3, instance.StateLeaving), epoch)
+	s.Announce(beat("s1", 1, 2, instance.StateServing), epoch)
+	require.Equal(t, instance.StateLeaving, stateOf(s, "s1"))
+	s.Announce(beat("s1", 1, 4, instance.StateServing), epoch)
+	require.Equal(t, instance.StateLeaving, stateOf(s, "s1"))
+	s.Leave("s1", 0, epoch)
+	s.Announce(beat("s1", 1, 5, instance.StateLeaving), epoch)
+	require.Equal(t, instance.StateGone, stateOf(s, "s1"))
+	s.Announce(beat("s1", 2, 1, instance.StateServing), epoch)
+	require.Equal(t, instance.StateServing, stateOf(s, "s1"), "it has started again")
+}
+
+// A server crashes, and another one gets its address. Then a heartbeat of the
+// first one arrives. Requests for its service would go to the second one.
+func TestLateHeartbeatFromAUsedAddress(t *testing.T) {
+	s := newStore()
+	old, reused := beat("s1", 100, 5, instance.StateServing), beat("s2", 200, 1, instance.StateServing)
+	reused.Address, reused.Services = old.Address, []string{"chat"}
+	s.Announce(old, epoch)
+	s.Announce(reused, epoch)
+	require.Equal(t, instance.StateGone, stateOf(s, "s1"))
+	old.Sequence = 6
+	s.Announce(old, epoch)
+	require.Equal(t, instance.StateGone, stateOf(s, "s1"))
+	require.Equal(t, instance.StateServing, stateOf(s, "s2"))
+}
+
+// A replica that has just started hears a server's leave before it has ever heard
+// of the server. Then another replica tells it of the server as it was before.
+func TestLeaveOfAnUnknownServer(t *testing.T) {
+	s := newStore()
+	s.Leave("s1", 0, epoch)
+	s.Announce(beat("s1", uint64(epoch.Add(-time.Minute).UnixMilli()), 9, instance.StateServing), epoch)
+	require.Equal(t, instance.StateGone, stateOf(s, "s1"))
+	s.Announce(beat("s1", uint64(epoch.Add(time.Second).UnixMilli()), 1, instance.StateServing), epoch)
+	require.Equal(t, instance.StateServing, stateOf(s, "s1"))
+}
+
+// A server stops without a word. A replica that is cut off hears of no server and
+// must not call all of them silent.
+func TestSilence(t *testing.T) {
+	s := newStore()
+	s.Announce(beat("s1", 1, 1, instance.StateServing), epoch)
+	s.Sweep(epoch.Add(5*time.Second), false)
+	require.False(t, s.Servers()[0].Silent)
+	s.Sweep(epoch.Add(5*time.Second), true)
+	require.True(t, s.Servers()[0].Silent)
+	s.Announce(beat("s1", 1, 2, instance.StateServing), epoch.Add(6*time.Second))
+	require.False(t, s.Servers()[0].Silent)
+}
+
+// Records reach two processes in different orders, some twice. Both must end with
+// the same picture, or they would send requests to different servers for good.
+func TestMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := []instance.State{instance.StateServing, instance.StateLeaving, instance.StateGone}
+		var records []Server
+		for range rapid.IntRange(1, 12).Draw(t, "records") {
+			id := fmt.Sprintf("s%d", rapid.IntRange(1, 3).Draw(t, "id"))
+			records = append(records, Server{Announcement: beat(id,
+				rapid.Uint64Range(1, 2).Draw(t, "incarnation"), rapid.Uint64Range(1, 3).Draw(t, "sequence"),
+				rapid.SampledFrom(states).Draw(t, "state"))})
+		}
+		a, b := newStore(), newStore()
+		a.Merge(records, nil, epoch)
+		shuffled := rapid.Permutation(records).Draw(t, "order")
+		b.Merge(append(shuffled, shuffled...), nil, epoch)
+		require.Equal(t, a.Servers(), b.Servers())
+	})
+}
+
+func TestNews(t *testing.T) {
+	s := newStore()
+	s.Announce(beat("s1", 1, 1, instance.StateServing), epoch)
+	seen := s.Since(0, false, epoch).Seq
+	news, changed := s.News(seen)
+	require.False(t, news)
+	s.Announce(beat("s1", 1, 2, instance.StateServing), epoch)
+	news, _ = s.News(seen)
+	require.False(t, news, "a heartbeat without news wakes nobody")
+	require.Empty(t, s.Since(seen, false, epoch).Servers)
+	require.Len(t, s.Since(seen, true, epoch).Servers, 1, "but replicas take it along")
+	s.Announce(beat("s1", 1, 3, instance.StateLeaving), epoch)
+	<-changed
+	news, _ = s.News(seen)
+	require.True(t, news)
+}
+
+func TestEntriesThatAreNamed(t *testing.T) {
+	s := newStore()
+	s.MergeEntry(Entry{Name: "e1", Incarnation: 1, State: instance.StateServing}, epoch)
+	s.MergeEntry(Entry{Name: "e2", Incarnation: 1, State: instance.StateServing}, epoch.Add(-3*time.Second))
+	require.Len(t, s.LiveEntries(epoch), 1)
+	s.MergeEntry(Entry{Name: "e1", Incarnation: 1, Sequence: 1, State: instance.StateLeaving}, epoch)
+	s.MergeEntry(Entry{Name: "e1", Incarnation: 1, State: instance.StateServing}, epoch)
+	require.Empty(t, s.LiveEntries(epoch), "an entry that leaves is named no more")
+}
--- /dev/null
+++ b/routes/routes_test.go
@@ -0,0 +1,66 @@
+package routes
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func valid() *Catalogue {
+	return &Catalogue{
+		Revision: 1,
+		Services: []Service{{Name: "chat"}, {Name: "web"}},
+		Routes: []Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Kind: Idempotent, Timeout: time.Second, Split: []Share{{"web", 1}}},
+			{Name: "chat", Host: "a.example", Prefix: "/chat/", Kind: Stream, Timeout: time.Second, Split: []Share{{"chat", 3}, {"web", 1}}},
+		},
+		Workspaces: []Workspace{{Name: "w1", Keys: []string{"k1", "k2"}}, {Name: "w2", Keys: []string{"k3"}}},
+		KeysNeeded: true,
+	}
+}
+
+// An operator sends a catalogue that contradicts itself. Put in force, it would
+// turn callers away or send them to the wrong service.
+func TestInvalidCatalogues(t *testing.T) {
+	require.NoError(t, valid().Validate())
+	for name, spoil := range map[string]func(*Catalogue){
+		"unknown service":       func(c *Catalogue) { c.Routes[0].Split[0].Service = "none" },
+		"same place":            func(c *Catalogue) { c.Routes[1].Prefix = "/" },
+		"no weight":             func(c *Catalogue) { c.Routes[0].Split[0].Weight = 0 },
+		"negative weight":       func(c *Catalogue) { c.Routes[1].Split[1].Weight = -1 },
+		"no timeout":            func(c *Catalogue) { c.Routes[0].Timeout = 0 },
+		"no kind":               func(c *Catalogue) { c.Routes[0].Kind = 0 },
+		"prefix without slash":  func(c *Catalogue) { c.Routes[1].Prefix = "/chat" },
+		"no host":               func(c *Catalogue) { c.Routes[1].Host = "" },
+		"shared key":            func(c *Catalogue) { c.Workspaces[1].Keys = []string{"k2"} },
+		"workspace named twice": func(c *Catalogue) { c.Workspaces[1].Name = "w1" },
+		"service named twice":   func(c *Catalogue) { c.Services[1].Name = "chat" },
+	} {
+		c := valid()
+		spoil(c)
+		require.Error(t, c.Validate(), name)
+	}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	table := NewTable(valid())
+	require.Equal(t, "chat", table.Route("a.example", "/chat/x").Name)
+	require.Equal(t, "all", table.Route("a.example", "/chatter").Name)
+	require.Nil(t, table.Route("b.example", "/"))
+	require.Equal(t, "w1", table.Workspace("k2").Name)
+	require.Nil(t, table.Workspace(""))
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := valid().Routes[1]
+	require.Equal(t, "chat", r.Choose(0))
+	require.Equal(t, "chat", r.Choose(0.74))
+	require.Equal(t, "web", r.Choose(0.76))
+	require.Equal(t, "web", r.Choose(0.999999))
+}
+
+func TestCanonicalHost(t *testing.T) {
+	require.Equal(t, "a.example", CanonicalHost("A.example:8080"))
+	require.Equal(t, "a.example", CanonicalHost("a.example"))
+}
