backend: exchanges with servers that say whether a request may have run

Cause: requests that may run once must not be sent again by a transport that decides by itself. Ruled out: http.Transport, which repeats some requests after a connection was closed. Measured: tests bring about late, doubled, cut and early answers, closed idle connections.

--- /dev/null
+++ b/backend/exchange_test.go
@@ -0,0 +1,255 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// script is a server that reads a request and does what it is told, once for each
+// connection it accepts.
+func script(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				handle(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// next reads one request whole and returns its id.
+func next(r *bufio.Reader) (string, error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return req.Header.Get("X-Id"), err
+}
+
+func answer(c net.Conn, id, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func call(id string) *Call {
+	return &Call{
+		Method: "POST", Target: "/a?b=c", Host: "a.example", Header: http.Header{"X-Id": {id}}, Body: []byte("body"),
+		Belongs: func(h http.Header) bool { return h.Get("X-Id") == id },
+	}
+}
+
+func do(t *testing.T, p *Pool, addr, id string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	a, err := p.Do(ctx, addr, call(id))
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+// A server sends the answer of an earlier request once more, where the answer of
+// the next one is due. A caller would read somebody else's answer.
+//
+// It breaks without Call.Belongs.
+func TestLateAnswerOfAnotherCall(t *testing.T) {
+	addr := script(t, func(c net.Conn, r *bufio.Reader) {
+		id, _ := next(r)
+		answer(c, id, "first")
+		id2, _ := next(r)
+		answer(c, id, "first")
+		answer(c, id2, "second")
+	})
+	p := NewPool(DefaultConfig(), time.Now)
+	defer p.Close()
+	body, err := do(t, p, addr, "1")
+	require.NoError(t, err)
+	require.Equal(t, "first", body)
+	body, err = do(t, p, addr, "2")
+	require.NoError(t, err)
+	require.Equal(t, "second", body)
+	require.EqualValues(t, 1, p.Dials())
+}
+
+// A server sends bytes behind a whole answer. On a kept connection they would be
+// read as the beginning of the next answer.
+//
+// It breaks without conn.quiet and the look at the buffer in Answer.Close.
+func TestBytesBehindAnAnswer(t *testing.T) {
+	addr := script(t, func(c net.Conn, r *bufio.Reader) {
+		id, err := next(r)
+		if err != nil {
+			return
+		}
+		answer(c, id, "good")
+		answer(c, id, "stray")
+		_, _ = next(r)
+	})
+	p := NewPool(DefaultConfig(), time.Now)
+	defer p.Close()
+	for i := range 3 {
+		body, err := do(t, p, addr, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, "good", body)
+		time.Sleep(20 * time.Millisecond) // the stray bytes arrive
+	}
+	require.EqualValues(t, 3, p.Dials())
+}
+
+// A server closes the connection after it has read a request. Whether the request
+// ran is not known, so a call that may run once must not be sent again.
+func TestClosedAfterTheRequest(t *testing.T) {
+	addr := script(t, func(_ net.Conn, r *bufio.Reader) { _, _ = next(r) })
+	p := NewPool(DefaultConfig(), time.Now)
+	defer p.Close()
+	_, err := do(t, p, addr, "1")
+	var e *Error
+	require.ErrorAs(t, err, &e)
+	require.True(t, e.Sent)
+	require.Equal(t, StepHead, e.Step)
+}
+
+// Nobody listens at the address: the call surely did not run.
+func TestNobodyListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	p := NewPool(DefaultConfig(), time.Now)
+	defer p.Close()
+	_, err = do(t, p, addr, "1")
+	var e *Error
+	require.ErrorAs(t, err, &e)
+	require.False(t, e.Sent)
+}
+
+// A server has closed an idle connection. The next call takes a new one, since a
+// request on the old one might have run or not.
+func TestIdleConnectionWasClosed(t *testing.T) {
+	addr := script(t, func(c net.Conn, r *bufio.Reader) {
+		if id, err := next(r); err == nil {
+			answer(c, id, "ok")
+		}
+	})
+	p := NewPool(DefaultConfig(), time.Now)
+	defer p.Close()
+	for i := range 3 {
+		_, err := do(t, p, addr, fmt.Sprint(i))
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond) // the close arrives
+	}
+}
+
+// An answer breaks off. It must not look whole: a caller would take half a
+// statement for all of it.
+func TestAnswerBreaksOff(t *testing.T) {
+	addr := script(t, func(c net.Conn, r *bufio.Reader) {
+		id, _ := next(r)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 100\r\n\r\nhalf", id)
+	})
+	p := NewPool(DefaultConfig(), time.Now)
+	defer p.Close()
+	_, err := do(t, p, addr, "1")
+	var e *Error
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, StepBody, e.Step)
+}
+
+// A caller leaves. The server notices by the close of the connection and stops
+// working for nobody.
+func TestCallerLeaves(t *testing.T) {
+	closed := make(chan struct{})
+	addr := script(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _ = next(r)
+		_, _ = r.ReadByte() // returns when the connection is closed
+		close(closed)
+	})
+	p := NewPool(DefaultConfig(), time.Now)
+	defer p.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		cancel()
+	}()
+	_, err := p.Do(ctx, addr, call("1"))
+	require.ErrorIs(t, err, context.Canceled)
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection stayed open")
+	}
+}
+
+// A server rejects a long request before it has read it all, and reads on later.
+// The rest of the body must be followed by nothing else on that connection.
+func TestAnsweredBeforeTheBodyWasRead(t *testing.T) {
+	requests := make(chan string, 4)
+	addr := script(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		requests <- req.Header.Get("X-Id")
+		answer(c, req.Header.Get("X-Id"), "early")
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, req.Body)
+		if id, err := next(r); err == nil {
+			requests <- id
+			answer(c, id, "late")
+		}
+	})
+	p := NewPool(DefaultConfig(), time.Now)
+	defer p.Close()
+	long := call("1")
+	long.Body = []byte(strings.Repeat("x", 8<<20))
+	a, err := p.Do(t.Context(), addr, long)
+	require.NoError(t, err)
+	_, err = io.ReadAll(a)
+	require.NoError(t, err)
+	a.Close()
+	body, err := do(t, p, addr, "2")
+	require.NoError(t, err)
+	require.Equal(t, "early", body, "on a connection of its own")
+	require.Equal(t, "1", <-requests)
+	require.Equal(t, "2", <-requests)
+}
+
+// What a caller sends as path and query reaches the server as it was, escapes and
+// all.
+func TestTargetIsSentAsItCame(t *testing.T) {
+	got := make(chan string, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r.RequestURI }))
+	defer s.Close()
+	p := NewPool(DefaultConfig(), time.Now)
+	defer p.Close()
+	for _, target := range []string{"/a/%2Fb%20c/../d?x=%41&y", "/a//b", "/", "/a?", "/ä"} {
+		c := call("1")
+		c.Target, c.Belongs = target, nil
+		a, err := p.Do(t.Context(), s.Listener.Addr().String(), c)
+		require.NoError(t, err, target)
+		a.Close()
+		require.Equal(t, target, <-got)
+	}
+}
