--- /dev/null
+++ b/cmd/savoryreel/platform.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/spf13/cobra"
+
+	"savoryreel.example/savoryreel/coordinator"
+	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/gateway"
+	"savoryreel.example/savoryreel/platform"
+	"savoryreel.example/savoryreel/replica/storage"
+	"savoryreel.example/savoryreel/settings"
+	"savoryreel.example/savoryreel/site"
+)
+
+// platformConfig is what the settings file of the platform doesn't hold.
+type platformConfig struct {
+	File       string
+	ClusterKey string
+	LogLevel   string
+}
+
+// defaultClusterKey keeps processes of other programs out; on the platform the
+// ports between instances are reached by nobody else.
+const defaultClusterKey = "savoryreel"
+
+func (c *platformConfig) declare(s *settings.Set) {
+	s.String(&c.File, "settings-file", os.Getenv(platform.SettingsVariable), "settings file of the platform", settings.Required)
+	s.String(&c.ClusterKey, "cluster-key", defaultClusterKey, "key that the system's own processes share", settings.Required)
+	s.String(&c.LogLevel, "log-level", "info", "debug, info, warn or error", settings.LogLevel)
+}
+
+func newPlatform() *cobra.Command {
+	cmd := &cobra.Command{Use: "platform", Short: "Run the system's processes on the users' platform"}
+	cmd.AddCommand(
+		platformCommand("entry", "Run an entry: take callers' requests and pass them on to backend servers", runPlatformEntry),
+		platformCommand("control", "Run a control replica: keep the catalogue of routes and hear the backend servers", runPlatformControl),
+	)
+	return cmd
+}
+
+func platformCommand(use, short string, start func(context.Context, *platformConfig, *slog.Logger) error) *cobra.Command {
+	var cfg platformConfig
+	return daemonCommand(use, short, cfg.declare, &cfg.LogLevel, func(ctx context.Context, log *slog.Logger) error {
+		return start(ctx, &cfg, log)
+	})
+}
+
+// node holds the settings in force, which may change while the process runs.
+type node struct {
+	log     *slog.Logger
+	current atomic.Pointer[site.Node]
+}
+
+func readNode(cfg *platformConfig, log *slog.Logger) (*node, error) {
+	settings, unknown, err := platform.ReadSettings(cfg.File)
+	if err != nil {
+		event.Log(context.Background(), log, slog.LevelError, event.SettingsRefused, slog.String("file", cfg.File), slog.String("error", err.Error()))
+		return nil, err
+	}
+	n := &node{log: log}
+	n.current.Store(&settings)
+	if len(unknown) > 0 {
+		event.Log(context.Background(), log, slog.LevelInfo, event.SettingsRead, slog.String("file", cfg.File), slog.Any("unknown", unknown))
+	}
+	limitMemory(settings.Capacity.MemoryBytes)
+	return n, nil
+}
+
+// memoryPart is the part of the allowed memory from which on the collector works
+// harder: a process that goes over the limit is killed.
+const memoryPart = 0.6
+
+func limitMemory(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(float64(bytes) * memoryPart))
+	}
+}
+
+// seeds returns the control replicas that the settings name now.
+func (n *node) seeds() []string { return n.current.Load().SeedLinks() }
+
+// reload takes new settings. Only the seeds take hold in a running process: the
+// addresses and limits of an instance do not change while it runs.
+func (n *node) reload(content []byte) {
+	next, _, err := platform.DecodeSettings(content)
+	if err != nil {
+		event.Log(context.Background(), n.log, slog.LevelError, event.SettingsRefused, slog.String("error", err.Error()))
+		return
+	}
+	n.current.Store(&next)
+}
+
+func runPlatformEntry(ctx context.Context, cfg *platformConfig, log *slog.Logger) error {
+	n, err := readNode(cfg, log)
+	if err != nil {
+		return err
+	}
+	g, err := gateway.New(gateway.Config{Node: *n.current.Load(), ClusterKey: cfg.ClusterKey}, gateway.Deps{
+		Log: log, Now: time.Now, Seeds: n.seeds, Decode: platform.DecodeCatalogue, Dialect: platform.Dialect{},
+	})
+	if err != nil {
+		return err
+	}
+	return g.Run(ctx, func(group *run.Group) (func(), error) {
+		listen := n.current.Load().Listen
+		daemon.Actor(group, func(ctx context.Context) error { return daemon.WatchFile(ctx, log, cfg.File, n.reload) })
+		if err := serve(ctx, group, log, "readiness", listen.Readiness, platform.ReadinessHandler(g.Ready)); err != nil {
+			return nil, err
+		}
+		callers, err := daemon.Listen(ctx, log, "callers", listen.Callers)
+		if err != nil {
+			return nil, err
+		}
+		return g.ServeCallers(group, callers, platform.CallerHandler(g, log)), nil
+	})
+}
+
+func runPlatformControl(ctx context.Context, cfg *platformConfig, log *slog.Logger) error {
+	n, err := readNode(cfg, log)
+	if err != nil {
+		return err
+	}
+	place := *n.current.Load()
+	deps := coordinator.Deps{Log: log, Now: time.Now, FS: storage.OS{}, Seeds: n.seeds}
+	if place.Cloud.Address != "" {
+		deps.Cloud = platform.NewCloud(place.Cloud.Address)
+	}
+	c, err := coordinator.New(coordinator.Config{Node: place, ClusterKey: cfg.ClusterKey}, deps)
+	if err != nil {
+		return err
+	}
+	return c.Run(ctx, func(group *run.Group) error {
+		daemon.Actor(group, func(ctx context.Context) error { return daemon.WatchFile(ctx, log, cfg.File, n.reload) })
+		if err := serve(ctx, group, log, "operators", place.Listen.Operators, platform.ControlHandler(c, log)); err != nil {
+			return err
+		}
+		return serve(ctx, group, log, "directory", place.Listen.Directory, platform.DirectoryHandler(c))
+	})
+}
+
+// serve adds a server on address to the group, if there is one to serve.
+func serve(ctx context.Context, group *run.Group, log *slog.Logger, purpose, address string, h http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	l, err := daemon.Listen(ctx, log, purpose, address)
+	if err != nil {
+		return err
+	}
+	daemon.Serve(group, l, h, daemon.CloseGrace, log)
+	return nil
+}
--- /dev/null
+++ b/coordinator/api/api.go
@@ -0,0 +1,104 @@
+// Package api holds the messages between entries and the control replicas that
+// keep a catalogue of routes, and between those replicas.
+package api
+
+import (
+	"time"
+
+	"savoryreel.example/savoryreel/directory"
+)
+
+// The methods on links.
+const (
+	MethodReplica = "coordinator.replica" // notice: a message of the replicated log
+	MethodWatch   = "coordinator.watch"
+	MethodRevise  = "coordinator.revise"
+	MethodRead    = "coordinator.read"
+	MethodSeat    = "coordinator.seat"
+	MethodJoin    = "coordinator.join"
+)
+
+// Roles of the processes that watch.
+const (
+	RoleEntry   = "entry"
+	RoleControl = "control"
+)
+
+// WatchRequest asks for what is new at a control replica. The call is kept
+// waiting until there is something, or until Wait is over. It is also the sign
+// of life of the process that sends it.
+type WatchRequest struct {
+	Role  string           `msgpack:"role"`
+	Entry *directory.Entry `msgpack:"entry,omitempty"` // an entry's record of itself
+
+	// Life and Seen are those of the last reply of this replica; zero at first.
+	Life     uint64        `msgpack:"life"`
+	Seen     uint64        `msgpack:"seen"`
+	Revision uint64        `msgpack:"rev"` // of the catalogue that the sender has
+	Wait     time.Duration `msgpack:"wait"`
+
+	Usage []WindowUsage `msgpack:"usage,omitempty"` // all that the sender counted, newest windows
+}
+
+// WindowUsage is what began to run at one entry in one window.
+type WindowUsage struct {
+	Window int64            `msgpack:"w"` // Unix time divided by the window's length
+	Counts map[string]int64 `msgpack:"c"` // requests by workspace
+}
+
+// WatchReply is what a control replica knows beyond what the sender has seen.
+type WatchReply struct {
+	Life     uint64             `msgpack:"life"` // changes when the replica starts anew; Seen counts from 0 then
+	Seen     uint64             `msgpack:"seen"`
+	Servers  []directory.Server `msgpack:"servers,omitempty"`
+	Entries  []directory.Entry  `msgpack:"entries,omitempty"`
+	Revision uint64             `msgpack:"rev"`
+	Document []byte             `msgpack:"doc,omitempty"` // of Revision, if the sender has an older one
+	Replicas []string           `msgpack:"replicas"`      // link addresses of all replicas
+	Live     int                `msgpack:"live"`          // entries that take callers
+	Clock    time.Time          `msgpack:"clock"`         // the replica's time of day
+}
+
+// ReviseRequest brings a catalogue, whole, as the operator sent it.
+type ReviseRequest struct {
+	Revision uint64 `msgpack:"rev"`
+	Document []byte `msgpack:"doc"`
+}
+
+// ReviseReply says which revision is in force after the request.
+type ReviseReply struct {
+	InForce uint64 `msgpack:"rev"`
+}
+
+// ReadRequest asks the leader for the newest catalogue.
+type ReadRequest struct{}
+
+// ReadReply is the newest catalogue that was acknowledged before the request.
+type ReadReply struct {
+	Revision uint64 `msgpack:"rev"`
+	Document []byte `msgpack:"doc"`
+}
+
+// SeatRequest asks for a replica id that was never used. The same nonce gets the
+// same id.
+type SeatRequest struct {
+	Address string `msgpack:"addr"`
+	Nonce   string `msgpack:"nonce"`
+}
+
+// SeatReply gives the id.
+type SeatReply struct {
+	ID uint64 `msgpack:"id"`
+}
+
+// JoinRequest asks to be taken in as a learner, again and again until it is.
+type JoinRequest struct {
+	ID      uint64 `msgpack:"id"`
+	Address string `msgpack:"addr"`
+}
+
+// JoinReply says where the replica stands.
+type JoinReply struct {
+	Member  bool `msgpack:"member"`
+	Retired bool `msgpack:"retired"` // its id was given up for good; it must begin anew
+}
--- /dev/null
+++ b/coordinator/catalogue.go
@@ -0,0 +1,165 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/replica/host"
+)
+
+// ErrUnsettled: what became of an operator's call is not known, or no leader
+// could be reached. The same call may be made again, at any replica.
+var ErrUnsettled = errors.New("not settled, call again")
+
+const (
+	// reviseTimeout bounds an operator's change. Callers turn to another replica
+	// after about a second, and a change that is committed after that is still
+	// acknowledged when it comes again.
+	reviseTimeout = 2500 * time.Millisecond
+	// readTimeout bounds a read.
+	readTimeout = 1500 * time.Millisecond
+	// leaderPause is the time before a leader is looked for again.
+	leaderPause = 50 * time.Millisecond
+)
+
+// Replace puts a valid catalogue in force if its revision is higher than the one
+// in force, and returns once this is committed. An equal or lower revision
+// changes nothing and is acknowledged just so: the operator may not know that its
+// change was overtaken or had arrived before.
+func (c *Coordinator) Replace(ctx context.Context, revision uint64, document []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, reviseTimeout)
+	defer cancel()
+	if held, doc, _ := c.revisions.newest(); doc != nil && held >= revision {
+		return nil
+	}
+	req := api.ReviseRequest{Revision: revision, Document: document}
+	inForce, err := atLeader(ctx, c, api.MethodRevise, req, c.reviseHere)
+	if err != nil {
+		return errors.Join(ErrUnsettled, err)
+	}
+	event.Log(ctx, c.log, slog.LevelInfo, event.CatalogueChanged,
+		slog.Uint64("revision", revision), slog.Uint64("inForce", inForce.InForce), slog.Int("bytes", len(document)))
+	return nil
+}
+
+// Newest returns the newest catalogue that was acknowledged before the call, as
+// the operator sent it. document is nil if there has never been one. It fails
+// with ErrUnsettled where that cannot be proved.
+func (c *Coordinator) Newest(ctx context.Context) (document []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	reply, err := atLeader(ctx, c, api.MethodRead, api.ReadRequest{}, c.readHere)
+	if err != nil {
+		return nil, errors.Join(ErrUnsettled, err)
+	}
+	return reply.Document, nil
+}
+
+// atLeader runs a request here if this replica leads, or else at the leader, and
+// goes on looking for one until ctx ends. The request must be idempotent.
+func atLeader[Req, Resp any](ctx context.Context, c *Coordinator, method string, req Req, here func(context.Context, *member, Req) (Resp, error)) (Resp, error) {
+	var none Resp
+	err := error(trace.ConnectionProblem(nil, "no leader is known"))
+	for ctx.Err() == nil {
+		m := c.group.current.Load()
+		if m == nil {
+			pause(ctx, leaderPause)
+			continue
+		}
+		var resp Resp
+		if m.leading() {
+			resp, err = here(ctx, m, req)
+		} else {
+			resp, err = askLeader[Req, Resp](ctx, c, m, method, req)
+		}
+		if err == nil {
+			return resp, nil
+		}
+		pause(ctx, leaderPause)
+	}
+	return none, err
+}
+
+func askLeader[Req, Resp any](ctx context.Context, c *Coordinator, m *member, method string, req Req) (Resp, error) {
+	var none Resp
+	addr, known := m.book.Address(m.host.Status().Leader)
+	if !known || addr == c.self {
+		return none, trace.ConnectionProblem(nil, "no leader is known")
+	}
+	resp, err := link.Call[Resp](ctx, c.pool, addr, method, req)
+	return resp, trace.Wrap(err, "step=ask leader peer=%s", addr)
+}
+
+// errNotLeader answers a request that came to a replica which doesn't lead.
+var errNotLeader = &codedError{code: "not_leader", err: trace.ConnectionProblem(nil, "this replica does not lead")}
+
+// codedError is an error with the code that the link passes on.
+type codedError struct {
+	code string
+	err  error
+}
+
+func (e *codedError) Error() string { return e.err.Error() }
+func (e *codedError) Unwrap() error { return e.err }
+
+// Code names the error to the caller at the other end of the link.
+func (e *codedError) Code() string { return e.code }
+
+func (c *Coordinator) reviseHere(ctx context.Context, m *member, req api.ReviseRequest) (api.ReviseReply, error) {
+	inForce, err := proposeResult[uint64](ctx, m, kindRevise, reviseCommand{Revision: req.Revision, Document: req.Document})
+	return api.ReviseReply{InForce: inForce}, notLeaderError(err)
+}
+
+func (c *Coordinator) readHere(ctx context.Context, m *member, _ api.ReadRequest) (api.ReadReply, error) {
+	if err := m.host.ReadBarrier(ctx); err != nil {
+		return api.ReadReply{}, notLeaderError(err)
+	}
+	revision, document := m.state.current()
+	return api.ReadReply{Revision: revision, Document: document}, nil
+}
+
+func notLeaderError(err error) error {
+	var notLeader *host.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return errNotLeader
+	}
+	return err
+}
+
+// serveLeader wraps a leader's part of a request as a link handler.
+func serveLeader[Req, Resp any](c *Coordinator, here func(context.Context, *member, Req) (Resp, error)) func(context.Context, link.PeerInfo, Req) (Resp, error) {
+	return func(ctx context.Context, _ link.PeerInfo, req Req) (Resp, error) {
+		var none Resp
+		m := c.group.current.Load()
+		if m == nil || !m.leading() {
+			return none, errNotLeader
+		}
+		return here(ctx, m, req)
+	}
+}
+
+func (c *Coordinator) seatHere(ctx context.Context, m *member, req api.SeatRequest) (api.SeatReply, error) {
+	id, err := proposeResult[uint64](ctx, m, kindSeat, seatCommand{Address: req.Address, Nonce: req.Nonce})
+	return api.SeatReply{ID: id}, notLeaderError(err)
+}
+
+func (c *Coordinator) joinHere(ctx context.Context, m *member, req api.JoinRequest) (api.JoinReply, error) {
+	if err := m.host.ReadBarrier(ctx); err != nil {
+		return api.JoinReply{}, notLeaderError(err)
+	}
+	if isMember(m.host.Status(), req.ID) {
+		return api.JoinReply{Member: true}, nil
+	}
+	if _, seated, given := m.state.seatOf(req.ID); !seated && given {
+		return api.JoinReply{Retired: true}, nil
+	}
+	c.upkeep.ask(req.ID, req.Address)
+	return api.JoinReply{}, nil
+}
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,362 @@
+// Package coordinator is a control replica for catalogues of routes: it keeps
+// the catalogue in the replicated log, hears the backend servers' heartbeats,
+// tells entries and other replicas what is new, names entries to callers, and,
+// while it leads, carries out the duties that one process has for all.
+package coordinator
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/coordinator/follow"
+	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/replica/roster"
+	"savoryreel.example/savoryreel/replica/storage"
+	"savoryreel.example/savoryreel/site"
+	"savoryreel.example/savoryreel/wallclock"
+)
+
+// Config is the settings of a Coordinator.
+type Config struct {
+	Node       site.Node
+	ClusterKey string
+}
+
+// Deps is what a Coordinator works with.
+type Deps struct {
+	Log *slog.Logger
+	Now func() time.Time // must carry a monotonic reading
+	FS  storage.FS
+	// Seeds returns the link addresses of the replicas that the settings name now.
+	Seeds func() []string
+	Cloud Cloud // nil: no duties
+}
+
+// Coordinator is one control replica. Its methods are safe for concurrent use.
+type Coordinator struct {
+	cfg     Config
+	deps    Deps
+	self    string
+	life    uint64
+	log     *slog.Logger
+	now     func() time.Time
+	metrics *metrics.Set
+
+	directory *directory.Store
+	revisions *revisions
+	usage     *usageBook
+	clock     *wallclock.Clock
+	pool      *link.Pool
+	traffic   *link.Traffic
+	follower  *follow.Follower
+	group     *group
+	upkeep    *upkeep
+	duties    *duties
+
+	stopping chan struct{} // closed when this replica begins to stop
+	stopOnce sync.Once
+
+	mu     sync.Mutex
+	seated []string             // link addresses of the replicas in the log
+	heard  map[string]time.Time // link addresses of replicas that called
+}
+
+// Silence of a backend server and of an entry. Heartbeats may be seconds late, so
+// a server counts as silent after silentBeats of them and slack more.
+const (
+	silentBeats = 3
+	silentSlack = time.Second
+)
+
+// New builds a replica. Run opens its data folder.
+func New(cfg Config, deps Deps) (*Coordinator, error) {
+	if cfg.Node.DataDir == "" {
+		return nil, trace.BadParameter("a control replica needs a data folder")
+	}
+	if err := cfg.Node.Validate(); err != nil {
+		return nil, trace.Wrap(err, "step=check settings")
+	}
+	c := &Coordinator{
+		cfg: cfg, deps: deps, log: deps.Log, now: deps.Now, metrics: metrics.NewSet(),
+		self: cfg.Node.ControlLink(cfg.Node.IP),
+		life: uint64(deps.Now().UnixNano()),
+		directory: directory.NewStore(directory.Config{
+			SilentAfter: silentAfter(cfg.Node.AnnounceEvery), EntrySilentAfter: entrySilentAfter, ForgetAfter: directory.DefaultForgetAfter,
+		}),
+		revisions: newRevisions(), usage: newUsageBook(), clock: wallclock.System(),
+		stopping: make(chan struct{}), heard: make(map[string]time.Time),
+	}
+	c.traffic = link.NewTraffic(c.metrics)
+	c.pool = link.NewPool(link.PoolConfig{Self: c.peerInfo(), ClusterKey: []byte(cfg.ClusterKey), MaxFrame: maxFrame, BackoffMax: linkBackoff},
+		link.PoolDeps{Log: deps.Log, Traffic: c.traffic})
+	c.follower = follow.New(follow.Config{Self: c.self}, follow.Deps{
+		Pool: c.pool, Log: c.log, Now: c.now, Request: c.watchRequest, Reply: c.take, Seeds: c.known,
+	})
+	c.upkeep = newUpkeep(c.log, c.now, c.follower.Contacted)
+	c.group = &group{
+		self: c.self, store: identityStore{fs: deps.FS, dir: cfg.Node.DataDir}, pool: c.pool, log: c.log, now: c.now,
+		found: c.founders, others: c.follower.Followed, onRevision: c.offer, onSeats: c.learnSeats,
+	}
+	c.duties = &duties{
+		log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, clock: c.clock, now: c.now, usage: c.usage,
+		window: cfg.Node.Bounds.UsageWindow, late: cfg.Node.Bounds.UsageLate, lease: cfg.Node.Bounds.LeaseTime,
+	}
+	return c, nil
+}
+
+// entrySilentAfter is two and a half of an entry's signs of life, which come at
+// least once a second.
+const entrySilentAfter = 2500 * time.Millisecond
+
+func silentAfter(beat time.Duration) time.Duration { return silentBeats*beat + silentSlack }
+
+const (
+	// maxFrame holds the largest catalogue with its envelope.
+	maxFrame = maxEntryBytes + 1<<20
+	// linkBackoff is the longest pause between attempts to reach a replica: one that
+	// returns has to be of use within seconds.
+	linkBackoff = 500 * time.Millisecond
+)
+
+func (c *Coordinator) peerInfo() link.PeerInfo {
+	return link.PeerInfo{ID: c.cfg.Node.Name, Incarnation: c.life, Address: c.self, Role: api.RoleControl}
+}
+
+// founders returns the replicas that found the group, if this is the first start
+// of the whole system.
+func (c *Coordinator) founders() []string {
+	if !c.cfg.Node.FirstStart {
+		return nil
+	}
+	return c.cfg.Node.SeedLinks()
+}
+
+// known returns the replicas to follow beyond those that others name.
+func (c *Coordinator) known() []string {
+	out := c.deps.Seeds()
+	return append(out, c.replicas()...)
+}
+
+// forgetCallers is how long a replica that called is passed on as a replica.
+const forgetCallers = 15 * time.Second
+
+// replicas returns the link addresses of all replicas that are known: those in
+// the log, this one, and those that called lately, which may wait to be taken in.
+func (c *Coordinator) replicas() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := map[string]bool{c.self: true}
+	for _, addr := range c.seated {
+		all[addr] = true
+	}
+	for addr, at := range c.heard {
+		if c.now().Sub(at) > forgetCallers {
+			delete(c.heard, addr)
+			continue
+		}
+		all[addr] = true
+	}
+	out := make([]string, 0, len(all))
+	for addr := range all {
+		out = append(out, addr)
+	}
+	return out
+}
+
+func (c *Coordinator) noteCaller(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard[addr] = c.now()
+}
+
+func (c *Coordinator) learnSeats(list []roster.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seated = c.seated[:0]
+	for _, m := range list {
+		c.seated = append(c.seated, m.Address)
+	}
+}
+
+// offer takes a committed catalogue, from this replica's log or from another one.
+func (c *Coordinator) offer(revision uint64, document []byte) {
+	if c.revisions.offer(revision, document) {
+		event.Log(context.Background(), c.log, slog.LevelInfo, event.RevisionTaken,
+			slog.Uint64("revision", revision), slog.Int("bytes", len(document)))
+	}
+}
+
+func (c *Coordinator) watchRequest() api.WatchRequest {
+	revision, _, _ := c.revisions.newest()
+	return api.WatchRequest{Role: api.RoleControl, Revision: revision}
+}
+
+// take merges what another replica told.
+func (c *Coordinator) take(addr string, r api.WatchReply) {
+	c.clock.Observe(addr, r.Clock)
+	c.directory.Merge(r.Servers, r.Entries, c.now())
+	c.offer(r.Revision, r.Document)
+}
+
+// Announce takes a backend server's heartbeat.
+func (c *Coordinator) Announce(a instance.Announcement) {
+	if !c.directory.Announce(a, c.now()) {
+		return
+	}
+	kind := event.ServerAnnounced
+	if a.State != instance.StateServing {
+		kind = event.ServerLeaving
+	}
+	event.Log(context.Background(), c.log, slog.LevelInfo, kind, slog.String("server", a.ID),
+		slog.Uint64("incarnation", a.Incarnation), slog.Uint64("sequence", a.Sequence), slog.String("address", a.Address),
+		slog.Any("services", a.Services), slog.String("zone", a.Zone), slog.String("state", string(a.State)))
+}
+
+// Leave takes a backend server's word that it is gone.
+func (c *Coordinator) Leave(id string, incarnation uint64) {
+	if c.directory.Leave(id, incarnation, c.now()) {
+		event.Log(context.Background(), c.log, slog.LevelInfo, event.ServerGone,
+			slog.String("server", id), slog.Uint64("incarnation", incarnation))
+	}
+}
+
+// Run serves until ctx ends, a signal comes or a component fails. public are the
+// actors that serve the outside.
+func (c *Coordinator) Run(ctx context.Context, public func(g *run.Group) error) error {
+	defer c.pool.Close()
+	var g run.Group
+	if err := c.actors(ctx, &g, public); err != nil {
+		return err
+	}
+	event.Log(ctx, c.log, slog.LevelInfo, event.ProcessStarted,
+		slog.String("role", "coordinator"), slog.String("name", c.cfg.Node.Name), slog.String("zone", c.cfg.Node.Zone),
+		slog.Bool("firstStart", c.cfg.Node.FirstStart), slog.Any("seeds", c.cfg.Node.Seeds))
+	err := g.Run()
+	event.Log(context.Background(), c.log, slog.LevelInfo, event.ProcessStopped, slog.String("error", errorText(err)))
+	return err
+}
+
+func (c *Coordinator) actors(ctx context.Context, g *run.Group, public func(g *run.Group) error) error {
+	links, err := daemon.Listen(ctx, c.log, "link", c.self)
+	if err != nil {
+		return err
+	}
+	ops, err := daemon.Listen(ctx, c.log, "operations", c.cfg.Node.ControlOps())
+	if err != nil {
+		return err
+	}
+	srv := link.NewServer(link.ServerConfig{Self: c.peerInfo(), ClusterKey: []byte(c.cfg.ClusterKey), MaxFrame: maxFrame},
+		link.ServerDeps{Log: c.log, Traffic: c.traffic})
+	c.register(srv)
+	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
+	daemon.Actor(g, c.group.run)
+	daemon.Actor(g, c.follower.Run)
+	daemon.Actor(g, c.sweep)
+	daemon.Actor(g, c.lead)
+	daemon.Actor(g, func(actorCtx context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-actorCtx.Done():
+		}
+		return nil
+	})
+	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.CloseGrace, c.log)
+	if err := public(g); err != nil {
+		return err
+	}
+	daemon.Signals(g, c.stop, c.log)
+	return nil
+}
+
+func (c *Coordinator) register(srv *link.Server) {
+	link.HandleNotice(srv, api.MethodReplica, c.stepReplica)
+	link.Handle(srv, api.MethodWatch, c.watch)
+	link.Handle(srv, api.MethodRevise, serveLeader(c, c.reviseHere))
+	link.Handle(srv, api.MethodRead, serveLeader(c, c.readHere))
+	link.Handle(srv, api.MethodSeat, serveLeader(c, c.seatHere))
+	link.Handle(srv, api.MethodJoin, serveLeader(c, c.joinHere))
+}
+
+// ready reports whether this replica knows a leader.
+func (c *Coordinator) ready() error {
+	if m := c.group.current.Load(); m == nil || m.host.Status().Leader == 0 {
+		return trace.ConnectionProblem(nil, "no leader is known")
+	}
+	return nil
+}
+
+// sweepEvery is how often silence is looked for.
+const sweepEvery = 500 * time.Millisecond
+
+func (c *Coordinator) sweep(ctx context.Context) error {
+	return daemon.Every(ctx, sweepEvery, func() {
+		replied, followed := c.follower.Current(aliveWithin)
+		c.directory.Sweep(c.now(), replied+1 > (followed+1)/2)
+	})
+}
+
+// lead does what falls to the leader, and logs each change of leader.
+func (c *Coordinator) lead(ctx context.Context) error {
+	var lastLeader uint64
+	var work sync.WaitGroup
+	defer work.Wait()
+	work.Go(func() {
+		_ = daemon.Every(ctx, upkeepEvery, func() {
+			if m := c.group.current.Load(); m != nil {
+				if err := c.upkeep.step(ctx, m); err != nil {
+					c.log.DebugContext(ctx, "replica set not changed", "error", err)
+				}
+			}
+		})
+	})
+	return daemon.Every(ctx, dutyEvery, func() {
+		m := c.group.current.Load()
+		if m == nil {
+			return
+		}
+		if st := m.host.Status(); st.Leader != lastLeader {
+			lastLeader = st.Leader
+			addr, _ := m.book.Address(st.Leader)
+			event.Log(ctx, c.log, slog.LevelInfo, event.LeaderChanged, slog.Uint64("leader", st.Leader), slog.String("peer", addr),
+				slog.Uint64("term", st.Term), slog.String("role", st.Role.String()), slog.Any("voters", st.Voters), slog.Any("learners", st.Learners))
+		}
+		if c.deps.Cloud != nil {
+			c.duties.step(ctx, m)
+		}
+	})
+}
+
+// stop hands the leadership over before this replica ends, so that a planned
+// stop costs no election, and lets go of the calls that are kept waiting.
+func (c *Coordinator) stop(ctx context.Context) {
+	c.stopOnce.Do(func() { close(c.stopping) })
+	m := c.group.current.Load()
+	if m == nil || !m.leading() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	st := m.host.Status()
+	for _, id := range st.Voters {
+		if id == st.ID || c.upkeep.age(m, id) > aliveWithin {
+			continue
+		}
+		if m.host.TransferLeadership(ctx, id) == nil {
+			return
+		}
+	}
+}
+
+// handOverTimeout bounds the search for a successor at a planned stop.
+const handOverTimeout = 2 * time.Second
--- /dev/null
+++ b/coordinator/duty.go
@@ -0,0 +1,185 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/wallclock"
+)
+
+// Order says who calls the cloud and under which fencing number.
+type Order struct {
+	Holder string
+	Fence  uint64
+}
+
+// Cloud is what the holder of a duty calls. Errors: ErrOldFence where another
+// holder has taken over; any other error leaves open what became of the call.
+type Cloud interface {
+	ReportUsage(ctx context.Context, o Order, window int64, counts map[string]int64) error
+	OrderServers(ctx context.Context, o Order, want Want) error
+}
+
+// Want is a number of backend servers of one kind in one zone.
+type Want struct {
+	Service     string
+	Zone        string
+	Reclaimable bool
+	Count       int
+}
+
+// ErrOldFence: the cloud has seen a higher fencing number.
+var ErrOldFence = errors.New("old fence")
+
+// ErrNoneToBeHad: the cloud has no such servers at the moment.
+var ErrNoneToBeHad = errors.New("none to be had")
+
+const (
+	// dutyEvery is how often the holder looks what is due.
+	dutyEvery = 250 * time.Millisecond
+	// cloudTimeout bounds one call to the cloud.
+	cloudTimeout = 1500 * time.Millisecond
+	// usageSettle is the part of the time until usage is due that the entries have
+	// for telling what they counted.
+	usageSettle = 0.45
+	// fencesPerTerm is how many fencing numbers one term of the leader has.
+	fencesPerTerm = 1 << 20
+)
+
+// fences numbers the calls of one holder. A leader's term is its alone, so no
+// two holders have a number in common, and each call has a higher one than the
+// calls before: one that the cloud carries out late can't undo a newer one.
+type fences struct {
+	term uint64
+	next uint64
+}
+
+func (f *fences) take(term uint64) uint64 {
+	if f.term != term {
+		f.term, f.next = term, 0
+	}
+	f.next++
+	return term*fencesPerTerm + f.next
+}
+
+// duties carries out, while this replica leads, what one process must do for the
+// whole system.
+type duties struct {
+	log    *slog.Logger
+	name   string
+	cloud  Cloud
+	clock  *wallclock.Clock
+	now    func() time.Time
+	usage  *usageBook
+	window time.Duration
+	late   time.Duration
+	lease  time.Duration
+
+	fences fences
+	term   uint64
+	since  time.Time     // start of this replica's lead in term
+	settle int64         // first window that this holder decides: those before it began unseen
+	asked  map[int64]int // calls made for a window in this term
+}
+
+// leads reports whether this replica may act: it leads, and has led for so long
+// that the holder before it has surely stopped.
+//
+// Without the wait two holders would act in turn: the old one, which has not
+// heard yet, the new one, and the old one again.
+func (d *duties) leads(m *member) bool {
+	st := m.host.Status()
+	if !m.leading() {
+		d.term = 0
+		return false
+	}
+	now := d.now()
+	if d.term != st.Term {
+		d.term, d.since = st.Term, now
+		d.asked = make(map[int64]int)
+	}
+	return now.Sub(d.since) >= d.lease
+}
+
+// step does what is due now.
+func (d *duties) step(ctx context.Context, m *member) {
+	if !d.leads(m) || d.window <= 0 {
+		return
+	}
+	d.decideUsage(ctx, m)
+	d.sendUsage(ctx, m)
+}
+
+// decideUsage puts the content of each window that has settled into the log.
+// Only then is it sent: if this process dies in between, its successor sends the
+// same counts and no others.
+func (d *duties) decideUsage(ctx context.Context, m *member) {
+	settled := d.clock.Now().Add(-time.Duration(float64(d.late) * usageSettle))
+	last := settled.UnixNano()/int64(d.window) - 1
+	first := last - 1 // windows before that are worthless by now
+	decided := m.state.windows()
+	if n := len(decided); n > 0 {
+		first = max(first, decided[n-1].Window+1)
+	}
+	for w := first; w <= last; w++ {
+		ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
+		err := propose(ctx, m, kindUsage, usageWindow{Window: w, Counts: d.usage.sum(w)})
+		cancel()
+		if err != nil {
+			event.Log(ctx, d.log, slog.LevelWarn, event.DutyRefused,
+				slog.String("duty", "usage"), slog.Int64("window", w), slog.String("step", "decide"), slog.String("error", err.Error()))
+			return
+		}
+	}
+}
+
+// maxUsageCalls bounds the calls for one window by one holder.
+const maxUsageCalls = 8
+
+// sendUsage sends the oldest window that was decided and has not been sent.
+func (d *duties) sendUsage(ctx context.Context, m *member) {
+	for _, w := range m.state.windows() {
+		if w.Sent || d.asked[w.Window] >= maxUsageCalls || d.tooLate(w.Window) {
+			continue
+		}
+		d.asked[w.Window]++
+		err := d.report(ctx, w)
+		if err != nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
+		defer cancel()
+		if err := propose(ctx, m, kindUsageSent, usageSentCommand{Window: w.Window}); err != nil {
+			event.Log(ctx, d.log, slog.LevelWarn, event.DutyRefused,
+				slog.String("duty", "usage"), slog.Int64("window", w.Window), slog.String("step", "note as sent"), slog.String("error", err.Error()))
+		}
+		return
+	}
+}
+
+// tooLate reports whether a window's report is worth nothing any more.
+func (d *duties) tooLate(window int64) bool {
+	end := time.Unix(0, (window+1)*int64(d.window))
+	return d.clock.Now().Sub(end) > 2*d.late
+}
+
+func (d *duties) report(ctx context.Context, w usageWindow) error {
+	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
+	defer cancel()
+	order := Order{Holder: d.name, Fence: d.fences.take(d.term)}
+	err := d.cloud.ReportUsage(ctx, order, w.Window, w.Counts)
+	d.logCall(ctx, "usage", order, err, slog.Int64("window", w.Window), slog.Any("counts", w.Counts))
+	return err
+}
+
+func (d *duties) logCall(ctx context.Context, duty string, o Order, err error, attrs ...slog.Attr) {
+	attrs = append([]slog.Attr{slog.String("duty", duty), slog.Uint64("fence", o.Fence)}, attrs...)
+	if err != nil {
+		event.Log(ctx, d.log, slog.LevelWarn, event.DutyRefused, append(attrs, slog.String("error", err.Error()))...)
+		return
+	}
+	event.Log(ctx, d.log, slog.LevelInfo, event.DutyCalled, attrs...)
+}
--- /dev/null
+++ b/coordinator/follow/follow.go
@@ -0,0 +1,272 @@
+// Package follow keeps a process up to date with the control replicas: it keeps
+// a call waiting at each of them, and finds new ones by what they tell.
+//
+// A process follows all replicas and not one of them: any replica may be cut off
+// with a heartbeat that only it has received, or behind with the catalogue. What
+// they tell is merged by version, so the newest word of any of them counts.
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/link"
+)
+
+const (
+	// DefaultWait is how long a replica keeps a call waiting without news. It is
+	// also how often it sees a sign of life.
+	DefaultWait = time.Second
+	// answerSlack is added to the wait before a call counts as lost: the site's
+	// longest round trip with a busy processor on both ends.
+	answerSlack = time.Second
+	// retryMin and retryMax bound the pause after a call that failed. The longest
+	// pause is a part of the seconds within which a returned replica has to be
+	// noticed.
+	retryMin = 50 * time.Millisecond
+	retryMax = time.Second
+	// lookEvery is how often the set of replicas is compared with what is followed.
+	lookEvery = 250 * time.Millisecond
+)
+
+// Config is the settings of a Follower.
+type Config struct {
+	Self string // own link address, which is not followed; empty at an entry
+	Wait time.Duration
+}
+
+// Deps is what a Follower works with.
+type Deps struct {
+	Pool *link.Pool
+	Log  *slog.Logger
+	Now  func() time.Time
+	// Request builds a call: everything but what the follower keeps itself.
+	Request func() api.WatchRequest
+	// Reply takes what a replica told. It is called by one goroutine a replica.
+	Reply func(addr string, r api.WatchReply)
+	// Seeds returns addresses to begin with, as the settings have them now.
+	Seeds func() []string
+}
+
+// Follower follows all control replicas. It is safe for concurrent use.
+type Follower struct {
+	cfg  Config
+	deps Deps
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	told  map[string][]string // replicas named by each one's last reply
+}
+
+type peer struct {
+	cancel    context.CancelFunc
+	kick      chan struct{}
+	contacted time.Time // of the last reply
+	lost      bool      // the last call failed
+}
+
+// New returns a Follower that follows nobody until Run.
+func New(cfg Config, deps Deps) *Follower {
+	if cfg.Wait <= 0 {
+		cfg.Wait = DefaultWait
+	}
+	return &Follower{cfg: cfg, deps: deps, peers: make(map[string]*peer), told: make(map[string][]string)}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var work sync.WaitGroup
+	defer work.Wait()
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		f.adjust(ctx, &work)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// adjust follows each replica that is known, and lets go of those that nobody
+// names any more.
+func (f *Follower) adjust(ctx context.Context, work *sync.WaitGroup) {
+	wanted := f.wanted()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for addr := range wanted {
+		if f.peers[addr] != nil {
+			continue
+		}
+		peerCtx, cancel := context.WithCancel(ctx)
+		p := &peer{cancel: cancel, kick: make(chan struct{}, 1)}
+		f.peers[addr] = p
+		work.Go(func() { f.follow(peerCtx, addr, p) })
+	}
+	for addr, p := range f.peers {
+		if !wanted[addr] {
+			p.cancel()
+			delete(f.peers, addr)
+			delete(f.told, addr)
+		}
+	}
+}
+
+func (f *Follower) wanted() map[string]bool {
+	wanted := make(map[string]bool)
+	for _, addr := range f.deps.Seeds() {
+		wanted[addr] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, list := range f.told {
+		for _, addr := range list {
+			wanted[addr] = true
+		}
+	}
+	delete(wanted, f.cfg.Self)
+	delete(wanted, "")
+	return wanted
+}
+
+// follow calls one replica again and again.
+func (f *Follower) follow(ctx context.Context, addr string, p *peer) {
+	var life, seen uint64
+	pause := retryMin
+	for ctx.Err() == nil {
+		req := f.deps.Request()
+		req.Life, req.Seen, req.Wait = life, seen, f.cfg.Wait
+		reply, err := f.call(ctx, addr, p, req)
+		if err == errKicked {
+			continue
+		}
+		f.noteOutcome(ctx, addr, p, err)
+		if err != nil {
+			wait(ctx, time.Duration((0.5+rand.Float64()/2)*float64(pause)))
+			pause = min(2*pause, retryMax)
+			continue
+		}
+		pause = retryMin
+		life, seen = reply.Life, reply.Seen
+		f.mu.Lock()
+		f.told[addr] = reply.Replicas
+		f.mu.Unlock()
+		f.deps.Reply(addr, reply)
+	}
+}
+
+// errKicked ends a call because the process has something new to tell.
+var errKicked = kicked{}
+
+type kicked struct{}
+
+func (kicked) Error() string { return "there is news to send" }
+
+func (f *Follower) call(ctx context.Context, addr string, p *peer, req api.WatchRequest) (api.WatchReply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, f.cfg.Wait+answerSlack)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	wasKicked := make(chan struct{})
+	go func() {
+		select {
+		case <-p.kick:
+			close(wasKicked)
+			cancel()
+		case <-done:
+		}
+	}()
+	reply, err := link.Call[api.WatchReply](callCtx, f.deps.Pool, addr, api.MethodWatch, req)
+	select {
+	case <-wasKicked:
+		if err != nil {
+			return reply, errKicked
+		}
+	default:
+	}
+	return reply, err
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// noteOutcome logs a replica that was lost or came back, once each.
+func (f *Follower) noteOutcome(ctx context.Context, addr string, p *peer, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.mu.Lock()
+	last, wasLost := p.contacted, p.lost
+	p.lost = err != nil
+	if err == nil {
+		p.contacted = f.deps.Now()
+	}
+	f.mu.Unlock()
+	switch {
+	case err != nil && !wasLost:
+		event.Log(ctx, f.deps.Log, slog.LevelWarn, event.ReplicaLost,
+			slog.String("peer", addr), slog.Time("lastReply", last), slog.String("error", err.Error()))
+	case err == nil && (wasLost || last.IsZero()):
+		event.Log(ctx, f.deps.Log, slog.LevelInfo, event.ReplicaRegained, slog.String("peer", addr), slog.Time("lastReply", last))
+	}
+}
+
+// Kick has every replica told at once of what Request now returns.
+func (f *Follower) Kick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		select {
+		case p.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Contacted returns when a replica last replied; zero if never.
+func (f *Follower) Contacted(addr string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.peers[addr]; p != nil {
+		return p.contacted
+	}
+	return time.Time{}
+}
+
+// Followed returns the addresses of all replicas that are followed, in order.
+func (f *Follower) Followed() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]string, 0, len(f.peers))
+	for addr := range f.peers {
+		out = append(out, addr)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Current returns how many of the replicas that are followed replied within age.
+func (f *Follower) Current(age time.Duration) (replied, all int) {
+	now := f.deps.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		if !p.contacted.IsZero() && now.Sub(p.contacted) <= age {
+			replied++
+		}
+	}
+	return replied, len(f.peers)
+}
--- /dev/null
+++ b/coordinator/group.go
@@ -0,0 +1,307 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/host"
+	"savoryreel.example/savoryreel/replica/roster"
+	"savoryreel.example/savoryreel/replica/storage"
+)
+
+// Timing of the replicated log. The instances have a quarter of a core or less
+// and may run several times slower for a while: a leader is missed after 800 ms,
+// well above the pauses that this causes, and a successor is there within two
+// seconds, half of what an operator's change may wait for its acknowledgement.
+const (
+	tickInterval   = 25 * time.Millisecond
+	electionTicks  = 32
+	heartbeatTicks = 6
+	// snapshotEvery bounds the log on a disk of some hundred megabytes: whole
+	// catalogues of up to a few hundred kilobytes go into it.
+	snapshotEvery = 400
+	// maxEntryBytes leaves room for the largest catalogue that callers' limits let
+	// an operator send.
+	maxEntryBytes = 6 << 20
+)
+
+const (
+	// reopenPause is the time before a replica whose disk failed tries again.
+	reopenPause = 500 * time.Millisecond
+	// joinEvery is how often a replica that is no member asks to be taken in.
+	joinEvery = 300 * time.Millisecond
+	// leaderless is how long a member hears of no leader before it asks whether it
+	// is still one: longer than an election takes.
+	leaderless = 3 * time.Second
+	// seatTimeout bounds one request for an id.
+	seatTimeout = time.Second
+)
+
+// errRetired says that this replica's id was given up for good.
+var errRetired = errors.New("replica was removed from its group")
+
+// member is one life of this replica: from the opening of the data folder until
+// its disk fails or it is removed.
+type member struct {
+	id       uint64
+	founders []seat
+	host     *host.Host
+	state    *state
+	book     *roster.Book
+}
+
+// group runs this process's replica of the log, whatever happens to its disk.
+type group struct {
+	self   string // own link address
+	store  identityStore
+	pool   *link.Pool
+	log    *slog.Logger
+	now    func() time.Time
+	found  func() []string // link addresses of the founders, if this is a first start
+	others func() []string // link addresses of other replicas that are known
+
+	onRevision func(revision uint64, document []byte)
+	onSeats    func([]roster.Member)
+
+	current atomic.Pointer[member]
+}
+
+// run keeps a replica running until ctx ends.
+func (g *group) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := g.runOnce(ctx)
+		g.current.Store(nil)
+		if ctx.Err() != nil {
+			break
+		}
+		event.Log(ctx, g.log, slog.LevelError, event.ReplicaFailed, slog.String("error", errorText(err)))
+		var corrupt *storage.CorruptError
+		if errors.Is(err, errRetired) || errors.As(err, &corrupt) {
+			// Removed for good, or the disk has lost what was synced: either way this
+			// replica comes back as a stranger.
+			if err := g.store.discard(); err != nil {
+				event.Log(ctx, g.log, slog.LevelError, event.ReplicaFailed, slog.String("error", err.Error()))
+			}
+		}
+		pause(ctx, reopenPause)
+	}
+	return ctx.Err()
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// runOnce opens the data folder and runs the replica until it fails.
+func (g *group) runOnce(ctx context.Context) error {
+	id, how, err := g.identify(ctx)
+	if err != nil {
+		return err
+	}
+	folder, err := storage.Open(storage.Config{Dir: g.store.path(logFolder), Replica: id.ID}, g.store.fs)
+	if err != nil {
+		return trace.Wrap(err, "step=open log")
+	}
+	defer folder.Close()
+	m, err := g.newMember(id, folder)
+	if err != nil {
+		return err
+	}
+	event.Log(ctx, g.log, slog.LevelInfo, event.ReplicaStarted, slog.Uint64("id", id.ID), slog.String("how", how))
+	g.current.Store(m)
+	return g.drive(ctx, m)
+}
+
+func (g *group) newMember(id identity, folder host.Storage) (*member, error) {
+	founders := make(map[uint64]string, len(id.Founders))
+	cfg := host.Config{
+		ID: id.ID, TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		SnapshotEvery: snapshotEvery, MaxEntryBytes: maxEntryBytes,
+	}
+	for _, s := range id.Founders {
+		founders[s.ID] = s.Address
+		cfg.Voters = append(cfg.Voters, s.ID)
+	}
+	m := &member{id: id.ID, founders: id.Founders, book: roster.NewBook(founders)}
+	m.state = newState(g.onRevision, func(list []roster.Member) {
+		m.book.Learn(list)
+		g.onSeats(list)
+	})
+	var err error
+	m.host, err = host.New(cfg, host.Deps{
+		Storage:   folder,
+		Transport: &roster.Transport{Pool: g.pool, Method: api.MethodReplica, Peers: m.book},
+		Machine:   m.state, Logger: g.log, Now: g.now, Rand: rand.Int64N,
+	})
+	return m, trace.Wrap(err, "step=start replica")
+}
+
+// drive runs the log, and beside it asks to be taken in while the replica is no
+// member.
+func (g *group) drive(ctx context.Context, m *member) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	joined := make(chan struct{})
+	go func() {
+		defer close(joined)
+		if err := g.keepJoined(ctx, m); err != nil {
+			cancel(err)
+		}
+	}()
+	err := m.host.Run(ctx)
+	if cause := context.Cause(ctx); err == nil && errors.Is(cause, errRetired) {
+		err = cause
+	}
+	cancel(nil)
+	<-joined
+	return err
+}
+
+// identify returns who this replica is: as its data folder says, as a founder,
+// or under a new id that the group has given it.
+func (g *group) identify(ctx context.Context) (id identity, how string, err error) {
+	id, ok, err := g.store.load()
+	if err != nil {
+		if discardErr := g.store.discard(); discardErr != nil {
+			return id, "", errors.Join(err, discardErr)
+		}
+		return id, "", err
+	}
+	if ok {
+		return id, "kept", nil
+	}
+	if err := g.store.fs.MkdirAll(g.store.path(logFolder)); err != nil {
+		return id, "", trace.Wrap(err, "step=make log folder")
+	}
+	if err := g.store.discardLog(); err != nil {
+		return id, "", err
+	}
+	if seats := seatsOf(g.found()); len(seats) > 0 {
+		for _, s := range seats {
+			if s.Address == g.self {
+				id = identity{ID: s.ID, Founders: seats}
+				return id, "founded", g.store.save(id)
+			}
+		}
+	}
+	id.ID, err = g.requestSeat(ctx)
+	if err != nil {
+		return id, "", err
+	}
+	return id, "joined", g.store.save(id)
+}
+
+// seatsOf numbers the founders by address. All of them are told the same list,
+// so all arrive at the same numbers.
+func seatsOf(addresses []string) []seat {
+	sorted := slices.Compact(slices.Sorted(slices.Values(addresses)))
+	seats := make([]seat, 0, len(sorted))
+	for i, addr := range sorted {
+		seats = append(seats, seat{ID: uint64(i + 1), Address: addr})
+	}
+	return seats
+}
+
+// requestSeat asks the others for an id until one answers.
+func (g *group) requestSeat(ctx context.Context) (uint64, error) {
+	req := api.SeatRequest{Address: g.self, Nonce: uuid.NewString()}
+	for ctx.Err() == nil {
+		for _, addr := range g.others() {
+			callCtx, cancel := context.WithTimeout(ctx, seatTimeout)
+			reply, err := link.Call[api.SeatReply](callCtx, g.pool, addr, api.MethodSeat, req)
+			cancel()
+			if err == nil && reply.ID > 0 {
+				return reply.ID, nil
+			}
+			if err != nil {
+				g.log.DebugContext(ctx, "seat not given", "peer", addr, "error", err)
+			}
+		}
+		pause(ctx, joinEvery)
+	}
+	return 0, ctx.Err()
+}
+
+// keepJoined asks to be taken in whenever this replica is not among the members
+// that it knows, or hears of no leader. It returns errRetired if its id was given
+// up: the group has gone on without it while it was away.
+func (g *group) keepJoined(ctx context.Context, m *member) error {
+	tick := time.NewTicker(joinEvery)
+	defer tick.Stop()
+	led := g.now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		st := m.host.Status()
+		if st.Leader != 0 {
+			led = g.now()
+		}
+		if isMember(st, m.id) && g.now().Sub(led) < leaderless {
+			continue
+		}
+		if g.askToJoin(ctx, m.id) {
+			return errRetired
+		}
+	}
+}
+
+// askToJoin asks each replica once and reports whether one knows that the id was
+// given up.
+func (g *group) askToJoin(ctx context.Context, id uint64) (retired bool) {
+	req := api.JoinRequest{ID: id, Address: g.self}
+	for _, addr := range g.others() {
+		callCtx, cancel := context.WithTimeout(ctx, seatTimeout)
+		reply, err := link.Call[api.JoinReply](callCtx, g.pool, addr, api.MethodJoin, req)
+		cancel()
+		if err != nil {
+			g.log.DebugContext(ctx, "not taken in", "peer", addr, "error", err)
+			continue
+		}
+		return reply.Retired
+	}
+	return false
+}
+
+func isMember(st host.Status, id uint64) bool {
+	return slices.Contains(st.Voters, id) || slices.Contains(st.Learners, id)
+}
+
+// leading reports whether this replica leads as far as it knows.
+func (m *member) leading() bool { return m.host.Status().Role == replica.Leader }
+
+// stepReplica hands a message of the replicated log to this process's replica.
+func (c *Coordinator) stepReplica(_ context.Context, from link.PeerInfo, msg replica.Message) {
+	m := c.group.current.Load()
+	if m == nil || msg.To != m.id {
+		return
+	}
+	m.book.Hear(msg.From, from.Address)
+	m.host.Step(msg)
+}
--- /dev/null
+++ b/coordinator/state.go
@@ -0,0 +1,286 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/roster"
+)
+
+// Kinds of entry in the replicated log.
+const (
+	kindRevise uint8 = replica.KindApplication + iota
+	kindFound
+	kindSeat
+	kindRetire
+	kindUsage
+	kindUsageSent
+)
+
+// keptWindows is how many usage windows the state holds: twice what can be
+// between the end of a window and the time at which its report is worthless.
+const keptWindows = 12
+
+type reviseCommand struct {
+	Revision uint64 `msgpack:"rev"`
+	Document []byte `msgpack:"doc"`
+}
+
+type foundCommand struct {
+	Seats []seat `msgpack:"seats"`
+}
+
+type seatCommand struct {
+	Address string `msgpack:"addr"`
+	Nonce   string `msgpack:"nonce"`
+}
+
+type retireCommand struct {
+	ID uint64 `msgpack:"id"`
+}
+
+type usageSentCommand struct {
+	Window int64 `msgpack:"w"`
+}
+
+// seat is a replica id with the instance that holds it.
+type seat struct {
+	ID      uint64 `msgpack:"id"`
+	Address string `msgpack:"addr"`
+	Nonce   string `msgpack:"nonce,omitempty"`
+}
+
+// usageWindow is the usage of one window as it was decided. The content is in
+// the log before it is sent, so that a second leader sends the very same.
+type usageWindow struct {
+	Window int64            `msgpack:"w"`
+	Counts map[string]int64 `msgpack:"c"`
+	Sent   bool             `msgpack:"sent,omitempty"`
+}
+
+// state is the replicated state, as the log's entries build it up. Apply is
+// called by one goroutine; the readers may be called from any.
+type state struct {
+	mu       sync.RWMutex
+	revision uint64
+	document []byte
+	seats    []seat // by id
+	highest  uint64 // highest id ever given out; ids are never used twice
+	usage    []usageWindow
+
+	onRevision func(revision uint64, document []byte)
+	onSeats    func([]roster.Member)
+}
+
+func newState(onRevision func(uint64, []byte), onSeats func([]roster.Member)) *state {
+	return &state{onRevision: onRevision, onSeats: onSeats}
+}
+
+// Apply implements host.Machine.
+func (s *state) Apply(e replica.Entry) (any, error) {
+	switch e.Kind {
+	case kindRevise:
+		return apply(e, s.applyRevise)
+	case kindFound:
+		return apply(e, s.applyFound)
+	case kindSeat:
+		return apply(e, s.applySeat)
+	case kindRetire:
+		return apply(e, s.applyRetire)
+	case kindUsage:
+		return apply(e, s.applyUsage)
+	case kindUsageSent:
+		return apply(e, s.applyUsageSent)
+	default:
+		return nil, trace.BadParameter("log entry %d has unknown kind %d", e.Index, e.Kind)
+	}
+}
+
+func apply[C, R any](e replica.Entry, fn func(C) R) (any, error) {
+	var c C
+	if err := msgpack.Unmarshal(e.Data, &c); err != nil {
+		return nil, trace.Wrap(err, "step=apply entry %d of kind %d", e.Index, e.Kind)
+	}
+	return fn(c), nil
+}
+
+// applyRevise puts a catalogue in force if its revision is higher, and returns
+// the revision in force.
+func (s *state) applyRevise(c reviseCommand) uint64 {
+	s.mu.Lock()
+	newer := c.Revision > s.revision || s.document == nil
+	if newer {
+		s.revision, s.document = c.Revision, c.Document
+	}
+	inForce := s.revision
+	s.mu.Unlock()
+	if newer {
+		s.onRevision(inForce, c.Document)
+	}
+	return inForce
+}
+
+func (s *state) applyFound(c foundCommand) bool {
+	s.mu.Lock()
+	founded := s.highest > 0
+	if !founded {
+		s.seats = c.Seats
+		for _, x := range c.Seats {
+			s.highest = max(s.highest, x.ID)
+		}
+	}
+	s.mu.Unlock()
+	s.tellSeats()
+	return !founded
+}
+
+// applySeat gives out the next id. The same nonce gets the same id while the
+// seat is held, since the answer to the first request may have been lost.
+//
+// It gives none, 0, before the founders' ids are in the state: the id would be one
+// of theirs, and two replicas under one id would elect two leaders.
+func (s *state) applySeat(c seatCommand) uint64 {
+	s.mu.Lock()
+	if s.highest == 0 {
+		s.mu.Unlock()
+		return 0
+	}
+	for _, x := range s.seats {
+		if x.Nonce == c.Nonce && c.Nonce != "" {
+			s.mu.Unlock()
+			return x.ID
+		}
+	}
+	s.highest++
+	id := s.highest
+	s.seats = append(slices.Clone(s.seats), seat{ID: id, Address: c.Address, Nonce: c.Nonce})
+	s.mu.Unlock()
+	s.tellSeats()
+	return id
+}
+
+func (s *state) applyRetire(c retireCommand) bool {
+	s.mu.Lock()
+	s.seats = slices.DeleteFunc(slices.Clone(s.seats), func(x seat) bool { return x.ID == c.ID })
+	s.mu.Unlock()
+	s.tellSeats()
+	return true
+}
+
+// applyUsage takes the content of a window if it has none yet.
+func (s *state) applyUsage(c usageWindow) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.usage {
+		if w.Window == c.Window {
+			return false
+		}
+	}
+	s.usage = append(slices.Clone(s.usage), usageWindow{Window: c.Window, Counts: c.Counts})
+	slices.SortFunc(s.usage, func(a, b usageWindow) int { return int(a.Window - b.Window) })
+	if extra := len(s.usage) - keptWindows; extra > 0 {
+		s.usage = s.usage[extra:]
+	}
+	return true
+}
+
+func (s *state) applyUsageSent(c usageSentCommand) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.usage = slices.Clone(s.usage)
+	for i := range s.usage {
+		if s.usage[i].Window == c.Window {
+			s.usage[i].Sent = true
+		}
+	}
+	return true
+}
+
+func (s *state) tellSeats() { s.onSeats(s.members()) }
+
+// members lists the seats as the address book takes them.
+func (s *state) members() []roster.Member {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]roster.Member, 0, len(s.seats))
+	for _, x := range s.seats {
+		out = append(out, roster.Member{ID: x.ID, Address: x.Address})
+	}
+	return out
+}
+
+// current returns the catalogue in force here; document is nil before the first.
+func (s *state) current() (revision uint64, document []byte) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.revision, s.document
+}
+
+// seatOf returns the seat of an id. known is false for an id that was given up
+// or never given out; given tells the two apart.
+func (s *state) seatOf(id uint64) (held seat, known, given bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, x := range s.seats {
+		if x.ID == id {
+			return x, true, true
+		}
+	}
+	return seat{}, false, id <= s.highest
+}
+
+func (s *state) founded() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.highest > 0
+}
+
+// windows returns the usage windows that were decided, oldest first.
+func (s *state) windows() []usageWindow {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.usage
+}
+
+type stateSnapshot struct {
+	Revision uint64        `msgpack:"rev"`
+	Document []byte        `msgpack:"doc"`
+	Seats    []seat        `msgpack:"seats"`
+	Highest  uint64        `msgpack:"highest"`
+	Usage    []usageWindow `msgpack:"usage"`
+}
+
+// Snapshot implements host.Machine.
+func (s *state) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	usage := make([]usageWindow, 0, len(s.usage))
+	for _, w := range s.usage {
+		w.Counts = maps.Clone(w.Counts)
+		usage = append(usage, w)
+	}
+	enc, err := msgpack.Marshal(&stateSnapshot{
+		Revision: s.revision, Document: s.document, Seats: s.seats, Highest: s.highest, Usage: usage,
+	})
+	return enc, trace.Wrap(err, "step=snapshot")
+}
+
+// Restore implements host.Machine.
+func (s *state) Restore(enc []byte) error {
+	var in stateSnapshot
+	if err := msgpack.Unmarshal(enc, &in); err != nil {
+		return trace.Wrap(err, "step=restore")
+	}
+	s.mu.Lock()
+	s.revision, s.document = in.Revision, in.Document
+	s.seats, s.highest, s.usage = in.Seats, in.Highest, in.Usage
+	s.mu.Unlock()
+	s.onRevision(in.Revision, in.Document)
+	s.tellSeats()
+	return nil
+}
--- /dev/null
+++ b/coordinator/state_test.go
@@ -0,0 +1,158 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/replica"
+	"savoryreel.example/savoryreel/replica/roster"
+	"savoryreel.example/savoryreel/replica/storage"
+)
+
+func entryOf(t *testing.T, kind uint8, v any) replica.Entry {
+	data, err := msgpack.Marshal(v)
+	require.NoError(t, err)
+	return replica.Entry{Kind: kind, Data: data}
+}
+
+func applyTo(t *testing.T, s *state, kind uint8, v any) any {
+	t.Helper()
+	result, err := s.Apply(entryOf(t, kind, v))
+	require.NoError(t, err)
+	return result
+}
+
+func emptyState() *state {
+	return newState(func(uint64, []byte) {}, func([]roster.Member) {})
+}
+
+// Two operators race, and an older change arrives after a newer one, or the same
+// revision with another content. What is in force never goes back, and is what was
+// sent under its number first.
+func TestRevisionsNeverGoBack(t *testing.T) {
+	s := emptyState()
+	require.Equal(t, uint64(3), applyTo(t, s, kindRevise, reviseCommand{Revision: 3, Document: []byte("three")}))
+	require.Equal(t, uint64(3), applyTo(t, s, kindRevise, reviseCommand{Revision: 2, Document: []byte("two")}))
+	require.Equal(t, uint64(3), applyTo(t, s, kindRevise, reviseCommand{Revision: 3, Document: []byte("other")}))
+	revision, document := s.current()
+	require.Equal(t, uint64(3), revision)
+	require.Equal(t, "three", string(document))
+}
+
+// The answer to a request for an id is lost, and the replica asks again. With a
+// second id the group would wait for a member that nobody is.
+func TestSameNonceGetsTheSameID(t *testing.T) {
+	s := emptyState()
+	applyTo(t, s, kindFound, foundCommand{Seats: seatsOf([]string{"a", "b", "c"})})
+	first := applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"})
+	require.Equal(t, uint64(4), first)
+	require.Equal(t, first, applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"}))
+	applyTo(t, s, kindRetire, retireCommand{ID: 4})
+	require.Equal(t, uint64(5), applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "m"}), "an id is never used twice")
+	_, known, given := s.seatOf(4)
+	require.True(t, !known && given)
+	_, known, given = s.seatOf(9)
+	require.True(t, !known && !given)
+}
+
+// A replica asks for an id in the moment in which the group is being founded. With
+// a founder's id there would be two replicas under one id, and two leaders.
+//
+// It breaks without the check in applySeat.
+func TestNoIDBeforeTheFoundersHaveTheirs(t *testing.T) {
+	s := emptyState()
+	require.Equal(t, uint64(0), applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"}))
+	applyTo(t, s, kindFound, foundCommand{Seats: seatsOf([]string{"a", "b", "c"})})
+	require.Equal(t, uint64(4), applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"}))
+}
+
+// A leader decides a window's usage and dies. Its successor, which has heard other
+// counts, must not send different ones for the same window.
+func TestUsageIsDecidedOnce(t *testing.T) {
+	s := emptyState()
+	require.Equal(t, true, applyTo(t, s, kindUsage, usageWindow{Window: 7, Counts: map[string]int64{"w": 3}}))
+	require.Equal(t, false, applyTo(t, s, kindUsage, usageWindow{Window: 7, Counts: map[string]int64{"w": 4}}))
+	applyTo(t, s, kindUsageSent, usageSentCommand{Window: 7})
+	require.Equal(t, []usageWindow{{Window: 7, Counts: map[string]int64{"w": 3}, Sent: true}}, s.windows())
+}
+
+// A replica that was away for long is sent a snapshot; it must hold all that the
+// entries before it brought.
+func TestSnapshotHoldsAll(t *testing.T) {
+	s := emptyState()
+	applyTo(t, s, kindFound, foundCommand{Seats: seatsOf([]string{"a", "b"})})
+	applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"})
+	applyTo(t, s, kindRevise, reviseCommand{Revision: 3, Document: []byte("three")})
+	applyTo(t, s, kindUsage, usageWindow{Window: 7, Counts: map[string]int64{"w": 3}})
+	enc, err := s.Snapshot()
+	require.NoError(t, err)
+	told := uint64(0)
+	other := newState(func(revision uint64, _ []byte) { told = revision }, func([]roster.Member) {})
+	require.NoError(t, other.Restore(enc))
+	require.Equal(t, uint64(3), told)
+	require.Equal(t, s.members(), other.members())
+	require.Equal(t, s.windows(), other.windows())
+	require.Equal(t, s.highest, other.highest)
+}
+
+// An instance comes back with an empty disk. It must not take its old id, under
+// which others count on what it has forgotten.
+func TestIdentity(t *testing.T) {
+	store := identityStore{fs: storage.OS{}, dir: t.TempDir()}
+	_, ok, err := store.load()
+	require.NoError(t, err)
+	require.False(t, ok)
+	id := identity{ID: 2, Founders: seatsOf([]string{"a", "b"})}
+	require.NoError(t, store.save(id))
+	got, ok, err := store.load()
+	require.NoError(t, err)
+	require.True(t, ok)
+	require.Equal(t, id, got)
+	require.NoError(t, store.discard())
+	_, ok, err = store.load()
+	require.NoError(t, err)
+	require.False(t, ok)
+}
+
+// All founders are told the same seeds, in any order, and must agree on the ids.
+func TestFoundersAgree(t *testing.T) {
+	require.Equal(t, seatsOf([]string{"b", "a", "c"}), seatsOf([]string{"c", "b", "a", "a"}))
+}
+
+// Fences of one term rise, and those of a later term are above all of them.
+func TestFences(t *testing.T) {
+	var a, b fences
+	x, y := a.take(3), a.take(3)
+	require.Less(t, x, y)
+	require.Less(t, y, b.take(4))
+	require.Less(t, y, a.take(5))
+}
+
+// An entry tells its counts again and again, restarts, and tells from nothing. A
+// report that comes late must not lower what was told since.
+func TestUsageBook(t *testing.T) {
+	b := newUsageBook()
+	told := func(n int64) []api.WindowUsage {
+		return []api.WindowUsage{{Window: 7, Counts: map[string]int64{"w": n}}}
+	}
+	b.note("e1", 1, told(5))
+	b.note("e1", 1, told(3))
+	b.note("e1", 2, told(2))
+	b.note("e2", 1, told(1))
+	require.Equal(t, map[string]int64{"w": 8}, b.sum(7))
+	b.note("e1", 2, []api.WindowUsage{{Window: 7 + keptWindows + 1}})
+	require.Empty(t, b.sum(7), "windows that are long over are forgotten")
+}
+
+func TestEntriesOfTheCallersZoneFirst(t *testing.T) {
+	require.Equal(t, []int{0, 1, 2, 2}, []int{distance(true, true), distance(true, false), distance(false, true), distance(false, false)})
+}
+
+// Heartbeats may be seconds late.
+func TestSilenceOutlastsLateHeartbeats(t *testing.T) {
+	require.Greater(t, silentAfter(1200*time.Millisecond), 4*time.Second)
+}
--- /dev/null
+++ b/coordinator/watch.go
@@ -0,0 +1,103 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/link"
+)
+
+// maxWatchWait bounds how long a call is kept waiting, whatever it asks for.
+const maxWatchWait = 2 * time.Second
+
+// revisions holds the newest catalogue that this replica has seen, from its own
+// log or from another replica, and wakes those that wait for a newer one.
+//
+// A replica that lags passes on what another told it: whoever takes a revision
+// as in force must have got it from a committed entry, and every copy comes from
+// one.
+type revisions struct {
+	mu       sync.Mutex
+	revision uint64
+	document []byte
+	changed  chan struct{}
+}
+
+func newRevisions() *revisions { return &revisions{changed: make(chan struct{})} }
+
+// offer takes a committed catalogue if it is newer and reports whether it was.
+func (r *revisions) offer(revision uint64, document []byte) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if document == nil || r.document != nil && revision <= r.revision {
+		return false
+	}
+	r.revision, r.document = revision, document
+	close(r.changed)
+	r.changed = make(chan struct{})
+	return true
+}
+
+func (r *revisions) newest() (revision uint64, document []byte, changed <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision, r.document, r.changed
+}
+
+// watch answers one call of a process that follows this replica.
+func (c *Coordinator) watch(ctx context.Context, from link.PeerInfo, req api.WatchRequest) (api.WatchReply, error) {
+	c.noteWatcher(from, req)
+	seen := req.Seen
+	if req.Life != c.life {
+		seen = 0
+	}
+	c.waitForNews(ctx, req, seen)
+	now := c.now()
+	changes := c.directory.Since(seen, req.Role == api.RoleControl, now)
+	reply := api.WatchReply{
+		Life: c.life, Seen: changes.Seq, Servers: changes.Servers, Entries: changes.Entries,
+		Replicas: c.replicas(), Live: len(c.directory.LiveEntries(now)), Clock: now,
+	}
+	revision, document, _ := c.revisions.newest()
+	reply.Revision = revision
+	if document != nil && (revision > req.Revision || req.Revision == 0) {
+		reply.Document = document
+	}
+	return reply, nil
+}
+
+// noteWatcher takes what the call tells of its sender.
+func (c *Coordinator) noteWatcher(from link.PeerInfo, req api.WatchRequest) {
+	if req.Entry != nil {
+		c.directory.MergeEntry(*req.Entry, c.now())
+		c.usage.note(req.Entry.Name, req.Entry.Incarnation, req.Usage)
+	}
+	if req.Role == api.RoleControl && from.Address != "" {
+		c.noteCaller(from.Address)
+	}
+}
+
+// waitForNews returns when the sender should have an answer.
+func (c *Coordinator) waitForNews(ctx context.Context, req api.WatchRequest, seen uint64) {
+	ctx, cancel := context.WithTimeout(ctx, min(max(req.Wait, 0), maxWatchWait))
+	defer cancel()
+	for ctx.Err() == nil {
+		revision, document, revised := c.revisions.newest()
+		if document != nil && (revision > req.Revision || req.Revision == 0) {
+			return
+		}
+		news, changed := c.directory.News(seen)
+		if news {
+			return
+		}
+		select {
+		case <-revised:
+		case <-changed:
+		case <-c.stopping:
+			return
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/daemon/reload.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"savoryreel.example/savoryreel/event"
+)
+
+// fileEvery is how often a settings file is looked at: it may change without a
+// signal, and what changes has seconds to take hold.
+const fileEvery = time.Second
+
+// WatchFile calls onChange with a file's content at SIGHUP and whenever the
+// content is another, until ctx ends. Without it SIGHUP would end the process.
+func WatchFile(ctx context.Context, log *slog.Logger, path string, onChange func(content []byte)) error {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	tick := time.NewTicker(fileEvery)
+	defer tick.Stop()
+	last, err := os.ReadFile(path)
+	if err != nil {
+		event.Log(ctx, log, slog.LevelWarn, event.SettingsRefused, slog.String("file", path), slog.String("error", err.Error()))
+	}
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hups:
+			signalled = true
+		case <-tick.C:
+		}
+		content, err := os.ReadFile(path)
+		if err != nil {
+			event.Log(ctx, log, slog.LevelWarn, event.SettingsRefused, slog.String("file", path), slog.String("error", err.Error()))
+			continue
+		}
+		changed := !bytes.Equal(content, last)
+		if !changed && !signalled {
+			continue
+		}
+		last = content
+		event.Log(ctx, log, slog.LevelInfo, event.SettingsRead, slog.String("file", path),
+			slog.Bool("signal", signalled), slog.Bool("changed", changed))
+		onChange(content)
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -19,6 +19,7 @@
 	ProcessStopping   Kind = 1002
 	ProcessStopped    Kind = 1003
 	SettingsRefused   Kind = 1004
+	SettingsRead      Kind = 1006
 	ListenerOpen      Kind = 1005
 	DrainBegun        Kind = 1010
 	DrainDone         Kind = 1011
@@ -55,6 +56,14 @@
 	StopBegun         Kind = 4101
 	LeaderChanged     Kind = 5001
 	ReplicaFailed     Kind = 5002
+	ReplicaLost       Kind = 5003
+	ReplicaRegained   Kind = 5004
+	ReplicaStarted    Kind = 5005
+	ReplicaSetChanged Kind = 5006
+	RevisionTaken     Kind = 5010
+	RevisionRefused   Kind = 5011
+	DutyCalled        Kind = 5301
+	DutyRefused       Kind = 5302
 	OrderGiven        Kind = 5101
 	OrderRefused      Kind = 5102
 	PlacementChosen   Kind = 5201
@@ -74,6 +83,7 @@
 	{ProcessStopped, "process stopped"},
 	{SettingsRefused, "settings refused"},
 	{ListenerOpen, "listener open"},
+	{SettingsRead, "settings read again"},
 	{DrainBegun, "drain begun"},
 	{DrainDone, "drain done"},
 	{RequestEnded, "request ended"},
@@ -109,10 +119,18 @@
 	{StopBegun, "planned stop in force"},
 	{LeaderChanged, "leader changed"},
 	{ReplicaFailed, "replica failed"},
+	{ReplicaLost, "control replica lost"},
+	{ReplicaRegained, "control replica regained"},
+	{ReplicaStarted, "replica started"},
+	{ReplicaSetChanged, "replica set changed"},
+	{RevisionTaken, "revision in force"},
+	{RevisionRefused, "revision refused"},
 	{OrderGiven, "order given"},
 	{OrderRefused, "order refused"},
 	{PlacementChosen, "placement chosen"},
 	{StartRefused, "start of an instance refused"},
+	{DutyCalled, "duty carried out"},
+	{DutyRefused, "duty not carried out"},
 }
 
 // All returns the catalogue of events, by number.
--- /dev/null
+++ b/gateway/catalogue.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/routes"
+)
+
+// adopt puts a catalogue in force here if its revision is higher than the one in
+// force. A process never goes back: callers would see a key that was taken away
+// work again.
+func (g *Gateway) adopt(revision uint64, document []byte, from string) {
+	if document == nil {
+		return
+	}
+	g.adopting.Lock()
+	defer g.adopting.Unlock()
+	if t := g.table.Load(); t != nil && revision <= t.Catalogue().Revision {
+		return
+	}
+	catalogue, err := g.deps.Decode(document)
+	if err != nil {
+		event.Log(context.Background(), g.log, slog.LevelError, event.RevisionRefused,
+			slog.Uint64("revision", revision), slog.String("peer", from), slog.String("error", err.Error()))
+		return
+	}
+	g.limiter.setWorkspaces(catalogue.Workspaces, g.now())
+	g.table.Store(routes.NewTable(catalogue))
+	event.Log(context.Background(), g.log, slog.LevelInfo, event.RevisionTaken,
+		slog.Uint64("revision", revision), slog.String("peer", from), slog.Int("routes", len(catalogue.Routes)),
+		slog.Int("workspaces", len(catalogue.Workspaces)))
+}
+
+// Limits returns what callers may send, as the catalogue in force has it; zero
+// before the first one.
+func (g *Gateway) Limits() routes.Limits {
+	if t := g.table.Load(); t != nil {
+		return t.Catalogue().Limits
+	}
+	return routes.Limits{}
+}
--- /dev/null
+++ b/gateway/listen.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+
+	"savoryreel.example/savoryreel/daemon"
+)
+
+// Bounds on callers where the catalogue states none.
+const (
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = time.Minute
+	defaultHeaderBytes   = 64 << 10
+)
+
+// learnEvery is how often the door looks whether a catalogue has come.
+const learnEvery = 20 * time.Millisecond
+
+// ServeCallers adds the callers' server to the group and returns how it stops
+// taking connections while it goes on with those that are at work.
+//
+// Connections wait in the listener's queue until the first catalogue is known.
+// What callers may send, and how long they may take, stands in it.
+func (g *Gateway) ServeCallers(group *run.Group, l net.Listener, h http.Handler) (closeDoors func()) {
+	srv := &http.Server{Handler: h, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug)}
+	daemon.Actor(group, func(ctx context.Context) error {
+		defer srv.Close()
+		stop := context.AfterFunc(ctx, func() { _ = srv.Close() }) // its errors are those of closed connections
+		defer stop()
+		if err := g.awaitCatalogue(ctx); err != nil {
+			return errors.Join(err, l.Close())
+		}
+		limits := g.Limits()
+		srv.ReadHeaderTimeout = orDefault(limits.HeaderTimeout, defaultHeaderTimeout)
+		srv.IdleTimeout = orDefault(limits.IdleTimeout, defaultIdleTimeout)
+		srv.MaxHeaderBytes = orDefault(limits.MaxHeaderBytes, defaultHeaderBytes)
+		err := srv.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-ctx.Done() // the requests at work go on
+			return nil
+		}
+		return err
+	})
+	return func() { go func() { _ = srv.Shutdown(context.Background()) }() } // it waits for all requests; Leave counts them itself
+}
+
+func (g *Gateway) awaitCatalogue(ctx context.Context) error {
+	tick := time.NewTicker(learnEvery)
+	defer tick.Stop()
+	for g.table.Load() == nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+func orDefault[T int | time.Duration](v, def T) T {
+	if v > 0 {
+		return v
+	}
+	return def
+}
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,193 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"savoryreel.example/savoryreel/backend"
+	"savoryreel.example/savoryreel/routes"
+)
+
+// runAt runs the request once at the chosen server and hands the answer on.
+func (j *job) runAt(ctx context.Context, c *choice) result {
+	g := j.gateway
+	server := c.verdict.Server
+	j.lastSent = server
+	run := Run{
+		Server: server, Workspace: j.workspaceName(), Left: j.deadline.Sub(g.now()), Rank: j.rank(), ResumeAfter: j.lastID,
+	}
+	answer, err := g.pool.Do(ctx, c.verdict.Address, &backend.Call{
+		Method: j.Method, Target: j.Target, Host: j.Host, Header: g.deps.Dialect.Head(j.Request, run), Body: j.Body,
+		Belongs: func(h http.Header) bool { return g.deps.Dialect.Belongs(j.Request, h) },
+	})
+	if err != nil {
+		return j.sendFailed(ctx, c, err)
+	}
+	defer answer.Close()
+	j.sends++
+	return j.answered(ctx, c, answer)
+}
+
+// sendFailed says what an exchange that ended without an answer means.
+func (j *job) sendFailed(ctx context.Context, c *choice, err error) result {
+	var e *backend.Error
+	sent := errors.As(err, &e) && e.Sent
+	if sent {
+		j.sends++
+		j.runs++
+	}
+	if ctx.Err() != nil {
+		how := endedByCaller
+		if sent && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			how = endedBadly
+		}
+		j.service.end(c, how, j.gateway.now())
+		return result{refusal: j.outOfTime(ctx)}
+	}
+	j.service.end(c, endedBadly, j.gateway.now())
+	r := result{again: true, notRun: !sent, arrived: sent, after: c.verdict.Server}
+	r.refusal = j.failure(err.Error())
+	return r
+}
+
+// failure is how the request ends if nothing more is tried.
+func (j *job) failure(detail string) *Refusal {
+	switch {
+	case j.begun:
+		return &Refusal{Reason: BrokeOff, Detail: detail}
+	case j.runs > 0:
+		return &Refusal{Reason: Broken, Detail: detail}
+	default:
+		return &Refusal{Reason: NoServer, RetryAfter: serverRetry, Detail: detail}
+	}
+}
+
+// answered judges an answer's head and hands the answer on if it is of use.
+func (j *job) answered(ctx context.Context, c *choice, answer *backend.Answer) result {
+	g := j.gateway
+	switch g.deps.Dialect.Judge(answer.Status, answer.Header) {
+	case NotRun:
+		return j.notRun(c, answer, Overloaded)
+	case OtherServer:
+		return j.notRun(c, answer, NoServer)
+	case Unusable:
+		j.runs++
+		j.service.end(c, endedBadly, g.now())
+		return result{again: true, arrived: true, after: c.verdict.Server, refusal: j.failure("unusable answer")}
+	case Failed:
+		j.runs++
+		return j.serverFailed(ctx, c, answer)
+	default:
+		j.runs++
+		if j.route.Kind == routes.Stream {
+			return j.relayStream(ctx, c, answer)
+		}
+		return j.relayWhole(ctx, c, answer)
+	}
+}
+
+// notRun handles a server's word that it did not run the request.
+func (j *job) notRun(c *choice, answer *backend.Answer, reason Reason) result {
+	_, _ = io.Copy(io.Discard, answer) // to keep the connection; a failure only closes it
+	j.service.end(c, endedByCaller, j.gateway.now())
+	r := result{again: true, notRun: true, arrived: true, after: c.verdict.Server}
+	r.refusal = j.failure("server did not run it")
+	if !j.begun && j.runs == 0 {
+		r.refusal = &Refusal{Reason: reason, RetryAfter: fullRetry, Detail: "server did not run it"}
+	}
+	return r
+}
+
+// serverFailed handles a server's own failure. It is passed on unless another
+// server may try: an error that one server gave in a moment is not the caller's
+// last word while there is time.
+func (j *job) serverFailed(ctx context.Context, c *choice, answer *backend.Answer) result {
+	r := result{again: true, arrived: true, after: c.verdict.Server, refusal: j.failure("server failed")}
+	if !j.begun && !j.mayRepeat(ctx, &r) {
+		return j.relayWhole(ctx, c, answer)
+	}
+	_, _ = io.Copy(io.Discard, answer) // to keep the connection; a failure only closes it
+	j.service.end(c, endedBadly, j.gateway.now())
+	r.arrived, r.notRun, r.after = false, true, "" // the repeat has been paid for
+	return r
+}
+
+// wholeBytes is how much of an answer is collected before its head goes to the
+// caller. An answer that breaks off before that can still be asked for again, or
+// end as an error instead of half an answer.
+const wholeBytes = 512 << 10
+
+// relayWhole hands on an answer that is not a stream of events.
+func (j *job) relayWhole(ctx context.Context, c *choice, answer *backend.Answer) result {
+	g := j.gateway
+	j.service.firstByte(c, g.now())
+	j.countBegun()
+	body, err := io.ReadAll(io.LimitReader(answer, wholeBytes))
+	if err != nil {
+		return j.bodyFailed(ctx, c, err)
+	}
+	header := g.deps.Dialect.AnswerHeader(answer.Header)
+	if len(body) < wholeBytes {
+		j.begin(answer.Status, header, int64(len(body)))
+		_, err = j.out.Write(body)
+		return j.finished(c, err)
+	}
+	j.begin(answer.Status, header, answer.Length)
+	if _, err := j.out.Write(body); err != nil {
+		return j.finished(c, err)
+	}
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := answer.Read(buf)
+		if n > 0 {
+			if _, werr := j.out.Write(buf[:n]); werr != nil {
+				return j.finished(c, werr)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return j.finished(c, nil)
+		}
+		if err != nil {
+			return j.bodyFailed(ctx, c, err)
+		}
+	}
+}
+
+// bodyFailed handles an answer that broke off.
+func (j *job) bodyFailed(ctx context.Context, c *choice, err error) result {
+	if ctx.Err() != nil {
+		j.service.end(c, endedByCaller, j.gateway.now())
+		return result{refusal: j.outOfTime(ctx)}
+	}
+	j.service.end(c, endedBadly, j.gateway.now())
+	return result{again: !j.begun, arrived: true, after: c.verdict.Server, refusal: j.failure(err.Error())}
+}
+
+// finished ends a run whose answer was whole; err is that of writing it to the
+// caller.
+func (j *job) finished(c *choice, err error) result {
+	j.service.end(c, endedWell, j.gateway.now())
+	if err != nil {
+		return result{refusal: &Refusal{Reason: GaveUp, Detail: err.Error()}}
+	}
+	return result{}
+}
+
+func (j *job) begin(status int, header http.Header, length int64) {
+	j.begun = true
+	j.out.Begin(status, header, length)
+	j.gateway.outcomes.firstByte(j, j.gateway.now())
+}
+
+// countBegun counts the request in its workspace's usage, once.
+func (j *job) countBegun() {
+	if !j.counted {
+		j.counted = true
+		j.gateway.usage.began(j.workspaceName())
+	}
+}
+
+func (j *job) age(now time.Time) time.Duration { return now.Sub(j.began) }
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,228 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/policy/retry"
+	"savoryreel.example/savoryreel/policy/route"
+	"savoryreel.example/savoryreel/routes"
+)
+
+// Pauses that refused callers are told, by what is likely to have changed then.
+const (
+	// catalogueRetry: an entry that has just started learns the catalogue within
+	// a few hundred milliseconds.
+	catalogueRetry = 300 * time.Millisecond
+	// serverRetry: servers that were lost are replaced or heard of again within
+	// a second or two.
+	serverRetry = 500 * time.Millisecond
+	// fullRetry: a full server takes a request again when one of its runs ends.
+	fullRetry = 300 * time.Millisecond
+)
+
+// maxSends bounds how often one request is sent, whatever the reasons: each time
+// costs a server something.
+const maxSends = 5
+
+// job is a request on its way through the entry.
+type job struct {
+	*Request
+	gateway   *Gateway
+	route     *routes.Route
+	workspace *routes.Workspace // nil on public routes without a key
+	service   *service
+	out       Writer
+	began     time.Time
+	deadline  time.Time
+	cost      float64
+	prefixes  []route.CachedPrefix
+
+	sends    int      // requests that went out to a server
+	runs     int      // of these, those that may have run
+	tried    []string // servers that are not to be tried again
+	begun    bool     // the caller has the answer's head
+	counted  bool     // in the usage
+	lastID   string   // of the last event that the caller has
+	lastSent string   // server of the last run, for the log
+}
+
+// Serve answers a request, or returns why it is not answered. It returns once
+// the answer has been written.
+func (g *Gateway) Serve(ctx context.Context, r *Request, w Writer) *Refusal {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	j := &job{Request: r, gateway: g, out: w, began: g.now(), lastID: r.ResumeAfter}
+	refusal := j.admit()
+	if refusal == nil {
+		runCtx, cancel := context.WithDeadline(ctx, j.deadline)
+		refusal = j.run(runCtx)
+		cancel()
+		if refusal != nil && refusal.Reason.NotRun() && j.workspace != nil {
+			g.limiter.refund(j.workspace.Name, j.cost)
+		}
+	}
+	j.logEnd(refusal)
+	g.outcomes.count(j, refusal)
+	return refusal
+}
+
+// admit finds the request's route and workspace and holds it to the limits.
+func (j *job) admit() *Refusal {
+	g := j.gateway
+	table := g.table.Load()
+	if table == nil {
+		return &Refusal{Reason: NoCatalogue, RetryAfter: catalogueRetry}
+	}
+	if j.route = table.Route(j.Host, j.Path); j.route == nil {
+		return &Refusal{Reason: NoRoute}
+	}
+	if j.workspace = table.Workspace(j.Key); j.workspace == nil && table.Catalogue().KeysNeeded && !j.route.Public {
+		return &Refusal{Reason: UnknownKey}
+	}
+	j.deadline = j.began.Add(j.route.Timeout)
+	if patience := j.began.Add(j.Patience); j.Patience > 0 && patience.Before(j.deadline) {
+		j.deadline = patience
+	}
+	if j.workspace != nil {
+		j.cost = cost(j.workspace, j.Request)
+		if ok, wait := g.limiter.take(j.workspace.Name, j.cost, j.began); !ok {
+			return &Refusal{Reason: OverLimit, RetryAfter: wait}
+		}
+	}
+	j.service = g.service(j.route.Choose(rand.Float64()))
+	j.prefixes = prefixesOf(j.Model, j.Parts)
+	g.noteFirst(j.call())
+	return nil
+}
+
+// workspaceName is empty on public routes.
+func (j *job) workspaceName() string {
+	if j.workspace == nil {
+		return ""
+	}
+	return j.workspace.Name
+}
+
+func (j *job) rank() int {
+	if j.workspace != nil && j.workspace.HasRank {
+		return j.workspace.Rank
+	}
+	return j.route.Rank
+}
+
+// call is the request as the retry policy sees it.
+func (j *job) call() retry.Call {
+	return retry.Call{
+		Workspace: j.workspaceName(), Service: j.service.name, Class: contract.ClassInteractive,
+		Idempotent: j.route.Repeatable(), Deadline: j.deadline,
+	}
+}
+
+// run sends the request to servers until one has answered it, or it can't be
+// sent any more.
+func (j *job) run(ctx context.Context) *Refusal {
+	for {
+		if refusal := j.outOfTime(ctx); refusal != nil {
+			return refusal
+		}
+		c, ok := j.service.choose(j.routing(), j.prefixes, j.gateway.now())
+		if !ok {
+			return j.noServer(&c)
+		}
+		j.logChoice(&c)
+		result := j.runAt(ctx, &c)
+		if result.refusal == nil && !result.again {
+			return nil
+		}
+		if again := j.mayRepeat(ctx, &result); !again {
+			return result.refusal
+		}
+	}
+}
+
+// routing is what the choice of a server is made from.
+func (j *job) routing() *route.Request {
+	node := &j.gateway.cfg.Node
+	return &route.Request{
+		Now: j.gateway.now(), Seed: rand.Uint64(), Prefixes: hashesOf(j.prefixes), PromptTokens: j.PromptTokens,
+		Zone: node.Zone, Region: node.Region, Exclude: j.tried, NoProbe: !j.route.Repeatable(),
+	}
+}
+
+// outOfTime ends a request whose caller has gone or whose time is over.
+func (j *job) outOfTime(ctx context.Context) *Refusal {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case errors.Is(ctx.Err(), context.Canceled):
+		return &Refusal{Reason: GaveUp}
+	case j.begun:
+		return &Refusal{Reason: BrokeOff, Detail: "out of time"}
+	case j.runs > 0:
+		return &Refusal{Reason: TimedOut}
+	default:
+		return &Refusal{Reason: OutOfTime}
+	}
+}
+
+// noServer refuses a request that no server can take now.
+func (j *job) noServer(c *choice) *Refusal {
+	switch {
+	case j.begun:
+		return &Refusal{Reason: BrokeOff, Detail: c.verdict.Reason.String()}
+	case j.runs > 0:
+		return &Refusal{Reason: Broken, Detail: c.verdict.Reason.String()}
+	default:
+		return &Refusal{Reason: NoServer, RetryAfter: serverRetry, Detail: c.verdict.Reason.String()}
+	}
+}
+
+// result is what became of one run.
+type result struct {
+	refusal *Refusal // how the request ends if it is not sent again
+	again   bool     // it may be sent again, if the rules of its route allow
+	notRun  bool     // this run surely did not happen
+	arrived bool     // it reached a server, so that another one counts as a repeat
+	after   string   // server that was tried
+}
+
+// mayRepeat decides whether the request is sent again.
+func (j *job) mayRepeat(ctx context.Context, r *result) bool {
+	if !r.again || ctx.Err() != nil || j.sends >= maxSends {
+		return false
+	}
+	if !r.notRun && (!j.route.Repeatable() || j.runs >= j.route.MaxServers) {
+		return false
+	}
+	if r.after != "" {
+		j.tried = append(j.tried, r.after)
+	}
+	if !r.arrived {
+		return true // no server has seen it
+	}
+	v := j.gateway.failed(retry.Failure{Call: j.call(), Attempts: max(j.runs, 1), NotRun: r.notRun})
+	event.Log(ctx, j.gateway.log, slog.LevelInfo, event.AttemptFailed, slog.String("request", j.ID), slog.String("server", r.after),
+		slog.Bool("notRun", r.notRun), slog.Bool("again", v.Go), slog.String("reason", v.Reason.String()), slog.Duration("after", v.After))
+	if !v.Go {
+		return false
+	}
+	if v.After > 0 {
+		pause(ctx, v.After)
+	}
+	return true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/route"
+)
+
+// slowStart is the time in which a new server comes to its full share of the
+// work. Engines boot in seconds on these sites, and fill their caches in as many.
+const slowStart = 3 * time.Second
+
+// service is what this entry knows of the servers of one service.
+type service struct {
+	name string
+
+	mu      sync.Mutex
+	router  *route.Router
+	servers map[string]directory.Server
+	seq     map[string]uint64 // of the cache events that this entry makes of its own runs, by server
+	told    uint64            // announcements given to the router
+}
+
+func newService(name string, entries int) *service {
+	cfg := route.DefaultConfig()
+	cfg.Entries = max(entries, 1)
+	cfg.SlowStart = slowStart
+	router, err := route.New(cfg)
+	if err != nil {
+		panic(err) // the defaults are valid, as a test of package route checks
+	}
+	return &service{name: name, router: router, servers: make(map[string]directory.Server), seq: make(map[string]uint64)}
+}
+
+// drop forgets a server that is of another service now.
+func (s *service) drop(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.servers[id]; !known {
+		return
+	}
+	s.router.Remove(id)
+	delete(s.servers, id)
+	delete(s.seq, id)
+}
+
+// update takes a server's record. A server that has fallen silent gets no work
+// until it is heard again: each request sent there would wait for its connection
+// in vain.
+func (s *service) update(rec directory.Server, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held, known := s.servers[rec.ID]; known && held.Incarnation != rec.Incarnation {
+		s.seq[rec.ID] = 0
+	}
+	switch {
+	case rec.State == instance.StateGone:
+		s.router.Remove(rec.ID)
+		delete(s.servers, rec.ID)
+		delete(s.seq, rec.ID)
+	case rec.State == instance.StateLeaving:
+		s.servers[rec.ID] = rec
+		s.router.Leave(rec.ID, rec.Incarnation)
+	case rec.Silent:
+		s.servers[rec.ID] = rec
+		s.router.Remove(rec.ID)
+		s.seq[rec.ID] = 0
+	default:
+		s.servers[rec.ID] = rec
+		s.announce(rec, 0, now)
+	}
+}
+
+// announce tells the router of a server that serves, with what other entries
+// have running there. Records come in the directory's order, so they are
+// numbered here.
+func (s *service) announce(rec directory.Server, others int, now time.Time) {
+	s.told++
+	a := rec.Announcement
+	a.Sequence = s.told
+	a.Load.Running = others
+	s.router.Announce(&a, now, now)
+}
+
+// choice is a server that was chosen for a run.
+type choice struct {
+	verdict  route.Verdict
+	attempt  route.Attempt
+	prefixes []route.CachedPrefix
+	answered bool // its first byte has come
+}
+
+// choose picks a server and counts the run there until end.
+func (s *service) choose(req *route.Request, prefixes []route.CachedPrefix, now time.Time) (choice, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.router.Choose(req)
+	if !v.OK() {
+		return choice{verdict: v}, false
+	}
+	return choice{verdict: v, attempt: s.router.Started(&v, now), prefixes: prefixes}, true
+}
+
+// firstByte notes that a server has begun to answer, and that it caches the parts
+// of the prompt from now on.
+func (s *service) firstByte(c *choice, now time.Time) {
+	if c.answered {
+		return
+	}
+	c.answered = true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.router.FirstToken(&c.attempt, now)
+	id := c.verdict.Server
+	if _, known := s.servers[id]; !known {
+		return
+	}
+	for _, p := range c.prefixes {
+		s.seq[id]++
+		s.router.Prefixes().Apply(id, c.verdict.Incarnation,
+			instance.CacheEvent{Sequence: s.seq[id], Prefix: p.Prefix, Stored: true, Tokens: p.Tokens})
+	}
+}
+
+// ending says how a run ended.
+type ending uint8
+
+const (
+	endedWell ending = iota
+	endedBadly
+	endedByCaller
+)
+
+func (s *service) end(c *choice, how ending, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch how {
+	case endedWell:
+		s.router.Finished(&c.attempt, now)
+	case endedBadly:
+		s.router.Failed(&c.attempt, now)
+	default:
+		s.router.Cancelled(&c.attempt, now)
+	}
+}
+
+func (s *service) setEntries(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.router.SetEntries(n)
+}
+
+// prefixesOf returns the shared beginnings of a prompt, shortest first. A
+// beginning is known by all parts up to its end, since a part counts as cached
+// only with all parts before it. The last part is the request's own or its
+// session's.
+func prefixesOf(model string, parts []Part) []route.CachedPrefix {
+	out := make([]route.CachedPrefix, 0, len(parts))
+	digest := xxhash.New()
+	_, _ = digest.WriteString(model) // a digest never fails
+	tokens := 0
+	for _, p := range parts {
+		_, _ = digest.WriteString("/" + p.ID)
+		tokens += p.Tokens
+		out = append(out, route.CachedPrefix{Prefix: digest.Sum64(), Tokens: tokens})
+	}
+	return out
+}
+
+func hashesOf(prefixes []route.CachedPrefix) []uint64 {
+	out := make([]uint64, len(prefixes))
+	for i, p := range prefixes {
+		out[i] = p.Prefix
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/site_test.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/retry"
+	"savoryreel.example/savoryreel/routes"
+	"savoryreel.example/savoryreel/site"
+)
+
+// plainDialect marks answers with a few headers of its own.
+type plainDialect struct{}
+
+func (plainDialect) Head(r *Request, run Run) http.Header {
+	h := r.Header.Clone()
+	h.Set("X-Id", r.ID)
+	h.Set("X-Left", fmt.Sprint(run.Left.Milliseconds()))
+	h.Set("X-Workspace", run.Workspace)
+	h.Set("X-After", run.ResumeAfter)
+	return h
+}
+
+func (plainDialect) Belongs(r *Request, h http.Header) bool { return h.Get("X-Id") == r.ID }
+
+func (plainDialect) Judge(status int, h http.Header) Proof {
+	switch {
+	case h.Get("X-Not-Run") != "":
+		return NotRun
+	case h.Get("X-Signed") == "":
+		return Unusable
+	case status >= 500:
+		return Failed
+	default:
+		return Answered
+	}
+}
+
+func (plainDialect) AnswerHeader(h http.Header) http.Header { return h.Clone() }
+
+// standIn is a backend server that does what its handler says, and notes what it
+// was asked.
+type standIn struct {
+	*httptest.Server
+	mu       sync.Mutex
+	requests []*http.Request
+}
+
+func (s *standIn) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+// rig is a gateway with stand-ins behind it, and no control replicas.
+type rig struct {
+	*Gateway
+	t    *testing.T
+	next uint64
+}
+
+func newRig(t *testing.T) *rig {
+	g, err := New(Config{Node: testNode(), ClusterKey: "k"}, Deps{
+		Log: slog.New(slog.DiscardHandler), Now: time.Now, Seeds: func() []string { return nil }, Dialect: plainDialect{},
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		g.links.Close()
+		g.pool.Close()
+	})
+	return &rig{Gateway: g, t: t}
+}
+
+func testNode() site.Node {
+	return site.Node{
+		Name: "e1", IP: "127.0.0.1", Zone: "z", Region: "r", FirstPort: 1, LastPort: 9, Seeds: []string{"127.0.0.1:1"},
+		Bounds: site.Bounds{
+			Drain: time.Second, StopGrace: time.Second, ConfigApply: time.Second, UsageWindow: 5 * time.Second,
+			RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 50, QuotaWindow: 8 * time.Second, QuotaOverrun: 0.1, QuotaSlack: 80,
+		},
+	}
+}
+
+// server adds a stand-in to a service.
+func (r *rig) server(service string, handle http.HandlerFunc) *standIn {
+	s := &standIn{}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		s.mu.Lock()
+		s.requests = append(s.requests, req)
+		s.mu.Unlock()
+		w.Header().Set("X-Id", req.Header.Get("X-Id"))
+		w.Header().Set("X-Signed", "1")
+		handle(w, req)
+	}))
+	r.t.Cleanup(s.CloseClientConnections)
+	r.next++
+	r.directory.Announce(instance.Announcement{
+		ID: fmt.Sprintf("s%d", r.next), Incarnation: 1, Sequence: 1, State: instance.StateServing,
+		Address: s.Listener.Addr().String(), Zone: "z", Slots: 8, Services: []string{service},
+	}, time.Now())
+	r.applyDirectory()
+	return s
+}
+
+// use puts routes in force.
+func (r *rig) use(list ...routes.Route) {
+	c := &routes.Catalogue{Revision: 1, Routes: list, Services: []routes.Service{{Name: "web"}}}
+	for i := range c.Routes {
+		x := &c.Routes[i]
+		x.Name, x.Host = fmt.Sprintf("r%d", i), "a.example"
+		x.Split = []routes.Share{{Service: "web", Weight: 1}}
+		if x.Timeout == 0 {
+			x.Timeout = 3 * time.Second
+		}
+		x.MaxServers = max(x.MaxServers, 1)
+	}
+	require.NoError(r.t, c.Validate())
+	r.table.Store(routes.NewTable(c))
+}
+
+// recorder takes an answer.
+type recorder struct {
+	status int
+	body   []byte
+}
+
+func (r *recorder) Begin(status int, _ http.Header, _ int64) { r.status = status }
+
+func (r *recorder) Write(p []byte) (int, error) {
+	r.body = append(r.body, p...)
+	return len(p), nil
+}
+
+func (r *recorder) Flush() error { return nil }
+
+func (r *rig) ask(path string) (*recorder, *Refusal) {
+	return r.askCtx(r.t.Context(), path)
+}
+
+func (r *rig) askCtx(ctx context.Context, path string) (*recorder, *Refusal) {
+	out := &recorder{}
+	refusal := r.Serve(ctx, &Request{
+		ID: fmt.Sprint(time.Now().UnixNano()), Method: "POST", Target: path, Path: path, Host: "a.example", Header: http.Header{},
+	}, out)
+	return out, refusal
+}
+
+
+// fillBudget lets the retry budget fill, as ordinary traffic does.
+func (r *rig) fillBudget() {
+	for range 150 {
+		r.noteFirst(retry.Call{Service: "web", Class: contract.ClassInteractive, Idempotent: true})
+	}
+}
--- /dev/null
+++ b/gateway/usage.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/wallclock"
+)
+
+// usageWindows is how many windows an entry goes on telling: as long as the
+// leader may still decide one.
+const usageWindows = 6
+
+// usage counts what began to run here, by window of the time of day and by
+// workspace.
+type usage struct {
+	clock  *wallclock.Clock
+	window time.Duration
+
+	mu     sync.Mutex
+	counts map[int64]map[string]int64
+}
+
+func newUsage(clock *wallclock.Clock, window time.Duration) *usage {
+	return &usage{clock: clock, window: window, counts: make(map[int64]map[string]int64)}
+}
+
+// began counts a request of a workspace that a server has begun just now.
+func (u *usage) began(workspace string) {
+	if workspace == "" {
+		return
+	}
+	w := u.clock.Now().UnixNano() / int64(u.window)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.counts[w] == nil {
+		u.counts[w] = make(map[string]int64)
+		u.forget(w)
+	}
+	u.counts[w][workspace]++
+}
+
+func (u *usage) forget(newest int64) {
+	for w := range u.counts {
+		if w <= newest-usageWindows {
+			delete(u.counts, w)
+		}
+	}
+}
+
+// report returns all counts, oldest window first.
+func (u *usage) report() []api.WindowUsage {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := make([]api.WindowUsage, 0, len(u.counts))
+	for _, w := range slices.Sorted(maps.Keys(u.counts)) {
+		out = append(out, api.WindowUsage{Window: w, Counts: maps.Clone(u.counts[w])})
+	}
+	return out
+}
