policy/supply, coordinator: servers are ordered, reclaimable ones in all zones

A late heartbeat without a start time could take a used address back (TestLateHeartbeatWithoutAStartTime). Ruled out: policy/scale, which starts single instances over minutes.

--- a/cmd/savoryreel/platform.go
+++ b/cmd/savoryreel/platform.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	place := *n.current.Load()
-	deps := coordinator.Deps{Log: log, Now: time.Now, FS: storage.OS{}, Seeds: n.seeds}
+	deps := coordinator.Deps{Log: log, Now: time.Now, FS: storage.OS{}, Seeds: n.seeds, Decode: platform.DecodeCatalogue}
 	if place.Cloud.Address != "" {
 		deps.Cloud = platform.NewCloud(place.Cloud.Address)
 	}
--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -38,6 +38,13 @@
 	Wait     time.Duration `msgpack:"wait"`
 
 	Usage []WindowUsage `msgpack:"usage,omitempty"` // all that the sender counted, newest windows
+	Loads []ServerLoad  `msgpack:"loads,omitempty"` // what the sender has running, none left out
+}
+
+// ServerLoad is how many requests run at a backend server.
+type ServerLoad struct {
+	Server  string `msgpack:"s"`
+	Running int    `msgpack:"n"`
 }
 
 // WindowUsage is what began to run at one entry in one window.
@@ -56,6 +63,7 @@
 	Document []byte             `msgpack:"doc,omitempty"` // of Revision, if the sender has an older one
 	Replicas []string           `msgpack:"replicas"`      // link addresses of all replicas
 	Live     int                `msgpack:"live"`          // entries that take callers
+	Loads    []ServerLoad       `msgpack:"loads"`         // what all other entries have running
 	Clock    time.Time          `msgpack:"clock"`         // the replica's time of day
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -8,6 +8,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,8 +22,10 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/policy/supply"
 	"savoryreel.example/savoryreel/replica/roster"
 	"savoryreel.example/savoryreel/replica/storage"
+	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/site"
 	"savoryreel.example/savoryreel/wallclock"
 )
@@ -41,6 +44,8 @@
 	// Seeds returns the link addresses of the replicas that the settings name now.
 	Seeds func() []string
 	Cloud Cloud // nil: no duties
+	// Decode reads a catalogue that was accepted before.
+	Decode func(document []byte) (*routes.Catalogue, error)
 }
 
 // Coordinator is one control replica. Its methods are safe for concurrent use.
@@ -56,6 +61,7 @@
 	directory *directory.Store
 	revisions *revisions
 	usage     *usageBook
+	loads     *loadBook
 	clock     *wallclock.Clock
 	pool      *link.Pool
 	traffic   *link.Traffic
@@ -64,6 +70,7 @@
 	upkeep    *upkeep
 	duties    *duties
 
+	table    atomic.Pointer[routes.Table] // of the newest catalogue known here
 	stopping chan struct{} // closed when this replica begins to stop
 	stopOnce sync.Once
 
@@ -93,8 +100,9 @@
 		life: uint64(deps.Now().UnixNano()),
 		directory: directory.NewStore(directory.Config{
 			SilentAfter: silentAfter(cfg.Node.AnnounceEvery), EntrySilentAfter: entrySilentAfter, ForgetAfter: directory.DefaultForgetAfter,
+			AddressKept: time.Duration(addressPart * float64(cfg.Node.Bounds.AddressReuse)),
 		}),
-		revisions: newRevisions(), usage: newUsageBook(), clock: wallclock.System(),
+		revisions: newRevisions(), usage: newUsageBook(), loads: newLoadBook(), clock: wallclock.System(),
 		stopping: make(chan struct{}), heard: make(map[string]time.Time),
 	}
 	c.traffic = link.NewTraffic(c.metrics)
@@ -111,10 +119,21 @@
 	c.duties = &duties{
 		log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, clock: c.clock, now: c.now, usage: c.usage,
 		window: cfg.Node.Bounds.UsageWindow, late: cfg.Node.Bounds.UsageLate, lease: cfg.Node.Bounds.LeaseTime,
+		report: cfg.Node.Cloud.Usage,
+	}
+	if cfg.Node.Cloud.Scaling {
+		c.duties.fleet = &fleet{
+			log: c.log, now: c.now, servers: c.directory.Servers, running: c.loads.running, table: c.table.Load,
+			give: c.duties.orderServers, needs: make(map[string]*supply.Demand), orders: make(map[orderKey]*ordered),
+		}
 	}
 	return c, nil
 }
 
+// addressPart is the part of the time before an address may be used again in
+// which the server that was heard there last still counts as having it.
+const addressPart = 0.9
+
 // entrySilentAfter is two and a half of an entry's signs of life, which come at
 // least once a second.
 const entrySilentAfter = 2500 * time.Millisecond
@@ -192,11 +211,23 @@
 // offer takes a committed catalogue, from this replica's log or from another one.
 func (c *Coordinator) offer(revision uint64, document []byte) {
 	if c.revisions.offer(revision, document) {
+		c.read(revision, document)
 		event.Log(context.Background(), c.log, slog.LevelInfo, event.RevisionTaken,
 			slog.Uint64("revision", revision), slog.Int("bytes", len(document)))
 	}
 }
 
+// read makes the newest catalogue ready for the duties.
+func (c *Coordinator) read(revision uint64, document []byte) {
+	catalogue, err := c.deps.Decode(document)
+	if err != nil {
+		event.Log(context.Background(), c.log, slog.LevelError, event.RevisionRefused,
+			slog.Uint64("revision", revision), slog.String("error", err.Error()))
+		return
+	}
+	c.table.Store(routes.NewTable(catalogue))
+}
+
 func (c *Coordinator) watchRequest() api.WatchRequest {
 	revision, _, _ := c.revisions.newest()
 	return api.WatchRequest{Role: api.RoleControl, Revision: revision}
@@ -303,6 +334,7 @@
 	return daemon.Every(ctx, sweepEvery, func() {
 		replied, followed := c.follower.Current(aliveWithin)
 		c.directory.Sweep(c.now(), replied+1 > (followed+1)/2)
+		c.loads.forget(c.now())
 	})
 }
 
--- a/coordinator/duty.go
+++ b/coordinator/duty.go
@@ -78,10 +78,12 @@
 	late   time.Duration
 	lease  time.Duration
 
+	fleet  *fleet // nil: servers are not ordered
+	report bool   // usage is reported
+
 	fences fences
 	term   uint64
 	since  time.Time     // start of this replica's lead in term
-	settle int64         // first window that this holder decides: those before it began unseen
 	asked  map[int64]int // calls made for a window in this term
 }
 
@@ -100,17 +102,32 @@
 	if d.term != st.Term {
 		d.term, d.since = st.Term, now
 		d.asked = make(map[int64]int)
+		if d.fleet != nil {
+			d.fleet.reset()
+		}
 	}
 	return now.Sub(d.since) >= d.lease
 }
 
 // step does what is due now.
 func (d *duties) step(ctx context.Context, m *member) {
-	if !d.leads(m) || d.window <= 0 {
+	if !d.leads(m) {
 		return
 	}
-	d.decideUsage(ctx, m)
-	d.sendUsage(ctx, m)
+	if d.report && d.window > 0 {
+		d.decideUsage(ctx, m)
+		d.sendUsage(ctx, m)
+	}
+	if d.fleet != nil {
+		d.fleet.step(ctx)
+	}
+}
+
+// orderServers gives an order under the next fencing number.
+func (d *duties) orderServers(ctx context.Context, w Want) error {
+	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
+	defer cancel()
+	return d.cloud.OrderServers(ctx, Order{Holder: d.name, Fence: d.fences.take(d.term)}, w)
 }
 
 // decideUsage puts the content of each window that has settled into the log.
@@ -146,7 +163,7 @@
 			continue
 		}
 		d.asked[w.Window]++
-		err := d.report(ctx, w)
+		err := d.reportUsage(ctx, w)
 		if err != nil {
 			return
 		}
@@ -166,7 +183,7 @@
 	return d.clock.Now().Sub(end) > 2*d.late
 }
 
-func (d *duties) report(ctx context.Context, w usageWindow) error {
+func (d *duties) reportUsage(ctx context.Context, w usageWindow) error {
 	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
 	defer cancel()
 	order := Order{Holder: d.name, Fence: d.fences.take(d.term)}
--- a/coordinator/group_test.go
+++ b/coordinator/group_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/replica/storage"
+	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/site"
 )
 
@@ -78,6 +79,7 @@
 	}
 	co, err := New(Config{Node: node, ClusterKey: "k"}, Deps{
 		Log: slog.New(slog.DiscardHandler), Now: time.Now, FS: storage.OS{}, Seeds: node.SeedLinks,
+		Decode: func([]byte) (*routes.Catalogue, error) { return &routes.Catalogue{}, nil },
 	})
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -60,6 +60,9 @@
 		Life: c.life, Seen: changes.Seq, Servers: changes.Servers, Entries: changes.Entries,
 		Replicas: c.replicas(), Live: len(c.directory.LiveEntries(now)), Clock: now,
 	}
+	if req.Entry != nil {
+		reply.Loads = c.loads.others(req.Entry.Name)
+	}
 	revision, document, _ := c.revisions.newest()
 	reply.Revision = revision
 	if document != nil && (revision > req.Revision || req.Revision == 0) {
@@ -73,6 +76,7 @@
 	if req.Entry != nil {
 		c.directory.MergeEntry(*req.Entry, c.now())
 		c.usage.note(req.Entry.Name, req.Entry.Incarnation, req.Usage)
+		c.loads.note(req.Entry.Name, req.Loads, c.now())
 	}
 	if req.Role == api.RoleControl && from.Address != "" {
 		c.noteCaller(from.Address)
--- a/directory/store.go
+++ b/directory/store.go
@@ -17,6 +17,9 @@
 	// EntrySilentAfter is the time without a sign of life after which an entry is
 	// no longer named to callers.
 	EntrySilentAfter time.Duration
+	// AddressKept is how long after a server's last heartbeat no other one can have
+	// its address.
+	AddressKept time.Duration
 	// ForgetAfter is the time after which a record that is gone or silent is
 	// dropped. It must outlast every heartbeat that is still on its way.
 	ForgetAfter time.Duration
@@ -106,7 +109,9 @@
 		return s.refresh(held, rec, heard)
 	}
 	rec.Silent = rec.Silent && rec.State == instance.StateServing
-	s.claimAddress(&rec)
+	if !s.claimAddress(&rec, now) {
+		return false
+	}
 	next := &heldServer{Server: rec, heard: heard}
 	if known {
 		next.seq, next.touched = held.seq, held.touched
@@ -141,23 +146,32 @@
 	return false
 }
 
-// claimAddress settles which of two servers has an address. Addresses of lost
-// servers are used again; a heartbeat of the old server that was held up on its
-// way would otherwise send its requests to the new one.
-func (s *Store) claimAddress(rec *Server) {
+// claimAddress settles which of two servers has an address, and reports whether
+// the record is to be taken at all. Addresses of lost servers are used again; a
+// heartbeat of the old server that was held up on its way would otherwise send
+// its requests to the new one.
+//
+// The later start counts. Where neither says when it started, the server that has
+// been heard just now still has its address, and the record is one that was held
+// up; a real successor comes again with its next heartbeat.
+func (s *Store) claimAddress(rec *Server, now time.Time) bool {
 	if rec.State == instance.StateGone || rec.Address == "" {
-		return
+		return true
 	}
 	other, taken := s.servers[s.byAddr[rec.Address]]
 	if taken && other.ID != rec.ID && other.State != instance.StateGone && other.Address == rec.Address {
-		if other.Incarnation > rec.Incarnation {
+		switch {
+		case other.Incarnation > rec.Incarnation:
 			rec.State = instance.StateGone
-			return
+			return true
+		case other.Incarnation == rec.Incarnation && now.Sub(other.heard) < s.cfg.AddressKept:
+			return false
 		}
 		other.State = instance.StateGone
 		s.changeServer(other)
 	}
 	s.byAddr[rec.Address] = rec.ID
+	return true
 }
 
 // sameServer reports whether two announcements differ only in their number and
--- a/directory/store_test.go
+++ b/directory/store_test.go
@@ -14,7 +14,7 @@
 var epoch = time.Unix(1_700_000_000, 0)
 
 func newStore() *Store {
-	return NewStore(Config{SilentAfter: 4 * time.Second, EntrySilentAfter: 2 * time.Second, ForgetAfter: time.Minute})
+	return NewStore(Config{SilentAfter: 4 * time.Second, EntrySilentAfter: 2 * time.Second, AddressKept: 1800 * time.Millisecond, ForgetAfter: time.Minute})
 }
 
 func beat(id string, incarnation, sequence uint64, state instance.State) instance.Announcement {
@@ -68,6 +68,23 @@
 	require.Equal(t, instance.StateServing, stateOf(s, "s2"))
 }
 
+// The same where servers do not say when they started, and the first heartbeat
+// that a replica gets of the old server is the late one. The new server must not
+// lose its address, and must not be lost with it.
+//
+// It breaks without Config.AddressKept.
+func TestLateHeartbeatWithoutAStartTime(t *testing.T) {
+	s := newStore()
+	old, reused := beat("s1", 0, 5, instance.StateServing), beat("s2", 0, 1, instance.StateServing)
+	reused.Address = old.Address
+	s.Announce(reused, epoch)
+	s.Announce(old, epoch.Add(time.Second))
+	require.Equal(t, instance.StateServing, stateOf(s, "s2"))
+	require.Equal(t, instance.StateGone, stateOf(s, "s1"))
+	s.Announce(old, epoch.Add(3*time.Second))
+	require.Equal(t, instance.StateServing, stateOf(s, "s1"), "the other one was silent for so long that its address is free")
+}
+
 // A replica that has just started hears a server's leave before it has ever heard
 // of the server. Then another replica tells it of the server as it was before.
 func TestLeaveOfAnUnknownServer(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,6 +152,7 @@
 		// Callers are sent here only once they can be answered.
 		self := g.self()
 		req.Entry = &self
+		req.Loads = g.loads()
 	}
 	return req
 }
@@ -167,6 +168,32 @@
 	g.directory.Merge(r.Servers, r.Entries, g.now())
 	g.countEntries(addr, r.Live)
 	g.applyDirectory()
+	g.noteOthers(r.Loads)
+}
+
+// loads returns what this entry has running at all servers.
+func (g *Gateway) loads() []api.ServerLoad {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []api.ServerLoad
+	for _, s := range g.services {
+		list = s.loads(list)
+	}
+	return list
+}
+
+// noteOthers passes on what other entries have running.
+func (g *Gateway) noteOthers(loads []api.ServerLoad) {
+	others := make(map[string]int, len(loads))
+	for _, l := range loads {
+		others[l.Server] = l.Running
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for _, s := range g.services {
+		s.noteOthers(others, now)
+	}
 }
 
 // liveCount is how many entries a control replica knows to take callers.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/policy/route"
@@ -24,6 +25,7 @@
 	servers map[string]directory.Server
 	seq     map[string]uint64 // of the cache events that this entry makes of its own runs, by server
 	told    uint64            // announcements given to the router
+	running map[string]int    // this entry's requests, by server
 }
 
 func newService(name string, entries int) *service {
@@ -34,7 +36,7 @@
 	if err != nil {
 		panic(err) // the defaults are valid, as a test of package route checks
 	}
-	return &service{name: name, router: router, servers: make(map[string]directory.Server), seq: make(map[string]uint64)}
+	return &service{name: name, router: router, servers: make(map[string]directory.Server), seq: make(map[string]uint64), running: make(map[string]int)}
 }
 
 // drop forgets a server that is of another service now.
@@ -72,18 +74,18 @@
 		s.seq[rec.ID] = 0
 	default:
 		s.servers[rec.ID] = rec
-		s.announce(rec, 0, now)
+		s.announce(rec, s.running[rec.ID], now)
 	}
 }
 
-// announce tells the router of a server that serves, with what other entries
-// have running there. Records come in the directory's order, so they are
+// announce tells the router of a server that serves, with what all entries have
+// running there. Records come in the directory's order, so they are
 // numbered here.
-func (s *service) announce(rec directory.Server, others int, now time.Time) {
+func (s *service) announce(rec directory.Server, running int, now time.Time) {
 	s.told++
 	a := rec.Announcement
 	a.Sequence = s.told
-	a.Load.Running = others
+	a.Load.Running = running
 	s.router.Announce(&a, now, now)
 }
 
@@ -103,9 +105,31 @@
 	if !v.OK() {
 		return choice{verdict: v}, false
 	}
+	s.running[v.Server]++
 	return choice{verdict: v, attempt: s.router.Started(&v, now), prefixes: prefixes}, true
 }
 
+// loads appends what this entry has running at the servers.
+func (s *service) loads(list []api.ServerLoad) []api.ServerLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, n := range s.running {
+		list = append(list, api.ServerLoad{Server: id, Running: n})
+	}
+	return list
+}
+
+// noteOthers takes what other entries have running at the servers now.
+func (s *service) noteOthers(others map[string]int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, rec := range s.servers {
+		if rec.State == instance.StateServing && !rec.Silent {
+			s.announce(rec, others[id]+s.running[id], now)
+		}
+	}
+}
+
 // firstByte notes that a server has begun to answer, and that it caches the parts
 // of the prompt from now on.
 func (s *service) firstByte(c *choice, now time.Time) {
@@ -139,6 +163,11 @@
 func (s *service) end(c *choice, how ending, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if id := c.verdict.Server; s.running[id] > 1 {
+		s.running[id]--
+	} else {
+		delete(s.running, id)
+	}
 	switch how {
 	case endedWell:
 		s.router.Finished(&c.attempt, now)
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -155,7 +155,6 @@
 	return out, refusal
 }
 
-
 // fillBudget lets the retry budget fill, as ordinary traffic does.
 func (r *rig) fillBudget() {
 	for range 150 {
--- /dev/null
+++ b/policy/supply/supply.go
@@ -0,0 +1,151 @@
+// Package supply decides how many backend servers of each kind to order in each
+// zone.
+//
+// Load pattern answered: a steady load with bursts of seconds, on servers that
+// take seconds to boot, of which the cheap ones are taken away a zone at a time
+// and then are not to be had for a while.
+//
+// Without it all servers are on demand, at several times the price; or, with
+// reclaimable ones just for the load, a wave takes a zone's share of them, the
+// others queue, and callers see late first tokens until the wave is over.
+//
+// The rule: reclaimable servers in all zones, so many that the load is served
+// without any one zone; on-demand servers only for what reclaimable ones do not
+// serve at the moment. A reclaimable server at a fifth of the price pays even
+// though half of them are spare.
+//
+// The package does no I/O and reads no clock. Plan is a pure function.
+package supply
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Kind is one way to have a server.
+type Kind struct {
+	Zone        string
+	Reclaimable bool
+}
+
+// Zone is a zone with the price of a server there.
+type Zone struct {
+	Name  string
+	Price float64 // of an on-demand server for a unit of time
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Zones []Zone
+	// Min and Max bound the servers of both kinds together in one zone.
+	Min, Max int
+	// SpotPrice is the price of a reclaimable server as a part of an on-demand
+	// one's; 0: there are none.
+	SpotPrice float64
+	// Need is how many servers the load takes.
+	Need int
+	// Serving counts the servers that serve and have not been told to leave, and
+	// Present also those that are about to go.
+	Serving map[Kind]int
+	Present map[Kind]int
+	// Closed holds the kinds that are not to be had at the moment.
+	Closed map[Kind]bool
+}
+
+// Order is the number of servers wanted of a kind.
+type Order struct {
+	Kind
+	Count int
+}
+
+// worthSpot is the highest price of a reclaimable server, as a part of an
+// on-demand one's, at which the spare ones pay for themselves in three zones:
+// there half as many again are ordered.
+const worthSpot = 2.0 / 3
+
+// Plan returns the number wanted of every kind, by zone.
+func Plan(in Input) []Order {
+	zones := slices.Clone(in.Zones)
+	slices.SortFunc(zones, func(a, b Zone) int { return cmp.Compare(a.Name, b.Name) })
+	spot := make(map[string]int, len(zones))
+	if in.SpotPrice > 0 && in.SpotPrice <= worthSpot {
+		for _, z := range zones {
+			spot[z.Name] = clamp(perZone(in.Need, len(zones)), in.Min, in.room(z.Name))
+		}
+	}
+	onDemand := in.onDemand(zones, spot)
+	var orders []Order
+	for _, z := range zones {
+		orders = append(orders,
+			Order{Kind{z.Name, true}, spot[z.Name]},
+			Order{Kind{z.Name, false}, onDemand[z.Name]})
+	}
+	return orders
+}
+
+// expected is how many reclaimable servers take up room in each zone: those that
+// are ordered, and where none are to be had, those that are there. Room kept for
+// servers that do not come would leave a zone empty for as long as a wave lasts.
+func (in *Input) expected(zones []Zone, wanted map[string]int) map[string]int {
+	out := make(map[string]int, len(zones))
+	for _, z := range zones {
+		kind := Kind{z.Name, true}
+		out[z.Name] = wanted[z.Name]
+		if in.Closed[kind] {
+			out[z.Name] = min(wanted[z.Name], in.Present[kind])
+		}
+	}
+	return out
+}
+
+// room is how many reclaimable servers a zone may have beside the on-demand ones
+// that are there. An order above a zone's bound is filled up to the bound, and not
+// looked at again when there is room.
+func (in *Input) room(zone string) int {
+	return max(in.Max-in.Present[Kind{zone, false}], min(in.Min, in.Max), 0)
+}
+
+// perZone is how many servers a zone has so that all others together serve the
+// need. A single zone can't be spared.
+func perZone(need, zones int) int {
+	return int(math.Ceil(float64(need) / float64(max(zones-1, 1))))
+}
+
+func clamp(n, lo, hi int) int { return min(max(n, lo), max(hi, 0)) }
+
+// onDemand splits what reclaimable servers do not serve now among the zones:
+// first to servers that are there, which need no boot, then to the cheapest zones.
+func (in *Input) onDemand(zones []Zone, wanted map[string]int) map[string]int {
+	out := make(map[string]int, len(zones))
+	spot := in.expected(zones, wanted)
+	missing := in.Need
+	for _, z := range zones {
+		// More than what is wanted of them is about to go.
+		missing -= min(in.Serving[Kind{z.Name, true}], wanted[z.Name])
+		out[z.Name] = max(in.Min-spot[z.Name], 0)
+		missing -= out[z.Name]
+	}
+	for _, z := range zones {
+		have := min(in.Serving[Kind{z.Name, false}], in.Max-spot[z.Name])
+		keep := clamp(have-out[z.Name], 0, max(missing, 0))
+		out[z.Name] += keep
+		missing -= keep
+	}
+	byPrice := slices.Clone(zones)
+	slices.SortStableFunc(byPrice, func(a, b Zone) int { return cmp.Compare(a.Price, b.Price) })
+	for missing > 0 {
+		placed := false
+		for _, z := range byPrice {
+			if missing > 0 && out[z.Name]+spot[z.Name] < in.Max {
+				out[z.Name]++
+				missing--
+				placed = true
+			}
+		}
+		if !placed {
+			break // every zone is at its bound
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/policy/supply/supply_test.go
@@ -0,0 +1,139 @@
+package supply
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"savoryreel.example/savoryreel/internal/testutil"
+)
+
+func TestMain(m *testing.M) { testutil.Main(m) }
+
+func threeZones() Input {
+	return Input{
+		Zones: []Zone{{"a", 0.85}, {"b", 1.2}, {"c", 1}}, Min: 1, Max: 8, SpotPrice: 0.2, Need: 8, Serving: map[Kind]int{},
+	}
+}
+
+func counts(orders []Order) (spot, onDemand int) {
+	for _, o := range orders {
+		if o.Reclaimable {
+			spot += o.Count
+		} else {
+			onDemand += o.Count
+		}
+	}
+	return spot, onDemand
+}
+
+// The day begins with on-demand servers. They stay until reclaimable ones serve,
+// and the zone's bound holds for both together meanwhile.
+func TestOnDemandServersStayUntilOthersServe(t *testing.T) {
+	in := threeZones()
+	in.Need = 12
+	for _, z := range in.Zones {
+		in.Serving[Kind{z.Name, false}] = 4
+	}
+	in.Present = in.Serving
+	spot, onDemand := counts(Plan(in))
+	require.Equal(t, 12, spot)
+	require.Equal(t, 12, onDemand)
+	for _, z := range in.Zones {
+		in.Serving[Kind{z.Name, true}] = 4
+	}
+	spot, onDemand = counts(Plan(in))
+	require.Equal(t, 12, spot)
+	require.Zero(t, onDemand)
+	in.Present = nil
+	spot, _ = counts(Plan(in))
+	require.Equal(t, 18, spot, "when the others have gone there is room")
+}
+
+// A wave takes all reclaimable servers of one zone. The others still serve the
+// load, and nothing dear is ordered.
+func TestWaveInOneZone(t *testing.T) {
+	in := threeZones()
+	in.Serving = map[Kind]int{{"a", true}: 4, {"b", true}: 4}
+	_, onDemand := counts(Plan(in))
+	require.Zero(t, onDemand)
+	in.Serving = map[Kind]int{{"b", true}: 4}
+	orders := Plan(in)
+	_, onDemand = counts(orders)
+	require.Equal(t, 4, onDemand, "a second wave: what is missing is ordered on demand")
+	require.Contains(t, orders, Order{Kind{"a", false}, 2}, "in the cheapest zones")
+}
+
+// Waves have taken the reclaimable servers of all zones, and none are to be had. A
+// load that needs all the room that the zones have is served on demand meanwhile.
+//
+// It breaks without Input.Closed.
+func TestWavesInAllZones(t *testing.T) {
+	in := threeZones()
+	in.Need = 20
+	in.Closed = map[Kind]bool{{"a", true}: true, {"b", true}: true, {"c", true}: true}
+	_, onDemand := counts(Plan(in))
+	require.Equal(t, 20, onDemand)
+}
+
+func TestNoReclaimableServersAreSold(t *testing.T) {
+	in := threeZones()
+	in.SpotPrice = 0
+	spot, onDemand := counts(Plan(in))
+	require.Zero(t, spot)
+	require.Equal(t, 8, onDemand)
+}
+
+// Whatever is served now, each zone stays within its bounds, and what is wanted
+// covers the need if the bounds allow.
+func TestPlanKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := threeZones()
+		in.Zones = in.Zones[:rapid.IntRange(1, 3).Draw(t, "zones")]
+		in.Min = rapid.IntRange(0, 2).Draw(t, "min")
+		in.Max = in.Min + rapid.IntRange(0, 8).Draw(t, "room")
+		in.Need = rapid.IntRange(0, 30).Draw(t, "need")
+		in.SpotPrice = rapid.SampledFrom([]float64{0, 0.2, 0.9}).Draw(t, "price")
+		for _, z := range in.Zones {
+			in.Serving[Kind{z.Name, true}] = rapid.IntRange(0, 8).Draw(t, "spot")
+			in.Serving[Kind{z.Name, false}] = rapid.IntRange(0, 8).Draw(t, "on demand")
+		}
+		perZone := map[string]int{}
+		total := 0
+		in.Present = in.Serving
+		for _, o := range Plan(in) {
+			require.GreaterOrEqual(t, o.Count, 0)
+			perZone[o.Zone] += o.Count
+			total += o.Count
+		}
+		for zone, n := range perZone {
+			require.LessOrEqual(t, n, in.Max, zone)
+			require.GreaterOrEqual(t, n, in.Min, zone)
+		}
+		require.GreaterOrEqual(t, total, min(in.Need, in.Max*len(in.Zones)))
+	})
+}
+
+func at(s float64) time.Time { return time.Unix(0, int64(s*float64(time.Second))) }
+
+// The load is not known at first; then it counts. A burst of two seconds orders
+// little, and a load that falls is still served for a while.
+func TestDemand(t *testing.T) {
+	d := NewDemand(12)
+	require.Equal(t, 8, d.Note(at(0), 0, 64))
+	now := 0.0
+	run := func(running int, seconds float64) (need int) {
+		for end := now + seconds; now < end; now += 0.5 {
+			need = d.Note(at(now), running, 64)
+		}
+		return need
+	}
+	require.Equal(t, 8, run(28, 4))
+	require.Equal(t, 8, run(28, 10))
+	require.LessOrEqual(t, run(56, 2), 12)
+	require.Equal(t, 16, run(56, 30))
+	require.Equal(t, 16, run(14, 10), "it may rise again")
+	require.Equal(t, 4, run(14, 30))
+}
