--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -22,7 +22,6 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
-	"savoryreel.example/savoryreel/policy/supply"
 	"savoryreel.example/savoryreel/replica/roster"
 	"savoryreel.example/savoryreel/replica/storage"
 	"savoryreel.example/savoryreel/routes"
@@ -71,7 +70,7 @@
 	duties    *duties
 
 	table    atomic.Pointer[routes.Table] // of the newest catalogue known here
-	stopping chan struct{} // closed when this replica begins to stop
+	stopping chan struct{}                // closed when this replica begins to stop
 	stopOnce sync.Once
 
 	mu     sync.Mutex
@@ -123,8 +122,8 @@
 	}
 	if cfg.Node.Cloud.Scaling {
 		c.duties.fleet = &fleet{
-			log: c.log, now: c.now, servers: c.directory.Servers, running: c.loads.running, table: c.table.Load,
-			give: c.duties.orderServers, needs: make(map[string]*supply.Demand), orders: make(map[orderKey]*ordered),
+			log: c.log, now: c.now, servers: c.directory.Servers, table: c.table.Load,
+			give: c.duties.orderServers,
 		}
 	}
 	return c, nil
--- a/coordinator/duty.go
+++ b/coordinator/duty.go
@@ -119,7 +119,7 @@
 		d.sendUsage(ctx, m)
 	}
 	if d.fleet != nil {
-		d.fleet.step(ctx)
+		d.fleet.step(ctx, m)
 	}
 }
 
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -50,10 +50,8 @@
 	table   func() *routes.Table
 	give    func(ctx context.Context, w Want) error
 
-	running func(server string) int
-
-	needs   map[string]*supply.Demand // by service
-	orders  map[orderKey]*ordered
+	orders  map[orderKey]*ordered // of this lead
+	seen    map[string]time.Time  // when a service's first server was seen
 	planned time.Time
 }
 
@@ -61,12 +59,12 @@
 // others since.
 func (f *fleet) reset() {
 	f.orders = make(map[orderKey]*ordered)
-	f.needs = make(map[string]*supply.Demand)
+	f.seen = make(map[string]time.Time)
 }
 
 // step gives the orders that are due, at most one each time, so that a slow cloud
 // holds up nothing else for long.
-func (f *fleet) step(ctx context.Context) {
+func (f *fleet) step(ctx context.Context, m *member) {
 	now := f.now()
 	if now.Sub(f.planned) < planEvery {
 		return
@@ -82,26 +80,26 @@
 		if s.Scaling == nil {
 			continue
 		}
-		f.service(ctx, s, servers, now)
+		f.service(ctx, m, s, servers, now)
 	}
 }
 
-func (f *fleet) service(ctx context.Context, s *routes.Service, servers []directory.Server, now time.Time) {
+// service gives the orders for one service. As many servers are taken to be needed
+// as it began with: the operators sized it for its load. The number stands in the
+// log, since a leader that counted again in the middle of a wave would take what
+// the wave has left for what is needed.
+func (f *fleet) service(ctx context.Context, m *member, s *routes.Service, servers []directory.Server, now time.Time) {
 	count := census{serving: make(map[supply.Kind]int), present: make(map[supply.Kind]int)}
 	for i := range servers {
 		if rec := &servers[i]; slices.Contains(rec.Services, s.Name) {
-			count.add(rec, f.running(rec.ID))
+			count.add(rec)
 		}
 	}
-	demand := f.needs[s.Name]
-	if demand == nil {
-		if count.total == 0 {
-			return // nothing has announced itself yet
-		}
-		demand = supply.NewDemand(count.total)
-		f.needs[s.Name] = demand
+	need := m.state.size(s.Name)
+	if need == 0 {
+		f.noteSize(ctx, m, s.Name, count.total)
+		return
 	}
-	need := demand.Note(now, count.running, slotsOf(s, &count))
 	orders := supply.Plan(supply.Input{
 		Zones: zonesOf(s.Scaling), Min: s.Scaling.Min, Max: s.Scaling.Max, SpotPrice: s.Scaling.SpotPrice,
 		Need: need, Serving: count.serving, Present: count.present, Closed: f.closed(s.Name, now),
@@ -111,15 +109,27 @@
 	}
 }
 
-// slotsOf is how many requests one server runs side by side.
-func slotsOf(s *routes.Service, count *census) int {
-	switch {
-	case s.Engine != nil && s.Engine.Slots > 0:
-		return s.Engine.Slots
-	case count.total > 0:
-		return count.slots / count.total
-	default:
-		return 1
+// settleTime is how long a service is watched before its size is noted: its
+// servers announce themselves within a heartbeat or two.
+const settleTime = 3 * time.Second
+
+// noteSize puts a service's first size into the log once all of its servers have
+// had the time to announce themselves.
+func (f *fleet) noteSize(ctx context.Context, m *member, service string, servers int) {
+	if servers == 0 {
+		return
+	}
+	if since, seen := f.seen[service]; !seen || f.now().Sub(since) < settleTime {
+		if !seen {
+			f.seen[service] = f.now()
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
+	defer cancel()
+	if err := propose(ctx, m, kindSize, sizeCommand{Service: service, Servers: servers}); err != nil {
+		event.Log(ctx, f.log, slog.LevelWarn, event.DutyRefused, slog.String("duty", "servers"), slog.String("service", service),
+			slog.String("step", "note size"), slog.String("error", err.Error()))
 	}
 }
 
@@ -139,13 +149,10 @@
 	serving map[supply.Kind]int // and not about to leave
 	present map[supply.Kind]int // also those that leave
 	total   int                 // serving
-	slots   int                 // of those that serve
-	running int                 // requests at all of them
 }
 
-func (c *census) add(rec *directory.Server, running int) {
+func (c *census) add(rec *directory.Server) {
 	kind := supply.Kind{Zone: rec.Zone, Reclaimable: rec.Class == directory.ClassReclaimable}
-	c.running += running
 	if rec.Silent {
 		return
 	}
@@ -153,7 +160,6 @@
 	if rec.State == instance.StateServing {
 		c.serving[kind]++
 		c.total++
-		c.slots += rec.Slots
 	}
 }
 
--- a/coordinator/loads.go
+++ b/coordinator/loads.go
@@ -76,10 +76,3 @@
 	}
 	return out
 }
-
-// running returns how many requests run at a server.
-func (b *loadBook) running(server string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.total[server]
-}
--- /dev/null
+++ b/coordinator/loads_test.go
@@ -0,0 +1,25 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+)
+
+// Each entry is told what all others have running, its own left out, and an entry
+// that died no longer counts.
+func TestLoadBook(t *testing.T) {
+	b := newLoadBook()
+	now := time.Unix(0, 0)
+	b.note("e1", []api.ServerLoad{{Server: "s1", Running: 3}, {Server: "s2", Running: 1}}, now)
+	b.note("e2", []api.ServerLoad{{Server: "s1", Running: 2}}, now)
+	require.Equal(t, []api.ServerLoad{{Server: "s1", Running: 2}}, b.others("e1"))
+	b.note("e1", []api.ServerLoad{{Server: "s1", Running: 4}}, now.Add(2*time.Second))
+	require.Equal(t, []api.ServerLoad{{Server: "s1", Running: 4}}, b.others("e2"))
+	b.forget(now.Add(4 * time.Second))
+	require.Empty(t, b.others("e1"))
+	require.Equal(t, []api.ServerLoad{{Server: "s1", Running: 4}}, b.others("e3"))
+}
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -20,6 +20,7 @@
 	kindRetire
 	kindUsage
 	kindUsageSent
+	kindSize
 )
 
 // keptWindows is how many usage windows the state holds: twice what can be
@@ -48,6 +49,12 @@
 	Window int64 `msgpack:"w"`
 }
 
+// sizeCommand notes how many servers a service had before any was ordered.
+type sizeCommand struct {
+	Service string `msgpack:"s"`
+	Servers int    `msgpack:"n"`
+}
+
 // seat is a replica id with the instance that holds it.
 type seat struct {
 	ID      uint64 `msgpack:"id"`
@@ -72,13 +79,14 @@
 	seats    []seat // by id
 	highest  uint64 // highest id ever given out; ids are never used twice
 	usage    []usageWindow
+	sizes    map[string]int // servers that each service began with
 
 	onRevision func(revision uint64, document []byte)
 	onSeats    func([]roster.Member)
 }
 
 func newState(onRevision func(uint64, []byte), onSeats func([]roster.Member)) *state {
-	return &state{onRevision: onRevision, onSeats: onSeats}
+	return &state{sizes: make(map[string]int), onRevision: onRevision, onSeats: onSeats}
 }
 
 // Apply implements host.Machine.
@@ -96,6 +104,8 @@
 		return apply(e, s.applyUsage)
 	case kindUsageSent:
 		return apply(e, s.applyUsageSent)
+	case kindSize:
+		return apply(e, s.applySize)
 	default:
 		return nil, trace.BadParameter("log entry %d has unknown kind %d", e.Index, e.Kind)
 	}
@@ -201,6 +211,23 @@
 	return true
 }
 
+// applySize takes a service's first size; later ones count for nothing.
+func (s *state) applySize(c sizeCommand) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.sizes[c.Service]; !known {
+		s.sizes[c.Service] = c.Servers
+	}
+	return s.sizes[c.Service]
+}
+
+// size returns how many servers a service began with, 0 if that is not known.
+func (s *state) size(service string) int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.sizes[service]
+}
+
 func (s *state) tellSeats() { s.onSeats(s.members()) }
 
 // members lists the seats as the address book takes them.
@@ -253,6 +280,8 @@
 	Seats    []seat        `msgpack:"seats"`
 	Highest  uint64        `msgpack:"highest"`
 	Usage    []usageWindow `msgpack:"usage"`
+
+	Sizes map[string]int `msgpack:"sizes"`
 }
 
 // Snapshot implements host.Machine.
@@ -265,7 +294,7 @@
 		usage = append(usage, w)
 	}
 	enc, err := msgpack.Marshal(&stateSnapshot{
-		Revision: s.revision, Document: s.document, Seats: s.seats, Highest: s.highest, Usage: usage,
+		Revision: s.revision, Document: s.document, Seats: s.seats, Highest: s.highest, Usage: usage, Sizes: maps.Clone(s.sizes),
 	})
 	return enc, trace.Wrap(err, "step=snapshot")
 }
@@ -279,6 +308,8 @@
 	s.mu.Lock()
 	s.revision, s.document = in.Revision, in.Document
 	s.seats, s.highest, s.usage = in.Seats, in.Highest, in.Usage
+	s.sizes = make(map[string]int, len(in.Sizes))
+	maps.Copy(s.sizes, in.Sizes)
 	s.mu.Unlock()
 	s.onRevision(in.Revision, in.Document)
 	s.tellSeats()
--- a/coordinator/state_test.go
+++ b/coordinator/state_test.go
@@ -88,6 +88,8 @@
 	applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"})
 	applyTo(t, s, kindRevise, reviseCommand{Revision: 3, Document: []byte("three")})
 	applyTo(t, s, kindUsage, usageWindow{Window: 7, Counts: map[string]int64{"w": 3}})
+	applyTo(t, s, kindSize, sizeCommand{Service: "chat", Servers: 12})
+	applyTo(t, s, kindSize, sizeCommand{Service: "chat", Servers: 5})
 	enc, err := s.Snapshot()
 	require.NoError(t, err)
 	told := uint64(0)
@@ -97,6 +99,7 @@
 	require.Equal(t, s.members(), other.members())
 	require.Equal(t, s.windows(), other.windows())
 	require.Equal(t, s.highest, other.highest)
+	require.Equal(t, 12, other.size("chat"), "the first size counts")
 }
 
 // An instance comes back with an empty disk. It must not take its old id, under
