policy/route: the first server in the rendezvous order is trusted to cache a shared beginning

Ruled out: cache events, for now: 12 callers a server are kept waiting, the grown sites have 82 entries. A bound of 1.25 times the fair load sends four of ten requests elsewhere where servers run one or two.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -41,10 +41,11 @@
 	Loads []ServerLoad  `msgpack:"loads,omitempty"` // what the sender has running, none left out
 }
 
-// ServerLoad is how many requests run at a backend server.
+// ServerLoad is what runs and waits at a backend server.
 type ServerLoad struct {
 	Server  string `msgpack:"s"`
-	Running int    `msgpack:"n"`
+	Running int    `msgpack:"n"`           // requests
+	Prefill int    `msgpack:"p,omitempty"` // prompt tokens of those that have no answer yet
 }
 
 // WindowUsage is what began to run at one entry in one window.
--- a/coordinator/loads.go
+++ b/coordinator/loads.go
@@ -17,16 +17,22 @@
 type loadBook struct {
 	mu      sync.Mutex
 	entries map[string]entryLoads
-	total   map[string]int // by server
+	total   map[string]load // by server
 }
 
 type entryLoads struct {
-	at      time.Time
-	running map[string]int // by server
+	at    time.Time
+	loads map[string]load // by server
 }
 
+// load is what runs and waits at a server.
+type load struct{ running, prefill int }
+
+func (l load) plus(o load) load  { return load{l.running + o.running, l.prefill + o.prefill} }
+func (l load) minus(o load) load { return load{l.running - o.running, l.prefill - o.prefill} }
+
 func newLoadBook() *loadBook {
-	return &loadBook{entries: make(map[string]entryLoads), total: make(map[string]int)}
+	return &loadBook{entries: make(map[string]entryLoads), total: make(map[string]load)}
 }
 
 // note takes an entry's running requests, which replace what it told before. The
@@ -35,17 +41,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.drop(entry)
-	running := make(map[string]int, len(loads))
+	told := make(map[string]load, len(loads))
 	for _, l := range loads {
-		running[l.Server] = l.Running
-		b.total[l.Server] += l.Running
+		told[l.Server] = load{l.Running, l.Prefill}
+		b.total[l.Server] = b.total[l.Server].plus(told[l.Server])
 	}
-	b.entries[entry] = entryLoads{at: now, running: running}
+	b.entries[entry] = entryLoads{at: now, loads: told}
 }
 
 func (b *loadBook) drop(entry string) {
-	for server, n := range b.entries[entry].running {
-		if b.total[server] -= n; b.total[server] <= 0 {
+	for server, l := range b.entries[entry].loads {
+		if rest := b.total[server].minus(l); rest.running > 0 {
+			b.total[server] = rest
+		} else {
 			delete(b.total, server)
 		}
 	}
@@ -67,11 +75,11 @@
 func (b *loadBook) others(entry string) []api.ServerLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	own := b.entries[entry].running
+	own := b.entries[entry].loads
 	out := make([]api.ServerLoad, 0, len(b.total))
-	for server, n := range b.total {
-		if rest := n - own[server]; rest > 0 {
-			out = append(out, api.ServerLoad{Server: server, Running: rest})
+	for server, l := range b.total {
+		if rest := l.minus(own[server]); rest.running > 0 {
+			out = append(out, api.ServerLoad{Server: server, Running: rest.running, Prefill: rest.prefill})
 		}
 	}
 	return out
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -184,9 +184,9 @@
 
 // noteOthers passes on what other entries have running.
 func (g *Gateway) noteOthers(loads []api.ServerLoad) {
-	others := make(map[string]int, len(loads))
+	others := make(map[string]api.ServerLoad, len(loads))
 	for _, l := range loads {
-		others[l.Server] = l.Running
+		others[l.Server] = l
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -150,7 +150,7 @@
 func (j *job) routing() *route.Request {
 	node := &j.gateway.cfg.Node
 	return &route.Request{
-		Now: j.gateway.now(), Seed: rand.Uint64(), Prefixes: hashesOf(j.prefixes), PromptTokens: j.PromptTokens,
+		Now: j.gateway.now(), Seed: rand.Uint64(), Prefixes: hashesOf(j.prefixes), PromptTokens: j.PromptTokens, SharedTokens: sharedTokens(j.prefixes),
 		Zone: node.Zone, Region: node.Region, Exclude: j.tried, NoProbe: !j.route.Repeatable(),
 	}
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -16,6 +16,11 @@
 // work. Engines boot in seconds on these sites, and fill their caches in as many.
 const slowStart = 3 * time.Second
 
+// trust is the part of a shared beginning that the first server in the rendezvous
+// order is taken to cache. Most of them come every few seconds and stay cached for
+// as long; one that does not costs a prefill where the order sent it anyway.
+const trust = 0.8
+
 // service is what this entry knows of the servers of one service.
 type service struct {
 	name string
@@ -32,6 +37,9 @@
 	cfg := route.DefaultConfig()
 	cfg.Entries = max(entries, 1)
 	cfg.SlowStart = slowStart
+	cfg.LearnPrefill = true
+	cfg.Trust = trust
+	cfg.LoadFactor = 5.0
 	router, err := route.New(cfg)
 	if err != nil {
 		panic(err) // the defaults are valid, as a test of package route checks
@@ -74,18 +82,18 @@
 		s.seq[rec.ID] = 0
 	default:
 		s.servers[rec.ID] = rec
-		s.announce(rec, s.running[rec.ID], now)
+		s.announce(rec, s.running[rec.ID], 0, now)
 	}
 }
 
 // announce tells the router of a server that serves, with what all entries have
-// running there. Records come in the directory's order, so they are
+// running there, and what other entries' requests wait for. Records come in the directory's order, so they are
 // numbered here.
-func (s *service) announce(rec directory.Server, running int, now time.Time) {
+func (s *service) announce(rec directory.Server, running, prefill int, now time.Time) {
 	s.told++
 	a := rec.Announcement
 	a.Sequence = s.told
-	a.Load.Running = running
+	a.Load.Running, a.Load.Prefill = running, prefill
 	s.router.Announce(&a, now, now)
 }
 
@@ -114,18 +122,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, n := range s.running {
-		list = append(list, api.ServerLoad{Server: id, Running: n})
+		list = append(list, api.ServerLoad{Server: id, Running: n, Prefill: s.router.Prefill(id)})
 	}
 	return list
 }
 
 // noteOthers takes what other entries have running at the servers now.
-func (s *service) noteOthers(others map[string]int, now time.Time) {
+func (s *service) noteOthers(others map[string]api.ServerLoad, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, rec := range s.servers {
 		if rec.State == instance.StateServing && !rec.Silent {
-			s.announce(rec, others[id]+s.running[id], now)
+			s.announce(rec, others[id].Running+s.running[id], others[id].Prefill, now)
 		}
 	}
 }
@@ -201,6 +209,15 @@
 	return out
 }
 
+// sharedTokens is the length of the beginning that other requests share: all parts
+// but the last.
+func sharedTokens(prefixes []route.CachedPrefix) int {
+	if n := len(prefixes); n > 1 {
+		return prefixes[n-2].Tokens
+	}
+	return 0
+}
+
 func hashesOf(prefixes []route.CachedPrefix) []uint64 {
 	out := make([]uint64, len(prefixes))
 	for i, p := range prefixes {
--- a/instance/announcement.go
+++ b/instance/announcement.go
@@ -46,6 +46,7 @@
 	Waiting      int       `json:"waiting" msgpack:"wait"`
 	TokensPerSec float64   `json:"tokensPerSecond" msgpack:"tps"`
 	CacheUsed    float64   `json:"cacheUsed" msgpack:"cache"` // share of the prefix cache in use, 0..1
+	Prefill      int       `json:"prefill" msgpack:"prefill"` // prompt tokens that wait to be prefilled, as far as known
 }
 
 // CacheEvent says that a prefix came into or left a model server's cache.
--- a/policy/route/attempt.go
+++ b/policy/route/attempt.go
@@ -34,7 +34,7 @@
 // of the request and of those that this entry has waiting there, and the wait
 // for a slot.
 func (r *Router) expected(s *server, uncached int) time.Duration {
-	prefill := float64(uncached+s.health.prefill) / r.cfg.PrefillRate
+	prefill := float64(uncached+s.ahead()) / r.cfg.PrefillRate
 	return overhead + seconds(prefill) + r.slotWait(s)
 }
 
@@ -60,10 +60,41 @@
 	s.health.settled(now, a.uncached)
 	s.health.failures = 0
 	elapsed := now.Sub(a.started)
+	r.learn(a, elapsed)
 	s.health.sample(float64(elapsed) / float64(a.expected))
 	r.firstToken += time.Duration(sampleWeight * float64(elapsed-r.firstToken) / float64(len(r.servers)))
 }
 
+const (
+	// learnTokens is the least prefill from which the rate is learnt: a shorter one
+	// is mostly overhead.
+	learnTokens = 1500
+	// learnStep is by how much a sample moves the learnt rate, which makes it the
+	// median of the samples: waits in a queue pull single ones down, parts that were
+	// cached unknown to this entry pull others up.
+	learnStep = 1.03
+	// leastRate and mostRate bound the learnt rate, in tokens per second.
+	leastRate = 1_000
+	mostRate  = 200_000
+)
+
+// learn moves the prefill rate towards what a first token has shown. Its time is
+// that of its own prefill and of what was ahead of it.
+func (r *Router) learn(a *Attempt, elapsed time.Duration) {
+	if !r.cfg.LearnPrefill || a.uncached < learnTokens || elapsed <= 0 {
+		return
+	}
+	prefill := (a.expected - overhead).Seconds() * r.cfg.PrefillRate // tokens, as it was expected
+	if prefill > elapsed.Seconds()*r.cfg.PrefillRate {
+		r.cfg.PrefillRate = min(r.cfg.PrefillRate*learnStep, mostRate)
+		return
+	}
+	r.cfg.PrefillRate = max(r.cfg.PrefillRate/learnStep, leastRate)
+}
+
+// PrefillRate returns the rate in use, in tokens per second.
+func (r *Router) PrefillRate() float64 { return r.cfg.PrefillRate }
+
 // Finished counts a request that ended well. Calls after the first have no effect.
 func (r *Router) Finished(a *Attempt, now time.Time) {
 	r.FirstToken(a, now)
--- a/policy/route/config.go
+++ b/policy/route/config.go
@@ -14,6 +14,15 @@
 
 	// PrefillRate is how fast an engine prefills, in tokens per second.
 	PrefillRate float64
+	// LearnPrefill makes the Router learn the rate from the first tokens that it
+	// sees, starting at PrefillRate.
+	LearnPrefill bool
+	// Trust is the part of a prompt's shared beginning that the first server in the
+	// rendezvous order is taken to cache although this entry has not seen it there:
+	// other entries send the same beginning to the same server. Without it an entry
+	// would spread what it sees for the first time over all servers, and each would
+	// prefill it again. 0 where cache events tell.
+	Trust float64
 	// BusyCost is the delay of the first token on a server whose slots are all
 	// taken, from sharing its batch; it falls to 0 in proportion on an idle one.
 	BusyCost time.Duration
@@ -122,6 +131,7 @@
 	}{
 		{"Entries", c.Entries >= 1, "at least 1"},
 		{"PrefillRate", c.PrefillRate > 0, "above 0"},
+		{"Trust", c.Trust >= 0 && c.Trust <= 1, "in [0, 1]"},
 		{"BusyCost", c.BusyCost >= 0, "at least 0"},
 		{"SlotTime", c.SlotTime > 0, "above 0"},
 		{"ZoneCost", c.ZoneCost >= 0, "at least 0"},
--- a/policy/route/router.go
+++ b/policy/route/router.go
@@ -145,9 +145,27 @@
 		return r.verdict(req, &picks, ReasonProbe)
 	}
 	picks, reason := r.gather(req, &t)
+	r.trust(req, &picks)
 	return r.verdict(req, &picks, reason)
 }
 
+// trust takes the first server in the rendezvous order to cache what is shared.
+func (r *Router) trust(req *Request, p *picks) {
+	if p.first < 0 || r.cfg.Trust == 0 {
+		return
+	}
+	r.matched[p.first] = max(r.matched[p.first], int32(r.cfg.Trust*float64(req.SharedTokens)))
+}
+
+// Prefill returns the prompt tokens of own requests that a server has not begun to
+// answer.
+func (r *Router) Prefill(id string) int {
+	if slot, ok := r.index.slots[id]; ok && slot < len(r.servers) {
+		return max(r.servers[slot].health.prefill, 0)
+	}
+	return 0
+}
+
 // tally is what one pass over all servers found.
 type tally struct {
 	load     float64 // estimated requests on usable servers
@@ -287,7 +305,7 @@
 			held.offer(i, ^noise) // another sample than that of all servers
 		}
 	}
-	var p picks
+	p := picks{first: -1}
 	if sampled.n == 0 {
 		p.addAll(&over)
 		if over.n == 0 {
@@ -298,7 +316,6 @@
 	p.addAll(&held)
 	p.addAll(&ranked)
 	p.addAll(&sampled)
-	p.first = -1
 	if ranked.n > 0 {
 		p.first = ranked.slot[0]
 	}
@@ -351,7 +368,7 @@
 // cost estimates the time to first token on the server in slot i.
 func (r *Router) cost(req *Request, i int) time.Duration {
 	s := &r.servers[i]
-	tokens := float64(uncached(req, r.matched[i]) + s.health.prefill)
+	tokens := float64(uncached(req, r.matched[i]) + s.ahead())
 	cost := tokens / r.cfg.PrefillRate
 	use := (s.load() + 1) / s.slots
 	cost += min(use, 1) * r.cfg.BusyCost.Seconds()
--- a/policy/route/server.go
+++ b/policy/route/server.go
@@ -57,6 +57,7 @@
 	reported int    // running and waiting as of reportAt
 	net      int    // own starts less own ends since reportAt
 	own      int    // own requests not ended
+	others   int    // prompt tokens of other entries that wait there, as reported
 	health   health
 
 	id          string
@@ -96,6 +97,7 @@
 	}
 	s.reportAt = at
 	s.reported = a.Load.Running + a.Load.Waiting
+	s.others = a.Load.Prefill
 	s.net = s.history.since(at)
 }
 
@@ -117,6 +119,10 @@
 	return float64(max(s.reported+s.net, s.own, 0))
 }
 
+// ahead is how many prompt tokens are to be prefilled before those of a new
+// request.
+func (s *server) ahead() int { return s.health.prefill + s.others }
+
 // ramp is the part of its full share that a new server may have.
 func (s *server) ramp(cfg *Config, now time.Time) float64 {
 	if s.grown {
--- a/policy/route/verdict.go
+++ b/policy/route/verdict.go
@@ -9,6 +9,7 @@
 	Prefixes     []uint64 // see native.PrefixHashes; empty for a plain service
 	Key          uint64   // groups related requests that have no Prefixes; 0: none
 	PromptTokens int      // estimate of the whole prompt
+	SharedTokens int      // of these, the beginning that other requests share
 	Adapter      string   // must be loaded; empty: none needed
 	Version      string   // must be served; empty: any
 	Zone         string   // of the entry
