policy/supply: on-demand servers stand in for a zone that a wave has taken

Cause: waves come in pairs, six seconds apart and thirteen long. TestWaves fails without the loss of one more zone.

--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -102,7 +102,8 @@
 	}
 	orders := supply.Plan(supply.Input{
 		Zones: zonesOf(s.Scaling), Min: s.Scaling.Min, Max: s.Scaling.Max, SpotPrice: s.Scaling.SpotPrice,
-		Need: need, Serving: count.serving, Present: count.present, Closed: f.closed(s.Name, now),
+		Need: need, Serving: count.serving, Present: count.present,
+		Ordered: f.ordered(s.Name), Closed: f.closed(s.Name, now),
 	})
 	for _, o := range orders {
 		f.order(ctx, s.Name, o, count.serving[o.Kind], need, now)
@@ -133,6 +134,17 @@
 	}
 }
 
+// ordered returns the numbers that the cloud accepted last.
+func (f *fleet) ordered(service string) map[supply.Kind]int {
+	out := make(map[supply.Kind]int)
+	for key, o := range f.orders {
+		if key.service == service && !o.refused && !o.pending {
+			out[key.kind] = o.count
+		}
+	}
+	return out
+}
+
 // closed returns the kinds that were refused lately.
 func (f *fleet) closed(service string, now time.Time) map[supply.Kind]bool {
 	out := make(map[supply.Kind]bool)
--- a/policy/supply/supply.go
+++ b/policy/supply/supply.go
@@ -10,9 +10,10 @@
 // others queue, and callers see late first tokens until the wave is over.
 //
 // The rule: reclaimable servers in all zones, so many that the load is served
-// without any one zone; on-demand servers only for what reclaimable ones do not
-// serve at the moment. A reclaimable server at a fifth of the price pays even
-// though half of them are spare.
+// without any one zone; on-demand servers for what reclaimable ones would not serve
+// after one more wave. A reclaimable server at a fifth of the price pays even
+// though half of them are spare, and on-demand ones are there only while a wave
+// lasts.
 //
 // The package does no I/O and reads no clock. Plan is a pure function.
 package supply
@@ -49,6 +50,8 @@
 	// Present also those that are about to go.
 	Serving map[Kind]int
 	Present map[Kind]int
+	// Ordered counts the servers that were ordered last, which may still boot.
+	Ordered map[Kind]int
 	// Closed holds the kinds that are not to be had at the moment.
 	Closed map[Kind]bool
 }
@@ -114,20 +117,40 @@
 
 func clamp(n, lo, hi int) int { return min(max(n, lo), max(hi, 0)) }
 
-// onDemand splits what reclaimable servers do not serve now among the zones:
-// first to servers that are there, which need no boot, then to the cheapest zones.
+// surviving is how many reclaimable servers would still serve after the next wave.
+// Waves come in pairs: one that found the fleet with a single zone's servers left
+// would leave the load without any for as long as servers boot. With a single zone
+// left there is nothing to spread over, and all of it counts.
+func (in *Input) surviving(zones []Zone, wanted map[string]int) int {
+	total, most, with := 0, 0, 0
+	for _, z := range zones {
+		// More than what is wanted of them is about to go.
+		n := min(in.Serving[Kind{z.Name, true}], wanted[z.Name])
+		total += n
+		most = max(most, n)
+		if n > 0 {
+			with++
+		}
+	}
+	if with < 2 {
+		return total
+	}
+	return total - most
+}
+
+// onDemand splits what reclaimable servers do not serve among the zones: first to
+// servers that are there or boot, then to the cheapest zones.
 func (in *Input) onDemand(zones []Zone, wanted map[string]int) map[string]int {
 	out := make(map[string]int, len(zones))
 	spot := in.expected(zones, wanted)
-	missing := in.Need
+	missing := in.Need - in.surviving(zones, wanted)
 	for _, z := range zones {
-		// More than what is wanted of them is about to go.
-		missing -= min(in.Serving[Kind{z.Name, true}], wanted[z.Name])
 		out[z.Name] = max(in.Min-spot[z.Name], 0)
 		missing -= out[z.Name]
 	}
 	for _, z := range zones {
-		have := min(in.Serving[Kind{z.Name, false}], in.Max-spot[z.Name])
+		kind := Kind{z.Name, false}
+		have := min(max(in.Serving[kind], in.Ordered[kind]), in.Max-spot[z.Name])
 		keep := clamp(have-out[z.Name], 0, max(missing, 0))
 		out[z.Name] += keep
 		missing -= keep
--- a/policy/supply/supply_test.go
+++ b/policy/supply/supply_test.go
@@ -45,24 +45,43 @@
 	}
 	spot, onDemand = counts(Plan(in))
 	require.Equal(t, 12, spot)
-	require.Zero(t, onDemand)
+	require.Equal(t, 4, onDemand, "for the loss of a zone")
 	in.Present = nil
 	spot, _ = counts(Plan(in))
 	require.Equal(t, 18, spot, "when the others have gone there is room")
 }
 
-// A wave takes all reclaimable servers of one zone. The others still serve the
-// load, and nothing dear is ordered.
-func TestWaveInOneZone(t *testing.T) {
+// A wave takes all reclaimable servers of one zone. The others serve the load; what
+// a second wave would leave short is ordered on demand before it comes.
+//
+// It breaks without Input.surviving: with the second wave the load would be left
+// with half of the servers it needs for as long as a boot takes.
+func TestWaves(t *testing.T) {
 	in := threeZones()
-	in.Serving = map[Kind]int{{"a", true}: 4, {"b", true}: 4}
+	in.Serving = map[Kind]int{{"a", true}: 4, {"b", true}: 4, {"c", true}: 4}
 	_, onDemand := counts(Plan(in))
 	require.Zero(t, onDemand)
-	in.Serving = map[Kind]int{{"b", true}: 4}
+
+	in.Serving = map[Kind]int{{"a", true}: 4, {"b", true}: 4}
+	in.Closed = map[Kind]bool{{"c", true}: true}
 	orders := Plan(in)
 	_, onDemand = counts(orders)
-	require.Equal(t, 4, onDemand, "a second wave: what is missing is ordered on demand")
-	require.Contains(t, orders, Order{Kind{"a", false}, 2}, "in the cheapest zones")
+	require.Equal(t, 4, onDemand)
+
+	in.Ordered = map[Kind]int{}
+	for _, o := range orders {
+		in.Ordered[o.Kind] = o.Count
+	}
+	in.Serving = map[Kind]int{{"b", true}: 4}
+	in.Closed[Kind{"a", true}] = true
+	again := Plan(in)
+	for _, o := range again {
+		if !o.Reclaimable {
+			require.GreaterOrEqual(t, o.Count, in.Ordered[o.Kind], "servers that boot are not given up")
+		}
+	}
+	_, onDemand = counts(again)
+	require.Equal(t, 4, onDemand, "four and four serve the load")
 }
 
 // Waves have taken the reclaimable servers of all zones, and none are to be had. A
