gateway: entries tell their running requests every 400 ms

Cause: reports a second old let several entries choose the same server in a burst. With many entries the wait grows to a second again.

--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -142,7 +142,10 @@
 	pause := retryMin
 	for ctx.Err() == nil {
 		req := f.deps.Request()
-		req.Life, req.Seen, req.Wait = life, seen, f.cfg.Wait
+		req.Life, req.Seen = life, seen
+		if req.Wait <= 0 {
+			req.Wait = f.cfg.Wait
+		}
 		reply, err := f.call(ctx, addr, p, req)
 		if err == errKicked {
 			continue
@@ -170,7 +173,7 @@
 func (kicked) Error() string { return "there is news to send" }
 
 func (f *Follower) call(ctx context.Context, addr string, p *peer, req api.WatchRequest) (api.WatchReply, error) {
-	callCtx, cancel := context.WithTimeout(ctx, f.cfg.Wait+answerSlack)
+	callCtx, cancel := context.WithTimeout(ctx, req.Wait+answerSlack)
 	defer cancel()
 	done := make(chan struct{})
 	defer close(done)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,6 +123,12 @@
 	// retryBackoff is the longest wait before a repeat: callers' objectives are a
 	// few hundred milliseconds.
 	retryBackoff = 50 * time.Millisecond
+	// watchMin and watchMax bound how often an entry tells what it has running, and
+	// learns what others have; watchEach is added for each entry, so that a replica
+	// is called some fifty times a second at most while the bound allows.
+	watchMin  = 400 * time.Millisecond
+	watchMax  = time.Second
+	watchEach = 20 * time.Millisecond
 	// maxFrame holds the largest catalogue with its envelope.
 	maxFrame = 8 << 20
 	// linkBackoff is the longest pause between attempts to reach a replica.
@@ -146,7 +152,7 @@
 }
 
 func (g *Gateway) watchRequest() api.WatchRequest {
-	req := api.WatchRequest{Role: api.RoleEntry, Usage: g.usage.report()}
+	req := api.WatchRequest{Role: api.RoleEntry, Wait: g.watchWait(), Usage: g.usage.report()}
 	if t := g.table.Load(); t != nil {
 		req.Revision = t.Catalogue().Revision
 		// Callers are sent here only once they can be answered.
@@ -157,6 +163,13 @@
 	return req
 }
 
+// watchWait is how long a replica is to keep a call waiting.
+func (g *Gateway) watchWait() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return min(max(time.Duration(g.entries)*watchEach, watchMin), watchMax)
+}
+
 // take merges what a control replica told.
 func (g *Gateway) take(addr string, r api.WatchReply) {
 	g.clock.Observe(addr, r.Clock)
