--- a/cmd/savoryreel/main.go
+++ b/cmd/savoryreel/main.go
@@ -24,6 +24,7 @@
 
 // execute runs one command line and returns the process's exit code.
 func execute(args []string) int {
+	defer logWriter.Close()
 	root := newRoot()
 	root.SetArgs(args)
 	err := root.Execute()
@@ -79,12 +80,16 @@
 	return cmd
 }
 
+// logWriter takes the log lines of this process. They go to standard output, and
+// execute writes the last of them before the process ends.
+var logWriter = event.NewWriter(os.Stdout)
+
 func newLogger(level string) *slog.Logger {
 	var l slog.Level
 	if l.UnmarshalText([]byte(level)) != nil {
 		l = slog.LevelInfo // before the settings are read there is no level
 	}
-	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
+	return slog.New(slog.NewJSONHandler(logWriter, &slog.HandlerOptions{Level: l}))
 }
 
 // clientContext ends at SIGINT or SIGTERM, for commands that are no daemons.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -86,6 +86,9 @@
 // Signals adds an actor that ends the group at SIGTERM or SIGINT, once drain
 // has returned. A second signal ends the process at once.
 func Signals(g *run.Group, drain func(ctx context.Context), log *slog.Logger) {
+	// SIGHUP ends a process that doesn't ask for it. What is read again then is the
+	// matter of WatchFile; a daemon whose settings are flags has nothing to read.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	Actor(g, func(ctx context.Context) error {
 		signals := make(chan os.Signal, 2)
 		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/daemon/reload_test.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/stretchr/testify/require"
+)
+
+func nextContent(t *testing.T, contents <-chan string) string {
+	t.Helper()
+	select {
+	case c := <-contents:
+		return c
+	case <-time.After(10 * time.Second):
+		t.Fatal("the file was not read again")
+		return ""
+	}
+}
+
+// The settings file changes, once without a signal and once with one. The process
+// reads it again each time and goes on.
+func TestFileIsReadAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	require.NoError(t, os.WriteFile(path, []byte("1"), 0o600))
+	ctx, cancel := context.WithCancel(t.Context())
+	contents, done := make(chan string, 4), make(chan error, 1)
+	go func() {
+		done <- WatchFile(ctx, slog.New(slog.DiscardHandler), path, func(c []byte) { contents <- string(c) })
+	}()
+	time.Sleep(100 * time.Millisecond) // the first look at the file
+	require.NoError(t, os.WriteFile(path, []byte("2"), 0o600))
+	require.Equal(t, "2", nextContent(t, contents))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.Equal(t, "2", nextContent(t, contents))
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+}
+
+// An operator sends SIGHUP to a daemon that reads no file. It must not end with
+// the requests that it serves.
+//
+// It breaks without the Notify of SIGHUP in Signals: the test's process ends.
+func TestHangupDoesNotEndADaemon(t *testing.T) {
+	var g run.Group
+	Signals(&g, func(context.Context) {}, slog.New(slog.DiscardHandler))
+	stop := make(chan struct{})
+	g.Add(func() error { <-stop; return nil }, func(error) {})
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run() }()
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	select {
+	case <-ended:
+		t.Fatal("the daemon ended")
+	case <-time.After(200 * time.Millisecond):
+	}
+	close(stop)
+	require.NoError(t, <-ended)
+}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -27,6 +27,10 @@
 // its catalogue; meanwhile another entry may take it.
 const staleRetry = 2 * time.Second
 
+// emptyRetry is when a caller should come back to a system that has just started:
+// its first catalogue arrives within a second.
+const emptyRetry = time.Second
+
 // call is one caller's request on its way to acceptance.
 type call struct {
 	http      *http.Request
@@ -46,6 +50,9 @@
 		return nil, request.NewProblem(request.CodeCatalogueStale, request.NotRun,
 			"no majority of control replicas has confirmed this entry's catalogue; other entries: %s", e.otherEntries()).After(staleRetry)
 	}
+	if c.catalogue.empty() {
+		return nil, request.NewProblem(request.CodeCatalogueStale, request.NotRun, "no catalogue has been accepted yet").After(emptyRetry)
+	}
 	key, _ := request.BearerKey(r.Header)
 	var known bool
 	if c.workspace, known = c.catalogue.workspaceOf(key); !known {
--- a/entry/catalogue.go
+++ b/entry/catalogue.go
@@ -52,6 +52,10 @@
 	return c
 }
 
+// empty reports whether nobody can call: no catalogue was accepted yet. A good key
+// must not read as unknown then, which callers take for final.
+func (c *catalogue) empty() bool { return len(c.workspaces) == 0 }
+
 // workspaceOf finds the workspace of a bearer key. The key is looked up by its
 // hash, so the time taken tells nothing about other keys.
 func (c *catalogue) workspaceOf(key string) (*contract.Workspace, bool) {
--- a/entry/catalogue_test.go
+++ b/entry/catalogue_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/control/api"
 	"savoryreel.example/savoryreel/link"
 )
@@ -215,3 +216,13 @@
 	reply := replaceWhileLocked(t, f, "(*follower).describe", f.describe)
 	require.Equal(t, confirmedReply{Index: 2, Known: true}, reply)
 }
+
+// A system has just started and its first catalogue is on its way. A caller with a
+// good key must be told to come back, and not that nobody holds its key.
+func TestEmptyCatalogueKnowsNoCaller(t *testing.T) {
+	require.True(t, newCatalogue(api.CatalogueReply{}).empty())
+	full := newCatalogue(api.CatalogueReply{Catalogue: contract.Catalogue{
+		Workspaces: []contract.Workspace{{Name: "w", Keys: []contract.KeyHash{contract.HashKey("k")}}},
+	}})
+	require.False(t, full.empty())
+}
--- a/event/event.go
+++ b/event/event.go
@@ -20,6 +20,7 @@
 	ProcessStopped    Kind = 1003
 	SettingsRefused   Kind = 1004
 	SettingsRead      Kind = 1006
+	LinesDropped      Kind = 1007
 	ListenerOpen      Kind = 1005
 	DrainBegun        Kind = 1010
 	DrainDone         Kind = 1011
@@ -84,6 +85,7 @@
 	{SettingsRefused, "settings refused"},
 	{ListenerOpen, "listener open"},
 	{SettingsRead, "settings read again"},
+	{LinesDropped, "log lines dropped"},
 	{DrainBegun, "drain begun"},
 	{DrainDone, "drain done"},
 	{RequestEnded, "request ended"},
--- /dev/null
+++ b/event/writer_test.go
@@ -0,0 +1,51 @@
+package event
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The reader of a process's log stalls. Requests must go on: lines are dropped and
+// counted, and the count is written when the reader goes on.
+//
+// It breaks if Write waits for the reader.
+func TestStalledLogReader(t *testing.T) {
+	reader, pipe := io.Pipe()
+	w := NewWriter(pipe)
+	start := time.Now()
+	const lines = 3 * queuedLines
+	for i := range lines {
+		_, err := fmt.Fprintf(w, "line %d\n", i)
+		require.NoError(t, err)
+	}
+	require.Less(t, time.Since(start), 2*time.Second)
+	require.Positive(t, w.Dropped())
+	read := make(chan string)
+	go func() {
+		all, _ := io.ReadAll(reader)
+		read <- string(all)
+	}()
+	for w.Dropped() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w.Close()
+	require.NoError(t, pipe.Close())
+	text := <-read
+	require.Contains(t, text, `"event":1007`)
+	require.Less(t, strings.Count(text, "line "), lines)
+}
+
+func TestLinesAreWrittenAtTheEnd(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	_, _ = w.Write([]byte("a\n"))
+	_, _ = w.Write([]byte("b\n"))
+	w.Close()
+	require.Equal(t, "a\nb\n", out.String())
+}
--- a/replica/storage/fs.go
+++ b/replica/storage/fs.go
@@ -85,14 +85,32 @@
 	return errors.Join(d.Sync(), d.Close())
 }
 
-// Lock takes an advisory lock (flock) on a file.
+// Lock takes an advisory lock (flock) on a file. A file system that knows no such
+// locks grants it: the lock only keeps an operator from starting two replicas on
+// one folder, and a replica that would not start at all is worse.
 func (OS) Lock(name string) (io.Closer, error) {
 	f, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, fileMode)
 	if err != nil {
 		return nil, err
 	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		return nil, errors.Join(ErrLocked, err, f.Close())
+	if err := lockError(syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)); err != nil {
+		return nil, errors.Join(err, f.Close())
 	}
 	return f, nil
 }
+
+// lockError tells a lock that another process holds from one that the file system
+// doesn't have.
+func lockError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, syscall.EWOULDBLOCK):
+		return errors.Join(ErrLocked, err)
+	case errors.Is(err, syscall.EBADF), errors.Is(err, syscall.ENOLCK), errors.Is(err, syscall.ENOSYS),
+		errors.Is(err, syscall.EINVAL), errors.Is(err, syscall.ENOTSUP):
+		return nil
+	default:
+		return err
+	}
+}
