--- /dev/null
+++ b/e2e/platform_test.go
@@ -0,0 +1,263 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/platform/standin"
+)
+
+const (
+	platformKey = "key-1"
+	// platformPort is the first of the ports between processes. Every process has an
+	// address of its own, so all use the same.
+	platformPort = 7600
+)
+
+// platformSite runs the programs as they run on the users' platform, with
+// stand-ins for all else.
+type platformSite struct {
+	*site
+	net      string // of the processes' addresses
+	controls []*process
+	entries  []*process
+	cloud    *standin.Cloud
+	servers  []*standin.Server
+}
+
+func newPlatformSite(t *testing.T, controls, entries, servers int) *platformSite {
+	p := &platformSite{site: newSite(t)}
+	parts := strings.Split(p.ip, ".")
+	// The last part of the site's address is its own in this run; in the third part it
+	// leaves the last one to the site's processes.
+	p.net = fmt.Sprintf("127.%s.%s", parts[1], parts[3])
+	p.cloud = standin.StartCloud()
+	t.Cleanup(p.cloud.Close)
+	for i := range controls {
+		p.controls = append(p.controls, p.startPlatformControl(i, true))
+	}
+	for i := range entries {
+		p.entries = append(p.entries, p.startPlatformEntry(i))
+	}
+	for i := range servers {
+		s, err := standin.StartServer(fmt.Sprintf("s%d", i), "web", "z1", p.controlAddrs())
+		require.NoError(t, err)
+		t.Cleanup(s.Close)
+		p.servers = append(p.servers, s)
+	}
+	p.replace(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
+	for i := range entries {
+		p.eventually(func() bool { return standin.Ready(p.ctx(), p.at(entryHost(i), standin.ReadinessPort)) }, "entry is ready")
+		p.eventually(func() bool {
+			a, err := standin.Call(p.ctx(), p.entryAddr(i), platformKey, "/get/x", "")
+			return err == nil && a.Status == 200
+		}, "entry serves")
+	}
+	return p
+}
+
+func (p *platformSite) ctx() context.Context { return p.t.Context() }
+
+func controlHost(i int) int { return 1 + i }
+func entryHost(i int) int   { return 101 + i }
+
+func (p *platformSite) host(n int) string { return fmt.Sprintf("%s.%d", p.net, n) }
+
+func (p *platformSite) at(host, port int) string { return fmt.Sprintf("%s:%d", p.host(host), port) }
+
+func (p *platformSite) entryAddr(i int) string { return p.at(entryHost(i), standin.CallerPort) }
+
+func (p *platformSite) controlAddrs() []string {
+	var out []string
+	for i := range 3 {
+		out = append(out, p.at(controlHost(i), standin.ControlPort))
+	}
+	return out
+}
+
+func (p *platformSite) eventually(ok func() bool, what string) {
+	p.t.Helper()
+	require.Eventually(p.t, ok, bound, 20*time.Millisecond, what)
+}
+
+// startPlatform starts a process with a settings file of the platform.
+func (p *platformSite) startPlatform(role string, s standin.Settings) *process {
+	s.Seeds, s.Zone, s.Cloud, s.PortBase = p.controlAddrs(), "z1", p.cloud.Address(), platformPort
+	file := filepath.Join(p.folder, "settings-"+s.IP)
+	require.NoError(p.t, os.WriteFile(file, []byte(s.File()), 0o600))
+	return p.start(role+"-"+s.IP, "platform", role, "--settings-file", file)
+}
+
+func (p *platformSite) startPlatformControl(i int, first bool) *process {
+	ip := p.host(controlHost(i))
+	return p.startPlatform("control", standin.Settings{IP: ip, First: first, DataDir: filepath.Join(p.folder, ip)})
+}
+
+func (p *platformSite) startPlatformEntry(i int) *process {
+	return p.startPlatform("entry", standin.Settings{IP: p.host(entryHost(i))})
+}
+
+// replace puts a catalogue in force through control replica i.
+func (p *platformSite) replace(i int, c standin.Catalogue) {
+	p.t.Helper()
+	p.eventually(func() bool { return standin.Replace(p.ctx(), p.controlAddrs()[i], c) == nil }, "catalogue is acknowledged")
+}
+
+func (p *platformSite) runs() (runs []standin.Run) {
+	for _, s := range p.servers {
+		runs = append(runs, s.Runs()...)
+	}
+	return runs
+}
+
+// The whole path as separate processes on the users' platform: callers ask where to
+// connect, and are answered whole, streams too; servers see the workspace and never
+// the key; unknown keys and paths are told apart.
+func TestPlatformWholePath(t *testing.T) {
+	p := newPlatformSite(t, 3, 2, 2)
+	p.eventually(func() bool {
+		list, err := standin.Entries(p.ctx(), p.at(controlHost(1), standin.DirectoryPort))
+		return err == nil && len(list) == 2
+	}, "both entries are named")
+	for i := range 10 {
+		body := fmt.Sprintf("body %d", i)
+		a, err := standin.Call(p.ctx(), p.entryAddr(i%2), platformKey, "/web/x", body)
+		require.NoError(t, err)
+		require.Equal(t, standin.Answer{ID: a.ID, Status: 200, Signed: true, Body: body, Whole: true}, a)
+	}
+	a, err := standin.Call(p.ctx(), p.entryAddr(0), platformKey, "/chat/stream/20", "")
+	require.NoError(t, err)
+	require.True(t, a.Whole && strings.HasSuffix(a.Body, "id: 20\ndata: event 20\n\n"))
+	a, err = standin.Call(p.ctx(), p.entryAddr(0), "unknown", "/web/x", "")
+	require.NoError(t, err)
+	require.Equal(t, 401, a.Status)
+	a, err = standin.Call(p.ctx(), p.entryAddr(0), platformKey, "/none/x", "")
+	require.NoError(t, err)
+	require.Equal(t, 404, a.Status)
+	for _, r := range p.runs() {
+		require.Equal(t, "w1", r.Workspace)
+		require.Empty(t, r.Key)
+	}
+}
+
+// The control replica that leads is killed while changes are made. Each change that
+// was acknowledged is in force at every entry soon after, and is read back.
+func TestPlatformChangesWhileALeaderIsKilled(t *testing.T) {
+	p := newPlatformSite(t, 3, 2, 1)
+	for revision := uint64(2); revision <= 6; revision++ {
+		if revision == 3 {
+			p.controls[0].kill(t)
+		}
+		if revision == 5 {
+			p.controls[0] = p.startPlatformControl(0, false)
+		}
+		extra := fmt.Sprintf("/extra-%d/", revision)
+		p.replace(1, standin.Catalogue{Revision: revision, Service: "web", Keys: []string{platformKey}, Extra: extra})
+		acknowledged := time.Now()
+		for i := range 2 {
+			p.eventually(func() bool {
+				a, err := standin.Call(p.ctx(), p.entryAddr(i), platformKey, extra+"x", "")
+				return err == nil && a.Status == 200
+			}, "the new route is served")
+		}
+		require.Less(t, time.Since(acknowledged), 2*time.Second, "in force everywhere")
+	}
+	p.eventually(func() bool {
+		revision, err := standin.Revision(p.ctx(), p.controlAddrs()[2])
+		return err == nil && revision == 6
+	}, "the newest change is read back")
+}
+
+// An entry is told to stop while it works on a request that takes a while. The
+// request is answered, the entry is named no more, and the process ends well within
+// its grace.
+func TestPlatformEntryStops(t *testing.T) {
+	p := newPlatformSite(t, 3, 2, 1)
+	done := make(chan standin.Answer, 1)
+	go func() {
+		a, _ := standin.Call(p.ctx(), p.entryAddr(0), platformKey, "/web/slow/1500", "slow")
+		done <- a
+	}()
+	p.eventually(func() bool {
+		return slices.ContainsFunc(p.runs(), func(r standin.Run) bool { return strings.Contains(r.Path, "slow") })
+	}, "the request runs")
+	p.entries[0].signal(t, syscall.SIGTERM)
+	p.eventually(func() bool {
+		list, err := standin.Entries(p.ctx(), p.at(controlHost(0), standin.DirectoryPort))
+		return err == nil && slices.Equal(list, []string{p.entryAddr(1)})
+	}, "the entry is named no more")
+	a := <-done
+	require.True(t, a.Whole && a.Status == 200, "%+v", a)
+	select {
+	case <-p.entries[0].done:
+		require.NoError(t, p.entries[0].err)
+	case <-time.After(4 * time.Second):
+		t.Fatal("the entry has not ended within its grace")
+	}
+}
+
+// A backend server says that it leaves. It gets no new request from any entry soon
+// after, whichever control replica heard it.
+func TestPlatformServerLeaves(t *testing.T) {
+	p := newPlatformSite(t, 3, 2, 2)
+	require.NoError(t, p.servers[0].Drain(p.ctx()))
+	acknowledged := time.Now()
+	for time.Since(acknowledged) < 2*time.Second {
+		for i := range 2 {
+			a, err := standin.Call(p.ctx(), p.entryAddr(i), platformKey, "/get/x", "")
+			require.NoError(t, err)
+			require.Equal(t, 200, a.Status)
+		}
+	}
+	for _, r := range p.servers[0].Runs() {
+		require.Less(t, r.At.Sub(acknowledged), time.Second)
+	}
+}
+
+// Usage of each window is reported once, over a change of the replica that reports
+// it, and all of it is there.
+func TestPlatformUsage(t *testing.T) {
+	p := newPlatformSite(t, 3, 2, 1)
+	for round := range 4 {
+		if round == 2 {
+			p.controls[1].kill(t)
+		}
+		for i := range 10 {
+			a, err := standin.Call(p.ctx(), p.entryAddr(i%2), platformKey, "/get/x", "")
+			require.NoError(t, err)
+			require.Equal(t, 200, a.Status)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	began := int64(len(p.runs()))
+	p.eventually(func() bool {
+		total, _ := p.cloud.Total("w1")
+		return total == began
+	}, "all usage is reported")
+	_, faults := p.cloud.Total("w1")
+	require.Empty(t, faults)
+}
+
+// The settings file changes, and SIGHUP comes. The processes go on.
+func TestPlatformHangup(t *testing.T) {
+	p := newPlatformSite(t, 3, 1, 1)
+	for _, proc := range append(p.controls, p.entries...) {
+		proc.signal(t, syscall.SIGHUP)
+	}
+	time.Sleep(300 * time.Millisecond)
+	a, err := standin.Call(p.ctx(), p.entryAddr(0), platformKey, "/get/x", "")
+	require.NoError(t, err)
+	require.Equal(t, 200, a.Status)
+	for _, proc := range append(p.controls, p.entries...) {
+		p.eventually(func() bool { return strings.Contains(proc.log.String(), "settings read again") }, "it says so")
+	}
+}
