--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -39,6 +39,13 @@
 
 	Usage []WindowUsage `msgpack:"usage,omitempty"` // all that the sender counted, newest windows
 	Loads []ServerLoad  `msgpack:"loads,omitempty"` // what the sender has running, none left out
+	Uses  []Use         `msgpack:"uses,omitempty"`  // what the sender has let in since its start
+}
+
+// Use is how much of a workspace's limit has been let in, in the limit's unit.
+type Use struct {
+	Workspace string  `msgpack:"w"`
+	Amount    float64 `msgpack:"n"`
 }
 
 // ServerLoad is what runs and waits at a backend server.
@@ -65,6 +72,7 @@
 	Replicas []string           `msgpack:"replicas"`      // link addresses of all replicas
 	Live     int                `msgpack:"live"`          // entries that take callers
 	Loads    []ServerLoad       `msgpack:"loads"`         // what all other entries have running
+	Uses     []Use              `msgpack:"uses"`          // what all other entries have let in since this replica began
 	Clock    time.Time          `msgpack:"clock"`         // the replica's time of day
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -61,6 +61,7 @@
 	revisions *revisions
 	usage     *usageBook
 	loads     *loadBook
+	uses      *useBook
 	clock     *wallclock.Clock
 	pool      *link.Pool
 	traffic   *link.Traffic
@@ -101,7 +102,7 @@
 			SilentAfter: silentAfter(cfg.Node.AnnounceEvery), EntrySilentAfter: entrySilentAfter, ForgetAfter: directory.DefaultForgetAfter,
 			AddressKept: time.Duration(addressPart * float64(cfg.Node.Bounds.AddressReuse)),
 		}),
-		revisions: newRevisions(), usage: newUsageBook(), loads: newLoadBook(), clock: wallclock.System(),
+		revisions: newRevisions(), usage: newUsageBook(), loads: newLoadBook(), uses: newUseBook(), clock: wallclock.System(),
 		stopping: make(chan struct{}), heard: make(map[string]time.Time),
 	}
 	c.traffic = link.NewTraffic(c.metrics)
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -62,6 +62,7 @@
 	}
 	if req.Entry != nil {
 		reply.Loads = c.loads.others(req.Entry.Name)
+		reply.Uses = c.uses.others(entryLife{req.Entry.Name, req.Entry.Incarnation})
 	}
 	revision, document, _ := c.revisions.newest()
 	reply.Revision = revision
@@ -77,6 +78,7 @@
 		c.directory.MergeEntry(*req.Entry, c.now())
 		c.usage.note(req.Entry.Name, req.Entry.Incarnation, req.Usage)
 		c.loads.note(req.Entry.Name, req.Loads, c.now())
+		c.uses.note(entryLife{req.Entry.Name, req.Entry.Incarnation}, req.Uses)
 	}
 	if req.Role == api.RoleControl && from.Address != "" {
 		c.noteCaller(from.Address)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,6 +159,7 @@
 		self := g.self()
 		req.Entry = &self
 		req.Loads = g.loads()
+		req.Uses = g.limiter.used()
 	}
 	return req
 }
@@ -182,6 +183,9 @@
 	g.countEntries(addr, r.Live)
 	g.applyDirectory()
 	g.noteOthers(r.Loads)
+	if r.Uses != nil {
+		g.limiter.noteOthers(addr, r.Life, r.Uses, g.now())
+	}
 }
 
 // loads returns what this entry has running at all servers.
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -1,43 +1,70 @@
 package gateway
 
 import (
+	"math"
 	"sync"
 	"time"
 
+	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/site"
 )
 
-// limiter holds each workspace to its limit. The limit is over all entries
-// together, so each entry enforces its part of it by itself, and keeps doing so
-// when it hears of no other.
+const (
+	// slackPart is the part of what the site's users allow beyond a limit that the
+	// entries let in on purpose. A request that one bucket for all entries would have
+	// let in is refused less often then, though none of them is that bucket. The rest
+	// covers what has not been heard of yet.
+	slackPart = 0.5
+	// othersFor is how long the last word on the others' use counts. An entry that
+	// hears nothing for longer holds itself to its own part of each limit.
+	othersFor = 1500 * time.Millisecond
+	// rateMemory is the time constant of the others' rate: short enough to follow a
+	// surge within a few reports.
+	rateMemory = 500 * time.Millisecond
+)
+
+// limiter holds each workspace to its limit, which is over all entries together.
 //
-// Without it one workspace that sends many times its usual would take the
-// engines from all others.
+// Without it one workspace that sends many times its usual would take the engines
+// from all others. With a fixed part of the limit for each entry, callers that do
+// not spread evenly would be refused within their limit, the more the more entries
+// there are. So each entry follows the use of all others: it draws what they report
+// from the same bucket, and counts on them to go on at the rate that they had.
 type limiter struct {
 	bounds site.Bounds
 
 	mu      sync.Mutex
 	entries int
 	buckets map[string]*bucket // by workspace
+	heard   map[string]*hearsay
+	others  map[string]float64 // what all others have let in, by workspace
+	at      time.Time          // of the last report on the others
 }
 
-// bucket is a token bucket: it fills at the part of the workspace's rate that
-// this entry has, up to its part of the burst.
+// bucket is a token bucket of one workspace.
 type bucket struct {
 	workspace routes.Workspace
-	level     float64
+	level     float64 // of the whole limit, as far as known; below 0 it is overdrawn
+	own       float64 // of this entry's part, for when nothing is heard of the others
 	at        time.Time
+
+	let  float64 // let in here since the start
+	seen float64 // of the others' use, as drawn from level
+	rate float64 // of the others, a second
 }
 
-// slackPart is the part of the overrun that the site's users allow which the
-// entries use up on purpose. Callers do not spread evenly over entries, so exact
-// parts would refuse work of a workspace that is within its limit; the rest
-// covers an entry that still counts one that has just gone.
-const slackPart = 0.5
+// hearsay is what one control replica has told of the others' use. Each replica
+// counts from its own start, so only what has come since the first word counts.
+type hearsay struct {
+	life uint64
+	base map[string]float64
+}
 
 func newLimiter(b site.Bounds) *limiter {
-	return &limiter{bounds: b, entries: 1, buckets: make(map[string]*bucket)}
+	return &limiter{
+		bounds: b, entries: 1, buckets: make(map[string]*bucket), heard: make(map[string]*hearsay), others: make(map[string]float64),
+	}
 }
 
 func (l *limiter) setEntries(n int) {
@@ -47,7 +74,8 @@
 }
 
 // setWorkspaces takes the limits of a catalogue. What a bucket holds stays, down
-// to its new size.
+// to its new size. A new one begins with this entry's part: what the others have
+// let in is not known yet.
 func (l *limiter) setWorkspaces(list []routes.Workspace, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -58,9 +86,8 @@
 		}
 		b := l.buckets[w.Name]
 		if b == nil {
-			b = &bucket{at: now}
-			b.workspace = w
-			b.level = l.size(&w)
+			part := l.size(&w) / float64(l.entries)
+			b = &bucket{at: now, level: part, own: part, seen: l.others[w.Name]}
 		}
 		b.workspace = w
 		next[w.Name] = b
@@ -68,14 +95,21 @@
 	l.buckets = next
 }
 
-// size is this entry's part of what a workspace may use at once.
-func (l *limiter) size(w *routes.Workspace) float64 {
-	return (w.Burst + slackPart*l.bounds.QuotaSlack) / float64(l.entries)
-}
+// size is what a workspace may use at once.
+func (l *limiter) size(w *routes.Workspace) float64 { return w.Burst + slackPart*l.bounds.QuotaSlack }
 
-// rate is this entry's part of a workspace's rate.
+// rate is what a workspace may use in a second.
 func (l *limiter) rate(w *routes.Workspace) float64 {
-	return w.PerSecond * (1 + slackPart*l.bounds.QuotaOverrun) / float64(l.entries)
+	return w.PerSecond * (1 + slackPart*l.bounds.QuotaOverrun)
+}
+
+// fill brings a bucket up to now.
+func (l *limiter) fill(b *bucket, now time.Time) {
+	elapsed := max(now.Sub(b.at).Seconds(), 0)
+	size, rate, part := l.size(&b.workspace), l.rate(&b.workspace), float64(l.entries)
+	b.level = min(b.level+rate*elapsed, size)
+	b.own = min(b.own+rate/part*elapsed, size/part)
+	b.at = now
 }
 
 // take uses up cost of the workspace's limit, or says when there will be enough.
@@ -86,14 +120,21 @@
 	if b == nil {
 		return true, 0
 	}
-	size, rate := l.size(&b.workspace), l.rate(&b.workspace)
-	b.level = min(b.level+rate*max(now.Sub(b.at).Seconds(), 0), size)
-	b.at = now
+	l.fill(b, now)
+	part := l.rate(&b.workspace) / float64(l.entries)
+	have, size := b.own, l.size(&b.workspace)/float64(l.entries)
+	if unheard := now.Sub(l.at); unheard <= othersFor && !l.at.IsZero() {
+		have, size = b.level-b.rate*unheard.Seconds(), l.size(&b.workspace)
+	}
 	need := min(cost, size) // one that is larger than the bucket goes through when it is full
-	if b.level < need {
-		return false, time.Duration((need - b.level) / rate * float64(time.Second))
+	if have < need {
+		// Each entry turns callers away at the same time. Told when there will be enough
+		// for one, all of them would come back then, and all but one in vain.
+		return false, time.Duration((need - have) / part * float64(time.Second))
 	}
 	b.level -= cost
+	b.own -= cost
+	b.let += cost
 	return true, 0
 }
 
@@ -102,8 +143,59 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[workspace]; b != nil {
-		b.level = min(b.level+cost, l.size(&b.workspace))
+		b.level += cost
+		b.own += cost
+		b.let -= cost
+	}
+}
+
+// used returns what has been let in here, for the other entries.
+func (l *limiter) used() []api.Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]api.Use, 0, len(l.buckets))
+	for name, b := range l.buckets {
+		if b.let != 0 {
+			out = append(out, api.Use{Workspace: name, Amount: b.let})
+		}
+	}
+	return out
+}
+
+// noteOthers takes a replica's word on what all other entries have let in. life
+// changes when the replica starts anew and counts from nothing.
+func (l *limiter) noteOthers(replica string, life uint64, uses []api.Use, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.heard[replica]
+	if h == nil || h.life != life {
+		h = &hearsay{life: life, base: make(map[string]float64)}
+		l.heard[replica] = h
+	}
+	told := make(map[string]float64, len(uses))
+	for _, u := range uses {
+		told[u.Workspace] = u.Amount
+		base, known := h.base[u.Workspace]
+		if !known {
+			// What this replica counted before is in what others told, or is too old.
+			base = u.Amount - l.others[u.Workspace]
+			h.base[u.Workspace] = base
+		}
+		// Replicas differ by what has reached them: the one that knows most counts.
+		l.others[u.Workspace] = max(l.others[u.Workspace], u.Amount-base)
+	}
+	elapsed := now.Sub(l.at).Seconds()
+	weight := 1 - math.Exp(-elapsed/rateMemory.Seconds())
+	for name, b := range l.buckets {
+		l.fill(b, now)
+		fresh := l.others[name] - b.seen
+		b.level -= fresh
+		b.seen = l.others[name]
+		if elapsed > 0 && !l.at.IsZero() {
+			b.rate += weight * (fresh/elapsed - b.rate)
+		}
 	}
+	l.at = now
 }
 
 // cost is what a request counts against its workspace's limit.
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/site"
 	"savoryreel.example/savoryreel/wallclock"
@@ -37,46 +38,152 @@
 	})
 }
 
-// A workspace sends ten times its limit at all entries together, from the start.
-// Over any window the entries let in no more than the limit and what the site's
-// users allow beyond it.
-func TestLimiter(t *testing.T) {
-	b := site.Bounds{QuotaWindow: 8 * time.Second, QuotaOverrun: 0.1, QuotaSlack: 80}
-	w := routes.Workspace{Name: "w", PerSecond: 100, Burst: 100, Unit: routes.Requests}
-	const entries = 6
-	var all []*limiter
-	start := time.Unix(0, 0)
+// limited is entries with one limited workspace, which tell each other of its use
+// through a control replica, late.
+type limited struct {
+	w       routes.Workspace
+	bounds  site.Bounds
+	now     time.Time
+	entries []*limiter
+	told    [][]float64 // what each entry had let in, newest last
+	let     []float64   // in each step
+}
+
+// Reports reach the others after limitedLag steps of limitedStep.
+const (
+	limitedStep = 100 * time.Millisecond
+	limitedLag  = 3
+)
+
+func newLimited(entries int, perSecond float64) *limited {
+	s := &limited{
+		w:      routes.Workspace{Name: "w", PerSecond: perSecond, Burst: perSecond, Unit: routes.Requests},
+		bounds: site.Bounds{QuotaWindow: 8 * time.Second, QuotaOverrun: 0.1, QuotaSlack: 0.7 * perSecond},
+		now:    time.Unix(0, 0), told: make([][]float64, entries),
+	}
 	for range entries {
-		l := newLimiter(b)
+		l := newLimiter(s.bounds)
 		l.setEntries(entries)
-		l.setWorkspaces([]routes.Workspace{w}, start)
-		all = append(all, l)
+		l.setWorkspaces([]routes.Workspace{s.w}, s.now)
+		s.entries = append(s.entries, l)
+	}
+	return s
+}
+
+// play sends perSecond requests for so long, spread over the entries by weight, and
+// returns how many were let in. cutOff entries neither tell nor hear.
+func (s *limited) play(perSecond float64, seconds float64, weight func(entry int) float64, cutOff bool) (let float64) {
+	total := 0.0
+	for i := range s.entries {
+		total += weight(i)
 	}
-	const steps = 200 // of 100 ms
-	var let [steps]int
-	for step := range steps {
-		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
-		for i := range 100 {
-			if ok, wait := all[i%entries].take("w", 1, now); ok {
-				let[step]++
-			} else {
-				require.Positive(t, wait)
+	for range int(seconds / limitedStep.Seconds()) {
+		s.now = s.now.Add(limitedStep)
+		step := 0.0
+		for i, l := range s.entries {
+			for range int(perSecond * limitedStep.Seconds() * weight(i) / total) {
+				if ok, _ := l.take("w", 1, s.now); ok {
+					step++
+				}
 			}
 		}
+		s.exchange(cutOff)
+		s.let = append(s.let, step)
+		let += step
 	}
-	most := (w.PerSecond*b.QuotaWindow.Seconds()+w.Burst)*(1+b.QuotaOverrun) + b.QuotaSlack
-	total := 0
-	for from := range steps - 80 {
-		sum := 0
-		for _, n := range let[from : from+80] {
-			sum += n
+	return let
+}
+
+func (s *limited) exchange(cutOff bool) {
+	all := 0.0
+	lagged := make([]float64, len(s.entries))
+	for i, l := range s.entries {
+		n := 0.0
+		for _, u := range l.used() {
+			n = u.Amount
+		}
+		s.told[i] = append(s.told[i], n)
+		if at := len(s.told[i]) - 1 - limitedLag; at >= 0 {
+			lagged[i] = s.told[i][at]
 		}
-		require.LessOrEqual(t, float64(sum), most)
+		all += lagged[i]
 	}
-	for _, n := range let {
-		total += n
+	for i, l := range s.entries {
+		if !cutOff {
+			l.noteOthers("c1", 1, []api.Use{{Workspace: "w", Amount: all - lagged[i]}}, s.now)
+		}
+	}
+}
+
+// requireWithin checks each window of the site.
+func (s *limited) requireWithin(t *testing.T) {
+	t.Helper()
+	most := (s.w.PerSecond*s.bounds.QuotaWindow.Seconds()+s.w.Burst)*(1+s.bounds.QuotaOverrun) + s.bounds.QuotaSlack
+	window := int(s.bounds.QuotaWindow / limitedStep)
+	for from := 0; from+window <= len(s.let); from++ {
+		sum := 0.0
+		for _, n := range s.let[from : from+window] {
+			sum += n
+		}
+		require.LessOrEqual(t, sum, most, "window from step %d", from)
 	}
-	require.Greater(t, float64(total), w.PerSecond*steps/10, "what the workspace is owed is let in")
+}
+
+func evenly(int) float64 { return 1 }
+
+// A workspace sends four times its limit at all entries, after it was quiet. Over
+// any window the entries let in no more than the limit and what the site's users
+// allow beyond it, though they hear of each other 300 ms late.
+//
+// It breaks without the others' rate in take.
+func TestLimiterUnderASurge(t *testing.T) {
+	s := newLimited(6, 600)
+	s.play(300, 10, evenly, false)
+	let := s.play(2400, 20, evenly, false)
+	s.requireWithin(t)
+	require.Greater(t, let, 0.9*20*s.w.PerSecond, "what the workspace is owed is let in")
+}
+
+// All callers of a workspace use one of six entries. They are within their limit
+// and are not refused.
+//
+// It breaks with a fixed part of the limit for each entry.
+func TestLimiterWithUnevenCallers(t *testing.T) {
+	s := newLimited(6, 600)
+	s.play(60, 5, evenly, false)
+	let := s.play(480, 10, func(i int) float64 {
+		if i == 0 {
+			return 1
+		}
+		return 0
+	}, false)
+	require.InDelta(t, 4800, let, 50)
+}
+
+// The entries hear nothing of each other. Each holds itself to its part.
+func TestLimiterCutOff(t *testing.T) {
+	s := newLimited(6, 600)
+	s.play(300, 5, evenly, false)
+	s.play(2400, 20, evenly, true)
+	s.requireWithin(t)
+}
+
+// A control replica starts anew and counts from nothing; another one lags. Neither
+// makes an entry forget or double what the others have let in.
+func TestLimiterHearsSeveralReplicas(t *testing.T) {
+	l := newLimiter(site.Bounds{})
+	now := time.Unix(0, 0)
+	l.setWorkspaces([]routes.Workspace{{Name: "w", PerSecond: 1, Burst: 1000}}, now)
+	use := func(n float64) []api.Use { return []api.Use{{Workspace: "w", Amount: n}} }
+	l.noteOthers("c1", 1, use(500), now)
+	require.InDelta(t, 1000, l.buckets["w"].level, 1, "what was before is not known")
+	l.noteOthers("c2", 1, use(80), now)
+	l.noteOthers("c1", 1, use(600), now)
+	l.noteOthers("c2", 1, use(150), now)
+	require.InDelta(t, 900, l.buckets["w"].level, 1)
+	l.noteOthers("c1", 2, use(10), now)
+	l.noteOthers("c1", 2, use(40), now)
+	require.InDelta(t, 870, l.buckets["w"].level, 1)
 }
 
 // A limit is lowered far below what a workspace sends. What it had saved up under
