--- a/event/event.go
+++ b/event/event.go
@@ -21,6 +21,7 @@
 	SettingsRefused   Kind = 1004
 	SettingsRead      Kind = 1006
 	LinesDropped      Kind = 1007
+	LinesSampled      Kind = 1008
 	ListenerOpen      Kind = 1005
 	DrainBegun        Kind = 1010
 	DrainDone         Kind = 1011
@@ -86,6 +87,7 @@
 	{ListenerOpen, "listener open"},
 	{SettingsRead, "settings read again"},
 	{LinesDropped, "log lines dropped"},
+	{LinesSampled, "lines of ordinary requests left out"},
 	{DrainBegun, "drain begun"},
 	{DrainDone, "drain done"},
 	{RequestEnded, "request ended"},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,7 @@
 	limiter   *limiter
 	usage     *usage
 	outcomes  outcomes
+	ordinary  *event.Sampler
 
 	inFlight atomic.Int64
 	leaving  atomic.Bool
@@ -97,6 +98,7 @@
 	}
 	g.usage = newUsage(g.clock, b.UsageWindow)
 	g.outcomes = outcomes{set: g.metrics}
+	g.ordinary = event.NewSampler(g.log, g.now, event.DefaultOrdinary)
 	retryCfg := retry.DefaultConfig()
 	retryCfg.Ratio = max(b.RetryRatio*retryPart, 0.01)
 	retryCfg.Window = b.RetryWindow
--- /dev/null
+++ b/gateway/logs_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/routes"
+)
+
+// logBuffer is a process's log.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// lines returns the lines of one request.
+func (b *logBuffer) lines(t *testing.T, id string) []map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	found, err := event.Trace("log", bytes.NewReader(b.buf.Bytes()), id)
+	require.NoError(t, err)
+	var out []map[string]any
+	for _, l := range found {
+		var fields map[string]any
+		require.NoError(t, json.Unmarshal([]byte(l.Text), &fields))
+		out = append(out, fields)
+	}
+	return out
+}
+
+func newLoggedRig(t *testing.T) (*rig, *logBuffer) {
+	b := &logBuffer{}
+	return newRigWithLog(t, slog.New(slog.NewJSONHandler(b, nil))), b
+}
+
+func (r *rig) askAs(id, path string) {
+	_ = r.Serve(r.t.Context(), &Request{ID: id, Method: "POST", Target: path, Path: path, Host: "a.example", Key: "k", Header: http.Header{}}, &recorder{})
+}
+
+// A workspace complains that a request was refused while servers stood free. The
+// log tells from its id that the workspace's limit was used up, and when the caller
+// was told to come back.
+func TestLogOfARefusedRequest(t *testing.T) {
+	r, log := newLoggedRig(t)
+	r.use(routes.Route{Prefix: "/", Kind: routes.NonIdempotent})
+	r.server("web", say("ok"))
+	c := *r.table.Load().Catalogue()
+	c.Workspaces = []routes.Workspace{{Name: "w", Keys: []string{"k"}, PerSecond: 0.1, Burst: 1}}
+	r.limiter.setWorkspaces(c.Workspaces, time.Now())
+	r.table.Store(routes.NewTable(&c))
+	for range 50 { // the site's slack too
+		r.askAs("before", "/x")
+	}
+	r.askAs("complaint", "/x")
+	lines := log.lines(t, "complaint")
+	require.Len(t, lines, 1)
+	require.Equal(t, event.RequestRefused.String(), lines[0]["msg"])
+	require.Equal(t, "over_limit", lines[0]["outcome"])
+	require.Equal(t, "w", lines[0]["workspace"])
+	require.InDelta(t, 0, lines[0]["sends"], 0)
+	require.Positive(t, lines[0]["retryAfter"])
+	require.Contains(t, lines[0], "revision")
+}
+
+// A caller complains of a late answer. The log tells which server took how long,
+// what was known of its load then, and how old that was.
+func TestLogOfALateAnswer(t *testing.T) {
+	r, log := newLoggedRig(t)
+	r.use(routes.Route{Prefix: "/", Kind: routes.Idempotent, Objective: 10 * time.Millisecond})
+	r.server("web", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		_, _ = w.Write([]byte("late"))
+	})
+	r.askAs("complaint", "/x")
+	lines := log.lines(t, "complaint")
+	require.Len(t, lines, 2)
+	chosen, ended := lines[0], lines[1]
+	require.Equal(t, event.RouteChosen.String(), chosen["msg"])
+	for _, field := range []string{"server", "reason", "load", "loadAge", "score", "cached"} {
+		require.Contains(t, chosen, field)
+	}
+	require.Equal(t, "answered", ended["outcome"])
+	require.Equal(t, chosen["server"], ended["server"])
+	require.Greater(t, ended["firstByte"], ended["objective"])
+}
+
+// A caller got an error and does not know whether its request ran. The log tells
+// that it was sent once and to which server, and at which step that one failed.
+func TestLogOfAnUnknownOutcome(t *testing.T) {
+	r, log := newLoggedRig(t)
+	r.use(routes.Route{Prefix: "/", Kind: routes.NonIdempotent})
+	s := r.server("web", cut)
+	r.askAs("complaint", "/x")
+	lines := log.lines(t, "complaint")
+	ended := lines[len(lines)-1]
+	require.Equal(t, "broken", ended["outcome"])
+	require.InDelta(t, 1, ended["runs"], 0)
+	require.Contains(t, ended["detail"], "step=read head peer="+s.Listener.Addr().String())
+	require.Contains(t, ended["detail"], "may have run")
+}
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -35,44 +35,40 @@
 	o.set.GetOrCreateHistogram(fmt.Sprintf(`savoryreel_first_byte_seconds{kind=%q}`, j.route.Kind)).Update(j.age(now).Seconds())
 }
 
-// logChoice writes which server a request goes to, and why.
+// logChoice writes which server a request goes to, and why: what the choice was made
+// from, and how old the word on the others' load is.
 func (j *job) logChoice(c *choice) {
-	log := j.gateway.log
-	if !log.Enabled(context.Background(), slog.LevelDebug) {
-		return
-	}
 	v := &c.verdict
-	event.Log(context.Background(), log, slog.LevelDebug, event.RouteChosen, slog.String("request", j.ID),
+	j.gateway.ordinary.Log(context.Background(), event.RouteChosen, slog.String("request", j.ID),
 		slog.String("service", j.service.name), slog.String("server", v.Server), slog.String("address", v.Address),
 		slog.String("reason", v.Reason.String()), slog.Duration("score", v.Score), slog.Int("cached", v.CachedTokens),
-		slog.Int("load", v.Load), slog.Int("send", j.sends+1))
+		slog.Int("prompt", j.PromptTokens), slog.Int("load", v.Load), slog.Duration("loadAge", c.loadAge),
+		slog.Int("runnersUp", len(v.RunnersUp())), slog.Int("send", j.sends+1))
 }
 
-// logEnd writes how a request ended: each refusal and failure, and answers where
-// the log's level asks for them.
+// logEnd writes how a request ended.
 func (j *job) logEnd(refusal *Refusal) {
 	g := j.gateway
-	level, kind := slog.LevelDebug, event.RequestEnded
 	attrs := []slog.Attr{
 		slog.String("request", j.ID), slog.String("workspace", j.workspaceName()), slog.String("path", j.Path),
 		slog.String("server", j.lastSent), slog.Int("sends", j.sends), slog.Int("runs", j.runs),
-		slog.Duration("took", j.age(g.now())),
+		slog.Duration("took", j.age(g.now())), slog.Duration("firstByte", j.firstByte),
 	}
 	if j.route != nil {
-		attrs = append(attrs, slog.String("route", j.route.Name))
+		attrs = append(attrs, slog.String("route", j.route.Name), slog.Duration("objective", j.route.Objective))
 	}
 	if t := g.table.Load(); t != nil {
 		attrs = append(attrs, slog.Uint64("revision", t.Catalogue().Revision))
 	}
-	if refusal != nil {
-		level = slog.LevelInfo
-		if refusal.Reason.NotRun() {
-			kind = event.RequestRefused
-		}
-		attrs = append(attrs, slog.String("outcome", refusal.Reason.String()), slog.String("detail", refusal.Detail),
-			slog.Duration("retryAfter", refusal.RetryAfter))
-	} else {
-		attrs = append(attrs, slog.String("outcome", "answered"))
+	if refusal == nil {
+		g.ordinary.Log(context.Background(), event.RequestEnded, append(attrs, slog.String("outcome", "answered"), slog.Int("status", j.status))...)
+		return
+	}
+	kind := event.RequestEnded
+	if refusal.Reason.NotRun() {
+		kind = event.RequestRefused
 	}
-	event.Log(context.Background(), g.log, level, kind, attrs...)
+	attrs = append(attrs, slog.String("outcome", refusal.Reason.String()), slog.String("detail", refusal.Detail),
+		slog.Duration("retryAfter", refusal.RetryAfter))
+	event.Log(context.Background(), g.log, slog.LevelInfo, kind, attrs...)
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -177,7 +177,7 @@
 }
 
 func (j *job) begin(status int, header http.Header, length int64) {
-	j.begun = true
+	j.begun, j.status, j.firstByte = true, status, j.age(j.gateway.now())
 	j.out.Begin(status, header, length)
 	j.gateway.outcomes.firstByte(j, j.gateway.now())
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -47,9 +47,12 @@
 	runs     int      // of these, those that may have run
 	tried    []string // servers that are not to be tried again
 	begun    bool     // the caller has the answer's head
+	status   int      // of the answer
 	counted  bool     // in the usage
 	lastID   string   // of the last event that the caller has
 	lastSent string   // server of the last run, for the log
+
+	firstByte time.Duration // from the arrival to the answer's head
 }
 
 // Serve answers a request, or returns why it is not answered. It returns once
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -31,6 +31,7 @@
 	seq     map[string]uint64 // of the cache events that this entry makes of its own runs, by server
 	told    uint64            // announcements given to the router
 	running map[string]int    // this entry's requests, by server
+	heard   time.Time         // when others' load was last told
 }
 
 func newService(name string, entries int) *service {
@@ -103,6 +104,7 @@
 	attempt  route.Attempt
 	prefixes []route.CachedPrefix
 	answered bool // its first byte has come
+	loadAge  time.Duration
 }
 
 // choose picks a server and counts the run there until end.
@@ -114,7 +116,15 @@
 		return choice{verdict: v}, false
 	}
 	s.running[v.Server]++
-	return choice{verdict: v, attempt: s.router.Started(&v, now), prefixes: prefixes}, true
+	return choice{verdict: v, attempt: s.router.Started(&v, now), prefixes: prefixes, loadAge: s.loadAge(now)}, true
+}
+
+// loadAge is how old the word on the others' load is; 0 before the first.
+func (s *service) loadAge(now time.Time) time.Duration {
+	if s.heard.IsZero() {
+		return 0
+	}
+	return now.Sub(s.heard)
 }
 
 // loads appends what this entry has running at the servers.
@@ -131,6 +141,7 @@
 func (s *service) noteOthers(others map[string]api.ServerLoad, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.heard = now
 	for id, rec := range s.servers {
 		if rec.State == instance.StateServing && !rec.Silent {
 			s.announce(rec, others[id].Running+s.running[id], others[id].Prefill, now)
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -69,9 +69,11 @@
 	next uint64
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T) *rig { return newRigWithLog(t, slog.New(slog.DiscardHandler)) }
+
+func newRigWithLog(t *testing.T, log *slog.Logger) *rig {
 	g, err := New(Config{Node: testNode(), ClusterKey: "k"}, Deps{
-		Log: slog.New(slog.DiscardHandler), Now: time.Now, Seeds: func() []string { return nil }, Dialect: plainDialect{},
+		Log: log, Now: time.Now, Seeds: func() []string { return nil }, Dialect: plainDialect{},
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() {
