--- a/site/site.go
+++ b/site/site.go
@@ -159,8 +159,12 @@
 		name  string
 		value time.Duration
 	}{
-		{"drain", b.Drain}, {"stop grace", b.StopGrace}, {"config apply", b.ConfigApply},
-		{"usage window", b.UsageWindow}, {"retry window", b.RetryWindow}, {"quota window", b.QuotaWindow},
+		{"drain", b.Drain},
+		{"stop grace", b.StopGrace},
+		{"config apply", b.ConfigApply},
+		{"usage window", b.UsageWindow},
+		{"retry window", b.RetryWindow},
+		{"quota window", b.QuotaWindow},
 	}
 	for _, p := range positive {
 		if p.value <= 0 {
