--- a/control/control.go
+++ b/control/control.go
@@ -146,14 +146,7 @@
 	if c.fleet != nil {
 		daemon.Actor(g, c.runFleet)
 	}
-	daemon.Actor(g, func(actorCtx context.Context) error {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-actorCtx.Done():
-			return nil
-		}
-	})
+	daemon.EndWith(ctx, g)
 	daemon.Serve(g, operators, operatorsAPI.handler(), daemon.CloseGrace, c.log)
 	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.CloseGrace, c.log)
 	daemon.Signals(g, c.handOverLeadership, c.log)
--- a/coordinator/catalogue.go
+++ b/coordinator/catalogue.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/replica/host"
@@ -70,7 +71,7 @@
 	for ctx.Err() == nil {
 		m := c.group.current.Load()
 		if m == nil {
-			pause(ctx, leaderPause)
+			daemon.Pause(ctx, leaderPause)
 			continue
 		}
 		var resp Resp
@@ -82,7 +83,7 @@
 		if err == nil {
 			return resp, nil
 		}
-		pause(ctx, leaderPause)
+		daemon.Pause(ctx, leaderPause)
 	}
 	return none, err
 }
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -200,5 +200,5 @@
 	err := f.give(ctx, Want{Service: service, Zone: o.Zone, Reclaimable: o.Reclaimable, Count: o.Count})
 	f.orders[key] = &ordered{count: o.Count, at: now, refused: errors.Is(err, ErrNoneToBeHad), pending: err != nil}
 	event.Log(ctx, f.log, slog.LevelInfo, event.PlacementChosen, slog.String("service", service), slog.String("zone", o.Zone),
-		slog.Bool("reclaimable", o.Reclaimable), slog.Int("count", o.Count), slog.Int("serving", serving), slog.Int("need", need), slog.String("error", errorText(err)))
+		slog.Bool("reclaimable", o.Reclaimable), slog.Int("count", o.Count), slog.Int("serving", serving), slog.Int("need", need), slog.Any("error", err))
 }
--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/link"
 )
@@ -152,7 +153,7 @@
 		}
 		f.noteOutcome(ctx, addr, p, err)
 		if err != nil {
-			wait(ctx, time.Duration((0.5+rand.Float64()/2)*float64(pause)))
+			daemon.Pause(ctx, time.Duration((0.5+rand.Float64()/2)*float64(pause)))
 			pause = min(2*pause, retryMax)
 			continue
 		}
@@ -197,15 +198,6 @@
 	return reply, err
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // noteOutcome logs a replica that was lost or came back, once each.
 func (f *Follower) noteOutcome(ctx context.Context, addr string, p *peer, err error) {
 	if ctx.Err() != nil {
--- a/coordinator/group.go
+++ b/coordinator/group.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/replica"
@@ -86,7 +87,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		event.Log(ctx, g.log, slog.LevelError, event.ReplicaFailed, slog.String("error", errorText(err)))
+		event.Log(ctx, g.log, slog.LevelError, event.ReplicaFailed, slog.Any("error", err))
 		var corrupt *storage.CorruptError
 		if errors.Is(err, errRetired) || errors.As(err, &corrupt) {
 			// Removed for good, or the disk has lost what was synced: either way this
@@ -95,27 +96,11 @@
 				event.Log(ctx, g.log, slog.LevelError, event.ReplicaFailed, slog.String("error", err.Error()))
 			}
 		}
-		pause(ctx, reopenPause)
+		daemon.Pause(ctx, reopenPause)
 	}
 	return ctx.Err()
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // runOnce opens the data folder and runs the replica until it fails.
 func (g *group) runOnce(ctx context.Context) error {
 	id, how, err := g.identify(ctx)
@@ -241,7 +226,7 @@
 				g.log.DebugContext(ctx, "seat not given", "peer", addr, "error", err)
 			}
 		}
-		pause(ctx, joinEvery)
+		daemon.Pause(ctx, joinEvery)
 	}
 	return 0, ctx.Err()
 }
--- /dev/null
+++ b/coordinator/lead.go
@@ -0,0 +1,77 @@
+package coordinator
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/event"
+)
+
+// sweepEvery is how often silence is looked for.
+const sweepEvery = 500 * time.Millisecond
+
+func (c *Coordinator) sweep(ctx context.Context) error {
+	return daemon.Every(ctx, sweepEvery, func() {
+		replied, followed := c.follower.Current(aliveWithin)
+		c.directory.Sweep(c.now(), replied+1 > (followed+1)/2)
+		c.loads.forget(c.now())
+	})
+}
+
+// lead does what falls to the leader, and logs each change of leader.
+func (c *Coordinator) lead(ctx context.Context) error {
+	var lastLeader uint64
+	var work sync.WaitGroup
+	defer work.Wait()
+	work.Go(func() {
+		_ = daemon.Every(ctx, upkeepEvery, func() {
+			if m := c.group.current.Load(); m != nil {
+				if err := c.upkeep.step(ctx, m); err != nil {
+					c.log.DebugContext(ctx, "replica set not changed", "error", err)
+				}
+			}
+		})
+	})
+	return daemon.Every(ctx, dutyEvery, func() {
+		m := c.group.current.Load()
+		if m == nil {
+			return
+		}
+		if st := m.host.Status(); st.Leader != lastLeader {
+			lastLeader = st.Leader
+			addr, _ := m.book.Address(st.Leader)
+			event.Log(ctx, c.log, slog.LevelInfo, event.LeaderChanged, slog.Uint64("leader", st.Leader), slog.String("peer", addr),
+				slog.Uint64("term", st.Term), slog.String("role", st.Role.String()), slog.Any("voters", st.Voters), slog.Any("learners", st.Learners))
+		}
+		if c.deps.Cloud != nil {
+			c.duties.step(ctx, m)
+		}
+	})
+}
+
+// stop hands the leadership over before this replica ends, so that a planned
+// stop costs no election, and lets go of the calls that are kept waiting.
+func (c *Coordinator) stop(ctx context.Context) {
+	c.stopOnce.Do(func() { close(c.stopping) })
+	m := c.group.current.Load()
+	if m == nil || !m.leading() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	st := m.host.Status()
+	for _, id := range st.Voters {
+		if id == st.ID || c.upkeep.age(m, id) > aliveWithin {
+			continue
+		}
+		if m.host.TransferLeadership(ctx, id) == nil {
+			return
+		}
+	}
+}
+
+// handOverTimeout bounds the search for a successor at a planned stop.
+const handOverTimeout = 2 * time.Second
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -109,7 +109,7 @@
 	}
 	event.Log(ctx, u.log, slog.LevelInfo, event.ReplicaSetChanged,
 		slog.Uint64("replica", ch.ID), slog.String("change", changeName(ch.Kind)), slog.String("reason", reason),
-		slog.Uint64("term", st.Term), slog.String("error", errorText(err)))
+		slog.Uint64("term", st.Term), slog.Any("error", err))
 	return err
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -183,13 +183,7 @@
 	every(g, holdingsEvery, e.holdings.exchange)
 	every(g, sweepEvery, e.housekeep)
 	daemon.Actor(g, e.awaitNotice)
-	daemon.Actor(g, func(actorCtx context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-actorCtx.Done():
-		}
-		return nil
-	})
+	daemon.EndWith(ctx, g)
 	daemon.Serve(g, callers, e.Handler(), closeTimeout, e.deps.Log)
 	daemon.Serve(g, ops, e.operations(), daemon.CloseGrace, e.deps.Log)
 	daemon.Signals(g, func(c context.Context) { e.leave(c, e.cfg.DrainTimeout) }, e.deps.Log)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,7 +18,6 @@
 	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
-	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/retry"
 	"savoryreel.example/savoryreel/routes"
@@ -141,156 +140,6 @@
 	return link.PeerInfo{ID: g.cfg.Node.Name, Incarnation: g.life, Role: api.RoleEntry}
 }
 
-// self is this entry's record of itself.
-func (g *Gateway) self() directory.Entry {
-	e := directory.Entry{
-		Name: g.cfg.Node.Name, Incarnation: g.life, Sequence: g.sequence.Load(), State: instance.StateServing,
-		Address: g.cfg.Node.Listen.Callers, Zone: g.cfg.Node.Zone, Region: g.cfg.Node.Region,
-	}
-	if g.leaving.Load() {
-		e.State = instance.StateLeaving
-	}
-	return e
-}
-
-func (g *Gateway) watchRequest() api.WatchRequest {
-	req := api.WatchRequest{Role: api.RoleEntry, Wait: g.watchWait(), Usage: g.usage.report()}
-	if t := g.table.Load(); t != nil {
-		req.Revision = t.Catalogue().Revision
-		// Callers are sent here only once they can be answered.
-		self := g.self()
-		req.Entry = &self
-		req.Loads = g.loads()
-		req.Uses = g.limiter.used()
-	}
-	return req
-}
-
-// watchWait is how long a replica is to keep a call waiting.
-func (g *Gateway) watchWait() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return min(max(time.Duration(g.entries)*watchEach, watchMin), watchMax)
-}
-
-// take merges what a control replica told.
-func (g *Gateway) take(addr string, r api.WatchReply) {
-	g.clock.Observe(addr, r.Clock)
-	hadNone := g.table.Load() == nil
-	g.adopt(r.Revision, r.Document, addr)
-	if hadNone && g.table.Load() != nil {
-		g.follower.Kick()
-	}
-	g.directory.Merge(r.Servers, r.Entries, g.now())
-	g.countEntries(addr, r.Live)
-	g.applyDirectory()
-	g.noteOthers(r.Loads)
-	if r.Uses != nil {
-		g.limiter.noteOthers(addr, r.Life, r.Uses, g.now())
-	}
-}
-
-// loads returns what this entry has running at all servers.
-func (g *Gateway) loads() []api.ServerLoad {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var list []api.ServerLoad
-	for _, s := range g.services {
-		list = s.loads(list)
-	}
-	return list
-}
-
-// noteOthers passes on what other entries have running.
-func (g *Gateway) noteOthers(loads []api.ServerLoad) {
-	others := make(map[string]api.ServerLoad, len(loads))
-	for _, l := range loads {
-		others[l.Server] = l
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.now()
-	for _, s := range g.services {
-		s.noteOthers(others, now)
-	}
-}
-
-// liveCount is how many entries a control replica knows to take callers.
-type liveCount struct {
-	n  int
-	at time.Time
-}
-
-// liveFor is how long a replica's count stands.
-const liveFor = 5 * time.Second
-
-// countEntries takes a replica's count of live entries. The highest one counts:
-// a replica that has just started knows few, and an entry that believed it would
-// allow itself more than its part of every limit.
-func (g *Gateway) countEntries(addr string, n int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.now()
-	g.live[addr] = liveCount{n: n, at: now}
-	most := 1
-	for from, c := range g.live {
-		if now.Sub(c.at) > liveFor {
-			delete(g.live, from)
-			continue
-		}
-		most = max(most, c.n)
-	}
-	if most == g.entries {
-		return
-	}
-	g.entries = most
-	g.limiter.setEntries(most)
-	for _, s := range g.services {
-		s.setEntries(most)
-	}
-}
-
-// applyDirectory passes on what is new in the directory to the services.
-func (g *Gateway) applyDirectory() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.now()
-	changes := g.directory.Since(g.applied, false, now)
-	g.applied = changes.Seq
-	for i := range changes.Servers {
-		g.applyServer(&changes.Servers[i], now)
-	}
-}
-
-// applyServer tells the services of a server. g.mu is held.
-func (g *Gateway) applyServer(rec *directory.Server, now time.Time) {
-	g.logServer(rec)
-	for name, s := range g.services {
-		if len(rec.Services) == 0 || rec.Services[0] != name {
-			s.drop(rec.ID)
-		}
-	}
-	if len(rec.Services) > 0 {
-		g.serviceLocked(rec.Services[0]).update(*rec, now)
-	}
-	if rec.State == instance.StateGone {
-		g.pool.Forget(rec.Address)
-	}
-}
-
-func (g *Gateway) logServer(rec *directory.Server) {
-	kind := event.ServerAnnounced
-	switch {
-	case rec.State == instance.StateLeaving:
-		kind = event.ServerLeaving
-	case rec.State == instance.StateGone || rec.Silent:
-		kind = event.ServerGone
-	}
-	event.Log(context.Background(), g.log, slog.LevelInfo, kind, slog.String("server", rec.ID), slog.String("address", rec.Address),
-		slog.Uint64("incarnation", rec.Incarnation), slog.Uint64("sequence", rec.Sequence), slog.Any("services", rec.Services),
-		slog.String("zone", rec.Zone), slog.Bool("silent", rec.Silent), slog.Duration("heardAgo", rec.HeardAgo))
-}
-
 // service returns the service of a name, also one of which no server is known.
 func (g *Gateway) service(name string) *service {
 	g.mu.Lock()
@@ -319,50 +168,6 @@
 	return g.retries.Failed(g.now(), f, rand.Float64())
 }
 
-// Leaving reports whether this entry has begun to stop.
-func (g *Gateway) Leaving() bool { return g.leaving.Load() }
-
-// Ready returns why callers should not come here, or nil.
-func (g *Gateway) Ready() error {
-	switch {
-	case g.leaving.Load():
-		return trace.ConnectionProblem(nil, "leaving")
-	case g.table.Load() == nil:
-		return trace.ConnectionProblem(nil, "no catalogue is known yet")
-	default:
-		return nil
-	}
-}
-
-const (
-	// acceptPart is the part of the grace for a stop in which an entry that leaves
-	// still takes callers. Their lists name it for a while, and what comes later
-	// would not be done by the end of the grace.
-	acceptPart = 0.35
-	// stopMargin is left of the grace for the process to end by itself.
-	stopMargin = 400 * time.Millisecond
-	// idleCheck is how often a leaving entry looks whether it has nothing left to do.
-	idleCheck = 50 * time.Millisecond
-)
-
-// Leave ends this entry's service without cutting off a request: it is no longer
-// named to callers, closes its doors a little later, and ends when the last
-// request is done or the grace is over. closeDoors stops taking connections.
-func (g *Gateway) Leave(ctx context.Context, closeDoors func()) {
-	start := g.now()
-	g.leaving.Store(true)
-	g.sequence.Add(1)
-	g.follower.Kick()
-	event.Log(ctx, g.log, slog.LevelInfo, event.DrainBegun, slog.Int64("inFlight", g.inFlight.Load()))
-	grace := g.cfg.Node.Bounds.StopGrace
-	pause(ctx, time.Duration(float64(grace)*acceptPart))
-	closeDoors()
-	for g.inFlight.Load() > 0 && g.now().Sub(start) < grace-stopMargin && ctx.Err() == nil {
-		pause(ctx, idleCheck)
-	}
-	event.Log(ctx, g.log, slog.LevelInfo, event.DrainDone, slog.Int64("unfinished", g.inFlight.Load()))
-}
-
 // sweepEvery is how often idle connections and old records are looked through.
 const sweepEvery = time.Second
 
@@ -384,13 +189,7 @@
 			g.applyDirectory()
 		})
 	})
-	daemon.Actor(&group, func(actorCtx context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-actorCtx.Done():
-		}
-		return nil
-	})
+	daemon.EndWith(ctx, &group)
 	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.CloseGrace, g.log)
 	closeDoors, err := public(&group)
 	if err != nil {
@@ -400,10 +199,6 @@
 	event.Log(ctx, g.log, slog.LevelInfo, event.ProcessStarted,
 		slog.String("role", "gateway"), slog.String("name", g.cfg.Node.Name), slog.String("zone", g.cfg.Node.Zone), slog.Any("seeds", g.cfg.Node.Seeds))
 	err = group.Run()
-	text := ""
-	if err != nil {
-		text = err.Error()
-	}
-	event.Log(context.Background(), g.log, slog.LevelInfo, event.ProcessStopped, slog.String("error", text))
+	event.Log(context.Background(), g.log, slog.LevelInfo, event.ProcessStopped, slog.Any("error", err))
 	return err
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/policy/retry"
 	"savoryreel.example/savoryreel/policy/route"
@@ -216,16 +217,7 @@
 		return false
 	}
 	if v.After > 0 {
-		pause(ctx, v.After)
+		daemon.Pause(ctx, v.After)
 	}
 	return true
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
