coordinator: a silent cloud holds up one order

Cause: six orders could wait for a silent cloud one after the other, 9 s, and the usage reports behind them, which are due after 10. Found by reading. Measured: TestSilentCloudHoldsUpOneOrder fails if step goes on; TestOrderIsRepeatedWhileServersAreMissing, TestRefusedOrderWaits.

--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -62,8 +62,8 @@
 	f.seen = make(map[string]time.Time)
 }
 
-// step gives the orders that are due, at most one each time, so that a slow cloud
-// holds up nothing else for long.
+// step gives the orders that are due. It stops at one that gets no answer: the
+// others would wait for the same silent cloud, and the usage reports behind them.
 func (f *fleet) step(ctx context.Context, m *member) {
 	now := f.now()
 	if now.Sub(f.planned) < planEvery {
@@ -106,7 +106,12 @@
 		Ordered: f.ordered(s.Name), Closed: f.closed(s.Name, now),
 	})
 	for _, o := range orders {
-		f.order(ctx, s.Name, o, count.serving[o.Kind], need, now)
+		if !f.due(orderKey{s.Name, o.Kind}, o.Count, count.serving[o.Kind], now) {
+			continue
+		}
+		if !f.order(ctx, s.Name, o, count.serving[o.Kind], need, now) {
+			return
+		}
 	}
 }
 
@@ -183,22 +188,25 @@
 	return zones
 }
 
-// order gives an order if it is new, or if what it asked for has not come.
-func (f *fleet) order(ctx context.Context, service string, o supply.Order, serving, need int, now time.Time) {
-	key := orderKey{service, o.Kind}
+// due reports whether an order is new, or what it asked for has not come.
+func (f *fleet) due(key orderKey, count, serving int, now time.Time) bool {
 	last := f.orders[key]
-	if last != nil {
-		age := now.Sub(last.at)
-		same := last.count == o.Count && !last.pending && !last.refused
-		switch {
-		case last.refused && last.count == o.Count && age < refusedFor:
-			return
-		case same && (serving == o.Count || age < repeatEvery):
-			return
-		}
+	if last == nil || last.count != count || last.pending {
+		return true
+	}
+	age := now.Sub(last.at)
+	if last.refused {
+		return age >= refusedFor
 	}
+	return serving != count && age >= repeatEvery
+}
+
+// order gives an order and reports whether the cloud answered.
+func (f *fleet) order(ctx context.Context, service string, o supply.Order, serving, need int, now time.Time) bool {
 	err := f.give(ctx, Want{Service: service, Zone: o.Zone, Reclaimable: o.Reclaimable, Count: o.Count})
-	f.orders[key] = &ordered{count: o.Count, at: now, refused: errors.Is(err, ErrNoneToBeHad), pending: err != nil}
+	refused := errors.Is(err, ErrNoneToBeHad)
+	f.orders[orderKey{service, o.Kind}] = &ordered{count: o.Count, at: now, refused: refused, pending: err != nil && !refused}
 	event.Log(ctx, f.log, slog.LevelInfo, event.PlacementChosen, slog.String("service", service), slog.String("zone", o.Zone),
 		slog.Bool("reclaimable", o.Reclaimable), slog.Int("count", o.Count), slog.Int("serving", serving), slog.Int("need", need), slog.Any("error", err))
+	return err == nil || refused
 }
--- /dev/null
+++ b/coordinator/fleet_test.go
@@ -0,0 +1,110 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/routes"
+)
+
+// market is a cloud that notes orders and answers as it is told.
+type market struct {
+	fleet   *fleet
+	member  *member
+	now     time.Time
+	servers []directory.Server
+	orders  []Want
+	answer  func(w Want) error
+}
+
+func newMarket() *market {
+	m := &market{now: time.Unix(1000, 0), answer: func(Want) error { return nil }, member: &member{state: emptyState()}}
+	m.member.state.applySize(sizeCommand{Service: "chat", Servers: 4})
+	table := routes.NewTable(&routes.Catalogue{Services: []routes.Service{{
+		Name: "chat", Scaling: &routes.Scaling{Min: 0, Max: 8, SpotPrice: 0.2, ZonePrices: map[string]float64{"a": 1, "b": 1, "c": 1}},
+	}}})
+	m.fleet = &fleet{
+		log: slog.New(slog.DiscardHandler), now: func() time.Time { return m.now }, table: func() *routes.Table { return table },
+		servers: func() []directory.Server { return m.servers },
+		give: func(_ context.Context, w Want) error {
+			m.orders = append(m.orders, w)
+			return m.answer(w)
+		},
+	}
+	m.fleet.reset()
+	return m
+}
+
+// step looks at the fleet some time later and returns the orders given.
+func (m *market) step(later time.Duration) []Want {
+	m.now = m.now.Add(later)
+	m.orders = nil
+	m.fleet.step(context.Background(), m.member)
+	return m.orders
+}
+
+// serve makes so many reclaimable servers serve in a zone.
+func (m *market) serve(zone string, n int) {
+	for i := range n {
+		m.servers = append(m.servers, directory.Server{Announcement: instance.Announcement{
+			ID: fmt.Sprint(zone, i), Zone: zone, Class: directory.ClassReclaimable, State: instance.StateServing, Services: []string{"chat"},
+		}})
+	}
+}
+
+func wants(orders []Want, zone string, reclaimable bool) []int {
+	var counts []int
+	for _, w := range orders {
+		if w.Zone == zone && w.Reclaimable == reclaimable {
+			counts = append(counts, w.Count)
+		}
+	}
+	return counts
+}
+
+// An order is accepted, but its servers do not come. It is given again after a
+// while, and not at each look.
+func TestOrderIsRepeatedWhileServersAreMissing(t *testing.T) {
+	m := newMarket()
+	require.Equal(t, []int{2}, wants(m.step(time.Second), "a", true))
+	require.Empty(t, wants(m.step(time.Second), "a", true))
+	require.Equal(t, []int{2}, wants(m.step(repeatEvery), "a", true))
+	for _, zone := range []string{"a", "b", "c"} {
+		m.serve(zone, 2)
+	}
+	require.Empty(t, wants(m.step(repeatEvery), "a", true))
+}
+
+// None are to be had. They are asked for again soon, but not at each look: the
+// cloud takes few calls, and those of all others count too.
+func TestRefusedOrderWaits(t *testing.T) {
+	m := newMarket()
+	m.answer = func(w Want) error {
+		if w.Reclaimable {
+			return ErrNoneToBeHad
+		}
+		return nil
+	}
+	require.Len(t, wants(m.step(time.Second), "b", true), 1)
+	require.Empty(t, wants(m.step(planEvery), "b", true))
+	require.Len(t, wants(m.step(refusedFor), "b", true), 1)
+}
+
+// The cloud is silent. One order waits for it, and not six one after the other: the
+// usage reports of the same holder would be late.
+//
+// It breaks if step goes on after an order without an answer.
+func TestSilentCloudHoldsUpOneOrder(t *testing.T) {
+	m := newMarket()
+	m.answer = func(Want) error { return errors.New("no answer") }
+	require.Len(t, m.step(time.Second), 1)
+	require.Len(t, m.step(time.Second), 1, "and it is given again")
+}
