--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -115,6 +115,9 @@
 	}
 	g.entries = most
 	g.limiter.setEntries(most)
+	g.retryMu.Lock()
+	g.retries.SetMinBudget(retryBudget(g.cfg.Node.Bounds, most))
+	g.retryMu.Unlock()
 	for _, s := range g.services {
 		s.setEntries(most)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,14 +98,8 @@
 	g.usage = newUsage(g.clock, b.UsageWindow)
 	g.outcomes = outcomes{set: g.metrics}
 	g.ordinary = event.NewSampler(g.log, g.now, event.DefaultOrdinary)
-	retryCfg := retry.DefaultConfig()
-	retryCfg.Ratio = max(b.RetryRatio*retryPart, 0.01)
-	retryCfg.Window = b.RetryWindow
-	retryCfg.MinBudget = max(b.RetrySlack*retryPart/assumedEntries, 1)
-	retryCfg.Backoff = retryBackoff
-	retryCfg.WaveSpread = retryBackoff
 	var err error
-	if g.retries, err = retry.New(retryCfg); err != nil {
+	if g.retries, err = retry.New(retryConfig(b)); err != nil {
 		return nil, trace.Wrap(err, "step=set up retries")
 	}
 	g.traffic = link.NewTraffic(g.metrics)
@@ -118,9 +112,13 @@
 }
 
 const (
-	// assumedEntries splits what may be repeated besides the ratio among the
-	// entries.
+	// assumedEntries is how many entries share what may be repeated besides the ratio
+	// until their number is known.
 	assumedEntries = 8
+	// leastRetryRatio and leastRetryBudget keep the policy's settings valid where a
+	// site allows no repeats to speak of.
+	leastRetryRatio  = 0.01
+	leastRetryBudget = 0.5
 	// retryBackoff is the longest wait before a repeat: callers' objectives are a
 	// few hundred milliseconds.
 	retryBackoff = 50 * time.Millisecond
@@ -136,6 +134,24 @@
 	linkBackoff = 500 * time.Millisecond
 )
 
+// retryConfig returns the retry policy for a site's budget. Callers' objectives are
+// too short for the usual waits.
+func retryConfig(b site.Bounds) retry.Config {
+	cfg := retry.DefaultConfig()
+	cfg.Ratio = max(b.RetryRatio*retryPart, leastRetryRatio)
+	cfg.Window = b.RetryWindow
+	cfg.MinBudget = retryBudget(b, assumedEntries)
+	cfg.Backoff = retryBackoff
+	cfg.WaveSpread = retryBackoff
+	return cfg
+}
+
+// retryBudget is what one of so many entries may save up in repeats. All of them
+// together may spend it in the same seconds, when servers are lost.
+func retryBudget(b site.Bounds, entries int) float64 {
+	return max(b.RetrySlack*retryPart/float64(max(entries, 1)), leastRetryBudget)
+}
+
 func (g *Gateway) peerInfo() link.PeerInfo {
 	return link.PeerInfo{ID: g.cfg.Node.Name, Incarnation: g.life, Role: api.RoleEntry}
 }
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -88,6 +88,15 @@
 	require.LessOrEqual(t, float64(repeats), b1.RetryRatio*requests+b1.RetrySlack/assumedEntries)
 }
 
+// Eighty entries share what may be repeated besides the ratio. With eight's part
+// each, servers that fail would get ten times what the site allows.
+func TestRetryBudgetIsSplitAmongAllEntries(t *testing.T) {
+	bounds := testNode().Bounds
+	for _, entries := range []int{1, 6, 80} {
+		require.LessOrEqual(t, retryBudget(bounds, entries)*float64(entries), bounds.RetrySlack)
+	}
+}
+
 // A server says that it did not run the request, since it is full. Another one
 // takes it, also where it may run only once.
 func TestRefusedByOneServer(t *testing.T) {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -88,8 +88,8 @@
 }
 
 // announce tells the router of a server that serves, with what all entries have
-// running there, and what other entries' requests wait for. Records come in the directory's order, so they are
-// numbered here.
+// running there, and what other entries' requests wait for. Records come in the
+// directory's order, so they are numbered here.
 func (s *service) announce(rec directory.Server, running, prefill int, now time.Time) {
 	s.told++
 	a := rec.Announcement
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -43,6 +43,10 @@
 // ForgetService drops the budget of a service that the catalogue no longer has.
 func (p *Policy) ForgetService(name string) { delete(p.services, name) }
 
+// SetMinBudget changes Config.MinBudget, as where a budget that several entries
+// share is split anew. What is saved up beyond it is lost.
+func (p *Policy) SetMinBudget(attempts float64) { p.cfg.MinBudget = attempts }
+
 // First notes the first attempt of a request.
 func (p *Policy) First(now time.Time, c Call) {
 	budgetOf(p.workspaces, c.Workspace).first(now, &p.cfg)
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -254,3 +254,29 @@
 		p.Failed(epoch, f, 0)
 	}))
 }
+
+// The entries that share a budget become ten times as many. What each has saved up
+// from quiet times falls at once, or all of them together would repeat too much when
+// servers are lost.
+//
+// It breaks without SetMinBudget.
+func TestMinBudgetFallsAtOnce(t *testing.T) {
+	repeats := func(budget float64) (n int) {
+		cfg := DefaultConfig()
+		p, err := New(cfg)
+		require.NoError(t, err)
+		now := time.Unix(0, 0)
+		call := Call{Service: "web", Idempotent: true}
+		for range 500 {
+			p.First(now, call)
+		}
+		p.SetMinBudget(budget)
+		now = now.Add(time.Hour) // what was saved by the rate is forgotten
+		for p.Failed(now, Failure{Call: call, Attempts: 1}, 0).Go {
+			n++
+		}
+		return n
+	}
+	require.Equal(t, 10, repeats(10))
+	require.Equal(t, 1, repeats(1))
+}
