backend: the end of the writing is waited for once an answer is whole

Nothing was mixed; a new connection is what it cost. Ruled out: a stray answer taken for the call's own: the second call went to a connection of its own, whose first answer the script calls first.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Call is a request for a server.
@@ -151,19 +152,38 @@
 	}
 }
 
+// writeGrace is how long the end of the writing is waited for once the answer is
+// whole. The writer may just not have had the processor yet; a server that answered
+// before it had read a long request takes longer, or never reads the rest.
+const writeGrace = 20 * time.Millisecond
+
+// written reports whether the whole request was written. Without the wait a
+// connection whose writer was late to say so would be closed, and the next request
+// would pay for a new one.
+func (a *Answer) written() bool {
+	select {
+	case err := <-a.wrote:
+		return err == nil
+	default:
+	}
+	t := time.NewTimer(writeGrace)
+	defer t.Stop()
+	select {
+	case err := <-a.wrote:
+		return err == nil
+	case <-t.C:
+		return false
+	}
+}
+
 // Close ends the exchange. A connection whose answer was read whole is used
 // again; any other one is closed, which tells the server to stop.
 func (a *Answer) Close() {
 	a.once.Do(func() {
 		alive := a.stop()
-		written := false
-		select {
-		case err := <-a.wrote:
-			written = err == nil
-		default: // the server answered before it had read the whole request
-		}
 		// The reader checks for bytes behind the answer: they belong to no request.
-		if alive && written && a.whole && a.reuse && a.conn.reader.Buffered() == 0 {
+		clean := alive && a.whole && a.reuse && a.conn.reader.Buffered() == 0
+		if clean && a.written() {
 			a.conn.keep = keepTime(a.Header)
 			a.pool.put(a.addr, a.conn)
 			return
--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -253,3 +253,18 @@
 		require.Equal(t, target, <-got)
 	}
 }
+
+// An answer is whole before the goroutine that writes the request has had the
+// processor to say that it is done. The connection is used again all the same.
+//
+// It breaks without the wait in Answer.written.
+func TestWriterIsLateToSayThatItIsDone(t *testing.T) {
+	wrote := make(chan error, 1)
+	a := &Answer{wrote: wrote}
+	go func() {
+		time.Sleep(writeGrace / 4)
+		wrote <- nil
+	}()
+	require.True(t, a.written())
+	require.False(t, (&Answer{wrote: make(chan error)}).written(), "a server that never reads the rest")
+}
