capacity: the memory of the prefix index is judged by the median of nine measurements

Cause: TestBytesOfControlMessages/prefixes failed once at the landing, 213.8 bytes against a bound of 200. Traced: in 24 runs a single measurement lay between 77 and 225 bytes, two above the bound, as a map's random hash seed decides when it grows. Why the check was wrong: it judged one draw.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -32,7 +33,9 @@
 // A message that grows by a field is paid for by every entry every second; at
 // the size to design for nobody notices until control's budget is gone. The
 // bounds are the bytes first measured and a tenth; for the index's memory, which depends
-// on how full its map happens to be, more. Fails when admit.Demand gets one more
+// on how full its map happens to be, more. A map's hash seed is drawn anew each time, and
+// with it when the map grows: single measurements lie between 77 and 225 bytes, so the
+// median of several is held to the bound. Fails when admit.Demand gets one more
 // float, or when api.VersionReply goes out as a map with names.
 func TestBytesOfControlMessages(t *testing.T) {
 	bounds := []struct {
@@ -40,22 +43,32 @@
 		run   func(context.Context, ...int) (*Table, error)
 		sizes []int
 		most  map[int]float64 // bytes for one more of the size, by column
+		times int             // measurements of which the median counts
 	}{
-		{"confirm", Confirm, []int{1, 3}, map[int]float64{0: 32, 1: 34}},
-		{"leases", Leases, []int{5, 50}, map[int]float64{0: 150, 1: 172}},
-		{"catalogue", Catalogue, []int{10, 100}, map[int]float64{0: 420}},
-		{"ledger", Ledger, []int{1000, 2000}, map[int]float64{2: 503}},
-		{"prefixes", Prefixes, []int{1000, 2000}, map[int]float64{0: 200}},
+		{"confirm", Confirm, []int{1, 3}, map[int]float64{0: 32, 1: 34}, 1},
+		{"leases", Leases, []int{5, 50}, map[int]float64{0: 150, 1: 172}, 1},
+		{"catalogue", Catalogue, []int{10, 100}, map[int]float64{0: 420}, 1},
+		{"ledger", Ledger, []int{1000, 2000}, map[int]float64{2: 503}, 1},
+		{"prefixes", Prefixes, []int{1000, 2000}, map[int]float64{0: 200}, 9},
 	}
 	for _, b := range bounds {
 		t.Run(b.name, func(t *testing.T) {
-			table, err := b.run(t.Context(), b.sizes...)
-			require.NoError(t, err)
+			slopes := make(map[int][]float64)
+			var columns []string
+			for range b.times {
+				table, err := b.run(t.Context(), b.sizes...)
+				require.NoError(t, err)
+				columns = table.Columns
+				for column := range b.most {
+					slopes[column] = append(slopes[column], table.Fit(column).Slope)
+				}
+			}
 			for column, most := range b.most {
-				slope := table.Fit(column).Slope
-				t.Logf("%s: %.1f, bound %.1f", table.Columns[column], slope, most)
-				require.Positive(t, slope, table.Columns[column])
-				require.LessOrEqual(t, slope, most, table.Columns[column])
+				slices.Sort(slopes[column])
+				slope := slopes[column][b.times/2]
+				t.Logf("%s: %.1f, bound %.1f", columns[column], slope, most)
+				require.Positive(t, slope, columns[column])
+				require.LessOrEqual(t, slope, most, columns[column])
 			}
 		})
 	}
