tests wait for conditions; a settings file that changes at the start is not missed

Cause: eight tests of this change slept for something to happen, and would fail or prove nothing on a slow machine. Making TestFileIsReadAgain wait for its condition showed a fault: WatchFile took its first look for what the process had started with, so a change in between was never read. Ruled out: longer sleeps.

--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -70,6 +71,18 @@
 	return string(body), err
 }
 
+// requireNotQuiet waits until what the server sent after its answer, bytes or the
+// end of the connection, has arrived on the connection that is kept, if one is.
+func requireNotQuiet(t *testing.T, p *Pool, addr string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		kept := p.idle[addr]
+		return len(kept) == 0 || !kept[len(kept)-1].quiet()
+	}, 5*time.Second, time.Millisecond)
+}
+
 // A server sends the answer of an earlier request once more, where the answer of
 // the next one is due. A caller would read somebody else's answer.
 //
@@ -113,7 +126,7 @@
 		body, err := do(t, p, addr, fmt.Sprint(i))
 		require.NoError(t, err)
 		require.Equal(t, "good", body)
-		time.Sleep(20 * time.Millisecond) // the stray bytes arrive
+		requireNotQuiet(t, p, addr)
 	}
 	require.EqualValues(t, 3, p.Dials())
 }
@@ -158,7 +171,7 @@
 	for i := range 3 {
 		_, err := do(t, p, addr, fmt.Sprint(i))
 		require.NoError(t, err)
-		time.Sleep(20 * time.Millisecond) // the close arrives
+		requireNotQuiet(t, p, addr)
 	}
 }
 
@@ -180,9 +193,10 @@
 // A caller leaves. The server notices by the close of the connection and stops
 // working for nobody.
 func TestCallerLeaves(t *testing.T) {
-	closed := make(chan struct{})
+	arrived, closed := make(chan struct{}), make(chan struct{})
 	addr := script(t, func(_ net.Conn, r *bufio.Reader) {
 		_, _ = next(r)
+		close(arrived)
 		_, _ = r.ReadByte() // returns when the connection is closed
 		close(closed)
 	})
@@ -190,7 +204,7 @@
 	defer p.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
-		time.Sleep(20 * time.Millisecond)
+		<-arrived
 		cancel()
 	}()
 	_, err := p.Do(ctx, addr, call("1"))
@@ -206,6 +220,7 @@
 // The rest of the body must be followed by nothing else on that connection.
 func TestAnsweredBeforeTheBodyWasRead(t *testing.T) {
 	requests := make(chan string, 4)
+	taken := make(chan struct{}) // the caller has the whole answer
 	addr := script(t, func(c net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -213,7 +228,7 @@
 		}
 		requests <- req.Header.Get("X-Id")
 		answer(c, req.Header.Get("X-Id"), "early")
-		time.Sleep(50 * time.Millisecond)
+		<-taken
 		_, _ = io.Copy(io.Discard, req.Body)
 		if id, err := next(r); err == nil {
 			requests <- id
@@ -229,6 +244,7 @@
 	_, err = io.ReadAll(a)
 	require.NoError(t, err)
 	a.Close()
+	close(taken)
 	body, err := do(t, p, addr, "2")
 	require.NoError(t, err)
 	require.Equal(t, "early", body, "on a connection of its own")
@@ -259,12 +275,10 @@
 //
 // It breaks without the wait in Answer.written.
 func TestWriterIsLateToSayThatItIsDone(t *testing.T) {
-	wrote := make(chan error, 1)
-	a := &Answer{wrote: wrote}
-	go func() {
-		time.Sleep(writeGrace / 4)
-		wrote <- nil
-	}()
-	require.True(t, a.written())
-	require.False(t, (&Answer{wrote: make(chan error)}).written(), "a server that never reads the rest")
+	synctest.Test(t, func(t *testing.T) {
+		wrote := make(chan error, 1)
+		time.AfterFunc(writeGrace/2, func() { wrote <- nil })
+		require.True(t, (&Answer{wrote: wrote}).written())
+		require.False(t, (&Answer{wrote: make(chan error)}).written(), "a server that never reads the rest")
+	})
 }
--- a/cmd/savoryreel/platform.go
+++ b/cmd/savoryreel/platform.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 	"github.com/spf13/cobra"
 
@@ -58,22 +59,42 @@
 // node holds the settings in force, which may change while the process runs.
 type node struct {
 	log     *slog.Logger
+	path    string
+	content []byte // of the file, as the process started with it
 	current atomic.Pointer[site.Node]
 }
 
 func readNode(cfg *platformConfig, log *slog.Logger) (*node, error) {
-	settings, unknown, err := platform.ReadSettings(cfg.File)
+	n := &node{log: log, path: cfg.File}
+	place, err := n.read()
 	if err != nil {
 		event.Log(context.Background(), log, slog.LevelError, event.SettingsRefused, slog.String("file", cfg.File), slog.String("error", err.Error()))
 		return nil, err
 	}
-	n := &node{log: log}
-	n.current.Store(&settings)
+	limitMemory(place.Capacity.MemoryBytes)
+	return n, nil
+}
+
+func (n *node) read() (*site.Node, error) {
+	content, err := os.ReadFile(n.path)
+	if err != nil {
+		return nil, trace.Wrap(err, "step=read settings")
+	}
+	place, unknown, err := platform.DecodeSettings(content)
+	if err != nil {
+		return nil, err
+	}
 	if len(unknown) > 0 {
-		event.Log(context.Background(), log, slog.LevelInfo, event.SettingsRead, slog.String("file", cfg.File), slog.Any("unknown", unknown))
+		event.Log(context.Background(), n.log, slog.LevelInfo, event.SettingsRead, slog.String("file", n.path), slog.Any("unknown", unknown))
 	}
-	limitMemory(settings.Capacity.MemoryBytes)
-	return n, nil
+	n.content = content
+	n.current.Store(&place)
+	return &place, nil
+}
+
+// watch takes new settings until ctx ends.
+func (n *node) watch(ctx context.Context) error {
+	return daemon.WatchFile(ctx, n.log, n.path, n.content, n.reload)
 }
 
 // memoryPart is the part of the allowed memory from which on the collector works
@@ -113,7 +134,7 @@
 	}
 	return g.Run(ctx, func(group *run.Group) (func(), error) {
 		listen := n.current.Load().Listen
-		daemon.Actor(group, func(ctx context.Context) error { return daemon.WatchFile(ctx, log, cfg.File, n.reload) })
+		daemon.Actor(group, n.watch)
 		if err := serve(ctx, group, log, "readiness", listen.Readiness, platform.ReadinessHandler(g.Ready)); err != nil {
 			return nil, err
 		}
@@ -140,7 +161,7 @@
 		return err
 	}
 	return c.Run(ctx, func(group *run.Group) error {
-		daemon.Actor(group, func(ctx context.Context) error { return daemon.WatchFile(ctx, log, cfg.File, n.reload) })
+		daemon.Actor(group, n.watch)
 		if err := serve(ctx, group, log, "operators", place.Listen.Operators, platform.ControlHandler(c, log)); err != nil {
 			return err
 		}
--- a/coordinator/group_test.go
+++ b/coordinator/group_test.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"github.com/stretchr/testify/require"
 
+	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/storage"
 	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/site"
@@ -203,9 +204,14 @@
 	require.NoError(t, os.RemoveAll(c.dir(address(0))))
 	c.start(address(0), false)
 	behind := c.start(address(2), false)
-	time.Sleep(3 * time.Second) // elections would be over by now
-	_, err := behind.Newest(t.Context())
-	require.ErrorIs(t, err, ErrUnsettled)
+	require.Eventually(t, func() bool {
+		m := behind.group.current.Load()
+		return m != nil && m.host.Status().Role == replica.PreCandidate
+	}, testWait, 10*time.Millisecond, "it stands for election")
+	for range 3 { // each read looks for a leader for longer than an election takes
+		_, err := behind.Newest(t.Context())
+		require.ErrorIs(t, err, ErrUnsettled)
+	}
 	c.start(address(1), false)
 	c.requireNewest(behind, 2)
 }
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -17,17 +17,16 @@
 const fileEvery = time.Second
 
 // WatchFile calls onChange with a file's content at SIGHUP and whenever the
-// content is another, until ctx ends. Without it SIGHUP would end the process.
-func WatchFile(ctx context.Context, log *slog.Logger, path string, onChange func(content []byte)) error {
+// content is another than before, until ctx ends. have is the content that the
+// process has in force: a change between its start and the first look would
+// otherwise be taken for what it started with. Without WatchFile SIGHUP would end
+// the process.
+func WatchFile(ctx context.Context, log *slog.Logger, path string, have []byte, onChange func(content []byte)) error {
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
 	defer signal.Stop(hups)
 	tick := time.NewTicker(fileEvery)
 	defer tick.Stop()
-	last, err := os.ReadFile(path)
-	if err != nil {
-		event.Log(ctx, log, slog.LevelWarn, event.SettingsRefused, slog.String("file", path), slog.String("error", err.Error()))
-	}
 	for {
 		signalled := false
 		select {
@@ -42,11 +41,11 @@
 			event.Log(ctx, log, slog.LevelWarn, event.SettingsRefused, slog.String("file", path), slog.String("error", err.Error()))
 			continue
 		}
-		changed := !bytes.Equal(content, last)
+		changed := !bytes.Equal(content, have)
 		if !changed && !signalled {
 			continue
 		}
-		last = content
+		have = content
 		event.Log(ctx, log, slog.LevelInfo, event.SettingsRead, slog.String("file", path),
 			slog.Bool("signal", signalled), slog.Bool("changed", changed))
 		onChange(content)
--- a/daemon/reload_test.go
+++ b/daemon/reload_test.go
@@ -24,21 +24,23 @@
 	}
 }
 
-// The settings file changes, once without a signal and once with one. The process
-// reads it again each time and goes on.
+// The settings file changes right after the process has started with it, changes once
+// more, and then a signal comes. The process reads it again each time and goes on.
+//
+// It breaks if the first look is taken for what the process started with.
 func TestFileIsReadAgain(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings")
-	require.NoError(t, os.WriteFile(path, []byte("1"), 0o600))
+	require.NoError(t, os.WriteFile(path, []byte("2"), 0o600)) // it was "1" when the process read it
 	ctx, cancel := context.WithCancel(t.Context())
 	contents, done := make(chan string, 4), make(chan error, 1)
 	go func() {
-		done <- WatchFile(ctx, slog.New(slog.DiscardHandler), path, func(c []byte) { contents <- string(c) })
+		done <- WatchFile(ctx, slog.New(slog.DiscardHandler), path, []byte("1"), func(c []byte) { contents <- string(c) })
 	}()
-	time.Sleep(100 * time.Millisecond) // the first look at the file
-	require.NoError(t, os.WriteFile(path, []byte("2"), 0o600))
 	require.Equal(t, "2", nextContent(t, contents))
+	require.NoError(t, os.WriteFile(path, []byte("3"), 0o600))
+	require.Equal(t, "3", nextContent(t, contents))
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
-	require.Equal(t, "2", nextContent(t, contents))
+	require.Equal(t, "3", nextContent(t, contents))
 	cancel()
 	require.ErrorIs(t, <-done, context.Canceled)
 }
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -236,7 +236,8 @@
 			require.NoError(t, err)
 			require.Equal(t, 200, a.Status)
 		}
-		time.Sleep(500 * time.Millisecond)
+		window := time.Now().Unix() // windows are a second long
+		p.eventually(func() bool { return time.Now().Unix() > window }, "the next window")
 	}
 	began := int64(len(p.runs()))
 	p.eventually(func() bool {
@@ -253,11 +254,10 @@
 	for _, proc := range append(p.controls, p.entries...) {
 		proc.signal(t, syscall.SIGHUP)
 	}
-	time.Sleep(300 * time.Millisecond)
-	a, err := standin.Call(p.ctx(), p.entryAddr(0), platformKey, "/get/x", "")
-	require.NoError(t, err)
-	require.Equal(t, 200, a.Status)
 	for _, proc := range append(p.controls, p.entries...) {
 		p.eventually(func() bool { return strings.Contains(proc.log.String(), "settings read again") }, "it says so")
 	}
+	a, err := standin.Call(p.ctx(), p.entryAddr(0), platformKey, "/get/x", "")
+	require.NoError(t, err)
+	require.Equal(t, 200, a.Status)
 }
--- a/event/writer_test.go
+++ b/event/writer_test.go
@@ -31,9 +31,7 @@
 		all, _ := io.ReadAll(reader)
 		read <- string(all)
 	}()
-	for w.Dropped() > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	require.Eventually(t, func() bool { return w.Dropped() == 0 }, 5*time.Second, time.Millisecond)
 	w.Close()
 	require.NoError(t, pipe.Close())
 	text := <-read
