--- a/fleet/manager.go
+++ b/fleet/manager.go
@@ -4,10 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
 	"slices"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -172,12 +169,6 @@
 	return m.resize(ctx, state)
 }
 
-func (m *Manager) notices(ctx context.Context, after uint64) (native.NoticePage, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.cfg.Poll+noticeGrace)
-	defer cancel()
-	return m.deps.Cloud.Notices(ctx, after, m.cfg.Poll)
-}
-
 // Bounds on a cloud that takes a call and does not answer: on the wait for
 // notices beyond its own, and on one round of decisions.
 const (
@@ -211,41 +202,6 @@
 	return next, trace.Wrap(err, "step=commit fleet")
 }
 
-// spread tells all entries of the notices: an entry that sends no more work to a
-// server saves it, while an order only lets the server say so itself.
-func (m *Manager) spread(notices []native.Notice) {
-	for _, n := range notices {
-		body, err := noticeOf(n).Encode()
-		if err != nil || !m.deps.Now().Before(n.Deadline) {
-			continue // over before this leader heard of it
-		}
-		m.deps.Members.Put(NoticeKey(n.InstanceID), n.Sequence, body)
-	}
-}
-
-// remind orders the servers to leave that are under notice and still say that
-// they serve. It goes by the shared records, so it also finds a server that this
-// replica did not know when the notice came, and one that the leader before did
-// not reach.
-func (m *Manager) remind(ctx context.Context) {
-	var serving []*instance.Server
-	for _, s := range m.deps.Members.View().AllServers() {
-		if s.State == instance.StateServing && m.noticed(s.ID) {
-			serving = append(serving, s)
-		}
-	}
-	m.leave(ctx, serving)
-}
-
-func (m *Manager) noticed(id string) bool {
-	r, known := m.deps.Members.View().Record(NoticeKey(id))
-	if !known {
-		return false
-	}
-	n, err := DecodeNotice(r.Body)
-	return err == nil && m.deps.Now().Before(n.Ends())
-}
-
 // maxOrders is how many orders are under way at a time.
 const maxOrders = 32
 
@@ -253,27 +209,6 @@
 // ordered to once more.
 const remindEvery = 5 * time.Second
 
-// leave orders servers to leave, each once in remindEvery. An order that fails
-// has its log line, and comes again.
-func (m *Manager) leave(ctx context.Context, serving []*instance.Server) {
-	now := m.deps.Now()
-	maps.DeleteFunc(m.reminded, func(_ string, at time.Time) bool { return now.Sub(at) >= remindEvery })
-	var wg sync.WaitGroup
-	slots := make(chan struct{}, maxOrders)
-	for _, s := range serving {
-		if _, done := m.reminded[s.ID]; done {
-			continue
-		}
-		m.reminded[s.ID] = now
-		slots <- struct{}{}
-		wg.Go(func() {
-			defer func() { <-slots }()
-			_ = m.deps.Orders.Give(ctx, s.Address, native.Order{Kind: native.OrderLeave}) // logged by Give
-		})
-	}
-	wg.Wait()
-}
-
 // settle asks the cloud for the starts and stops that the log holds, and notes
 // there what became of them. A start whose answer was lost stays and is asked
 // for again with its token.
@@ -377,98 +312,5 @@
 	}
 }
 
-// unlisted returns the accepted starts that the cloud does not list yet. After
-// listLag one that is not listed has come to nothing.
-func (m *Manager) unlisted(accepted []Accepted, running []native.CloudInstance) []Accepted {
-	return slices.DeleteFunc(slices.Clone(accepted), func(a Accepted) bool {
-		listed := slices.ContainsFunc(running, func(i native.CloudInstance) bool { return i.ID == a.ID })
-		return listed || m.deps.Now().Sub(a.At) > listLag
-	})
-}
-
 // listLag bounds how far the cloud's list of instances is behind its answers.
 const listLag = 5 * time.Minute
-
-// input gathers what a decision looks at.
-func (m *Manager) input(ctx context.Context, state State, running []native.CloudInstance) (scale.Input, error) {
-	prices, err := m.deps.Cloud.Prices(ctx)
-	if err != nil {
-		return scale.Input{}, trace.Wrap(err, "step=read prices")
-	}
-	in := scale.Input{Now: m.deps.Now(), Demand: m.demand(), Classes: m.cfg.Classes, Zones: priced(m.cfg.Zones, prices)}
-	if age := in.Now.Sub(state.Scale.At); age >= 0 && age < m.cfg.Every/2 {
-		// A notice or a refusal right after a decision. Extrapolated from so short a
-		// time, a few requests more would count as a surge, and its starts would stay
-		// for minutes.
-		in.Demand = state.Scale.Demand
-	}
-	for _, a := range state.Accepted {
-		in.Fleet = append(in.Fleet, scale.Instance{ID: a.ID, Option: a.Option, Phase: scale.PhaseStarting})
-	}
-	for _, i := range running {
-		ours := strings.HasPrefix(i.ClientToken, m.cfg.Site+"/")
-		if !ours || i.State == native.InstanceReclaimed || i.State == native.InstanceStopped {
-			continue
-		}
-		in.Fleet = append(in.Fleet, scale.Instance{
-			ID: i.ID, Option: scale.Option{Zone: i.Zone, Class: i.Class, Market: zone.Market(i.Kind)}, Phase: m.phase(i, state),
-		})
-	}
-	return in, nil
-}
-
-func (m *Manager) phase(i native.CloudInstance, state State) scale.Phase {
-	if i.State == native.InstanceReclaiming || slices.Contains(state.Stops, i.ID) {
-		return scale.PhaseLeaving
-	}
-	s, known := m.deps.Members.View().Server(i.ID)
-	switch {
-	case !known || s.State == instance.StateGone:
-		return scale.PhaseStarting
-	case s.State == instance.StateLeaving:
-		return scale.PhaseLeaving
-	default:
-		return scale.PhaseServing
-	}
-}
-
-// demand is the work per second that callers want: the part of each server's
-// slots that running and waiting requests take, more than one where they wait.
-func (m *Manager) demand() float64 {
-	sum := 0.0
-	for _, s := range m.deps.Members.View().AllServers() {
-		i := slices.IndexFunc(m.cfg.Classes, func(c scale.Class) bool { return c.Name == s.Class })
-		if i >= 0 && s.Slots > 0 {
-			sum += m.cfg.Classes[i].Capacity * float64(s.Load.Running+s.Load.Waiting) / float64(s.Slots)
-		}
-	}
-	return sum
-}
-
-// priced returns the zones with the prices of the moment.
-func priced(zones []zone.Zone, prices []native.Price) []zone.Zone {
-	out := slices.Clone(zones)
-	for i := range out {
-		out[i].Prices = nil
-		for _, p := range prices {
-			if p.Zone == out[i].Name {
-				out[i].Prices = addPrice(out[i].Prices, p)
-			}
-		}
-	}
-	return out
-}
-
-func addPrice(list []zone.Price, p native.Price) []zone.Price {
-	i := slices.IndexFunc(list, func(x zone.Price) bool { return x.Class == p.Class })
-	if i < 0 {
-		i = len(list)
-		list = append(list, zone.Price{Class: p.Class})
-	}
-	if p.Kind == native.OnDemand {
-		list[i].OnDemand = p.PerHour
-	} else {
-		list[i].Reclaimable = p.PerHour
-	}
-	return list
-}
