gateway: an error is no stream, and a resumed one is not joined to it

Cause: every answer on a stream's route was read as a stream. A server's own 404, whose body ends with no event, broke off at the caller; behind a stream that was being resumed it would have been joined to the events; and servers that failed then were tried without drawing on the retry budget. Found by reading the change. Ruled out: cutting such bodies into events; an error has none. Measured: TestErrorOnAStreamsRoute and TestStreamThatCannotGoOn fail on the code before ('ended in the middle of an event'; 5 sends where 3 are allowed) and pass now.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -75,20 +75,37 @@
 		return j.notRun(c, answer, NoServer)
 	case Unusable:
 		j.runs++
-		j.service.end(c, endedBadly, g.now())
-		return result{again: true, arrived: true, after: c.verdict.Server, refusal: j.failure("unusable answer")}
+		return j.unusable(c, "unusable answer")
 	case Failed:
 		j.runs++
 		return j.serverFailed(ctx, c, answer)
 	default:
 		j.runs++
-		if j.route.Kind == routes.Stream {
-			return j.relayStream(ctx, c, answer)
-		}
+		return j.relay(ctx, c, answer)
+	}
+}
+
+// relay hands an answer on. Only a success on a stream's route is a stream: an error
+// has no events, and behind those of a stream that is being resumed it would be read
+// as one.
+func (j *job) relay(ctx context.Context, c *choice, answer *backend.Answer) result {
+	success := answer.Status/100 == http.StatusOK/100
+	switch {
+	case j.route.Kind == routes.Stream && success:
+		return j.relayStream(ctx, c, answer)
+	case j.begun:
+		return j.unusable(c, "a stream cannot go on with an answer of another kind")
+	default:
 		return j.relayWhole(ctx, c, answer)
 	}
 }
 
+// unusable handles an answer that can't be passed on.
+func (j *job) unusable(c *choice, detail string) result {
+	j.service.end(c, endedBadly, j.gateway.now())
+	return result{again: true, arrived: true, after: c.verdict.Server, refusal: j.failure(detail)}
+}
+
 // notRun handles a server's word that it did not run the request.
 func (j *job) notRun(c *choice, answer *backend.Answer, reason Reason) result {
 	_, _ = io.Copy(io.Discard, answer) // to keep the connection; a failure only closes it
@@ -106,7 +123,10 @@
 // last word while there is time.
 func (j *job) serverFailed(ctx context.Context, c *choice, answer *backend.Answer) result {
 	r := result{again: true, arrived: true, after: c.verdict.Server, refusal: j.failure("server failed")}
-	if !j.begun && !j.mayRepeat(ctx, &r) {
+	if j.begun {
+		return j.unusable(c, "server failed")
+	}
+	if !j.mayRepeat(ctx, &r) {
 		return j.relayWhole(ctx, c, answer)
 	}
 	_, _ = io.Copy(io.Discard, answer) // to keep the connection; a failure only closes it
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -262,3 +262,54 @@
 		require.Equal(t, BrokeOff, refusal.Reason)
 	}
 }
+
+// A stream's route is asked for something that isn't there. The server's own answer,
+// which has no events, goes to the caller whole.
+//
+// It breaks if it is read as a stream: one that ends in the middle of an event.
+func TestErrorOnAStreamsRoute(t *testing.T) {
+	for _, resumable := range []bool{false, true} {
+		r := newRig(t)
+		r.use(routes.Route{Prefix: "/", Kind: routes.Stream, Resumable: resumable})
+		r.server("web", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = w.Write([]byte("no such model"))
+		})
+		out, refusal := r.ask("/x")
+		require.Nil(t, refusal)
+		require.Equal(t, http.StatusNotFound, out.status)
+		require.Equal(t, "no such model", string(out.body))
+	}
+}
+
+// A stream breaks off, and the servers that it is to go on at fail or answer with an
+// error. Neither may be joined to the events that the caller has, and each attempt
+// draws on the retry budget: with all servers failing, callers of streams would else
+// bring each of them several times the load.
+//
+// It breaks without the case of a begun answer in relay, and in serverFailed.
+func TestStreamThatCannotGoOn(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusInternalServerError} {
+		r := newRig(t)
+		r.use(routes.Route{Prefix: "/", Kind: routes.Stream, Resumable: true, MaxServers: 9})
+		var all []*standIn
+		for range 4 {
+			all = append(all, r.server("web", func(w http.ResponseWriter, req *http.Request) {
+				if req.Header.Get("X-After") == "" {
+					stream(resumeAt, 2, false)(w, req)
+				}
+				w.WriteHeader(status)
+				_, _ = w.Write([]byte("error"))
+			}))
+		}
+		r.fillBudgetFor(1)
+		out, refusal := r.ask("/x")
+		require.Equal(t, BrokeOff, refusal.Reason)
+		require.Equal(t, eventsText(2), string(out.body))
+		total := 0
+		for _, s := range all {
+			total += s.count()
+		}
+		require.LessOrEqual(t, total, 3, "the first run and what the budget allows")
+	}
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -158,8 +158,11 @@
 }
 
 // fillBudget lets the retry budget fill, as ordinary traffic does.
-func (r *rig) fillBudget() {
-	for range 150 {
+func (r *rig) fillBudget() { r.fillBudgetFor(20) }
+
+// fillBudgetFor lets it fill for so many repeats, at the site's ratio of a fifth.
+func (r *rig) fillBudgetFor(repeats int) {
+	for range repeats * 15 / 2 {
 		r.noteFirst(retry.Call{Service: "web", Class: contract.ClassInteractive, Idempotent: true})
 	}
 }
