coordinator: a first revision of 0 is a catalogue

Cause: revision 0 stood for having no catalogue. With a first revision of 0 every call that waits for news would be answered at once and made again at once, on every process.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -34,7 +34,8 @@
 	// Life and Seen are those of the last reply of this replica; zero at first.
 	Life     uint64        `msgpack:"life"`
 	Seen     uint64        `msgpack:"seen"`
-	Revision uint64        `msgpack:"rev"` // of the catalogue that the sender has
+	Has      bool          `msgpack:"has"` // the sender has a catalogue
+	Revision uint64        `msgpack:"rev"` // of that catalogue
 	Wait     time.Duration `msgpack:"wait"`
 
 	Usage []WindowUsage `msgpack:"usage,omitempty"` // all that the sender counted, newest windows
@@ -55,6 +56,10 @@
 	Prefill int    `msgpack:"p,omitempty"` // prompt tokens of those that have no answer yet
 }
 
+// Lacks reports whether the sender lacks a catalogue of this revision. A first
+// revision may be 0, so having none is not told by the number.
+func (r *WatchRequest) Lacks(revision uint64) bool { return !r.Has || revision > r.Revision }
+
 // WindowUsage is what began to run at one entry in one window.
 type WindowUsage struct {
 	Window int64            `msgpack:"w"` // Unix time divided by the window's length
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -229,8 +229,8 @@
 }
 
 func (c *Coordinator) watchRequest() api.WatchRequest {
-	revision, _, _ := c.revisions.newest()
-	return api.WatchRequest{Role: api.RoleControl, Revision: revision}
+	revision, document, _ := c.revisions.newest()
+	return api.WatchRequest{Role: api.RoleControl, Has: document != nil, Revision: revision}
 }
 
 // take merges what another replica told.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -26,7 +26,7 @@
 func (g *Gateway) watchRequest() api.WatchRequest {
 	req := api.WatchRequest{Role: api.RoleEntry, Wait: g.watchWait(), Usage: g.usage.report()}
 	if t := g.table.Load(); t != nil {
-		req.Revision = t.Catalogue().Revision
+		req.Has, req.Revision = true, t.Catalogue().Revision
 		// Callers are sent here only once they can be answered.
 		self := g.self()
 		req.Entry = &self
