--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -10,12 +10,12 @@
 
 // The methods on links.
 const (
-	MethodReplica = "coordinator.replica" // notice: a message of the replicated log
-	MethodWatch   = "coordinator.watch"
-	MethodRevise  = "coordinator.revise"
-	MethodRead    = "coordinator.read"
-	MethodSeat    = "coordinator.seat"
-	MethodJoin    = "coordinator.join"
+	MethodReplica  = "coordinator.replica" // notice: a message of the replicated log
+	MethodWatch    = "coordinator.watch"
+	MethodRevise   = "coordinator.revise"
+	MethodRead     = "coordinator.read"
+	MethodRegister = "coordinator.register"
+	MethodJoin     = "coordinator.join"
 )
 
 // Roles of the processes that watch.
@@ -101,15 +101,15 @@
 	Document []byte `msgpack:"doc"`
 }
 
-// SeatRequest asks for a replica id that was never used. The same nonce gets the
+// RegisterRequest asks for a replica id that was never used. The same nonce gets the
 // same id.
-type SeatRequest struct {
+type RegisterRequest struct {
 	Address string `msgpack:"addr"`
 	Nonce   string `msgpack:"nonce"`
 }
 
-// SeatReply gives the id.
-type SeatReply struct {
+// RegisterReply gives the id.
+type RegisterReply struct {
 	ID uint64 `msgpack:"id"`
 }
 
--- a/coordinator/catalogue.go
+++ b/coordinator/catalogue.go
@@ -146,9 +146,9 @@
 	}
 }
 
-func (c *Coordinator) seatHere(ctx context.Context, m *member, req api.SeatRequest) (api.SeatReply, error) {
-	id, err := proposeResult[uint64](ctx, m, kindSeat, seatCommand{Address: req.Address, Nonce: req.Nonce})
-	return api.SeatReply{ID: id}, notLeaderError(err)
+func (c *Coordinator) registerHere(ctx context.Context, m *member, req api.RegisterRequest) (api.RegisterReply, error) {
+	id, err := proposeResult[uint64](ctx, m, kindRegister, registerCommand{Address: req.Address, Nonce: req.Nonce})
+	return api.RegisterReply{ID: id}, notLeaderError(err)
 }
 
 func (c *Coordinator) joinHere(ctx context.Context, m *member, req api.JoinRequest) (api.JoinReply, error) {
@@ -158,9 +158,9 @@
 	if isMember(m.host.Status(), req.ID) {
 		return api.JoinReply{Member: true}, nil
 	}
-	if _, seated, given := m.state.seatOf(req.ID); !seated && given {
+	if _, registered, given := m.state.registrationOf(req.ID); !registered && given {
 		return api.JoinReply{Retired: true}, nil
 	}
-	c.upkeep.ask(req.ID, req.Address)
+	c.reconciler.ask(req.ID, req.Address)
 	return api.JoinReply{}, nil
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -1,7 +1,7 @@
 // Package coordinator is a control replica for catalogues of routes: it keeps
 // the catalogue in the replicated log, hears the backend servers' heartbeats,
 // tells entries and other replicas what is new, names entries to callers, and,
-// while it leads, carries out the duties that one process has for all.
+// while it leads, does what one process does for all.
 package coordinator
 
 import (
@@ -42,7 +42,7 @@
 	FS  storage.FS
 	// Seeds returns the link addresses of the replicas that the settings name now.
 	Seeds func() []string
-	Cloud Cloud // nil: no duties
+	Cloud Cloud // nil: the cloud is not called
 	// Decode reads a catalogue that was accepted before.
 	Decode func(document []byte) (*routes.Catalogue, error)
 }
@@ -57,26 +57,26 @@
 	now     func() time.Time
 	metrics *metrics.Set
 
-	directory *directory.Store
-	revisions *revisions
-	usage     *usageBook
-	loads     *loadBook
-	uses      *useBook
-	clock     *wallclock.Clock
-	pool      *link.Pool
-	traffic   *link.Traffic
-	follower  *follow.Follower
-	group     *group
-	upkeep    *upkeep
-	duties    *duties
+	directory  *directory.Store
+	revisions  *revisions
+	usage      *usageBook
+	loads      *loadBook
+	uses       *useBook
+	clock      *wallclock.Clock
+	pool       *link.Pool
+	traffic    *link.Traffic
+	follower   *follow.Follower
+	group      *group
+	reconciler *reconciler
+	tasks      *leaderTasks
 
 	table    atomic.Pointer[routes.Table] // of the newest catalogue known here
 	stopping chan struct{}                // closed when this replica begins to stop
 	stopOnce sync.Once
 
-	mu     sync.Mutex
-	seated []string             // link addresses of the replicas in the log
-	heard  map[string]time.Time // link addresses of replicas that called
+	mu         sync.Mutex
+	registered []string             // link addresses of the replicas in the log
+	heard      map[string]time.Time // link addresses of replicas that called
 }
 
 // Silence of a backend server and of an entry. Heartbeats may be seconds late, so
@@ -111,20 +111,20 @@
 	c.follower = follow.New(follow.Config{Self: c.self}, follow.Deps{
 		Pool: c.pool, Log: c.log, Now: c.now, Request: c.watchRequest, Reply: c.take, Seeds: c.known,
 	})
-	c.upkeep = newUpkeep(c.log, c.now, c.follower.Contacted)
+	c.reconciler = newReconciler(c.log, c.now, c.follower.Contacted)
 	c.group = &group{
 		self: c.self, store: identityStore{fs: deps.FS, dir: cfg.Node.DataDir}, pool: c.pool, log: c.log, now: c.now,
-		found: c.founders, others: c.follower.Followed, onRevision: c.offer, onSeats: c.learnSeats,
+		found: c.founders, others: c.follower.Followed, onRevision: c.offer, onMembers: c.learnMembers,
 	}
-	c.duties = &duties{
+	c.tasks = &leaderTasks{
 		log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, clock: c.clock, now: c.now, usage: c.usage,
 		window: cfg.Node.Bounds.UsageWindow, late: cfg.Node.Bounds.UsageLate, lease: cfg.Node.Bounds.LeaseTime,
 		report: cfg.Node.Cloud.Usage,
 	}
 	if cfg.Node.Cloud.Scaling {
-		c.duties.fleet = &fleet{
+		c.tasks.fleet = &fleet{
 			log: c.log, now: c.now, servers: c.directory.Servers, table: c.table.Load,
-			give: c.duties.orderServers,
+			give: c.tasks.orderServers,
 		}
 	}
 	return c, nil
@@ -176,7 +176,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := map[string]bool{c.self: true}
-	for _, addr := range c.seated {
+	for _, addr := range c.registered {
 		all[addr] = true
 	}
 	for addr, at := range c.heard {
@@ -199,12 +199,12 @@
 	c.heard[addr] = c.now()
 }
 
-func (c *Coordinator) learnSeats(list []roster.Member) {
+func (c *Coordinator) learnMembers(list []roster.Member) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seated = c.seated[:0]
+	c.registered = c.registered[:0]
 	for _, m := range list {
-		c.seated = append(c.seated, m.Address)
+		c.registered = append(c.registered, m.Address)
 	}
 }
 
@@ -217,7 +217,7 @@
 	}
 }
 
-// read makes the newest catalogue ready for the duties.
+// read makes the newest catalogue ready for the leader's tasks.
 func (c *Coordinator) read(revision uint64, document []byte) {
 	catalogue, err := c.deps.Decode(document)
 	if err != nil {
@@ -309,7 +309,7 @@
 	link.Handle(srv, api.MethodWatch, c.watch)
 	link.Handle(srv, api.MethodRevise, serveLeader(c, c.reviseHere))
 	link.Handle(srv, api.MethodRead, serveLeader(c, c.readHere))
-	link.Handle(srv, api.MethodSeat, serveLeader(c, c.seatHere))
+	link.Handle(srv, api.MethodRegister, serveLeader(c, c.registerHere))
 	link.Handle(srv, api.MethodJoin, serveLeader(c, c.joinHere))
 }
 
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -55,7 +55,7 @@
 	planned time.Time
 }
 
-// reset forgets the orders of an earlier lead: another holder may have given
+// reset forgets the orders of an earlier lead: another leader may have given
 // others since.
 func (f *fleet) reset() {
 	f.orders = make(map[orderKey]*ordered)
@@ -89,7 +89,7 @@
 // log, since a leader that counted again in the middle of a wave would take what
 // the wave has left for what is needed.
 func (f *fleet) service(ctx context.Context, m *member, s *routes.Service, servers []directory.Server, now time.Time) {
-	count := census{serving: make(map[supply.Kind]int), present: make(map[supply.Kind]int)}
+	count := serverCount{serving: make(map[supply.Kind]int), present: make(map[supply.Kind]int)}
 	for i := range servers {
 		if rec := &servers[i]; slices.Contains(rec.Services, s.Name) {
 			count.add(rec)
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
 	defer cancel()
 	if err := propose(ctx, m, kindSize, sizeCommand{Service: service, Servers: servers}); err != nil {
-		event.Log(ctx, f.log, slog.LevelWarn, event.DutyRefused, slog.String("duty", "servers"), slog.String("service", service),
+		event.Log(ctx, f.log, slog.LevelWarn, event.CloudCallFailed, slog.String("task", "servers"), slog.String("service", service),
 			slog.String("step", "note size"), slog.String("error", err.Error()))
 	}
 }
@@ -161,14 +161,14 @@
 	return out
 }
 
-// census counts the servers of a service.
-type census struct {
+// serverCount counts the servers of a service.
+type serverCount struct {
 	serving map[supply.Kind]int // and not about to leave
 	present map[supply.Kind]int // also those that leave
 	total   int                 // serving
 }
 
-func (c *census) add(rec *directory.Server) {
+func (c *serverCount) add(rec *directory.Server) {
 	kind := supply.Kind{Zone: rec.Zone, Reclaimable: rec.Class == directory.ClassReclaimable}
 	if rec.Silent {
 		return
@@ -204,7 +204,7 @@
 // order gives an order and reports whether the cloud answered.
 func (f *fleet) order(ctx context.Context, service string, o supply.Order, serving, need int, now time.Time) bool {
 	err := f.give(ctx, Want{Service: service, Zone: o.Zone, Reclaimable: o.Reclaimable, Count: o.Count})
-	refused := errors.Is(err, ErrNoneToBeHad)
+	refused := errors.Is(err, ErrUnavailable)
 	f.orders[orderKey{service, o.Kind}] = &ordered{count: o.Count, at: now, refused: refused, pending: err != nil && !refused}
 	event.Log(ctx, f.log, slog.LevelInfo, event.PlacementChosen, slog.String("service", service), slog.String("zone", o.Zone),
 		slog.Bool("reclaimable", o.Reclaimable), slog.Int("count", o.Count), slog.Int("serving", serving), slog.Int("need", need), slog.Any("error", err))
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -16,7 +16,7 @@
 )
 
 // market is a cloud that notes orders and answers as it is told.
-type market struct {
+type fakeCloud struct {
 	fleet   *fleet
 	member  *member
 	now     time.Time
@@ -25,8 +25,8 @@
 	answer  func(w Want) error
 }
 
-func newMarket() *market {
-	m := &market{now: time.Unix(1000, 0), answer: func(Want) error { return nil }, member: &member{state: emptyState()}}
+func newFakeCloud() *fakeCloud {
+	m := &fakeCloud{now: time.Unix(1000, 0), answer: func(Want) error { return nil }, member: &member{state: emptyState()}}
 	m.member.state.applySize(sizeCommand{Service: "chat", Servers: 4})
 	table := routes.NewTable(&routes.Catalogue{Services: []routes.Service{{
 		Name: "chat", Scaling: &routes.Scaling{Min: 0, Max: 8, SpotPrice: 0.2, ZonePrices: map[string]float64{"a": 1, "b": 1, "c": 1}},
@@ -44,7 +44,7 @@
 }
 
 // step looks at the fleet some time later and returns the orders given.
-func (m *market) step(later time.Duration) []Want {
+func (m *fakeCloud) step(later time.Duration) []Want {
 	m.now = m.now.Add(later)
 	m.orders = nil
 	m.fleet.step(context.Background(), m.member)
@@ -52,7 +52,7 @@
 }
 
 // serve makes so many reclaimable servers serve in a zone.
-func (m *market) serve(zone string, n int) {
+func (m *fakeCloud) serve(zone string, n int) {
 	for i := range n {
 		m.servers = append(m.servers, directory.Server{Announcement: instance.Announcement{
 			ID: fmt.Sprint(zone, i), Zone: zone, Class: directory.ClassReclaimable, State: instance.StateServing, Services: []string{"chat"},
@@ -73,7 +73,7 @@
 // An order is accepted, but its servers do not come. It is given again after a
 // while, and not at each look.
 func TestOrderIsRepeatedWhileServersAreMissing(t *testing.T) {
-	m := newMarket()
+	m := newFakeCloud()
 	require.Equal(t, []int{2}, wants(m.step(time.Second), "a", true))
 	require.Empty(t, wants(m.step(time.Second), "a", true))
 	require.Equal(t, []int{2}, wants(m.step(repeatEvery), "a", true))
@@ -86,10 +86,10 @@
 // None are to be had. They are asked for again soon, but not at each look: the
 // cloud takes few calls, and those of all others count too.
 func TestRefusedOrderWaits(t *testing.T) {
-	m := newMarket()
+	m := newFakeCloud()
 	m.answer = func(w Want) error {
 		if w.Reclaimable {
-			return ErrNoneToBeHad
+			return ErrUnavailable
 		}
 		return nil
 	}
@@ -99,11 +99,11 @@
 }
 
 // The cloud is silent. One order waits for it, and not six one after the other: the
-// usage reports of the same holder would be late.
+// usage reports of the same leader would be late.
 //
 // It breaks if step goes on after an order without an answer.
 func TestSilentCloudHoldsUpOneOrder(t *testing.T) {
-	m := newMarket()
+	m := newFakeCloud()
 	m.answer = func(Want) error { return errors.New("no answer") }
 	require.Len(t, m.step(time.Second), 1)
 	require.Len(t, m.step(time.Second), 1, "and it is given again")
--- a/coordinator/group.go
+++ b/coordinator/group.go
@@ -46,8 +46,8 @@
 	// leaderless is how long a member hears of no leader before it asks whether it
 	// is still one: longer than an election takes.
 	leaderless = 3 * time.Second
-	// seatTimeout bounds one request for an id.
-	seatTimeout = time.Second
+	// joinTimeout bounds one request for an id.
+	joinTimeout = time.Second
 )
 
 // errRetired says that this replica's id was given up for good.
@@ -57,7 +57,7 @@
 // its disk fails or it is removed.
 type member struct {
 	id       uint64
-	founders []seat
+	founders []registration
 	host     *host.Host
 	state    *state
 	book     *roster.Book
@@ -74,7 +74,7 @@
 	others func() []string // link addresses of other replicas that are known
 
 	onRevision func(revision uint64, document []byte)
-	onSeats    func([]roster.Member)
+	onMembers  func([]roster.Member)
 
 	current atomic.Pointer[member]
 }
@@ -134,7 +134,7 @@
 	m := &member{id: id.ID, founders: id.Founders, book: roster.NewBook(founders)}
 	m.state = newState(g.onRevision, func(list []roster.Member) {
 		m.book.Learn(list)
-		g.onSeats(list)
+		g.onMembers(list)
 	})
 	var err error
 	m.host, err = host.New(cfg, host.Deps{
@@ -185,45 +185,45 @@
 	if err := g.store.discardLog(); err != nil {
 		return id, "", err
 	}
-	if seats := seatsOf(g.found()); len(seats) > 0 {
-		for _, s := range seats {
+	if registrations := numberFounders(g.found()); len(registrations) > 0 {
+		for _, s := range registrations {
 			if s.Address == g.self {
-				id = identity{ID: s.ID, Founders: seats}
+				id = identity{ID: s.ID, Founders: registrations}
 				return id, "founded", g.store.save(id)
 			}
 		}
 	}
-	id.ID, err = g.requestSeat(ctx)
+	id.ID, err = g.requestID(ctx)
 	if err != nil {
 		return id, "", err
 	}
 	return id, "joined", g.store.save(id)
 }
 
-// seatsOf numbers the founders by address. All of them are told the same list,
+// numberFounders numbers the founders by address. All of them are told the same list,
 // so all arrive at the same numbers.
-func seatsOf(addresses []string) []seat {
+func numberFounders(addresses []string) []registration {
 	sorted := slices.Compact(slices.Sorted(slices.Values(addresses)))
-	seats := make([]seat, 0, len(sorted))
+	registrations := make([]registration, 0, len(sorted))
 	for i, addr := range sorted {
-		seats = append(seats, seat{ID: uint64(i + 1), Address: addr})
+		registrations = append(registrations, registration{ID: uint64(i + 1), Address: addr})
 	}
-	return seats
+	return registrations
 }
 
-// requestSeat asks the others for an id until one answers.
-func (g *group) requestSeat(ctx context.Context) (uint64, error) {
-	req := api.SeatRequest{Address: g.self, Nonce: uuid.NewString()}
+// requestID asks the others for an id until one answers.
+func (g *group) requestID(ctx context.Context) (uint64, error) {
+	req := api.RegisterRequest{Address: g.self, Nonce: uuid.NewString()}
 	for ctx.Err() == nil {
 		for _, addr := range g.others() {
-			callCtx, cancel := context.WithTimeout(ctx, seatTimeout)
-			reply, err := link.Call[api.SeatReply](callCtx, g.pool, addr, api.MethodSeat, req)
+			callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+			reply, err := link.Call[api.RegisterReply](callCtx, g.pool, addr, api.MethodRegister, req)
 			cancel()
 			if err == nil && reply.ID > 0 {
 				return reply.ID, nil
 			}
 			if err != nil {
-				g.log.DebugContext(ctx, "seat not given", "peer", addr, "error", err)
+				g.log.DebugContext(ctx, "no replica id given", "peer", addr, "error", err)
 			}
 		}
 		daemon.Pause(ctx, joinEvery)
@@ -262,7 +262,7 @@
 func (g *group) askToJoin(ctx context.Context, id uint64) (retired bool) {
 	req := api.JoinRequest{ID: id, Address: g.self}
 	for _, addr := range g.others() {
-		callCtx, cancel := context.WithTimeout(ctx, seatTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 		reply, err := link.Call[api.JoinReply](callCtx, g.pool, addr, api.MethodJoin, req)
 		cancel()
 		if err != nil {
--- a/coordinator/identity.go
+++ b/coordinator/identity.go
@@ -24,8 +24,8 @@
 // it asks for a new id, and only a first start of the whole system lets a
 // replica take one by itself.
 type identity struct {
-	ID       uint64 `msgpack:"id"`
-	Founders []seat `msgpack:"founders"` // empty at a replica that joined
+	ID       uint64         `msgpack:"id"`
+	Founders []registration `msgpack:"founders"` // empty at a replica that joined
 }
 
 // identityStore reads and writes the identity of one data folder.
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -27,15 +27,15 @@
 	var work sync.WaitGroup
 	defer work.Wait()
 	work.Go(func() {
-		_ = daemon.Every(ctx, upkeepEvery, func() {
+		_ = daemon.Every(ctx, reconcileEvery, func() {
 			if m := c.group.current.Load(); m != nil {
-				if err := c.upkeep.step(ctx, m); err != nil {
+				if err := c.reconciler.step(ctx, m); err != nil {
 					c.log.DebugContext(ctx, "replica set not changed", "error", err)
 				}
 			}
 		})
 	})
-	return daemon.Every(ctx, dutyEvery, func() {
+	return daemon.Every(ctx, tasksEvery, func() {
 		m := c.group.current.Load()
 		if m == nil {
 			return
@@ -47,7 +47,7 @@
 				slog.Uint64("term", st.Term), slog.String("role", st.Role.String()), slog.Any("voters", st.Voters), slog.Any("learners", st.Learners))
 		}
 		if c.deps.Cloud != nil {
-			c.duties.step(ctx, m)
+			c.tasks.step(ctx, m)
 		}
 	})
 }
@@ -64,7 +64,7 @@
 	defer cancel()
 	st := m.host.Status()
 	for _, id := range st.Voters {
-		if id == st.ID || c.upkeep.age(m, id) > aliveWithin {
+		if id == st.ID || c.reconciler.age(m, id) > aliveWithin {
 			continue
 		}
 		if m.host.TransferLeadership(ctx, id) == nil {
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -1,10 +1,10 @@
 package coordinator
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,84 +30,84 @@
 	// askedWithin is how long a request to be taken in stands without being made
 	// again.
 	askedWithin = 3 * time.Second
-	// retireAfter is how long a seat may stand unused.
+	// retireAfter is how long a registration may stand unused.
 	retireAfter = 30 * time.Second
-	// upkeepEvery is how often the leader looks at the set, and upkeepTimeout
+	// reconcileEvery is how often the leader looks at the set, and reconcileTimeout
 	// bounds one change of it.
-	upkeepEvery   = 250 * time.Millisecond
-	upkeepTimeout = 2 * time.Second
+	reconcileEvery   = 250 * time.Millisecond
+	reconcileTimeout = 2 * time.Second
 )
 
-// upkeep is the leader's care for the set of replicas: it takes in those that
-// ask, and lets go of those that cannot come back.
+// reconciler keeps the set of replicas, as the leader: it takes in those that ask, and
+// removes those that cannot come back.
 //
 // Nobody writes a list of replicas. Without this a group that lost a disk, and
 // the instance that holds a second copy some time later, could no longer commit,
 // and operators would see every change refused.
-type upkeep struct {
+type reconciler struct {
 	log     *slog.Logger
 	now     func() time.Time
 	contact func(addr string) time.Time // last reply of a replica
 
 	mu     sync.Mutex
-	asked  map[uint64]request
-	unused map[uint64]time.Time // seats that no member holds, since when
+	asked  map[uint64]joinRequest
+	unused map[uint64]time.Time // registrations that no member holds, since when
 	leader uint64               // term in which this replica last led
 	since  time.Time
 }
 
-// request is a replica's wish to be taken in.
-type request struct {
+// joinRequest is a replica's request to be taken in.
+type joinRequest struct {
 	address string
 	at      time.Time
 }
 
-func newUpkeep(log *slog.Logger, now func() time.Time, contact func(string) time.Time) *upkeep {
-	return &upkeep{log: log, now: now, contact: contact, asked: make(map[uint64]request), unused: make(map[uint64]time.Time)}
+func newReconciler(log *slog.Logger, now func() time.Time, contact func(string) time.Time) *reconciler {
+	return &reconciler{log: log, now: now, contact: contact, asked: make(map[uint64]joinRequest), unused: make(map[uint64]time.Time)}
 }
 
-func (u *upkeep) ask(id uint64, address string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.asked[id] = request{address: address, at: u.now()}
+func (r *reconciler) ask(id uint64, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked[id] = joinRequest{address: address, at: r.now()}
 }
 
-// wishes returns the ids that asked lately, lowest first.
-func (u *upkeep) wishes() map[uint64]request {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	out := make(map[uint64]request)
-	for id, r := range u.asked {
-		if u.now().Sub(r.at) > askedWithin {
-			delete(u.asked, id)
+// joining returns the replicas that asked lately, by id.
+func (r *reconciler) joining() map[uint64]joinRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[uint64]joinRequest)
+	for id, asked := range r.asked {
+		if r.now().Sub(asked.at) > askedWithin {
+			delete(r.asked, id)
 			continue
 		}
-		out[id] = r
+		out[id] = asked
 	}
 	return out
 }
 
 // step makes at most one change of the set, as the leader.
-func (u *upkeep) step(ctx context.Context, m *member) error {
+func (r *reconciler) step(ctx context.Context, m *member) error {
 	st := m.host.Status()
 	if st.Role != replica.Leader {
 		return nil
 	}
-	u.noteTerm(st.Term)
-	ctx, cancel := context.WithTimeout(ctx, upkeepTimeout)
+	r.noteTerm(st.Term)
+	ctx, cancel := context.WithTimeout(ctx, reconcileTimeout)
 	defer cancel()
 	if !m.state.founded() {
-		return propose(ctx, m, kindFound, foundCommand{Seats: m.founders})
+		return propose(ctx, m, kindFound, foundCommand{Registrations: m.founders})
 	}
-	ch, reason, ok := u.next(m, st)
+	ch, reason, ok := r.next(m, st)
 	if !ok {
-		return u.retireUnused(ctx, m, st)
+		return r.retireUnused(ctx, m, st)
 	}
 	err := m.host.ChangeMembers(ctx, ch)
 	if errors.Is(err, replica.ErrNotCaughtUp) || errors.Is(err, replica.ErrChangePending) {
 		return nil // asked again at the next step
 	}
-	event.Log(ctx, u.log, slog.LevelInfo, event.ReplicaSetChanged,
+	event.Log(ctx, r.log, slog.LevelInfo, event.ReplicaSetChanged,
 		slog.Uint64("replica", ch.ID), slog.String("change", changeName(ch.Kind)), slog.String("reason", reason),
 		slog.Uint64("term", st.Term), slog.Any("error", err))
 	return err
@@ -124,47 +124,38 @@
 	}
 }
 
-func (u *upkeep) noteTerm(term uint64) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.leader != term {
-		u.leader, u.since = term, u.now()
+func (r *reconciler) noteTerm(term uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leader != term {
+		r.leader, r.since = term, r.now()
 	}
 }
 
 // next returns the change that is due.
-func (u *upkeep) next(m *member, st host.Status) (ch replica.Change, reason string, ok bool) {
-	wishes := u.wishes()
-	if id, found := u.replaced(m, st, wishes); found {
+func (r *reconciler) next(m *member, st host.Status) (ch replica.Change, reason string, ok bool) {
+	joining := r.joining()
+	if id, found := r.replaced(m, st, joining); found {
 		return replica.Change{Kind: replica.Remove, ID: id}, "its disk is lost", true
 	}
-	for _, id := range sortedKeys(wishes) {
-		if _, seated, _ := m.state.seatOf(id); seated && !isMember(st, id) {
+	for _, id := range slices.Sorted(maps.Keys(joining)) {
+		if _, registered, _ := m.state.registrationOf(id); registered && !isMember(st, id) {
 			return replica.Change{Kind: replica.AddLearner, ID: id}, "it asked", true
 		}
 	}
-	return u.balance(m, st)
-}
-
-func sortedKeys[V any](m map[uint64]V) []uint64 {
-	keys := make([]uint64, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
+	return r.balance(m, st)
 }
 
 // replaced finds a member whose instance asks to be taken in under a newer id:
 // it has lost its disk, and the old id will never answer again.
-func (u *upkeep) replaced(m *member, st host.Status, wishes map[uint64]request) (uint64, bool) {
-	for _, asking := range sortedKeys(wishes) {
+func (r *reconciler) replaced(m *member, st host.Status, joining map[uint64]joinRequest) (uint64, bool) {
+	for _, asking := range slices.Sorted(maps.Keys(joining)) {
 		for _, id := range slices.Concat(st.Learners, st.Voters) {
 			addr, _ := m.book.Address(id)
-			if id >= asking || addr != wishes[asking].address || id == st.ID {
+			if id >= asking || addr != joining[asking].address || id == st.ID {
 				continue
 			}
-			if !slices.Contains(st.Voters, id) || u.majorityWithout(m, st, id) {
+			if !slices.Contains(st.Voters, id) || r.majorityWithout(m, st, id) {
 				return id, true
 			}
 		}
@@ -175,14 +166,14 @@
 // majorityWithout reports whether enough of the voters left are alive. The new
 // set is in force as soon as it is in the leader's log: without a majority of it,
 // it would never be committed, and nothing after it either.
-func (u *upkeep) majorityWithout(m *member, st host.Status, id uint64) bool {
+func (r *reconciler) majorityWithout(m *member, st host.Status, id uint64) bool {
 	alive, left := 0, 0
 	for _, voter := range st.Voters {
 		if voter == id {
 			continue
 		}
 		left++
-		if voter == st.ID || u.age(m, voter) <= aliveWithin {
+		if voter == st.ID || r.age(m, voter) <= aliveWithin {
 			alive++
 		}
 	}
@@ -190,95 +181,95 @@
 }
 
 // age is how long ago a replica last replied to this one.
-func (u *upkeep) age(m *member, id uint64) time.Duration {
+func (r *reconciler) age(m *member, id uint64) time.Duration {
 	addr, _ := m.book.Address(id)
-	return u.now().Sub(u.contact(addr))
+	return r.now().Sub(r.contact(addr))
 }
 
 // balance promotes learners up to an odd number of voters, and lets a learner
 // take the place of a voter that is out of reach for long.
-func (u *upkeep) balance(m *member, st host.Status) (ch replica.Change, reason string, ok bool) {
-	ready := u.aliveLearners(m, st)
+func (r *reconciler) balance(m *member, st host.Status) (ch replica.Change, reason string, ok bool) {
+	ready := r.aliveLearners(m, st)
 	if len(ready) == 0 {
 		return ch, "", false
 	}
 	if len(st.Voters)%2 == 0 || len(st.Voters) < maxVoters && len(ready) >= 2 {
 		return replica.Change{Kind: replica.Promote, ID: ready[0]}, "more voters are wanted", true
 	}
-	if dead, found := u.deadVoter(m, st); found {
+	if dead, found := r.deadVoter(m, st); found {
 		return replica.Change{Kind: replica.Remove, ID: dead}, "out of reach, a learner takes its place", true
 	}
 	return ch, "", false
 }
 
-func (u *upkeep) aliveLearners(m *member, st host.Status) []uint64 {
+func (r *reconciler) aliveLearners(m *member, st host.Status) []uint64 {
 	var ready []uint64
 	for _, id := range st.Learners {
-		if u.age(m, id) <= aliveWithin {
+		if r.age(m, id) <= aliveWithin {
 			ready = append(ready, id)
 		}
 	}
-	slices.SortFunc(ready, cmp.Compare[uint64])
+	slices.Sort(ready)
 	return ready
 }
 
 // deadVoter returns the voter that has been out of reach longest, if that is
 // long. A leader that has just been elected has heard of nobody yet.
-func (u *upkeep) deadVoter(m *member, st host.Status) (uint64, bool) {
-	u.mu.Lock()
-	led := u.now().Sub(u.since)
-	u.mu.Unlock()
+func (r *reconciler) deadVoter(m *member, st host.Status) (uint64, bool) {
+	r.mu.Lock()
+	led := r.now().Sub(r.since)
+	r.mu.Unlock()
 	var dead uint64
 	longest := deadAfter
 	for _, id := range st.Voters {
 		if id == st.ID {
 			continue
 		}
-		if age := min(u.age(m, id), led); age > longest && u.majorityWithout(m, st, id) {
+		if age := min(r.age(m, id), led); age > longest && r.majorityWithout(m, st, id) {
 			dead, longest = id, age
 		}
 	}
 	return dead, dead != 0
 }
 
-// retireUnused gives up seats that nobody will use any more: one that an
+// retireUnused gives up registrations that nobody will use any more: one that an
 // instance asked for before it asked for a newer one, and one that no member has
-// held for long. The seat of a replica that is about to be taken in stays.
-func (u *upkeep) retireUnused(ctx context.Context, m *member, st host.Status) error {
-	seats := m.state.members()
+// held for long. The registration of a replica that is about to be taken in stays.
+func (r *reconciler) retireUnused(ctx context.Context, m *member, st host.Status) error {
+	registrations := m.state.members()
 	newest := make(map[string]uint64)
-	for _, s := range seats {
+	for _, s := range registrations {
 		newest[s.Address] = max(newest[s.Address], s.ID)
 	}
-	for _, s := range seats {
+	for _, s := range registrations {
 		if isMember(st, s.ID) {
-			u.noteUsed(s.ID)
+			r.noteUsed(s.ID)
 			continue
 		}
-		if s.ID < newest[s.Address] || u.unusedFor(s.ID) > retireAfter {
+		if s.ID < newest[s.Address] || r.unusedFor(s.ID) > retireAfter {
 			return propose(ctx, m, kindRetire, retireCommand{ID: s.ID})
 		}
 	}
 	return nil
 }
 
-func (u *upkeep) noteUsed(id uint64) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.unused, id)
+func (r *reconciler) noteUsed(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.unused, id)
 }
 
-func (u *upkeep) unusedFor(id uint64) time.Duration {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := u.now()
-	if r, wishes := u.asked[id]; wishes && now.Sub(r.at) <= askedWithin {
-		delete(u.unused, id)
+func (r *reconciler) unusedFor(id uint64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	if asked, asks := r.asked[id]; asks && now.Sub(asked.at) <= askedWithin {
+		delete(r.unused, id)
 		return 0
 	}
-	since, noted := u.unused[id]
+	since, noted := r.unused[id]
 	if !noted {
-		u.unused[id] = now
+		r.unused[id] = now
 		return 0
 	}
 	return now.Sub(since)
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -16,7 +16,7 @@
 const (
 	kindRevise uint8 = replica.KindApplication + iota
 	kindFound
-	kindSeat
+	kindRegister
 	kindRetire
 	kindUsage
 	kindUsageSent
@@ -33,10 +33,10 @@
 }
 
 type foundCommand struct {
-	Seats []seat `msgpack:"seats"`
+	Registrations []registration `msgpack:"registrations"`
 }
 
-type seatCommand struct {
+type registerCommand struct {
 	Address string `msgpack:"addr"`
 	Nonce   string `msgpack:"nonce"`
 }
@@ -55,8 +55,8 @@
 	Servers int    `msgpack:"n"`
 }
 
-// seat is a replica id with the instance that holds it.
-type seat struct {
+// registration is a replica id with the instance that holds it.
+type registration struct {
 	ID      uint64 `msgpack:"id"`
 	Address string `msgpack:"addr"`
 	Nonce   string `msgpack:"nonce,omitempty"`
@@ -73,20 +73,20 @@
 // state is the replicated state, as the log's entries build it up. Apply is
 // called by one goroutine; the readers may be called from any.
 type state struct {
-	mu       sync.RWMutex
-	revision uint64
-	document []byte
-	seats    []seat // by id
-	highest  uint64 // highest id ever given out; ids are never used twice
-	usage    []usageWindow
-	sizes    map[string]int // servers that each service began with
+	mu            sync.RWMutex
+	revision      uint64
+	document      []byte
+	registrations []registration // by id
+	highest       uint64         // highest id ever given out; ids are never used twice
+	usage         []usageWindow
+	sizes         map[string]int // servers that each service began with
 
 	onRevision func(revision uint64, document []byte)
-	onSeats    func([]roster.Member)
+	onMembers  func([]roster.Member)
 }
 
-func newState(onRevision func(uint64, []byte), onSeats func([]roster.Member)) *state {
-	return &state{sizes: make(map[string]int), onRevision: onRevision, onSeats: onSeats}
+func newState(onRevision func(uint64, []byte), onMembers func([]roster.Member)) *state {
+	return &state{sizes: make(map[string]int), onRevision: onRevision, onMembers: onMembers}
 }
 
 // Apply implements host.Machine.
@@ -96,8 +96,8 @@
 		return apply(e, s.applyRevise)
 	case kindFound:
 		return apply(e, s.applyFound)
-	case kindSeat:
-		return apply(e, s.applySeat)
+	case kindRegister:
+		return apply(e, s.applyRegister)
 	case kindRetire:
 		return apply(e, s.applyRetire)
 	case kindUsage:
@@ -139,28 +139,28 @@
 	s.mu.Lock()
 	founded := s.highest > 0
 	if !founded {
-		s.seats = c.Seats
-		for _, x := range c.Seats {
+		s.registrations = c.Registrations
+		for _, x := range c.Registrations {
 			s.highest = max(s.highest, x.ID)
 		}
 	}
 	s.mu.Unlock()
-	s.tellSeats()
+	s.tellMembers()
 	return !founded
 }
 
-// applySeat gives out the next id. The same nonce gets the same id while the
-// seat is held, since the answer to the first request may have been lost.
+// applyRegister gives out the next id. The same nonce gets the same id while the
+// registration is held, since the answer to the first request may have been lost.
 //
 // It gives none, 0, before the founders' ids are in the state: the id would be one
 // of theirs, and two replicas under one id would elect two leaders.
-func (s *state) applySeat(c seatCommand) uint64 {
+func (s *state) applyRegister(c registerCommand) uint64 {
 	s.mu.Lock()
 	if s.highest == 0 {
 		s.mu.Unlock()
 		return 0
 	}
-	for _, x := range s.seats {
+	for _, x := range s.registrations {
 		if x.Nonce == c.Nonce && c.Nonce != "" {
 			s.mu.Unlock()
 			return x.ID
@@ -168,17 +168,17 @@
 	}
 	s.highest++
 	id := s.highest
-	s.seats = append(slices.Clone(s.seats), seat{ID: id, Address: c.Address, Nonce: c.Nonce})
+	s.registrations = append(slices.Clone(s.registrations), registration{ID: id, Address: c.Address, Nonce: c.Nonce})
 	s.mu.Unlock()
-	s.tellSeats()
+	s.tellMembers()
 	return id
 }
 
 func (s *state) applyRetire(c retireCommand) bool {
 	s.mu.Lock()
-	s.seats = slices.DeleteFunc(slices.Clone(s.seats), func(x seat) bool { return x.ID == c.ID })
+	s.registrations = slices.DeleteFunc(slices.Clone(s.registrations), func(x registration) bool { return x.ID == c.ID })
 	s.mu.Unlock()
-	s.tellSeats()
+	s.tellMembers()
 	return true
 }
 
@@ -228,14 +228,14 @@
 	return s.sizes[service]
 }
 
-func (s *state) tellSeats() { s.onSeats(s.members()) }
+func (s *state) tellMembers() { s.onMembers(s.members()) }
 
-// members lists the seats as the address book takes them.
+// members lists the registrations as the address book takes them.
 func (s *state) members() []roster.Member {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	out := make([]roster.Member, 0, len(s.seats))
-	for _, x := range s.seats {
+	out := make([]roster.Member, 0, len(s.registrations))
+	for _, x := range s.registrations {
 		out = append(out, roster.Member{ID: x.ID, Address: x.Address})
 	}
 	return out
@@ -248,17 +248,17 @@
 	return s.revision, s.document
 }
 
-// seatOf returns the seat of an id. known is false for an id that was given up
+// registrationOf returns the registration of an id. known is false for an id that was given up
 // or never given out; given tells the two apart.
-func (s *state) seatOf(id uint64) (held seat, known, given bool) {
+func (s *state) registrationOf(id uint64) (held registration, known, given bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	for _, x := range s.seats {
+	for _, x := range s.registrations {
 		if x.ID == id {
 			return x, true, true
 		}
 	}
-	return seat{}, false, id <= s.highest
+	return registration{}, false, id <= s.highest
 }
 
 func (s *state) founded() bool {
@@ -275,11 +275,11 @@
 }
 
 type stateSnapshot struct {
-	Revision uint64        `msgpack:"rev"`
-	Document []byte        `msgpack:"doc"`
-	Seats    []seat        `msgpack:"seats"`
-	Highest  uint64        `msgpack:"highest"`
-	Usage    []usageWindow `msgpack:"usage"`
+	Revision      uint64         `msgpack:"rev"`
+	Document      []byte         `msgpack:"doc"`
+	Registrations []registration `msgpack:"registrations"`
+	Highest       uint64         `msgpack:"highest"`
+	Usage         []usageWindow  `msgpack:"usage"`
 
 	Sizes map[string]int `msgpack:"sizes"`
 }
@@ -294,7 +294,7 @@
 		usage = append(usage, w)
 	}
 	enc, err := msgpack.Marshal(&stateSnapshot{
-		Revision: s.revision, Document: s.document, Seats: s.seats, Highest: s.highest, Usage: usage, Sizes: maps.Clone(s.sizes),
+		Revision: s.revision, Document: s.document, Registrations: s.registrations, Highest: s.highest, Usage: usage, Sizes: maps.Clone(s.sizes),
 	})
 	return enc, trace.Wrap(err, "step=snapshot")
 }
@@ -307,11 +307,11 @@
 	}
 	s.mu.Lock()
 	s.revision, s.document = in.Revision, in.Document
-	s.seats, s.highest, s.usage = in.Seats, in.Highest, in.Usage
+	s.registrations, s.highest, s.usage = in.Registrations, in.Highest, in.Usage
 	s.sizes = make(map[string]int, len(in.Sizes))
 	maps.Copy(s.sizes, in.Sizes)
 	s.mu.Unlock()
 	s.onRevision(in.Revision, in.Document)
-	s.tellSeats()
+	s.tellMembers()
 	return nil
 }
--- a/coordinator/state_test.go
+++ b/coordinator/state_test.go
@@ -47,27 +47,27 @@
 // second id the group would wait for a member that nobody is.
 func TestSameNonceGetsTheSameID(t *testing.T) {
 	s := emptyState()
-	applyTo(t, s, kindFound, foundCommand{Seats: seatsOf([]string{"a", "b", "c"})})
-	first := applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"})
+	applyTo(t, s, kindFound, foundCommand{Registrations: numberFounders([]string{"a", "b", "c"})})
+	first := applyTo(t, s, kindRegister, registerCommand{Address: "d", Nonce: "n"})
 	require.Equal(t, uint64(4), first)
-	require.Equal(t, first, applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"}))
+	require.Equal(t, first, applyTo(t, s, kindRegister, registerCommand{Address: "d", Nonce: "n"}))
 	applyTo(t, s, kindRetire, retireCommand{ID: 4})
-	require.Equal(t, uint64(5), applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "m"}), "an id is never used twice")
-	_, known, given := s.seatOf(4)
+	require.Equal(t, uint64(5), applyTo(t, s, kindRegister, registerCommand{Address: "d", Nonce: "m"}), "an id is never used twice")
+	_, known, given := s.registrationOf(4)
 	require.True(t, !known && given)
-	_, known, given = s.seatOf(9)
+	_, known, given = s.registrationOf(9)
 	require.True(t, !known && !given)
 }
 
 // A replica asks for an id in the moment in which the group is being founded. With
 // a founder's id there would be two replicas under one id, and two leaders.
 //
-// It breaks without the check in applySeat.
+// It breaks without the check in applyRegister.
 func TestNoIDBeforeTheFoundersHaveTheirs(t *testing.T) {
 	s := emptyState()
-	require.Equal(t, uint64(0), applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"}))
-	applyTo(t, s, kindFound, foundCommand{Seats: seatsOf([]string{"a", "b", "c"})})
-	require.Equal(t, uint64(4), applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"}))
+	require.Equal(t, uint64(0), applyTo(t, s, kindRegister, registerCommand{Address: "d", Nonce: "n"}))
+	applyTo(t, s, kindFound, foundCommand{Registrations: numberFounders([]string{"a", "b", "c"})})
+	require.Equal(t, uint64(4), applyTo(t, s, kindRegister, registerCommand{Address: "d", Nonce: "n"}))
 }
 
 // A leader decides a window's usage and dies. Its successor, which has heard other
@@ -84,8 +84,8 @@
 // entries before it brought.
 func TestSnapshotHoldsAll(t *testing.T) {
 	s := emptyState()
-	applyTo(t, s, kindFound, foundCommand{Seats: seatsOf([]string{"a", "b"})})
-	applyTo(t, s, kindSeat, seatCommand{Address: "d", Nonce: "n"})
+	applyTo(t, s, kindFound, foundCommand{Registrations: numberFounders([]string{"a", "b"})})
+	applyTo(t, s, kindRegister, registerCommand{Address: "d", Nonce: "n"})
 	applyTo(t, s, kindRevise, reviseCommand{Revision: 3, Document: []byte("three")})
 	applyTo(t, s, kindUsage, usageWindow{Window: 7, Counts: map[string]int64{"w": 3}})
 	applyTo(t, s, kindSize, sizeCommand{Service: "chat", Servers: 12})
@@ -109,7 +109,7 @@
 	_, ok, err := store.load()
 	require.NoError(t, err)
 	require.False(t, ok)
-	id := identity{ID: 2, Founders: seatsOf([]string{"a", "b"})}
+	id := identity{ID: 2, Founders: numberFounders([]string{"a", "b"})}
 	require.NoError(t, store.save(id))
 	got, ok, err := store.load()
 	require.NoError(t, err)
@@ -123,7 +123,7 @@
 
 // All founders are told the same seeds, in any order, and must agree on the ids.
 func TestFoundersAgree(t *testing.T) {
-	require.Equal(t, seatsOf([]string{"b", "a", "c"}), seatsOf([]string{"c", "b", "a", "a"}))
+	require.Equal(t, numberFounders([]string{"b", "a", "c"}), numberFounders([]string{"c", "b", "a", "a"}))
 }
 
 // Fences of one term rise, and those of a later term are above all of them.
--- a/coordinator/duty.go
+++ b/coordinator/tasks.go
@@ -10,14 +10,14 @@
 	"savoryreel.example/savoryreel/wallclock"
 )
 
-// Order says who calls the cloud and under which fencing number.
+// Order says who calls the cloud, and under which fencing number.
 type Order struct {
-	Holder string
+	Leader string // the instance that calls
 	Fence  uint64
 }
 
-// Cloud is what the holder of a duty calls. Errors: ErrOldFence where another
-// holder has taken over; any other error leaves open what became of the call.
+// Cloud is what the leader calls. Errors: ErrOldFence where another
+// leader has taken over; any other error leaves open what became of the call.
 type Cloud interface {
 	ReportUsage(ctx context.Context, o Order, window int64, counts map[string]int64) error
 	OrderServers(ctx context.Context, o Order, want Want) error
@@ -34,12 +34,12 @@
 // ErrOldFence: the cloud has seen a higher fencing number.
 var ErrOldFence = errors.New("old fence")
 
-// ErrNoneToBeHad: the cloud has no such servers at the moment.
-var ErrNoneToBeHad = errors.New("none to be had")
+// ErrUnavailable: the cloud has no such servers at the moment.
+var ErrUnavailable = errors.New("no capacity")
 
 const (
-	// dutyEvery is how often the holder looks what is due.
-	dutyEvery = 250 * time.Millisecond
+	// tasksEvery is how often the leader looks what is due.
+	tasksEvery = 250 * time.Millisecond
 	// cloudTimeout bounds one call to the cloud.
 	cloudTimeout = 1500 * time.Millisecond
 	// usageSettle is the part of the time until usage is due that the entries have
@@ -49,7 +49,7 @@
 	fencesPerTerm = 1 << 20
 )
 
-// fences numbers the calls of one holder. A leader's term is its alone, so no
+// fences numbers the calls of one leader. A leader's term is its alone, so no
 // two holders have a number in common, and each call has a higher one than the
 // calls before: one that the cloud carries out late can't undo a newer one.
 type fences struct {
@@ -65,9 +65,9 @@
 	return term*fencesPerTerm + f.next
 }
 
-// duties carries out, while this replica leads, what one process must do for the
+// leaderTasks are, while this replica leads, what one process must do for the
 // whole system.
-type duties struct {
+type leaderTasks struct {
 	log    *slog.Logger
 	name   string
 	cloud  Cloud
@@ -88,54 +88,54 @@
 }
 
 // leads reports whether this replica may act: it leads, and has led for so long
-// that the holder before it has surely stopped.
+// that the leader before it has surely stopped.
 //
 // Without the wait two holders would act in turn: the old one, which has not
 // heard yet, the new one, and the old one again.
-func (d *duties) leads(m *member) bool {
+func (t *leaderTasks) leads(m *member) bool {
 	st := m.host.Status()
 	if !m.leading() {
-		d.term = 0
+		t.term = 0
 		return false
 	}
-	now := d.now()
-	if d.term != st.Term {
-		d.term, d.since = st.Term, now
-		d.asked = make(map[int64]int)
-		if d.fleet != nil {
-			d.fleet.reset()
+	now := t.now()
+	if t.term != st.Term {
+		t.term, t.since = st.Term, now
+		t.asked = make(map[int64]int)
+		if t.fleet != nil {
+			t.fleet.reset()
 		}
 	}
-	return now.Sub(d.since) >= d.lease
+	return now.Sub(t.since) >= t.lease
 }
 
 // step does what is due now.
-func (d *duties) step(ctx context.Context, m *member) {
-	if !d.leads(m) {
+func (t *leaderTasks) step(ctx context.Context, m *member) {
+	if !t.leads(m) {
 		return
 	}
-	if d.report && d.window > 0 {
-		d.decideUsage(ctx, m)
-		d.sendUsage(ctx, m)
+	if t.report && t.window > 0 {
+		t.decideUsage(ctx, m)
+		t.sendUsage(ctx, m)
 	}
-	if d.fleet != nil {
-		d.fleet.step(ctx, m)
+	if t.fleet != nil {
+		t.fleet.step(ctx, m)
 	}
 }
 
 // orderServers gives an order under the next fencing number.
-func (d *duties) orderServers(ctx context.Context, w Want) error {
+func (t *leaderTasks) orderServers(ctx context.Context, w Want) error {
 	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
 	defer cancel()
-	return d.cloud.OrderServers(ctx, Order{Holder: d.name, Fence: d.fences.take(d.term)}, w)
+	return t.cloud.OrderServers(ctx, Order{Leader: t.name, Fence: t.fences.take(t.term)}, w)
 }
 
 // decideUsage puts the content of each window that has settled into the log.
 // Only then is it sent: if this process dies in between, its successor sends the
 // same counts and no others.
-func (d *duties) decideUsage(ctx context.Context, m *member) {
-	settled := d.clock.Now().Add(-time.Duration(float64(d.late) * usageSettle))
-	last := settled.UnixNano()/int64(d.window) - 1
+func (t *leaderTasks) decideUsage(ctx context.Context, m *member) {
+	settled := t.clock.Now().Add(-time.Duration(float64(t.late) * usageSettle))
+	last := settled.UnixNano()/int64(t.window) - 1
 	first := last - 1 // windows before that are worthless by now
 	decided := m.state.windows()
 	if n := len(decided); n > 0 {
@@ -143,60 +143,60 @@
 	}
 	for w := first; w <= last; w++ {
 		ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
-		err := propose(ctx, m, kindUsage, usageWindow{Window: w, Counts: d.usage.sum(w)})
+		err := propose(ctx, m, kindUsage, usageWindow{Window: w, Counts: t.usage.sum(w)})
 		cancel()
 		if err != nil {
-			event.Log(ctx, d.log, slog.LevelWarn, event.DutyRefused,
-				slog.String("duty", "usage"), slog.Int64("window", w), slog.String("step", "decide"), slog.String("error", err.Error()))
+			event.Log(ctx, t.log, slog.LevelWarn, event.CloudCallFailed,
+				slog.String("task", "usage"), slog.Int64("window", w), slog.String("step", "decide"), slog.String("error", err.Error()))
 			return
 		}
 	}
 }
 
-// maxUsageCalls bounds the calls for one window by one holder.
+// maxUsageCalls bounds the calls for one window by one leader.
 const maxUsageCalls = 8
 
 // sendUsage sends the oldest window that was decided and has not been sent.
-func (d *duties) sendUsage(ctx context.Context, m *member) {
+func (t *leaderTasks) sendUsage(ctx context.Context, m *member) {
 	for _, w := range m.state.windows() {
-		if w.Sent || d.asked[w.Window] >= maxUsageCalls || d.tooLate(w.Window) {
+		if w.Sent || t.asked[w.Window] >= maxUsageCalls || t.tooLate(w.Window) {
 			continue
 		}
-		d.asked[w.Window]++
-		err := d.reportUsage(ctx, w)
+		t.asked[w.Window]++
+		err := t.reportUsage(ctx, w)
 		if err != nil {
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
 		defer cancel()
 		if err := propose(ctx, m, kindUsageSent, usageSentCommand{Window: w.Window}); err != nil {
-			event.Log(ctx, d.log, slog.LevelWarn, event.DutyRefused,
-				slog.String("duty", "usage"), slog.Int64("window", w.Window), slog.String("step", "note as sent"), slog.String("error", err.Error()))
+			event.Log(ctx, t.log, slog.LevelWarn, event.CloudCallFailed,
+				slog.String("task", "usage"), slog.Int64("window", w.Window), slog.String("step", "note as sent"), slog.String("error", err.Error()))
 		}
 		return
 	}
 }
 
 // tooLate reports whether a window's report is worth nothing any more.
-func (d *duties) tooLate(window int64) bool {
-	end := time.Unix(0, (window+1)*int64(d.window))
-	return d.clock.Now().Sub(end) > 2*d.late
+func (t *leaderTasks) tooLate(window int64) bool {
+	end := time.Unix(0, (window+1)*int64(t.window))
+	return t.clock.Now().Sub(end) > 2*t.late
 }
 
-func (d *duties) reportUsage(ctx context.Context, w usageWindow) error {
+func (t *leaderTasks) reportUsage(ctx context.Context, w usageWindow) error {
 	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
 	defer cancel()
-	order := Order{Holder: d.name, Fence: d.fences.take(d.term)}
-	err := d.cloud.ReportUsage(ctx, order, w.Window, w.Counts)
-	d.logCall(ctx, "usage", order, err, slog.Int64("window", w.Window), slog.Any("counts", w.Counts))
+	order := Order{Leader: t.name, Fence: t.fences.take(t.term)}
+	err := t.cloud.ReportUsage(ctx, order, w.Window, w.Counts)
+	t.logCall(ctx, "usage", order, err, slog.Int64("window", w.Window), slog.Any("counts", w.Counts))
 	return err
 }
 
-func (d *duties) logCall(ctx context.Context, duty string, o Order, err error, attrs ...slog.Attr) {
-	attrs = append([]slog.Attr{slog.String("duty", duty), slog.Uint64("fence", o.Fence)}, attrs...)
+func (t *leaderTasks) logCall(ctx context.Context, task string, o Order, err error, attrs ...slog.Attr) {
+	attrs = append([]slog.Attr{slog.String("task", task), slog.Uint64("fence", o.Fence)}, attrs...)
 	if err != nil {
-		event.Log(ctx, d.log, slog.LevelWarn, event.DutyRefused, append(attrs, slog.String("error", err.Error()))...)
+		event.Log(ctx, t.log, slog.LevelWarn, event.CloudCallFailed, append(attrs, slog.String("error", err.Error()))...)
 		return
 	}
-	event.Log(ctx, d.log, slog.LevelInfo, event.DutyCalled, attrs...)
+	event.Log(ctx, t.log, slog.LevelInfo, event.CloudCalled, attrs...)
 }
--- a/event/event.go
+++ b/event/event.go
@@ -64,8 +64,8 @@
 	ReplicaSetChanged Kind = 5006
 	RevisionTaken     Kind = 5010
 	RevisionRefused   Kind = 5011
-	DutyCalled        Kind = 5301
-	DutyRefused       Kind = 5302
+	CloudCalled       Kind = 5301
+	CloudCallFailed   Kind = 5302
 	OrderGiven        Kind = 5101
 	OrderRefused      Kind = 5102
 	PlacementChosen   Kind = 5201
@@ -133,8 +133,8 @@
 	{OrderRefused, "order refused"},
 	{PlacementChosen, "placement chosen"},
 	{StartRefused, "start of an instance refused"},
-	{DutyCalled, "duty carried out"},
-	{DutyRefused, "duty not carried out"},
+	{CloudCalled, "cloud called"},
+	{CloudCallFailed, "cloud call failed"},
 }
 
 // All returns the catalogue of events, by number.
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -2,7 +2,7 @@
 // finds the route and the workspace of a request, chooses a backend server, runs
 // the request there and hands the answer to the caller as it comes.
 //
-// It knows nothing of how callers and servers speak: a door reads callers'
+// It knows nothing of how callers and servers speak: an HTTP handler reads callers'
 // requests and writes answers, a Dialect puts requests to servers and judges what
 // their answers prove.
 //
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,7 +189,7 @@
 
 // Run serves until ctx ends, a signal comes or a component fails. public adds the
 // actors that serve the outside, and returns how they stop taking connections.
-func (g *Gateway) Run(ctx context.Context, public func(g *run.Group) (closeDoors func(), err error)) error {
+func (g *Gateway) Run(ctx context.Context, public func(g *run.Group) (stopAccepting func(), err error)) error {
 	defer g.links.Close()
 	defer g.pool.Close()
 	var group run.Group
@@ -207,11 +207,11 @@
 	})
 	daemon.EndWith(ctx, &group)
 	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.CloseGrace, g.log)
-	closeDoors, err := public(&group)
+	stopAccepting, err := public(&group)
 	if err != nil {
 		return err
 	}
-	daemon.Signals(&group, func(ctx context.Context) { g.Leave(ctx, closeDoors) }, g.log)
+	daemon.Signals(&group, func(ctx context.Context) { g.Leave(ctx, stopAccepting) }, g.log)
 	event.Log(ctx, g.log, slog.LevelInfo, event.ProcessStarted,
 		slog.String("role", "gateway"), slog.String("name", g.cfg.Node.Name), slog.String("zone", g.cfg.Node.Zone), slog.Any("seeds", g.cfg.Node.Seeds))
 	err = group.Run()
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -39,8 +39,8 @@
 
 // Leave ends this entry's service without cutting off a request: it is no longer
 // named to callers, closes its doors a little later, and ends when the last
-// request is done or the grace is over. closeDoors stops taking connections.
-func (g *Gateway) Leave(ctx context.Context, closeDoors func()) {
+// request is done or the grace is over. stopAccepting stops taking connections.
+func (g *Gateway) Leave(ctx context.Context, stopAccepting func()) {
 	start := g.now()
 	g.leaving.Store(true)
 	g.sequence.Add(1)
@@ -48,7 +48,7 @@
 	event.Log(ctx, g.log, slog.LevelInfo, event.DrainBegun, slog.Int64("inFlight", g.inFlight.Load()))
 	grace := g.cfg.Node.Bounds.StopGrace
 	daemon.Pause(ctx, time.Duration(float64(grace)*acceptPart))
-	closeDoors()
+	stopAccepting()
 	for g.inFlight.Load() > 0 && g.now().Sub(start) < grace-stopMargin && ctx.Err() == nil {
 		daemon.Pause(ctx, idleCheck)
 	}
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -40,7 +40,7 @@
 	mu      sync.Mutex
 	entries int
 	buckets map[string]*bucket // by workspace
-	heard   map[string]*hearsay
+	heard   map[string]*replicaUse
 	others  map[string]float64 // what all others have let in, by workspace
 	at      time.Time          // of the last report on the others
 }
@@ -68,16 +68,16 @@
 	return max(b.rate, own*float64(entries-1)) * (age + wordAge).Seconds()
 }
 
-// hearsay is what one control replica has told of the others' use. Each replica
+// replicaUse is what one control replica has told of the others' use. Each replica
 // counts from its own start, so only what has come since the first word counts.
-type hearsay struct {
+type replicaUse struct {
 	life uint64
 	base map[string]float64
 }
 
 func newLimiter(b site.Bounds) *limiter {
 	return &limiter{
-		bounds: b, entries: 1, buckets: make(map[string]*bucket), heard: make(map[string]*hearsay), others: make(map[string]float64),
+		bounds: b, entries: 1, buckets: make(map[string]*bucket), heard: make(map[string]*replicaUse), others: make(map[string]float64),
 	}
 }
 
@@ -185,7 +185,7 @@
 	defer l.mu.Unlock()
 	h := l.heard[replica]
 	if h == nil || h.life != life {
-		h = &hearsay{life: life, base: make(map[string]float64)}
+		h = &replicaUse{life: life, base: make(map[string]float64)}
 		l.heard[replica] = h
 	}
 	told := make(map[string]float64, len(uses))
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -20,7 +20,7 @@
 	defaultHeaderBytes   = 64 << 10
 )
 
-// learnEvery is how often the door looks whether a catalogue has come.
+// learnEvery is how often the server looks whether a catalogue has come.
 const learnEvery = 20 * time.Millisecond
 
 // ServeCallers adds the callers' server to the group and returns how it stops
@@ -28,7 +28,7 @@
 //
 // Connections wait in the listener's queue until the first catalogue is known.
 // What callers may send, and how long they may take, stands in it.
-func (g *Gateway) ServeCallers(group *run.Group, l net.Listener, h http.Handler) (closeDoors func()) {
+func (g *Gateway) ServeCallers(group *run.Group, l net.Listener, h http.Handler) (stopAccepting func()) {
 	srv := &http.Server{Handler: h, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug)}
 	daemon.Actor(group, func(ctx context.Context) error {
 		defer srv.Close()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Request is a caller's request as the door read it.
+// Request is a caller's request as the HTTP handler read it.
 type Request struct {
 	ID     string // of this attempt of the caller
 	Method string
@@ -18,7 +18,7 @@
 	Header http.Header // what goes on to the server unchanged
 	Body   []byte
 
-	Patience time.Duration // how long the caller waits; 0: not said
+	CallerTimeout time.Duration // how long the caller waits; 0: not said
 
 	Model        string
 	HasSize      bool // the request says how large it is
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -90,8 +90,8 @@
 		return &Refusal{Reason: UnknownKey}
 	}
 	j.deadline = j.began.Add(j.route.Timeout)
-	if patience := j.began.Add(j.Patience); j.Patience > 0 && patience.Before(j.deadline) {
-		j.deadline = patience
+	if callerGone := j.began.Add(j.CallerTimeout); j.CallerTimeout > 0 && callerGone.Before(j.deadline) {
+		j.deadline = callerGone
 	}
 	if j.workspace != nil {
 		j.cost = cost(j.workspace, j.Request)
--- a/site/site.go
+++ b/site/site.go
@@ -76,7 +76,7 @@
 	Drain         time.Duration // from the acknowledgement of a leave to the last new run
 	StopGrace     time.Duration // from SIGTERM to SIGKILL
 	ConfigApply   time.Duration // from the acknowledgement of a change until it is in force everywhere
-	LeaseTime     time.Duration // two holders of a duty are this far apart
+	LeaseTime     time.Duration // two leaders that call the cloud are this far apart
 	AddressReuse  time.Duration // earliest use of a lost server's address by another one
 	DirectoryTTL  time.Duration // longest validity of a list of entries that callers honour
 	CatchUp       time.Duration // what an instance may take to be useful after its start
