tests: one TestMain for fixed seeds, one that finds leaked goroutines

Cause: fleet and membership had the same 30 lines of TestMain, replica and replica/storage the same 18, beside testutil.Main, which the other packages use.

Ruled out: a looser check.

--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -5,6 +5,8 @@
 	"flag"
 	"os"
 	"testing"
+
+	"go.uber.org/goleak"
 )
 
 // seed is the seed of property tests where none is given.
@@ -14,11 +16,22 @@
 // every run gives the same verdict, and exits. Give -rapid.seed and
 // -rapid.checks for another or longer run. Call it from TestMain.
 func Main(m *testing.M) {
+	fixSeed()
+	os.Exit(m.Run())
+}
+
+// MainNoLeaks is Main for a package whose tests must end every goroutine that
+// they start: one that is left fails the run.
+func MainNoLeaks(m *testing.M) {
+	fixSeed()
+	goleak.VerifyTestMain(m)
+}
+
+func fixSeed() {
 	flag.Parse()
 	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
 		if err := f.Value.Set(seed); err != nil {
 			panic(err)
 		}
 	}
-	os.Exit(m.Run())
 }
