coordinator/api: the links to control replicas are set up in one place

Cause: an entry and a replica each set up their pool of links to the replicas, with the same pause and two different bounds of a message (8 MiB at an entry, 7 MiB at a replica, which sends it). The bound of a catalogue and the bound of the message that carries it were in three files.

Ruled out: a lower bound for any message that was sent: replicas, the only senders of catalogues, kept to 7 MiB already.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -6,8 +6,25 @@
 	"time"
 
 	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/link"
 )
 
+const (
+	// MaxEntryBytes bounds an entry of the replicated log. It leaves room for the
+	// largest catalogue that callers' limits let an operator send.
+	MaxEntryBytes = 6 << 20
+	// MaxFrame bounds a message on a link: the largest catalogue with its envelope.
+	MaxFrame = MaxEntryBytes + 1<<20
+	// backoffMax is the longest pause between attempts to reach a replica: one that
+	// returns has to be of use within seconds.
+	backoffMax = 500 * time.Millisecond
+)
+
+// PoolConfig sets up the links of a process that calls control replicas.
+func PoolConfig(self link.PeerInfo, clusterKey string) link.PoolConfig {
+	return link.PoolConfig{Self: self, ClusterKey: []byte(clusterKey), MaxFrame: MaxFrame, BackoffMax: backoffMax}
+}
+
 // The methods on links.
 const (
 	MethodReplica  = "coordinator.replica" // notice: a message of the replicated log
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -106,8 +106,7 @@
 		stopping: make(chan struct{}), heard: make(map[string]time.Time),
 	}
 	c.traffic = link.NewTraffic(c.metrics)
-	c.pool = link.NewPool(link.PoolConfig{Self: c.peerInfo(), ClusterKey: []byte(cfg.ClusterKey), MaxFrame: maxFrame, BackoffMax: linkBackoff},
-		link.PoolDeps{Log: deps.Log, Traffic: c.traffic})
+	c.pool = link.NewPool(api.PoolConfig(c.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: c.traffic})
 	c.follower = follow.New(follow.Config{Self: c.self}, follow.Deps{
 		Pool: c.pool, Log: c.log, Now: c.now, Request: c.watchRequest, Reply: c.take, Seeds: c.known,
 	})
@@ -140,14 +139,6 @@
 
 func silentAfter(beat time.Duration) time.Duration { return silentBeats*beat + silentSlack }
 
-const (
-	// maxFrame holds the largest catalogue with its envelope.
-	maxFrame = maxEntryBytes + 1<<20
-	// linkBackoff is the longest pause between attempts to reach a replica: one that
-	// returns has to be of use within seconds.
-	linkBackoff = 500 * time.Millisecond
-)
-
 func (c *Coordinator) peerInfo() link.PeerInfo {
 	return link.PeerInfo{ID: c.cfg.Node.Name, Incarnation: c.life, Address: c.self, Role: api.RoleControl}
 }
@@ -287,7 +278,7 @@
 	if err != nil {
 		return err
 	}
-	srv := link.NewServer(link.ServerConfig{Self: c.peerInfo(), ClusterKey: []byte(c.cfg.ClusterKey), MaxFrame: maxFrame},
+	srv := link.NewServer(link.ServerConfig{Self: c.peerInfo(), ClusterKey: []byte(c.cfg.ClusterKey), MaxFrame: api.MaxFrame},
 		link.ServerDeps{Log: c.log, Traffic: c.traffic})
 	c.register(srv)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
--- a/coordinator/group.go
+++ b/coordinator/group.go
@@ -33,9 +33,6 @@
 	// snapshotEvery bounds the log on a disk of some hundred megabytes: whole
 	// catalogues of up to a few hundred kilobytes go into it.
 	snapshotEvery = 400
-	// maxEntryBytes leaves room for the largest catalogue that callers' limits let
-	// an operator send.
-	maxEntryBytes = 6 << 20
 )
 
 const (
@@ -125,7 +122,7 @@
 	founders := make(map[uint64]string, len(id.Founders))
 	cfg := host.Config{
 		ID: id.ID, TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-		SnapshotEvery: snapshotEvery, MaxEntryBytes: maxEntryBytes,
+		SnapshotEvery: snapshotEvery, MaxEntryBytes: api.MaxEntryBytes,
 	}
 	for _, s := range id.Founders {
 		founders[s.ID] = s.Address
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,8 +103,7 @@
 		return nil, trace.Wrap(err, "step=set up retries")
 	}
 	g.traffic = link.NewTraffic(g.metrics)
-	g.links = link.NewPool(link.PoolConfig{Self: g.peerInfo(), ClusterKey: []byte(cfg.ClusterKey), MaxFrame: maxFrame, BackoffMax: linkBackoff},
-		link.PoolDeps{Log: deps.Log, Traffic: g.traffic})
+	g.links = link.NewPool(api.PoolConfig(g.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: g.traffic})
 	g.follower = follow.New(follow.Config{}, follow.Deps{
 		Pool: g.links, Log: g.log, Now: g.now, Request: g.watchRequest, Reply: g.take, Seeds: deps.Seeds,
 	})
@@ -128,10 +127,6 @@
 	watchMin  = 400 * time.Millisecond
 	watchMax  = time.Second
 	watchEach = 20 * time.Millisecond
-	// maxFrame holds the largest catalogue with its envelope.
-	maxFrame = 8 << 20
-	// linkBackoff is the longest pause between attempts to reach a replica.
-	linkBackoff = 500 * time.Millisecond
 )
 
 // retryConfig returns the retry policy for a site's budget. Callers' objectives are
