gateway: an answer to HEAD keeps the length that its server told

Cause: an answer of less than 512 KiB is told with the length of the body that came. HEAD brings none, so callers were told 0 whatever the server had said.

Answers of 204 and 304, which have no body either, carry no length through net/http.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -151,7 +151,11 @@
 	}
 	header := g.deps.Dialect.AnswerHeader(answer.Header)
 	if len(body) < wholeBytes {
-		j.begin(answer.Status, header, int64(len(body)))
+		length := int64(len(body))
+		if j.Method == http.MethodHead {
+			length = answer.Length // of the body that GET would bring
+		}
+		j.begin(answer.Status, header, length)
 		_, err = j.out.Write(body)
 		return j.finished(c, err)
 	}
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -313,3 +313,22 @@
 		require.LessOrEqual(t, total, 3, "the first run and what the budget allows")
 	}
 }
+
+// A caller asks with HEAD how long a document is. The answer has no body, and a
+// length all the same.
+//
+// It breaks if the length told is that of the body that came.
+func TestHeadTellsTheDocumentsLength(t *testing.T) {
+	r := newRig(t)
+	r.use(routes.Route{Prefix: "/", Kind: routes.Idempotent})
+	r.server("web", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "4711")
+	})
+	out := &recorder{}
+	refusal := r.Serve(t.Context(), &Request{
+		ID: "q1", Method: http.MethodHead, Host: "a.example", Path: "/x", Target: "/x", Header: http.Header{},
+	}, out)
+	require.Nil(t, refusal)
+	require.Empty(t, out.body)
+	require.Equal(t, int64(4711), out.length)
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -133,10 +133,13 @@
 // recorder takes an answer.
 type recorder struct {
 	status int
+	length int64
 	body   []byte
 }
 
-func (r *recorder) Begin(status int, _ http.Header, _ int64) { r.status = status }
+func (r *recorder) Begin(status int, _ http.Header, length int64) {
+	r.status, r.length = status, length
+}
 
 func (r *recorder) Write(p []byte) (int, error) {
 	r.body = append(r.body, p...)
