policy: one error and one check for settings out of range

Ruled out: a looser check. Each rule was turned into its positive form by its operators; the tests that set each field out of range pass as they were, but for the type's name.

--- a/policy/admit/admitter.go
+++ b/policy/admit/admitter.go
@@ -39,7 +39,7 @@
 }
 
 // New returns an Admitter that knows no workspace; one it does not know has no
-// limits. It returns the *FieldError of an invalid cfg.
+// limits. It returns the *policy.ConfigError of an invalid cfg.
 func New(cfg Config) (*Admitter, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
--- a/policy/admit/admitter_test.go
+++ b/policy/admit/admitter_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/policy"
 	"savoryreel.example/savoryreel/policy/queue"
 )
 
@@ -35,7 +36,7 @@
 		cfg := DefaultConfig()
 		spoil(&cfg)
 		_, err := New(cfg)
-		var fieldErr *FieldError
+		var fieldErr *policy.ConfigError
 		require.ErrorAs(t, err, &fieldErr, field)
 		assert.Equal(t, field, fieldErr.Field)
 	}
--- a/policy/admit/config.go
+++ b/policy/admit/config.go
@@ -1,19 +1,10 @@
 package admit
 
 import (
-	"fmt"
 	"time"
-)
-
-// FieldError names a configuration field that is out of range.
-type FieldError struct {
-	Field string
-	Want  string
-}
 
-func (e *FieldError) Error() string {
-	return fmt.Sprintf("admit: %s must be %s", e.Field, e.Want)
-}
+	"savoryreel.example/savoryreel/policy"
+)
 
 // ShareConfig sets how Shares gives out leases. All replicas of control and
 // all entries need the same values.
@@ -65,25 +56,17 @@
 	}
 }
 
-// Validate reports the first field that is out of range, by name.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c ShareConfig) Validate() error {
-	switch {
-	case c.TTL <= 0:
-		return &FieldError{Field: "TTL", Want: "above 0"}
-	case c.FloorTTL < c.TTL:
-		return &FieldError{Field: "FloorTTL", Want: "at least TTL"}
-	case c.Margin < 0:
-		return &FieldError{Field: "Margin", Want: "at least 0"}
-	case c.LongestAnswer <= 0:
-		return &FieldError{Field: "LongestAnswer", Want: "above 0"}
-	case c.Settle < 0:
-		return &FieldError{Field: "Settle", Want: "at least 0"}
-	case !(c.FloorShare >= 0 && c.FloorShare <= 0.5):
-		return &FieldError{Field: "FloorShare", Want: "between 0 and 0.5"}
-	case c.Entries < 1:
-		return &FieldError{Field: "Entries", Want: "at least 1"}
-	}
-	return nil
+	return policy.Check("admit",
+		policy.Require("TTL", c.TTL > 0, "above 0"),
+		policy.Require("FloorTTL", c.FloorTTL >= c.TTL, "at least TTL"),
+		policy.Require("Margin", c.Margin >= 0, "at least 0"),
+		policy.Require("LongestAnswer", c.LongestAnswer > 0, "above 0"),
+		policy.Require("Settle", c.Settle >= 0, "at least 0"),
+		policy.Require("FloorShare", c.FloorShare >= 0 && c.FloorShare <= 0.5, "between 0 and 0.5"),
+		policy.Require("Entries", c.Entries >= 1, "at least 1"),
+	)
 }
 
 // Config sets how an entry admits.
@@ -142,29 +125,18 @@
 	}
 }
 
-// Validate reports the first field that is out of range, by name.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c Config) Validate() error {
-	switch {
-	case c.Window <= 0:
-		return &FieldError{Field: "Window", Want: "above 0"}
-	case c.Memory <= 0:
-		return &FieldError{Field: "Memory", Want: "above 0"}
-	case c.MaxWait.Interactive <= 0:
-		return &FieldError{Field: "MaxWait.Interactive", Want: "above 0"}
-	case c.MaxWait.Standard <= 0:
-		return &FieldError{Field: "MaxWait.Standard", Want: "above 0"}
-	case c.MaxWait.Batch <= 0:
-		return &FieldError{Field: "MaxWait.Batch", Want: "above 0"}
-	case c.Standing <= 0:
-		return &FieldError{Field: "Standing", Want: "above 0"}
-	case !(c.Burst >= 1):
-		return &FieldError{Field: "Burst", Want: "at least 1"}
-	case c.MinRetryAfter < time.Second:
-		return &FieldError{Field: "MinRetryAfter", Want: "at least 1 s"}
-	case c.MaxRetryAfter < c.MinRetryAfter:
-		return &FieldError{Field: "MaxRetryAfter", Want: "at least MinRetryAfter"}
-	case !(c.Jitter >= 0 && c.Jitter <= 1):
-		return &FieldError{Field: "Jitter", Want: "between 0 and 1"}
-	}
-	return nil
+	return policy.Check("admit",
+		policy.Require("Window", c.Window > 0, "above 0"),
+		policy.Require("Memory", c.Memory > 0, "above 0"),
+		policy.Require("MaxWait.Interactive", c.MaxWait.Interactive > 0, "above 0"),
+		policy.Require("MaxWait.Standard", c.MaxWait.Standard > 0, "above 0"),
+		policy.Require("MaxWait.Batch", c.MaxWait.Batch > 0, "above 0"),
+		policy.Require("Standing", c.Standing > 0, "above 0"),
+		policy.Require("Burst", c.Burst >= 1, "at least 1"),
+		policy.Require("MinRetryAfter", c.MinRetryAfter >= time.Second, "at least 1 s"),
+		policy.Require("MaxRetryAfter", c.MaxRetryAfter >= c.MinRetryAfter, "at least MinRetryAfter"),
+		policy.Require("Jitter", c.Jitter >= 0 && c.Jitter <= 1, "between 0 and 1"),
+	)
 }
--- a/policy/admit/share.go
+++ b/policy/admit/share.go
@@ -33,7 +33,7 @@
 }
 
 // NewShares returns the shares of a leader that begins term at now, or the
-// *FieldError of an invalid cfg. Follow it with SetLimits for each workspace of
+// *policy.ConfigError of an invalid cfg. Follow it with SetLimits for each workspace of
 // the catalogue, at the same now.
 func NewShares(cfg ShareConfig, term uint64, now time.Time) (*Shares, error) {
 	if err := cfg.Validate(); err != nil {
--- a/policy/admit/share_test.go
+++ b/policy/admit/share_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/policy"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -471,7 +472,7 @@
 		cfg := DefaultShareConfig(7)
 		spoil(&cfg)
 		_, err := NewShares(cfg, 1, epoch)
-		var fieldErr *FieldError
+		var fieldErr *policy.ConfigError
 		require.ErrorAs(t, err, &fieldErr, field)
 		assert.Equal(t, field, fieldErr.Field)
 	}
--- a/policy/evacuate/evacuate.go
+++ b/policy/evacuate/evacuate.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 // Config holds the thresholds of a decision. Start from DefaultConfig.
@@ -35,31 +36,14 @@
 	}
 }
 
-// ConfigError names the field of a Config that is out of range.
-type ConfigError struct {
-	Field string
-	Want  string
-}
-
-// Error implements error.
-func (e *ConfigError) Error() string {
-	return fmt.Sprintf("evacuate: %s must be %s", e.Field, e.Want)
-}
-
-// Validate returns a *ConfigError for the first field that is out of range.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c Config) Validate() error {
-	switch {
-	case c.Reserve < 0:
-		return &ConfigError{"Reserve", "at least 0"}
-	case c.Setup < 0:
-		return &ConfigError{"Setup", "at least 0"}
-	case c.MaxSlowdown <= 0:
-		return &ConfigError{"MaxSlowdown", "above 0"}
-	case c.FinishPart < 0 || c.FinishPart > 1:
-		return &ConfigError{"FinishPart", "in [0, 1]"}
-	default:
-		return nil
-	}
+	return policy.Check("evacuate",
+		policy.Require("Reserve", c.Reserve >= 0, "at least 0"),
+		policy.Require("Setup", c.Setup >= 0, "at least 0"),
+		policy.Require("MaxSlowdown", c.MaxSlowdown > 0, "above 0"),
+		policy.Require("FinishPart", c.FinishPart >= 0 && c.FinishPart <= 1, "in [0, 1]"),
+	)
 }
 
 // Request is one that runs on the server.
@@ -142,7 +126,7 @@
 	cfg Config
 }
 
-// New returns a Planner. The error is a *ConfigError.
+// New returns a Planner. The error is a *policy.ConfigError.
 func New(cfg Config) (*Planner, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
--- a/policy/evacuate/evacuate_test.go
+++ b/policy/evacuate/evacuate_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 func planner(t require.TestingT) *Planner {
@@ -151,7 +153,7 @@
 	cfg := DefaultConfig()
 	cfg.MaxSlowdown = 0
 	_, err := New(cfg)
-	var fault *ConfigError
+	var fault *policy.ConfigError
 	require.ErrorAs(t, err, &fault)
 	require.Equal(t, "MaxSlowdown", fault.Field)
 }
--- a/policy/pick/config.go
+++ b/policy/pick/config.go
@@ -1,8 +1,9 @@
 package pick
 
 import (
-	"fmt"
 	"time"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 // Config holds the thresholds of a Picker. Start from DefaultConfig.
@@ -48,37 +49,16 @@
 	}
 }
 
-// ConfigError names the field of a Config that is out of range.
-type ConfigError struct {
-	Field string
-	Want  string
-}
-
-// Error implements error.
-func (e *ConfigError) Error() string {
-	return fmt.Sprintf("pick: %s must be %s", e.Field, e.Want)
-}
-
-// Validate returns a *ConfigError for the first field that is out of range.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c Config) Validate() error {
-	checks := []struct {
-		field string
-		ok    bool
-		want  string
-	}{
-		{"ListLength", c.ListLength >= 2, "at least 2, so that a caller can go on when one is lost"},
-		{"Validity", c.Validity >= time.Second, "at least 1 s"},
-		{"HeavyValidity", c.HeavyValidity >= time.Second && c.HeavyValidity <= c.Validity, "between 1 s and Validity"},
-		{"HeavyPart", c.HeavyPart > 0 && c.HeavyPart <= 1, "in (0, 1]"},
-		{"MinWeight", c.MinWeight > 0 && c.MinWeight <= 1, "in (0, 1]"},
-		{"SpillFactor", c.SpillFactor >= 1, "at least 1"},
-		{"Spread", c.Spread >= 0, "at least 0"},
-		{"Slack", c.Slack >= 0, "at least 0"},
-	}
-	for _, check := range checks {
-		if !check.ok {
-			return &ConfigError{Field: check.field, Want: check.want}
-		}
-	}
-	return nil
+	return policy.Check("pick",
+		policy.Require("ListLength", c.ListLength >= 2, "at least 2, so that a caller can go on when one is lost"),
+		policy.Require("Validity", c.Validity >= time.Second, "at least 1 s"),
+		policy.Require("HeavyValidity", c.HeavyValidity >= time.Second && c.HeavyValidity <= c.Validity, "between 1 s and Validity"),
+		policy.Require("HeavyPart", c.HeavyPart > 0 && c.HeavyPart <= 1, "in (0, 1]"),
+		policy.Require("MinWeight", c.MinWeight > 0 && c.MinWeight <= 1, "in (0, 1]"),
+		policy.Require("SpillFactor", c.SpillFactor >= 1, "at least 1"),
+		policy.Require("Spread", c.Spread >= 0, "at least 0"),
+		policy.Require("Slack", c.Slack >= 0, "at least 0"),
+	)
 }
--- a/policy/pick/pick.go
+++ b/policy/pick/pick.go
@@ -71,7 +71,7 @@
 	cfg Config
 }
 
-// New returns a Picker. The error is a *ConfigError.
+// New returns a Picker. The error is a *policy.ConfigError.
 func New(cfg Config) (*Picker, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
--- a/policy/pick/pick_test.go
+++ b/policy/pick/pick_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy"
 )
 
 var epoch = time.Unix(1_800_000_000, 0)
@@ -183,7 +184,7 @@
 	cfg := DefaultConfig()
 	cfg.HeavyValidity = time.Hour
 	_, err := New(cfg)
-	var fault *ConfigError
+	var fault *policy.ConfigError
 	require.ErrorAs(t, err, &fault)
 	require.Equal(t, "HeavyValidity", fault.Field)
 }
--- a/policy/quarantine/config.go
+++ b/policy/quarantine/config.go
@@ -1,8 +1,9 @@
 package quarantine
 
 import (
-	"fmt"
 	"time"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 // Config holds the thresholds of a Set. Start from DefaultConfig.
@@ -39,29 +40,12 @@
 	}
 }
 
-// ConfigError names the field of a Config that is out of range.
-type ConfigError struct {
-	Field string
-	Want  string
-}
-
-// Error implements error.
-func (e *ConfigError) Error() string {
-	return fmt.Sprintf("quarantine: %s must be %s", e.Field, e.Want)
-}
-
-// Validate returns a *ConfigError for the first field that is out of range.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c Config) Validate() error {
-	switch {
-	case c.TrialKeep <= 0:
-		return &ConfigError{"TrialKeep", "above 0"}
-	case c.Keep < c.TrialKeep:
-		return &ConfigError{"Keep", "at least TrialKeep"}
-	case c.Settle < 0:
-		return &ConfigError{"Settle", "at least 0"}
-	case c.MaxRecords < 1:
-		return &ConfigError{"MaxRecords", "at least 1"}
-	default:
-		return nil
-	}
+	return policy.Check("quarantine",
+		policy.Require("TrialKeep", c.TrialKeep > 0, "above 0"),
+		policy.Require("Keep", c.Keep >= c.TrialKeep, "at least TrialKeep"),
+		policy.Require("Settle", c.Settle >= 0, "at least 0"),
+		policy.Require("MaxRecords", c.MaxRecords >= 1, "at least 1"),
+	)
 }
--- a/policy/quarantine/quarantine_test.go
+++ b/policy/quarantine/quarantine_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 var epoch = time.Unix(1_800_000_000, 0)
@@ -328,7 +330,7 @@
 	cfg := DefaultConfig()
 	cfg.Keep = time.Second
 	_, err := New(cfg)
-	var fault *ConfigError
+	var fault *policy.ConfigError
 	require.ErrorAs(t, err, &fault)
 	require.Equal(t, "Keep", fault.Field)
 }
--- a/policy/quarantine/set.go
+++ b/policy/quarantine/set.go
@@ -31,7 +31,7 @@
 	grants  uint64 // highest grant given
 }
 
-// New returns an empty Set. The error is a *ConfigError.
+// New returns an empty Set. The error is a *policy.ConfigError.
 func New(cfg Config) (*Set, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
--- a/policy/queue/config.go
+++ b/policy/queue/config.go
@@ -1,8 +1,9 @@
 package queue
 
 import (
-	"fmt"
 	"time"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 // Config bounds a Queue and sets how waiting time counts. The zero value is
@@ -65,37 +66,18 @@
 	}
 }
 
-// Validate reports the first field that is out of range, by name.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c Config) Validate() error {
-	switch {
-	case c.MaxItems < 1:
-		return &FieldError{Field: "MaxItems", Want: "at least 1"}
-	case c.MaxPerWorkspace < 1 || c.MaxPerWorkspace > c.MaxItems:
-		return &FieldError{Field: "MaxPerWorkspace", Want: "between 1 and MaxItems"}
-	case c.Horizon <= 0:
-		return &FieldError{Field: "Horizon", Want: "above 0"}
-	case !(c.LongRate > 0):
-		return &FieldError{Field: "LongRate", Want: "above 0"}
-	case c.LongMax < 0:
-		return &FieldError{Field: "LongMax", Want: "at least 0"}
-	case c.AgeAfter <= 0:
-		return &FieldError{Field: "AgeAfter", Want: "above 0"}
-	case !(c.AgedShare > 0 && c.AgedShare <= 0.5):
-		return &FieldError{Field: "AgedShare", Want: "above 0 and at most 0.5"}
-	case c.MaxCredit < 0:
-		return &FieldError{Field: "MaxCredit", Want: "at least 0"}
-	}
-	return nil
-}
-
-// FieldError names a field of Config that is out of range.
-type FieldError struct {
-	Field string
-	Want  string
-}
-
-func (e *FieldError) Error() string {
-	return fmt.Sprintf("queue: %s must be %s", e.Field, e.Want)
+	return policy.Check("queue",
+		policy.Require("MaxItems", c.MaxItems >= 1, "at least 1"),
+		policy.Require("MaxPerWorkspace", c.MaxPerWorkspace >= 1 && c.MaxPerWorkspace <= c.MaxItems, "between 1 and MaxItems"),
+		policy.Require("Horizon", c.Horizon > 0, "above 0"),
+		policy.Require("LongRate", c.LongRate > 0, "above 0"),
+		policy.Require("LongMax", c.LongMax >= 0, "at least 0"),
+		policy.Require("AgeAfter", c.AgeAfter > 0, "above 0"),
+		policy.Require("AgedShare", c.AgedShare > 0 && c.AgedShare <= 0.5, "above 0 and at most 0.5"),
+		policy.Require("MaxCredit", c.MaxCredit >= 0, "at least 0"),
+	)
 }
 
 // urgency is the instant by which an item is ordered within its class: its
--- a/policy/queue/queue.go
+++ b/policy/queue/queue.go
@@ -34,7 +34,7 @@
 	skipped []*flow // scratch of Pop
 }
 
-// New returns an empty queue, or the *FieldError of an invalid cfg.
+// New returns an empty queue, or the *policy.ConfigError of an invalid cfg.
 func New(cfg Config) (*Queue, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
--- a/policy/queue/queue_test.go
+++ b/policy/queue/queue_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/policy"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -52,7 +53,7 @@
 		cfg := DefaultConfig()
 		spoil(&cfg)
 		_, err := New(cfg)
-		var fieldErr *FieldError
+		var fieldErr *policy.ConfigError
 		require.ErrorAs(t, err, &fieldErr, field)
 		assert.Equal(t, field, fieldErr.Field)
 	}
--- a/policy/queue/start.go
+++ b/policy/queue/start.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 // StartConfig sets how many slots are kept free, and for whom.
@@ -38,19 +40,14 @@
 	}
 }
 
-// Validate reports the first field that is out of range, by name.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c StartConfig) Validate() error {
-	switch {
-	case !(c.Headroom >= 0 && c.Headroom <= 0.5):
-		return &FieldError{Field: "Headroom", Want: "between 0 and 0.5"}
-	case c.LongTokens < 1:
-		return &FieldError{Field: "LongTokens", Want: "at least 1"}
-	case !(c.LongHeadroom >= 0 && c.LongHeadroom <= 0.5):
-		return &FieldError{Field: "LongHeadroom", Want: "between 0 and 0.5"}
-	case c.Memory <= 0:
-		return &FieldError{Field: "Memory", Want: "above 0"}
-	}
-	return nil
+	return policy.Check("queue",
+		policy.Require("Headroom", c.Headroom >= 0 && c.Headroom <= 0.5, "between 0 and 0.5"),
+		policy.Require("LongTokens", c.LongTokens >= 1, "at least 1"),
+		policy.Require("LongHeadroom", c.LongHeadroom >= 0 && c.LongHeadroom <= 0.5, "between 0 and 0.5"),
+		policy.Require("Memory", c.Memory > 0, "above 0"),
+	)
 }
 
 // Slots are the requests that the backend servers of a service run side by
@@ -196,7 +193,7 @@
 	turn      int // spreads the remainders of several workspaces over the entries
 }
 
-// NewStarter returns a Starter with nothing running, or the *FieldError of an
+// NewStarter returns a Starter with nothing running, or the *policy.ConfigError of an
 // invalid cfg.
 func NewStarter(cfg StartConfig) (*Starter, error) {
 	if err := cfg.Validate(); err != nil {
--- a/policy/queue/start_test.go
+++ b/policy/queue/start_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/policy"
 )
 
 // A surge of one workspace holds all slots but the headroom. Without headroom a
@@ -159,7 +160,7 @@
 		cfg := DefaultStartConfig()
 		spoil(&cfg)
 		_, err := NewStarter(cfg)
-		var fieldErr *FieldError
+		var fieldErr *policy.ConfigError
 		require.ErrorAs(t, err, &fieldErr, field)
 		assert.Equal(t, field, fieldErr.Field)
 	}
--- a/policy/retry/config.go
+++ b/policy/retry/config.go
@@ -1,8 +1,9 @@
 package retry
 
 import (
-	"fmt"
 	"time"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 // Config sets how much is repeated. Start from DefaultConfig.
@@ -66,41 +67,19 @@
 	}
 }
 
-// Validate reports the first field that is out of range, by name.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c Config) Validate() error {
-	switch {
-	case !(c.Ratio > 0 && c.Ratio <= 1):
-		return &FieldError{Field: "Ratio", Want: "above 0 and at most 1"}
-	case !(c.MinBudget >= 1):
-		return &FieldError{Field: "MinBudget", Want: "at least 1"}
-	case c.Window <= 0:
-		return &FieldError{Field: "Window", Want: "above 0"}
-	case c.MaxAttempts < 1:
-		return &FieldError{Field: "MaxAttempts", Want: "at least 1"}
-	case c.Backoff < 0:
-		return &FieldError{Field: "Backoff", Want: "at least 0"}
-	case c.WaveServers < 1:
-		return &FieldError{Field: "WaveServers", Want: "at least 1"}
-	case !(c.WaveShare >= 0 && c.WaveShare <= 1):
-		return &FieldError{Field: "WaveShare", Want: "between 0 and 1"}
-	case c.WaveWindow <= 0:
-		return &FieldError{Field: "WaveWindow", Want: "above 0"}
-	case c.WaveSpread < 0:
-		return &FieldError{Field: "WaveSpread", Want: "at least 0"}
-	case !(c.HedgeAfter >= 1):
-		return &FieldError{Field: "HedgeAfter", Want: "at least 1"}
-	case !(c.MaxHedgeLoad >= 0 && c.MaxHedgeLoad <= 1):
-		return &FieldError{Field: "MaxHedgeLoad", Want: "between 0 and 1"}
-	}
-	return nil
-}
-
-// FieldError names a field of Config that is out of range.
-type FieldError struct {
-	Field string
-	Want  string
-}
-
-func (e *FieldError) Error() string {
-	return fmt.Sprintf("retry: %s must be %s", e.Field, e.Want)
+	return policy.Check("retry",
+		policy.Require("Ratio", c.Ratio > 0 && c.Ratio <= 1, "above 0 and at most 1"),
+		policy.Require("MinBudget", c.MinBudget >= 1, "at least 1"),
+		policy.Require("Window", c.Window > 0, "above 0"),
+		policy.Require("MaxAttempts", c.MaxAttempts >= 1, "at least 1"),
+		policy.Require("Backoff", c.Backoff >= 0, "at least 0"),
+		policy.Require("WaveServers", c.WaveServers >= 1, "at least 1"),
+		policy.Require("WaveShare", c.WaveShare >= 0 && c.WaveShare <= 1, "between 0 and 1"),
+		policy.Require("WaveWindow", c.WaveWindow > 0, "above 0"),
+		policy.Require("WaveSpread", c.WaveSpread >= 0, "at least 0"),
+		policy.Require("HedgeAfter", c.HedgeAfter >= 1, "at least 1"),
+		policy.Require("MaxHedgeLoad", c.MaxHedgeLoad >= 0 && c.MaxHedgeLoad <= 1, "between 0 and 1"),
+	)
 }
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -21,7 +21,7 @@
 	servers    int
 }
 
-// New returns a Policy with empty budgets, or the *FieldError of an invalid cfg.
+// New returns a Policy with empty budgets, or the *policy.ConfigError of an invalid cfg.
 func New(cfg Config) (*Policy, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
--- a/policy/route/config.go
+++ b/policy/route/config.go
@@ -1,8 +1,9 @@
 package route
 
 import (
-	"fmt"
 	"time"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 // Config holds the thresholds of a Router. Start from DefaultConfig.
@@ -111,49 +112,28 @@
 	}
 }
 
-// ConfigError names the field of a Config that is out of range.
-type ConfigError struct {
-	Field string
-	Want  string
-}
-
-// Error implements error.
-func (e *ConfigError) Error() string {
-	return fmt.Sprintf("route: %s must be %s", e.Field, e.Want)
-}
-
-// Validate returns a *ConfigError for the first field that is out of range.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c Config) Validate() error {
-	checks := []struct {
-		field string
-		ok    bool
-		want  string
-	}{
-		{"Entries", c.Entries >= 1, "at least 1"},
-		{"PrefillRate", c.PrefillRate > 0, "above 0"},
-		{"Trust", c.Trust >= 0 && c.Trust <= 1, "in [0, 1]"},
-		{"BusyCost", c.BusyCost >= 0, "at least 0"},
-		{"SlotTime", c.SlotTime > 0, "above 0"},
-		{"ZoneCost", c.ZoneCost >= 0, "at least 0"},
-		{"RegionCost", c.RegionCost >= c.ZoneCost, "at least ZoneCost"},
-		{"LoadFactor", c.LoadFactor > 1, "above 1"},
-		{"FreeLoad", c.FreeLoad >= 0 && c.FreeLoad <= 1, "in [0, 1]"},
-		{"SlowStart", c.SlowStart >= 0, "at least 0"},
-		{"SlowStartShare", c.SlowStartShare > 0 && c.SlowStartShare <= 1, "in (0, 1]"},
-		{"SlowFactor", c.SlowFactor > 1, "above 1"},
-		{"SlowSamples", c.SlowSamples >= 1, "at least 1"},
-		{"SilentAfter", c.SilentAfter > 0, "above 0"},
-		{"FailuresInRow", c.FailuresInRow >= 1, "at least 1"},
-		{"AssessEvery", c.AssessEvery > 0, "above 0"},
-		{"MinShare", c.MinShare > 0 && c.MinShare < 1, "in (0, 1)"},
-		{"ProbeEvery", c.ProbeEvery > 0, "above 0"},
-		{"ProbeMax", c.ProbeMax >= c.ProbeEvery, "at least ProbeEvery"},
-		{"RecoverEvery", c.RecoverEvery > 0, "above 0"},
-	}
-	for _, check := range checks {
-		if !check.ok {
-			return &ConfigError{Field: check.field, Want: check.want}
-		}
-	}
-	return nil
+	return policy.Check("route",
+		policy.Require("Entries", c.Entries >= 1, "at least 1"),
+		policy.Require("PrefillRate", c.PrefillRate > 0, "above 0"),
+		policy.Require("Trust", c.Trust >= 0 && c.Trust <= 1, "in [0, 1]"),
+		policy.Require("BusyCost", c.BusyCost >= 0, "at least 0"),
+		policy.Require("SlotTime", c.SlotTime > 0, "above 0"),
+		policy.Require("ZoneCost", c.ZoneCost >= 0, "at least 0"),
+		policy.Require("RegionCost", c.RegionCost >= c.ZoneCost, "at least ZoneCost"),
+		policy.Require("LoadFactor", c.LoadFactor > 1, "above 1"),
+		policy.Require("FreeLoad", c.FreeLoad >= 0 && c.FreeLoad <= 1, "in [0, 1]"),
+		policy.Require("SlowStart", c.SlowStart >= 0, "at least 0"),
+		policy.Require("SlowStartShare", c.SlowStartShare > 0 && c.SlowStartShare <= 1, "in (0, 1]"),
+		policy.Require("SlowFactor", c.SlowFactor > 1, "above 1"),
+		policy.Require("SlowSamples", c.SlowSamples >= 1, "at least 1"),
+		policy.Require("SilentAfter", c.SilentAfter > 0, "above 0"),
+		policy.Require("FailuresInRow", c.FailuresInRow >= 1, "at least 1"),
+		policy.Require("AssessEvery", c.AssessEvery > 0, "above 0"),
+		policy.Require("MinShare", c.MinShare > 0 && c.MinShare < 1, "in (0, 1)"),
+		policy.Require("ProbeEvery", c.ProbeEvery > 0, "above 0"),
+		policy.Require("ProbeMax", c.ProbeMax >= c.ProbeEvery, "at least ProbeEvery"),
+		policy.Require("RecoverEvery", c.RecoverEvery > 0, "above 0"),
+	)
 }
--- a/policy/route/router.go
+++ b/policy/route/router.go
@@ -31,7 +31,7 @@
 	loads   []float64 // estimated requests by slot
 }
 
-// New returns a Router without servers. The error is a *ConfigError.
+// New returns a Router without servers. The error is a *policy.ConfigError.
 func New(cfg Config) (*Router, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
--- a/policy/route/router_test.go
+++ b/policy/route/router_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy"
 )
 
 // talk is a conversation whose prompt grows by a turn at a time.
@@ -366,7 +367,7 @@
 	cfg := DefaultConfig()
 	cfg.LoadFactor = 1
 	_, err := New(cfg)
-	var fault *ConfigError
+	var fault *policy.ConfigError
 	require.ErrorAs(t, err, &fault)
 	require.Equal(t, "LoadFactor", fault.Field)
 }
--- a/policy/scale/config.go
+++ b/policy/scale/config.go
@@ -1,8 +1,9 @@
 package scale
 
 import (
-	"fmt"
 	"time"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 // Config holds the thresholds of a Scaler. Start from DefaultConfig.
@@ -56,40 +57,19 @@
 	}
 }
 
-// ConfigError names the field of a Config that is out of range.
-type ConfigError struct {
-	Field string
-	Want  string
-}
-
-// Error implements error.
-func (e *ConfigError) Error() string {
-	return fmt.Sprintf("scale: %s must be %s", e.Field, e.Want)
-}
-
-// Validate returns a *ConfigError for the first field that is out of range.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c Config) Validate() error {
-	checks := []struct {
-		field string
-		ok    bool
-		want  string
-	}{
-		{"Headroom", c.Headroom >= 1, "at least 1"},
-		{"Lead", c.Lead >= 0, "at least 0"},
-		{"DownBelow", c.DownBelow > 0 && c.DownBelow <= 1, "in (0, 1]"},
-		{"DownAfter", c.DownAfter >= 0, "at least 0"},
-		{"DownEvery", c.DownEvery > 0, "above 0"},
-		{"DownStep", c.DownStep > 0 && c.DownStep <= 1, "in (0, 1]"},
-		{"BackoffMin", c.BackoffMin > 0, "above 0"},
-		{"BackoffMax", c.BackoffMax >= c.BackoffMin, "at least BackoffMin"},
-		{"ReclaimCost", c.ReclaimCost >= 0, "at least 0"},
-		{"SwapEvery", c.SwapEvery > 0, "above 0"},
-		{"MaxStarts", c.MaxStarts >= 1, "at least 1"},
-	}
-	for _, check := range checks {
-		if !check.ok {
-			return &ConfigError{Field: check.field, Want: check.want}
-		}
-	}
-	return nil
+	return policy.Check("scale",
+		policy.Require("Headroom", c.Headroom >= 1, "at least 1"),
+		policy.Require("Lead", c.Lead >= 0, "at least 0"),
+		policy.Require("DownBelow", c.DownBelow > 0 && c.DownBelow <= 1, "in (0, 1]"),
+		policy.Require("DownAfter", c.DownAfter >= 0, "at least 0"),
+		policy.Require("DownEvery", c.DownEvery > 0, "above 0"),
+		policy.Require("DownStep", c.DownStep > 0 && c.DownStep <= 1, "in (0, 1]"),
+		policy.Require("BackoffMin", c.BackoffMin > 0, "above 0"),
+		policy.Require("BackoffMax", c.BackoffMax >= c.BackoffMin, "at least BackoffMin"),
+		policy.Require("ReclaimCost", c.ReclaimCost >= 0, "at least 0"),
+		policy.Require("SwapEvery", c.SwapEvery > 0, "above 0"),
+		policy.Require("MaxStarts", c.MaxStarts >= 1, "at least 1"),
+	)
 }
--- a/policy/scale/scale.go
+++ b/policy/scale/scale.go
@@ -104,7 +104,7 @@
 }
 
 // New returns a Scaler; site goes into the client tokens, so that two sites with
-// one cloud account do not share them. The error is a *ConfigError.
+// one cloud account do not share them. The error is a *policy.ConfigError.
 func New(site string, cfg Config) (*Scaler, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
--- a/policy/scale/scale_test.go
+++ b/policy/scale/scale_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"savoryreel.example/savoryreel/policy"
 	"savoryreel.example/savoryreel/zone"
 )
 
@@ -303,7 +304,7 @@
 	cfg := DefaultConfig()
 	cfg.DownStep = 0
 	_, err := New("site", cfg)
-	var fault *ConfigError
+	var fault *policy.ConfigError
 	require.ErrorAs(t, err, &fault)
 	require.Equal(t, "DownStep", fault.Field)
 }
--- a/policy/shift/shift.go
+++ b/policy/shift/shift.go
@@ -1,9 +1,10 @@
 package shift
 
 import (
-	"fmt"
 	"math"
 	"time"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 // Config holds the thresholds of a Shifter. Start from DefaultConfig.
@@ -38,39 +39,18 @@
 	}
 }
 
-// ConfigError names the field of a Config that is out of range.
-type ConfigError struct {
-	Field string
-	Want  string
-}
-
-// Error implements error.
-func (e *ConfigError) Error() string {
-	return fmt.Sprintf("shift: %s must be %s", e.Field, e.Want)
-}
-
-// Validate returns a *ConfigError for the first field that is out of range.
+// Validate returns a *policy.ConfigError for the first field that is out of range.
 func (c Config) Validate() error {
-	checks := []struct {
-		field string
-		ok    bool
-		want  string
-	}{
-		{"FirstStep", c.FirstStep > 0 && c.FirstStep <= 1, "in (0, 1]"},
-		{"MaxStep", c.MaxStep > 0 && c.MaxStep <= 1, "in (0, 1]"},
-		{"StepEvery", c.StepEvery > 0, "above 0"},
-		{"MaxBack", c.MaxBack > 0 && c.MaxBack <= 1, "in (0, 1]"},
-		{"BackEvery", c.BackEvery > 0, "above 0"},
-		{"MinRequests", c.MinRequests >= 1, "at least 1"},
-		{"Tolerance", c.Tolerance >= 0 && c.Tolerance < 1, "in [0, 1)"},
-		{"Confidence", c.Confidence > 0, "above 0"},
-	}
-	for _, check := range checks {
-		if !check.ok {
-			return &ConfigError{Field: check.field, Want: check.want}
-		}
-	}
-	return nil
+	return policy.Check("shift",
+		policy.Require("FirstStep", c.FirstStep > 0 && c.FirstStep <= 1, "in (0, 1]"),
+		policy.Require("MaxStep", c.MaxStep > 0 && c.MaxStep <= 1, "in (0, 1]"),
+		policy.Require("StepEvery", c.StepEvery > 0, "above 0"),
+		policy.Require("MaxBack", c.MaxBack > 0 && c.MaxBack <= 1, "in (0, 1]"),
+		policy.Require("BackEvery", c.BackEvery > 0, "above 0"),
+		policy.Require("MinRequests", c.MinRequests >= 1, "at least 1"),
+		policy.Require("Tolerance", c.Tolerance >= 0 && c.Tolerance < 1, "in [0, 1)"),
+		policy.Require("Confidence", c.Confidence > 0, "above 0"),
+	)
 }
 
 // Answers counts the answers of one version.
@@ -139,7 +119,7 @@
 	cfg Config
 }
 
-// New returns a Shifter. The error is a *ConfigError.
+// New returns a Shifter. The error is a *policy.ConfigError.
 func New(cfg Config) (*Shifter, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
--- a/policy/shift/shift_test.go
+++ b/policy/shift/shift_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"savoryreel.example/savoryreel/policy"
 )
 
 var epoch = time.Unix(1_800_000_000, 0)
@@ -137,7 +139,7 @@
 	cfg := DefaultConfig()
 	cfg.MaxBack = 0
 	_, err := New(cfg)
-	var fault *ConfigError
+	var fault *policy.ConfigError
 	require.ErrorAs(t, err, &fault)
 	require.Equal(t, "MaxBack", fault.Field)
 }
