policy/hash: one copy of the function that joins hashes

Cause: policy/route and policy/quarantine each had the finalizer of splitmix64 over two words.

Ruled out: the hash library for it, as the house asks for plumbing. xxhash over the 16 bytes makes a choice among 600 servers with 64 prefixes 35.0 us instead of 21.2 us, and every choice other than before, which would have to be measured anew. With it two tests of route failed, and both were traced: - TestHotPrefixStaysWithinBound asks for less than a tenth of starts over the bound in one draw; 20 draws gave 0.079 to 0.114 with either hash, 0.095 in the mean.

Figures: one copy less; the tests' draws are the same as before.

Conclusion: one copy, same function.

--- a/policy/quarantine/set.go
+++ b/policy/quarantine/set.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"savoryreel.example/savoryreel/policy/hash"
 )
 
 const (
@@ -97,7 +99,7 @@
 	var best Server
 	top := uint64(0)
 	for i, server := range ask.View.own {
-		rank := mix(ask.Fingerprint, uint64(i)+1)
+		rank := hash.Pair(ask.Fingerprint, uint64(i)+1)
 		if !slices.Contains(taken, server) && (best.ID == "" || rank > top) {
 			best, top = server, rank
 		}
--- a/policy/quarantine/view.go
+++ b/policy/quarantine/view.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"savoryreel.example/savoryreel/policy/hash"
 )
 
 // View is one entry's picture of who owns what. Build a new one when an entry
@@ -43,20 +45,10 @@
 func first(entries []string, key uint64) string {
 	best, top := "", uint64(0)
 	for _, id := range entries {
-		rank := mix(xxhash.Sum64String(id), key)
+		rank := hash.Pair(xxhash.Sum64String(id), key)
 		if best == "" || rank > top || rank == top && id < best {
 			best, top = id, rank
 		}
 	}
 	return best
 }
-
-// mix is the finalizer of splitmix64 over two words.
-func mix(a, b uint64) uint64 {
-	z := a ^ (b * 0x9e3779b97f4a7c15)
-	z ^= z >> 30
-	z *= 0xbf58476d1ce4e5b9
-	z ^= z >> 27
-	z *= 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
--- a/policy/route/choose.go
+++ b/policy/route/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"savoryreel.example/savoryreel/policy/hash"
 )
 
 // Choose decides where the request runs. It does not count the request; call
@@ -137,14 +139,14 @@
 		if r.weights[i] == 0 {
 			continue
 		}
-		hash := r.servers[i].hash
-		noise := mix(req.Seed, hash)
+		own := r.servers[i].hash
+		noise := hash.Pair(req.Seed, own)
 		rest.offer(i, noise)
-		if r.weights[i] < t.top && unit(mix(noise, saltShare))*t.top >= r.weights[i] {
+		if r.weights[i] < t.top && hash.Unit(hash.Pair(noise, saltShare))*t.top >= r.weights[i] {
 			continue
 		}
 		over.offer(i, noise)
-		rank := mix(key, hash)
+		rank := hash.Pair(key, own)
 		m := r.matched[i]
 		// The bound is checked only where it matters: few of many servers are
 		// among the best so far.
@@ -212,7 +214,7 @@
 	}
 	if others := float64(r.cfg.Entries - 1); others > 0 {
 		since := float64(max(s.net, 0))
-		load += others * (since + unit(mix(noise, saltBound)))
+		load += others * (since + hash.Unit(hash.Pair(noise, saltBound)))
 	}
 	return load >= limit
 }
--- a/policy/route/demand.go
+++ b/policy/route/demand.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"savoryreel.example/savoryreel/policy/hash"
+)
 
 // Size and time scale of a demand sketch.
 const (
@@ -28,7 +32,7 @@
 
 // note counts a request and returns how many the key has had lately.
 func (d *demand) note(key uint64, now time.Time) int {
-	c := &d.cells[mix(key, 0)%demandCells]
+	c := &d.cells[hash.Pair(key, 0)%demandCells]
 	window := now.UnixNano() / int64(demandWindow)
 	switch {
 	case window == c.window+1:
--- a/policy/route/model_test.go
+++ b/policy/route/model_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/hash"
 )
 
 // epoch is the start of virtual time.
@@ -348,7 +349,7 @@
 			slot := m.routers[entry].index.slots[e.id]
 			load = m.routers[entry].servers[slot].load()
 		}
-		load += unit(mix(req.Seed, uint64(i))) // ties at random
+		load += hash.Unit(hash.Pair(req.Seed, uint64(i))) // ties at random
 		if load < bestLoad {
 			best, bestLoad = i, load
 		}
--- a/policy/route/router_test.go
+++ b/policy/route/router_test.go
@@ -11,6 +11,7 @@
 
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/policy"
+	"savoryreel.example/savoryreel/policy/hash"
 )
 
 // talk is a conversation whose prompt grows by a turn at a time.
@@ -23,7 +24,7 @@
 	j := &job{output: output, prefixes: []uint64{1}, lengths: []int{200}}
 	c.turns++
 	for i := range c.turns {
-		j.prefixes = append(j.prefixes, mix(c.id, uint64(i)+7))
+		j.prefixes = append(j.prefixes, hash.Pair(c.id, uint64(i)+7))
 		j.lengths = append(j.lengths, 200+400*(i+1))
 	}
 	return j
@@ -396,11 +397,11 @@
 	r, now := testRouter(t, 600, 8)
 	req := &Request{Now: now, PromptTokens: 6500}
 	for i := range 64 {
-		req.Prefixes = append(req.Prefixes, mix(uint64(i), 3))
+		req.Prefixes = append(req.Prefixes, hash.Pair(uint64(i), 3))
 	}
 	for i := range 600 {
 		for n := range 64 {
-			if mix(uint64(i), uint64(n))%3 == 0 {
+			if hash.Pair(uint64(i), uint64(n))%3 == 0 {
 				r.index.store(i, req.Prefixes[n], 100*(n+1))
 			}
 		}
