gateway: an error that is passed on counts against its server

Cause: a server's own error on a route whose requests run only once is passed on to the caller, and counted there as a good end of the run with a quick first byte. A server that fails at once is always free, so the choice preferred it. Found by reading.

Ruled out: the repeated requests, whose failures were counted before.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -96,7 +96,7 @@
 	case j.begun:
 		return j.unusable(c, "a stream cannot go on with an answer of another kind")
 	default:
-		return j.relayWhole(ctx, c, answer)
+		return j.relayWhole(ctx, c, answer, endedWell)
 	}
 }
 
@@ -127,7 +127,7 @@
 		return j.unusable(c, "server failed")
 	}
 	if !j.mayRepeat(ctx, &r) {
-		return j.relayWhole(ctx, c, answer)
+		return j.relayWhole(ctx, c, answer, endedBadly)
 	}
 	_, _ = io.Copy(io.Discard, answer) // to keep the connection; a failure only closes it
 	j.service.end(c, endedBadly, j.gateway.now())
@@ -140,10 +140,14 @@
 // end as an error instead of half an answer.
 const wholeBytes = 512 << 10
 
-// relayWhole hands on an answer that is not a stream of events.
-func (j *job) relayWhole(ctx context.Context, c *choice, answer *backend.Answer) result {
+// relayWhole hands on an answer that is not a stream of events. how is what it says
+// of the server: a failing one is always free and quick, so an error that counted
+// as an answer would draw most requests to it.
+func (j *job) relayWhole(ctx context.Context, c *choice, answer *backend.Answer, how ending) result {
 	g := j.gateway
-	j.service.firstByte(c, g.now())
+	if how == endedWell {
+		j.service.firstByte(c, g.now())
+	}
 	j.countBegun()
 	body, err := io.ReadAll(io.LimitReader(answer, wholeBytes))
 	if err != nil {
@@ -157,22 +161,22 @@
 		}
 		j.begin(answer.Status, header, length)
 		_, err = j.out.Write(body)
-		return j.finished(c, err)
+		return j.finished(c, how, err)
 	}
 	j.begin(answer.Status, header, answer.Length)
 	if _, err := j.out.Write(body); err != nil {
-		return j.finished(c, err)
+		return j.finished(c, how, err)
 	}
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := answer.Read(buf)
 		if n > 0 {
 			if _, werr := j.out.Write(buf[:n]); werr != nil {
-				return j.finished(c, werr)
+				return j.finished(c, how, werr)
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return j.finished(c, nil)
+			return j.finished(c, how, nil)
 		}
 		if err != nil {
 			return j.bodyFailed(ctx, c, err)
@@ -192,8 +196,8 @@
 
 // finished ends a run whose answer was whole; err is that of writing it to the
 // caller.
-func (j *job) finished(c *choice, err error) result {
-	j.service.end(c, endedWell, j.gateway.now())
+func (j *job) finished(c *choice, how ending, err error) result {
+	j.service.end(c, how, j.gateway.now())
 	if err != nil {
 		return result{refusal: &Refusal{Reason: GaveUp, Detail: err.Error()}}
 	}
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -332,3 +332,25 @@
 	require.Empty(t, out.body)
 	require.Equal(t, int64(4711), out.length)
 }
+
+// A server answers each request at once with an error of its own, on a route whose
+// requests may run only once. Callers get the errors, as nothing may be repeated.
+// The server is always free, so it looks best, and would get most requests.
+//
+// It breaks if an error that is passed on counts as a good end of the run.
+func TestServerThatFailsGetsLess(t *testing.T) {
+	r := newRig(t)
+	r.use(routes.Route{Prefix: "/", Kind: routes.NonIdempotent})
+	failing := r.server("web", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	for range 3 {
+		r.server("web", say("ok"))
+	}
+	const requests = 200
+	for range requests {
+		_, refusal := r.ask("/x")
+		require.Nil(t, refusal)
+		r.skip.Add(int64(20 * time.Millisecond))
+	}
+	t.Logf("%d of %d requests went to the failing server", failing.count(), requests)
+	require.Less(t, failing.count(), requests/10)
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,20 +68,24 @@
 	*Gateway
 	t    *testing.T
 	next uint64
+	skip atomic.Int64 // nanoseconds that the gateway's clock is ahead
 }
 
 func newRig(t *testing.T) *rig { return newRigWithLog(t, slog.New(slog.DiscardHandler)) }
 
 func newRigWithLog(t *testing.T, log *slog.Logger) *rig {
+	r := &rig{t: t}
 	g, err := New(Config{Node: testNode(), ClusterKey: "k"}, Deps{
-		Log: log, Now: time.Now, Seeds: func() []string { return nil }, Dialect: plainDialect{},
+		Log: log, Now: func() time.Time { return time.Now().Add(time.Duration(r.skip.Load())) },
+		Seeds: func() []string { return nil }, Dialect: plainDialect{},
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		g.links.Close()
 		g.pool.Close()
 	})
-	return &rig{Gateway: g, t: t}
+	r.Gateway = g
+	return r
 }
 
 func testNode() site.Node {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -155,7 +155,7 @@
 	if !j.begun {
 		j.begin(answer.Status, j.gateway.deps.Dialect.AnswerHeader(answer.Header), 0)
 	}
-	return j.finished(c, nil)
+	return j.finished(c, endedWell, nil)
 }
 
 // streamBroke decides what becomes of a stream that broke off.
