directory: a server that serves is not forgotten for want of news

Cause: entries are told of changes only. Found by reading.

Ruled out: telling entries of every heartbeat: 600 servers would take more than a node's 11 KB/s. Records at replicas are renewed by every heartbeat; a server that dies there turns silent, and is dropped as before.

Figures: TestServerWithoutNewsIsNotForgotten fails before (the record of a serving server was gone after two minutes), passes now. directory, gateway and coordinator pass.

--- a/directory/store.go
+++ b/directory/store.go
@@ -20,8 +20,9 @@
 	// AddressKept is how long after a server's last heartbeat no other one can have
 	// its address.
 	AddressKept time.Duration
-	// ForgetAfter is the time after which a record that is gone or silent is
-	// dropped. It must outlast every heartbeat that is still on its way.
+	// ForgetAfter is the time after which a server's record is dropped that does not
+	// serve or is silent, and an entry's that gave no sign of life. It must outlast
+	// every heartbeat that is still on its way.
 	ForgetAfter time.Duration
 }
 
@@ -280,7 +281,8 @@
 	defer s.mu.Unlock()
 	for id, held := range s.servers {
 		age := now.Sub(held.heard)
-		if age > s.cfg.ForgetAfter {
+		well := held.State == instance.StateServing && !held.Silent
+		if age > s.cfg.ForgetAfter && !well {
 			delete(s.servers, id)
 			if s.byAddr[held.Address] == id {
 				delete(s.byAddr, held.Address)
--- a/directory/store_test.go
+++ b/directory/store_test.go
@@ -155,3 +155,16 @@
 	s.MergeEntry(Entry{Name: "e1", Incarnation: 1, State: instance.StateServing}, epoch)
 	require.Empty(t, s.LiveEntries(epoch), "an entry that leaves is named no more")
 }
+
+// An entry is told of a server when it starts, and then of nothing for minutes: each
+// heartbeat that has no news would cost every entry a message. The server goes on
+// serving, and the entry must still know it when the next change of it comes.
+//
+// It breaks if Sweep drops records by their age alone.
+func TestServerWithoutNewsIsNotForgotten(t *testing.T) {
+	s := NewStore(Config{ForgetAfter: time.Minute})
+	s.Merge([]Server{{Announcement: beat("s1", 1, 1, instance.StateServing)}, {Announcement: beat("s2", 1, 1, instance.StateLeaving)}}, nil, epoch)
+	s.Sweep(epoch.Add(2*time.Minute), false)
+	require.Equal(t, instance.StateServing, stateOf(s, "s1"))
+	require.Equal(t, instance.StateGone, stateOf(s, "s2"), "one that was leaving is gone")
+}
