directory: a server that one replica hears is not silent

Cause: a server reports at one control replica, which passes its heartbeats on. Replicas that a cut keeps from that one called the server silent, and an entry believed any replica's word, since it is told of changes only.

Ruled out: telling entries of every heartbeat (600 servers take more than a node's 11 KB/s). Letting the hearing minority alone decide for all (it may itself be what is cut off: a replica says apart that it hears nothing and whether that is to be believed, and the words of a replica that no longer answers don't count). Silent servers as a last resort (a dead one costs each request its time limit).

Not mended: the leader in such a cut also thinks servers silent that it does not hear, and may order more.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -227,7 +227,7 @@
 // take merges what another replica told.
 func (c *Coordinator) take(addr string, r api.WatchReply) {
 	c.clock.Observe(addr, r.Clock)
-	c.directory.Merge(r.Servers, r.Entries, c.now())
+	c.directory.Merge(directory.Origin{Replica: addr, Life: r.Life}, r.Servers, r.Entries, c.now())
 	c.offer(r.Revision, r.Document)
 }
 
--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -51,6 +51,9 @@
 	Request func() api.WatchRequest
 	// Reply takes what a replica told. It is called by one goroutine a replica.
 	Reply func(addr string, r api.WatchReply)
+	// Lost, if set, is called when a replica that replied no longer does, or is no
+	// longer followed. Of one replica, it and Reply are called one after the other.
+	Lost func(addr string)
 	// Seeds returns addresses to begin with, as the settings have them now.
 	Seeds func() []string
 }
@@ -139,6 +142,9 @@
 
 // follow calls one replica again and again.
 func (f *Follower) follow(ctx context.Context, addr string, p *peer) {
+	if f.deps.Lost != nil {
+		defer f.deps.Lost(addr)
+	}
 	var life, seen uint64
 	pause := retryMin
 	for ctx.Err() == nil {
@@ -212,6 +218,9 @@
 	f.mu.Unlock()
 	switch {
 	case err != nil && !wasLost:
+		if f.deps.Lost != nil {
+			f.deps.Lost(addr)
+		}
 		event.Log(ctx, f.deps.Log, slog.LevelWarn, event.ReplicaLost,
 			slog.String("peer", addr), slog.Time("lastReply", last), slog.String("error", err.Error()))
 	case err == nil && (wasLost || last.IsZero()):
--- a/directory/record.go
+++ b/directory/record.go
@@ -10,10 +10,15 @@
 type Server struct {
 	instance.Announcement `msgpack:"a"`
 
-	// HeardAgo is how long before the message the last heartbeat came, and Silent
+	// HeardAgo is how long before the message the last heartbeat came, and Unheard
 	// says that it came too long ago for a server that is well.
 	HeardAgo time.Duration `msgpack:"ago"`
-	Silent   bool          `msgpack:"silent"`
+	Unheard  bool          `msgpack:"unheard"`
+
+	// Silent says that the server is taken to be lost: at a replica, that it is
+	// unheard while most other replicas are in touch; at any other process, that
+	// silenceOf says so.
+	Silent bool `msgpack:"silent"`
 }
 
 // Entry is an entry of the system.
--- a/directory/store.go
+++ b/directory/store.go
@@ -12,7 +12,7 @@
 // Config sets when records count as old.
 type Config struct {
 	// SilentAfter is the time without a heartbeat after which a server counts as
-	// silent.
+	// unheard; 0 at a process that hears no server itself.
 	SilentAfter time.Duration
 	// EntrySilentAfter is the time without a sign of life after which an entry is
 	// no longer named to callers.
@@ -38,14 +38,16 @@
 	servers map[string]*heldServer
 	byAddr  map[string]string // address -> id of the server that has it
 	entries map[string]*heldEntry
-	changed chan struct{} // closed at the next change
+	sources map[string]*source // by link address; none at a replica
+	changed chan struct{}      // closed at the next change
 }
 
 type heldServer struct {
 	Server
 	heard   time.Time
-	seq     uint64 // of the change that made the record what it is
-	touched uint64 // of the newest heartbeat
+	seq     uint64          // of the change that made the record what it is
+	touched uint64          // of the newest heartbeat
+	words   map[string]word // what each replica said last; none at a replica
 }
 
 type heldEntry struct {
@@ -62,6 +64,7 @@
 		servers: make(map[string]*heldServer),
 		byAddr:  make(map[string]string),
 		entries: make(map[string]*heldEntry),
+		sources: make(map[string]*source),
 		changed: make(chan struct{}),
 	}
 }
@@ -69,7 +72,7 @@
 // Announce takes a heartbeat that this process has received and reports whether
 // it changed what is known beyond the time of the last one.
 func (s *Store) Announce(a instance.Announcement, now time.Time) bool {
-	return s.mergeServer(Server{Announcement: a}, now)
+	return s.mergeServer(Origin{}, Server{Announcement: a}, now)
 }
 
 // Leave notes that a server has said that it is gone. incarnation 0 stands for
@@ -85,15 +88,15 @@
 	}
 	rec.State = instance.StateGone
 	s.mu.Unlock()
-	return s.mergeServer(rec, now)
+	return s.mergeServer(Origin{}, rec, now)
 }
 
-// Merge takes records that another process passed on. It reports whether any
+// Merge takes records that a replica passed on, maybe none. It reports whether that
 // changed what is known.
-func (s *Store) Merge(servers []Server, entries []Entry, now time.Time) bool {
-	changed := false
+func (s *Store) Merge(from Origin, servers []Server, entries []Entry, now time.Time) bool {
+	changed := s.noteSource(from)
 	for i := range servers {
-		changed = s.mergeServer(servers[i], now) || changed
+		changed = s.mergeServer(from, servers[i], now) || changed
 	}
 	for i := range entries {
 		changed = s.MergeEntry(entries[i], now) || changed
@@ -101,26 +104,28 @@
 	return changed
 }
 
-func (s *Store) mergeServer(rec Server, now time.Time) bool {
+func (s *Store) mergeServer(from Origin, rec Server, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	heard := now.Add(-rec.HeardAgo)
 	held, known := s.servers[rec.ID]
 	if known && !rec.version().newerThan(held.version()) {
-		return s.refresh(held, rec, heard)
+		return s.refresh(from, held, rec, now)
 	}
-	rec.Silent = rec.Silent && rec.State == instance.StateServing
+	said := word{rec.Unheard, rec.Silent}
+	rec.Unheard, rec.Silent = false, false
 	if !s.claimAddress(&rec, now) {
 		return false
 	}
 	next := &heldServer{Server: rec, heard: heard}
 	if known {
-		next.seq, next.touched = held.seq, held.touched
+		next.seq, next.touched, next.words = held.seq, held.touched, held.words
 		if heard.Before(held.heard) {
 			next.heard = held.heard
 		}
 	}
 	s.servers[rec.ID] = next
+	s.settle(from, next, said, now)
 	if known && sameServer(&held.Server, &next.Server) {
 		s.touchServer(next)
 		return false
@@ -129,22 +134,31 @@
 	return true
 }
 
-// refresh takes the time of an equal record, which another replica may have
-// heard later, and its word on silence.
-func (s *Store) refresh(held *heldServer, rec Server, heard time.Time) bool {
-	if rec.version() != held.version() {
+// settle sets the silence of a record that has just come.
+func (s *Store) settle(from Origin, held *heldServer, said word, now time.Time) bool {
+	if s.judges() {
+		return s.judge(held, now, said.silent)
+	}
+	if from.Replica != "" {
+		if held.words == nil {
+			held.words = make(map[string]word)
+		}
+		held.words[from.Replica] = said
+	}
+	return s.weigh(held)
+}
+
+// refresh takes what an equal or older record of the same start says besides: when the
+// server was heard, and the replica's word on its silence.
+func (s *Store) refresh(from Origin, held *heldServer, rec Server, now time.Time) bool {
+	if rec.Incarnation != held.Incarnation || rec.State != held.State {
 		return false
 	}
-	if heard.After(held.heard) {
+	if heard := now.Add(-rec.HeardAgo); rec.version() == held.version() && heard.After(held.heard) {
 		held.heard = heard
 		s.touchServer(held)
 	}
-	if rec.Silent != held.Silent && rec.HeardAgo > 0 && held.State == instance.StateServing {
-		held.Silent = rec.Silent
-		s.changeServer(held)
-		return true
-	}
-	return false
+	return s.settle(from, held, word{rec.Unheard, rec.Silent}, now)
 }
 
 // claimAddress settles which of two servers has an address, and reports whether
@@ -179,7 +193,7 @@
 // in what is measured anew each time.
 func sameServer(a, b *Server) bool {
 	return a.Incarnation == b.Incarnation && a.State == b.State && a.Address == b.Address && a.Zone == b.Zone &&
-		a.Silent == b.Silent && a.Slots == b.Slots && a.Class == b.Class && a.Version == b.Version &&
+		a.Unheard == b.Unheard && a.Silent == b.Silent && a.Slots == b.Slots && a.Class == b.Class && a.Version == b.Version &&
 		a.LeavingIn == b.LeavingIn && slices.Equal(a.Services, b.Services)
 }
 
@@ -273,10 +287,10 @@
 	return n
 }
 
-// Sweep marks servers that fell silent, and drops what is long gone. judge false
-// leaves silence alone: a replica that is cut off from the others hears nothing
-// of servers that are well.
-func (s *Store) Sweep(now time.Time, judge bool) {
+// Sweep marks servers that fell silent, if this process hears them itself, and drops
+// what is long gone. confirmed says that this replica is in touch with most others:
+// one that is cut off hears nothing of servers that are well.
+func (s *Store) Sweep(now time.Time, confirmed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, held := range s.servers {
@@ -289,9 +303,8 @@
 			}
 			continue
 		}
-		if silent := age > s.cfg.SilentAfter; judge && held.State == instance.StateServing && silent != held.Silent {
-			held.Silent = silent
-			s.changeServer(held)
+		if s.judges() {
+			s.judge(held, now, confirmed)
 		}
 	}
 	for name, held := range s.entries {
--- a/directory/store_test.go
+++ b/directory/store_test.go
@@ -122,9 +122,9 @@
 				rapid.SampledFrom(states).Draw(t, "state"))})
 		}
 		a, b := newStore(), newStore()
-		a.Merge(records, nil, epoch)
+		a.Merge(Origin{}, records, nil, epoch)
 		shuffled := rapid.Permutation(records).Draw(t, "order")
-		b.Merge(append(shuffled, shuffled...), nil, epoch)
+		b.Merge(Origin{}, append(shuffled, shuffled...), nil, epoch)
 		require.Equal(t, a.Servers(), b.Servers())
 	})
 }
@@ -163,7 +163,7 @@
 // It breaks if Sweep drops records by their age alone.
 func TestServerWithoutNewsIsNotForgotten(t *testing.T) {
 	s := NewStore(Config{ForgetAfter: time.Minute})
-	s.Merge([]Server{{Announcement: beat("s1", 1, 1, instance.StateServing)}, {Announcement: beat("s2", 1, 1, instance.StateLeaving)}}, nil, epoch)
+	s.Merge(Origin{Replica: "a"}, []Server{{Announcement: beat("s1", 1, 1, instance.StateServing)}, {Announcement: beat("s2", 1, 1, instance.StateLeaving)}}, nil, epoch)
 	s.Sweep(epoch.Add(2*time.Minute), false)
 	require.Equal(t, instance.StateServing, stateOf(s, "s1"))
 	require.Equal(t, instance.StateGone, stateOf(s, "s2"), "one that was leaving is gone")
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -51,7 +51,7 @@
 	if hadNone && g.table.Load() != nil {
 		g.follower.Kick()
 	}
-	g.directory.Merge(r.Servers, r.Entries, g.now())
+	g.directory.Merge(directory.Origin{Replica: addr, Life: r.Life}, r.Servers, r.Entries, g.now())
 	g.countEntries(addr, r.Live)
 	g.applyDirectory()
 	g.noteOthers(r.Loads)
@@ -60,6 +60,13 @@
 	}
 }
 
+// replicaLost takes the word that a control replica no longer answers.
+func (g *Gateway) replicaLost(addr string) {
+	if g.directory.Lost(addr) {
+		g.applyDirectory()
+	}
+}
+
 // loads returns what this entry has running at all servers.
 func (g *Gateway) loads() []api.ServerLoad {
 	g.mu.Lock()
