coordinator: a usage window is reported once all entries have told of it

Cause: the report of each window waited 4.5 s (0.45 of the time until it is due) for the entries, though they tell what they counted at least once a second. A leader that froze or was cut off in that time had its successor report too late: it must wait for the lease first. A leader also made at most eight calls for a window, four a second: a cloud that refused connections for two seconds had the window given up.

Ruled out: a shorter wait for all (an entry that froze for some seconds would not be billed). Counting what is missing as a correction later: the cloud takes one report for a window.

Now entries say which window they count in. A window is decided when every entry that takes callers, and every one that told something in the window, has told of it after its end; the wait stays for those that have not, and for a replica that has been up for less than 3 s. Calls for a window are repeated after 0.25 s, 0.5 s, then each second, until it is worthless.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -56,8 +56,11 @@
 	Wait     time.Duration `msgpack:"wait"`
 
 	Usage []WindowUsage `msgpack:"usage,omitempty"` // all that the sender counted, newest windows
-	Loads []ServerLoad  `msgpack:"loads,omitempty"` // what the sender has running, none left out
-	Uses  []Use         `msgpack:"uses,omitempty"`  // what the sender has let in since its start
+	// OpenWindow is the window in which the sender counts now: nothing more comes for
+	// earlier ones.
+	OpenWindow int64        `msgpack:"open,omitempty"`
+	Loads      []ServerLoad `msgpack:"loads,omitempty"` // what the sender has running, none left out
+	Uses       []Use        `msgpack:"uses,omitempty"`  // what the sender has let in since its start
 }
 
 // Use is how much of a workspace's limit has been let in, in the limit's unit.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -117,6 +117,7 @@
 	}
 	c.tasks = &leaderTasks{
 		log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, clock: c.clock, now: c.now, usage: c.usage,
+		live: func() []directory.Entry { return c.directory.LiveEntries(c.now()) }, start: c.now(),
 		window: cfg.Node.Bounds.UsageWindow, late: cfg.Node.Bounds.UsageLate, lease: cfg.Node.Bounds.LeaseTime,
 		report: cfg.Node.Cloud.Usage,
 	}
--- a/coordinator/tasks.go
+++ b/coordinator/tasks.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/wallclock"
 )
@@ -42,9 +43,13 @@
 	tasksEvery = 250 * time.Millisecond
 	// cloudTimeout bounds one call to the cloud.
 	cloudTimeout = 1500 * time.Millisecond
-	// usageSettle is the part of the time until usage is due that the entries have
-	// for telling what they counted.
+	// usageSettle is the part of the time until usage is due for which the report
+	// waits for entries that have not told what they counted.
 	usageSettle = 0.45
+	// entriesKnownAfter is how long after its start a replica is taken to have heard
+	// of all entries: each calls every replica at least once in a second, and after a
+	// pause of at most a second where a call failed.
+	entriesKnownAfter = 3 * time.Second
 	// fencesPerTerm is how many fencing numbers one term of the leader has.
 	fencesPerTerm = 1 << 20
 )
@@ -74,6 +79,8 @@
 	clock  *wallclock.Clock
 	now    func() time.Time
 	usage  *usageBook
+	live   func() []directory.Entry // entries that take callers
+	start  time.Time                // of this replica
 	window time.Duration
 	late   time.Duration
 	lease  time.Duration
@@ -83,8 +90,8 @@
 
 	fences fences
 	term   uint64
-	since  time.Time     // start of this replica's lead in term
-	asked  map[int64]int // calls made for a window in this term
+	since  time.Time // start of this replica's lead in term
+	calls  usageCalls
 }
 
 // leads reports whether this replica may act: it leads, and has led for so long
@@ -101,7 +108,7 @@
 	now := t.now()
 	if t.term != st.Term {
 		t.term, t.since = st.Term, now
-		t.asked = make(map[int64]int)
+		t.calls = make(usageCalls)
 		if t.fleet != nil {
 			t.fleet.reset()
 		}
@@ -130,12 +137,31 @@
 	return t.cloud.OrderServers(ctx, Order{Leader: t.name, Fence: t.fences.take(t.term)}, w)
 }
 
+// settled returns the newest window whose content can be decided: one that all
+// entries have told of, or that has been over for so long that the report would be
+// late if it went on waiting for one that may be dead.
+//
+// A report that always waited that long would be lost with a leader that stops in
+// the meantime, since its successor is there only when the report is due.
+func (t *leaderTasks) settled() int64 {
+	now := t.clock.Now()
+	waited := now.Add(-time.Duration(float64(t.late)*usageSettle)).UnixNano()/int64(t.window) - 1
+	if t.now().Sub(t.start) < entriesKnownAfter {
+		return waited
+	}
+	live := t.live()
+	ended := now.UnixNano()/int64(t.window) - 1
+	for waited < ended && t.usage.complete(waited+1, live) {
+		waited++
+	}
+	return waited
+}
+
 // decideUsage puts the content of each window that has settled into the log.
 // Only then is it sent: if this process dies in between, its successor sends the
 // same counts and no others.
 func (t *leaderTasks) decideUsage(ctx context.Context, m *member) {
-	settled := t.clock.Now().Add(-time.Duration(float64(t.late) * usageSettle))
-	last := settled.UnixNano()/int64(t.window) - 1
+	last := t.settled()
 	first := last - 1 // windows before that are worthless by now
 	decided := m.state.windows()
 	if n := len(decided); n > 0 {
@@ -153,16 +179,13 @@
 	}
 }
 
-// maxUsageCalls bounds the calls for one window by one leader.
-const maxUsageCalls = 8
-
 // sendUsage sends the oldest window that was decided and has not been sent.
 func (t *leaderTasks) sendUsage(ctx context.Context, m *member) {
 	for _, w := range m.state.windows() {
-		if w.Sent || t.asked[w.Window] >= maxUsageCalls || t.tooLate(w.Window) {
+		if w.Sent || !t.calls.due(w.Window, t.now()) || t.tooLate(w.Window) {
 			continue
 		}
-		t.asked[w.Window]++
+		t.calls.note(w.Window, t.now())
 		err := t.reportUsage(ctx, w)
 		if err != nil {
 			return
--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"time"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/directory"
 )
 
 // usageBook holds what the entries counted. Entries tell every replica, again
@@ -11,9 +13,9 @@
 // what the one before it knew, and a report that was lost is made good by the
 // next one.
 type usageBook struct {
-	mu      sync.Mutex
-	entries map[entryLife]map[int64]map[string]int64 // window -> workspace -> requests
-	newest  int64
+	mu     sync.Mutex
+	lives  map[entryLife]*lifeUsage
+	newest int64 // window
 }
 
 // entryLife is one life of an entry: after a restart it counts from nothing, and
@@ -23,29 +25,35 @@
 	incarnation uint64
 }
 
+// lifeUsage is what one life of an entry counted.
+type lifeUsage struct {
+	open   int64                      // the window in which it counted when it told last
+	counts map[int64]map[string]int64 // window -> workspace -> requests
+}
+
 func newUsageBook() *usageBook {
-	return &usageBook{entries: make(map[entryLife]map[int64]map[string]int64)}
+	return &usageBook{lives: make(map[entryLife]*lifeUsage)}
 }
 
-// note takes an entry's counts, which replace those of its earlier reports.
-func (b *usageBook) note(name string, incarnation uint64, usage []api.WindowUsage) {
-	if len(usage) == 0 {
-		return
-	}
+// note takes an entry's counts, which replace those of its earlier reports, and
+// the window in which it counts now.
+func (b *usageBook) note(life entryLife, open int64, usage []api.WindowUsage) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	life := entryLife{name, incarnation}
-	if b.entries[life] == nil {
-		b.entries[life] = make(map[int64]map[string]int64)
+	u := b.lives[life]
+	if u == nil {
+		u = &lifeUsage{counts: make(map[int64]map[string]int64)}
+		b.lives[life] = u
 	}
-	for _, u := range usage {
-		b.newest = max(b.newest, u.Window)
-		held := b.entries[life][u.Window]
+	u.open = max(u.open, open)
+	b.newest = max(b.newest, open)
+	for _, w := range usage {
+		held := u.counts[w.Window]
 		if held == nil {
-			held = make(map[string]int64, len(u.Counts))
-			b.entries[life][u.Window] = held
+			held = make(map[string]int64, len(w.Counts))
+			u.counts[w.Window] = held
 		}
-		for workspace, n := range u.Counts {
+		for workspace, n := range w.Counts {
 			held[workspace] = max(held[workspace], n)
 		}
 	}
@@ -54,16 +62,50 @@
 
 // forget drops windows that are older than any that is still to be reported.
 func (b *usageBook) forget() {
-	for life, windows := range b.entries {
-		for w := range windows {
-			if w < b.newest-keptWindows {
-				delete(windows, w)
+	oldest := b.newest - keptWindows
+	for life, u := range b.lives {
+		for w := range u.counts {
+			if w < oldest {
+				delete(u.counts, w)
 			}
 		}
-		if len(windows) == 0 {
-			delete(b.entries, life)
+		if u.open < oldest {
+			delete(b.lives, life)
+		}
+	}
+}
+
+// complete reports whether everything that was counted in a window is here: each
+// entry that takes callers, and each that told something during the window, has
+// told of it after its end.
+//
+// An entry that froze, or was cut off, during the window has not; it may come back
+// with counts. One that was started again since will not.
+func (b *usageBook) complete(window int64, live []directory.Entry) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range live {
+		u := b.lives[entryLife{live[i].Name, live[i].Incarnation}]
+		if u == nil || u.open <= window {
+			return false
+		}
+	}
+	for life, u := range b.lives {
+		if u.open == window && !b.restarted(life) {
+			return false
 		}
 	}
+	return len(live) > 0
+}
+
+// restarted reports whether a later life of the same entry has told something.
+func (b *usageBook) restarted(life entryLife) bool {
+	for other := range b.lives {
+		if other.name == life.name && other.incarnation > life.incarnation {
+			return true
+		}
+	}
+	return false
 }
 
 // sum returns what all entries counted in a window.
@@ -71,10 +113,37 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	total := make(map[string]int64)
-	for _, windows := range b.entries {
-		for workspace, n := range windows[window] {
+	for _, u := range b.lives {
+		for workspace, n := range u.counts[window] {
 			total[workspace] += n
 		}
 	}
 	return total
 }
+
+const (
+	// usagePause is the pause after the first call for a window, and is doubled after
+	// each further one up to usagePauseMax. A cloud that is down for seconds has the
+	// report within a second of its return, for some twenty calls at most until the
+	// report is worthless.
+	usagePause    = 250 * time.Millisecond
+	usagePauseMax = time.Second
+)
+
+// usageCalls holds when a window may be reported again, and the pause then, for the
+// windows that one leader has reported.
+type usageCalls map[int64]usageCall
+
+type usageCall struct {
+	next  time.Time
+	pause time.Duration
+}
+
+// due reports whether a window may be reported now.
+func (c usageCalls) due(window int64, now time.Time) bool { return !now.Before(c[window].next) }
+
+// note takes that a window is being reported.
+func (c usageCalls) note(window int64, now time.Time) {
+	pause := min(max(2*c[window].pause, usagePause), usagePauseMax)
+	c[window] = usageCall{next: now.Add(pause), pause: pause}
+}
--- /dev/null
+++ b/coordinator/usage_test.go
@@ -0,0 +1,157 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/wallclock"
+)
+
+// An entry tells its counts again and again, restarts, and tells from nothing. A
+// report that comes late must not lower what was told since.
+func TestUsageBook(t *testing.T) {
+	b := newUsageBook()
+	told := func(n int64) []api.WindowUsage {
+		return []api.WindowUsage{{Window: 7, Counts: map[string]int64{"w": n}}}
+	}
+	b.note(entryLife{"e1", 1}, 7, told(5))
+	b.note(entryLife{"e1", 1}, 7, told(3))
+	b.note(entryLife{"e1", 2}, 7, told(2))
+	b.note(entryLife{"e2", 1}, 7, told(1))
+	require.Equal(t, map[string]int64{"w": 8}, b.sum(7))
+	b.note(entryLife{"e1", 2}, 7+keptWindows+1, nil)
+	require.Empty(t, b.sum(7), "windows that are long over are forgotten")
+}
+
+// usageSite is a leader with two entries, in windows of 5 s that are due 10 s after
+// their end.
+type usageSite struct {
+	tasks *leaderTasks
+	now   time.Duration // since the start of window 0
+}
+
+func newUsageSite() *usageSite {
+	s := &usageSite{}
+	wall := func() time.Time { return time.Unix(0, int64(s.now)) }
+	s.tasks = &leaderTasks{
+		usage: newUsageBook(), window: 5 * time.Second, late: 10 * time.Second,
+		clock: wallclock.New(wall, func() time.Duration { return s.now }), now: wall, start: wall(),
+		live: func() []directory.Entry {
+			return []directory.Entry{{Name: "e1", Incarnation: 1}, {Name: "e2", Incarnation: 1}}
+		},
+	}
+	return s
+}
+
+// tell has entries tell of what they counted at a time.
+func (s *usageSite) tell(at time.Duration, lives ...entryLife) {
+	s.now = at
+	for _, life := range lives {
+		s.tasks.usage.note(life, int64(at/s.tasks.window), nil)
+	}
+}
+
+var (
+	e1      = entryLife{"e1", 1}
+	e2      = entryLife{"e2", 1}
+	e3      = entryLife{"e3", 1}
+	e3Again = entryLife{"e3", 2}
+)
+
+// The leader stops, or is cut off, some seconds after the end of a window. Its
+// successor is there only when the window's report is due, and a customer's bill
+// lacks five seconds.
+//
+// It breaks if the report waits although all entries have told what they counted.
+func TestUsageIsDecidedOnceAllHaveTold(t *testing.T) {
+	s := newUsageSite()
+	s.tell(9*time.Second, e1, e2)
+	require.EqualValues(t, 0, s.tasks.settled())
+	s.tell(10*time.Second+300*time.Millisecond, e1)
+	require.EqualValues(t, 0, s.tasks.settled(), "the other one may have counted more")
+	s.tell(10*time.Second+600*time.Millisecond, e2)
+	require.EqualValues(t, 1, s.tasks.settled())
+}
+
+// An entry freezes in a window and wakes after its end, when it is no longer named
+// to callers. What it counted is to be billed too.
+//
+// It breaks if only the entries that are named to callers are waited for.
+func TestUsageWaitsForAnEntryThatFroze(t *testing.T) {
+	s := newUsageSite()
+	s.tell(6*time.Second, e3)
+	s.tell(10*time.Second+300*time.Millisecond, e1, e2)
+	require.EqualValues(t, 0, s.tasks.settled())
+	s.tell(13*time.Second, e3)
+	require.EqualValues(t, 1, s.tasks.settled())
+}
+
+// The leader is cut off from an entry, and hears from other replicas that it is well.
+//
+// It breaks if only the entries that told this replica something are waited for.
+func TestUsageWaitsForAnEntryThatOthersHear(t *testing.T) {
+	s := newUsageSite()
+	s.tell(3*time.Second, e2)
+	s.tell(10*time.Second+300*time.Millisecond, e1)
+	require.EqualValues(t, 0, s.tasks.settled())
+}
+
+// An entry dies in a window. If it is not started again, the report waits for a
+// while and is in time all the same; if it is, the report need not wait.
+//
+// It breaks if an entry that never tells again is waited for without end.
+func TestUsageOfAnEntryThatDied(t *testing.T) {
+	s := newUsageSite()
+	s.tell(6*time.Second, e3)
+	s.tell(11*time.Second, e1, e2)
+	require.EqualValues(t, 0, s.tasks.settled())
+	s.tell(10*time.Second+4500*time.Millisecond, e1, e2)
+	require.EqualValues(t, 1, s.tasks.settled())
+
+	s = newUsageSite()
+	s.tell(6*time.Second, e3)
+	s.tell(11*time.Second, e1, e2, e3Again)
+	require.EqualValues(t, 1, s.tasks.settled())
+}
+
+// A control replica starts and leads soon after. It has not heard of all entries, and
+// would leave out what the others counted.
+//
+// It breaks if what it has heard in its first seconds is taken for all.
+func TestUsageWaitsWhereAReplicaHasJustStarted(t *testing.T) {
+	s := newUsageSite()
+	s.tasks.start = time.Unix(9, 0)
+	s.tell(10*time.Second+300*time.Millisecond, e1, e2)
+	require.EqualValues(t, 0, s.tasks.settled())
+	s.tell(12*time.Second, e1, e2)
+	require.EqualValues(t, 1, s.tasks.settled())
+}
+
+// The cloud refuses connections for ten seconds. The report is to arrive soon after
+// its return, and the leader must not call four times a second all along.
+//
+// It breaks if a number of calls bounds them, which are used up in two seconds, and
+// if they are made at each of the leader's rounds.
+func TestUsageCallsOutlastAnOutage(t *testing.T) {
+	calls, made := make(usageCalls), 0
+	start := time.Unix(1_700_000_000, 0)
+	var last time.Time
+	for now := start; now.Sub(start) <= 20*time.Second; now = now.Add(tasksEvery) {
+		if !calls.due(7, now) {
+			continue
+		}
+		calls.note(7, now)
+		if !last.IsZero() {
+			require.LessOrEqual(t, now.Sub(last), usagePauseMax)
+		}
+		last = now
+		made++
+	}
+	require.Greater(t, last.Sub(start), 19*time.Second)
+	require.LessOrEqual(t, made, 23)
+	require.True(t, calls.due(8, start), "another window is not held up")
+}
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -76,7 +76,7 @@
 func (c *Coordinator) noteWatcher(from link.PeerInfo, req api.WatchRequest) {
 	if req.Entry != nil {
 		c.directory.MergeEntry(*req.Entry, c.now())
-		c.usage.note(req.Entry.Name, req.Entry.Incarnation, req.Usage)
+		c.usage.note(entryLife{req.Entry.Name, req.Entry.Incarnation}, req.OpenWindow, req.Usage)
 		c.loads.note(req.Entry.Name, req.Loads, c.now())
 		c.uses.note(entryLife{req.Entry.Name, req.Entry.Incarnation}, req.Uses)
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -24,7 +24,8 @@
 }
 
 func (g *Gateway) watchRequest() api.WatchRequest {
-	req := api.WatchRequest{Role: api.RoleEntry, Wait: g.watchWait(), Usage: g.usage.report()}
+	req := api.WatchRequest{Role: api.RoleEntry, Wait: g.watchWait()}
+	req.Usage, req.OpenWindow = g.usage.report()
 	if t := g.table.Load(); t != nil {
 		req.Has, req.Revision = true, t.Catalogue().Revision
 		// Callers are sent here only once they can be answered.
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -33,9 +33,9 @@
 	if workspace == "" {
 		return
 	}
-	w := u.clock.Now().UnixNano() / int64(u.window)
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	w := u.openWindow()
 	if u.counts[w] == nil {
 		u.counts[w] = make(map[string]int64)
 		u.forget(w)
@@ -43,6 +43,10 @@
 	u.counts[w][workspace]++
 }
 
+// openWindow is the window of now. u.mu is held, so that what was reported as over
+// gets no more counts.
+func (u *usage) openWindow() int64 { return u.clock.Now().UnixNano() / int64(u.window) }
+
 func (u *usage) forget(newest int64) {
 	for w := range u.counts {
 		if w <= newest-usageWindows {
@@ -51,13 +55,13 @@
 	}
 }
 
-// report returns all counts, oldest window first.
-func (u *usage) report() []api.WindowUsage {
+// report returns all counts, oldest window first, and the window that is still open.
+func (u *usage) report() (counts []api.WindowUsage, open int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	out := make([]api.WindowUsage, 0, len(u.counts))
 	for _, w := range slices.Sorted(maps.Keys(u.counts)) {
 		out = append(out, api.WindowUsage{Window: w, Counts: maps.Clone(u.counts[w])})
 	}
-	return out
+	return out, u.openWindow()
 }
