coordinator: a new leader reports all windows that are still worth it

Cause: a leader decided the last two windows that had settled and none before; entries told their six newest, and the state held twelve. Those numbers fit windows of 5 s that are due after 10 s. With windows of 1 s due after 4 s, or once windows settle early, a change of leader lost some.

Ruled out: only a larger number, since deployments have other bounds. All now follow the site's bounds (site.Bounds.UsageWindows); what the state drops comes with the command, so that replicas with other settings drop the same.

Figures: TestUsageOfWindowsThatEndedWithoutALeader fails before (first window 6 in place of 5).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -102,7 +102,7 @@
 			SilentAfter: silentAfter(cfg.Node.AnnounceEvery), EntrySilentAfter: entrySilentAfter, ForgetAfter: directory.DefaultForgetAfter,
 			AddressKept: time.Duration(addressPart * float64(cfg.Node.Bounds.AddressReuse)),
 		}),
-		revisions: newRevisions(), usage: newUsageBook(), loads: newLoadBook(), uses: newUseBook(), clock: wallclock.System(),
+		revisions: newRevisions(), usage: newUsageBook(cfg.Node.Bounds.UsageWindows()), loads: newLoadBook(), uses: newUseBook(), clock: wallclock.System(),
 		stopping: make(chan struct{}), heard: make(map[string]time.Time),
 	}
 	c.traffic = link.NewTraffic(c.metrics)
@@ -118,7 +118,7 @@
 	c.tasks = &leaderTasks{
 		log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, clock: c.clock, now: c.now, usage: c.usage,
 		live: func() []directory.Entry { return c.directory.LiveEntries(c.now()) }, start: c.now(),
-		window: cfg.Node.Bounds.UsageWindow, late: cfg.Node.Bounds.UsageLate, lease: cfg.Node.Bounds.LeaseTime,
+		window: cfg.Node.Bounds.UsageWindow, late: cfg.Node.Bounds.UsageLate, kept: cfg.Node.Bounds.UsageKept(), lease: cfg.Node.Bounds.LeaseTime,
 		report: cfg.Node.Cloud.Usage,
 	}
 	if cfg.Node.Cloud.Scaling {
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -23,10 +24,6 @@
 	kindSize
 )
 
-// keptWindows is how many usage windows the state holds: twice what can be
-// between the end of a window and the time at which its report is worthless.
-const keptWindows = 12
-
 type reviseCommand struct {
 	Revision uint64 `msgpack:"rev"`
 	Document []byte `msgpack:"doc"`
@@ -68,6 +65,9 @@
 	Window int64            `msgpack:"w"`
 	Counts map[string]int64 `msgpack:"c"`
 	Sent   bool             `msgpack:"sent,omitempty"`
+	// Oldest is the oldest window that was still to be reported when this one was
+	// decided. The state holds none before it.
+	Oldest int64 `msgpack:"oldest,omitempty"`
 }
 
 // state is the replicated state, as the log's entries build it up. Apply is
@@ -182,20 +182,19 @@
 	return true
 }
 
-// applyUsage takes the content of a window if it has none yet.
+// applyUsage takes the content of a window if it has none yet, and drops windows that
+// are not reported any more. One that was dropped is not taken again.
 func (s *state) applyUsage(c usageWindow) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range s.usage {
-		if w.Window == c.Window {
+		if w.Window == c.Window || c.Window < w.Oldest {
 			return false
 		}
 	}
-	s.usage = append(slices.Clone(s.usage), usageWindow{Window: c.Window, Counts: c.Counts})
-	slices.SortFunc(s.usage, func(a, b usageWindow) int { return int(a.Window - b.Window) })
-	if extra := len(s.usage) - keptWindows; extra > 0 {
-		s.usage = s.usage[extra:]
-	}
+	s.usage = append(slices.Clone(s.usage), c)
+	slices.SortFunc(s.usage, func(a, b usageWindow) int { return cmp.Compare(a.Window, b.Window) })
+	s.usage = slices.DeleteFunc(s.usage, func(w usageWindow) bool { return w.Window < min(c.Oldest, c.Window) })
 	return true
 }
 
--- a/coordinator/state_test.go
+++ b/coordinator/state_test.go
@@ -77,6 +77,9 @@
 	require.Equal(t, false, applyTo(t, s, kindUsage, usageWindow{Window: 7, Counts: map[string]int64{"w": 4}}))
 	applyTo(t, s, kindUsageSent, usageSentCommand{Window: 7})
 	require.Equal(t, []usageWindow{{Window: 7, Counts: map[string]int64{"w": 3}, Sent: true}}, s.windows())
+	require.Equal(t, true, applyTo(t, s, kindUsage, usageWindow{Window: 12, Oldest: 8}))
+	require.Equal(t, []usageWindow{{Window: 12, Oldest: 8}}, s.windows(), "what is not reported any more is dropped")
+	require.Equal(t, false, applyTo(t, s, kindUsage, usageWindow{Window: 7, Counts: map[string]int64{"w": 4}}))
 }
 
 // A replica that was away for long is sent a snapshot; it must hold all that the
--- a/coordinator/tasks.go
+++ b/coordinator/tasks.go
@@ -82,7 +82,8 @@
 	live   func() []directory.Entry // entries that take callers
 	start  time.Time                // of this replica
 	window time.Duration
-	late   time.Duration
+	late   time.Duration // from the end of a window until its report is due
+	kept   time.Duration // from the end of a window until its report is worthless
 	lease  time.Duration
 
 	fleet  *fleet // nil: servers are not ordered
@@ -157,19 +158,28 @@
 	return waited
 }
 
+// oldest is the oldest window whose report is worth something.
+func (t *leaderTasks) oldest() int64 { return t.clock.Now().Add(-t.kept).UnixNano() / int64(t.window) }
+
+// undecided returns the first and the last window whose content is to be decided, in
+// order: a new leader takes up all that the one before it left. The last is below
+// the first where there are none.
+func (t *leaderTasks) undecided(decided []usageWindow) (first, last int64) {
+	first = t.oldest()
+	if n := len(decided); n > 0 {
+		first = max(first, decided[n-1].Window+1)
+	}
+	return first, t.settled()
+}
+
 // decideUsage puts the content of each window that has settled into the log.
 // Only then is it sent: if this process dies in between, its successor sends the
 // same counts and no others.
 func (t *leaderTasks) decideUsage(ctx context.Context, m *member) {
-	last := t.settled()
-	first := last - 1 // windows before that are worthless by now
-	decided := m.state.windows()
-	if n := len(decided); n > 0 {
-		first = max(first, decided[n-1].Window+1)
-	}
+	first, last := t.undecided(m.state.windows())
 	for w := first; w <= last; w++ {
 		ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
-		err := propose(ctx, m, kindUsage, usageWindow{Window: w, Counts: t.usage.sum(w)})
+		err := propose(ctx, m, kindUsage, usageWindow{Window: w, Counts: t.usage.sum(w), Oldest: t.oldest()})
 		cancel()
 		if err != nil {
 			event.Log(ctx, t.log, slog.LevelWarn, event.CloudCallFailed,
@@ -182,7 +192,7 @@
 // sendUsage sends the oldest window that was decided and has not been sent.
 func (t *leaderTasks) sendUsage(ctx context.Context, m *member) {
 	for _, w := range m.state.windows() {
-		if w.Sent || !t.calls.due(w.Window, t.now()) || t.tooLate(w.Window) {
+		if w.Sent || !t.calls.due(w.Window, t.now()) || w.Window < t.oldest() {
 			continue
 		}
 		t.calls.note(w.Window, t.now())
@@ -200,12 +210,6 @@
 	}
 }
 
-// tooLate reports whether a window's report is worth nothing any more.
-func (t *leaderTasks) tooLate(window int64) bool {
-	end := time.Unix(0, (window+1)*int64(t.window))
-	return t.clock.Now().Sub(end) > 2*t.late
-}
-
 func (t *leaderTasks) reportUsage(ctx context.Context, w usageWindow) error {
 	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
 	defer cancel()
--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -13,6 +13,8 @@
 // what the one before it knew, and a report that was lost is made good by the
 // next one.
 type usageBook struct {
+	kept int64 // windows
+
 	mu     sync.Mutex
 	lives  map[entryLife]*lifeUsage
 	newest int64 // window
@@ -31,8 +33,8 @@
 	counts map[int64]map[string]int64 // window -> workspace -> requests
 }
 
-func newUsageBook() *usageBook {
-	return &usageBook{lives: make(map[entryLife]*lifeUsage)}
+func newUsageBook(kept int64) *usageBook {
+	return &usageBook{kept: kept, lives: make(map[entryLife]*lifeUsage)}
 }
 
 // note takes an entry's counts, which replace those of its earlier reports, and
@@ -62,7 +64,7 @@
 
 // forget drops windows that are older than any that is still to be reported.
 func (b *usageBook) forget() {
-	oldest := b.newest - keptWindows
+	oldest := b.newest - b.kept
 	for life, u := range b.lives {
 		for w := range u.counts {
 			if w < oldest {
--- a/coordinator/usage_test.go
+++ b/coordinator/usage_test.go
@@ -14,7 +14,7 @@
 // An entry tells its counts again and again, restarts, and tells from nothing. A
 // report that comes late must not lower what was told since.
 func TestUsageBook(t *testing.T) {
-	b := newUsageBook()
+	b := newUsageBook(6)
 	told := func(n int64) []api.WindowUsage {
 		return []api.WindowUsage{{Window: 7, Counts: map[string]int64{"w": n}}}
 	}
@@ -23,7 +23,7 @@
 	b.note(entryLife{"e1", 2}, 7, told(2))
 	b.note(entryLife{"e2", 1}, 7, told(1))
 	require.Equal(t, map[string]int64{"w": 8}, b.sum(7))
-	b.note(entryLife{"e1", 2}, 7+keptWindows+1, nil)
+	b.note(entryLife{"e1", 2}, 7+6+1, nil)
 	require.Empty(t, b.sum(7), "windows that are long over are forgotten")
 }
 
@@ -38,7 +38,7 @@
 	s := &usageSite{}
 	wall := func() time.Time { return time.Unix(0, int64(s.now)) }
 	s.tasks = &leaderTasks{
-		usage: newUsageBook(), window: 5 * time.Second, late: 10 * time.Second,
+		usage: newUsageBook(6), window: 5 * time.Second, late: 10 * time.Second, kept: 20 * time.Second,
 		clock: wallclock.New(wall, func() time.Duration { return s.now }), now: wall, start: wall(),
 		live: func() []directory.Entry {
 			return []directory.Entry{{Name: "e1", Incarnation: 1}, {Name: "e2", Incarnation: 1}}
@@ -131,6 +131,23 @@
 	require.EqualValues(t, 1, s.tasks.settled())
 }
 
+// The replicas have no leader for a while. The windows that ended meanwhile are to be
+// reported as well.
+//
+// It breaks if a new leader takes up only the newest ones.
+func TestUsageOfWindowsThatEndedWithoutALeader(t *testing.T) {
+	s := newUsageSite()
+	decided := []usageWindow{{Window: 3}, {Window: 4}}
+	s.tell(40*time.Second+600*time.Millisecond, e1, e2)
+	first, last := s.tasks.undecided(decided)
+	require.Equal(t, []int64{5, 7}, []int64{first, last})
+	s.tell(60*time.Second+600*time.Millisecond, e1, e2)
+	first, last = s.tasks.undecided(decided)
+	require.Equal(t, []int64{8, 11}, []int64{first, last}, "those before are worthless")
+	first, last = s.tasks.undecided([]usageWindow{{Window: 11}})
+	require.Less(t, last, first, "none is decided twice")
+}
+
 // The cloud refuses connections for ten seconds. The report is to arrive soon after
 // its return, and the leader must not call four times a second all along.
 //
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,7 +95,7 @@
 		live: make(map[string]liveCount),
 		pool: backend.NewPool(backend.DefaultConfig(), deps.Now),
 	}
-	g.usage = newUsage(g.clock, b.UsageWindow)
+	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
 	g.outcomes = outcomes{set: g.metrics}
 	g.ordinary = event.NewSampler(g.log, g.now, event.DefaultOrdinary)
 	var err error
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -220,7 +220,7 @@
 func TestUsageIsCountedByWindow(t *testing.T) {
 	steady := time.Duration(0)
 	wall := time.Unix(1_700_000_001, 0)
-	u := newUsage(wallclock.New(func() time.Time { return wall.Add(steady) }, func() time.Duration { return steady }), 5*time.Second)
+	u := newUsage(wallclock.New(func() time.Time { return wall.Add(steady) }, func() time.Duration { return steady }), 5*time.Second, 6)
 	u.began("w")
 	u.began("")
 	steady = 5 * time.Second
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -10,22 +10,19 @@
 	"savoryreel.example/savoryreel/wallclock"
 )
 
-// usageWindows is how many windows an entry goes on telling: as long as the
-// leader may still decide one.
-const usageWindows = 6
-
 // usage counts what began to run here, by window of the time of day and by
 // workspace.
 type usage struct {
 	clock  *wallclock.Clock
 	window time.Duration
+	kept   int64 // windows that this entry goes on telling: as long as a leader may decide one
 
 	mu     sync.Mutex
 	counts map[int64]map[string]int64
 }
 
-func newUsage(clock *wallclock.Clock, window time.Duration) *usage {
-	return &usage{clock: clock, window: window, counts: make(map[int64]map[string]int64)}
+func newUsage(clock *wallclock.Clock, window time.Duration, kept int64) *usage {
+	return &usage{clock: clock, window: window, kept: kept, counts: make(map[int64]map[string]int64)}
 }
 
 // began counts a request of a workspace that a server has begun just now.
@@ -49,7 +46,7 @@
 
 func (u *usage) forget(newest int64) {
 	for w := range u.counts {
-		if w <= newest-usageWindows {
+		if w <= newest-u.kept {
 			delete(u.counts, w)
 		}
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -91,6 +91,17 @@
 	FencesChecked bool    // the cloud refuses orders with an old fencing number
 }
 
+// usageWorth is how long a window's usage is reported at all, in times until it is
+// due: whoever bills by it takes a report that is late by as much as it may take.
+const usageWorth = 2
+
+// UsageKept is how long after its end a window is still reported.
+func (b *Bounds) UsageKept() time.Duration { return usageWorth * b.UsageLate }
+
+// UsageWindows is how many windows there are at any time whose usage is still to be
+// told or reported: the open one, and those that ended within UsageKept.
+func (b *Bounds) UsageWindows() int64 { return int64(b.UsageKept()/b.UsageWindow) + 2 }
+
 // Cloud is the cloud API. An empty address means that there is none.
 type Cloud struct {
 	Address   string
