link: a connect without an answer is begun anew after 250 ms

The pool's pauses between attempts were not the limit: the first attempt did not end.

Ruled out: a second connect beside the first (two connections come up on slow links, one to be closed). A shorter limit for the whole dial: slow instances would never be reached; each try has twice the time of the one before, within the limit that stands.

Figures: TestPeerThatStartsAMomentLater fails before.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -266,6 +266,34 @@
 	})
 }
 
+// All power was lost. A process is back 0.1 s before the one that it calls, and its
+// first packet is lost; the kernel would send it again after a second. Callers would
+// be refused for that second. Broken by one connect without a limit of its own.
+func TestPeerThatStartsAMomentLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPipeListener()
+		s := NewServer(ServerConfig{}, ServerDeps{})
+		Handle(s, "echo", func(_ context.Context, _ PeerInfo, req echo) (echo, error) { return req, nil })
+		serve(t, s, l)
+		up := time.Now().Add(100 * time.Millisecond)
+		dial := func(ctx context.Context, addr string) (net.Conn, error) {
+			if time.Now().Before(up) {
+				select {
+				case <-time.After(time.Second):
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+			}
+			return l.dial(ctx, addr)
+		}
+		p := startPool(t, PoolConfig{}, PoolDeps{Dial: dial})
+		start := time.Now()
+		_, err := Call[echo](t.Context(), p, "peer", "echo", echo{})
+		require.NoError(t, err)
+		require.LessOrEqual(t, time.Since(start), firstTry)
+	})
+}
+
 // A handler works for minutes, say on a long catch-up. Heartbeats must keep its
 // connection: taking a slow handler for a silent link would cut the call again
 // and again, and it would never finish. Broken by removing writeHeartbeat.
--- a/link/pool.go
+++ b/link/pool.go
@@ -286,7 +286,7 @@
 	p := pr.pool
 	ctx, cancel := context.WithTimeout(p.ctx, p.limits.silence)
 	defer cancel()
-	nc, err := p.dial(ctx, pr.addr)
+	nc, err := openConn(ctx, p.dial, pr.addr)
 	if err != nil {
 		return nil, &CallError{Step: StepDial, Peer: pr.addr, Kind: ErrUnreachable, Cause: err}
 	}
@@ -306,6 +306,27 @@
 	return newClientConn(c, pr, info), nil
 }
 
+// firstTry is how long a first connect may take before it is begun anew: several
+// round trips between regions. Each further one has twice as long.
+const firstTry = 250 * time.Millisecond
+
+// openConn connects, and begins anew where there is no answer.
+//
+// The first packet to an instance that is just starting is lost, and the kernel
+// sends it again only a second later. After a power failure the processes that are
+// back first would wait that long for those that are back a moment later.
+func openConn(ctx context.Context, dial func(context.Context, string) (net.Conn, error), addr string) (net.Conn, error) {
+	for limit := firstTry; ; limit *= 2 {
+		tryCtx, cancel := context.WithTimeout(ctx, limit)
+		nc, err := dial(tryCtx, addr)
+		unanswered := tryCtx.Err() != nil
+		cancel()
+		if err == nil || !unanswered || ctx.Err() != nil {
+			return nc, err
+		}
+	}
+}
+
 // dropNotices empties the queue after a failed dial: what waited there is old
 // by the time the peer is back.
 func (pr *peer) dropNotices() {
