load, dev: both speak the users' platform's protocol too

Cause: `savoryreel dev` and `savoryreel load` spoke the product's own protocol only. Whoever runs on the platform had no way to try a request or to put load on a system without the platform itself.

Ruled out: a second load tool. What a caller does (arrivals, entries kept for as long as they are valid, streams taken up again, what counts as what) is the same; load.Dialect holds names and formats, load.Native those that were spread over the package, platform.LoadDialect the platform's, beside the constants that entries read. dev runs the two programs with settings files and the stand-ins that the tests use; the stand-in of the cloud no longer needs net/http/httptest, and that of a server takes a stream up behind the event that a caller names.

TestLoad* of platform: what a run writes is read as callers' heads are.

--- a/cmd/savoryreel/dev.go
+++ b/cmd/savoryreel/dev.go
@@ -50,11 +50,17 @@
 }
 
 func newDev() *cobra.Command {
-	var level string
+	var level, dialect string
 	declare := func(s *settings.Set) {
+		s.String(&dialect, "dialect", dialectNative, dialectHelp, oneOf(dialectNative, dialectPlatform))
 		s.String(&level, "log-level", "warn", "debug, info, warn or error", settings.LogLevel)
 	}
-	return daemonCommand("dev", "Run a whole system with stand-in backend servers in one process", declare, &level, runDev)
+	return daemonCommand("dev", "Run a whole system with stand-in backend servers in one process", declare, &level, func(ctx context.Context, log *slog.Logger) error {
+		if dialect == dialectPlatform {
+			return runDevPlatform(ctx, log)
+		}
+		return runDev(ctx, log)
+	})
 }
 
 func runDev(ctx context.Context, log *slog.Logger) error {
@@ -154,8 +160,17 @@
 		return err
 	}
 	c := operator.New([]string{devOperators}, devOperatorKey)
+	return untilDone(ctx, func() error {
+		_, err := c.Apply(ctx, doc, 0)
+		return err
+	})
+}
+
+// untilDone repeats a step until it succeeds, and returns its last error when ctx ends.
+func untilDone(ctx context.Context, step func() error) error {
 	for {
-		if _, err = c.Apply(ctx, doc, 0); err == nil {
+		err := step()
+		if err == nil {
 			return nil
 		}
 		select {
--- /dev/null
+++ b/cmd/savoryreel/devplatform.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/platform/standin"
+)
+
+// The protocols in which a system is spoken to.
+const (
+	dialectNative   = "native"
+	dialectPlatform = "platform"
+	dialectHelp     = "native: the product's own protocol; platform: that of the users' platform"
+)
+
+const (
+	devIP = "127.0.0.1"
+	// devPort is the first of the ports between the processes.
+	devPort = 7600
+	// devServers is how many stand-in backend servers there are.
+	devServers = 2
+)
+
+func devAddress(port int) string { return net.JoinHostPort(devIP, strconv.Itoa(port)) }
+
+// runDevPlatform runs an entry and a control replica, as on the users' platform, with
+// stand-in backend servers.
+func runDevPlatform(ctx context.Context, log *slog.Logger) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	folder, err := os.MkdirTemp("", "savoryreel-dev-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	var g run.Group
+	if err := addDevNodes(&g, log, folder); err != nil {
+		return err
+	}
+	for i := range devServers {
+		s, err := standin.StartServer(fmt.Sprintf("server-%d", i+1), "web", "z1", []string{devAddress(standin.ControlPort)})
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+	}
+	daemon.Actor(&g, func(c context.Context) error {
+		if err := startDevPlatform(c); err != nil {
+			return err
+		}
+		fmt.Printf("savoryreel dev is up. Try, in another terminal:\n\n%s\nStop with Ctrl-C.\n",
+			standin.Tour(devAddress(standin.DirectoryPort), devAddress(standin.CallerPort), devWorkspaceKey))
+		<-c.Done()
+		return nil
+	})
+	daemon.EndWith(ctx, &g)
+	daemon.Signals(&g, func(context.Context) {}, log)
+	return g.Run()
+}
+
+// addDevNodes adds the two processes' programs, each with a settings file.
+func addDevNodes(g *run.Group, log *slog.Logger, folder string) error {
+	nodes := []struct {
+		name    string
+		dataDir string
+		start   func(context.Context, *platformConfig, *slog.Logger) error
+	}{
+		{"control", filepath.Join(folder, "control"), runPlatformControl},
+		{"entry", "", runPlatformEntry},
+	}
+	for _, n := range nodes {
+		s := standin.Settings{
+			IP: devIP, Zone: "z1", Seeds: []string{devAddress(standin.ControlPort)}, First: true, DataDir: n.dataDir, PortBase: devPort,
+		}
+		cfg := platformConfig{File: filepath.Join(folder, n.name+".settings"), ClusterKey: devClusterKey}
+		if err := os.WriteFile(cfg.File, []byte(s.File()), 0o600); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		daemon.Actor(g, func(c context.Context) error { return n.start(c, &cfg, log.With("process", n.name)) })
+	}
+	return nil
+}
+
+// startDevPlatform brings the catalogue and waits until a request is answered.
+func startDevPlatform(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, devStartTimeout)
+	defer cancel()
+	catalogue := standin.Catalogue{Revision: 1, Service: "web", Keys: []string{devWorkspaceKey}}
+	err := untilDone(ctx, func() error { return standin.Replace(ctx, devAddress(standin.ControlPort), catalogue) })
+	if err != nil {
+		return trace.Wrap(err, "step=bring the catalogue")
+	}
+	err = untilDone(ctx, func() error {
+		a, err := standin.Call(ctx, devAddress(standin.CallerPort), devWorkspaceKey, "/get/ready", "")
+		if err == nil && a.Status/100 != 2 {
+			err = trace.ConnectionProblem(nil, "status %d", a.Status)
+		}
+		return err
+	})
+	return trace.Wrap(err, "step=wait for a first answer")
+}
--- a/cmd/savoryreel/load.go
+++ b/cmd/savoryreel/load.go
@@ -10,11 +10,13 @@
 	"github.com/spf13/cobra"
 
 	"savoryreel.example/savoryreel/load"
+	"savoryreel.example/savoryreel/platform"
 	"savoryreel.example/savoryreel/settings"
 )
 
 // loadConfig holds the settings of the load command.
 type loadConfig struct {
+	dialect                      string
 	entries                      []string
 	key, service, path, kind     string
 	rate, inFlight, seed, tokens int
@@ -26,11 +28,13 @@
 }
 
 func (c *loadConfig) declare(s *settings.Set) {
-	s.Strings(&c.entries, "entries", []string{"127.0.0.1:7001"}, "caller addresses of entries", settings.HostPorts)
+	s.String(&c.dialect, "dialect", dialectNative, dialectHelp, oneOf(dialectNative, dialectPlatform))
+	s.Strings(&c.entries, "entries", []string{"127.0.0.1:7001"}, "addresses that are asked which entries to use: native entries, platform directories",
+		settings.HostPorts)
 	s.Secret(&c.key, "key", "workspace key", settings.Required)
-	s.String(&c.service, "service", "chat", "service to call", settings.Required)
+	s.String(&c.service, "service", "chat", "service to call; platform: host of the route", settings.Required)
 	s.String(&c.kind, "kind", "chat", "chat or plain", oneOf("chat", "plain"))
-	s.String(&c.path, "path", "/", "path of plain calls")
+	s.String(&c.path, "path", "/", "path of plain calls; platform: of all calls")
 	s.Bool(&c.once, "once", false, "send plain calls with an Idempotency-Key")
 	s.Int(&c.rate, "rate", 20, "requests a second, whatever the system answers", settings.Between(1, 100_000))
 	s.Int(&c.inFlight, "in-flight", 256, "callers at work at once", settings.Between(1, 100_000))
@@ -71,6 +75,9 @@
 	cfg := load.Config{
 		Rate: float64(c.rate), Duration: c.duration, MaxInFlight: c.inFlight, Seed: uint64(c.seed), Parts: []load.Part{part},
 	}
+	if c.dialect == dialectPlatform {
+		cfg.Dialect = platform.LoadDialect{Host: c.service}
+	}
 	if c.direct != "" {
 		beside := part
 		beside.Name, beside.Direct, beside.Service = directPart, c.direct, c.model
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"savoryreel.example/savoryreel/load"
+	"savoryreel.example/savoryreel/platform"
 	"savoryreel.example/savoryreel/platform/standin"
 )
 
@@ -40,7 +42,9 @@
 	// The last part of the site's address is its own in this run; in the third part it
 	// leaves the last one to the site's processes.
 	p.net = fmt.Sprintf("127.%s.%s", parts[1], parts[3])
-	p.cloud = standin.StartCloud()
+	cloud, err := standin.StartCloud()
+	require.NoError(t, err)
+	p.cloud = cloud
 	t.Cleanup(p.cloud.Close)
 	for i := range controls {
 		p.controls = append(p.controls, p.startPlatformControl(i, true))
@@ -248,6 +252,35 @@
 	require.Empty(t, faults)
 }
 
+// A load run, whose callers look the entries up and keep the answer, and an entry that
+// is killed in the middle of it. Streams that break off are taken up again at the
+// other entry; all are answered whole.
+func TestPlatformLoad(t *testing.T) {
+	p := newPlatformSite(t, 3, 2, 2)
+	killed := make(chan struct{})
+	go func() {
+		defer close(killed)
+		p.eventually(func() bool { return len(p.runs()) > 20 }, "the load is on")
+		p.entries[0].kill(t)
+	}()
+	r, err := load.Run(t.Context(), load.Config{
+		Dialect: platform.LoadDialect{Host: standin.Host},
+		Entries: []string{"http://" + p.at(controlHost(0), standin.DirectoryPort), "http://" + p.at(controlHost(1), standin.DirectoryPort)},
+		Rate:    40, Duration: 3 * time.Second, Seed: 1,
+		Parts: []load.Part{{
+			Name: "chat", Weight: 1, Kind: load.Chat, Service: standin.Host, Path: "/chat/stream/100/", Key: platformKey, Deadline: 5 * time.Second,
+			PrefixBytes: 400, Prefixes: 4, PromptBytes: 40, MaxTokens: 100,
+		}},
+	})
+	require.NoError(t, err)
+	<-killed
+	chat := r.Parts[0]
+	t.Logf("%d requests, %+v, %d taken up again, first token p50 %.0f p95 %.0f ms", chat.Requests, chat.Outcomes, chat.Reconnects, chat.FirstToken.P50, chat.FirstToken.P95)
+	require.Equal(t, chat.Requests, chat.Outcomes.Answered, "%v", chat.Errors)
+	require.Equal(t, 100*chat.Requests, chat.Tokens, "each token once")
+	require.Positive(t, chat.Reconnects)
+}
+
 // The settings file changes, and SIGHUP comes. The processes go on.
 func TestPlatformHangup(t *testing.T) {
 	p := newPlatformSite(t, 3, 1, 1)
--- a/load/caller.go
+++ b/load/caller.go
@@ -1,35 +1,24 @@
 package load
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strings"
 	"time"
 
 	"savoryreel.example/savoryreel/native"
 )
 
-// Headers of the system towards callers.
 const (
-	headerDeadline = "Savoryreel-Deadline-Ms"
-	headerOutcome  = "Savoryreel-Outcome"
-	headerKey      = "Idempotency-Key"
-	headerLastID   = "Last-Event-ID"
-)
-
-const (
-	deadlineGrace  = 2 * time.Second // how long past its deadline a caller still listens
-	maxRedirects   = 4
-	maxReconnects  = 3 // of one stream
-	maxEvent       = 64 << 10
-	doneMark       = "[DONE]"
-	eventError     = "error"
-	pathPlainCalls = "/svc/"
+	deadlineGrace = 2 * time.Second // how long past its deadline a caller still listens
+	maxRedirects  = 4
+	maxReconnects = 3 // of one stream
+	maxEvent      = 64 << 10
 )
 
 var (
@@ -148,54 +137,42 @@
 // sendTo sends the request to the entry or engine at base, and on to where a
 // temporary redirect points: an entry that drains sends its callers away so.
 func (c *caller) sendTo(ctx context.Context, base string, p Part, a arrival, state *streamState) (*http.Response, error) {
-	url := base + p.path()
+	var location *url.URL
 	for range maxRedirects {
-		resp, err := c.sendOnce(ctx, url, p, a, state)
+		req, err := c.cfg.Dialect.NewRequest(ctx, base, p,
+			Call{RunID: c.runID, Index: a.index, RequestID: state.requestID, LastID: state.lastID})
+		if err != nil {
+			return nil, err
+		}
+		if location != nil {
+			if req.Host == req.URL.Host {
+				req.Host = location.Host
+			}
+			req.URL = location
+		}
+		resp, err := c.client.Do(req)
 		if err != nil || resp.StatusCode != http.StatusTemporaryRedirect {
 			return resp, err
 		}
-		location, err := resp.Location()
+		location, err = resp.Location()
 		resp.Body.Close()
 		if err != nil {
 			return nil, err
 		}
-		url = location.String()
 	}
 	return nil, errRedirects
 }
 
-// sendOnce hides the body's type from net/http, which would otherwise repeat a
-// request with a key on its own when a connection breaks: the run is to count
-// what breaks.
-func (c *caller) sendOnce(ctx context.Context, url string, p Part, a arrival, state *streamState) (*http.Response, error) {
-	body, err := requestBody(p, a.index)
-	if err != nil {
-		return nil, err
-	}
-	req, err := http.NewRequestWithContext(ctx, p.method(), url, io.NopCloser(bytes.NewReader(body)))
-	if err != nil {
-		return nil, err
-	}
-	req.ContentLength = int64(len(body))
-	c.setHeaders(req, p, a)
-	if state.lastID != "" {
-		req.Header.Set(headerLastID, state.lastID)
-		req.Header.Set(native.HeaderRequestID, state.requestID)
-	}
-	return c.client.Do(req)
-}
-
 // take reads the answer and says how the request ended.
 func (c *caller) take(resp *http.Response, p Part, a arrival, intended time.Time, state *streamState, r *report) (Outcome, error) {
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEvent))
-		return statedOutcome(Outcome(resp.Header.Get(headerOutcome)), Failed),
-			fmt.Errorf("status %d", resp.StatusCode)
+		return c.cfg.Dialect.Refusal(resp.StatusCode, resp.Header), fmt.Errorf("status %d", resp.StatusCode)
 	}
 	if p.Kind == Plain {
 		return takePlain(resp, intended, r)
 	}
-	outcome, err := takeStream(resp.Body, intended, state, r)
+	outcome, err := takeStream(c.cfg.Dialect, resp.Body, intended, state, r)
 	if outcome != Answered || c.cfg.Expect == nil {
 		return outcome, err
 	}
@@ -206,17 +183,6 @@
 	return Answered, nil
 }
 
-// statedOutcome returns the system's own word, or other where there is none.
-// An error that calls itself answered is a plain service's own error status.
-func statedOutcome(stated, other Outcome) Outcome {
-	switch stated {
-	case Answered, NotRun, Unknown:
-		return stated
-	default:
-		return other
-	}
-}
-
 func takePlain(resp *http.Response, intended time.Time, r *report) (Outcome, error) {
 	r.first = time.Since(intended)
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/load/config.go
+++ b/load/config.go
@@ -31,6 +31,7 @@
 
 // Config describes a run.
 type Config struct {
+	Dialect     Dialect       // nil: Native
 	Entries     []string      // base URLs that are asked which entry to use; not needed if all parts are direct
 	Rate        float64       // requests a second over all parts, outside surges
 	Duration    time.Duration // of the schedule
@@ -76,6 +77,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Dialect == nil {
+		c.Dialect = Native{}
+	}
 	c.Drain = cmp.Or(c.Drain, DefaultDrain)
 	c.MaxInFlight = cmp.Or(c.MaxInFlight, DefaultMaxInFlight)
 	parts := make([]Part, len(c.Parts))
--- a/load/entries.go
+++ b/load/entries.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -15,7 +15,6 @@
 )
 
 const (
-	pathEntries    = "/v1/entries"
 	maxEntriesBody = 1 << 20
 	listTimeout    = 2 * time.Second
 	minValidity    = 100 * time.Millisecond // so that a list of validity 0 is not asked for per request
@@ -23,31 +22,24 @@
 
 var errNoEntry = errors.New("the list of entries is empty")
 
-// entryList is the reply of GET /v1/entries.
-type entryList struct {
-	Entries []struct {
-		ID      string `json:"id"`
-		Address string `json:"address"` // host:port
-		Zone    string `json:"zone"`
-	} `json:"entries"`
-	ValidSeconds float64 `json:"validSeconds"`
-}
-
 // entryChoice keeps the answer to "which entry to use" for as long as it is
 // valid, as a caller does.
 type entryChoice struct {
-	client *http.Client
-	seeds  []string // base URLs
+	client  *http.Client
+	dialect Dialect
+	seeds   []string // base URLs
 
 	mu     sync.Mutex
-	urls   []string // base URLs, best first
+	urls   []string // base URLs, best first, or in any order where callers spread
+	failed int      // of those, the last ones, which could not be reached
+	spread bool
 	until  time.Time
 	asking chan struct{} // closed when the running question is answered; nil: none runs
 	askErr error
 }
 
-func newEntryChoice(client *http.Client, seeds []string) *entryChoice {
-	return &entryChoice{client: client, seeds: seeds}
+func newEntryChoice(client *http.Client, dialect Dialect, seeds []string) *entryChoice {
+	return &entryChoice{client: client, dialect: dialect, seeds: seeds}
 }
 
 // get returns the base URLs of the entries to try, best first.
@@ -82,7 +74,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if time.Now().Before(e.until) {
-		return e.urls, nil, false
+		return e.order(), nil, false
 	}
 	if e.asking == nil {
 		e.asking = make(chan struct{})
@@ -91,7 +83,18 @@
 	return nil, e.asking, false
 }
 
-func (e *entryChoice) answer(list entryList, err error) {
+// order returns the entries in the order in which one caller tries them. e.mu is held.
+func (e *entryChoice) order() []string {
+	if !e.spread {
+		return e.urls
+	}
+	urls := slices.Clone(e.urls)
+	good := urls[:len(urls)-e.failed]
+	rand.Shuffle(len(good), func(i, j int) { good[i], good[j] = good[j], good[i] })
+	return urls
+}
+
+func (e *entryChoice) answer(list EntryList, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.askErr = err
@@ -100,12 +103,11 @@
 	if err != nil {
 		return
 	}
-	e.urls = nil
-	for _, entry := range list.Entries {
-		e.urls = append(e.urls, "http://"+entry.Address)
+	e.urls, e.failed, e.spread = nil, 0, list.Spread
+	for _, address := range list.Addresses {
+		e.urls = append(e.urls, "http://"+address)
 	}
-	validity := time.Duration(list.ValidSeconds * float64(time.Second))
-	e.until = time.Now().Add(max(validity, minValidity))
+	e.until = time.Now().Add(max(list.Valid, minValidity))
 }
 
 func (e *entryChoice) lastError() error {
@@ -120,9 +122,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	i := slices.Index(e.urls, url)
-	if i < 0 {
+	if i < 0 || i >= len(e.urls)-e.failed {
 		return
 	}
+	e.failed++
 	rest := slices.Concat(e.urls[:i], e.urls[i+1:]) // a new list: callers hold the old one
 	e.urls = append(rest, url)
 }
@@ -134,11 +137,15 @@
 	e.until = time.Time{}
 }
 
-// ask asks the entries known so far and the seeds, one after the other.
-func (e *entryChoice) ask(ctx context.Context) (entryList, error) {
-	e.mu.Lock()
-	known := slices.Concat(e.urls, e.seeds)
-	e.mu.Unlock()
+// ask asks the entries known so far, where they can be asked, and the seeds, one
+// after the other.
+func (e *entryChoice) ask(ctx context.Context) (EntryList, error) {
+	known := e.seeds
+	if e.dialect.AskEntries() {
+		e.mu.Lock()
+		known = slices.Concat(e.urls, e.seeds)
+		e.mu.Unlock()
+	}
 	var faults []error
 	for _, url := range known {
 		list, err := e.askOne(ctx, url)
@@ -147,14 +154,14 @@
 		}
 		faults = append(faults, fmt.Errorf("%s: %w", url, err))
 	}
-	return entryList{}, trace.Wrap(errors.Join(faults...))
+	return EntryList{}, trace.Wrap(errors.Join(faults...))
 }
 
-func (e *entryChoice) askOne(ctx context.Context, url string) (entryList, error) {
+func (e *entryChoice) askOne(ctx context.Context, url string) (EntryList, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	var list entryList
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+pathEntries, http.NoBody)
+	var list EntryList
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+e.dialect.ListPath(), http.NoBody)
 	if err != nil {
 		return list, err
 	}
@@ -166,8 +173,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return list, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxEntriesBody)).Decode(&list)
-	if err == nil && len(list.Entries) == 0 {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEntriesBody))
+	if err != nil {
+		return list, err
+	}
+	list, err = e.dialect.ReadList(body)
+	if err == nil && len(list.Addresses) == 0 {
 		err = errNoEntry
 	}
 	return list, err
--- /dev/null
+++ b/load/native.go
@@ -0,0 +1,171 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"savoryreel.example/savoryreel/native"
+)
+
+// Names of the product's own protocol towards callers.
+const (
+	headerDeadline = "Savoryreel-Deadline-Ms"
+	headerOutcome  = "Savoryreel-Outcome"
+	headerKey      = "Idempotency-Key"
+	headerLastID   = "Last-Event-ID"
+	pathEntries    = "/v1/entries"
+	pathPlainCalls = "/svc/"
+	doneMark       = "[DONE]"
+	eventError     = "error"
+)
+
+// Native is the product's own protocol.
+type Native struct{}
+
+// ListPath implements Dialect.
+func (Native) ListPath() string { return pathEntries }
+
+// AskEntries implements Dialect.
+func (Native) AskEntries() bool { return true }
+
+// ReadList implements Dialect.
+func (Native) ReadList(body []byte) (EntryList, error) {
+	var in struct {
+		Entries []struct {
+			Address string `json:"address"` // host:port
+		} `json:"entries"`
+		ValidSeconds float64 `json:"validSeconds"`
+	}
+	if err := json.Unmarshal(body, &in); err != nil {
+		return EntryList{}, err
+	}
+	list := EntryList{Valid: time.Duration(in.ValidSeconds * float64(time.Second))}
+	for _, e := range in.Entries {
+		list.Addresses = append(list.Addresses, e.Address)
+	}
+	return list, nil
+}
+
+// NewRequest implements Dialect.
+func (Native) NewRequest(ctx context.Context, base string, p Part, call Call) (*http.Request, error) {
+	method, path := http.MethodPost, native.PathChat
+	if p.Kind == Plain {
+		method, path = p.Method, pathPlainCalls+p.Service+"/"+strings.TrimPrefix(p.Path, "/")
+	}
+	body, err := nativeBody(p, call.Index)
+	if err != nil {
+		return nil, err
+	}
+	req, err := NewRequest(ctx, method, base+path, body)
+	if err != nil {
+		return nil, err
+	}
+	setNativeHeaders(req.Header, p, call)
+	return req, nil
+}
+
+func setNativeHeaders(h http.Header, p Part, call Call) {
+	if p.Kind == Chat {
+		h.Set("Content-Type", "application/json")
+	}
+	if p.Key != "" {
+		h.Set("Authorization", "Bearer "+p.Key)
+	}
+	if p.Deadline > 0 {
+		h.Set(headerDeadline, strconv.FormatInt(p.Deadline.Milliseconds(), 10))
+	}
+	if p.Once {
+		h.Set(headerKey, fmt.Sprintf("load-%s-%s-%d", call.RunID, p.Name, call.Index))
+	}
+	if call.LastID != "" {
+		h.Set(headerLastID, call.LastID)
+		h.Set(native.HeaderRequestID, call.RequestID)
+	}
+}
+
+func nativeBody(p Part, index int) ([]byte, error) {
+	if p.Kind == Plain {
+		return []byte(Filler(index, p.BodyBytes)), nil
+	}
+	return json.Marshal(native.ChatRequest{
+		Model:     p.Service,
+		Messages:  messages(p, index),
+		MaxTokens: p.MaxTokens,
+		Stream:    true,
+	})
+}
+
+// messages returns the prompt of a part's request with an index.
+func messages(p Part, index int) []native.Message {
+	var list []native.Message
+	if p.PrefixBytes > 0 {
+		list = append(list, native.Message{
+			Role:    "system",
+			Content: p.Name + " " + Filler(index%p.Prefixes, p.PrefixBytes),
+		})
+	}
+	text := p.Name + " request " + strconv.Itoa(index) + " " + Filler(index, p.PromptBytes)
+	return append(list, native.Message{Role: "user", Content: text})
+}
+
+// Filler returns n bytes of text that begins differently for each index.
+func Filler(index, n int) string {
+	unit := "station " + strconv.Itoa(index) + " "
+	return strings.Repeat(unit, n/len(unit)+1)[:n]
+}
+
+// Refusal implements Dialect.
+func (Native) Refusal(_ int, h http.Header) Outcome {
+	return statedOutcome(Outcome(h.Get(headerOutcome)), Failed)
+}
+
+// statedOutcome returns the system's own word, or other where there is none.
+// An error that calls itself answered is a plain service's own error status.
+func statedOutcome(stated, other Outcome) Outcome {
+	switch stated {
+	case Answered, NotRun, Unknown:
+		return stated
+	default:
+		return other
+	}
+}
+
+// ReadEvent implements Dialect.
+func (Native) ReadEvent(event native.Event) (Chunk, error) {
+	if string(event.Name) == eventError {
+		return Chunk{Failure: errorOutcome(event.Data)}, nil
+	}
+	if string(event.Data) == doneMark {
+		return Chunk{End: true}, nil
+	}
+	var in native.ChatChunk
+	if err := json.Unmarshal(event.Data, &in); err != nil {
+		return Chunk{}, err
+	}
+	var out Chunk
+	for _, choice := range in.Choices {
+		if choice.Delta.Content != "" {
+			out.Tokens = append(out.Tokens, choice.Delta.Content)
+		}
+	}
+	return out, nil
+}
+
+// errorOutcome reads the outcome of a problem that ends a stream.
+func errorOutcome(data []byte) Outcome {
+	var problem struct {
+		Outcome Outcome `json:"outcome"`
+	}
+	if json.Unmarshal(data, &problem) != nil {
+		return Unknown
+	}
+	return statedOutcome(problem.Outcome, Unknown)
+}
+
+// EndMark implements Dialect.
+func (Native) EndMark() bool { return true }
--- a/load/run.go
+++ b/load/run.go
@@ -46,7 +46,7 @@
 			cfg:    cfg,
 			runID:  uuid.NewString(),
 			client: client,
-			choice: newEntryChoice(client, cfg.Entries),
+			choice: newEntryChoice(client, cfg.Dialect, cfg.Entries),
 		},
 	}
 	for _, p := range cfg.Parts {
--- a/load/stream.go
+++ b/load/stream.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,47 +19,42 @@
 	last      time.Duration
 }
 
-// takeStream reads a streamed chat to its end mark.
-func takeStream(body io.Reader, intended time.Time, state *streamState, r *report) (Outcome, error) {
+// takeStream reads a streamed answer to its end.
+func takeStream(d Dialect, body io.Reader, intended time.Time, state *streamState, r *report) (Outcome, error) {
 	events := native.NewEventReader(body, maxEvent)
 	for {
 		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			err = errCutStream
-		}
-		if err != nil {
+		switch {
+		case errors.Is(err, io.EOF) && !d.EndMark():
+			return Answered, nil
+		case errors.Is(err, io.EOF):
+			return Broken, errCutStream
+		case err != nil:
 			return Broken, err
 		}
 		if len(event.ID) > 0 {
 			state.lastID = string(event.ID)
 		}
-		if string(event.Name) == eventError {
-			return errorOutcome(event.Data), fmt.Errorf("error event: %s", event.Data)
-		}
-		if string(event.Data) == doneMark {
-			return Answered, nil
-		}
-		if err := state.addChunk(event.Data, time.Since(intended), r); err != nil {
+		chunk, err := d.ReadEvent(event)
+		switch {
+		case err != nil:
 			return Broken, err
+		case chunk.Failure != "":
+			return chunk.Failure, fmt.Errorf("error event: %s", event.Data)
+		case chunk.End:
+			return Answered, nil
 		}
+		state.add(chunk, time.Since(intended), r)
 	}
 }
 
-// addChunk takes the tokens of one event in, which came at the time now.
-func (s *streamState) addChunk(data []byte, now time.Duration, r *report) error {
-	var chunk native.ChatChunk
-	if err := json.Unmarshal(data, &chunk); err != nil {
-		return err
-	}
-	for _, choice := range chunk.Choices {
-		if choice.Delta.Content == "" {
-			continue
-		}
-		s.text.WriteString(choice.Delta.Content)
+// add takes the tokens of one event in, which came at the time now.
+func (s *streamState) add(chunk Chunk, now time.Duration, r *report) {
+	for _, token := range chunk.Tokens {
+		s.text.WriteString(token)
 		r.addToken(now, s.last)
 		s.last = now
 	}
-	return nil
 }
 
 func (r *report) addToken(now, last time.Duration) {
@@ -71,14 +65,3 @@
 	}
 	r.gaps = append(r.gaps, now-last)
 }
-
-// errorOutcome reads the outcome of a problem that ends a stream.
-func errorOutcome(data []byte) Outcome {
-	var problem struct {
-		Outcome Outcome `json:"outcome"`
-	}
-	if json.Unmarshal(data, &problem) != nil {
-		return Unknown
-	}
-	return statedOutcome(problem.Outcome, Unknown)
-}
