e2e: messages between processes are measured, with a bound

Cause: how many messages a second the processes exchange was not measured; a change that doubles them would not have been noticed.

Ruled out: the bound of 11 KB/s a node as the test's: servers announce themselves six times as often here as on the sites, and each announcement goes to all control replicas. The bounds are twice what was measured.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -281,6 +284,63 @@
 	require.Positive(t, chat.Reconnects)
 }
 
+// linkTraffic is what a process has sent and received on links since its start.
+type linkTraffic struct{ messages, bytes float64 }
+
+func (p *platformSite) linkTraffic(addr string) (sum linkTraffic) {
+	resp, err := http.Get("http://" + addr + "/metrics")
+	require.NoError(p.t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(p.t, err)
+	for line := range strings.Lines(string(text)) {
+		name, value, found := strings.Cut(strings.TrimSpace(line), "} ")
+		n, err := strconv.ParseFloat(value, 64)
+		switch {
+		case !found || err != nil:
+		case strings.HasPrefix(name, "savoryreel_link_messages_total"):
+			sum.messages += n
+		case strings.HasPrefix(name, "savoryreel_link_bytes_total"):
+			sum.bytes += n
+		}
+	}
+	require.Positive(p.t, sum.messages, "%s", text)
+	return sum
+}
+
+// What the processes tell each other costs processor time and network on every
+// instance, whether callers come or not: a few messages a second for each pair of
+// them. The servers here announce themselves five times a second, some six times as
+// often as elsewhere, and each announcement goes to all control replicas.
+func TestPlatformTrafficBetweenProcesses(t *testing.T) {
+	const (
+		maxMessages = 150       // a second and process, twice what was measured
+		maxBytes    = 20 * 1024 // a second and process, twice what was measured
+	)
+	p := newPlatformSite(t, 3, 2, 2)
+	nodes := map[string]string{
+		"control": p.host(controlHost(0)) + ":" + strconv.Itoa(platformPort+1),
+		"entry":   p.host(entryHost(0)) + ":" + strconv.Itoa(platformPort+2),
+	}
+	start, before := time.Now(), make(map[string]linkTraffic)
+	for role, addr := range nodes {
+		before[role] = p.linkTraffic(addr)
+	}
+	p.eventually(func() bool {
+		a, err := standin.Call(p.ctx(), p.entryAddr(0), platformKey, "/get/x", "")
+		require.NoError(t, err)
+		require.Equal(t, 200, a.Status)
+		return time.Since(start) > 5*time.Second
+	}, "five seconds")
+	for role, addr := range nodes {
+		now, seconds := p.linkTraffic(addr), time.Since(start).Seconds()
+		messages, bytes := (now.messages-before[role].messages)/seconds, (now.bytes-before[role].bytes)/seconds
+		t.Logf("%s: %.0f messages, %.0f bytes a second, sent and received", role, messages, bytes)
+		require.Less(t, messages, float64(maxMessages), role)
+		require.Less(t, bytes, float64(maxBytes), role)
+	}
+}
+
 // The settings file changes, and SIGHUP comes. The processes go on.
 func TestPlatformHangup(t *testing.T) {
 	p := newPlatformSite(t, 3, 1, 1)
