--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -131,6 +131,39 @@
 	require.EqualValues(t, 3, p.Dials())
 }
 
+// A server's answer can be read as two different ones: its length is told twice, or
+// its chunks do not add up. What would be handed on may be a part of it, or of the
+// next one.
+//
+// It breaks if such an answer counts as whole, or its connection is used again.
+func TestAnswersOfTwoLengths(t *testing.T) {
+	for name, text := range map[string]string{
+		"two lengths":               "Content-Length: 2\r\nContent-Length: 4\r\n\r\ngood",
+		"two lengths in a list":     "Content-Length: 2, 4\r\n\r\ngood",
+		"negative length":           "Content-Length: -1\r\n\r\ngood",
+		"length with a sign":        "Content-Length: +4\r\n\r\ngood",
+		"unknown coding":            "Transfer-Encoding: xchunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+		"chunk size with a sign":    "Transfer-Encoding: chunked\r\n\r\n+4\r\ngood\r\n0\r\n\r\n",
+		"chunk longer than it says": "Transfer-Encoding: chunked\r\n\r\n2\r\ngood\r\n0\r\n\r\n",
+		"chunks without an end":     "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := script(t, func(c net.Conn, r *bufio.Reader) {
+				if id, err := next(r); err == nil {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s", id, text)
+				}
+			})
+			p := NewPool(DefaultConfig(), time.Now)
+			defer p.Close()
+			for i := range 2 {
+				_, err := do(t, p, addr, fmt.Sprint(i))
+				require.Error(t, err)
+			}
+			require.EqualValues(t, 2, p.Dials())
+		})
+	}
+}
+
 // A server closes the connection after it has read a request. Whether the request
 // ran is not known, so a call that may run once must not be sent again.
 func TestClosedAfterTheRequest(t *testing.T) {
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -284,6 +285,33 @@
 	require.Positive(t, chat.Reconnects)
 }
 
+// A caller opens a connection and sends half a head, and nothing more. Enough of them
+// would use up the entry's descriptors. The catalogue's limit for a head (3 s here)
+// ends them; a request that is too large is turned away with the reason.
+func TestPlatformLimitsOnCallers(t *testing.T) {
+	p := newPlatformSite(t, 3, 1, 1)
+	c, err := net.Dial("tcp", p.entryAddr(0))
+	require.NoError(t, err)
+	defer c.Close()
+	start := time.Now()
+	_, err = c.Write([]byte("POST /get/x HTTP/1.1\r\nHost: "))
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(start.Add(bound)))
+	_, err = io.Copy(io.Discard, c)
+	require.NoError(t, err, "the entry closes it")
+	require.Greater(t, time.Since(start), 2500*time.Millisecond)
+	require.Less(t, time.Since(start), 10*time.Second)
+
+	ran := len(p.runs())
+	a, err := standin.Call(p.ctx(), p.entryAddr(0), platformKey, "/get/"+strings.Repeat("x", 17_000), "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, a.Status)
+	a, err = standin.Call(p.ctx(), p.entryAddr(0), platformKey, "/get/x", strings.Repeat("x", 1<<20+1))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestEntityTooLarge, a.Status)
+	require.Len(t, p.runs(), ran)
+}
+
 // linkTraffic is what a process has sent and received on links since its start.
 type linkTraffic struct{ messages, bytes float64 }
 
