coordinator: a refused order is made good in the same step

Cause: all orders of a step came from one plan, made before the cloud's answers.

Figures: TestRefusedOrderIsMadeGoodInTheSameStep fails before (no order on demand in the step).

--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -100,19 +100,33 @@
 		f.noteSize(ctx, m, s.Name, count.total)
 		return
 	}
-	orders := supply.Plan(supply.Input{
+	in := supply.Input{
 		Zones: zonesOf(s.Scaling), Min: s.Scaling.Min, Max: s.Scaling.Max, SpotPrice: s.Scaling.SpotPrice,
 		Need: need, Serving: count.serving, Present: count.present,
-		Ordered: f.ordered(s.Name), Closed: f.closed(s.Name, now),
-	})
-	for _, o := range orders {
-		if !f.due(orderKey{s.Name, o.Kind}, o.Count, count.serving[o.Kind], now) {
+	}
+	// The reclaimable ones first: what is not to be had of them is ordered on demand in
+	// the same step. It boots for seconds, in which the load has too few servers.
+	for _, reclaimable := range []bool{true, false} {
+		in.Ordered, in.Closed = f.ordered(s.Name), f.closed(s.Name, now)
+		if !f.orderKind(ctx, s.Name, &in, reclaimable, now) {
+			return
+		}
+	}
+}
+
+// orderKind gives the orders of reclaimable or of on-demand servers that are due, and
+// reports whether the cloud answered.
+func (f *fleet) orderKind(ctx context.Context, service string, in *supply.Input, reclaimable bool, now time.Time) bool {
+	for _, o := range supply.Plan(*in) {
+		serving := in.Serving[o.Kind]
+		if o.Reclaimable != reclaimable || !f.due(orderKey{service, o.Kind}, o.Count, serving, now) {
 			continue
 		}
-		if !f.order(ctx, s.Name, o, count.serving[o.Kind], need, now) {
-			return
+		if !f.order(ctx, service, o, serving, in.Need, now) {
+			return false
 		}
 	}
+	return true
 }
 
 // settleTime is how long a service is watched before its size is noted: its
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,9 +26,11 @@
 	answer  func(w Want) error
 }
 
-func newFakeCloud() *fakeCloud {
+// newFakeCloud is one for a service that began with size servers. Each zone has room
+// for eight.
+func newFakeCloud(size int) *fakeCloud {
 	m := &fakeCloud{now: time.Unix(1000, 0), answer: func(Want) error { return nil }, member: &member{state: emptyState()}}
-	m.member.state.applySize(sizeCommand{Service: "chat", Servers: 4})
+	m.member.state.applySize(sizeCommand{Service: "chat", Servers: size})
 	table := routes.NewTable(&routes.Catalogue{Services: []routes.Service{{
 		Name: "chat", Scaling: &routes.Scaling{Min: 0, Max: 8, SpotPrice: 0.2, ZonePrices: map[string]float64{"a": 1, "b": 1, "c": 1}},
 	}}})
@@ -73,7 +76,7 @@
 // An order is accepted, but its servers do not come. It is given again after a
 // while, and not at each look.
 func TestOrderIsRepeatedWhileServersAreMissing(t *testing.T) {
-	m := newFakeCloud()
+	m := newFakeCloud(4)
 	require.Equal(t, []int{2}, wants(m.step(time.Second), "a", true))
 	require.Empty(t, wants(m.step(time.Second), "a", true))
 	require.Equal(t, []int{2}, wants(m.step(repeatEvery), "a", true))
@@ -86,7 +89,7 @@
 // None are to be had. They are asked for again soon, but not at each look: the
 // cloud takes few calls, and those of all others count too.
 func TestRefusedOrderWaits(t *testing.T) {
-	m := newFakeCloud()
+	m := newFakeCloud(4)
 	m.answer = func(w Want) error {
 		if w.Reclaimable {
 			return ErrUnavailable
@@ -98,12 +101,36 @@
 	require.Len(t, wants(m.step(refusedFor), "b", true), 1)
 }
 
+// A wave takes a zone's servers, and reclaimable ones are not to be had there. The room
+// that was kept for them is for on-demand ones now. They boot for seconds: they are
+// ordered in the same step and not at the next look, or callers wait that much longer.
+//
+// It breaks if all orders of a step come from one plan.
+func TestRefusedOrderIsMadeGoodInTheSameStep(t *testing.T) {
+	m := newFakeCloud(16)
+	for _, zone := range []string{"a", "b", "c"} {
+		m.serve(zone, 8)
+	}
+	require.Len(t, m.step(time.Second), 6)
+	m.servers = slices.DeleteFunc(m.servers, func(s directory.Server) bool { return s.Zone == "c" })
+	m.answer = func(w Want) error {
+		if w.Reclaimable && w.Zone == "c" {
+			return ErrUnavailable
+		}
+		return nil
+	}
+	orders := m.step(repeatEvery)
+	require.Equal(t, []int{8}, wants(orders, "c", true))
+	require.Equal(t, []int{8}, wants(orders, "c", false))
+	require.Empty(t, m.step(planEvery), "nothing is left to be ordered")
+}
+
 // The cloud is silent. One order waits for it, and not six one after the other: the
 // usage reports of the same leader would be late.
 //
 // It breaks if step goes on after an order without an answer.
 func TestSilentCloudHoldsUpOneOrder(t *testing.T) {
-	m := newFakeCloud()
+	m := newFakeCloud(4)
 	m.answer = func(Want) error { return errors.New("no answer") }
 	require.Len(t, m.step(time.Second), 1)
 	require.Len(t, m.step(time.Second), 1, "and it is given again")
