policy/supply: a stand-in for the last zone, as the load takes it

Cause: after two waves the last zone's reclaimable servers all counted on.

Now on-demand servers are ordered for what runs at the moment, four requests a server, smoothed over some two seconds, at most the need.

TestThirdWave and TestLoadThatLastsHasAStandIn fail without the parts that they name.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -124,7 +124,7 @@
 	if cfg.Node.Cloud.Scaling {
 		c.tasks.fleet = &fleet{
 			log: c.log, now: c.now, servers: c.directory.Servers, table: c.table.Load,
-			give: c.tasks.orderServers,
+			give: c.tasks.orderServers, running: c.loads.running,
 		}
 	}
 	return c, nil
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -52,9 +53,11 @@
 	servers func() []directory.Server
 	table   func() *routes.Table
 	give    func(ctx context.Context, w Want) error
+	running func(servers []string) int // requests that run at servers
 
 	orders  map[orderKey]*ordered // of this lead
 	seen    map[string]time.Time  // when a service's first server was seen
+	loads   map[string]float64    // requests that run at a service's servers, smoothed
 	planned time.Time
 }
 
@@ -63,6 +66,7 @@
 func (f *fleet) reset() {
 	f.orders = make(map[orderKey]*ordered)
 	f.seen = make(map[string]time.Time)
+	f.loads = make(map[string]float64)
 }
 
 // step gives the orders that are due. It stops at one that gets no answer: the
@@ -98,6 +102,7 @@
 			count.add(rec)
 		}
 	}
+	f.noteLoad(s.Name, count.ids)
 	need := m.state.size(s.Name)
 	if need == 0 {
 		f.noteSize(ctx, m, s.Name, count.total)
@@ -105,7 +110,7 @@
 	}
 	in := supply.Input{
 		Zones: zonesOf(s.Scaling), Min: s.Scaling.Min, Max: s.Scaling.Max, SpotPrice: s.Scaling.SpotPrice,
-		Need: need, Serving: count.serving, Present: count.present,
+		Need: need, Load: int(math.Ceil(f.loads[s.Name] / requestsPerServer)), Serving: count.serving, Present: count.present,
 	}
 	// The reclaimable ones first: what is not to be had of them is ordered on demand in
 	// the same step. It boots for seconds, in which the load has too few servers.
@@ -132,6 +137,21 @@
 	return true
 }
 
+const (
+	// requestsPerServer is how many requests run at a server that is loaded but still
+	// answers in time. Engines were seen to run one to two on quiet days, four to six
+	// when answers began to be late.
+	requestsPerServer = 4
+	// loadPart is the part of each look's count in the smoothed load: it follows within
+	// two seconds, and a single burst of arrivals orders no servers.
+	loadPart = 0.12
+)
+
+// noteLoad takes how many requests run at a service's servers now.
+func (f *fleet) noteLoad(service string, servers []string) {
+	f.loads[service] += (float64(f.running(servers)) - f.loads[service]) * loadPart
+}
+
 // settleTime is how long a service is watched before its size is noted: its
 // servers announce themselves within a heartbeat or two.
 const settleTime = 3 * time.Second
@@ -183,6 +203,7 @@
 	serving map[supply.Kind]int // and not about to leave
 	present map[supply.Kind]int // also those that leave
 	total   int                 // serving
+	ids     []string            // of all but the silent ones
 }
 
 func (c *serverCount) add(rec *directory.Server) {
@@ -191,6 +212,7 @@
 		return
 	}
 	c.present[kind]++
+	c.ids = append(c.ids, rec.ID)
 	if rec.State == instance.StateServing {
 		c.serving[kind]++
 		c.total++
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -23,6 +23,7 @@
 	now     time.Time
 	servers []directory.Server
 	orders  []Want
+	running int // requests
 	answer  func(w Want) error
 }
 
@@ -36,7 +37,7 @@
 	}}})
 	m.fleet = &fleet{
 		log: slog.New(slog.DiscardHandler), now: func() time.Time { return m.now }, table: func() *routes.Table { return table },
-		servers: func() []directory.Server { return m.servers },
+		servers: func() []directory.Server { return m.servers }, running: func([]string) int { return m.running },
 		give: func(_ context.Context, w Want) error {
 			m.orders = append(m.orders, w)
 			return m.answer(w)
@@ -125,6 +126,31 @@
 	require.Empty(t, m.step(planEvery), "nothing is left to be ordered")
 }
 
+// Two of three zones are lost. A single burst of arrivals orders no servers; a load that
+// lasts for seconds orders what would serve it without the last zone.
+//
+// It breaks if the load is not smoothed, or not looked at.
+func TestLoadThatLastsHasAStandIn(t *testing.T) {
+	m := newFakeCloud(4)
+	m.serve("a", 2)
+	onDemand := func(orders []Want) (n int) {
+		for _, w := range orders {
+			if !w.Reclaimable {
+				n += w.Count
+			}
+		}
+		return n
+	}
+	require.Equal(t, 2, onDemand(m.step(time.Second)), "two more for the need")
+	m.running = 8 * requestsPerServer
+	require.Zero(t, onDemand(m.step(planEvery)), "a burst")
+	most := 0
+	for range 8 {
+		most = max(most, onDemand(m.step(planEvery)))
+	}
+	require.GreaterOrEqual(t, most, 2, "the other zone's part as well")
+}
+
 // The cloud is silent. One order waits for it, and not six one after the other: the
 // usage reports of the same leader would be late.
 //
--- a/coordinator/loads.go
+++ b/coordinator/loads.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// running returns how many requests run at servers, all entries' together.
+func (b *loadBook) running(servers []string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, server := range servers {
+		n += b.total[server].running
+	}
+	return n
+}
+
 // others returns what all entries but one have running.
 func (b *loadBook) others(entry string) []api.ServerLoad {
 	b.mu.Lock()
--- a/policy/supply/supply.go
+++ b/policy/supply/supply.go
@@ -46,6 +46,9 @@
 	SpotPrice float64
 	// Need is how many servers the load takes.
 	Need int
+	// Load is how many servers the load of the moment takes at the least, with later
+	// answers than on Need. 0: it is not known.
+	Load int
 	// Serving counts the servers that serve and have not been told to leave, and
 	// Present also those that are about to go.
 	Serving map[Kind]int
@@ -119,9 +122,13 @@
 
 // surviving is how many reclaimable servers would still serve after the next wave.
 // Waves come in pairs: one that found the fleet with a single zone's servers left
-// would leave the load without any for as long as servers boot. With a single zone
-// left there is nothing to spread over, and all of it counts.
-func (in *Input) surviving(zones []Zone, wanted map[string]int) int {
+// would leave the load without any for as long as servers boot.
+//
+// With a single zone left there is nothing to spread over, and all of it counts:
+// on-demand servers for the whole need would cost more than they bring on the many
+// days on which no third wave comes. Then those that serve the load of the moment
+// are enough.
+func (in *Input) surviving(zones []Zone, wanted map[string]int) (servers int, spread bool) {
 	total, most, with := 0, 0, 0
 	for _, z := range zones {
 		// More than what is wanted of them is about to go.
@@ -133,9 +140,9 @@
 		}
 	}
 	if with < 2 {
-		return total
+		return total, false
 	}
-	return total - most
+	return total - most, true
 }
 
 // onDemand splits what reclaimable servers do not serve among the zones: first to
@@ -143,7 +150,11 @@
 func (in *Input) onDemand(zones []Zone, wanted map[string]int) map[string]int {
 	out := make(map[string]int, len(zones))
 	spot := in.expected(zones, wanted)
-	missing := in.Need - in.surviving(zones, wanted)
+	surviving, spread := in.surviving(zones, wanted)
+	missing := in.Need - surviving
+	if !spread {
+		missing = max(missing, min(in.Load, in.Need))
+	}
 	for _, z := range zones {
 		out[z.Name] = max(in.Min-spot[z.Name], 0)
 		missing -= out[z.Name]
--- a/policy/supply/supply_test.go
+++ b/policy/supply/supply_test.go
@@ -84,6 +84,26 @@
 	require.Equal(t, 4, onDemand, "four and four serve the load")
 }
 
+// Waves have taken two zones, and a third one follows. On-demand servers that serve the
+// load of the moment are there before it: after it nothing else is left for as long as
+// a boot takes. A load that needs no more than is there costs nothing.
+//
+// It breaks if all reclaimable servers of the last zone are counted on.
+func TestThirdWave(t *testing.T) {
+	in := threeZones()
+	in.Serving = map[Kind]int{{"a", true}: 4, {"b", false}: 4}
+	in.Closed = map[Kind]bool{{"b", true}: true, {"c", true}: true}
+	for load, want := range map[int]int{0: 4, 3: 4, 6: 6, 8: 8, 100: 8} {
+		in.Load = load
+		_, onDemand := counts(Plan(in))
+		require.Equal(t, want, onDemand, "load %d", load)
+	}
+	in.Serving = map[Kind]int{{"a", true}: 4, {"b", true}: 4, {"c", true}: 4}
+	in.Closed, in.Load = nil, 100
+	_, onDemand := counts(Plan(in))
+	require.Zero(t, onDemand, "a wave leaves two zones")
+}
+
 // Waves have taken the reclaimable servers of all zones, and none are to be had. A
 // load that needs all the room that the zones have is served on demand meanwhile.
 //
