coordinator: the servers are known at once after a restart of all replicas

Cause: replicas kept the servers in memory.

Ruled out: keeping servers in the replicated log (their reports would need a majority, and its disk syncs). Entries that hold requests back until more servers are known (late all the same). A file replaced by renaming: two syncs a second in place of one; two slots take turns, each with a sum. Believing what is read longer than a live process would: servers count as heard when they were written down, so nothing is believed that a process that stood still would not believe; leaves win as before.

Events 3007 and 3008 tell of it.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -58,6 +58,7 @@
 	metrics *metrics.Set
 
 	directory  *directory.Store
+	memory     *serverMemory
 	revisions  *revisions
 	usage      *usageBook
 	loads      *loadBook
@@ -115,6 +116,7 @@
 		self: c.self, store: identityStore{fs: deps.FS, dir: cfg.Node.DataDir}, pool: c.pool, log: c.log, now: c.now,
 		found: c.founders, others: c.follower.Followed, onRevision: c.offer, onMembers: c.learnMembers,
 	}
+	c.memory = &serverMemory{fs: deps.FS, dir: cfg.Node.DataDir}
 	c.tasks = &leaderTasks{
 		log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, clock: c.clock, now: c.now, usage: c.usage,
 		live: func() []directory.Entry { return c.directory.LiveEntries(c.now()) }, start: c.now(),
@@ -265,6 +267,7 @@
 	event.Log(ctx, c.log, slog.LevelInfo, event.ProcessStarted,
 		slog.String("role", "coordinator"), slog.String("name", c.cfg.Node.Name), slog.String("zone", c.cfg.Node.Zone),
 		slog.Bool("firstStart", c.cfg.Node.FirstStart), slog.Any("seeds", c.cfg.Node.Seeds))
+	c.recall(ctx)
 	err := g.Run()
 	event.Log(context.Background(), c.log, slog.LevelInfo, event.ProcessStopped, slog.Any("error", err))
 	return err
@@ -286,6 +289,7 @@
 	daemon.Actor(g, c.group.run)
 	daemon.Actor(g, c.follower.Run)
 	daemon.Actor(g, c.sweep)
+	daemon.Actor(g, c.remember)
 	daemon.Actor(g, c.lead)
 	daemon.EndWith(ctx, g)
 	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.CloseGrace, c.log)
--- /dev/null
+++ b/coordinator/remembered.go
@@ -0,0 +1,173 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"log/slog"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/replica/storage"
+)
+
+const (
+	// saveEvery is how often the servers that are well are written down. What was heard
+	// since is lost with the process: of the four seconds and more for which a server
+	// without a heartbeat counts as well, three are left after a restart of a second.
+	saveEvery = time.Second
+	// serverSlots is how many files take turns. One that is being written when power is
+	// lost is of no use; the one before it is whole.
+	serverSlots = 2
+)
+
+// slotNames are the files in the data folder.
+var slotNames = [serverSlots]string{"servers.0", "servers.1"}
+
+// serverMemory keeps the servers that are well in the data folder.
+//
+// Servers report each second or so, at one replica each. When all replicas start
+// again at once, entries would know a few of them in the first moments and send them
+// all requests. With what was written down they know nearly all. A server is
+// remembered for as long as it would have counted as well had the process only stood
+// still, so none is believed longer for it.
+type serverMemory struct {
+	fs  storage.FS
+	dir string
+
+	saves int // slots that were written, those that were found among them
+}
+
+// savedServers is the content of a slot.
+type savedServers struct {
+	At      time.Time          `msgpack:"at"`
+	Servers []directory.Server `msgpack:"servers"`
+}
+
+// slot is a file. A torn write leaves a body that does not match its sum.
+type slot struct {
+	Sum  uint64 `msgpack:"sum"`
+	Body []byte `msgpack:"body"`
+}
+
+// save writes the servers into the next slot and returns once they will outlast a
+// loss of power.
+func (m *serverMemory) save(s savedServers) error {
+	body, err := msgpack.Marshal(&s)
+	if err != nil {
+		return trace.Wrap(err, "step=encode servers")
+	}
+	enc, err := msgpack.Marshal(&slot{Sum: xxhash.Sum64(body), Body: body})
+	if err != nil {
+		return trace.Wrap(err, "step=encode slot")
+	}
+	if err := m.fs.MkdirAll(m.dir); err != nil {
+		return trace.Wrap(err, "step=make data folder")
+	}
+	f, err := m.fs.Create(filepath.Join(m.dir, slotNames[m.saves%serverSlots]))
+	if err != nil {
+		return trace.Wrap(err, "step=create slot")
+	}
+	_, err = f.Write(enc)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return trace.Wrap(err, "step=write slot")
+	}
+	m.saves++
+	if m.saves <= serverSlots { // later ones have their names already
+		return trace.Wrap(m.fs.SyncDir(m.dir), "step=sync data folder")
+	}
+	return nil
+}
+
+// load returns what was saved last. ok is false where nothing can be read.
+func (m *serverMemory) load() (newest savedServers, ok bool, err error) {
+	var faults []error
+	for i, name := range slotNames {
+		s, err := m.read(name)
+		switch {
+		case errors.Is(err, fs.ErrNotExist):
+		case err != nil:
+			faults = append(faults, err)
+		case !ok || s.At.After(newest.At):
+			newest, ok = s, true
+			m.saves = i + 1 // the other slot is the next one to be written
+		}
+	}
+	return newest, ok, errors.Join(faults...)
+}
+
+func (m *serverMemory) read(name string) (savedServers, error) {
+	var s savedServers
+	enc, err := m.fs.ReadFile(filepath.Join(m.dir, name))
+	if err != nil {
+		return s, err
+	}
+	var in slot
+	if err := msgpack.Unmarshal(enc, &in); err != nil {
+		return s, trace.Wrap(err, "step=decode %s", name)
+	}
+	if xxhash.Sum64(in.Body) != in.Sum {
+		return s, trace.BadParameter("%s is not whole", name)
+	}
+	return s, trace.Wrap(msgpack.Unmarshal(in.Body, &s), "step=decode %s", name)
+}
+
+// recall tells the directory of the servers that were written down, as heard when
+// they were.
+func (c *Coordinator) recall(ctx context.Context) {
+	s, ok, err := c.memory.load()
+	if err != nil {
+		event.Log(ctx, c.log, slog.LevelWarn, event.ServersNotKept, slog.String("step", "load"), slog.String("error", err.Error()))
+	}
+	if !ok {
+		return
+	}
+	now := c.now()
+	age := max(now.Sub(s.At), 0) // the clock may have been set back
+	for i := range s.Servers {
+		s.Servers[i].HeardAgo = age
+	}
+	c.directory.Merge(directory.Origin{}, s.Servers, nil, now)
+	event.Log(ctx, c.log, slog.LevelInfo, event.ServersRecalled, slog.Int("servers", len(s.Servers)), slog.Duration("age", age))
+}
+
+// remember writes the servers down until ctx ends. A disk that hangs holds up no more
+// than the next write: the process must be able to stop.
+func (c *Coordinator) remember(ctx context.Context) error {
+	var busy, failed atomic.Bool
+	return daemon.Every(ctx, saveEvery, func() {
+		if !busy.CompareAndSwap(false, true) {
+			return
+		}
+		s := savedServers{At: c.now(), Servers: well(c.directory.Servers())}
+		go func() {
+			defer busy.Store(false)
+			err := c.memory.save(s)
+			if failed.Swap(err != nil) == (err != nil) {
+				return // as the last time
+			}
+			level := slog.LevelInfo
+			if err != nil {
+				level = slog.LevelWarn
+			}
+			event.Log(ctx, c.log, level, event.ServersNotKept, slog.String("step", "save"), slog.Bool("failing", err != nil), slog.Any("error", err))
+		}()
+	})
+}
+
+// well returns the servers that take requests.
+func well(servers []directory.Server) []directory.Server {
+	return slices.DeleteFunc(servers, func(s directory.Server) bool {
+		return s.State != instance.StateServing || s.Unheard || s.Silent
+	})
+}
--- a/event/event.go
+++ b/event/event.go
@@ -47,6 +47,8 @@
 	ServerLeaving     Kind = 3002
 	ServerGone        Kind = 3003
 	ServerRefused     Kind = 3004
+	ServersRecalled   Kind = 3007
+	ServersNotKept    Kind = 3008
 	ServerSlow        Kind = 3005
 	CacheGap          Kind = 3006
 	MemberChanged     Kind = 3101
@@ -112,6 +114,8 @@
 	{ServerLeaving, "backend server leaving"},
 	{ServerGone, "backend server gone"},
 	{ServerRefused, "announcement refused"},
+	{ServersRecalled, "backend servers recalled"},
+	{ServersNotKept, "backend servers not written down"},
 	{ServerSlow, "backend server slow"},
 	{CacheGap, "cache events have a gap"},
 	{MemberChanged, "instance changed"},
