coordinator: a new leader begins with the load that it finds

Cause: the smoothed load began at nothing with each lead. A leader that was elected in the middle of a wave had no stand-in for the last zone ordered for some two seconds, when it is needed most.

Ruled out: keeping loads at all replicas (entries tell each replica every half second; what is found is the load).

Figures: TestNewLeaderKnowsTheLoad fails before (2 servers on demand in place of 4).

--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -147,9 +147,14 @@
 	loadPart = 0.12
 )
 
-// noteLoad takes how many requests run at a service's servers now.
+// noteLoad takes how many requests run at a service's servers now. A new leader begins
+// with what it finds: it may have been elected in the middle of a wave.
 func (f *fleet) noteLoad(service string, servers []string) {
-	f.loads[service] += (float64(f.running(servers)) - f.loads[service]) * loadPart
+	now := float64(f.running(servers))
+	if _, known := f.loads[service]; !known {
+		f.loads[service] = now
+	}
+	f.loads[service] += (now - f.loads[service]) * loadPart
 }
 
 // settleTime is how long a service is watched before its size is noted: its
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -151,6 +151,23 @@
 	require.GreaterOrEqual(t, most, 2, "the other zone's part as well")
 }
 
+// A leader is elected in the middle of a wave. It does not wait for seconds until it
+// knows the load.
+//
+// It breaks if the smoothed load begins at nothing.
+func TestNewLeaderKnowsTheLoad(t *testing.T) {
+	m := newFakeCloud(4)
+	m.serve("a", 2)
+	m.running = 8 * requestsPerServer
+	onDemand := 0
+	for _, w := range m.step(time.Second) {
+		if !w.Reclaimable {
+			onDemand += w.Count
+		}
+	}
+	require.Equal(t, 4, onDemand)
+}
+
 // The cloud is silent. One order waits for it, and not six one after the other: the
 // usage reports of the same leader would be late.
 //
