--- a/cmd/savoryreel/dev.go
+++ b/cmd/savoryreel/dev.go
@@ -56,14 +56,16 @@
 		s.String(&level, "log-level", "warn", "debug, info, warn or error", settings.LogLevel)
 	}
 	return daemonCommand("dev", "Run a whole system with stand-in backend servers in one process", declare, &level, func(ctx context.Context, log *slog.Logger) error {
+		run := runDev
 		if dialect == dialectPlatform {
-			return runDevPlatform(ctx, log)
+			run = runDevPlatform
 		}
-		return runDev(ctx, log)
+		return inFolder(ctx, func(ctx context.Context, folder string) error { return run(ctx, log, folder) })
 	})
 }
 
-func runDev(ctx context.Context, log *slog.Logger) error {
+// inFolder runs a system with a folder that is removed at its end.
+func inFolder(ctx context.Context, start func(ctx context.Context, folder string) error) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
@@ -72,6 +74,11 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
+	return start(ctx, folder)
+}
+
+// runDev runs a system that speaks the product's own protocol.
+func runDev(ctx context.Context, log *slog.Logger, folder string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g run.Group
--- a/cmd/savoryreel/devplatform.go
+++ b/cmd/savoryreel/devplatform.go
@@ -35,15 +35,7 @@
 
 // runDevPlatform runs an entry and a control replica, as on the users' platform, with
 // stand-in backend servers.
-func runDevPlatform(ctx context.Context, log *slog.Logger) error {
-	if ctx == nil {
-		ctx = context.Background()
-	}
-	folder, err := os.MkdirTemp("", "savoryreel-dev-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(folder)
+func runDevPlatform(ctx context.Context, log *slog.Logger, folder string) error {
 	var g run.Group
 	if err := addDevNodes(&g, log, folder); err != nil {
 		return err
