coordinator: the room of servers that have left is used

Cause: servers that leave count as there, since they take up room in their zone. Those that a wave takes say that they leave and then nothing more; they counted until they were forgotten, two minutes later. The plan kept room for them: after three waves 14 servers were ordered where 18 are needed and 36 have room.

Ruled out: taking leaving servers for gone at once (an order above a zone's bound is filled up to the bound and not looked at again). Marking them silent in the directory (each would be a message to every entry).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -125,7 +125,7 @@
 	}
 	if cfg.Node.Cloud.Scaling {
 		c.tasks.fleet = &fleet{
-			log: c.log, now: c.now, servers: c.directory.Servers, table: c.table.Load,
+			log: c.log, now: c.now, servers: c.directory.Servers, beat: cfg.Node.AnnounceEvery, table: c.table.Load,
 			give: c.tasks.orderServers, running: c.loads.running,
 		}
 	}
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"savoryreel.example/savoryreel/coordinator/follow"
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
@@ -50,7 +51,8 @@
 type fleet struct {
 	log     *slog.Logger
 	now     func() time.Time
-	servers func() []directory.Server
+	servers func(now time.Time) []directory.Server
+	beat    time.Duration // of servers
 	table   func() *routes.Table
 	give    func(ctx context.Context, w Want) error
 	running func(servers []string) int // requests that run at servers
@@ -81,7 +83,7 @@
 	if t == nil {
 		return
 	}
-	servers := f.servers()
+	servers := f.servers(now)
 	for i := range t.Catalogue().Services {
 		s := &t.Catalogue().Services[i]
 		if s.Scaling == nil {
@@ -91,6 +93,9 @@
 	}
 }
 
+// relayedWithin is how long a heartbeat takes at most from the replica that hears it.
+const relayedWithin = follow.DefaultWait
+
 // service gives the orders for one service. As many servers are taken to be needed
 // as it began with: the operators sized it for its load. The number stands in the
 // log, since a leader that counted again in the middle of a wave would take what
@@ -99,7 +104,7 @@
 	count := serverCount{serving: make(map[supply.Kind]int), present: make(map[supply.Kind]int)}
 	for i := range servers {
 		if rec := &servers[i]; slices.Contains(rec.Services, s.Name) {
-			count.add(rec)
+			count.add(rec, f.beat+relayedWithin)
 		}
 	}
 	f.noteLoad(s.Name, count.ids)
@@ -211,9 +216,11 @@
 	ids     []string            // of all but the silent ones
 }
 
-func (c *serverCount) add(rec *directory.Server) {
+// add counts a server. One that leaves and has not been heard for longer than heardWithin
+// has gone, mostly without another word: room that was kept for it would stay empty.
+func (c *serverCount) add(rec *directory.Server, heardWithin time.Duration) {
 	kind := supply.Kind{Zone: rec.Zone, Reclaimable: rec.Class == directory.ClassReclaimable}
-	if rec.Silent {
+	if rec.Silent || rec.State != instance.StateServing && rec.HeardAgo > heardWithin {
 		return
 	}
 	c.present[kind]++
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -37,7 +37,7 @@
 	}}})
 	m.fleet = &fleet{
 		log: slog.New(slog.DiscardHandler), now: func() time.Time { return m.now }, table: func() *routes.Table { return table },
-		servers: func() []directory.Server { return m.servers }, running: func([]string) int { return m.running },
+		servers: func(time.Time) []directory.Server { return m.servers }, beat: time.Second, running: func([]string) int { return m.running },
 		give: func(_ context.Context, w Want) error {
 			m.orders = append(m.orders, w)
 			return m.answer(w)
@@ -168,6 +168,36 @@
 	require.Equal(t, 4, onDemand)
 }
 
+// A wave has taken a zone's servers. They said that they leave, and then nothing more.
+// The room that they had is for others, as soon as they are gone: kept for minutes, it
+// would leave the load without the servers that it needs.
+//
+// It breaks if servers that leave count until they are forgotten.
+func TestRoomOfServersThatHaveLeft(t *testing.T) {
+	m := newFakeCloud(16)
+	m.serve("a", 8)
+	m.serve("b", 8)
+	m.serve("c", 8)
+	for i := range m.servers {
+		if m.servers[i].Zone == "c" {
+			m.servers[i].State = instance.StateLeaving
+		}
+	}
+	m.answer = func(w Want) error {
+		if w.Reclaimable && w.Zone == "c" {
+			return ErrUnavailable
+		}
+		return nil
+	}
+	require.Equal(t, []int{0}, wants(m.step(time.Second), "c", false), "they are still there")
+	for i := range m.servers {
+		if m.servers[i].Zone == "c" {
+			m.servers[i].HeardAgo = 3 * time.Second
+		}
+	}
+	require.Equal(t, []int{8}, wants(m.step(time.Second), "c", false))
+}
+
 // The cloud is silent. One order waits for it, and not six one after the other: the
 // usage reports of the same leader would be late.
 //
--- a/coordinator/remembered.go
+++ b/coordinator/remembered.go
@@ -149,7 +149,8 @@
 		if !busy.CompareAndSwap(false, true) {
 			return
 		}
-		s := savedServers{At: c.now(), Servers: well(c.directory.Servers())}
+		now := c.now()
+		s := savedServers{At: now, Servers: well(c.directory.Servers(now))}
 		go func() {
 			defer busy.Store(false)
 			err := c.memory.save(s)
--- a/coordinator/remembered_test.go
+++ b/coordinator/remembered_test.go
@@ -39,6 +39,8 @@
 	return out
 }
 
+func known(c *Coordinator) []directory.Server { return c.directory.Servers(c.now()) }
+
 var savedAt = time.Unix(1_700_000_000, 0)
 
 func saved(t *testing.T, servers ...directory.Server) (*serverMemory, string) {
@@ -55,13 +57,13 @@
 func TestServersAreKnownAfterARestart(t *testing.T) {
 	_, dir := saved(t, server("1", instance.StateServing), server("2", instance.StateServing))
 	c := restarted(dir, savedAt.Add(1500*time.Millisecond))
-	require.Equal(t, []string{"1", "2"}, ids(c.directory.Servers()))
+	require.Equal(t, []string{"1", "2"}, ids(known(c)))
 	require.Equal(t, []string{"1", "2"}, ids(c.directory.Since(0, false, c.now()).Servers), "entries are told")
 
 	// One of them reports, the other one is dead.
 	c.Announce(server("1", instance.StateServing).Announcement)
 	c.directory.Sweep(savedAt.Add(4100*time.Millisecond), true)
-	require.Equal(t, []string{"1"}, ids(well(c.directory.Servers())))
+	require.Equal(t, []string{"1"}, ids(well(known(c))))
 }
 
 // A replica was down for minutes. What it remembers is of no use to anybody.
@@ -71,7 +73,7 @@
 	_, dir := saved(t, server("1", instance.StateServing))
 	c := restarted(dir, savedAt.Add(time.Minute))
 	c.directory.Sweep(c.now(), true)
-	require.Empty(t, well(c.directory.Servers()))
+	require.Empty(t, well(known(c)))
 }
 
 // A server says that it leaves, after it was written down. Its next word is believed,
@@ -84,9 +86,9 @@
 	other := directory.NewStore(directory.Config{SilentAfter: 4 * time.Second, ForgetAfter: time.Minute})
 	other.Announce(server("1", instance.StateLeaving).Announcement, savedAt)
 	other.Merge(directory.Origin{}, c.directory.Since(0, true, c.now()).Servers, nil, c.now())
-	require.Empty(t, well(other.Servers()))
+	require.Empty(t, well(other.Servers(c.now())))
 	c.directory.Merge(directory.Origin{}, other.Since(0, true, c.now()).Servers, nil, c.now())
-	require.Empty(t, well(c.directory.Servers()))
+	require.Empty(t, well(known(c)))
 }
 
 // Power is lost while the list is written. The one before it is whole.
@@ -95,14 +97,14 @@
 func TestTornWriteOfServers(t *testing.T) {
 	m, dir := saved(t, server("1", instance.StateServing))
 	require.NoError(t, m.save(savedServers{At: savedAt.Add(time.Second), Servers: []directory.Server{server("2", instance.StateServing)}}))
-	require.Equal(t, []string{"2"}, ids(restarted(dir, savedAt.Add(time.Second)).directory.Servers()))
+	require.Equal(t, []string{"2"}, ids(known(restarted(dir, savedAt.Add(time.Second)))))
 
 	name := filepath.Join(dir, slotNames[1])
 	whole, err := os.ReadFile(name)
 	require.NoError(t, err)
 	for _, torn := range [][]byte{nil, whole[:len(whole)/2], append([]byte{}, make([]byte, len(whole))...)} {
 		require.NoError(t, os.WriteFile(name, torn, 0o600))
-		require.Equal(t, []string{"1"}, ids(restarted(dir, savedAt.Add(time.Second)).directory.Servers()))
+		require.Equal(t, []string{"1"}, ids(known(restarted(dir, savedAt.Add(time.Second)))))
 	}
 
 	// The process that finds this writes over the torn one.
@@ -110,7 +112,7 @@
 	_, _, err = m.load()
 	require.Error(t, err)
 	require.NoError(t, m.save(savedServers{At: savedAt.Add(2 * time.Second), Servers: []directory.Server{server("3", instance.StateServing)}}))
-	require.Equal(t, []string{"3"}, ids(restarted(dir, savedAt.Add(2*time.Second)).directory.Servers()))
+	require.Equal(t, []string{"3"}, ids(known(restarted(dir, savedAt.Add(2*time.Second)))))
 	require.NoError(t, os.Remove(name))
-	require.Equal(t, []string{"1"}, ids(restarted(dir, savedAt.Add(2*time.Second)).directory.Servers()))
+	require.Equal(t, []string{"1"}, ids(known(restarted(dir, savedAt.Add(2*time.Second)))))
 }
--- a/directory/silence_test.go
+++ b/directory/silence_test.go
@@ -38,7 +38,7 @@
 	return hears, others, entry
 }
 
-func silent(s *Store) bool { return s.Servers()[0].Silent }
+func silent(s *Store) bool { return s.Servers(epoch)[0].Silent }
 
 // Replicas are cut off from each other for some seconds, and a server goes on
 // reporting at one of the few. The many hear nothing of it and call it silent. Callers
--- a/directory/store.go
+++ b/directory/store.go
@@ -315,14 +315,17 @@
 }
 
 // Servers returns the servers that are not gone, ordered by id.
-func (s *Store) Servers() []Server {
+func (s *Store) Servers(now time.Time) []Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]Server, 0, len(s.servers))
 	for _, held := range s.servers {
-		if held.State != instance.StateGone {
-			out = append(out, held.Server)
+		if held.State == instance.StateGone {
+			continue
 		}
+		rec := held.Server
+		rec.HeardAgo = now.Sub(held.heard)
+		out = append(out, rec)
 	}
 	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
 	return out
--- a/directory/store_test.go
+++ b/directory/store_test.go
@@ -25,7 +25,7 @@
 }
 
 func stateOf(s *Store, id string) instance.State {
-	for _, rec := range s.Servers() {
+	for _, rec := range s.Servers(epoch) {
 		if rec.ID == id {
 			return rec.State
 		}
@@ -102,11 +102,11 @@
 	s := newStore()
 	s.Announce(beat("s1", 1, 1, instance.StateServing), epoch)
 	s.Sweep(epoch.Add(5*time.Second), false)
-	require.False(t, s.Servers()[0].Silent)
+	require.False(t, s.Servers(epoch)[0].Silent)
 	s.Sweep(epoch.Add(5*time.Second), true)
-	require.True(t, s.Servers()[0].Silent)
+	require.True(t, s.Servers(epoch)[0].Silent)
 	s.Announce(beat("s1", 1, 2, instance.StateServing), epoch.Add(6*time.Second))
-	require.False(t, s.Servers()[0].Silent)
+	require.False(t, s.Servers(epoch)[0].Silent)
 }
 
 // Records reach two processes in different orders, some twice. Both must end with
@@ -125,7 +125,7 @@
 		a.Merge(Origin{}, records, nil, epoch)
 		shuffled := rapid.Permutation(records).Draw(t, "order")
 		b.Merge(Origin{}, append(shuffled, shuffled...), nil, epoch)
-		require.Equal(t, a.Servers(), b.Servers())
+		require.Equal(t, a.Servers(epoch), b.Servers(epoch))
 	})
 }
 
