coordinator/follow: an entry gets each catalogue from one replica

Cause: entries follow all control replicas, and each sent each revision, whole, to each entry.

Ruled out: following one replica only (it may be behind, or alone with a server's heartbeat); sending differences (each replica would have to know what each entry has); compressing alone (a part of the bytes, six times all the same).

Now one replica sends the catalogue and the others tell at once which revision they have. Another one is asked when it is lost, or has not sent for 0.7 s what another one tells of. A process without any catalogue asks all, as before; so do control replicas, whose links are wide.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -55,6 +55,11 @@
 	Revision uint64        `msgpack:"rev"` // of that catalogue
 	Wait     time.Duration `msgpack:"wait"`
 
+	// RevisionOnly says that another replica sends the sender the catalogue. It is to be
+	// told of revisions above Told, without their content.
+	RevisionOnly bool   `msgpack:"revOnly,omitempty"`
+	Told         uint64 `msgpack:"told,omitempty"`
+
 	Usage []WindowUsage `msgpack:"usage,omitempty"` // all that the sender counted, newest windows
 	// OpenWindow is the window in which the sender counts now: nothing more comes for
 	// earlier ones.
@@ -63,6 +68,14 @@
 	Uses       []Use        `msgpack:"uses,omitempty"`  // what the sender has let in since its start
 }
 
+// News reports whether a catalogue of this revision is news to the sender.
+func (r *WatchRequest) News(revision uint64) bool {
+	if r.RevisionOnly {
+		return revision > r.Told
+	}
+	return r.Lacks(revision)
+}
+
 // Use is how much of a workspace's limit has been let in, in the limit's unit.
 type Use struct {
 	Workspace string  `msgpack:"w"`
@@ -93,7 +106,7 @@
 	Servers  []directory.Server `msgpack:"servers,omitempty"`
 	Entries  []directory.Entry  `msgpack:"entries,omitempty"`
 	Revision uint64             `msgpack:"rev"`
-	Document []byte             `msgpack:"doc,omitempty"` // of Revision, if the sender has an older one
+	Document []byte             `msgpack:"doc,omitempty"` // of Revision, if the sender has an older one and wants it
 	Replicas []string           `msgpack:"replicas"`      // link addresses of all replicas
 	Live     int                `msgpack:"live"`          // entries that take callers
 	Loads    []ServerLoad       `msgpack:"loads"`         // what all other entries have running
--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -40,6 +40,9 @@
 type Config struct {
 	Self string // own link address, which is not followed; empty at an entry
 	Wait time.Duration
+	// OneSource has the catalogue sent by one replica at a time, once there is a first
+	// one. It is for processes on thin links.
+	OneSource bool
 }
 
 // Deps is what a Follower works with.
@@ -60,8 +63,9 @@
 
 // Follower follows all control replicas. It is safe for concurrent use.
 type Follower struct {
-	cfg  Config
-	deps Deps
+	cfg    Config
+	deps   Deps
+	source source
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -145,7 +149,9 @@
 	if f.deps.Lost != nil {
 		defer f.deps.Lost(addr)
 	}
-	var life, seen uint64
+	defer f.source.lost(addr)
+	var life, seen, told uint64
+	replied := false
 	pause := retryMin
 	for ctx.Err() == nil {
 		req := f.deps.Request()
@@ -153,12 +159,19 @@
 		if req.Wait <= 0 {
 			req.Wait = f.cfg.Wait
 		}
+		if replied {
+			f.source.note(addr, told, req.Lacks(told), f.deps.Now())
+		}
+		if send, known := f.source.asks(addr); f.cfg.OneSource && req.Has && !send {
+			req.RevisionOnly, req.Told = true, max(known, req.Revision)
+		}
 		reply, err := f.call(ctx, addr, p, req)
 		if err == errKicked {
 			continue
 		}
 		f.noteOutcome(ctx, addr, p, err)
 		if err != nil {
+			f.source.lost(addr)
 			daemon.Pause(ctx, time.Duration((0.5+rand.Float64()/2)*float64(pause)))
 			pause = min(2*pause, retryMax)
 			continue
@@ -169,6 +182,7 @@
 		f.told[addr] = reply.Replicas
 		f.mu.Unlock()
 		f.deps.Reply(addr, reply)
+		told, replied = reply.Revision, true
 	}
 }
 
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -66,7 +66,7 @@
 	}
 	revision, document, _ := c.revisions.newest()
 	reply.Revision = revision
-	if document != nil && req.Lacks(revision) {
+	if document != nil && !req.RevisionOnly && req.Lacks(revision) {
 		reply.Document = document
 	}
 	return reply, nil
@@ -91,7 +91,7 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		revision, document, revised := c.revisions.newest()
-		if document != nil && req.Lacks(revision) {
+		if document != nil && req.News(revision) {
 			return
 		}
 		news, changed := c.directory.News(seen)
--- a/coordinator/watch_test.go
+++ b/coordinator/watch_test.go
@@ -58,3 +58,31 @@
 	require.Equal(t, "second", string((<-answered).Document))
 	cancel()
 }
+
+// An entry on a thin link gets each catalogue from one replica. The others tell it at
+// once that there is a new one, without the content: three catalogues of hundreds of
+// kilobytes from six replicas each would take its link for seconds.
+//
+// It breaks if the content is sent all the same, or the call waits on.
+func TestRevisionOnly(t *testing.T) {
+	c := newQuiet(t)
+	c.offer(1, []byte("first"))
+	req := api.WatchRequest{Role: api.RoleEntry, Has: true, Revision: 1, RevisionOnly: true, Told: 1, Wait: time.Minute}
+	answered := make(chan api.WatchReply, 1)
+	go func() {
+		reply, _ := c.watch(context.Background(), link.PeerInfo{}, req)
+		answered <- reply
+	}()
+	c.offer(2, []byte("second"))
+	reply := <-answered
+	require.EqualValues(t, 2, reply.Revision)
+	require.Empty(t, reply.Document)
+
+	// It knows of it now, and is kept waiting though it has not got it yet.
+	req.Told, req.Life, req.Seen, req.Wait = 2, reply.Life, reply.Seen, time.Minute
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.watch(ctx, link.PeerInfo{}, req)
+	require.NoError(t, err)
+	require.Error(t, ctx.Err(), "it waited")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,7 +104,7 @@
 	}
 	g.traffic = link.NewTraffic(g.metrics)
 	g.links = link.NewPool(api.PoolConfig(g.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: g.traffic})
-	g.follower = follow.New(follow.Config{}, follow.Deps{
+	g.follower = follow.New(follow.Config{OneSource: true}, follow.Deps{
 		Pool: g.links, Log: g.log, Now: g.now, Request: g.watchRequest, Reply: g.take, Lost: g.replicaLost, Seeds: deps.Seeds,
 	})
 	return g, nil
