explain: says from the entries' logs where service was lost

Torn lines, lines left out and lines of other versions are counted, not hidden.

A plot by second is not built: the table has the seconds.

--- a/cmd/savoryreel/main.go
+++ b/cmd/savoryreel/main.go
@@ -54,7 +54,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
-	root.AddCommand(newEntry(), newControl(), newStandIn(), newCatalogue(), newStop(), newStatus(), newReplica(), newKey(), newDev(), newLoad(), newPlatform(), newTrace())
+	root.AddCommand(newEntry(), newControl(), newStandIn(), newCatalogue(), newStop(), newStatus(), newReplica(), newKey(), newDev(), newLoad(), newPlatform(), newTrace(), newExplain())
 	return root
 }
 
--- /dev/null
+++ b/explain/table.go
@@ -0,0 +1,115 @@
+package explain
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// mostRows bounds the rows of a dimension with many keys: those that lose most.
+const mostRows = 12
+
+// secondOf names a second, so that names sort by time.
+func secondOf(since time.Duration) string { return fmt.Sprintf("%4d", int(since.Seconds())) }
+
+// sizeOf names the class of a prompt by its length: powers of two.
+func sizeOf(tokens int) string {
+	class := 1
+	for class < tokens {
+		class *= 2
+	}
+	return fmt.Sprintf("up to %6d", class)
+}
+
+// WriteTable writes the account for people to read.
+func (a *Account) WriteTable(w io.Writer) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(out, "%d requests ended; lines: %d left out by processes, %d passed over, %d torn\n", a.Requests, a.LeftOut, a.Skipped, a.Torn)
+	fmt.Fprintf(out, "first byte: p50 %s, p95 %s, p99 %s; word on load that decided: p50 %s, p95 %s old\n\n",
+		quantile(a.engine, 50), quantile(a.engine, 95), quantile(a.engine, 99), quantile(a.ages, 50), quantile(a.ages, 95))
+	total := a.By[All][""]
+	for _, reason := range byCount(total) {
+		fmt.Fprintf(out, "%s\t%d\t%.1f%%\n", reason, total[reason], 100*float64(total[reason])/float64(max(a.Requests, 1)))
+	}
+	for _, d := range []Dimension{Second, Route, Workspace, Size, Server} {
+		a.writeDimension(out, d)
+	}
+	return trace.Wrap(out.Flush(), "step=write table")
+}
+
+func (a *Account) writeDimension(out io.Writer, d Dimension) {
+	groups := a.By[d]
+	fmt.Fprintf(out, "\n%s\trequests\tlost\tmostly\n", d)
+	for _, key := range a.rows(d) {
+		t := groups[key]
+		fmt.Fprintf(out, "%s\t%d\t%d\t%s\n", key, t.Total(), t.Lost(), mostly(t))
+	}
+	if d != Second && len(groups) > mostRows {
+		fmt.Fprintf(out, "(%d more)\n", len(groups)-mostRows)
+	}
+}
+
+// rows returns a dimension's keys: seconds and sizes in their order, others by what
+// they lose.
+func (a *Account) rows(d Dimension) []string {
+	groups := a.By[d]
+	keys := slices.Sorted(maps.Keys(groups))
+	if d == Second || d == Size {
+		return keys
+	}
+	slices.SortStableFunc(keys, func(x, y string) int { return cmp.Compare(groups[y].Lost(), groups[x].Lost()) })
+	return keys[:min(len(keys), mostRows)]
+}
+
+// mostly names the reasons that lose most.
+func mostly(t Tally) string {
+	var parts []string
+	for _, reason := range byCount(t) {
+		if reason != InTime && len(parts) < 3 {
+			parts = append(parts, fmt.Sprintf("%d %s", t[reason], reason))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+func byCount(t Tally) []Reason {
+	reasons := slices.Sorted(maps.Keys(t))
+	slices.SortStableFunc(reasons, func(x, y Reason) int { return cmp.Compare(t[y], t[x]) })
+	return reasons
+}
+
+type histogram interface{ ValueAtQuantile(q float64) int64 }
+
+func quantile(h histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// report is the account as JSON.
+type report struct {
+	Requests int                            `json:"requests"`
+	Skipped  int                            `json:"skippedLines"`
+	LeftOut  int                            `json:"leftOutLines"`
+	Torn     int                            `json:"tornLines"`
+	By       map[Dimension]map[string]Tally `json:"by"`
+	Seconds  map[string]float64             `json:"seconds"`
+}
+
+// WriteJSON writes the account for programs to read.
+func (a *Account) WriteJSON(w io.Writer) error {
+	seconds := make(map[string]float64)
+	for _, q := range []float64{50, 95, 99} {
+		seconds[fmt.Sprintf("firstByteP%.0f", q)] = quantile(a.engine, q).Seconds()
+		seconds[fmt.Sprintf("loadAgeP%.0f", q)] = quantile(a.ages, q).Seconds()
+	}
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return trace.Wrap(enc.Encode(report{a.Requests, a.Skipped, a.LeftOut, a.Torn, a.By, seconds}), "step=write report")
+}
