--- a/policy/patience/patience.go
+++ b/policy/patience/patience.go
@@ -20,14 +20,17 @@
 )
 
 const (
-	// usualPart says which of the callers stands for those at their first try: so many
-	// of them have less time left. Callers differ by a sixth and more in how long they
-	// wait, and those that come back have the least; a middle one would be too high
-	// where they differ most, and the lowest ones have come back.
+	// usualPart and upperPart say which of the callers stand for those at their first
+	// try: so many of them have less time left. The lowest ones have come back.
 	usualPart = 0.3
+	upperPart = 0.7
+	// beyond is how far below the usual time the least patient callers are taken to lie,
+	// in parts of the distance between usual and upper. Where callers differ evenly it is
+	// 0.75; with less, those that came back soonest are told as well.
+	beyond = 0.55
 	// step is by which part of itself the usual time moves with each request. It settles
-	// within some fifty and passes over a burst of callers that come back.
-	step = 0.01
+	// within some hundred and passes over a burst of callers that come back.
+	step = 0.005
 	// lateStep is the part of a step by which those move it that are taken to have come
 	// back. They must not pull it down to where they pass for fresh ones; where all
 	// callers wait less than before, it is found within some thousand requests.
@@ -36,11 +39,23 @@
 
 // Book holds how long callers usually wait, by route.
 type Book struct {
-	usual map[string]time.Duration
+	routes map[string]*callers
+}
+
+// callers is how long those of one route wait, from their first try.
+type callers struct {
+	usual, upper time.Duration
+}
+
+// least is what the least patient caller at its first try has left. Where callers differ
+// by more than their objective, as with long answers, one that waits less than most is
+// no sign that it has come back.
+func (c *callers) least() time.Duration {
+	return c.usual - time.Duration(beyond*float64(max(c.upper-c.usual, 0)))
 }
 
 // NewBook returns a Book that knows no route.
-func NewBook() *Book { return &Book{usual: make(map[string]time.Duration)} }
+func NewBook() *Book { return &Book{routes: make(map[string]*callers)} }
 
 // Late takes a request's time left and reports whether its objective has passed since
 // the caller's first try, as far as that can be told. 0 left: the caller does not say.
@@ -48,28 +63,42 @@
 	if left <= 0 {
 		return false
 	}
-	usual, known := b.usual[route]
-	if !known {
-		b.usual[route] = left
+	c := b.routes[route]
+	if c == nil {
+		b.routes[route] = &callers{usual: left, upper: left}
 		return false
 	}
-	late := left+objective < usual
-	move := step * usualPart
-	switch {
-	case late:
-		move = -step * lateStep * (1 - usualPart)
-	case left < usual:
-		move = -step * (1 - usualPart)
+	if left+objective < c.least() {
+		c.shift(-step * lateStep * (1 - usualPart))
+		return true
+	}
+	c.usual = towards(c.usual, left, usualPart)
+	c.upper = towards(c.upper, left, upperPart)
+	return false
+}
+
+// shift moves both by a part of the usual time.
+func (c *callers) shift(part float64) {
+	move := time.Duration(part * float64(c.usual))
+	c.usual += move
+	c.upper += move
+}
+
+// towards moves a quantile by a step: up where a value is above it, down where it is
+// below, so that it settles where this part of the values is below.
+func towards(quantile, value time.Duration, part float64) time.Duration {
+	move := step * part
+	if value < quantile {
+		move = -step * (1 - part)
 	}
-	b.usual[route] += time.Duration(move * float64(usual))
-	return late
+	return quantile + time.Duration(move*float64(quantile))
 }
 
 // Keep drops all routes but these.
 func (b *Book) Keep(routes map[string]bool) {
-	for name := range b.usual {
+	for name := range b.routes {
 		if !routes[name] {
-			delete(b.usual, name)
+			delete(b.routes, name)
 		}
 	}
 }
--- a/policy/patience/patience_test.go
+++ b/policy/patience/patience_test.go
@@ -42,6 +42,33 @@
 	require.Zero(t, wrong, "fresh ones")
 }
 
+// Callers of long answers differ by seconds in how long they wait, and ask for a first
+// event within half of one. Those who wait less than most are at their first try all the
+// same; taken for ones that came back, one in five was put behind all others.
+func TestLessPatientCallersAreFresh(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	b := NewBook()
+	patient := func() time.Duration {
+		return 12750*time.Millisecond + time.Duration(rng.Int64N(int64(4500*time.Millisecond)))
+	}
+	for range 300 {
+		b.Late("r", patient(), objective)
+	}
+	wrong, told := 0, 0
+	for range 1000 {
+		if b.Late("r", patient(), objective) {
+			wrong++
+		}
+	}
+	for range 100 {
+		if b.Late("r", patient()-5*time.Second, objective) {
+			told++
+		}
+	}
+	require.LessOrEqual(t, wrong, 50, "one in twenty of those at their first try")
+	require.Greater(t, told, 80, "of 100 that came back after 5 s")
+}
+
 // Callers of a route begin to wait for half as long, with a new release of theirs. They
 // are taken for fresh ones again within some thousand requests.
 func TestPatienceChanges(t *testing.T) {
@@ -70,5 +97,5 @@
 	require.False(t, b.Late("r", time.Second, objective))
 	require.False(t, b.Late("r", 0, objective))
 	b.Keep(nil)
-	require.Empty(t, b.usual)
+	require.Empty(t, b.routes)
 }
