--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -55,11 +55,15 @@
 	Revision uint64        `msgpack:"rev"` // of that catalogue
 	Wait     time.Duration `msgpack:"wait"`
 
-	// RevisionOnly says that another replica sends the sender the catalogue. It is to be
-	// told of revisions above Told, without their content.
+	// RevisionOnly says that another replica sends the sender the catalogue, and what
+	// other entries have running. It is to be told of revisions above Told, without their
+	// content.
 	RevisionOnly bool   `msgpack:"revOnly,omitempty"`
 	Told         uint64 `msgpack:"told,omitempty"`
 
+	// LiveDigest is that of the newest list of live entries that the sender has.
+	LiveDigest uint64 `msgpack:"liveDigest,omitempty"`
+
 	Usage []WindowUsage `msgpack:"usage,omitempty"` // all that the sender counted, newest windows
 	// OpenWindow is the window in which the sender counts now: nothing more comes for
 	// earlier ones.
@@ -114,13 +118,18 @@
 	Servers  []directory.Server `msgpack:"servers,omitempty"`
 	Entries  []directory.Entry  `msgpack:"entries,omitempty"`
 	Revision uint64             `msgpack:"rev"`
-	Document []byte             `msgpack:"doc,omitempty"`  // of Revision, if the sender has an older one and wants it
-	Replicas []string           `msgpack:"replicas"`       // link addresses of all replicas
-	Live     int                `msgpack:"live"`           // entries that take callers
-	Loads    []ServerLoad       `msgpack:"loads"`          // what all other entries have running
-	Work     []ServiceWork      `msgpack:"work,omitempty"` // rates that the entries have learnt
-	Uses     []Use              `msgpack:"uses"`           // what all other entries have let in since this replica began
-	Clock    time.Time          `msgpack:"clock"`          // the replica's time of day
+	Document []byte             `msgpack:"doc,omitempty"` // of Revision, if the sender has an older one and wants it
+	Replicas []string           `msgpack:"replicas"`      // link addresses of all replicas
+	Live     int                `msgpack:"live"`          // entries that take callers
+	// LiveNames are those entries, in order, where the sender has another list, and
+	// LiveDigest stands for them; from the replica that sends the catalogue.
+	LiveDigest uint64        `msgpack:"liveDigest,omitempty"`
+	LiveNames  []string      `msgpack:"liveNames,omitempty"`
+	HasLoads   bool          `msgpack:"hasLoads"`
+	Loads      []ServerLoad  `msgpack:"loads,omitempty"` // what all other entries have running, none left out, if HasLoads
+	Work       []ServiceWork `msgpack:"work,omitempty"`  // rates that the entries have learnt
+	Uses       []Use         `msgpack:"uses"`            // what all other entries have let in since this replica began
+	Clock      time.Time     `msgpack:"clock"`           // the replica's time of day
 }
 
 // ReviseRequest brings a catalogue, whole, as the operator sent it.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -58,6 +58,7 @@
 	metrics *metrics.Set
 
 	directory  *directory.Store
+	live       *liveEntries
 	memory     *serverMemory
 	revisions  *revisions
 	usage      *usageBook
@@ -107,6 +108,7 @@
 		revisions: newRevisions(), usage: newUsageBook(cfg.Node.Bounds.UsageWindows()), loads: newLoadBook(), uses: newUseBook(), work: newWorkBook(), clock: wallclock.System(),
 		stopping: make(chan struct{}), heard: make(map[string]time.Time),
 	}
+	c.live = &liveEntries{entries: c.directory.LiveEntries}
 	c.traffic = link.NewTraffic(c.metrics)
 	c.pool = link.NewPool(api.PoolConfig(c.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: c.traffic})
 	c.follower = follow.New(follow.Config{Self: c.self}, follow.Deps{
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -56,12 +56,19 @@
 	c.waitForNews(ctx, req, seen)
 	now := c.now()
 	changes := c.directory.Since(seen, req.Role == api.RoleControl, now)
+	live := c.live.at(now)
 	reply := api.WatchReply{
 		Life: c.life, Seen: changes.Seq, Servers: changes.Servers, Entries: changes.Entries,
-		Replicas: c.replicas(), Live: len(c.directory.LiveEntries(now)), Clock: now,
+		Replicas: c.replicas(), Live: len(live.names), Clock: now,
 	}
 	if req.Entry != nil {
-		reply.Loads = c.loads.others(req.Entry.Name)
+		if !req.RevisionOnly {
+			reply.HasLoads, reply.Loads = true, c.loads.others(req.Entry.Name)
+			reply.LiveDigest = live.digest
+			if live.digest != req.LiveDigest {
+				reply.LiveNames = live.names
+			}
+		}
 		reply.Work = c.work.rates()
 		reply.Uses = c.uses.others(entryLife{req.Entry.Name, req.Entry.Incarnation})
 	}
--- a/directory/store.go
+++ b/directory/store.go
@@ -331,6 +331,25 @@
 	return out
 }
 
+// Renew notes that another process hears these entries, and returns what is known of
+// them. A process that is told only of changes would drop them otherwise.
+func (s *Store) Renew(names []string, now time.Time) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Entry, 0, len(names))
+	for _, name := range names {
+		held := s.entries[name]
+		if held == nil {
+			continue
+		}
+		held.heard = now
+		if held.State == instance.StateServing {
+			out = append(out, held.Entry)
+		}
+	}
+	return out
+}
+
 // LiveEntries returns the entries that serve and have been heard within
 // EntrySilentAfter, ordered by name.
 func (s *Store) LiveEntries(now time.Time) []Entry {
--- a/event/event.go
+++ b/event/event.go
@@ -64,6 +64,7 @@
 	ReplicaRegained   Kind = 5004
 	ReplicaStarted    Kind = 5005
 	ReplicaSetChanged Kind = 5006
+	DatagramNotSent   Kind = 3102
 	RevisionTaken     Kind = 5010
 	RevisionRefused   Kind = 5011
 	CloudCalled       Kind = 5301
@@ -119,6 +120,7 @@
 	{ServerSlow, "backend server slow"},
 	{CacheGap, "cache events have a gap"},
 	{MemberChanged, "instance changed"},
+	{DatagramNotSent, "datagrams to other entries fail"},
 	{CatalogueChanged, "catalogue changed"},
 	{CatalogueRefused, "catalogue change refused"},
 	{CatalogueTaken, "catalogue version in force here"},
--- a/explain/account.go
+++ b/explain/account.go
@@ -141,7 +141,7 @@
 	}
 	if chosen == nil {
 		chosen = &line{}
-	} else if chosen.LoadAge > 0 {
+	} else {
 		_ = a.ages.RecordValue(min(chosen.LoadAge.Microseconds(), longest)) // within bounds
 	}
 	if l.FirstByte > 0 {
--- /dev/null
+++ b/gateway/datagram.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"errors"
+	"log/slog"
+	"math"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryreel.example/savoryreel/event"
+)
+
+const (
+	// maxDatagram is the longest datagram, in bytes: it fits a packet of any network.
+	maxDatagram = 1400
+	// sealBytes is the length of the code that shows that a datagram comes from this
+	// system.
+	sealBytes = 16
+)
+
+// datagrams sends messages to other entries and takes theirs. One that is lost costs
+// what it cost without it, so nobody waits for the receipt.
+type datagrams struct {
+	key   []byte
+	log   *slog.Logger
+	taken func(message)
+	conn  *net.UDPConn
+
+	mu      sync.Mutex
+	failing bool
+}
+
+// message is what one entry tells or asks another.
+type message struct {
+	From string // the entry's name
+	Life uint64 // of that entry
+	// Sequence numbers the messages of a life. An answer bears that of its question.
+	Sequence uint64
+	Kind     messageKind
+	Loads    []serverLoad
+	Limit    *limitQuestion
+	Answer   *limitAnswer
+}
+
+// messageKind says what a message is.
+type messageKind uint8
+
+const (
+	// askLoads asks what others have running at the servers of Loads, whose figures
+	// don't count.
+	askLoads messageKind = iota + 1
+	// tellLoads answers it.
+	tellLoads
+	// noteLoads tells a server's owner what the sender has running there now.
+	noteLoads
+	// askLimit asks the owner of a workspace's limit to let a request in.
+	askLimit
+	// tellLimit answers it.
+	tellLimit
+	// noteUse tells the owner what was let in without asking, or given back.
+	noteUse
+)
+
+// serverLoad is what runs and waits at a backend server.
+type serverLoad struct {
+	Server  string
+	Running int
+	Prefill int  // prompt tokens of those that have no answer yet
+	Down    bool // it was found not to be there any more
+}
+
+func newDatagrams(key string, log *slog.Logger, taken func(message)) *datagrams {
+	return &datagrams{key: []byte(key), log: log, taken: taken}
+}
+
+// open takes the socket at addr.
+func (d *datagrams) open(ctx context.Context, addr string) error {
+	var cfg net.ListenConfig
+	conn, err := cfg.ListenPacket(ctx, "udp4", addr)
+	if err != nil {
+		return trace.Wrap(err, "step=open datagram socket address=%s", addr)
+	}
+	event.Log(ctx, d.log, slog.LevelInfo, event.ListenerOpen, slog.String("purpose", "datagrams"), slog.String("address", addr))
+	d.conn = conn.(*net.UDPConn) // what the network udp4 gives
+	return nil
+}
+
+// run takes messages until ctx ends.
+func (d *datagrams) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = d.conn.Close() }) // nothing is lost with it
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := d.conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case errors.Is(err, net.ErrClosed):
+			return trace.Wrap(err, "step=take datagrams")
+		case err != nil:
+			continue // one of ours was turned away: that entry has gone
+		}
+		if m, ok := d.unseal(buf[:n]); ok {
+			d.taken(m)
+		}
+	}
+}
+
+// send sends a message to an entry. It logs when sending begins to fail, and when it
+// works again.
+func (d *datagrams) send(to netip.AddrPort, m *message) {
+	if d.conn == nil {
+		return
+	}
+	sealed, err := d.seal(m)
+	if err == nil {
+		_, err = d.conn.WriteToUDPAddrPort(sealed, to)
+	}
+	d.mu.Lock()
+	changed := d.failing != (err != nil)
+	d.failing = err != nil
+	d.mu.Unlock()
+	if changed {
+		event.Log(context.Background(), d.log, slog.LevelWarn, event.DatagramNotSent,
+			slog.String("peer", to.String()), slog.Bool("failing", err != nil), slog.Any("error", err))
+	}
+}
+
+// seal puts a message into a datagram: the code, then the message.
+func (d *datagrams) seal(m *message) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true) // names would take most of a datagram
+	if err := enc.Encode(m); err != nil {
+		return nil, trace.Wrap(err, "step=encode message")
+	}
+	body := buf.Bytes()
+	if len(body)+sealBytes > maxDatagram {
+		return nil, trace.LimitExceeded("a message of %d bytes is longer than a datagram", len(body))
+	}
+	return append(d.code(body), body...), nil
+}
+
+// unseal reads a datagram. One that is not from this system, or can't be read, says
+// nothing: otherwise whoever reaches the port could have all requests sent to one
+// server.
+func (d *datagrams) unseal(datagram []byte) (message, bool) {
+	if len(datagram) <= sealBytes {
+		return message{}, false
+	}
+	body := datagram[sealBytes:]
+	if !hmac.Equal(datagram[:sealBytes], d.code(body)) {
+		return message{}, false
+	}
+	var m message
+	if msgpack.Unmarshal(body, &m) != nil || m.From == "" || !m.sane() {
+		return message{}, false
+	}
+	return m, true
+}
+
+// mostLoad bounds the counts of a message: more than any server has.
+const mostLoad = 1 << 30
+
+// sane reports whether the counts are such as a server can have.
+func (m *message) sane() bool {
+	for _, l := range m.Loads {
+		if l.Server == "" || l.Running < 0 || l.Prefill < 0 || l.Running > mostLoad || l.Prefill > mostLoad {
+			return false
+		}
+	}
+	switch m.Kind {
+	case askLimit, noteUse:
+		return m.Limit != nil && m.Limit.sane(m.Kind == noteUse)
+	case tellLimit:
+		return m.Answer != nil && m.Answer.Wait >= 0
+	default:
+		return true
+	}
+}
+
+// sane reports whether the question is one that an entry asks. back allows that use is
+// given back.
+func (q *limitQuestion) sane(back bool) bool {
+	return q.Workspace != "" && (back || q.Cost >= 0) && math.Abs(q.Cost) <= mostLoad // not for NaN either
+}
+
+func (d *datagrams) code(body []byte) []byte {
+	mac := hmac.New(sha256.New, d.key)
+	_, _ = mac.Write(body) // a hash takes everything
+	return mac.Sum(nil)[:sealBytes]
+}
--- /dev/null
+++ b/gateway/datagram_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"log/slog"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func testDatagrams(key string) *datagrams {
+	return newDatagrams(key, slog.New(slog.DiscardHandler), nil)
+}
+
+// Whoever reaches the port without the system's key, or a torn datagram, says nothing:
+// otherwise all requests could be sent to one server, or a workspace shut out.
+//
+// It breaks without the code before each message.
+func TestDatagramsOfOthersSayNothing(t *testing.T) {
+	ours := testDatagrams("k")
+	sealed, err := ours.seal(&message{From: "a", Kind: noteLoads, Loads: []serverLoad{{Server: "s", Running: 1}}})
+	require.NoError(t, err)
+	m, ok := ours.unseal(sealed)
+	require.True(t, ok)
+	require.Equal(t, "s", m.Loads[0].Server)
+	_, ok = testDatagrams("another").unseal(sealed)
+	require.False(t, ok)
+	for n := range sealed {
+		_, ok = ours.unseal(sealed[:n])
+		require.False(t, ok, "%d bytes", n)
+	}
+}
+
+// An entry with a fault tells of loads and uses that can't be. They would be added to
+// what is right, and stay there for seconds.
+func TestAbsurdMessagesSayNothing(t *testing.T) {
+	d := testDatagrams("k")
+	for name, m := range map[string]message{
+		"no sender":          {Kind: askLoads},
+		"no server":          {From: "a", Kind: noteLoads, Loads: []serverLoad{{Running: 1}}},
+		"negative load":      {From: "a", Kind: noteLoads, Loads: []serverLoad{{Server: "s", Running: -1}}},
+		"negative prompts":   {From: "a", Kind: tellLoads, Loads: []serverLoad{{Server: "s", Prefill: -5}}},
+		"absurd load":        {From: "a", Kind: noteLoads, Loads: []serverLoad{{Server: "s", Prefill: math.MaxInt}}},
+		"no question":        {From: "a", Kind: askLimit},
+		"no workspace":       {From: "a", Kind: askLimit, Limit: &limitQuestion{Cost: 1}},
+		"negative cost":      {From: "a", Kind: askLimit, Limit: &limitQuestion{Workspace: "w", Cost: -1}},
+		"cost is no number":  {From: "a", Kind: noteUse, Limit: &limitQuestion{Workspace: "w", Cost: math.NaN()}},
+		"cost without bound": {From: "a", Kind: noteUse, Limit: &limitQuestion{Workspace: "w", Cost: math.Inf(-1)}},
+		"no answer":          {From: "a", Kind: tellLimit},
+		"wait below zero":    {From: "a", Kind: tellLimit, Answer: &limitAnswer{Wait: -1}},
+	} {
+		sealed, err := d.seal(&m)
+		require.NoError(t, err)
+		_, ok := d.unseal(sealed)
+		require.False(t, ok, name)
+	}
+}
+
+// A message that does not fit a datagram would be cut on its way; it is not sent.
+func TestLongMessageIsNotSent(t *testing.T) {
+	loads := make([]serverLoad, loadsInMessage)
+	for i := range loads {
+		loads[i] = serverLoad{Server: strings.Repeat("s", 40), Running: mostLoad, Prefill: mostLoad}
+	}
+	d := testDatagrams("k")
+	_, err := d.seal(&message{From: strings.Repeat("e", 60), Kind: noteLoads, Loads: loads})
+	require.NoError(t, err, "an entry's own fit")
+	_, err = d.seal(&message{From: "a", Kind: noteLoads, Loads: append(loads, loads...)})
+	require.Error(t, err)
+}
+
+func FuzzDatagrams(f *testing.F) {
+	d := testDatagrams("k")
+	sealed, err := d.seal(&message{From: "a", Kind: askLimit, Limit: &limitQuestion{Workspace: "w", Cost: 5}})
+	require.NoError(f, err)
+	f.Add(sealed[sealBytes:])
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if m, ok := d.unseal(append(d.code(body), body...)); ok {
+			require.NotEmpty(t, m.From)
+			require.True(t, m.sane())
+		}
+	})
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -34,6 +34,7 @@
 		req.Loads = g.loads()
 		req.Uses = g.limiter.used()
 		req.Work = g.work()
+		req.LiveDigest = g.peers.known()
 	}
 	return req
 }
@@ -55,8 +56,11 @@
 	}
 	g.directory.Merge(directory.Origin{Replica: addr, Life: r.Life}, r.Servers, r.Entries, g.now())
 	g.countEntries(addr, r.Live)
+	g.peers.take(r.LiveDigest, r.LiveNames, g.now())
 	g.applyDirectory()
-	g.noteOthers(r.Loads)
+	if r.HasLoads {
+		g.noteOthers(r.Loads)
+	}
 	g.noteRates(r.Work)
 	if r.Uses != nil {
 		g.limiter.noteOthers(addr, r.Life, r.Uses, g.now())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,9 @@
 	follower  *follow.Follower
 	pool      *backend.Pool
 	limiter   *limiter
+	peers     *peers
+	books     *bookkeeper
+	limits    *limits
 	usage     *usage
 	outcomes  outcomes
 	ordinary  *event.Sampler
@@ -99,6 +102,9 @@
 		live: make(map[string]liveCount), callers: patience.NewBook(),
 		pool: backend.NewPool(backend.DefaultConfig(), deps.Now),
 	}
+	g.peers = &peers{directory: g.directory}
+	g.books = g.newBooks()
+	g.limits = newLimits(g.books, g.limiter, g.now)
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
 	g.outcomes = outcomes{set: g.metrics}
 	g.ordinary = event.NewSampler(g.log, g.now, event.DefaultOrdinary)
@@ -165,7 +171,7 @@
 func (g *Gateway) serviceLocked(name string) *service {
 	s := g.services[name]
 	if s == nil {
-		s = newService(name, g.entries)
+		s = newService(name, g.entries, func(l serverLoad) { g.books.tell(l) })
 		g.services[name] = s
 	}
 	return s
@@ -203,7 +209,12 @@
 	if err != nil {
 		return err
 	}
+	if err := g.books.wire.open(ctx, g.cfg.Node.EntryBooks(g.cfg.Node.IP)); err != nil {
+		return err
+	}
 	daemon.Actor(&group, g.follower.Run)
+	daemon.Actor(&group, g.books.wire.run)
+	daemon.Actor(&group, func(ctx context.Context) error { return daemon.Every(ctx, renewEvery, g.renewBooks) })
 	daemon.Actor(&group, func(ctx context.Context) error {
 		return daemon.Every(ctx, sweepEvery, func() {
 			g.pool.Sweep()
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/policy/booking"
 	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/site"
 )
@@ -16,6 +17,9 @@
 	// let in is refused less often then, though none of them is that bucket. The rest
 	// covers what has not been heard of yet.
 	slackPart = 0.3
+	// ownedPart is the same part where one entry decides for all. The rest covers what
+	// entries let in that don't reach it, and two entries that decide for a moment.
+	ownedPart = 0.6
 	// othersFor is how long the last word on the others' use counts. An entry that
 	// hears nothing for longer holds itself to its own part of each limit.
 	othersFor = 1500 * time.Millisecond
@@ -25,6 +29,9 @@
 	// wordAge is how old the others' counts are when they arrive here: half of the
 	// time between an entry's calls, less what several replicas make up for.
 	wordAge = 150 * time.Millisecond
+	// jumpCount is how many requests an entry must have let in within rateMemory or so
+	// to take them for a sign of what all others let in.
+	jumpCount = 2.5
 	// lateLeaves is the part of a limit's burst that requests whose objective has passed
 	// leave to those that can still be in time. They are let in once the workspace sends
 	// less than its limit, which fills the bucket within seconds.
@@ -60,10 +67,11 @@
 	seen float64 // of the others' use, as drawn from level
 	rate float64 // of the others, a second
 
-	// What was let in here, and the largest request of it, both decaying with
-	// rateMemory.
+	// What was let in here, the largest request of it, and how many there were, all
+	// decaying with rateMemory.
 	lately  float64
 	largest float64
+	count   float64
 }
 
 // unheard is what the others are taken to have let in since their last word: at the
@@ -74,8 +82,14 @@
 // Where little of the limit is used, a single large request is no jump: taken for one,
 // it shut out the requests behind it of workspaces that used a third of their limit,
 // some six in a thousand of all.
+//
+// Nor do one or two requests tell of a jump: with hundreds of entries each lets in one of
+// a workspace now and then, and taken for what all of them let in it shut out the next.
 func (b *bucket) unheard(age time.Duration, entries int) float64 {
 	own := b.lately
+	if b.count < jumpCount {
+		own = 0
+	}
 	if b.level > b.workspace.Burst/2 {
 		own -= b.largest
 	}
@@ -141,6 +155,7 @@
 	fade := math.Exp(-elapsed / rateMemory.Seconds())
 	b.lately *= fade
 	b.largest *= fade
+	b.count *= fade
 	b.at = now
 }
 
@@ -169,12 +184,50 @@
 		// for one, all of them would come back then, and all but one in vain.
 		return false, time.Duration((need - have) / part * float64(time.Second))
 	}
+	b.use(cost)
+	return true, 0
+}
+
+// limits reports whether a workspace has a limit.
+func (l *limiter) limits(workspace string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buckets[workspace] != nil
+}
+
+// noteUsed notes what the owner of a workspace's limit has let in here.
+func (l *limiter) noteUsed(workspace string, cost float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.buckets[workspace]; b != nil {
+		l.fill(b, now)
+		b.use(cost)
+	}
+}
+
+func (b *bucket) use(cost float64) {
 	b.level -= cost
 	b.own -= cost
 	b.let += cost
 	b.lately += cost
 	b.largest = max(b.largest, cost)
-	return true, 0
+	b.count++
+}
+
+// owned returns the one bucket of a workspace's limit for which this entry decides. A new
+// one begins with what is left as far as has been heard.
+func (l *limiter) owned(kept *booking.Limits, workspace string, now time.Time) *booking.Bucket {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[workspace]
+	if b == nil {
+		return nil
+	}
+	l.fill(b, now)
+	w := &b.workspace
+	allowed := l.bounds.QuotaOverrun*(w.PerSecond*l.bounds.QuotaWindow.Seconds()+w.Burst) + l.bounds.QuotaSlack
+	limit := booking.Limit{Size: w.Burst + ownedPart*allowed, Rate: w.PerSecond, Spare: lateLeaves}
+	return kept.Bucket(workspace, limit, b.level, now)
 }
 
 // refund gives back what a request that did not run had used up.
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -43,6 +43,7 @@
 		slog.String("service", j.service.name), slog.String("server", v.Server), slog.String("address", v.Address),
 		slog.String("reason", v.Reason.String()), slog.Duration("score", v.Score), slog.Int("cached", v.CachedTokens),
 		slog.Int("prompt", j.PromptTokens), slog.Int("load", v.Load), slog.Int("ahead", v.Ahead), slog.Duration("loadAge", c.loadAge),
+		slog.Int("rank", c.rank), slog.String("urgency", c.urgency.String()),
 		slog.Int("runnersUp", len(v.RunnersUp())), slog.Int("send", j.sends+1))
 }
 
@@ -53,6 +54,7 @@
 		slog.String("request", j.ID), slog.String("workspace", j.workspaceName()), slog.String("path", j.Path),
 		slog.String("server", j.lastSent), slog.Int("sends", j.sends), slog.Int("runs", j.runs),
 		slog.Duration("took", j.age(g.now())), slog.Duration("firstByte", j.firstByte),
+		slog.Bool("cameBack", j.late), slog.Float64("cost", j.cost),
 	}
 	if j.route != nil {
 		attrs = append(attrs, slog.String("route", j.route.Name), slog.Duration("objective", j.route.Objective))
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +17,34 @@
 	"savoryreel.example/savoryreel/wallclock"
 )
 
+// A workspace sends a few large requests a second, at six tenths of its limit, which reach
+// hundreds of entries one by one, while no entry that decides for all answers. Each entry
+// would take its own last request for what all others let in, and refuse the next.
+func TestLimiterOfManyEntries(t *testing.T) {
+	const entries, perSecond, cost = 190, 30_000.0, 6000.0
+	s := newLimited(entries, perSecond)
+	rng := rand.New(rand.NewPCG(3, 4))
+	let, refused := 0.0, 0
+	for range 600 {
+		s.now = s.now.Add(limitedStep)
+		at := rng.IntN(entries)
+		for i, l := range s.entries {
+			l.noteOthers("replica", 1, []api.Use{{Workspace: "w", Amount: let}}, s.now)
+			if i != at || rng.Float64() > 0.6*perSecond/cost*limitedStep.Seconds() {
+				continue
+			}
+			for range 2 { // a session's turns reach the same entry
+				if ok, _ := l.take("w", cost/2, false, s.now); ok {
+					let += cost / 2
+				} else {
+					refused++
+				}
+			}
+		}
+	}
+	require.LessOrEqual(t, refused, 4, "of some 360")
+}
+
 // A stream arrives in pieces cut anywhere. Whole events come out, all of them, in
 // order, and the last id is that of the last whole event.
 func TestEventsAreCutWhole(t *testing.T) {
@@ -286,7 +315,7 @@
 	require.Greater(t, slowStart(70), 2*time.Second)
 	require.Equal(t, slowStartMost, slowStart(400))
 	now := time.Unix(1000, 0)
-	s := newService("chat", 1)
+	s := newService("chat", 1, func(serverLoad) {})
 	s.setEntries(70)
 	s.update(directory.Server{Announcement: instance.Announcement{ID: "s1", Incarnation: 1, Slots: 8, State: instance.StateServing}}, now)
 	require.Less(t, s.router.Share("s1", now.Add(time.Second)), 0.5)
--- /dev/null
+++ b/gateway/peers_test.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/instance"
+)
+
+// An entry is told once which entries there are, and afterwards only of changes. Those
+// that are up stay known for as long as the replicas hear them, and not when this entry
+// hears of nobody any more.
+func TestPeersStayKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	store := directory.NewStore(directory.Config{ForgetAfter: time.Minute})
+	for _, name := range []string{"a", "b", "c"} {
+		store.MergeEntry(directory.Entry{Name: name, Incarnation: 1, State: instance.StateServing, Address: "10.0.0.1:80"}, now)
+	}
+	p := &peers{directory: store}
+	require.Empty(t, p.entries(now), "nothing was told yet")
+	p.take(7, []string{"a", "b"}, now)
+	for range 100 {
+		now = now.Add(time.Second)
+		p.take(7, nil, now)
+		require.Len(t, p.entries(now), 2)
+		store.Sweep(now, false)
+	}
+	p.take(0, nil, now.Add(2*peersFor)) // of a replica that does not tell
+	require.Empty(t, p.entries(now.Add(2*peersFor)))
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -17,7 +17,7 @@
 	server := c.verdict.Server
 	j.lastSent = server
 	run := Run{
-		Server: server, Workspace: j.workspaceName(), Left: j.deadline.Sub(g.now()), Rank: j.rank(), ResumeAfter: j.lastID,
+		Server: server, Workspace: j.workspaceName(), Left: j.deadline.Sub(g.now()), Rank: c.rank, ResumeAfter: j.lastID,
 	}
 	answer, err := g.pool.Do(ctx, c.verdict.Address, &backend.Call{
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: g.deps.Dialect.Head(j.Request, run), Body: j.Body,
@@ -47,7 +47,11 @@
 		j.service.end(c, how, j.gateway.now())
 		return result{refusal: j.outOfTime(ctx)}
 	}
-	j.service.end(c, endedBadly, j.gateway.now())
+	how := endedBadly
+	if !sent {
+		how = endedGone
+	}
+	j.service.end(c, how, j.gateway.now())
 	r := result{again: true, notRun: !sent, arrived: sent, after: c.verdict.Server}
 	r.refusal = j.failure(err.Error())
 	return r
@@ -70,9 +74,9 @@
 	g := j.gateway
 	switch g.deps.Dialect.Judge(answer.Status, answer.Header) {
 	case NotRun:
-		return j.notRun(c, answer, Overloaded)
+		return j.notRun(c, answer, Overloaded, endedByCaller)
 	case OtherServer:
-		return j.notRun(c, answer, NoServer)
+		return j.notRun(c, answer, NoServer, endedGone)
 	case Unusable:
 		j.runs++
 		return j.unusable(c, "unusable answer")
@@ -107,9 +111,9 @@
 }
 
 // notRun handles a server's word that it did not run the request.
-func (j *job) notRun(c *choice, answer *backend.Answer, reason Reason) result {
+func (j *job) notRun(c *choice, answer *backend.Answer, reason Reason, how ending) result {
 	_, _ = io.Copy(io.Discard, answer) // to keep the connection; a failure only closes it
-	j.service.end(c, endedByCaller, j.gateway.now())
+	j.service.end(c, how, j.gateway.now())
 	r := result{again: true, notRun: true, arrived: true, after: c.verdict.Server}
 	r.refusal = j.failure("server did not run it")
 	if !j.begun && j.runs == 0 {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"savoryreel.example/savoryreel/contract"
@@ -12,6 +13,7 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/policy/retry"
 	"savoryreel.example/savoryreel/policy/route"
+	"savoryreel.example/savoryreel/policy/urgency"
 	"savoryreel.example/savoryreel/routes"
 )
 
@@ -42,6 +44,7 @@
 	began     time.Time
 	deadline  time.Time
 	cost      float64
+	late      bool // its objective has passed since its caller's first try
 	prefixes  []route.CachedPrefix
 
 	sends    int      // requests that went out to a server
@@ -62,13 +65,13 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	j := &job{Request: r, gateway: g, out: w, began: g.now(), lastID: r.ResumeAfter}
-	refusal := j.admit()
+	refusal := j.admit(ctx)
 	if refusal == nil {
 		runCtx, cancel := context.WithDeadline(ctx, j.deadline)
 		refusal = j.run(runCtx)
 		cancel()
 		if refusal != nil && refusal.Reason.NotRun() && j.workspace != nil {
-			g.limiter.refund(j.workspace.Name, j.cost)
+			g.limits.refund(j.workspace.Name, j.cost)
 		}
 	}
 	j.logEnd(refusal)
@@ -77,7 +80,7 @@
 }
 
 // admit finds the request's route and workspace and holds it to the limits.
-func (j *job) admit() *Refusal {
+func (j *job) admit(ctx context.Context) *Refusal {
 	g := j.gateway
 	table := g.table.Load()
 	if table == nil {
@@ -95,9 +98,9 @@
 	}
 	if j.workspace != nil {
 		j.cost = cost(j.workspace, j.Request)
-		late := g.late(j.route, j.CallerTimeout)
-		if ok, wait := g.limiter.take(j.workspace.Name, j.cost, late, j.began); !ok {
-			return &Refusal{Reason: OverLimit, RetryAfter: wait}
+		j.late = g.late(j.route, j.CallerTimeout)
+		if d := g.limits.take(ctx, j.workspace.Name, j.cost, j.late); !d.ok {
+			return &Refusal{Reason: OverLimit, RetryAfter: d.wait, Detail: d.grounds()}
 		}
 	}
 	j.service = g.service(j.route.Choose(rand.Float64()))
@@ -136,7 +139,7 @@
 		if refusal := j.outOfTime(ctx); refusal != nil {
 			return refusal
 		}
-		c, ok := j.service.choose(j.routing(), j.prefixes, j.gateway.now())
+		c, ok := j.choose(ctx)
 		if !ok {
 			return j.noServer(&c)
 		}
@@ -151,6 +154,42 @@
 	}
 }
 
+// choose asks what runs at the servers that come into question, and picks one.
+func (j *job) choose(ctx context.Context) (choice, bool) {
+	g := j.gateway
+	req := j.routing()
+	loads := g.books.ask(ctx, j.service.candidates(req))
+	req.Now = g.now()
+	j.service.noteAsked(loads, req.Now)
+	req.Exclude = withoutDown(j.tried, loads)
+	c, ok := j.service.choose(req, j.prefixes, req.Now)
+	if !ok && len(req.Exclude) > len(j.tried) {
+		req.Exclude = j.tried // one that was down a moment ago is better than none
+		c, ok = j.service.choose(req, j.prefixes, req.Now)
+	}
+	c.rank = j.rank()
+	if ok && !j.begun {
+		c.rank, c.urgency = urgency.Decide(urgency.Request{
+			Rank: c.rank, Objective: j.route.Objective, Waited: j.age(req.Now), Expected: c.verdict.Score, Read: c.read, CameBack: j.late,
+		})
+	}
+	return c, ok
+}
+
+// withoutDown adds the servers to those not to be used that another entry has just found
+// not to be there any more. Each entry would find out by itself otherwise: the control
+// replicas notice only after some heartbeats, and a server whose place is taken looks
+// idle and draws requests until then.
+func withoutDown(tried []string, loads []serverLoad) []string {
+	out := slices.Clip(tried)
+	for _, l := range loads {
+		if l.Down {
+			out = append(out, l.Server)
+		}
+	}
+	return out
+}
+
 // routing is what the choice of a server is made from.
 func (j *job) routing() *route.Request {
 	node := &j.gateway.cfg.Node
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -10,6 +10,7 @@
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/policy/route"
+	"savoryreel.example/savoryreel/policy/urgency"
 )
 
 // trust is the part of a shared beginning that the first server in the rendezvous
@@ -35,6 +36,10 @@
 	slowStartMost = 3 * time.Second
 )
 
+// askedFor is how long what an owner has told of a server stands against reports of what
+// all entries have running there, which are up to so old when they arrive.
+const askedFor = time.Second
+
 func slowStart(entries int) time.Duration {
 	return min(time.Duration(max(entries, 1))*slowStartEach, slowStartMost)
 }
@@ -44,6 +49,12 @@
 // requests that share a beginning are kept together on servers that queue.
 const firstRate = 30_000
 
+// busyCost is the delay of a first token on a server whose slots are all taken but which
+// has nothing to read: requests that are being answered hardly delay it. With a higher
+// cost a request leaves the server that caches its beginning for one that has fewer
+// answers to write, and its prompt is read again.
+const busyCost = 10 * time.Millisecond
+
 // service is what this entry knows of the servers of one service.
 type service struct {
 	name string
@@ -51,14 +62,16 @@
 	mu      sync.Mutex
 	router  *route.Router
 	servers map[string]directory.Server
-	seq     map[string]uint64 // of the cache events that this entry makes of its own runs, by server
-	told    uint64            // announcements given to the router
-	running map[string]int    // this entry's requests, by server
-	work    uint64            // prompt tokens sent to be read
-	heard   time.Time         // when others' load was last told
+	seq     map[string]uint64    // of the cache events that this entry makes of its own runs, by server
+	told    uint64               // announcements given to the router
+	running map[string]int       // this entry's requests, by server
+	work    uint64               // prompt tokens sent to be read
+	heard   time.Time            // when others' load was last told
+	asked   map[string]time.Time // when owners last told of servers
+	changed func(serverLoad)     // told of what this entry has running at a server, at each change
 }
 
-func newService(name string, entries int) *service {
+func newService(name string, entries int, changed func(serverLoad)) *service {
 	cfg := route.DefaultConfig()
 	cfg.Entries = max(entries, 1)
 	cfg.SlowStart = slowStart(entries)
@@ -67,11 +80,15 @@
 	cfg.Trust = trust
 	cfg.LoadFactor = loadFactor
 	cfg.CountSenders = true
+	cfg.BusyCost = busyCost
 	router, err := route.New(cfg)
 	if err != nil {
 		panic(err) // the defaults are valid, as a test of package route checks
 	}
-	return &service{name: name, router: router, servers: make(map[string]directory.Server), seq: make(map[string]uint64), running: make(map[string]int)}
+	return &service{
+		name: name, router: router, servers: make(map[string]directory.Server), seq: make(map[string]uint64), running: make(map[string]int),
+		asked: make(map[string]time.Time), changed: changed,
+	}
 }
 
 // drop forgets a server that is of another service now.
@@ -84,6 +101,7 @@
 	s.router.Remove(id)
 	delete(s.servers, id)
 	delete(s.seq, id)
+	delete(s.asked, id)
 }
 
 // update takes a server's record. A server that has fallen silent gets no work
@@ -100,6 +118,7 @@
 		s.router.Remove(rec.ID)
 		delete(s.servers, rec.ID)
 		delete(s.seq, rec.ID)
+		delete(s.asked, rec.ID)
 	case rec.State == instance.StateLeaving:
 		s.servers[rec.ID] = rec
 		s.router.Leave(rec.ID, rec.Incarnation)
@@ -131,27 +150,87 @@
 	prefixes []route.CachedPrefix
 	answered bool // its first byte has come
 	loadAge  time.Duration
+	read     time.Duration // what the server is expected to take for the prompt
+	rank     int           // that the server is told
+	urgency  urgency.Reason
 }
 
 // choose picks a server and counts the run there until end.
 func (s *service) choose(req *route.Request, prefixes []route.CachedPrefix, now time.Time) (choice, bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	v := s.router.Choose(req)
 	if !v.OK() {
+		s.mu.Unlock()
 		return choice{verdict: v}, false
 	}
 	s.running[v.Server]++
 	s.work += uint64(max(v.UncachedTokens(), 0))
-	return choice{verdict: v, attempt: s.router.Started(&v, now), prefixes: prefixes, loadAge: s.loadAge(now)}, true
+	c := choice{verdict: v, attempt: s.router.Started(&v, now), prefixes: prefixes, loadAge: s.loadAge(v.Server, now)}
+	c.read = time.Duration(float64(v.UncachedTokens()) / s.router.PrefillRate() * float64(time.Second))
+	own := s.ownLoad(v.Server)
+	s.mu.Unlock()
+	s.changed(own)
+	return c, true
+}
+
+// ownLoad is what this entry has running at a server. s.mu is held.
+func (s *service) ownLoad(id string) serverLoad {
+	return serverLoad{Server: id, Running: s.running[id], Prefill: s.router.Prefill(id)}
 }
 
-// loadAge is how old the word on the others' load is; 0 before the first.
-func (s *service) loadAge(now time.Time) time.Duration {
-	if s.heard.IsZero() {
+// ownLoads returns what this entry has running, by server.
+func (s *service) ownLoads() []serverLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]serverLoad, 0, len(s.running))
+	for id := range s.running {
+		list = append(list, s.ownLoad(id))
+	}
+	return list
+}
+
+// candidates returns the servers of which one would be chosen.
+func (s *service) candidates(req *route.Request) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.router.Candidates(req, nil)
+}
+
+// noteAsked takes what others have running at servers now, as was asked for.
+func (s *service) noteAsked(loads []serverLoad, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range loads {
+		s.asked[l.Server] = now
+		s.router.NoteLoad(l.Server, l.Running, l.Prefill, now)
+	}
+}
+
+func (s *service) has(server string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.servers[server]
+	return known
+}
+
+// rate is how many prompt tokens a server is taken to read in a second.
+func (s *service) rate() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.router.PrefillRate()
+}
+
+// loadAge is how old the word on what others have running at a server is; 0 before the
+// first.
+func (s *service) loadAge(server string, now time.Time) time.Duration {
+	last := s.heard
+	if asked := s.asked[server]; asked.After(last) {
+		last = asked
+	}
+	if last.IsZero() {
 		return 0
 	}
-	return now.Sub(s.heard)
+	return now.Sub(last)
 }
 
 // loads appends what this entry has running at the servers.
@@ -184,6 +263,9 @@
 	defer s.mu.Unlock()
 	s.heard = now
 	for id, rec := range s.servers {
+		if now.Sub(s.asked[id]) < askedFor {
+			continue // the report is older
+		}
 		if rec.State == instance.StateServing && !rec.Silent {
 			s.announce(rec, others[id].Running+s.running[id], others[id].Prefill, now)
 		}
@@ -198,8 +280,15 @@
 	}
 	c.answered = true
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.router.FirstToken(&c.attempt, now)
+	s.noteCached(c)
+	own := s.ownLoad(c.verdict.Server)
+	s.mu.Unlock()
+	s.changed(own)
+}
+
+// noteCached notes that a server caches what it has read. s.mu is held.
+func (s *service) noteCached(c *choice) {
 	id := c.verdict.Server
 	if _, known := s.servers[id]; !known {
 		return
@@ -218,11 +307,22 @@
 	endedWell ending = iota
 	endedBadly
 	endedByCaller
+	// endedGone: the server is not there any more. Another process has its address, or
+	// none.
+	endedGone
 )
 
 func (s *service) end(c *choice, how ending, now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.finish(c, how, now)
+	own := s.ownLoad(c.verdict.Server)
+	s.mu.Unlock()
+	own.Down = how == endedGone
+	s.changed(own)
+}
+
+// finish counts the end of a run. s.mu is held.
+func (s *service) finish(c *choice, how ending, now time.Time) {
 	if id := c.verdict.Server; s.running[id] > 1 {
 		s.running[id]--
 	} else {
@@ -231,7 +331,7 @@
 	switch how {
 	case endedWell:
 		s.router.Finished(&c.attempt, now)
-	case endedBadly:
+	case endedBadly, endedGone:
 		s.router.Failed(&c.attempt, now)
 	default:
 		s.router.Cancelled(&c.attempt, now)
--- /dev/null
+++ b/policy/booking/book_test.go
@@ -0,0 +1,154 @@
+package booking
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// What one asks for is what all others told last, whatever came before.
+func TestOthersAreWhatWasToldLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBook()
+		last := make(map[string]Load)
+		for i := range rapid.IntRange(1, 40).Draw(t, "words") {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "entry")
+			l := Load{Running: rapid.IntRange(0, 9).Draw(t, "running"), Prefill: rapid.IntRange(0, 9000).Draw(t, "prefill")}
+			b.Note(Teller{name, 1}, uint64(i+1), "s", l, start)
+			last[name] = l
+		}
+		want := Load{Running: last["b"].Running + last["c"].Running, Prefill: last["b"].Prefill + last["c"].Prefill}
+		require.Equal(t, want, b.Others("a", "s", 1000, start))
+	})
+}
+
+// Datagrams overtake each other, and an entry starts anew while one of its old words is
+// still on its way. The older word would bring back work that has long ended.
+func TestLateWordsAreDropped(t *testing.T) {
+	b := NewBook()
+	b.Note(Teller{"a", 1}, 2, "s", Load{}, start)
+	b.Note(Teller{"a", 1}, 1, "s", Load{Running: 3, Prefill: 900}, start)
+	require.Equal(t, Load{Running: 3, Prefill: 900}, b.Others("b", "s", 0, start), "nothing was known of the server before")
+	b.Note(Teller{"a", 1}, 4, "s", Load{}, start)
+	b.Note(Teller{"a", 1}, 3, "s", Load{Running: 5, Prefill: 100}, start)
+	require.Zero(t, b.Others("b", "s", 0, start))
+	b.Note(Teller{"a", 2}, 1, "s", Load{Running: 1, Prefill: 10}, start)
+	b.Note(Teller{"a", 1}, 9, "s", Load{Running: 8, Prefill: 80}, start)
+	require.Equal(t, Load{Running: 1, Prefill: 10}, b.Others("b", "s", 0, start))
+}
+
+// An entry is killed while it has work at a server. Its word must not keep the server
+// from being used for good.
+func TestWordsOfTheDeadEnd(t *testing.T) {
+	b := NewBook()
+	b.Note(Teller{"a", 1}, 1, "s", Load{Running: 30, Prefill: 90_000}, start)
+	b.Note(Teller{"b", 1}, 1, "s", Load{Running: 1, Prefill: 100}, start.Add(holds))
+	require.Equal(t, 31, b.Others("c", "s", 0, start.Add(holds)).Running)
+	require.Equal(t, 1, b.Others("c", "s", 0, start.Add(holds+time.Millisecond)).Running)
+	b.Sweep(start.Add(3 * holds))
+	require.Empty(t, b.servers)
+}
+
+// A server crashes, and one entry finds that nobody is at its address. All others are
+// told for a moment, also if nothing was known of the server; then one may try again.
+func TestServerThatIsDown(t *testing.T) {
+	b := NewBook()
+	b.Note(Teller{"a", 1}, 1, "s", Load{Down: true}, start)
+	require.True(t, b.Others("b", "s", 0, start).Down)
+	b.Sweep(start.Add(2 * holds / 3))
+	require.False(t, b.Others("b", "s", 0, start.Add(downFor)).Down)
+	b.Note(Teller{"b", 1}, 1, "s", Load{Down: true}, start.Add(downFor))
+	b.Note(Teller{"c", 1}, 1, "s", Load{Running: 1}, start.Add(downFor))
+	require.True(t, b.Others("a", "s", 0, start.Add(downFor)).Down, "another one's word does not take it back")
+}
+
+// A server reads a prompt while nobody tells anything. What is left of it shrinks, but
+// not to nothing: the rate may be too high for a prompt as long as this.
+func TestPromptsAreReadMeanwhile(t *testing.T) {
+	b := NewBook()
+	b.Note(Teller{"a", 1}, 1, "s", Load{Running: 1, Prefill: 50_000}, start)
+	require.Equal(t, 40_000, b.Others("b", "s", 20_000, start.Add(500*time.Millisecond)).Prefill)
+	require.Equal(t, 25_000, b.Others("b", "s", 20_000, start.Add(3*time.Second)).Prefill)
+}
+
+// One entry of many goes. Only its books change hands, and each has one owner.
+func TestOwnersMoveLittle(t *testing.T) {
+	var names []string
+	for i := range 70 {
+		names = append(names, fmt.Sprintf("entry-%d", i))
+	}
+	all, fewer := NewOwners(names), NewOwners(names[1:])
+	count := make(map[string]int)
+	for i := range 7000 {
+		server := fmt.Sprintf("s%d", i)
+		owner := all.Of(server)
+		count[owner]++
+		if owner != names[0] {
+			require.Equal(t, owner, fewer.Of(server))
+		}
+	}
+	for _, name := range names {
+		require.InDelta(t, 100, count[name], 50, name)
+	}
+	require.Empty(t, NewOwners(nil).Of("s"))
+}
+
+// A workspace sends ten times its limit. What is let in is the limit, in every second,
+// and those who are refused are told times that differ: told the same one, all would
+// come back for the room of one.
+func TestLimitUnderASurge(t *testing.T) {
+	const rate, size, cost = 100.0, 200.0, 10.0
+	limit := Limit{Size: size, Rate: rate}
+	l := NewLimits()
+	let := make([]float64, 10)
+	waits := make(map[time.Duration]bool)
+	refused := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		ok, wait := l.Bucket("w", limit, size, now).Take(cost, false)
+		if ok {
+			let[i/100] += cost
+			continue
+		}
+		refused++
+		waits[wait] = true
+		require.Positive(t, wait)
+		require.LessOrEqual(t, wait, time.Duration((mostPromised+size/rate)*float64(time.Second)))
+	}
+	require.InDelta(t, size+rate, let[0], cost)
+	for _, n := range let[1:] {
+		require.InDelta(t, rate, n, cost)
+	}
+	require.Greater(t, len(waits), 20)
+	require.Greater(t, refused, 800)
+}
+
+// One request is larger than all that its workspace may use at once. It goes through
+// once the bucket is full, and is paid off afterwards.
+func TestRequestLargerThanTheLimit(t *testing.T) {
+	limit := Limit{Size: 100, Rate: 10}
+	l := NewLimits()
+	ok, wait := l.Bucket("w", limit, 50, start).Take(250, false)
+	require.False(t, ok)
+	require.Equal(t, 5*time.Second, wait)
+	ok, _ = l.Bucket("w", limit, 50, start.Add(5*time.Second)).Take(250, false)
+	require.True(t, ok)
+	ok, wait = l.Bucket("w", limit, 50, start.Add(5*time.Second)).Take(10, false)
+	require.False(t, ok)
+	require.Greater(t, wait, 15*time.Second)
+}
+
+// Requests that are late already leave a part of the limit to those that are not.
+func TestLateRequestsLeaveRoom(t *testing.T) {
+	limit := Limit{Size: 100, Rate: 10, Spare: 0.25}
+	b := NewLimits().Bucket("w", limit, 30, start)
+	ok, _ := b.Take(10, true)
+	require.False(t, ok)
+	ok, _ = b.Take(10, false)
+	require.True(t, ok)
+}
--- a/policy/route/choose.go
+++ b/policy/route/choose.go
@@ -21,11 +21,30 @@
 		picks.add(slot)
 		return r.verdict(req, &picks, ReasonProbe)
 	}
-	picks, reason := r.gather(req, &t)
+	lone := !r.demand.hot(affinityKey(req), req.Now)
+	picks, reason := r.gather(req, &t, lone)
 	r.trust(req, &picks)
 	return r.verdict(req, &picks, reason)
 }
 
+// Candidates appends the ids of the servers that Choose would weigh against each other
+// for the request, to be asked what runs there. It counts nothing: with the same Seed
+// Choose then draws the same ones, as far as what they say lets it.
+func (r *Router) Candidates(req *Request, dst []string) []string {
+	r.assess(req.Now)
+	t := r.weigh(req)
+	if t.weight == 0 {
+		return dst
+	}
+	r.index.match(req.Prefixes, r.matched)
+	lone := r.demand.lately(affinityKey(req), req.Now)+1 < hotCount
+	picks, _ := r.gather(req, &t, lone)
+	for _, slot := range picks.slot[:picks.n] {
+		dst = append(dst, r.servers[slot].id)
+	}
+	return dst
+}
+
 // trust takes the first server in the rendezvous order to cache what is shared.
 func (r *Router) trust(req *Request, p *picks) {
 	if p.first < 0 || r.cfg.Trust == 0 {
@@ -129,14 +148,14 @@
 
 // gather collects the candidates. A server takes part with a probability equal
 // to its share, so that one at a twentieth is a candidate in a twentieth of the
-// decisions, however attractive its cache and its empty queue make it.
-func (r *Router) gather(req *Request, t *tally) (picks, Reason) {
+// decisions, however attractive its cache and its empty queue make it. lone says that
+// the request shares its beginning with no other caller's.
+func (r *Router) gather(req *Request, t *tally, lone bool) (picks, Reason) {
 	var held, ranked, sampled, over, rest best2
 	depth := int32(1)
 	top := uint64(0) // best rank of all, also of those at their bound
 	topFull := false
 	key := affinityKey(req)
-	lone := !r.demand.hot(key, req.Now)
 	for i := range r.servers {
 		if r.weights[i] == 0 {
 			continue
@@ -228,14 +247,19 @@
 	if !r.cfg.CountSenders {
 		return float64(r.cfg.Entries - 1)
 	}
-	age := max(now.Sub(s.reportAt), leastAge).Seconds()
+	age := (now.Sub(s.reportAt) + s.reportLag).Seconds()
 	sent := r.sends.perSecond(now) * age * float64(r.cfg.Entries) * r.cfg.LoadFactor / float64(t.servers)
 	return min(float64(r.cfg.Entries-1), sent)
 }
 
-// leastAge is how old a report is when it arrives: it is on its way, and was collected
-// from many, for about as long.
-const leastAge = 100 * time.Millisecond
+const (
+	// collectedLag is how old a report is when it arrives that was collected from many
+	// entries.
+	collectedLag = 100 * time.Millisecond
+	// askedLag is how old an answer is that was asked for: half of a round trip, and what
+	// others send before they hear of the request that it was asked for.
+	askedLag = 2 * time.Millisecond
+)
 
 // affinityKey is what related requests have in common: the first two messages,
 // which are the system prompt and what opened the conversation. The system
--- a/policy/route/demand.go
+++ b/policy/route/demand.go
@@ -45,6 +45,19 @@
 	return int(c.count) + int(c.before)
 }
 
+// lately returns how many requests the key has had lately, without counting one.
+func (d *demand) lately(key uint64, now time.Time) int {
+	c := &d.cells[hash.Pair(key, 0)%demandCells]
+	switch now.UnixNano()/int64(demandWindow) - c.window {
+	case 0:
+		return int(c.count) + int(c.before)
+	case 1:
+		return int(c.count)
+	default:
+		return 0
+	}
+}
+
 // hot counts a request and reports whether many callers share its key. Without
 // a key there is nothing to keep together, which is the same.
 func (d *demand) hot(key uint64, now time.Time) bool {
--- a/policy/route/router.go
+++ b/policy/route/router.go
@@ -73,6 +73,14 @@
 	return true
 }
 
+// NoteLoad takes what other entries have at a server now, as was asked for: running
+// requests, and prompt tokens of those that have no answer yet.
+func (r *Router) NoteLoad(id string, running, prefill int, now time.Time) {
+	if slot, ok := r.index.slots[id]; ok && slot < len(r.servers) && r.servers[slot].id != "" {
+		r.servers[slot].noteLoad(running, prefill, now)
+	}
+}
+
 // Leave marks a server as leaving, as heard from another entry. It has no
 // effect on a later incarnation.
 func (r *Router) Leave(id string, incarnation uint64) {
--- a/policy/route/server.go
+++ b/policy/route/server.go
@@ -70,6 +70,7 @@
 	sequence    uint64
 	since       time.Time // first seen in this incarnation
 	reportAt    time.Time
+	reportLag   time.Duration // how old the report was when it arrived
 	history     *history
 
 	others backlog // prompts of other entries that wait there, as reported
@@ -97,12 +98,20 @@
 	if at.Before(s.reportAt) {
 		return
 	}
-	s.reportAt = at
+	s.reportAt, s.reportLag = at, collectedLag
 	s.reported = a.Load.Running + a.Load.Waiting
 	s.others = backlog{float64(a.Load.Prefill), at}
 	s.net = s.history.since(at)
 }
 
+// noteLoad takes what others have there now, as was asked for.
+func (s *server) noteLoad(running, prefill int, now time.Time) {
+	s.reportAt, s.reportLag = now, askedLag
+	s.reported = running + s.own
+	s.others = backlog{float64(prefill), now}
+	s.net = 0
+}
+
 func (s *server) started(now time.Time) {
 	s.own++
 	s.net++
--- a/site/site.go
+++ b/site/site.go
@@ -115,7 +115,8 @@
 	controlLinkOffset = 0
 	controlOpsOffset  = 1
 	entryOpsOffset    = 2
-	lastOffset        = entryOpsOffset
+	entryBooksOffset  = 3
+	lastOffset        = entryBooksOffset
 )
 
 // ControlLink is the address on which the control replica at ip takes links.
@@ -127,6 +128,10 @@
 // EntryOps is the address of this entry's metrics.
 func (n *Node) EntryOps() string { return n.internal(n.IP, entryOpsOffset) }
 
+// EntryBooks is the address, for datagrams, on which the entry at ip is asked and told
+// what runs at backend servers.
+func (n *Node) EntryBooks(ip string) string { return n.internal(ip, entryBooksOffset) }
+
 func (n *Node) internal(ip string, offset int) string {
 	return net.JoinHostPort(ip, strconv.Itoa(n.FirstPort+offset))
 }
