gateway, coordinator: any replica confirms which entries there are

The replica that sent some of them the list of entries, the owner of that limit among them, was frozen at 2.5 s; its links were taken for dead at 4.0 s, the next replica was asked for the list up to 2 s later, and the list lapses after 3 s. Ruled out: an owner that died (no other event in those seconds). Change: each reply brings the digest of the replica's list; one that is equal to that of the list held confirms it. Names come from one replica as before.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -122,8 +122,8 @@
 	Document []byte             `msgpack:"doc,omitempty"` // of Revision, if the sender has an older one and wants it
 	Replicas []string           `msgpack:"replicas"`      // link addresses of all replicas
 	Live     int                `msgpack:"live"`          // entries that take callers
-	// LiveNames are those entries, in order, where the sender has another list, and
-	// LiveDigest stands for them; from the replica that sends the catalogue.
+	// LiveDigest stands for those entries, and LiveNames are they, in order, where the
+	// sender has another list: names come from the replica that sends the catalogue.
 	LiveDigest uint64        `msgpack:"liveDigest,omitempty"`
 	LiveNames  []string      `msgpack:"liveNames,omitempty"`
 	HasLoads   bool          `msgpack:"hasLoads"`
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -62,9 +62,9 @@
 		Replicas: c.replicas(), Live: len(live.names), Clock: now,
 	}
 	if req.Entry != nil {
+		reply.LiveDigest = live.digest
 		if !req.RevisionOnly {
 			reply.HasLoads, reply.Loads = true, c.loads.others(req.Entry.Name)
-			reply.LiveDigest = live.digest
 			if live.digest != req.LiveDigest {
 				reply.LiveNames = live.names
 			}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -28,17 +28,18 @@
 	return p.digest
 }
 
-// take takes a replica's list. Digest 0 comes with a reply that has none; names are left
-// out where the digest is that of the list that is held.
+// take takes a replica's word: the digest of its list, and the names from the replica
+// that sends them, if the digest is not that of the list that is held. Any replica of the
+// same list confirms it; if only the one that sends names did, the list would lapse when
+// that one is frozen, before another one is asked for it.
 func (p *peers) take(digest uint64, names []string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if digest == 0 {
-		return
-	}
-	p.at = now
-	if digest != p.digest {
-		p.digest, p.names = digest, names
+	switch {
+	case len(names) > 0:
+		p.digest, p.names, p.at = digest, names, now
+	case digest == p.digest:
+		p.at = now
 	}
 }
 
