policy/retry, gateway: an entry may repeat a request before it has seen many of its workspace

Ruled out: the choice of the second server (repeats that go out succeed), the bound of two servers a route allows. Change: a budget begins with one attempt, or what it may save up if that is less; the site's slack still bounds the sum (TestRetryBudgetIsSplitAmongAllEntries). An entry starts also where a site allows no repeats beside the ratio (its least budget was refused by the policy's own check).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,9 @@
 	// site allows no repeats to speak of.
 	leastRetryRatio  = 0.01
 	leastRetryBudget = 0.5
+	// firstRepeat is what each entry may repeat of a workspace's or a service's requests
+	// before it has seen many of them.
+	firstRepeat = 1
 	// retryBackoff is the longest wait before a repeat: callers' objectives are a
 	// few hundred milliseconds.
 	retryBackoff = 50 * time.Millisecond
@@ -145,7 +148,8 @@
 	cfg := retry.DefaultConfig()
 	cfg.Ratio = max(b.RetryRatio*retryPart, leastRetryRatio)
 	cfg.Window = b.RetryWindow
-	cfg.MinBudget = retryBudget(b, assumedEntries)
+	cfg.MinBudget = max(retryBudget(b, assumedEntries), firstRepeat) // a site may allow nothing besides the ratio
+	cfg.Start = firstRepeat
 	cfg.Backoff = retryBackoff
 	cfg.WaveSpread = retryBackoff
 	return cfg
--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -5,9 +5,7 @@
 	"time"
 )
 
-// budget counts what one workspace or one service may still repeat. It starts
-// empty, so that repetitions are at most Ratio of the first attempts from the
-// first one on.
+// budget counts what one workspace or one service may still repeat.
 type budget struct {
 	left   float64
 	recent float64 // decayed count of first attempts
--- a/policy/retry/config.go
+++ b/policy/retry/config.go
@@ -17,6 +17,13 @@
 	MinBudget float64
 	Window    time.Duration
 
+	// Start is what a budget begins with, in attempts, at most MinBudget. With 0
+	// repetitions are at most Ratio of the first attempts from the first one on. Where
+	// hundreds of entries get a few requests of a workspace each, nothing would ever be
+	// repeated then: a tenth of the requests would end with one server's error though
+	// another one may be asked.
+	Start float64
+
 	// MaxAttempts bounds the attempts of one request, the first included.
 	MaxAttempts int
 
@@ -72,6 +79,7 @@
 	return policy.Check("retry",
 		policy.Require("Ratio", c.Ratio > 0 && c.Ratio <= 1, "above 0 and at most 1"),
 		policy.Require("MinBudget", c.MinBudget >= 1, "at least 1"),
+		policy.Require("Start", c.Start >= 0, "at least 0"),
 		policy.Require("Window", c.Window > 0, "above 0"),
 		policy.Require("MaxAttempts", c.MaxAttempts >= 1, "at least 1"),
 		policy.Require("Backoff", c.Backoff >= 0, "at least 0"),
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -49,14 +49,14 @@
 
 // First notes the first attempt of a request.
 func (p *Policy) First(now time.Time, c Call) {
-	budgetOf(p.workspaces, c.Workspace).first(now, &p.cfg)
-	budgetOf(p.services, c.Service).first(now, &p.cfg)
+	p.budgetOf(p.workspaces, c.Workspace).first(now, &p.cfg)
+	p.budgetOf(p.services, c.Service).first(now, &p.cfg)
 }
 
-func budgetOf(budgets map[string]*budget, name string) *budget {
+func (p *Policy) budgetOf(budgets map[string]*budget, name string) *budget {
 	b, ok := budgets[name]
 	if !ok {
-		b = &budget{}
+		b = &budget{left: min(p.cfg.Start, p.cfg.MinBudget)}
 		budgets[name] = b
 	}
 	return b
@@ -121,8 +121,8 @@
 
 // spend pays for one attempt from both budgets, or says which one cannot.
 func (p *Policy) spend(now time.Time, c Call, leave float64) (Reason, bool) {
-	workspace := budgetOf(p.workspaces, c.Workspace)
-	service := budgetOf(p.services, c.Service)
+	workspace := p.budgetOf(p.workspaces, c.Workspace)
+	service := p.budgetOf(p.services, c.Service)
 	if !workspace.allows(now, &p.cfg, leave) {
 		return WorkspaceBudget, false
 	}
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -32,6 +32,7 @@
 	for field, spoil := range map[string]func(*Config){
 		"Ratio":        func(c *Config) { c.Ratio = 0 },
 		"MinBudget":    func(c *Config) { c.MinBudget = 0 },
+		"Start":        func(c *Config) { c.Start = -1 },
 		"Window":       func(c *Config) { c.Window = 0 },
 		"MaxAttempts":  func(c *Config) { c.MaxAttempts = 0 },
 		"Backoff":      func(c *Config) { c.Backoff = -1 },
@@ -81,6 +82,24 @@
 	assert.InDelta(t, 1_000, retries, 1)
 }
 
+// Hundreds of entries get a request of a workspace now and then. Were nothing repeated
+// before many have come, its callers would see each server's error although another
+// server may be asked.
+func TestFirstRequestsMayBeRepeated(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Start = 1
+	p, err := New(cfg)
+	require.NoError(t, err)
+	p.First(epoch, chat)
+	require.True(t, p.Failed(epoch, Failure{Call: chat, Attempts: 1}, 0).Go)
+	require.False(t, p.Failed(epoch, Failure{Call: chat, Attempts: 1}, 0).Go, "once")
+	p.SetMinBudget(0.5)
+	other := chat
+	other.Workspace, other.Service = "w2", "s2"
+	p.First(epoch, other)
+	require.False(t, p.Failed(epoch, Failure{Call: other, Attempts: 1}, 0).Go, "a budget holds no more than it may save up")
+}
+
 // A quiet workspace has saved up its budget for a week when its service fails.
 // Unbounded savings would pay for a storm.
 //
