gateway: new servers get their full share at once, whatever the number of entries

Cause: a slow start of 40 ms an entry (2.8 to 3 s at seventy and more) kept new servers from work just when waves had taken others. It was there because a new server looks idle to all entries at once; now its book is kept by one of them.

--- a/gateway/service.go
+++ b/gateway/service.go
@@ -25,25 +25,10 @@
 // 5 a quarter fewer shared tokens are read again.
 const loadFactor = 5.0
 
-const (
-	// slowStartEach is the time in which a new server comes to its full share of the work,
-	// for each entry. A server that has just come, or is back, looks empty to all entries
-	// at once, and each sends there until it hears of the others. Seventy entries bury it:
-	// with servers that go down and up by turns, a tenth fewer requests are in time
-	// without. Eight entries don't, and a server that stands idle after a wave costs more.
-	slowStartEach = 40 * time.Millisecond
-	// slowStartMost is enough for an engine to fill its cache.
-	slowStartMost = 3 * time.Second
-)
-
 // askedFor is how long what an owner has told of a server stands against reports of what
 // all entries have running there, which are up to so old when they arrive.
 const askedFor = time.Second
 
-func slowStart(entries int) time.Duration {
-	return min(time.Duration(max(entries, 1))*slowStartEach, slowStartMost)
-}
-
 // firstRate is how many tokens a second a server is taken to read until one has been
 // seen. Engines of today read some ten to a hundred thousand; with too low a figure the
 // requests that share a beginning are kept together on servers that queue.
@@ -74,7 +59,7 @@
 func newService(name string, entries int, changed func(serverLoad)) *service {
 	cfg := route.DefaultConfig()
 	cfg.Entries = max(entries, 1)
-	cfg.SlowStart = slowStart(entries)
+	cfg.SlowStart = 0 // a new server is not sent more than the others: its book is kept
 	cfg.LearnPrefill = true
 	cfg.PrefillRate = firstRate
 	cfg.Trust = trust
@@ -342,7 +327,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.router.SetEntries(n)
-	s.router.SetSlowStart(slowStart(n))
 }
 
 // prefixesOf returns the shared beginnings of a prompt, shortest first. A
--- a/policy/route/router.go
+++ b/policy/route/router.go
@@ -48,9 +48,6 @@
 // SetEntries sets the number of entries that send to the same servers.
 func (r *Router) SetEntries(n int) { r.cfg.Entries = max(n, 1) }
 
-// SetSlowStart sets how long a new server takes to reach its full share.
-func (r *Router) SetSlowStart(d time.Duration) { r.cfg.SlowStart = d }
-
 // Announce takes in a server's announcement and reports whether it was newer
 // than what is known. at is the time on the entry's clock at which a.Load held;
 // a reading of the server's clock will not do where clocks differ by more than
