gateway: a new owner of a limit begins with little

Change: a new owner begins with a tenth of what the site's users allow beyond a limit at most; three in a row fit what is left.

--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -20,6 +20,11 @@
 	// ownedPart is the same part where one entry decides for all. The rest covers what
 	// entries let in that don't reach it, and two entries that decide for a moment.
 	ownedPart = 0.6
+	// newOwnerPart bounds what a new owner begins with, in the same part. One that has just
+	// started has heard of nobody's use: with a full bucket it would let in a second time
+	// what the owner before it has let in, and entries that start in turn pass the limit
+	// for all. Three owners in a row fit what ownedPart leaves.
+	newOwnerPart = 0.1
 	// othersFor is how long the last word on the others' use counts. An entry that
 	// hears nothing for longer holds itself to its own part of each limit.
 	othersFor = 1500 * time.Millisecond
@@ -227,7 +232,7 @@
 	w := &b.workspace
 	allowed := l.bounds.QuotaOverrun*(w.PerSecond*l.bounds.QuotaWindow.Seconds()+w.Burst) + l.bounds.QuotaSlack
 	limit := booking.Limit{Size: w.Burst + ownedPart*allowed, Rate: w.PerSecond, Spare: lateLeaves}
-	return kept.Bucket(workspace, limit, b.level, now)
+	return kept.Bucket(workspace, limit, min(b.level, newOwnerPart*allowed), now)
 }
 
 // refund gives back what a request that did not run had used up.
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -10,11 +10,41 @@
 	"pgregory.net/rapid"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/policy/booking"
 	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/site"
 	"savoryreel.example/savoryreel/wallclock"
 )
 
+// A workspace is at its limit while entries are restarted in turn. The owner of its limit
+// goes, and the next one has started a few seconds ago and heard of no use. With the full
+// bucket that it takes for granted the workspace would pass its limit.
+func TestNewOwnerBeginsWithLittle(t *testing.T) {
+	const perSecond = 100.0
+	s := newLimited(8, perSecond)
+	allowed := s.bounds.QuotaOverrun*(perSecond*s.bounds.QuotaWindow.Seconds()+perSecond) + s.bounds.QuotaSlack
+	var let float64
+	window := s.bounds.QuotaWindow
+	for step := range int(window / limitedStep) {
+		s.now = s.now.Add(limitedStep)
+		kept := booking.NewLimits()
+		if step%20 != 0 {
+			continue // the owner stays for two seconds; what it lets in is counted at once
+		}
+		fresh := newLimiter(s.bounds)
+		fresh.setEntries(8)
+		fresh.setWorkspaces([]routes.Workspace{s.w}, s.now.Add(-10*time.Second))
+		b := fresh.owned(kept, "w", s.now)
+		for ok := true; ok; {
+			if ok, _ = b.Take(1, false); ok {
+				let++
+			}
+		}
+	}
+	require.LessOrEqual(t, let, (1-ownedPart)*allowed, "beside what the first owner let in")
+	require.Positive(t, let)
+}
+
 // A workspace sends a few large requests a second, at six tenths of its limit, which reach
 // hundreds of entries one by one, while no entry that decides for all answers. Each entry
 // would take its own last request for what all others let in, and refuse the next.
