--- a/gateway/service.go
+++ b/gateway/service.go
@@ -20,9 +20,8 @@
 
 // loadFactor is how many times the mean a server may be loaded before a request
 // whose shared beginning it caches goes elsewhere. Engines here run one or two
-// requests each, so that a second one is twice the mean already: a bound of 1.25
-// sent four of ten requests to servers that had to read their prompts again. With
-// 5 a quarter fewer shared tokens are read again.
+// requests each, so that a second one is twice the mean already: with a bound near it
+// most requests would go to servers that have to read their prompts again.
 const loadFactor = 5.0
 
 // askedFor is how long what an owner has told of a server stands against reports of what
--- a/policy/admit/config.go
+++ b/policy/admit/config.go
@@ -102,7 +102,7 @@
 	Batch       time.Duration
 }
 
-// DefaultConfig returns the values that docs/DECISIONS.md was measured with.
+// DefaultConfig returns the values in use; docs/DECISIONS.md has the reasons.
 //
 // Memory of 2 s follows a fleet that loses a zone within a few seconds and
 // averages over some hundred starts at the small sites of today. MaxWait are the usual
--- a/policy/queue/config.go
+++ b/policy/queue/config.go
@@ -46,7 +46,7 @@
 	MaxCredit int64
 }
 
-// DefaultConfig returns the values that docs/DECISIONS.md was measured with.
+// DefaultConfig returns the values in use; docs/DECISIONS.md has the reasons.
 //
 // MaxItems is three seconds of the arrival rate of 3,500 requests a second that
 // the system is designed for: what waits longer misses the first-token target
--- a/policy/queue/start.go
+++ b/policy/queue/start.go
@@ -26,7 +26,7 @@
 	Memory time.Duration
 }
 
-// DefaultStartConfig returns the values that docs/DECISIONS.md was measured with.
+// DefaultStartConfig returns the values in use; docs/DECISIONS.md has the reasons.
 //
 // Both headrooms cost that part of the capacity while they are kept, hence
 // about a twentieth, and nothing while all workspaces run their share. Items of
--- a/policy/retry/config.go
+++ b/policy/retry/config.go
@@ -48,7 +48,7 @@
 	MaxHedgeLoad float64 // 0 to 1
 }
 
-// DefaultConfig returns the values that docs/DECISIONS.md was measured with.
+// DefaultConfig returns the values in use; docs/DECISIONS.md has the reasons.
 //
 // A Ratio of a tenth is the bound that the project promises. Where one attempt
 // in ten fails at random, one request in a thousand fails three, and more
