gateway: lines and counters on who let in what of a limit, and who owns it

Event 3103, once a second for a workspace that was refused in the last 10 s: let in by grounds, sent, sent again, age of the oldest at its send. Event 3104: an entry begins or ends to own a limit. A counter of decisions by verdict and grounds. No logic is changed.

--- a/event/event.go
+++ b/event/event.go
@@ -65,6 +65,8 @@
 	ReplicaStarted    Kind = 5005
 	ReplicaSetChanged Kind = 5006
 	DatagramNotSent   Kind = 3102
+	LimitUsed         Kind = 3103
+	LimitOwned        Kind = 3104
 	RevisionTaken     Kind = 5010
 	RevisionRefused   Kind = 5011
 	CloudCalled       Kind = 5301
@@ -121,6 +123,8 @@
 	{CacheGap, "cache events have a gap"},
 	{MemberChanged, "instance changed"},
 	{DatagramNotSent, "datagrams to other entries fail"},
+	{LimitUsed, "use of a workspace that was refused"},
+	{LimitOwned, "owner of a limit"},
 	{CatalogueChanged, "catalogue changed"},
 	{CatalogueRefused, "catalogue change refused"},
 	{CatalogueTaken, "catalogue version in force here"},
--- a/gateway/bookkeeper.go
+++ b/gateway/bookkeeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"net"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/policy/booking"
 )
 
@@ -38,6 +40,7 @@
 	// known here.
 	bucket func(kept *booking.Limits, workspace string, now time.Time) *booking.Bucket
 	wire   *datagrams
+	log    *slog.Logger
 
 	mu       sync.Mutex
 	sequence uint64
@@ -68,8 +71,15 @@
 	}
 }
 
+// logOwner writes that this entry has begun to decide on a limit, or no longer does, with
+// how many entries it knows to be up.
+func (k *bookkeeper) logOwner(workspace string, owned bool, entries int) {
+	event.Log(context.Background(), k.log, slog.LevelInfo, event.LimitOwned,
+		slog.String("workspace", workspace), slog.Bool("owned", owned), slog.Int("entries", entries))
+}
+
 func newBookkeeper(self booking.Teller, now func() time.Time) *bookkeeper {
-	return &bookkeeper{self: self, now: now, book: booking.NewBook(), limits: booking.NewLimits(), owners: booking.NewOwners(nil), asked: make(map[uint64]*question)}
+	return &bookkeeper{self: self, now: now, log: slog.New(slog.DiscardHandler), book: booking.NewBook(), limits: booking.NewLimits(), owners: booking.NewOwners(nil), asked: make(map[uint64]*question)}
 }
 
 // ask returns what others have running at the servers now, as far as their owners
@@ -140,7 +150,9 @@
 		k.address[e.Name] = addr
 	}
 	k.owners = booking.NewOwners(names)
-	k.limits.Keep(func(workspace string) bool { return k.owns(limitKey(workspace)) })
+	for _, workspace := range k.limits.Keep(func(workspace string) bool { return k.owns(limitKey(workspace)) }) {
+		k.logOwner(workspace, false, len(names))
+	}
 }
 
 func (k *bookkeeper) open(owners int) (*question, uint64) {
@@ -252,7 +264,15 @@
 	k.entries = func() []directory.Entry { return g.peers.entries(g.now()) }
 	k.port = g.cfg.Node.EntryBooks
 	k.rate = g.serverRate
-	k.bucket = g.limiter.owned
+	k.log = g.log
+	k.bucket = func(kept *booking.Limits, workspace string, now time.Time) *booking.Bucket {
+		begins := !kept.Has(workspace)
+		b := g.limiter.owned(kept, workspace, now)
+		if begins && b != nil {
+			k.logOwner(workspace, true, len(k.address)+1)
+		}
+		return b
+	}
 	k.wire = newDatagrams(g.cfg.ClusterKey, g.log, k.take)
 	return k
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,7 @@
 	peers     *peers
 	books     *bookkeeper
 	limits    *limits
+	uses      *limitUses
 	usage     *usage
 	outcomes  outcomes
 	ordinary  *event.Sampler
@@ -103,6 +104,7 @@
 		pool: backend.NewPool(backend.DefaultConfig(), deps.Now),
 	}
 	g.peers = &peers{directory: g.directory}
+	g.uses = newLimitUses(g.log, g.metrics, g.now)
 	g.books = g.newBooks()
 	g.limits = newLimits(g.books, g.limiter, g.now)
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
@@ -226,6 +228,7 @@
 			g.applyDirectory()
 		})
 	})
+	daemon.Actor(&group, func(ctx context.Context) error { return daemon.Every(ctx, useLineEvery, g.uses.write) })
 	daemon.EndWith(ctx, &group)
 	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.CloseGrace, g.log)
 	stopAccepting, err := public(&group)
--- /dev/null
+++ b/gateway/limituse_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+)
+
+// A workspace has passed its limit over all entries. The lines of each entry say what it
+// let in, on whose word, and what it sent late or again.
+func TestLogOfAWorkspaceOverItsLimit(t *testing.T) {
+	log := &logBuffer{}
+	now := time.Unix(0, 0)
+	u := newLimitUses(slog.New(slog.NewJSONHandler(log, nil)), metrics.NewSet(), func() time.Time { return now })
+	u.noteDecision("w", 40, &decision{ok: true, asked: true})
+	u.write()
+	require.Empty(t, log.buf.String(), "nobody was refused")
+
+	u.noteDecision("w", 40, &decision{ok: true, asked: true})
+	u.noteDecision("w", 7, &decision{ok: true})
+	u.noteDecision("w", 5, &decision{})
+	u.noteSent("w", 40, false, 2*time.Second)
+	u.noteSent("w", 40, true, time.Second)
+	u.write()
+	line := log.buf.String()
+	for _, part := range []string{
+		`"workspace":"w"`, `"sent":40`, `"sentAgain":40`, `"oldest":2000000000`, `"refused":1`,
+		`"letIn decided by the limit's owner":40`, `"letIn by what was heard of the others":7`,
+	} {
+		require.Contains(t, line, part)
+	}
+
+	now = now.Add(useLinesFor + time.Second)
+	u.write()
+	require.Equal(t, 1, strings.Count(log.buf.String(), "\n"))
+	require.Empty(t, u.uses)
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -19,24 +19,33 @@
 	run := Run{
 		Server: server, Workspace: j.workspaceName(), Left: j.deadline.Sub(g.now()), Rank: c.rank, ResumeAfter: j.lastID,
 	}
+	sentAt := g.now()
 	answer, err := g.pool.Do(ctx, c.verdict.Address, &backend.Call{
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: g.deps.Dialect.Head(j.Request, run), Body: j.Body,
 		Belongs: func(h http.Header) bool { return g.deps.Dialect.Belongs(j.Request, h) },
 	})
 	if err != nil {
-		return j.sendFailed(ctx, c, err)
+		return j.sendFailed(ctx, c, sentAt, err)
 	}
 	defer answer.Close()
-	j.sends++
+	j.noteSent(sentAt)
 	return j.answered(ctx, c, answer)
 }
 
+// noteSent counts that a server has got the request.
+func (j *job) noteSent(at time.Time) {
+	if j.workspace != nil {
+		j.gateway.uses.noteSent(j.workspace.Name, j.cost, j.sends > 0, at.Sub(j.letIn))
+	}
+	j.sends++
+}
+
 // sendFailed says what an exchange that ended without an answer means.
-func (j *job) sendFailed(ctx context.Context, c *choice, err error) result {
+func (j *job) sendFailed(ctx context.Context, c *choice, sentAt time.Time, err error) result {
 	var e *backend.Error
 	sent := errors.As(err, &e) && e.Sent
 	if sent {
-		j.sends++
+		j.noteSent(sentAt)
 		j.runs++
 	}
 	if ctx.Err() != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -44,7 +44,8 @@
 	began     time.Time
 	deadline  time.Time
 	cost      float64
-	late      bool // its objective has passed since its caller's first try
+	letIn     time.Time // within its workspace's limit
+	late      bool      // its objective has passed since its caller's first try
 	prefixes  []route.CachedPrefix
 
 	sends    int      // requests that went out to a server
@@ -99,7 +100,10 @@
 	if j.workspace != nil {
 		j.cost = cost(j.workspace, j.Request)
 		j.late = g.late(j.route, j.CallerTimeout)
-		if d := g.limits.take(ctx, j.workspace.Name, j.cost, j.late); !d.ok {
+		d := g.limits.take(ctx, j.workspace.Name, j.cost, j.late)
+		g.uses.noteDecision(j.workspace.Name, j.cost, &d)
+		j.letIn = g.now()
+		if !d.ok {
 			return &Refusal{Reason: OverLimit, RetryAfter: d.wait, Detail: d.grounds()}
 		}
 	}
--- a/policy/booking/limit.go
+++ b/policy/booking/limit.go
@@ -39,16 +39,21 @@
 // NewLimits returns limits of which nothing is known.
 func NewLimits() *Limits { return &Limits{buckets: make(map[string]*Bucket)} }
 
-// Keep drops what is kept of workspaces for which keep does not hold: their limits have
-// another owner, or are gone. Who keeps one again begins anew.
-func (l *Limits) Keep(keep func(workspace string) bool) {
+// Keep drops what is kept of workspaces for which keep does not hold, and returns their
+// names: their limits have another owner, or are gone. Who keeps one again begins anew.
+func (l *Limits) Keep(keep func(workspace string) bool) (dropped []string) {
 	for name := range l.buckets {
 		if !keep(name) {
 			delete(l.buckets, name)
+			dropped = append(dropped, name)
 		}
 	}
+	return dropped
 }
 
+// Has reports whether a workspace's limit is kept.
+func (l *Limits) Has(workspace string) bool { return l.buckets[workspace] != nil }
+
 // Bucket returns the bucket of a workspace's limit. level is what a new one begins with.
 func (l *Limits) Bucket(workspace string, limit Limit, level float64, now time.Time) *Bucket {
 	b := l.buckets[workspace]
