--- a/gateway/bookkeeper.go
+++ b/gateway/bookkeeper.go
@@ -39,7 +39,7 @@
 	// bucket returns that of a limit that this entry owns, or nil for one that is not
 	// known here.
 	bucket func(kept *booking.Limits, workspace string, now time.Time) *booking.Bucket
-	wire   *datagrams
+	wire   wire
 	log    *slog.Logger
 
 	mu       sync.Mutex
@@ -52,6 +52,11 @@
 	asked    map[uint64]*question      // by sequence
 }
 
+// wire carries messages to other entries.
+type wire interface {
+	send(to netip.AddrPort, m *message)
+}
+
 // question is one that waits for answers.
 type question struct {
 	open    int // owners that have not answered
@@ -273,7 +278,8 @@
 		}
 		return b
 	}
-	k.wire = newDatagrams(g.cfg.ClusterKey, g.log, k.take)
+	g.datagrams = newDatagrams(g.cfg.ClusterKey, g.log, k.take)
+	k.wire = g.datagrams
 	return k
 }
 
--- a/gateway/bookkeeper_test.go
+++ b/gateway/bookkeeper_test.go
@@ -18,6 +18,7 @@
 type booked struct {
 	books   map[string]*bookkeeper
 	entries []directory.Entry
+	wires   []*datagrams
 	ports   map[string]string // datagram address by the host that callers are told
 }
 
@@ -33,18 +34,20 @@
 		k.bucket = func(kept *booking.Limits, workspace string, now time.Time) *booking.Bucket {
 			return kept.Bucket(workspace, booking.Limit{Size: 100, Rate: 1}, 100, now)
 		}
-		k.wire = newDatagrams("key", slog.New(slog.DiscardHandler), k.take)
-		require.NoError(t, k.wire.open(t.Context(), "127.0.0.1:0"))
+		d := newDatagrams("key", slog.New(slog.DiscardHandler), k.take)
+		require.NoError(t, d.open(t.Context(), "127.0.0.1:0"))
+		k.wire = d
+		s.wires = append(s.wires, d)
 		s.books[name] = k
 		s.entries = append(s.entries, directory.Entry{Name: name, Address: net.JoinHostPort(host, "80")})
-		s.ports[host] = k.wire.conn.LocalAddr().String()
+		s.ports[host] = d.conn.LocalAddr().String()
 	}
-	for _, k := range s.books {
+	for _, d := range s.wires {
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			_ = k.wire.run(ctx) // it ends with ctx
+			_ = d.run(ctx) // it ends with ctx
 		}()
 		t.Cleanup(func() { cancel(); <-done })
 	}
@@ -98,8 +101,8 @@
 func TestOwnerThatDoesNotAnswer(t *testing.T) {
 	s := newBooked(t, 2)
 	k := s.books["entry-0"]
-	for _, e := range s.entries[1:] {
-		require.NoError(t, s.books[e.Name].wire.conn.Close())
+	for _, d := range s.wires[1:] {
+		require.NoError(t, d.conn.Close())
 	}
 	unanswered := 0
 	began := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,7 @@
 	limiter   *limiter
 	peers     *peers
 	books     *bookkeeper
+	datagrams *datagrams
 	limits    *limits
 	uses      *limitUses
 	usage     *usage
@@ -215,11 +216,11 @@
 	if err != nil {
 		return err
 	}
-	if err := g.books.wire.open(ctx, g.cfg.Node.EntryBooks(g.cfg.Node.IP)); err != nil {
+	if err := g.datagrams.open(ctx, g.cfg.Node.EntryBooks(g.cfg.Node.IP)); err != nil {
 		return err
 	}
 	daemon.Actor(&group, g.follower.Run)
-	daemon.Actor(&group, g.books.wire.run)
+	daemon.Actor(&group, g.datagrams.run)
 	daemon.Actor(&group, func(ctx context.Context) error { return daemon.Every(ctx, renewEvery, g.renewBooks) })
 	daemon.Actor(&group, func(ctx context.Context) error {
 		return daemon.Every(ctx, sweepEvery, func() {
