gateway, coordinator, policy/limit: entries lend their shares of a limit instead of asking an owner

Cause: what is let in had no bound over the entries.

Now each entry has a share of each limit, 1 of N, and lends it under a lease to the entry that keeps the limit's pool, which lets in for all from the shares that it has. A share is in one pool at a time, so two keepers divide the limit; pools hold and bring what their parts come to. The replicas say who has a share: an entry is counted for a minute after its last call, stops after 50 s without a word of most of them, and a new one waits until all others use a smaller share.

Why it works: the bound is kept by what is held and not by what is heard. What is lent runs out at the keeper before it does at the lender, counted from the question and the answer.

Tests: those of the mechanism that is gone are replaced. TestLimitUnderASurge, TestRequestLargerThanTheLimit, TestLateRequestsLeaveRoom, TestLimitIsLowered: same figures, policy/limit. TestLimiterUnderASurge, WithUnevenCallers, AfterOneLargeRequest, CutOff, TestNewOwnerBeginsWithLittle: same loads and bounds over the real entries' code (gateway/limitsite_test.go). TestLimiterHearsSeveralReplicas: TestReplicaThatKnowsFewEntries. TestUseBook, counts of use in TestCountsAreToldOnce: nothing is told of use any more. TestLimiterOfManyEntries asked that 190 entries which nobody decides for refuse hardly anything: that was done by guessing what others let in, the fault itself.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -7,6 +7,7 @@
 
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/policy/limit"
 )
 
 const (
@@ -64,14 +65,16 @@
 	// LiveDigest is that of the newest list of live entries that the sender has.
 	LiveDigest uint64 `msgpack:"liveDigest,omitempty"`
 
-	// Usage and Uses leave out what the replica's life was told of before.
+	// Usage leaves out what the replica's life was told of before.
 	Usage []WindowUsage `msgpack:"usage,omitempty"` // all that the sender counted, newest windows
 	// OpenWindow is the window in which the sender counts now: nothing more comes for
 	// earlier ones.
-	OpenWindow int64         `msgpack:"open,omitempty"`
-	Loads      []ServerLoad  `msgpack:"loads,omitempty"` // what the sender has running, none left out
-	Uses       []Use         `msgpack:"uses,omitempty"`  // what the sender has let in since its start
-	Work       []ServiceWork `msgpack:"work,omitempty"`
+	OpenWindow int64        `msgpack:"open,omitempty"`
+	Loads      []ServerLoad `msgpack:"loads,omitempty"` // what the sender has running, none left out
+	// ShareOf is the number of which the sender's largest share of the limits is a part;
+	// 0 if it has none.
+	ShareOf int           `msgpack:"shareOf,omitempty"`
+	Work    []ServiceWork `msgpack:"work,omitempty"`
 }
 
 // News reports whether a catalogue of this revision is news to the sender.
@@ -82,12 +85,6 @@
 	return r.Lacks(revision)
 }
 
-// Use is how much of a workspace's limit has been let in, in the limit's unit.
-type Use struct {
-	Workspace string  `msgpack:"w"`
-	Amount    float64 `msgpack:"n"`
-}
-
 // ServerLoad is what runs and waits at a backend server.
 type ServerLoad struct {
 	Server  string `msgpack:"s"`
@@ -129,8 +126,8 @@
 	HasLoads   bool          `msgpack:"hasLoads"`
 	Loads      []ServerLoad  `msgpack:"loads,omitempty"` // what all other entries have running, none left out, if HasLoads
 	Work       []ServiceWork `msgpack:"work,omitempty"`  // rates that the entries have learnt
-	Uses       []Use         `msgpack:"uses"`            // what all other entries have let in since this replica began
-	Clock      time.Time     `msgpack:"clock"`           // the replica's time of day
+	Share      limit.Word    `msgpack:"share"`
+	Clock      time.Time     `msgpack:"clock"` // the replica's time of day
 }
 
 // ReviseRequest brings a catalogue, whole, as the operator sent it.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -63,7 +63,7 @@
 	revisions  *revisions
 	usage      *usageBook
 	loads      *loadBook
-	uses       *useBook
+	shares     *shareBook
 	work       *workBook
 	clock      *wallclock.Clock
 	pool       *link.Pool
@@ -105,9 +105,10 @@
 			SilentAfter: silentAfter(cfg.Node.AnnounceEvery), EntrySilentAfter: entrySilentAfter, ForgetAfter: directory.DefaultForgetAfter,
 			AddressKept: time.Duration(addressPart * float64(cfg.Node.Bounds.AddressReuse)),
 		}),
-		revisions: newRevisions(), usage: newUsageBook(cfg.Node.Bounds.UsageWindows()), loads: newLoadBook(), uses: newUseBook(), work: newWorkBook(), clock: wallclock.System(),
+		revisions: newRevisions(), usage: newUsageBook(cfg.Node.Bounds.UsageWindows()), loads: newLoadBook(), work: newWorkBook(), clock: wallclock.System(),
 		stopping: make(chan struct{}), heard: make(map[string]time.Time),
 	}
+	c.shares = newShareBook(deps.Now(), cfg.Node.FirstStart)
 	c.live = &liveEntries{entries: c.directory.LiveEntries}
 	c.traffic = link.NewTraffic(c.metrics)
 	c.pool = link.NewPool(api.PoolConfig(c.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: c.traffic})
--- a/coordinator/follow/said.go
+++ b/coordinator/follow/said.go
@@ -10,14 +10,13 @@
 // since the call names the life before, and its reply brings the new life.
 type said struct {
 	life  uint64
-	usage map[int64]int64    // requests by window
-	uses  map[string]float64 // by workspace
+	usage map[int64]int64 // requests by window
 }
 
 // trim takes from a call to a life of a replica what it has been told.
 func (s *said) trim(req *api.WatchRequest) {
 	if req.Life != s.life || s.usage == nil {
-		*s = said{life: req.Life, usage: make(map[int64]int64), uses: make(map[string]float64)}
+		*s = said{life: req.Life, usage: make(map[int64]int64)}
 	}
 	var usage []api.WindowUsage
 	for _, w := range req.Usage {
@@ -25,13 +24,7 @@
 			usage = append(usage, w)
 		}
 	}
-	var uses []api.Use
-	for _, u := range req.Uses {
-		if told, known := s.uses[u.Workspace]; !known || told != u.Amount {
-			uses = append(uses, u)
-		}
-	}
-	req.Usage, req.Uses = usage, uses
+	req.Usage = usage
 }
 
 // note takes that a call was answered.
@@ -39,9 +32,6 @@
 	for _, w := range req.Usage {
 		s.usage[w.Window] = total(w)
 	}
-	for _, u := range req.Uses {
-		s.uses[u.Workspace] = u.Amount
-	}
 	for w := range s.usage {
 		if w < req.OpenWindow-mostWindows {
 			delete(s.usage, w)
--- a/coordinator/remembered.go
+++ b/coordinator/remembered.go
@@ -52,6 +52,9 @@
 type savedServers struct {
 	At      time.Time          `msgpack:"at"`
 	Servers []directory.Server `msgpack:"servers"`
+	Entries []directory.Entry  `msgpack:"entries"`
+	// Sharers are the entries that may use a share of the limits.
+	Sharers []string `msgpack:"sharers"`
 }
 
 // slot is a file. A torn write leaves a body that does not match its sum.
@@ -137,7 +140,12 @@
 	for i := range s.Servers {
 		s.Servers[i].HeardAgo = age
 	}
-	c.directory.Merge(directory.Origin{}, s.Servers, nil, now)
+	for i := range s.Entries {
+		// Entries ask each other by their addresses; callers are sent to one once it has called.
+		s.Entries[i].HeardAgo = max(s.Entries[i].HeardAgo+age, entrySilentAfter+time.Millisecond)
+	}
+	c.directory.Merge(directory.Origin{}, s.Servers, s.Entries, now)
+	c.shares.recall(s.Sharers, now)
 	event.Log(ctx, c.log, slog.LevelInfo, event.ServersRecalled, slog.Int("servers", len(s.Servers)), slog.Duration("age", age))
 }
 
@@ -150,7 +158,7 @@
 			return
 		}
 		now := c.now()
-		s := savedServers{At: now, Servers: well(c.directory.Servers(now))}
+		s := savedServers{At: now, Servers: well(c.directory.Servers(now)), Entries: c.directory.Entries(now), Sharers: c.shares.names(now)}
 		go func() {
 			defer busy.Store(false)
 			err := c.memory.save(s)
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -53,7 +53,9 @@
 	if req.Life != c.life {
 		seen = 0
 	}
-	c.waitForNews(ctx, req, seen)
+	if !c.lacksShare(&req) {
+		c.waitForNews(ctx, req, seen)
+	}
 	now := c.now()
 	changes := c.directory.Since(seen, req.Role == api.RoleControl, now)
 	live := c.live.at(now)
@@ -70,7 +72,7 @@
 			}
 		}
 		reply.Work = c.work.rates()
-		reply.Uses = c.uses.others(entryLife{req.Entry.Name, req.Entry.Incarnation})
+		reply.Share = c.shares.word(req.Entry.Name, now)
 	}
 	revision, document, _ := c.revisions.newest()
 	reply.Revision = revision
@@ -80,6 +82,12 @@
 	return reply, nil
 }
 
+// lacksShare reports whether the sender is an entry that has heard nothing of its share of
+// the limits yet. It refuses callers until it has.
+func (c *Coordinator) lacksShare(req *api.WatchRequest) bool {
+	return req.Entry != nil && req.ShareOf == 0 && c.shares.word(req.Entry.Name, c.now()).Entries > 0
+}
+
 // noteWatcher takes what the call tells of its sender.
 func (c *Coordinator) noteWatcher(from link.PeerInfo, req api.WatchRequest) {
 	if req.Entry != nil {
@@ -88,8 +96,8 @@
 			// A call that was meant for the life before leaves out what that one was told. It
 			// would pass for all that the entry has counted.
 			c.usage.note(entryLife{req.Entry.Name, req.Entry.Incarnation}, req.OpenWindow, req.Usage)
-			c.uses.note(entryLife{req.Entry.Name, req.Entry.Incarnation}, req.Uses)
 		}
+		c.shares.note(req.Entry.Name, req.ShareOf, c.now())
 		c.loads.note(req.Entry.Name, req.Loads, c.now())
 		c.work.note(entryLife{req.Entry.Name, req.Entry.Incarnation}, req.Work, c.now())
 	}
--- a/directory/store.go
+++ b/directory/store.go
@@ -350,6 +350,21 @@
 	return out
 }
 
+// Entries returns all entries that are known, ordered by name. Those that were not heard of
+// late may be gone.
+func (s *Store) Entries(now time.Time) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Entry, 0, len(s.entries))
+	for _, held := range s.entries {
+		rec := held.Entry
+		rec.HeardAgo = now.Sub(held.heard)
+		out = append(out, rec)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
 // LiveEntries returns the entries that serve and have been heard within
 // EntrySilentAfter, ordered by name.
 func (s *Store) LiveEntries(now time.Time) []Entry {
--- a/event/event.go
+++ b/event/event.go
@@ -67,6 +67,7 @@
 	DatagramNotSent   Kind = 3102
 	LimitUsed         Kind = 3103
 	LimitOwned        Kind = 3104
+	ShareChanged      Kind = 3105
 	RevisionTaken     Kind = 5010
 	RevisionRefused   Kind = 5011
 	CloudCalled       Kind = 5301
@@ -124,7 +125,8 @@
 	{MemberChanged, "instance changed"},
 	{DatagramNotSent, "datagrams to other entries fail"},
 	{LimitUsed, "use of a workspace that was refused"},
-	{LimitOwned, "owner of a limit"},
+	{LimitOwned, "keeper of a limit"},
+	{ShareChanged, "share of the limits"},
 	{CatalogueChanged, "catalogue changed"},
 	{CatalogueRefused, "catalogue change refused"},
 	{CatalogueTaken, "catalogue version in force here"},
--- a/gateway/bookkeeper.go
+++ b/gateway/bookkeeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"maps"
 	"net"
 	"net/netip"
@@ -11,7 +10,6 @@
 	"time"
 
 	"savoryreel.example/savoryreel/directory"
-	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/policy/booking"
 )
 
@@ -33,19 +31,16 @@
 type bookkeeper struct {
 	self    booking.Teller
 	now     func() time.Time
-	entries func() []directory.Entry
+	entries func() []directory.Entry    // that are up
+	known   func() []directory.Entry    // also those that may be gone
 	port    func(host string) string    // address of an entry's datagrams
 	rate    func(server string) float64 // prompt tokens that a server reads in a second
-	// bucket returns that of a limit that this entry owns, or nil for one that is not
-	// known here.
-	bucket func(kept *booking.Limits, workspace string, now time.Time) *booking.Bucket
-	wire   wire
-	log    *slog.Logger
+	wire    wire
+	limits  *limits
 
 	mu       sync.Mutex
 	sequence uint64
 	book     *booking.Book
-	limits   *booking.Limits
 	owners   *booking.Owners
 	address  map[string]netip.AddrPort // by entry
 	listed   time.Time                 // when owners was made
@@ -65,26 +60,22 @@
 	done    chan struct{} // closed when all have
 }
 
-// wait returns once all have answered, or it would take too long.
-func (q *question) wait(ctx context.Context) {
+// wait returns once all have answered, or it would take too long. It reports whether all
+// have.
+func (q *question) wait(ctx context.Context) bool {
 	timeout := time.NewTimer(askWait)
 	defer timeout.Stop()
 	select {
 	case <-q.done:
+		return true
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
-}
-
-// logOwner writes that this entry has begun to decide on a limit, or no longer does, with
-// how many entries it knows to be up.
-func (k *bookkeeper) logOwner(workspace string, owned bool, entries int) {
-	event.Log(context.Background(), k.log, slog.LevelInfo, event.LimitOwned,
-		slog.String("workspace", workspace), slog.Bool("owned", owned), slog.Int("entries", entries))
+	return false
 }
 
 func newBookkeeper(self booking.Teller, now func() time.Time) *bookkeeper {
-	return &bookkeeper{self: self, now: now, log: slog.New(slog.DiscardHandler), book: booking.NewBook(), limits: booking.NewLimits(), owners: booking.NewOwners(nil), asked: make(map[uint64]*question)}
+	return &bookkeeper{self: self, now: now, book: booking.NewBook(), owners: booking.NewOwners(nil), asked: make(map[uint64]*question)}
 }
 
 // ask returns what others have running at the servers now, as far as their owners
@@ -127,9 +118,6 @@
 	return serverLoad{Server: server, Running: l.Running, Prefill: l.Prefill, Down: l.Down}
 }
 
-// owns reports whether this entry decides on what key stands for. k.mu is held.
-func (k *bookkeeper) owns(key string) bool { return k.owners.Of(key) == k.self.Name }
-
 // list brings the owners up to date. k.mu is held.
 func (k *bookkeeper) list(now time.Time) {
 	if now.Sub(k.listed) < ownersFor {
@@ -143,21 +131,22 @@
 			names = append(names, e.Name)
 			continue
 		}
-		host, _, err := net.SplitHostPort(e.Address)
-		if err != nil {
-			continue // it can't be asked
-		}
-		addr, err := netip.ParseAddrPort(k.port(host))
-		if err != nil {
-			continue
+		if addr, ok := k.datagramsOf(&e); ok {
+			names = append(names, e.Name)
+			k.address[e.Name] = addr
 		}
-		names = append(names, e.Name)
-		k.address[e.Name] = addr
 	}
 	k.owners = booking.NewOwners(names)
-	for _, workspace := range k.limits.Keep(func(workspace string) bool { return k.owns(limitKey(workspace)) }) {
-		k.logOwner(workspace, false, len(names))
+}
+
+// datagramsOf returns where an entry takes datagrams. ok is false if it can't be asked.
+func (k *bookkeeper) datagramsOf(e *directory.Entry) (addr netip.AddrPort, ok bool) {
+	host, _, err := net.SplitHostPort(e.Address)
+	if err != nil {
+		return netip.AddrPort{}, false
 	}
+	addr, err = netip.ParseAddrPort(k.port(host))
+	return addr, err == nil
 }
 
 func (k *bookkeeper) open(owners int) (*question, uint64) {
@@ -187,8 +176,16 @@
 		k.answered(&m)
 	case askLimit:
 		k.answerLimit(&m)
-	case noteUse:
-		k.use(m.Limit)
+	case noteRefund:
+		k.limits.putBack(m.Limit)
+	case askShares:
+		k.limits.lend(&m)
+	case lendShares:
+		k.limits.borrowed(&m)
+	case askBack:
+		k.limits.giveBack(&m)
+	case gaveBack:
+		k.limits.tookBack(&m)
 	case noteLoads:
 		k.mu.Lock()
 		defer k.mu.Unlock()
@@ -267,17 +264,9 @@
 func (g *Gateway) newBooks() *bookkeeper {
 	k := newBookkeeper(booking.Teller{Name: g.cfg.Node.Name, Life: g.life}, g.now)
 	k.entries = func() []directory.Entry { return g.peers.entries(g.now()) }
+	k.known = func() []directory.Entry { return g.directory.Entries(g.now()) }
 	k.port = g.cfg.Node.EntryBooks
 	k.rate = g.serverRate
-	k.log = g.log
-	k.bucket = func(kept *booking.Limits, workspace string, now time.Time) *booking.Bucket {
-		begins := !kept.Has(workspace)
-		b := g.limiter.owned(kept, workspace, now)
-		if begins && b != nil {
-			k.logOwner(workspace, true, len(k.address)+1)
-		}
-		return b
-	}
 	g.datagrams = newDatagrams(g.cfg.ClusterKey, g.log, k.take)
 	k.wire = g.datagrams
 	return k
--- a/gateway/catalogue.go
+++ b/gateway/catalogue.go
@@ -26,7 +26,7 @@
 			slog.Uint64("revision", revision), slog.String("peer", from), slog.String("error", err.Error()))
 		return
 	}
-	g.limiter.setWorkspaces(catalogue.Workspaces, g.now())
+	g.limits.setWorkspaces(catalogue.Workspaces)
 	g.keepRoutes(catalogue)
 	g.table.Store(routes.NewTable(catalogue))
 	event.Log(context.Background(), g.log, slog.LevelInfo, event.RevisionTaken,
--- a/gateway/datagram.go
+++ b/gateway/datagram.go
@@ -7,10 +7,10 @@
 	"crypto/sha256"
 	"errors"
 	"log/slog"
-	"math"
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
@@ -48,6 +48,9 @@
 	Loads    []serverLoad
 	Limit    *limitQuestion
 	Answer   *limitAnswer
+	Shares   *sharesMessage
+	Held     bool          // shares that are given back
+	Up       time.Duration // since the sender's start
 }
 
 // messageKind says what a message is.
@@ -61,12 +64,20 @@
 	tellLoads
 	// noteLoads tells a server's owner what the sender has running there now.
 	noteLoads
-	// askLimit asks the owner of a workspace's limit to let a request in.
+	// askLimit asks the keeper of a pool of a workspace's limit to let a request in.
 	askLimit
 	// tellLimit answers it.
 	tellLimit
-	// noteUse tells the owner what was let in without asking, or given back.
-	noteUse
+	// noteRefund gives back what a request that did not run had taken.
+	noteRefund
+	// askShares asks an entry for its shares of pools.
+	askShares
+	// lendShares answers it.
+	lendShares
+	// askBack asks an entry to give back what the life before the sender's had lent it.
+	askBack
+	// gaveBack answers it.
+	gaveBack
 )
 
 // serverLoad is what runs and waits at a backend server.
@@ -178,19 +189,34 @@
 		}
 	}
 	switch m.Kind {
-	case askLimit, noteUse:
-		return m.Limit != nil && m.Limit.sane(m.Kind == noteUse)
+	case askLimit, noteRefund:
+		return m.Limit != nil && m.Limit.sane()
+	case askShares:
+		return m.Shares != nil && m.Shares.sane()
+	case lendShares:
+		return m.Shares != nil && m.Shares.sane() && len(m.Shares.Saved) == len(m.Shares.Pools)
 	case tellLimit:
 		return m.Answer != nil && m.Answer.Wait >= 0
+	case gaveBack:
+		return m.Up >= 0
 	default:
 		return true
 	}
 }
 
-// sane reports whether the question is one that an entry asks. back allows that use is
-// given back.
-func (q *limitQuestion) sane(back bool) bool {
-	return q.Workspace != "" && (back || q.Cost >= 0) && math.Abs(q.Cost) <= mostLoad // not for NaN either
+// sane reports whether the question is one that an entry asks.
+func (q *limitQuestion) sane() bool {
+	return q.Workspace != "" && q.Cost >= 0 && q.Cost <= mostLoad // not for NaN either
+}
+
+// sane reports whether shares are such as an entry has.
+func (s *sharesMessage) sane() bool {
+	for _, n := range s.Saved {
+		if !(n >= 0 && n <= mostLoad) { // not for NaN either
+			return false
+		}
+	}
+	return s.For > 0 && s.Part >= 0 && s.Part <= 1
 }
 
 func (d *datagrams) code(body []byte) []byte {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -32,7 +32,7 @@
 		self := g.self()
 		req.Entry = &self
 		req.Loads = g.loads()
-		req.Uses = g.limiter.used()
+		req.ShareOf = g.shares.inUse()
 		req.Work = g.work()
 		req.LiveDigest = g.peers.known()
 	}
@@ -43,6 +43,9 @@
 func (g *Gateway) watchWait() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.shares.settled(g.now()) {
+		return min(max(time.Duration(g.shares.inUse())*startWatchEach, startWatchMin), watchMin)
+	}
 	return min(max(time.Duration(g.entries)*watchEach, watchMin), watchMax)
 }
 
@@ -62,9 +65,8 @@
 		g.noteOthers(r.Loads)
 	}
 	g.noteRates(r.Work)
-	if r.Uses != nil {
-		g.limiter.noteOthers(addr, r.Life, r.Uses, g.now())
-	}
+	g.shares.take(addr, r.Share, len(r.Replicas), g.now())
+	g.limits.takePart()
 }
 
 // replicaLost takes the word that a control replica no longer answers.
@@ -148,7 +150,6 @@
 		return
 	}
 	g.entries = most
-	g.limiter.setEntries(most)
 	g.retryMu.Lock()
 	g.retries.SetMinBudget(retryBudget(g.cfg.Node.Bounds, most))
 	g.retryMu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,7 +60,7 @@
 	traffic   *link.Traffic
 	follower  *follow.Follower
 	pool      *backend.Pool
-	limiter   *limiter
+	shares    *shares
 	peers     *peers
 	books     *bookkeeper
 	datagrams *datagrams
@@ -100,14 +100,14 @@
 	g := &Gateway{
 		cfg: cfg, deps: deps, log: deps.Log, now: deps.Now, life: uint64(time.Now().UnixMilli()), metrics: metrics.NewSet(),
 		directory: directory.NewStore(directory.Config{ForgetAfter: directory.DefaultForgetAfter}),
-		clock:     wallclock.System(), limiter: newLimiter(b), services: make(map[string]*service), entries: 1,
+		clock:     wallclock.System(), shares: newShares(deps.Now()), services: make(map[string]*service), entries: 1,
 		live: make(map[string]liveCount), callers: patience.NewBook(),
 		pool: backend.NewPool(backend.DefaultConfig(), deps.Now),
 	}
 	g.peers = &peers{directory: g.directory}
 	g.uses = newLimitUses(g.log, g.metrics, g.now)
 	g.books = g.newBooks()
-	g.limits = newLimits(g.books, g.limiter, g.now)
+	g.limits = newLimits(g.books, g.shares, b, g.log, g.now)
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
 	g.outcomes = outcomes{set: g.metrics}
 	g.ordinary = event.NewSampler(g.log, g.now, event.DefaultOrdinary)
@@ -143,6 +143,10 @@
 	watchMin  = 400 * time.Millisecond
 	watchMax  = time.Second
 	watchEach = 20 * time.Millisecond
+	// startWatchMin and startWatchEach are the same for an entry that has just started and
+	// waits to hear of the others before it may use its share of the limits.
+	startWatchMin  = 30 * time.Millisecond
+	startWatchEach = time.Millisecond
 )
 
 // retryConfig returns the retry policy for a site's budget. Callers' objectives are
@@ -229,6 +233,13 @@
 			g.applyDirectory()
 		})
 	})
+	daemon.Actor(&group, func(ctx context.Context) error {
+		return daemon.Every(ctx, askEvery, func() {
+			g.limits.takePart()
+			g.limits.askSharesBack()
+			g.limits.askShares()
+		})
+	})
 	daemon.Actor(&group, func(ctx context.Context) error { return daemon.Every(ctx, useLineEvery, g.uses.write) })
 	daemon.EndWith(ctx, &group)
 	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.CloseGrace, g.log)
--- a/gateway/limituse.go
+++ b/gateway/limituse.go
@@ -60,7 +60,7 @@
 
 // noteDecision counts a decision.
 func (u *limitUses) noteDecision(workspace string, cost float64, d *decision) {
-	grounds := d.grounds()
+	grounds := string(d.grounds)
 	verdict := "refused"
 	if d.ok {
 		verdict = "let in"
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -17,9 +17,10 @@
 	at     time.Time // of the last word
 }
 
-// peersFor is how long a list of the entries stands without a new word. An entry that is
-// cut off would go on to decide by itself what another one decides for all meanwhile.
-const peersFor = 3 * time.Second
+// peersFor is how long a list of the entries stands without a new word. Without one no
+// entry keeps books or limits for the others, so it outlasts most losses of the control
+// replicas.
+const peersFor = 10 * time.Second
 
 // known returns the digest of the list that is held.
 func (p *peers) known() uint64 {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -44,6 +44,7 @@
 	began     time.Time
 	deadline  time.Time
 	cost      float64
+	limited   decision  // on its workspace's limit
 	letIn     time.Time // within its workspace's limit
 	late      bool      // its objective has passed since its caller's first try
 	prefixes  []route.CachedPrefix
@@ -72,7 +73,7 @@
 		refusal = j.run(runCtx)
 		cancel()
 		if refusal != nil && refusal.Reason.NotRun() && j.workspace != nil {
-			g.limits.refund(j.workspace.Name, j.cost)
+			g.limits.refund(j.workspace.Name, j.cost, &j.limited)
 		}
 	}
 	j.logEnd(refusal)
@@ -100,11 +101,8 @@
 	if j.workspace != nil {
 		j.cost = cost(j.workspace, j.Request)
 		j.late = g.late(j.route, j.CallerTimeout)
-		d := g.limits.take(ctx, j.workspace.Name, j.cost, j.late)
-		g.uses.noteDecision(j.workspace.Name, j.cost, &d)
-		j.letIn = g.now()
-		if !d.ok {
-			return &Refusal{Reason: OverLimit, RetryAfter: d.wait, Detail: d.grounds()}
+		if refusal := j.takeLimit(ctx); refusal != nil {
+			return refusal
 		}
 	}
 	j.service = g.service(j.route.Choose(rand.Float64()))
@@ -113,6 +111,18 @@
 	return nil
 }
 
+// takeLimit uses up the request's cost of its workspace's limit.
+func (j *job) takeLimit(ctx context.Context) *Refusal {
+	g := j.gateway
+	j.limited = g.limits.take(ctx, j.workspace.Name, j.cost, j.late)
+	j.letIn = g.now()
+	g.uses.noteDecision(j.workspace.Name, j.cost, &j.limited)
+	if !j.limited.ok {
+		return &Refusal{Reason: OverLimit, RetryAfter: j.limited.wait, Detail: string(j.limited.grounds)}
+	}
+	return nil
+}
+
 // workspaceName is empty on public routes.
 func (j *job) workspaceName() string {
 	if j.workspace == nil {
--- /dev/null
+++ b/gateway/shares.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/policy/limit"
+)
+
+// shares is this entry's share of the workspaces' limits, as the control replicas say.
+type shares struct {
+	mu    sync.Mutex
+	words *limit.Words
+}
+
+func newShares(start time.Time) *shares { return &shares{words: limit.NewWords(start)} }
+
+// take takes a replica's word. replicas is how many it knows, itself among them.
+func (s *shares) take(replica string, word limit.Word, replicas int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.words.Take(replica, word, replicas, now)
+}
+
+// part returns this entry's share of every limit.
+func (s *shares) part(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.words.Part(now)
+}
+
+// inUse returns the number of which the largest share that may be in use is a part.
+func (s *shares) inUse() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.words.InUse()
+}
+
+// settled reports whether what the life before this one had lent is back.
+func (s *shares) settled(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.words.Settled(now)
+}
+
+// returned takes that an entry, which started so long ago, has given back what the life
+// before this one had lent it, if it held anything.
+func (s *shares) returned(entry string, held bool, up time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.words.Returned(entry, held, up, now)
+}
+
+// freeSince is since when nobody has used this entry's share, when it gets one first.
+func (s *shares) freeSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.words.FreeSince()
+}
+
+// String tells for the log what the share is taken from.
+func (s *shares) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.words.String()
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -15,6 +15,7 @@
 
 	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/limit"
 	"savoryreel.example/savoryreel/policy/retry"
 	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/site"
@@ -98,6 +99,13 @@
 	}
 }
 
+// haveWholeLimits has a control replica say that the gateway is the only entry, for long.
+func (r *rig) haveWholeLimits() {
+	r.skip.Add(int64(time.Minute))
+	r.shares.take("c1", limit.Word{Entries: 1, Allowed: true}, 1, r.now())
+	r.Gateway.limits.takePart()
+}
+
 // server adds a stand-in to a service.
 func (r *rig) server(service string, handle http.HandlerFunc) *standIn {
 	s := &standIn{}
--- a/policy/booking/owner.go
+++ b/policy/booking/owner.go
@@ -1,6 +1,8 @@
 package booking
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"savoryreel.example/savoryreel/policy/hash"
@@ -23,13 +25,25 @@
 }
 
 // Of returns the name of a server's owner; empty where there are no entries.
-func (o *Owners) Of(server string) string {
-	key := xxhash.Sum64String(server)
-	best, owner := uint64(0), ""
-	for i, h := range o.hashes {
-		if rank := hash.Pair(key, h); owner == "" || rank > best {
-			best, owner = rank, o.names[i]
+func (o *Owners) Of(server string) string { return o.Ranked(server, 0) }
+
+// Ranked returns the name of the entry that comes after so many others as the owner of what
+// key stands for. Where there are fewer entries it begins again with the first one.
+func (o *Owners) Ranked(key string, place int) string {
+	if len(o.names) == 0 {
+		return ""
+	}
+	sum := xxhash.Sum64String(key)
+	below, name := uint64(math.MaxUint64), ""
+	for range place%len(o.names) + 1 {
+		best := uint64(0)
+		name = ""
+		for i, h := range o.hashes {
+			if rank := hash.Pair(sum, h); rank < below && (name == "" || rank > best) {
+				best, name = rank, o.names[i]
+			}
 		}
+		below = best
 	}
-	return owner
+	return name
 }
