gateway: a request that was let in long ago is let in anew before it is sent

What was let in more than a second before its first send uses up the limit once more, or is refused as not run.

TestRequestThatWasLetInLongAgo does not compile on the code before, which has no such step.

--- a/gateway/limituse_test.go
+++ b/gateway/limituse_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/routes"
 )
 
 // A workspace has passed its limit over all entries. The lines of each entry say what it
@@ -39,3 +41,30 @@
 	require.Equal(t, 1, strings.Count(log.buf.String(), "\n"))
 	require.Empty(t, u.uses)
 }
+
+// An entry stands still after it has let a request in. When it goes on, what it let in
+// before is let in anew: sent beside what others let in now, it would pass the limit.
+func TestRequestThatWasLetInLongAgo(t *testing.T) {
+	r := newRig(t)
+	r.use(routes.Route{Prefix: "/", Kind: routes.NonIdempotent})
+	server := r.server("web", say("ok"))
+	c := *r.table.Load().Catalogue()
+	c.Workspaces = []routes.Workspace{{Name: "w", Keys: []string{"k"}, PerSecond: 0.1, Burst: 1}}
+	r.limits.setWorkspaces(c.Workspaces)
+	r.table.Store(routes.NewTable(&c))
+	r.haveWholeLimits()
+	j := &job{Request: &Request{ID: "1", Key: "k", Path: "/x", Host: "a.example"}, gateway: r.Gateway, began: r.now()}
+	require.Nil(t, j.admit(t.Context()))
+	require.Nil(t, j.renewLimit(t.Context()), "it was let in just now")
+
+	for j.limited.ok { // the limit is used up
+		require.Equal(t, j.limited.ok, j.takeLimit(t.Context()) == nil)
+	}
+	r.skip.Add(int64(sendWithin + time.Millisecond))
+	refusal := j.renewLimit(t.Context())
+	require.NotNil(t, refusal)
+	require.Equal(t, OverLimit, refusal.Reason)
+	j.sends = 1
+	require.Nil(t, j.renewLimit(t.Context()), "it was sent in time")
+	require.Zero(t, server.count())
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -123,6 +123,19 @@
 	return nil
 }
 
+// sendWithin is for how long a request that was let in may be sent.
+const sendWithin = time.Second
+
+// renewLimit uses up the request's cost once more if it was let in long ago and has not been
+// sent. An entry that stood still would send in one moment what it had let in before, beside
+// what is let in now.
+func (j *job) renewLimit(ctx context.Context) *Refusal {
+	if j.workspace == nil || j.sends > 0 || j.gateway.now().Sub(j.letIn) <= sendWithin {
+		return nil
+	}
+	return j.takeLimit(ctx)
+}
+
 // workspaceName is empty on public routes.
 func (j *job) workspaceName() string {
 	if j.workspace == nil {
@@ -157,6 +170,10 @@
 		if !ok {
 			return j.noServer(&c)
 		}
+		if refusal := j.renewLimit(ctx); refusal != nil {
+			j.service.end(&c, endedByCaller, j.gateway.now())
+			return refusal
+		}
 		j.logChoice(&c)
 		result := j.runAt(ctx, &c)
 		if result.refusal == nil && !result.again {
