gateway: entries that start have their shares at the keepers as soon as all are known

Cause: the lists of entries and of pools to keep were taken every 500 ms, and an entry that had a share waited 400 ms for the next word of a replica, so for up to 900 ms each entry used its sixth of a limit by itself. Now a changed list is taken at once, and an entry that starts asks often until it knows of all others that share the limits, for two seconds at most.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -41,9 +41,10 @@
 
 // watchWait is how long a replica is to keep a call waiting.
 func (g *Gateway) watchWait() time.Duration {
+	starting := g.limits.starting()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.shares.settled(g.now()) {
+	if starting {
 		return min(max(time.Duration(g.shares.inUse())*startWatchEach, startWatchMin), watchMin)
 	}
 	return min(max(time.Duration(g.entries)*watchEach, watchMin), watchMax)
@@ -59,7 +60,9 @@
 	}
 	g.directory.Merge(directory.Origin{Replica: addr, Life: r.Life}, r.Servers, r.Entries, g.now())
 	g.countEntries(addr, r.Live)
-	g.peers.take(r.LiveDigest, r.LiveNames, g.now())
+	if g.peers.take(r.LiveDigest, r.LiveNames, g.now()) {
+		g.books.relist()
+	}
 	g.applyDirectory()
 	if r.HasLoads {
 		g.noteOthers(r.Loads)
--- a/gateway/limitquestions.go
+++ b/gateway/limitquestions.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"time"
 
 	"savoryreel.example/savoryreel/policy/limit"
 )
@@ -35,6 +36,21 @@
 	return slices.Sorted(maps.Keys(k.address))
 }
 
+// relist has the list of the entries taken anew when it is used next: it has changed.
+func (k *bookkeeper) relist() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.listed = time.Time{}
+}
+
+// listedAt returns when the list of the entries was taken.
+func (k *bookkeeper) listedAt() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.list(k.now())
+	return k.listed
+}
+
 // addressOf returns where an entry takes datagrams, if it is known to be up.
 func (k *bookkeeper) addressOf(entry string) (netip.AddrPort, bool) {
 	k.mu.Lock()
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -130,6 +130,7 @@
 		}
 	}
 	l.keeper.Keep(func(workspace string) bool { return l.workspaces[workspace].PerSecond > 0 }, l.now())
+	l.asking.listed = time.Time{}
 }
 
 // takePart takes this entry's share of each limit as the control replicas say it.
--- a/gateway/limitshares.go
+++ b/gateway/limitshares.go
@@ -13,7 +13,7 @@
 	askEvery = 50 * time.Millisecond
 	// startFor is how long after its start a keeper asks each entry every startAskPeriod:
 	// where all have started at once, each of them has a share at another moment.
-	startFor       = time.Second
+	startFor       = 2 * time.Second
 	startAskPeriod = 100 * time.Millisecond
 	// clockPart is the part of a lease that the keeper counts on: clocks may differ by so
 	// much in their rates.
@@ -36,8 +36,9 @@
 	next int     // among the entries by name
 	due  float64 // entries whose turn it is
 	keys []limit.Key
-	made time.Time              // when keys was
-	open map[uint64]askedShares // by sequence
+	// listed is when the list of entries was taken that keys was made from.
+	listed time.Time
+	open   map[uint64]askedShares // by sequence
 }
 
 // askedShares is a question that was sent.
@@ -53,8 +54,8 @@
 	names := l.books.peers()
 	l.mu.Lock()
 	now := l.now()
-	if now.Sub(l.asking.made) >= ownersFor {
-		l.asking.keys, l.asking.made = l.ownKeys(), now
+	if listed := l.books.listedAt(); listed != l.asking.listed {
+		l.asking.keys, l.asking.listed = l.ownKeys(), listed
 		l.noteKept(now)
 	}
 	keys := l.asking.keys
@@ -197,6 +198,16 @@
 	held bool
 }
 
+// starting reports whether this entry has just started and does not know yet of all others
+// that share the limits: it uses no share, or can't lend it to the keepers.
+func (l *limits) starting() bool {
+	now := l.now()
+	if !l.shares.settled(now) {
+		return true
+	}
+	return now.Sub(l.start) < startFor && len(l.books.peers())+1 < l.shares.inUse()
+}
+
 // askSharesBack asks all other entries for what the life before this one may have lent
 // them. Until they have answered, or such a lease must have run out, this entry uses no
 // share.
--- a/gateway/limitsite_test.go
+++ b/gateway/limitsite_test.go
@@ -9,11 +9,13 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/directory"
@@ -130,11 +132,16 @@
 			names = append(names, o.name)
 		}
 	}
-	e.peers.take(uint64(len(names)), names, now)
+	if e.peers.take(digestOf(names), names, now) {
+		e.books.relist()
+	}
 	e.site.roster.Note(e.name, e.limits.shares.inUse(), now)
 	e.limits.shares.take("c1", e.site.roster.Word(e.name, now), 1, now)
 }
 
+// digestOf stands for a list of names.
+func digestOf(names []string) uint64 { return xxhash.Sum64String(strings.Join(names, ",")) }
+
 // shareOut is what an entry does every askEvery.
 func (e *limitEntry) shareOut() {
 	e.limits.takePart()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -33,15 +33,19 @@
 // that sends them, if the digest is not that of the list that is held. Any replica of the
 // same list confirms it; if only the one that sends names did, the list would lapse when
 // that one is frozen, before another one is asked for it.
-func (p *peers) take(digest uint64, names []string, now time.Time) {
+//
+// It reports whether the list is another one than before.
+func (p *peers) take(digest uint64, names []string, now time.Time) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case len(names) > 0:
+		changed = digest != p.digest
 		p.digest, p.names, p.at = digest, names, now
 	case digest == p.digest:
 		p.at = now
 	}
+	return changed
 }
 
 // entries returns the records of the entries that are up, this one among them if it is
