gateway: limits are kept in sixteen groups, and an entry that starts asks only those that have not answered

Cost, not callers: with 191 entries the questions for shares took as many datagrams again as requests do (38 keepers), and an entry that started asked all others every 50 ms, each time looking through all it knows for each of them. The limits of a group have the same two keepers now, and who has answered is not asked again.

--- a/gateway/limitquestions.go
+++ b/gateway/limitquestions.go
@@ -5,8 +5,12 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/policy/limit"
 )
 
@@ -14,10 +18,15 @@
 // datagram may be lost, or its reader be busy for a moment.
 const limitTries = 3
 
-// limitKey tells a workspace's limit from a server of the same name among what entries
-// keep. Its pools go to the entries that come first, one each, so that the loss of one
-// leaves the others.
-func limitKey(key limit.Key) string { return "limit/" + key.Workspace }
+// limitGroups is in how many groups the workspaces' limits are kept together. With one keeper
+// for each pool, entries would be asked for their shares by ever more keepers.
+const limitGroups = 16
+
+// limitKey names the group of a workspace's limit, apart from any server. The pools of a group
+// go to the entries that come first, one each, so that the loss of one leaves the others.
+func limitKey(key limit.Key) string {
+	return "limits/" + strconv.FormatUint(xxhash.Sum64String(key.Workspace)%limitGroups, 10)
+}
 
 // ownerOf returns the entry that should keep a pool, by the list that is held here; empty
 // where there is none.
@@ -61,12 +70,10 @@
 }
 
 // sendKnown sends a message to an entry that is known, whether or not it is up.
-func (k *bookkeeper) sendKnown(entry string, m *message) {
-	m.From, m.Life = k.self.Name, k.self.Life
-	for _, e := range k.known() {
-		if addr, ok := k.datagramsOf(&e); ok && e.Name == entry {
-			k.wire.send(addr, m)
-		}
+func (k *bookkeeper) sendKnown(e *directory.Entry, m *message) {
+	if addr, ok := k.datagramsOf(e); ok {
+		m.From, m.Life = k.self.Name, k.self.Life
+		k.wire.send(addr, m)
 	}
 }
 
--- a/gateway/limitshares.go
+++ b/gateway/limitshares.go
@@ -216,8 +216,8 @@
 		return
 	}
 	for _, e := range l.books.known() {
-		if e.Name != l.books.self.Name {
-			l.books.sendKnown(e.Name, &message{Kind: askBack})
+		if e.Name != l.books.self.Name && !l.shares.hasReturned(e.Name) {
+			l.books.sendKnown(&e, &message{Kind: askBack})
 		}
 	}
 }
@@ -236,5 +236,9 @@
 	}
 	held := l.lives[m.From].held
 	l.mu.Unlock()
-	l.books.sendKnown(m.From, &message{Kind: gaveBack, Held: held, Up: l.now().Sub(l.start)})
+	for _, e := range l.books.known() {
+		if e.Name == m.From {
+			l.books.sendKnown(&e, &message{Kind: gaveBack, Held: held, Up: l.now().Sub(l.start)})
+		}
+	}
 }
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -51,6 +51,13 @@
 	s.words.Returned(entry, held, up, now)
 }
 
+// hasReturned reports whether an entry has given back what the life before this one had lent.
+func (s *shares) hasReturned(entry string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.words.HasReturned(entry)
+}
+
 // freeSince is since when nobody has used this entry's share, when it gets one first.
 func (s *shares) freeSince() time.Time {
 	s.mu.Lock()
--- a/policy/limit/words.go
+++ b/policy/limit/words.go
@@ -63,6 +63,10 @@
 	w.returned[entry] = true
 }
 
+// HasReturned reports whether an entry has given back what the life before this one had lent
+// it.
+func (w *Words) HasReturned(entry string) bool { return w.returned[entry] }
+
 // Settled reports whether the share that the life before this one may have lent in its last
 // moment is back: all others have said so, or the lease has run out.
 func (w *Words) Settled(now time.Time) bool {
