gateway, follow: a replica's word on shares counts from the call on; workspaces without a limit don't wait at a start

Read in the diff: an answer that an entry reads late, after it stood still, counted as fresh from then on, beyond what policy/limit reckons with; and requests of workspaces without a limit were held back after a start like all others, for half a second at most.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -128,6 +128,8 @@
 	Work       []ServiceWork `msgpack:"work,omitempty"`  // rates that the entries have learnt
 	Share      limit.Word    `msgpack:"share"`
 	Clock      time.Time     `msgpack:"clock"` // the replica's time of day
+	// Asked is when the sender made the call, by its own clock.
+	Asked time.Time `msgpack:"-"`
 }
 
 // ReviseRequest brings a catalogue, whole, as the operator sent it.
--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -167,6 +167,7 @@
 		if send, known := f.source.asks(addr); f.cfg.OneSource && req.Has && !send {
 			req.RevisionOnly, req.Told = true, max(known, req.Revision)
 		}
+		asked := f.deps.Now()
 		reply, err := f.call(ctx, addr, p, req)
 		if err == errKicked {
 			continue
@@ -186,6 +187,7 @@
 		f.mu.Lock()
 		f.told[addr] = reply.Replicas
 		f.mu.Unlock()
+		reply.Asked = asked
 		f.deps.Reply(addr, reply)
 		told, replied = reply.Revision, true
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -68,7 +68,7 @@
 		g.noteOthers(r.Loads)
 	}
 	g.noteRates(r.Work)
-	g.shares.take(addr, r.Share, len(r.Replicas), g.now())
+	g.shares.take(addr, r.Share, len(r.Replicas), r.Asked)
 	g.limits.takePart()
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -161,6 +161,9 @@
 // take uses up cost of the workspace's limit, or says when there will be enough. late
 // says that the request's objective has passed.
 func (l *limits) take(ctx context.Context, workspace string, cost float64, late bool) decision {
+	if !l.limited(workspace) {
+		return decision{ok: true, grounds: noLimit}
+	}
 	l.waitForPart(ctx)
 	d, remote := l.takeHere(workspace, cost, late)
 	if d.ok {
@@ -186,6 +189,13 @@
 	return d.or(decision{wait: noAnswerRetry, grounds: fromNobody})
 }
 
+func (l *limits) limited(workspace string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, limited := l.workspaces[workspace]
+	return limited
+}
+
 // waitForPart returns once this entry has a share, if it has just started: it has one
 // within a few hundred milliseconds, and a caller that is refused comes back later than that.
 func (l *limits) waitForPart(ctx context.Context) {
@@ -228,7 +238,7 @@
 	defer l.mu.Unlock()
 	of, limited := l.limitOf(workspace)
 	if !limited {
-		return decision{ok: true, grounds: noLimit}, nil
+		return decision{ok: true, grounds: noLimit}, nil // since this moment
 	}
 	now := l.now()
 	var here []*limit.Pool
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -15,11 +15,12 @@
 
 func newShares(start time.Time) *shares { return &shares{words: limit.NewWords(start)} }
 
-// take takes a replica's word. replicas is how many it knows, itself among them.
-func (s *shares) take(replica string, word limit.Word, replicas int, now time.Time) {
+// take takes a replica's answer to a call that was made at a time. replicas is how many it
+// knows, itself among them.
+func (s *shares) take(replica string, word limit.Word, replicas int, asked time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.words.Take(replica, word, replicas, now)
+	s.words.Take(replica, word, replicas, asked)
 }
 
 // part returns this entry's share of every limit.
--- a/policy/limit/model_test.go
+++ b/policy/limit/model_test.go
@@ -32,8 +32,7 @@
 	up      bool
 	began   time.Time // of this life
 	hadPart bool
-	at      time.Time // when it acts again, if it is frozen or down
-	frozen  bool
+	at      time.Time // when it acts again, after it was frozen or down
 	keeper  *Keeper
 	words   *Words
 	life    int
@@ -103,7 +102,7 @@
 func (m *model) startEntry(e *modelEntry) {
 	e.life++
 	e.began = m.now
-	e.up, e.hadPart, e.frozen, e.inbox = true, false, false, nil
+	e.up, e.hadPart, e.inbox = true, false, nil
 	e.keeper, e.words = NewKeeper(e.name), NewWords(m.now)
 	e.list, e.lives = nil, make(map[string]lenderLife)
 	e.askedAt, e.calls = make(map[string]time.Time), make(map[string]*modelCall)
