--- a/gateway/limitsite_test.go
+++ b/gateway/limitsite_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,12 +52,17 @@
 
 // limitEntry is one entry.
 type limitEntry struct {
-	site   *limitSite
-	index  int
-	name   string
-	addr   netip.AddrPort
-	cut    bool // from all others and from the control replica
-	heard  time.Time
+	site  *limitSite
+	index int
+	name  string
+	addr  netip.AddrPort
+	cut   atomic.Bool // from all others and from the control replica
+	heard time.Time   // by the control replica; telling is held
+	life  atomic.Pointer[limitLife]
+}
+
+// limitLife is one life of an entry.
+type limitLife struct {
 	limits *limits
 	books  *bookkeeper
 	peers  *peers
@@ -89,16 +95,16 @@
 	for _, other := range s.entries {
 		dir.MergeEntry(other.record(), time.Now())
 	}
-	e.peers = &peers{directory: dir}
-	e.books = newBookkeeper(booking.Teller{Name: e.name, Life: uint64(time.Now().UnixNano())}, time.Now)
-	peers := e.peers
-	e.books.entries = func() []directory.Entry { return peers.entries(time.Now()) }
-	e.books.known = func() []directory.Entry { return peers.directory.Entries(time.Now()) }
-	e.books.port = func(host string) string { return host }
-	e.books.rate = func(string) float64 { return 1 }
-	e.books.wire = siteWire{e}
-	e.limits = newLimits(e.books, newShares(time.Now()), s.bounds, slog.New(slog.DiscardHandler), time.Now)
-	e.limits.setWorkspaces([]routes.Workspace{s.w})
+	p := &peers{directory: dir}
+	books := newBookkeeper(booking.Teller{Name: e.name, Life: uint64(time.Now().UnixNano())}, time.Now)
+	books.entries = func() []directory.Entry { return p.entries(time.Now()) }
+	books.known = func() []directory.Entry { return p.directory.Entries(time.Now()) }
+	books.port = func(host string) string { return host }
+	books.rate = func(string) float64 { return 1 }
+	books.wire = siteWire{e}
+	l := newLimits(books, newShares(time.Now()), s.bounds, slog.New(slog.DiscardHandler), time.Now)
+	l.setWorkspaces([]routes.Workspace{s.w})
+	e.life.Store(&limitLife{limits: l, books: books, peers: p})
 }
 
 func (e *limitEntry) record() directory.Entry {
@@ -111,8 +117,8 @@
 func (w siteWire) send(to netip.AddrPort, m *message) {
 	sent := *m
 	for _, e := range w.from.site.entries {
-		if e.addr == to && !e.cut && !w.from.cut {
-			books := e.books
+		if e.addr == to && !e.cut.Load() && !w.from.cut.Load() {
+			books := e.life.Load().books
 			time.AfterFunc(siteDelay, func() { books.take(sent) })
 		}
 	}
@@ -120,23 +126,23 @@
 
 // tell has the control replica hear the entry, and the entry all others.
 func (e *limitEntry) tell() {
-	if e.cut {
+	if e.cut.Load() {
 		return
 	}
-	now := time.Now()
+	now, life := time.Now(), e.life.Load()
 	e.heard = now
 	var names []string
 	for _, o := range e.site.entries {
-		e.peers.directory.MergeEntry(o.record(), now)
+		life.peers.directory.MergeEntry(o.record(), now)
 		if now.Sub(o.heard) <= 2500*time.Millisecond {
 			names = append(names, o.name)
 		}
 	}
-	if e.peers.take(digestOf(names), names, now) {
-		e.books.relist()
+	if life.peers.take(digestOf(names), names, now) {
+		life.books.relist()
 	}
-	e.site.roster.Note(e.name, e.limits.shares.inUse(), now)
-	e.limits.shares.take("c1", e.site.roster.Word(e.name, now), 1, now)
+	e.site.roster.Note(e.name, life.limits.shares.inUse(), now)
+	life.limits.shares.take("c1", e.site.roster.Word(e.name, now), 1, now)
 }
 
 // digestOf stands for a list of names.
@@ -144,9 +150,10 @@
 
 // shareOut is what an entry does every askEvery.
 func (e *limitEntry) shareOut() {
-	e.limits.takePart()
-	e.limits.askSharesBack()
-	e.limits.askShares()
+	l := e.life.Load().limits
+	l.takePart()
+	l.askSharesBack()
+	l.askShares()
 }
 
 // play sends tokens a second, in requests of some thousand, for so long.
@@ -157,7 +164,7 @@
 		cost := mean * (0.2 + 1.6*s.rng.Float64())
 		e := s.only[s.rng.IntN(len(s.only))]
 		asked += cost
-		limits, at := e.limits, time.Since(s.began)
+		limits, at := e.life.Load().limits, time.Since(s.began)
 		go func() {
 			if limits.take(context.Background(), "w", cost, false).ok {
 				s.mu.Lock()
@@ -222,11 +229,11 @@
 			s.play(0.5*limit, 8*time.Second)
 			s.play(6*limit, 3*time.Second)
 			for _, e := range s.entries[:3] {
-				e.cut = true
+				e.cut.Store(true)
 			}
 			s.play(6*limit, 10*time.Second)
 			for _, e := range s.entries {
-				e.cut = false
+				e.cut.Store(false)
 			}
 			s.play(6*limit, 7*time.Second)
 			require.LessOrEqual(t, s.highest(), 1.0, "seed %d", seed)
@@ -277,8 +284,8 @@
 		s := newLimitSite(t, 8, 100_000, 110_000, 1)
 		defer s.run()()
 		for _, e := range s.entries {
-			require.True(t, e.limits.take(t.Context(), "w", 50_000, false).ok)
-			require.True(t, e.limits.take(t.Context(), "w", 200, false).ok)
+			require.True(t, e.life.Load().limits.take(t.Context(), "w", 50_000, false).ok)
+			require.True(t, e.life.Load().limits.take(t.Context(), "w", 200, false).ok)
 			time.Sleep(time.Second)
 		}
 	})
@@ -293,7 +300,7 @@
 		defer s.run()()
 		s.play(perSecond/2, 5*time.Second)
 		for _, e := range s.entries {
-			e.cut = true
+			e.cut.Store(true)
 		}
 		_, let := s.play(4*perSecond, 20*time.Second)
 		s.requireWithin(t)
@@ -343,10 +350,10 @@
 			s := newLimitSite(t, entries, perSecond, 110_000, 2)
 			defer s.run()()
 			s.play(0.6*perSecond, 10*time.Second)
-			keeper := s.entries[0].books.ownerOf(limit.Key{Workspace: "w"})
+			keeper := s.entries[0].life.Load().books.ownerOf(limit.Key{Workspace: "w"})
 			s.only = slices.DeleteFunc(slices.Clone(s.entries), func(e *limitEntry) bool { return e.name == keeper })
 			for _, e := range s.entries {
-				e.cut = e.name == keeper
+				e.cut.Store(e.name == keeper)
 			}
 			asked, let := s.play(0.6*perSecond, 8*time.Second)
 			t.Logf("%d entries: %.3f of what is asked for is refused in 8 s", entries, 1-let/asked)
