follow, gateway: a short wait does not shorten what a call may take

Cause: an entry that starts asked with a wait of 30 to 70 ms, since the change that has it ask often until it has a share, and a call's time limit is that wait and a second. Nine replicas each send the whole catalogue (353 KB) over a link of 10 Mbit/s: 2.5 s; no answer arrived in time, each was asked for again. The limit is reckoned from 400 ms at least now, as before, and an entry asks for short waits only once it has a catalogue.

--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -27,6 +27,9 @@
 	// answerSlack is added to the wait before a call counts as lost: the site's
 	// longest round trip with a busy processor on both ends.
 	answerSlack = time.Second
+	// leastWait is the least wait that a call's time limit is reckoned from. The answer to one
+	// that is not to be kept waiting may bring a whole catalogue over a slow link.
+	leastWait = 400 * time.Millisecond
 	// retryMin and retryMax bound the pause after a call that failed. The longest
 	// pause is a part of the seconds within which a returned replica has to be
 	// noticed.
@@ -200,8 +203,11 @@
 
 func (kicked) Error() string { return "there is news to send" }
 
+// callLimit is how long a call that is kept waiting for so long may take.
+func callLimit(wait time.Duration) time.Duration { return max(wait, leastWait) + answerSlack }
+
 func (f *Follower) call(ctx context.Context, addr string, p *peer, req api.WatchRequest) (api.WatchReply, error) {
-	callCtx, cancel := context.WithTimeout(ctx, req.Wait+answerSlack)
+	callCtx, cancel := context.WithTimeout(ctx, callLimit(req.Wait))
 	defer cancel()
 	done := make(chan struct{})
 	defer close(done)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -41,7 +41,7 @@
 
 // watchWait is how long a replica is to keep a call waiting.
 func (g *Gateway) watchWait() time.Duration {
-	starting := g.limits.starting()
+	starting := g.table.Load() != nil && g.limits.starting()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if starting {
