directory, coordinator: records from one replica, statuses from the others

Cause: every replica sent every entry the complete record of each server (some 430 B), and passed the record on to every other replica at each heartbeat, also when it had only been passed on to it. Work and bytes grew as entries x replicas x servers; each look for changes scanned all records. At 300 instances and 3,000 servers control ran out of memory and no request was served.

Change: one replica, in the entry's zone where there is one, sends complete records; the others send statuses (9 B a server): leaving, gone, overdue, unreachable. A status that arrives before its record is kept for it; a record that only a status-sending replica has is requested from it. A first call to a replica asks for its zone and revision alone. Replicas forward heartbeats as key, sequence and age, and only their own, except to a replica that does not reach the one that received them. The store keeps records in the order of their last update.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -63,6 +63,15 @@
 	RevisionOnly     bool   `msgpack:"revOnly,omitempty"`
 	NotifiedRevision uint64 `msgpack:"told,omitempty"`
 
+	// Detail says what the reply contains on servers and other entries.
+	Detail Detail `msgpack:"detail,omitempty"`
+	// Missing holds the keys of servers whose records the sender lacks although this replica
+	// has reported their statuses. The reply contains the records.
+	Missing []directory.Key `msgpack:"missing,omitempty"`
+	// Unreached holds the link addresses of the replicas that the sender, a replica, does not
+	// reach. The reply contains the heartbeats that they have forwarded.
+	Unreached []string `msgpack:"unreached,omitempty"`
+
 	// LiveDigest is the digest of the newest list of live entries that the sender has.
 	LiveDigest uint64 `msgpack:"liveDigest,omitempty"`
 
@@ -79,6 +88,17 @@
 	Work         []ServiceWork `msgpack:"work,omitempty"`
 }
 
+// Detail is how much a reply says on the servers and entries that changed.
+type Detail uint8
+
+// The details. One replica sends an entry complete records; statuses from all others are
+// enough for the entry to notice a server that leaves or is unreachable.
+const (
+	DetailRecords  Detail = iota // complete records
+	DetailStatuses               // statuses of servers
+	DetailNone                   // nothing, and the call returns at once: an entry's first call
+)
+
 // WantsRevision reports whether the sender must be notified of a catalogue of this revision.
 func (r *WatchRequest) WantsRevision(revision uint64) bool {
 	if r.RevisionOnly {
@@ -89,6 +109,8 @@
 
 // ServerLoad is the load that the requests of entries put on a backend server.
 type ServerLoad struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Server  string `msgpack:"s"`
 	Running int    `msgpack:"n"`           // number of requests
 	Prefill int    `msgpack:"p,omitempty"` // prompt tokens of requests that have no answer yet
@@ -118,16 +140,22 @@
 	Seen        uint64             `msgpack:"seen"`
 	Servers     []directory.Server `msgpack:"servers,omitempty"`
 	Entries     []directory.Entry  `msgpack:"entries,omitempty"`
-	Revision    uint64             `msgpack:"rev"`
-	Document    []byte             `msgpack:"doc,omitempty"` // catalogue of Revision, if the sender lacks it and RevisionOnly is not set
-	Replicas    []string           `msgpack:"replicas"`      // link addresses of all replicas
-	LiveEntries int                `msgpack:"live"`          // number of entries that accept requests of callers
+	Statuses    directory.Statuses `msgpack:"statuses,omitempty"` // in place of the two above, if DetailStatuses is requested
+	// ServerBeats and EntryBeats are the heartbeats without a change, sent to replicas.
+	ServerBeats directory.Heartbeats `msgpack:"serverBeats,omitempty"`
+	EntryBeats  directory.Heartbeats `msgpack:"entryBeats,omitempty"`
+
+	Zone        string   `msgpack:"zone"` // of the replica
+	Revision    uint64   `msgpack:"rev"`
+	Document    []byte   `msgpack:"doc,omitempty"` // catalogue of Revision, if the sender lacks it and RevisionOnly is not set
+	Replicas    []string `msgpack:"replicas"`      // link addresses of all replicas
+	LiveEntries int      `msgpack:"live"`          // number of entries that accept requests of callers
 	// LiveDigest is the digest of the names of those entries. LiveNames holds the sorted names
 	// if the sender's list differs; only the replica that sends the catalogue sends them.
 	LiveDigest uint64          `msgpack:"liveDigest,omitempty"`
 	LiveNames  []string        `msgpack:"liveNames,omitempty"`
 	HasLoads   bool            `msgpack:"hasLoads"`
-	Loads      []ServerLoad    `msgpack:"loads,omitempty"` // complete list of what all other entries have running, if HasLoads
+	Loads      []ServerLoad    `msgpack:"loads,omitempty"` // what all other entries have running at the most loaded servers, if HasLoads
 	Work       []ServiceWork   `msgpack:"work,omitempty"`  // prefill rates that the entries have estimated
 	ShareVote  limit.ShareVote `msgpack:"share"`
 	Clock      time.Time       `msgpack:"clock"` // the replica's current time
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -138,6 +138,11 @@
 	return c, nil
 }
 
+// unreachedAge is the age of its last reply from which a replica counts as unreached, so that
+// others relay the heartbeats that it receives. Replicas reply at least once a second, and a
+// server is overdue only later.
+const unreachedAge = 1500 * time.Millisecond
+
 // addressHoldFraction is the fraction of Bounds.AddressReuse during which an address
 // still counts as that of the last server that used it.
 const addressHoldFraction = 0.9
@@ -237,13 +242,17 @@
 // watchRequest returns the request that the follower sends to other replicas.
 func (c *Coordinator) watchRequest() api.WatchRequest {
 	revision, document, _ := c.catalogue.get()
-	return api.WatchRequest{Role: api.RoleControl, HasCatalogue: document != nil, Revision: revision}
+	return api.WatchRequest{
+		Role: api.RoleControl, HasCatalogue: document != nil, Revision: revision, Unreached: c.follower.Unreached(unreachedAge),
+	}
 }
 
 // mergeReply merges the reply of another replica.
 func (c *Coordinator) mergeReply(addr string, r api.WatchReply) {
 	c.clock.Observe(addr, r.Clock)
-	c.directory.Merge(directory.Origin{Replica: addr, Incarnation: r.Incarnation}, r.Servers, r.Entries, c.now())
+	from, now := directory.Origin{Replica: addr, Incarnation: r.Incarnation}, c.now()
+	c.directory.Merge(from, r.Servers, r.Entries, now)
+	c.directory.MergeHeartbeats(from, r.ServerBeats, r.EntryBeats, now)
 	c.acceptCatalogue(r.Revision, r.Document)
 }
 
--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -16,6 +16,7 @@
 
 	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/link"
 )
@@ -34,6 +35,9 @@
 	// limits how long a recovered replica stays undetected.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = time.Second
+	// shortWait is the wait of a call while no replica sends complete records, or while
+	// records are missing.
+	shortWait = 200 * time.Millisecond
 	// reconcileInterval is the interval at which calls are started for new replicas and
 	// ended for removed ones.
 	reconcileInterval = 250 * time.Millisecond
@@ -43,9 +47,11 @@
 type Config struct {
 	Self string        // own link address, which is not followed; empty at an entry
 	Wait time.Duration // how long a replica may hold a call open; DefaultWait if not positive
-	// SingleSource makes only one replica at a time send the catalogue, once the process has
-	// a first catalogue. It is for processes on slow links.
+	// SingleSource makes only one replica at a time send complete records and, once the
+	// process has a first catalogue, the catalogue. It is for processes on slow links, and for
+	// those of which there are hundreds.
 	SingleSource bool
+	Zone         string // own zone, in which SingleSource prefers a replica
 }
 
 // Deps holds the dependencies of a Follower.
@@ -53,9 +59,9 @@
 	Pool *link.Pool
 	Log  *slog.Logger
 	Now  func() time.Time
-	// Request returns the next request to send. The follower sets Incarnation, Seen,
-	// RevisionOnly and NotifiedRevision, sets Wait if it is not positive, and removes usage
-	// that the replica already has.
+	// Request returns the next request to send. The follower sets Incarnation, Seen, Detail,
+	// Missing, RevisionOnly and NotifiedRevision, shortens Wait or sets it if it is not
+	// positive, and removes usage that the replica already has.
 	Request func() api.WatchRequest
 	// Reply handles a reply of the replica at addr. Each replica has its own goroutine, so
 	// calls for different replicas may be concurrent.
@@ -63,6 +69,9 @@
 	// OnUnreachable, if set, is called when calls to a replica begin to fail and when the
 	// replica is no longer followed. For one replica, it is never concurrent with Reply.
 	OnUnreachable func(addr string)
+	// Missing, if set, returns the servers on which a replica has reported and whose records
+	// the process lacks.
+	Missing func(addr string) []directory.Key
 	// Seeds returns the configured addresses of replicas. It is called repeatedly, so the
 	// result may change.
 	Seeds func() []string
@@ -72,7 +81,7 @@
 type Follower struct {
 	cfg    Config
 	deps   Deps
-	source catalogueSource
+	source recordSource
 
 	mu            sync.Mutex
 	peers         map[string]*peer
@@ -92,7 +101,9 @@
 	if cfg.Wait <= 0 {
 		cfg.Wait = DefaultWait
 	}
-	return &Follower{cfg: cfg, deps: deps, peers: make(map[string]*peer), namedReplicas: make(map[string][]string)}
+	f := &Follower{cfg: cfg, deps: deps, peers: make(map[string]*peer), namedReplicas: make(map[string][]string)}
+	f.source = recordSource{zone: cfg.Zone, vacantSince: deps.Now()}
+	return f
 }
 
 // Run follows the replicas until ctx is done, and returns its error after all calls have ended.
@@ -159,14 +170,15 @@
 	if f.deps.OnUnreachable != nil {
 		defer f.deps.OnUnreachable(addr)
 	}
-	defer f.source.markUnreachable(addr)
-	var incarnation, seen, lastRevision uint64
+	defer func() { f.source.markUnreachable(addr, f.deps.Now()) }()
+	var incarnation, lastRevision uint64
+	var seen seenChanges
 	var sent sentUsage
 	replied := false
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		req := f.deps.Request()
-		req.Incarnation, req.Seen = incarnation, seen
+		req.Incarnation = incarnation
 		sent.trimUsage(&req)
 		if req.Wait <= 0 {
 			req.Wait = f.cfg.Wait
@@ -174,9 +186,8 @@
 		if replied {
 			f.source.observeRevision(addr, lastRevision, req.Lacks(lastRevision), f.deps.Now())
 		}
-		if send, highestRevision := f.source.shouldSend(addr); f.cfg.SingleSource && req.HasCatalogue && !send {
-			req.RevisionOnly, req.NotifiedRevision = true, max(highestRevision, req.Revision)
-		}
+		f.setDetail(&req, addr, replied)
+		req.Seen = seen.next(req.Detail)
 		sentAt := f.deps.Now()
 		reply, err := f.call(ctx, addr, p, req)
 		if err == errWoken {
@@ -184,7 +195,7 @@
 		}
 		f.recordOutcome(ctx, addr, p, err)
 		if err != nil {
-			f.source.markUnreachable(addr)
+			f.source.markUnreachable(addr, f.deps.Now())
 			daemon.Pause(ctx, time.Duration((0.5+rand.Float64()/2)*float64(retryDelay)))
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
@@ -193,7 +204,9 @@
 		if reply.Incarnation == req.Incarnation || req.Incarnation == 0 {
 			sent.record(&req)
 		}
-		incarnation, seen = reply.Incarnation, reply.Seen
+		incarnation = reply.Incarnation
+		seen.record(req.Detail, reply.Seen)
+		f.source.observeZone(addr, reply.Zone)
 		f.mu.Lock()
 		f.namedReplicas[addr] = reply.Replicas
 		f.mu.Unlock()
@@ -203,6 +216,55 @@
 	}
 }
 
+// setDetail sets what a replica is asked to send. The first call to a replica asks for
+// nothing but its zone and revision, by which the replica that sends complete records is
+// chosen.
+func (f *Follower) setDetail(req *api.WatchRequest, addr string, replied bool) {
+	if !f.cfg.SingleSource {
+		return
+	}
+	if !replied {
+		req.Detail = api.DetailNone
+		req.RevisionOnly = req.HasCatalogue
+		return
+	}
+	send, highestRevision := f.source.shouldSend(addr, f.deps.Now())
+	if send {
+		return
+	}
+	req.Detail = api.DetailStatuses
+	if req.HasCatalogue {
+		req.RevisionOnly, req.NotifiedRevision = true, max(highestRevision, req.Revision)
+	}
+	if f.deps.Missing != nil {
+		req.Missing = f.deps.Missing(addr)
+	}
+	if len(req.Missing) > 0 || f.source.vacant() {
+		req.Wait = min(req.Wait, shortWait)
+	}
+}
+
+// seenChanges is the number up to which a replica's changes were received, and in which
+// detail.
+type seenChanges struct {
+	seq    uint64
+	detail api.Detail
+}
+
+// next returns the number from which the next call requests changes: all are requested again
+// if the replica has sent less detail until now.
+func (s *seenChanges) next(detail api.Detail) uint64 {
+	if s.detail > detail {
+		return 0
+	}
+	return s.seq
+}
+
+// record records the reply to a call.
+func (s *seenChanges) record(detail api.Detail, seq uint64) {
+	s.seq, s.detail = seq, detail
+}
+
 // errWoken reports that SendNow interrupted a call, so that a new request is sent.
 var errWoken = wokenError{}
 
@@ -300,6 +362,22 @@
 	return out
 }
 
+// Unreached returns the sorted addresses of the followed replicas that have not replied
+// within the last age.
+func (f *Follower) Unreached(age time.Duration) []string {
+	now := f.deps.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for addr, p := range f.peers {
+		if now.Sub(p.lastReply) > age {
+			out = append(out, addr)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // CountReplied returns how many of the followed replicas replied within the last age, and
 // how many are followed.
 func (f *Follower) CountReplied(age time.Duration) (replied, all int) {
--- a/coordinator/remembered_test.go
+++ b/coordinator/remembered_test.go
@@ -56,7 +56,7 @@
 	_, dir := saveServers(t, server("1", instance.StateServing), server("2", instance.StateServing))
 	c := restartReplica(dir, savedAt.Add(1500*time.Millisecond))
 	require.Equal(t, []string{"1", "2"}, ids(knownServers(c)))
-	require.Equal(t, []string{"1", "2"}, ids(c.directory.Since(0, false, c.now()).Servers), "entries receive them")
+	require.Equal(t, []string{"1", "2"}, ids(c.directory.Since(0, c.now()).Servers), "entries receive them")
 
 	// One of them sends a heartbeat, the other one has stopped.
 	c.Announce(server("1", instance.StateServing).Announcement)
@@ -80,9 +80,9 @@
 	c := restartReplica(dir, savedAt.Add(time.Second))
 	other := directory.NewStore(directory.Config{OverdueAfter: 4 * time.Second, ForgetAfter: time.Minute})
 	other.Announce(server("1", instance.StateLeaving).Announcement, savedAt)
-	other.Merge(directory.Origin{}, c.directory.Since(0, true, c.now()).Servers, nil, c.now())
+	other.Merge(directory.Origin{}, c.directory.Since(0, c.now()).Servers, nil, c.now())
 	require.Empty(t, servingServers(other.Servers(c.now())))
-	c.directory.Merge(directory.Origin{}, other.Since(0, true, c.now()).Servers, nil, c.now())
+	c.directory.Merge(directory.Origin{}, other.Since(0, c.now()).Servers, nil, c.now())
 	require.Empty(t, servingServers(knownServers(c)))
 }
 
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -55,16 +55,15 @@
 	if req.Incarnation != c.incarnation {
 		seen = 0
 	}
-	if !c.needsShareVote(&req) {
+	if !c.needsShareVote(&req) && req.Detail != api.DetailNone {
 		c.waitForChange(ctx, req, seen)
 	}
 	now := c.now()
-	changes := c.directory.Since(seen, req.Role == api.RoleControl, now)
 	live := c.live.current(now)
 	reply := api.WatchReply{
-		Incarnation: c.incarnation, Seen: changes.Seq, Servers: changes.Servers, Entries: changes.Entries,
-		Replicas: c.replicas(), LiveEntries: len(live.names), Clock: now,
+		Incarnation: c.incarnation, Zone: c.cfg.Node.Zone, Replicas: c.replicas(), LiveEntries: len(live.names), Clock: now,
 	}
+	c.addChanges(&reply, &req, seen)
 	if req.Entry != nil {
 		reply.LiveDigest = live.digest
 		if !req.RevisionOnly {
@@ -84,6 +83,26 @@
 	return reply, nil
 }
 
+// addChanges adds to a reply what changed in the directory after seen, in the requested
+// detail.
+func (c *Coordinator) addChanges(reply *api.WatchReply, req *api.WatchRequest, seen uint64) {
+	now := c.now()
+	switch {
+	case req.Detail == api.DetailNone:
+		reply.Seen = seen
+		return
+	case req.Detail == api.DetailStatuses:
+		reply.Statuses, reply.Seen = c.directory.StatusesSince(seen)
+		reply.Servers = c.directory.Records(req.Missing, now)
+	default:
+		changes := c.directory.Since(seen, now)
+		reply.Servers, reply.Entries, reply.Seen = changes.Servers, changes.Entries, changes.Seq
+	}
+	if req.Role == api.RoleControl {
+		reply.ServerBeats, reply.EntryBeats = c.directory.HeartbeatsSince(seen, req.Unreached, now)
+	}
+}
+
 // needsShareVote reports whether the sender is an entry without a share for which this
 // replica has a vote. Such an entry refuses callers, so it gets the reply without a
 // wait.
--- a/directory/record.go
+++ b/directory/record.go
@@ -23,6 +23,8 @@
 
 // Entry is the record of an entry.
 type Entry struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Name         string         `msgpack:"name"`
 	Incarnation  uint64         `msgpack:"inc"` // start time in Unix milliseconds
 	Sequence     uint64         `msgpack:"seq"` // increases by one at each change of State
--- a/directory/silence.go
+++ b/directory/silence.go
@@ -32,6 +32,7 @@
 type replicaState struct {
 	incarnation uint64
 	unreachable bool
+	pending     map[Key]pendingStatus // of servers whose records are not known
 }
 
 // observesHeartbeats reports whether this process receives the servers' heartbeats itself.
@@ -101,12 +102,15 @@
 	switch {
 	case state != nil && state.incarnation == from.Incarnation && !state.unreachable:
 		return false
-	case state != nil && state.incarnation != from.Incarnation:
+	case state != nil && state.incarnation == from.Incarnation:
+		state.unreachable = false
+		return s.applyAllReports()
+	case state != nil:
 		for _, stored := range s.servers {
 			delete(stored.reports, from.Replica)
 		}
 	}
-	s.replicas[from.Replica] = &replicaState{incarnation: from.Incarnation}
+	s.replicas[from.Replica] = &replicaState{incarnation: from.Incarnation, pending: make(map[Key]pendingStatus)}
 	return s.applyAllReports()
 }
 
--- a/directory/silence_test.go
+++ b/directory/silence_test.go
@@ -23,7 +23,7 @@
 
 // sendChanges merges the changes since the last call into an entry's store.
 func (r *testReplica) sendChanges(entry *Store, now time.Time) {
-	changes := r.Since(r.seen, false, now)
+	changes := r.Since(r.seen, now)
 	r.seen = changes.Seq
 	entry.Merge(r.origin, changes.Servers, changes.Entries, now)
 }
@@ -34,7 +34,7 @@
 func partitionedSite() (receiving, others *testReplica, entry *Store) {
 	receiving, others, entry = newTestReplica("a"), newTestReplica("b"), NewStore(Config{ForgetAfter: time.Minute})
 	receiving.Announce(heartbeat("s1", 1, 1, instance.StateServing), epoch)
-	others.Merge(receiving.origin, receiving.Since(0, true, epoch).Servers, nil, epoch)
+	others.Merge(receiving.origin, receiving.Since(0, epoch).Servers, nil, epoch)
 	receiving.sendChanges(entry, epoch)
 	others.sendChanges(entry, epoch)
 	return receiving, others, entry
--- a/directory/store.go
+++ b/directory/store.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"container/list"
 	"slices"
 	"strings"
 	"sync"
@@ -33,37 +34,56 @@
 type Store struct {
 	cfg Config
 
-	mu       sync.Mutex
-	lastSeq  uint64 // of the newest change or heartbeat
-	servers  map[string]*storedServer
-	byAddr   map[string]string // address -> id of the server that has it
-	entries  map[string]*storedEntry
+	mu         sync.Mutex
+	lastSeq    uint64 // of the newest change or heartbeat
+	lastChange uint64 // of the newest change
+	servers    map[string]*storedServer
+	byAddr     map[string]string // address -> id of the server that has it
+	entries    map[string]*storedEntry
+
+	serversByKey map[Key]*storedServer
+	entriesByKey map[Key]*storedEntry
+
+	updates  updateLists
 	replicas map[string]*replicaState // by link address; empty at a replica
 	changed  chan struct{}            // closed at the next change
 }
 
 type storedServer struct {
 	Server
+	key           Key
 	lastHeartbeat time.Time
+	heardFrom     string            // replica that forwarded the last heartbeat; empty: received by this process
 	changeSeq     uint64            // of the last change of the record
 	heartbeatSeq  uint64            // of the last change or heartbeat
 	reports       map[string]report // last report of each replica, by link address; empty at a replica
+
+	inChanges, inHeartbeats *list.Element // position in Store.updates
 }
 
 type storedEntry struct {
 	Entry
+	key           Key
 	lastHeartbeat time.Time
+	heardFrom     string
 	changeSeq     uint64
 	heartbeatSeq  uint64
+
+	inChanges, inHeartbeats *list.Element
 }
 
 // NewStore returns an empty store.
 func NewStore(cfg Config) *Store {
 	return &Store{
-		cfg:      cfg,
-		servers:  make(map[string]*storedServer),
-		byAddr:   make(map[string]string),
-		entries:  make(map[string]*storedEntry),
+		cfg:     cfg,
+		servers: make(map[string]*storedServer),
+		byAddr:  make(map[string]string),
+		entries: make(map[string]*storedEntry),
+		updates: newUpdateLists(),
+
+		serversByKey: make(map[Key]*storedServer),
+		entriesByKey: make(map[Key]*storedEntry),
+
 		replicas: make(map[string]*replicaState),
 		changed:  make(chan struct{}),
 	}
@@ -100,7 +120,7 @@
 		changed = s.mergeServer(from, servers[i], now) || changed
 	}
 	for i := range entries {
-		changed = s.MergeEntry(entries[i], now) || changed
+		changed = s.mergeEntry(from, entries[i], now) || changed
 	}
 	return changed
 }
@@ -120,23 +140,36 @@
 	if !s.claimAddress(&rec, now) {
 		return false
 	}
-	next := &storedServer{Server: rec, lastHeartbeat: lastHeartbeat}
-	if known {
-		next.changeSeq, next.heartbeatSeq, next.reports = stored.changeSeq, stored.heartbeatSeq, stored.reports
-		if lastHeartbeat.Before(stored.lastHeartbeat) {
-			next.lastHeartbeat = stored.lastHeartbeat
-		}
+	if !known {
+		stored = &storedServer{}
+		s.servers[rec.ID] = stored
 	}
-	s.servers[rec.ID] = next
-	s.updateReachability(from, next, received, now)
-	if known && sameServer(&stored.Server, &next.Server) {
-		s.recordHeartbeat(next)
+	previous := stored.Server
+	stored.Server, stored.heardFrom = rec, from.Replica
+	s.indexServer(stored)
+	if lastHeartbeat.After(stored.lastHeartbeat) {
+		stored.lastHeartbeat = lastHeartbeat
+	}
+	s.updateReachability(from, stored, received, now)
+	if known && sameServer(&previous, &stored.Server) {
+		s.recordHeartbeat(stored)
 		return false
 	}
-	s.recordChange(next)
+	s.recordChange(stored)
+	s.applyPending(stored)
 	return true
 }
 
+// indexServer updates the key of a server after a change of its incarnation. The caller holds
+// s.mu.
+func (s *Store) indexServer(stored *storedServer) {
+	if s.serversByKey[stored.key] == stored {
+		delete(s.serversByKey, stored.key)
+	}
+	stored.key = keyOf(stored.ID, stored.Incarnation)
+	s.serversByKey[stored.key] = stored
+}
+
 // updateReachability sets Overdue and Unreachable of a record that has just been received,
 // and reports whether either changed. The caller holds s.mu.
 func (s *Store) updateReachability(from Origin, stored *storedServer, received report, now time.Time) bool {
@@ -160,7 +193,7 @@
 		return false
 	}
 	if lastHeartbeat := now.Add(-rec.HeartbeatAge); rec.version() == stored.version() && lastHeartbeat.After(stored.lastHeartbeat) {
-		stored.lastHeartbeat = lastHeartbeat
+		stored.lastHeartbeat, stored.heardFrom = lastHeartbeat, from.Replica
 		s.recordHeartbeat(stored)
 	}
 	return s.updateReachability(from, stored, report{rec.Overdue, rec.Unreachable}, now)
@@ -202,101 +235,36 @@
 		a.LeavingIn == b.LeavingIn && slices.Equal(a.Services, b.Services)
 }
 
-// recordChange gives the record a new sequence number and wakes those who wait for a change.
-// The caller holds s.mu.
-func (s *Store) recordChange(stored *storedServer) {
-	s.lastSeq++
-	stored.changeSeq, stored.heartbeatSeq = s.lastSeq, s.lastSeq
-	s.notify()
-}
-
-// recordHeartbeat gives a new sequence number to a heartbeat that changes nothing else. It
-// does not wake waiting calls: entries need no message for it, and replicas receive it with
-// the next message. The caller holds s.mu.
-func (s *Store) recordHeartbeat(stored *storedServer) {
-	s.lastSeq++
-	stored.heartbeatSeq = s.lastSeq
-}
-
-// notify closes s.changed and replaces it. The caller holds s.mu.
-func (s *Store) notify() {
-	close(s.changed)
-	s.changed = make(chan struct{})
+// MergeEntry records an entry's own record of itself. It reports whether anything but the
+// time of the last heartbeat changed.
+func (s *Store) MergeEntry(rec Entry, now time.Time) bool {
+	return s.mergeEntry(Origin{}, rec, now)
 }
 
-// MergeEntry records an entry's own record of itself or one that another process has
-// forwarded. It reports whether anything but the time of the last heartbeat changed.
-func (s *Store) MergeEntry(rec Entry, now time.Time) bool {
+// mergeEntry merges one record of an entry and reports whether anything but the time of the
+// last heartbeat changed.
+func (s *Store) mergeEntry(from Origin, rec Entry, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lastHeartbeat := now.Add(-rec.HeartbeatAge)
 	stored, known := s.entries[rec.Name]
 	if known && !rec.version().newerThan(stored.version()) {
 		if rec.version() == stored.version() && lastHeartbeat.After(stored.lastHeartbeat) {
-			stored.lastHeartbeat = lastHeartbeat
-			s.lastSeq++
-			stored.heartbeatSeq = s.lastSeq
+			stored.lastHeartbeat, stored.heardFrom = lastHeartbeat, from.Replica
+			s.recordEntryHeartbeat(stored)
 		}
 		return false
 	}
-	s.lastSeq++
-	s.entries[rec.Name] = &storedEntry{Entry: rec, lastHeartbeat: lastHeartbeat, changeSeq: s.lastSeq, heartbeatSeq: s.lastSeq}
-	s.notify()
-	return true
-}
-
-// Changes holds the records that changed after a sequence number. Seq is the number to pass
-// to the next call of Since.
-type Changes struct {
-	Seq     uint64
-	Servers []Server
-	Entries []Entry
-}
-
-// Since returns the records that changed after seq, sorted by id and name. withHeartbeats
-// adds the records that only had a heartbeat since.
-func (s *Store) Since(seq uint64, withHeartbeats bool, now time.Time) Changes {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := Changes{Seq: s.lastSeq}
-	for _, stored := range s.servers {
-		if stored.changeSeq > seq || withHeartbeats && stored.heartbeatSeq > seq {
-			rec := stored.Server
-			rec.HeartbeatAge = now.Sub(stored.lastHeartbeat)
-			out.Servers = append(out.Servers, rec)
-		}
-	}
-	for _, stored := range s.entries {
-		if stored.changeSeq > seq || withHeartbeats && stored.heartbeatSeq > seq {
-			rec := stored.Entry
-			rec.HeartbeatAge = now.Sub(stored.lastHeartbeat)
-			out.Entries = append(out.Entries, rec)
-		}
+	if !known {
+		stored = &storedEntry{}
+		s.entries[rec.Name] = stored
 	}
-	slices.SortFunc(out.Servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
-	slices.SortFunc(out.Entries, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
-	return out
-}
-
-// ChangedSince reports whether any record changed after seq, heartbeats without a change
-// aside. The channel is closed at the next change.
-func (s *Store) ChangedSince(seq uint64) (hasChanged bool, changed <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.latestChange() > seq, s.changed
-}
-
-// latestChange returns the sequence number of the last change, not counting heartbeats
-// without a change. The caller holds s.mu.
-func (s *Store) latestChange() uint64 {
-	var n uint64
-	for _, stored := range s.servers {
-		n = max(n, stored.changeSeq)
-	}
-	for _, stored := range s.entries {
-		n = max(n, stored.changeSeq)
-	}
-	return n
+	delete(s.entriesByKey, stored.key)
+	stored.key = keyOf(rec.Name, rec.Incarnation)
+	s.entriesByKey[stored.key] = stored
+	stored.Entry, stored.lastHeartbeat, stored.heardFrom = rec, lastHeartbeat, from.Replica
+	s.recordEntryChange(stored)
+	return true
 }
 
 // Sweep drops records without a heartbeat for Config.ForgetAfter, except those of healthy
@@ -307,14 +275,11 @@
 func (s *Store) Sweep(now time.Time, confirmed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, stored := range s.servers {
+	for _, stored := range s.servers {
 		age := now.Sub(stored.lastHeartbeat)
 		healthy := stored.State == instance.StateServing && !stored.Unreachable
 		if age > s.cfg.ForgetAfter && !healthy {
-			delete(s.servers, id)
-			if s.byAddr[stored.Address] == id {
-				delete(s.byAddr, stored.Address)
-			}
+			s.dropServer(stored)
 			continue
 		}
 		if s.observesHeartbeats() {
@@ -324,10 +289,26 @@
 	for name, stored := range s.entries {
 		if now.Sub(stored.lastHeartbeat) > s.cfg.ForgetAfter {
 			delete(s.entries, name)
+			delete(s.entriesByKey, stored.key)
+			s.updates.entryChanges.Remove(stored.inChanges)
+			s.updates.entryHeartbeats.Remove(stored.inHeartbeats)
 		}
 	}
 }
 
+// dropServer removes the record of a server. The caller holds s.mu.
+func (s *Store) dropServer(stored *storedServer) {
+	delete(s.servers, stored.ID)
+	if s.byAddr[stored.Address] == stored.ID {
+		delete(s.byAddr, stored.Address)
+	}
+	if s.serversByKey[stored.key] == stored {
+		delete(s.serversByKey, stored.key)
+	}
+	s.updates.serverChanges.Remove(stored.inChanges)
+	s.updates.serverHeartbeats.Remove(stored.inHeartbeats)
+}
+
 // Servers returns the servers that are not gone, sorted by id.
 func (s *Store) Servers(now time.Time) []Server {
 	s.mu.Lock()
@@ -337,9 +318,7 @@
 		if stored.State == instance.StateGone {
 			continue
 		}
-		rec := stored.Server
-		rec.HeartbeatAge = now.Sub(stored.lastHeartbeat)
-		out = append(out, rec)
+		out = append(out, stored.record(now))
 	}
 	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
 	return out
@@ -372,9 +351,7 @@
 	defer s.mu.Unlock()
 	out := make([]Entry, 0, len(s.entries))
 	for _, stored := range s.entries {
-		rec := stored.Entry
-		rec.HeartbeatAge = now.Sub(stored.lastHeartbeat)
-		out = append(out, rec)
+		out = append(out, stored.record(now))
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
 	return out
--- a/directory/store_test.go
+++ b/directory/store_test.go
@@ -129,14 +129,15 @@
 func TestHeartbeatAloneIsNoChange(t *testing.T) {
 	s := newStore()
 	s.Announce(heartbeat("s1", 1, 1, instance.StateServing), epoch)
-	seen := s.Since(0, false, epoch).Seq
+	seen := s.Since(0, epoch).Seq
 	hasChanged, changed := s.ChangedSince(seen)
 	require.False(t, hasChanged)
 	s.Announce(heartbeat("s1", 1, 2, instance.StateServing), epoch)
 	hasChanged, _ = s.ChangedSince(seen)
 	require.False(t, hasChanged, "a heartbeat without a change must not wake waiting calls")
-	require.Empty(t, s.Since(seen, false, epoch).Servers)
-	require.Len(t, s.Since(seen, true, epoch).Servers, 1, "the heartbeat must be sent to replicas with the next message")
+	require.Empty(t, s.Since(seen, epoch).Servers)
+	forwarded, _ := s.HeartbeatsSince(seen, nil, epoch)
+	require.Equal(t, Heartbeats{{Key: keyOf("s1", 1), Sequence: 2}}, forwarded, "the heartbeat must be sent to replicas with the next message")
 	s.Announce(heartbeat("s1", 1, 3, instance.StateLeaving), epoch)
 	<-changed
 	hasChanged, _ = s.ChangedSince(seen)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -59,7 +59,9 @@
 	if hadNone && g.table.Load() != nil {
 		g.follower.SendNow()
 	}
-	g.directory.Merge(directory.Origin{Replica: addr, Incarnation: r.Incarnation}, r.Servers, r.Entries, g.now())
+	from := directory.Origin{Replica: addr, Incarnation: r.Incarnation}
+	g.directory.Merge(from, r.Servers, r.Entries, g.now())
+	g.directory.MergeStatuses(from, r.Statuses, g.now())
 	g.updateEntryCount(addr, r.LiveEntries)
 	if g.peers.update(r.LiveDigest, r.LiveNames, g.now()) {
 		g.exchange.invalidateOwners()
@@ -167,7 +169,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	changes := g.directory.Since(g.appliedChange, false, now)
+	changes := g.directory.Since(g.appliedChange, now)
 	g.appliedChange = changes.Seq
 	for i := range changes.Servers {
 		g.applyServer(&changes.Servers[i], now)
