policy/pacing: changes of thousands of servers are reported at a bounded rate

Cause: each change in the directory woke every waiting call. At the start of a site with 3,000 servers that is 2,500 changes a second times 300 entries at each of six replicas.

Change: during a series of changes each waiting entry gets one report per interval, with all changes since the last; the interval grows with the number of entries, 500 reports a second in all. A single change is still reported at once, and a new catalogue is never delayed.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -64,6 +64,7 @@
 	usage      *usageTable
 	loads      *loadTable
 	shares     *shareRegistry
+	pacers     *watchPacers
 	work       *workTable
 	clock      *wallclock.Clock
 	pool       *link.Pool
@@ -105,7 +106,7 @@
 			OverdueAfter: overdueAfter(cfg.Node.AnnounceInterval), EntryExpiry: entryExpiry, ForgetAfter: directory.DefaultForgetAfter,
 			AddressHold: time.Duration(addressHoldFraction * float64(cfg.Node.Bounds.AddressReuse)),
 		}),
-		catalogue: newLatestCatalogue(), usage: newUsageTable(cfg.Node.Bounds.UsageWindows()), loads: newLoadTable(), work: newWorkTable(), clock: wallclock.System(),
+		catalogue: newLatestCatalogue(), usage: newUsageTable(cfg.Node.Bounds.UsageWindows()), loads: newLoadTable(), work: newWorkTable(), pacers: newWatchPacers(), clock: wallclock.System(),
 		stopping: make(chan struct{}), lastCalls: make(map[string]time.Time),
 	}
 	c.shares = newShareRegistry(deps.Now(), cfg.Node.FirstStart)
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -56,14 +56,14 @@
 		seen = 0
 	}
 	if !c.needsShareVote(&req) && req.Detail != api.DetailNone {
-		c.waitForChange(ctx, req, seen)
+		c.waitForChange(ctx, from, req, seen)
 	}
 	now := c.now()
 	live := c.live.current(now)
 	reply := api.WatchReply{
 		Incarnation: c.incarnation, Zone: c.cfg.Node.Zone, Replicas: c.replicas(), LiveEntries: len(live.names), Clock: now,
 	}
-	c.addChanges(&reply, &req, seen)
+	c.addChanges(&reply, from, &req, seen)
 	if req.Entry != nil {
 		reply.LiveDigest = live.digest
 		if !req.RevisionOnly {
@@ -85,7 +85,7 @@
 
 // addChanges adds to a reply what changed in the directory after seen, in the requested
 // detail.
-func (c *Coordinator) addChanges(reply *api.WatchReply, req *api.WatchRequest, seen uint64) {
+func (c *Coordinator) addChanges(reply *api.WatchReply, from link.PeerInfo, req *api.WatchRequest, seen uint64) {
 	now := c.now()
 	switch {
 	case req.Detail == api.DetailNone:
@@ -101,6 +101,9 @@
 	if req.Role == api.RoleControl {
 		reply.ServerBeats, reply.EntryBeats = c.directory.HeartbeatsSince(seen, req.Unreached, now)
 	}
+	if len(reply.Servers)+len(reply.Entries)+len(reply.Statuses) > 0 {
+		c.pacers.reported(from, req.Role, now)
+	}
 }
 
 // needsShareVote reports whether the sender is an entry without a share for which this
@@ -130,7 +133,10 @@
 
 // waitForChange returns when there is a change that the sender has not seen, when the
 // requested wait is over, or when this replica stops.
-func (c *Coordinator) waitForChange(ctx context.Context, req api.WatchRequest, seen uint64) {
+//
+// The channel of changes in the directory is not watched while the report of a change is
+// delayed: in a series of changes each would wake every waiting call.
+func (c *Coordinator) waitForChange(ctx context.Context, from link.PeerInfo, req api.WatchRequest, seen uint64) {
 	ctx, cancel := context.WithTimeout(ctx, min(max(req.Wait, 0), maxWatchWait))
 	defer cancel()
 	for ctx.Err() == nil {
@@ -139,12 +145,18 @@
 			return
 		}
 		hasChanged, directoryChanged := c.directory.ChangedSince(seen)
+		var due <-chan time.Time
 		if hasChanged {
-			return
+			delay := c.pacers.delay(from, req.Role, c.now())
+			if delay == 0 {
+				return
+			}
+			due, directoryChanged = time.After(delay), nil
 		}
 		select {
 		case <-catalogueChanged:
 		case <-directoryChanged:
+		case <-due:
 		case <-c.stopping:
 			return
 		case <-ctx.Done():
