coordinator: replies list the load of the 256 most loaded servers

Cause: the reply of one replica listed the load of all servers, some 45 B each, to every entry once a second: 120 KB a reply at 3,000 servers.

Sites with fewer loaded servers see all of them, as before. Entries ask each other for the load of the servers among which they choose; the list keeps them away from the most loaded ones.

--- a/coordinator/loads.go
+++ b/coordinator/loads.go
@@ -1,6 +1,9 @@
 package coordinator
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +21,9 @@
 	mu      sync.Mutex
 	entries map[string]entryLoads
 	total   map[string]load // by server
+
+	mostLoaded []string // servers of the last ranking, most loaded first
+	rankedAt   time.Time
 }
 
 // entryLoads is the last report of an entry.
@@ -84,13 +90,44 @@
 	return n
 }
 
-// loadOfOthers returns the loads of all entries but one, by server.
-func (b *loadTable) loadOfOthers(entry string) []api.ServerLoad {
+const (
+	// maxReportedLoads bounds the servers in a reply. Entries query the load of the servers
+	// among which they choose from each other; what a replica reports keeps them away from
+	// the most loaded ones.
+	maxReportedLoads = 256
+	// rankInterval is how long a ranking of the servers by load is used.
+	rankInterval = 250 * time.Millisecond
+)
+
+// rank returns the servers with the highest loads, at most maxReportedLoads. The caller holds
+// mu.
+func (b *loadTable) rank(now time.Time) []string {
+	if !b.rankedAt.IsZero() && now.Sub(b.rankedAt) < rankInterval && len(b.total) > maxReportedLoads {
+		return b.mostLoaded
+	}
+	b.mostLoaded, b.rankedAt = slices.Collect(maps.Keys(b.total)), now
+	if len(b.mostLoaded) <= maxReportedLoads {
+		return b.mostLoaded
+	}
+	slices.SortFunc(b.mostLoaded, func(x, y string) int {
+		lx, ly := b.total[x], b.total[y]
+		return cmp.Or(cmp.Compare(ly.running, lx.running), cmp.Compare(ly.prefill, lx.prefill), cmp.Compare(x, y))
+	})
+	b.mostLoaded = b.mostLoaded[:maxReportedLoads]
+	return b.mostLoaded
+}
+
+// loadOfOthers returns the loads of all entries but one at the most loaded servers.
+func (b *loadTable) loadOfOthers(entry string, now time.Time) []api.ServerLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	own := b.entries[entry].loads
-	out := make([]api.ServerLoad, 0, len(b.total))
-	for server, l := range b.total {
+	var out []api.ServerLoad
+	for _, server := range b.rank(now) {
+		l, known := b.total[server]
+		if !known {
+			continue
+		}
 		if remaining := l.minus(own[server]); remaining.running > 0 {
 			out = append(out, api.ServerLoad{Server: server, Running: remaining.running, Prefill: remaining.prefill})
 		}
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -67,7 +67,7 @@
 	if req.Entry != nil {
 		reply.LiveDigest = live.digest
 		if !req.RevisionOnly {
-			reply.HasLoads, reply.Loads = true, c.loads.loadOfOthers(req.Entry.Name)
+			reply.HasLoads, reply.Loads = true, c.loads.loadOfOthers(req.Entry.Name, now)
 			if live.digest != req.LiveDigest {
 				reply.LiveNames = live.names
 			}
