policy/referral: callers of a large zone spread over all its entries

Cause: a caller takes up to 64 addresses, and the list was cut after the first 64 by name. In a zone with 97 entries every caller was referred to the same 64; a third of the entries got nobody.

Change: where a distance has more entries than fit, a caller gets those that come first in its rendezvous order, by its own address, so that its list is stable. Up to 64 entries nothing changes. The list of live entries is taken from the cache that the watch calls use.

--- a/coordinator/callers.go
+++ b/coordinator/callers.go
@@ -2,25 +2,25 @@
 
 import (
 	"time"
+
+	"savoryreel.example/savoryreel/policy/referral"
 )
 
 // directoryTTL is how long callers may cache a list of entries. They may use it for up
 // to three times as long, so an entry that leaves has to keep serving until then.
 const directoryTTL = 2 * time.Second
 
-// Entries returns the addresses of the live entries for a caller in a zone: first those
-// of its zone, then those of its region, then all others. ttl is how long the caller may
-// cache the list.
-func (c *Coordinator) Entries(region, zone string) (addresses []string, ttl time.Duration) {
-	entries := c.directory.LiveEntries(c.now())
-	for rank := range 3 {
-		for i := range entries {
-			e := &entries[i]
-			if distance(e.Region == region, e.Zone == zone) == rank {
-				addresses = append(addresses, e.Address)
-			}
-		}
+// Entries returns the addresses of at most limit live entries for a caller in a zone:
+// first those of its zone, then those of its region, then all others. caller is stable for
+// a caller. ttl is how long the caller may cache the list.
+func (c *Coordinator) Entries(caller, region, zone string, limit int) (addresses []string, ttl time.Duration) {
+	live := c.live.current(c.now()).entries
+	candidates := make([]referral.Entry, len(live))
+	for i := range live {
+		e := &live[i]
+		candidates[i] = referral.Entry{Name: e.Name, Address: e.Address, Distance: distance(e.Region == region, e.Zone == zone)}
 	}
+	addresses = referral.Choose(candidates, caller, limit)
 	ttl = directoryTTL
 	if bound := c.cfg.Node.Bounds.DirectoryTTL; bound > 0 {
 		ttl = min(ttl, bound)
--- a/coordinator/live.go
+++ b/coordinator/live.go
@@ -24,8 +24,9 @@
 
 // liveList is such a list. It is immutable.
 type liveList struct {
-	names  []string // sorted
-	digest uint64   // of the names; equal lists have equal digests
+	entries []directory.Entry // sorted by name
+	names   []string          // of the entries
+	digest  uint64            // of the names; equal lists have equal digests
 }
 
 // current returns the list, at most liveListTTL old.
@@ -42,6 +43,6 @@
 		names = append(names, entries[i].Name)
 		_, _ = digest.WriteString(entries[i].Name + "\n") // never fails
 	}
-	l.list, l.listedAt = liveList{names: names, digest: digest.Sum64()}, now
+	l.list, l.listedAt = liveList{entries: entries, names: names, digest: digest.Sum64()}, now
 	return l.list
 }
--- /dev/null
+++ b/policy/referral/referral_test.go
@@ -0,0 +1,66 @@
+package referral
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const limit = 64
+
+// site returns n entries in three zones, the first of which is the caller's.
+func site(n int) []Entry {
+	var entries []Entry
+	for i := range n {
+		entries = append(entries, Entry{Name: fmt.Sprintf("edge-%03d", i), Address: fmt.Sprintf("10.0.%d.%d:80", i%3, i), Distance: min(i%3, 1)})
+	}
+	return entries
+}
+
+// A zone has 97 entries and its callers take 64 from a list. Guards against referring all of
+// them to the same 64, which would be overloaded while the others idle.
+func TestCallersSpreadOverAllEntriesOfTheirZone(t *testing.T) {
+	entries := site(291)
+	callers := make(map[string]int)
+	for i := range 300 {
+		list := Choose(entries, fmt.Sprintf("10.9.0.%d", i), limit)
+		require.Len(t, list, limit)
+		for _, addr := range list {
+			callers[addr]++
+		}
+	}
+	require.Len(t, callers, 97, "only entries of the zone, and all of them")
+	for addr, n := range callers {
+		require.InDelta(t, 300*limit/97, n, 50, addr)
+	}
+}
+
+// Guards against lists that change from call to call: callers would close most of their
+// connections each time.
+func TestLossOfOneEntryChangesOneAddress(t *testing.T) {
+	entries := site(291)
+	before := Choose(entries, "10.9.0.1", limit)
+	require.Equal(t, before, Choose(entries, "10.9.0.1", limit))
+	lost := slices.IndexFunc(entries, func(e Entry) bool { return e.Address == before[0] })
+	after := Choose(slices.Delete(slices.Clone(entries), lost, lost+1), "10.9.0.1", limit)
+	kept := 0
+	for _, addr := range after {
+		if slices.Contains(before, addr) {
+			kept++
+		}
+	}
+	require.Equal(t, limit-1, kept)
+}
+
+// Guards against leaving out near entries while farther ones are named.
+func TestNearEntriesComeFirst(t *testing.T) {
+	list := Choose(site(96), "10.9.0.1", limit)
+	require.Len(t, list, limit)
+	for i, addr := range list {
+		require.Equal(t, i < 32, addr[:7] == "10.0.0.", "%d: %s", i, addr)
+	}
+	require.Len(t, Choose(site(30), "10.9.0.1", limit), 30)
+	require.Empty(t, Choose(nil, "10.9.0.1", limit))
+}
