policy/pacing: leaves are reported at a higher rate than new servers

Change: a series of new servers is reported at 150 a second over all entries, one with servers that leave or are unreachable at 300. A delayed report is overtaken by an urgent change. Entries that receive statuses are not woken by changes of other entries.

--- a/coordinator/pace.go
+++ b/coordinator/pace.go
@@ -9,9 +9,9 @@
 	"savoryreel.example/savoryreel/policy/pacing"
 )
 
-// reportsPerSecond is the rate of reports of changes that a replica keeps to during a series
-// of changes, once for all entries and once for all replicas.
-const reportsPerSecond = 500
+// reportRates are the rates of reports of changes that a replica keeps to during a series of
+// changes, once for all entries and once for all replicas.
+var reportRates = pacing.Rates{Urgent: 300, Routine: 150}
 
 // watchPacers paces the reports of changes to entries and to other replicas. They are paced
 // apart, since changes reach entries through replicas. It is safe for concurrent use.
@@ -22,14 +22,14 @@
 }
 
 func newWatchPacers() *watchPacers {
-	return &watchPacers{entries: pacing.New(reportsPerSecond), replicas: pacing.New(reportsPerSecond)}
+	return &watchPacers{entries: pacing.New(reportRates), replicas: pacing.New(reportRates)}
 }
 
 // delay returns how long the report of a change to a process has to wait.
-func (p *watchPacers) delay(to link.PeerInfo, role string, now time.Time) time.Duration {
+func (p *watchPacers) delay(to link.PeerInfo, role string, urgent bool, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.of(role).Delay(to.ID, now)
+	return p.of(role).Delay(to.ID, urgent, now)
 }
 
 // reported records that a process is being sent changes.
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -134,8 +134,8 @@
 // waitForChange returns when there is a change that the sender has not seen, when the
 // requested wait is over, or when this replica stops.
 //
-// The channel of changes in the directory is not watched while the report of a change is
-// delayed: in a series of changes each would wake every waiting call.
+// While the report of a change is delayed, only a more urgent one wakes the call: otherwise
+// each change in a series would wake every waiting call.
 func (c *Coordinator) waitForChange(ctx context.Context, from link.PeerInfo, req api.WatchRequest, seen uint64) {
 	ctx, cancel := context.WithTimeout(ctx, min(max(req.Wait, 0), maxWatchWait))
 	defer cancel()
@@ -144,14 +144,17 @@
 		if document != nil && req.WantsRevision(revision) {
 			return
 		}
-		hasChanged, directoryChanged := c.directory.ChangedSince(seen)
+		change, directoryChanged, urgentlyChanged := c.directory.ChangedSince(seen)
 		var due <-chan time.Time
-		if hasChanged {
-			delay := c.pacers.delay(from, req.Role, c.now())
+		if change.Servers || change.Entries && req.Detail != api.DetailStatuses {
+			delay := c.pacers.delay(from, req.Role, change.Urgent, c.now())
 			if delay == 0 {
 				return
 			}
-			due, directoryChanged = time.After(delay), nil
+			due, directoryChanged = time.After(delay), urgentlyChanged
+			if change.Urgent {
+				directoryChanged = nil
+			}
 		}
 		select {
 		case <-catalogueChanged:
--- a/coordinator/watch_test.go
+++ b/coordinator/watch_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,3 +160,67 @@
 	require.Empty(t, unchanged.LiveNames, "the list has not changed")
 	require.Equal(t, source.LiveDigest, unchanged.LiveDigest)
 }
+
+func serverAnnouncement(id string, sequence uint64, state instance.State) instance.Announcement {
+	return instance.Announcement{ID: id, Sequence: sequence, State: state, Address: "10.0.0.1:" + id[1:], Zone: "z", Slots: 1, Services: []string{"web"}}
+}
+
+// An entry gets complete records from one replica. Guards against the others sending them
+// too, which filled the replicas' memory when hundreds of entries started, and against a
+// leave that they do not report.
+func TestStatusesReplaceRecords(t *testing.T) {
+	c := newIdleReplica(t)
+	c.Announce(serverAnnouncement("s1", 1, instance.StateServing))
+	req := api.WatchRequest{Role: api.RoleEntry, Detail: api.DetailNone, Wait: time.Minute}
+	call := func() api.WatchReply {
+		ctx, cancel := context.WithTimeout(context.Background(), testWait)
+		defer cancel()
+		reply, err := c.watch(ctx, link.PeerInfo{ID: "e"}, req)
+		require.NoError(t, err)
+		require.NoError(t, ctx.Err(), "it did not wait")
+		req.Incarnation, req.Seen = reply.Incarnation, reply.Seen
+		return reply
+	}
+	first := call()
+	require.Equal(t, "z", first.Zone)
+	require.Empty(t, first.Statuses)
+
+	req.Detail = api.DetailStatuses
+	statuses := call()
+	require.Empty(t, statuses.Servers)
+	require.Len(t, statuses.Statuses, 1)
+	c.Announce(serverAnnouncement("s1", 2, instance.StateLeaving))
+	require.Equal(t, instance.StateLeaving, call().Statuses[0].State)
+
+	req.Detail, req.Seen = api.DetailRecords, 0
+	require.Equal(t, "s1", call().Servers[0].ID)
+}
+
+// A site starts: entries wait while servers announce themselves one after the other. Guards
+// against a reply to each entry for each server.
+func TestSeriesOfChangesIsReportedInBatches(t *testing.T) {
+	c := newIdleReplica(t)
+	const entries, servers = 50, 200
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var replies atomic.Int64
+	var wg sync.WaitGroup
+	for i := range entries {
+		wg.Go(func() {
+			req := api.WatchRequest{Role: api.RoleEntry, Detail: api.DetailStatuses, Wait: time.Minute}
+			for ctx.Err() == nil {
+				reply, err := c.watch(ctx, link.PeerInfo{ID: fmt.Sprint(i)}, req)
+				if err == nil && len(reply.Statuses) > 0 {
+					replies.Add(1)
+				}
+				req.Incarnation, req.Seen = reply.Incarnation, reply.Seen
+			}
+		})
+	}
+	for i := range servers {
+		c.Announce(serverAnnouncement(fmt.Sprintf("s%d", i), 1, instance.StateServing))
+		time.Sleep(time.Second / servers / 2)
+	}
+	wg.Wait()
+	require.LessOrEqual(t, replies.Load(), int64(2*entries+reportRates.Routine))
+}
--- a/directory/changes.go
+++ b/directory/changes.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"savoryreel.example/savoryreel/instance"
 )
 
 // updateLists hold the records in the order of their last update, oldest first, so that the
@@ -32,8 +34,13 @@
 // The caller holds s.mu.
 func (s *Store) recordChange(stored *storedServer) {
 	s.recordHeartbeat(stored)
-	stored.changeSeq, s.lastChange = s.lastSeq, s.lastSeq
+	stored.changeSeq, s.lastServerChange = s.lastSeq, s.lastSeq
 	stored.inChanges = moveLast(s.updates.serverChanges, stored.inChanges, stored)
+	if stored.State != instance.StateServing || stored.Unreachable {
+		s.lastUrgentChange = s.lastSeq
+		close(s.urgentlyChanged)
+		s.urgentlyChanged = make(chan struct{})
+	}
 	s.notify()
 }
 
@@ -64,7 +71,7 @@
 // change. The caller holds s.mu.
 func (s *Store) recordEntryChange(stored *storedEntry) {
 	s.recordEntryHeartbeat(stored)
-	stored.changeSeq, s.lastChange = s.lastSeq, s.lastSeq
+	stored.changeSeq, s.lastEntryChange = s.lastSeq, s.lastSeq
 	stored.inChanges = moveLast(s.updates.entryChanges, stored.inChanges, stored)
 	s.notify()
 }
@@ -107,10 +114,19 @@
 	return rec
 }
 
-// ChangedSince reports whether any record changed after seq, heartbeats without a change
-// aside. The channel is closed at the next change.
-func (s *Store) ChangedSince(seq uint64) (hasChanged bool, changed <-chan struct{}) {
+// Change says which records have changed, heartbeats without a change aside.
+type Change struct {
+	Servers bool
+	Entries bool
+	Urgent  bool // a server has left, is leaving or is unreachable
+}
+
+// ChangedSince reports what has changed after seq. changed is closed at the next change,
+// urgentlyChanged at the next urgent one.
+func (s *Store) ChangedSince(seq uint64) (c Change, changed, urgentlyChanged <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lastChange > seq, s.changed
+	return Change{
+		Servers: s.lastServerChange > seq, Entries: s.lastEntryChange > seq, Urgent: s.lastUrgentChange > seq,
+	}, s.changed, s.urgentlyChanged
 }
--- a/directory/store.go
+++ b/directory/store.go
@@ -34,12 +34,14 @@
 type Store struct {
 	cfg Config
 
-	mu         sync.Mutex
-	lastSeq    uint64 // of the newest change or heartbeat
-	lastChange uint64 // of the newest change
-	servers    map[string]*storedServer
-	byAddr     map[string]string // address -> id of the server that has it
-	entries    map[string]*storedEntry
+	mu               sync.Mutex
+	lastSeq          uint64 // of the newest change or heartbeat
+	lastServerChange uint64
+	lastEntryChange  uint64
+	lastUrgentChange uint64 // of a server that is not serving or unreachable
+	servers          map[string]*storedServer
+	byAddr           map[string]string // address -> id of the server that has it
+	entries          map[string]*storedEntry
 
 	serversByKey map[Key]*storedServer
 	entriesByKey map[Key]*storedEntry
@@ -47,6 +49,8 @@
 	updates  updateLists
 	replicas map[string]*replicaState // by link address; empty at a replica
 	changed  chan struct{}            // closed at the next change
+
+	urgentlyChanged chan struct{} // closed at the next urgent change
 }
 
 type storedServer struct {
@@ -86,6 +90,8 @@
 
 		replicas: make(map[string]*replicaState),
 		changed:  make(chan struct{}),
+
+		urgentlyChanged: make(chan struct{}),
 	}
 }
 
@@ -313,15 +319,33 @@
 func (s *Store) Servers(now time.Time) []Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]Server, 0, len(s.servers))
+	present := make([]*storedServer, 0, len(s.servers))
+	for _, stored := range s.servers {
+		if stored.State != instance.StateGone {
+			present = append(present, stored)
+		}
+	}
+	slices.SortFunc(present, func(a, b *storedServer) int { return strings.Compare(a.ID, b.ID) })
+	out := make([]Server, len(present))
+	for i, stored := range present {
+		out[i] = stored.record(now)
+	}
+	return out
+}
+
+// EachServer calls fn for every server that is not gone, in any order. fn must not keep the
+// record or call the store.
+func (s *Store) EachServer(now time.Time, fn func(rec *Server)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, stored := range s.servers {
 		if stored.State == instance.StateGone {
 			continue
 		}
-		out = append(out, stored.record(now))
+		rec := stored.Server
+		rec.HeartbeatAge = now.Sub(stored.lastHeartbeat)
+		fn(&rec)
 	}
-	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
-	return out
 }
 
 // Refresh records a heartbeat of each named entry at now, because another process reports it
--- a/directory/store_test.go
+++ b/directory/store_test.go
@@ -130,18 +130,19 @@
 	s := newStore()
 	s.Announce(heartbeat("s1", 1, 1, instance.StateServing), epoch)
 	seen := s.Since(0, epoch).Seq
-	hasChanged, changed := s.ChangedSince(seen)
-	require.False(t, hasChanged)
+	change, changed, urgentlyChanged := s.ChangedSince(seen)
+	require.Equal(t, Change{}, change)
 	s.Announce(heartbeat("s1", 1, 2, instance.StateServing), epoch)
-	hasChanged, _ = s.ChangedSince(seen)
-	require.False(t, hasChanged, "a heartbeat without a change must not wake waiting calls")
+	change, _, _ = s.ChangedSince(seen)
+	require.Equal(t, Change{}, change, "a heartbeat without a change must not wake waiting calls")
 	require.Empty(t, s.Since(seen, epoch).Servers)
 	forwarded, _ := s.HeartbeatsSince(seen, nil, epoch)
 	require.Equal(t, Heartbeats{{Key: keyOf("s1", 1), Sequence: 2}}, forwarded, "the heartbeat must be sent to replicas with the next message")
 	s.Announce(heartbeat("s1", 1, 3, instance.StateLeaving), epoch)
 	<-changed
-	hasChanged, _ = s.ChangedSince(seen)
-	require.True(t, hasChanged)
+	<-urgentlyChanged
+	change, _, _ = s.ChangedSince(seen)
+	require.Equal(t, Change{Servers: true, Urgent: true}, change)
 }
 
 // Guards against referring callers to entries that are leaving or whose heartbeats stopped.
