--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -131,7 +131,7 @@
 	}
 	if cfg.Node.Cloud.Scaling {
 		c.tasks.fleet = &fleet{
-			log: c.log, now: c.now, servers: c.directory.Servers, announceInterval: cfg.Node.AnnounceInterval, routeTable: c.routeTable.Load,
+			log: c.log, now: c.now, eachServer: c.directory.EachServer, announceInterval: cfg.Node.AnnounceInterval, routeTable: c.routeTable.Load,
 			sendOrder: c.tasks.orderServers, running: c.loads.running, work: c.work,
 			discoveries: make(map[string]*discovery), demands: make(map[string]*demand),
 		}
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -46,7 +46,7 @@
 type fleet struct {
 	log              *slog.Logger
 	now              func() time.Time
-	servers          func(now time.Time) []directory.Server
+	eachServer       func(now time.Time, fn func(rec *directory.Server))
 	announceInterval time.Duration // heartbeat interval of the servers
 	routeTable       func() *routes.Table
 	sendOrder        func(ctx context.Context, w DesiredServers) error
@@ -79,29 +79,42 @@
 	if t == nil {
 		return
 	}
-	servers := f.servers(now)
+	counts := f.countServers(now)
 	for i := range t.Catalogue().Services {
 		s := &t.Catalogue().Services[i]
 		if s.Scaling == nil {
 			continue
 		}
-		f.orderForService(ctx, m, s, servers, now)
+		f.orderForService(ctx, m, s, counts[s.Name], now)
 	}
 }
 
+// countServers counts the servers of each service that has any.
+func (f *fleet) countServers(now time.Time) map[string]*serverCount {
+	counts := make(map[string]*serverCount)
+	f.eachServer(now, func(rec *directory.Server) {
+		for _, name := range rec.Services {
+			count := counts[name]
+			if count == nil {
+				count = newServerCount()
+				counts[name] = count
+			}
+			count.add(rec, f.announceInterval+maxRelayDelay)
+		}
+	})
+	return counts
+}
+
 // maxRelayDelay is the longest delay of a heartbeat from the replica that receives it.
 const maxRelayDelay = follow.DefaultWait
 
 // orderForService places the orders for one service. It stops at an order that the cloud
 // does not answer. The service's initial size is read from the log: a leader elected
 // during a wave of reclaims would otherwise take the remaining servers for the size that
-// is needed.
-func (f *fleet) orderForService(ctx context.Context, m *member, s *routes.Service, servers []directory.Server, now time.Time) {
-	count := serverCount{serving: make(map[supply.CapacityPool]int), present: make(map[supply.CapacityPool]int)}
-	for i := range servers {
-		if rec := &servers[i]; slices.Contains(rec.Services, s.Name) {
-			count.add(rec, f.announceInterval+maxRelayDelay)
-		}
+// is needed. count is nil if the service has no server.
+func (f *fleet) orderForService(ctx context.Context, m *member, s *routes.Service, count *serverCount, now time.Time) {
+	if count == nil {
+		count = newServerCount()
 	}
 	initial := m.state.initialSize(s.Name)
 	if initial == 0 {
@@ -181,7 +194,10 @@
 	serving map[supply.CapacityPool]int // not leaving
 	present map[supply.CapacityPool]int // including those that are leaving
 	total   int                         // of serving
-	ids     []string                    // of present
+}
+
+func newServerCount() *serverCount {
+	return &serverCount{serving: make(map[supply.CapacityPool]int), present: make(map[supply.CapacityPool]int)}
 }
 
 // add counts a server unless it is unreachable, or is leaving and its last heartbeat is
@@ -193,7 +209,6 @@
 		return
 	}
 	c.present[pool]++
-	c.ids = append(c.ids, rec.ID)
 	if rec.State == instance.StateServing {
 		c.serving[pool]++
 		c.total++
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -39,7 +39,11 @@
 	}}})
 	m.fleet = &fleet{
 		log: slog.New(slog.DiscardHandler), now: func() time.Time { return m.now }, routeTable: func() *routes.Table { return table },
-		servers: func(time.Time) []directory.Server { return m.servers }, announceInterval: time.Second, running: func([]string) int { return m.runningRequests },
+		eachServer: func(_ time.Time, fn func(*directory.Server)) {
+			for i := range m.servers {
+				fn(&m.servers[i])
+			}
+		}, announceInterval: time.Second, running: func([]string) int { return m.runningRequests },
 		work: newWorkTable(), discoveries: make(map[string]*discovery), demands: make(map[string]*demand),
 		sendOrder: func(_ context.Context, w DesiredServers) error {
 			m.orders = append(m.orders, w)
--- a/coordinator/observe.go
+++ b/coordinator/observe.go
@@ -28,19 +28,31 @@
 		return
 	}
 	f.lastObserved = now
-	byService := make(map[string][]directory.Server)
-	for _, rec := range f.servers(now) {
+	byService := make(map[string]*serviceCapacity)
+	f.eachServer(now, func(rec *directory.Server) {
 		if rec.Unreachable || rec.State != instance.StateServing {
-			continue
+			return
 		}
 		for _, name := range rec.Services {
-			byService[name] = append(byService[name], rec)
+			serving := byService[name]
+			if serving == nil {
+				serving = &serviceCapacity{}
+				byService[name] = serving
+			}
+			serving.ids = append(serving.ids, rec.ID)
+			serving.slots += rec.Slots
 		}
+	})
+	for name, serving := range byService {
+		f.recordServers(name, len(serving.ids), now)
+		f.recordLoad(name, serving, now)
 	}
-	for name, servers := range byService {
-		f.recordServers(name, len(servers), now)
-		f.recordLoad(name, servers, now)
-	}
+}
+
+// serviceCapacity is what the reachable servers of a service that take requests have.
+type serviceCapacity struct {
+	ids   []string
+	slots int // of all together
 }
 
 // recordServers records the number of servers of a service.
@@ -56,19 +68,13 @@
 }
 
 // recordLoad adds the token rate and the running requests of a service to its demand.
-func (f *fleet) recordLoad(service string, servers []directory.Server, now time.Time) {
-	ids := make([]string, 0, len(servers))
-	slots := 0
-	for i := range servers {
-		ids = append(ids, servers[i].ID)
-		slots += servers[i].Slots
-	}
+func (f *fleet) recordLoad(service string, serving *serviceCapacity, now time.Time) {
 	d := f.demand(service)
 	perSecond, known := d.meter.perSecond(f.work.tokens(service), now)
 	if !known {
 		return
 	}
-	d.Observe(supply.Usage{Tokens: perSecond, Running: float64(f.running(ids)), Slots: slots / len(servers)}, now)
+	d.Observe(supply.Usage{Tokens: perSecond, Running: float64(f.running(serving.ids)), Slots: serving.slots / len(serving.ids)}, now)
 }
 
 // demand returns the demand of a service, which it creates if there is none.
