policy/referral: no sort of all entries for each look-up

Cause: each look-up of a caller sorted all live entries by distance and hashed their names.

Change: entries are put in order by distance in one pass, and only those of the distance at which the limit is reached are sorted; names are hashed once per list.

--- a/coordinator/callers.go
+++ b/coordinator/callers.go
@@ -14,13 +14,11 @@
 // first those of its zone, then those of its region, then all others. caller is stable for
 // a caller. ttl is how long the caller may cache the list.
 func (c *Coordinator) Entries(caller, region, zone string, limit int) (addresses []string, ttl time.Duration) {
-	live := c.live.current(c.now()).entries
-	candidates := make([]referral.Entry, len(live))
-	for i := range live {
-		e := &live[i]
-		candidates[i] = referral.Entry{Name: e.Name, Address: e.Address, Distance: distance(e.Region == region, e.Zone == zone)}
-	}
-	addresses = referral.Choose(candidates, caller, limit)
+	live := c.live.current(c.now())
+	addresses = referral.Choose(len(live.entries), func(i int) (referral.Entry, referral.Distance) {
+		e := &live.entries[i]
+		return referral.Entry{Address: e.Address, Hash: live.hashes[i]}, distance(e.Region == region, e.Zone == zone)
+	}, caller, limit)
 	ttl = directoryTTL
 	if bound := c.cfg.Node.Bounds.DirectoryTTL; bound > 0 {
 		ttl = min(ttl, bound)
@@ -28,15 +26,14 @@
 	return addresses, ttl
 }
 
-// distance ranks an entry for a caller: 0 in the same zone, 1 in the same region, 2
-// elsewhere.
-func distance(sameRegion, sameZone bool) int {
+// distance returns the distance of an entry to a caller.
+func distance(sameRegion, sameZone bool) referral.Distance {
 	switch {
 	case sameRegion && sameZone:
-		return 0
+		return referral.SameZone
 	case sameRegion:
-		return 1
+		return referral.SameRegion
 	default:
-		return 2
+		return referral.Elsewhere
 	}
 }
--- a/coordinator/live.go
+++ b/coordinator/live.go
@@ -26,6 +26,7 @@
 type liveList struct {
 	entries []directory.Entry // sorted by name
 	names   []string          // of the entries
+	hashes  []uint64          // of the names
 	digest  uint64            // of the names; equal lists have equal digests
 }
 
@@ -37,12 +38,13 @@
 		return l.list
 	}
 	entries := l.entries(now)
-	names := make([]string, 0, len(entries))
+	names, hashes := make([]string, 0, len(entries)), make([]uint64, 0, len(entries))
 	digest := xxhash.New()
 	for i := range entries {
 		names = append(names, entries[i].Name)
+		hashes = append(hashes, xxhash.Sum64String(entries[i].Name))
 		_, _ = digest.WriteString(entries[i].Name + "\n") // never fails
 	}
-	l.list, l.listedAt = liveList{entries: entries, names: names, digest: digest.Sum64()}, now
+	l.list, l.listedAt = liveList{entries: entries, names: names, hashes: hashes, digest: digest.Sum64()}, now
 	return l.list
 }
--- a/coordinator/state_test.go
+++ b/coordinator/state_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"savoryreel.example/savoryreel/policy/referral"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/roster"
 	"savoryreel.example/savoryreel/replica/storage"
@@ -137,7 +138,7 @@
 
 // Guards against directing callers to another zone although their own has entries.
 func TestEntriesOfTheCallersZoneFirst(t *testing.T) {
-	require.Equal(t, []int{0, 1, 2, 2}, []int{distance(true, true), distance(true, false), distance(false, true), distance(false, false)})
+	require.Equal(t, []referral.Distance{0, 1, 2, 2}, []referral.Distance{distance(true, true), distance(true, false), distance(false, true), distance(false, false)})
 }
 
 // Guards against marking a server overdue whose heartbeat is a few seconds late.
--- a/policy/referral/referral.go
+++ b/policy/referral/referral.go
@@ -15,43 +15,50 @@
 	"savoryreel.example/savoryreel/policy/hash"
 )
 
+// Distance ranks an entry for a caller; the lowest is nearest.
+type Distance int
+
+// distances is the number of distances.
+const distances = 3
+
+// The distances.
+const (
+	SameZone Distance = iota
+	SameRegion
+	Elsewhere
+)
+
 // Entry is an entry that accepts callers.
 type Entry struct {
-	Name    string
 	Address string
-	// Distance ranks the entry for the caller; the lowest is nearest.
-	Distance int
+	Hash    uint64 // of its name
 }
 
-// Choose returns the addresses of at most limit entries for a caller, nearest first. Entries
-// keep their order within a distance, except at the distance at which limit is reached.
-func Choose(entries []Entry, caller string, limit int) []string {
-	sorted := slices.Clone(entries)
-	slices.SortStableFunc(sorted, func(a, b Entry) int { return cmp.Compare(a.Distance, b.Distance) })
-	if len(sorted) > limit {
-		sorted = cut(sorted, caller, limit)
+// Choose returns the addresses of at most limit of n entries for a caller, nearest first.
+// entry returns the i-th entry and its distance. Entries keep their order within a distance,
+// except at the distance at which limit is reached.
+func Choose(n int, entry func(i int) (Entry, Distance), caller string, limit int) []string {
+	var byDistance [distances][]Entry
+	for i := range n {
+		e, distance := entry(i)
+		byDistance[distance] = append(byDistance[distance], e)
 	}
-	addresses := make([]string, len(sorted))
-	for i := range sorted {
-		addresses[i] = sorted[i].Address
+	addresses := make([]string, 0, min(n, limit))
+	for _, entries := range byDistance {
+		if room := limit - len(addresses); len(entries) > room {
+			entries = firstForCaller(entries, xxhash.Sum64String(caller), room)
+		}
+		for _, e := range entries {
+			addresses = append(addresses, e.Address)
+		}
 	}
 	return addresses
 }
 
-// cut returns the limit nearest entries, chosen by the caller's rendezvous order among those
-// at the distance of the last. entries are sorted by distance.
-func cut(entries []Entry, caller string, limit int) []Entry {
-	farthest := entries[limit-1].Distance
-	first := slices.IndexFunc(entries, func(e Entry) bool { return e.Distance == farthest })
-	nearer, choice := entries[:first], entries[first:]
-	if end := slices.IndexFunc(choice, func(e Entry) bool { return e.Distance != farthest }); end >= 0 {
-		choice = choice[:end]
-	}
-	callerHash := xxhash.Sum64String(caller)
-	rank := make(map[string]uint64, len(choice))
-	for _, e := range choice {
-		rank[e.Name] = hash.Pair(callerHash, xxhash.Sum64String(e.Name))
-	}
-	slices.SortFunc(choice, func(a, b Entry) int { return cmp.Compare(rank[b.Name], rank[a.Name]) })
-	return append(nearer, choice[:limit-first]...)
+// firstForCaller returns the first n entries in a caller's rendezvous order. It sorts entries.
+func firstForCaller(entries []Entry, callerHash uint64, n int) []Entry {
+	slices.SortFunc(entries, func(a, b Entry) int {
+		return cmp.Compare(hash.Pair(callerHash, b.Hash), hash.Pair(callerHash, a.Hash))
+	})
+	return entries[:n]
 }
--- a/policy/referral/referral_test.go
+++ b/policy/referral/referral_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 )
 
@@ -14,18 +16,27 @@
 func site(n int) []Entry {
 	var entries []Entry
 	for i := range n {
-		entries = append(entries, Entry{Name: fmt.Sprintf("edge-%03d", i), Address: fmt.Sprintf("10.0.%d.%d:80", i%3, i), Distance: min(i%3, 1)})
+		entries = append(entries, Entry{Address: fmt.Sprintf("10.0.%d.%d:80", i%3, i), Hash: xxhash.Sum64String(fmt.Sprintf("edge-%03d", i))})
 	}
 	return entries
 }
 
+func choose(entries []Entry, caller string) []string {
+	return Choose(len(entries), func(i int) (Entry, Distance) {
+		if strings.HasPrefix(entries[i].Address, "10.0.0.") {
+			return entries[i], SameZone
+		}
+		return entries[i], SameRegion
+	}, caller, limit)
+}
+
 // A zone has 97 entries and its callers take 64 from a list. Guards against referring all of
 // them to the same 64, which would be overloaded while the others idle.
 func TestCallersSpreadOverAllEntriesOfTheirZone(t *testing.T) {
 	entries := site(291)
 	callers := make(map[string]int)
 	for i := range 300 {
-		list := Choose(entries, fmt.Sprintf("10.9.0.%d", i), limit)
+		list := choose(entries, fmt.Sprintf("10.9.0.%d", i))
 		require.Len(t, list, limit)
 		for _, addr := range list {
 			callers[addr]++
@@ -41,10 +52,10 @@
 // connections each time.
 func TestLossOfOneEntryChangesOneAddress(t *testing.T) {
 	entries := site(291)
-	before := Choose(entries, "10.9.0.1", limit)
-	require.Equal(t, before, Choose(entries, "10.9.0.1", limit))
+	before := choose(entries, "10.9.0.1")
+	require.Equal(t, before, choose(entries, "10.9.0.1"))
 	lost := slices.IndexFunc(entries, func(e Entry) bool { return e.Address == before[0] })
-	after := Choose(slices.Delete(slices.Clone(entries), lost, lost+1), "10.9.0.1", limit)
+	after := choose(slices.Delete(slices.Clone(entries), lost, lost+1), "10.9.0.1")
 	kept := 0
 	for _, addr := range after {
 		if slices.Contains(before, addr) {
@@ -56,11 +67,11 @@
 
 // Guards against leaving out near entries while farther ones are named.
 func TestNearEntriesComeFirst(t *testing.T) {
-	list := Choose(site(96), "10.9.0.1", limit)
+	list := choose(site(96), "10.9.0.1")
 	require.Len(t, list, limit)
 	for i, addr := range list {
 		require.Equal(t, i < 32, addr[:7] == "10.0.0.", "%d: %s", i, addr)
 	}
-	require.Len(t, Choose(site(30), "10.9.0.1", limit), 30)
-	require.Empty(t, Choose(nil, "10.9.0.1", limit))
+	require.Len(t, choose(site(30), "10.9.0.1"), 30)
+	require.Empty(t, choose(nil, "10.9.0.1"))
 }
