coordinator, gateway: fewer calls and link heartbeats at hundreds of entries

Cause: each entry called each replica once a second and both ends of the link sent two heartbeats a second between: at 300 entries some 1,500 messages a second at each replica, whose work is counted by messages. Requests and replies named their fields (a third of their bytes).

Change: replicas that send statuses may hold a call for up to 2 s where there are more than 50 entries (their heartbeats reach the others through the replica that sends records, within 2 s, and entries expire after 2.5 s). Links of entries have heartbeats each second and time out after 3 s (2 s before; a call times out within 2 or 3 s in any case). Messages of the watch call are arrays. Replies list the 128 most loaded servers.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -21,10 +21,30 @@
 	maxBackoff = 500 * time.Millisecond
 )
 
+// Heartbeats of the links between entries and replicas. Hundreds of entries have a link to
+// each replica and a call on it that lasts a second or two, so more frequent heartbeats would
+// outnumber the calls.
+const (
+	linkHeartbeatInterval = time.Second
+	linkHeartbeatTimeout  = 3 * time.Second
+)
+
 // PoolConfig returns the configuration of the links of a process that calls control replicas.
 // self describes that process.
 func PoolConfig(self link.PeerInfo, clusterKey string) link.PoolConfig {
-	return link.PoolConfig{Self: self, ClusterKey: []byte(clusterKey), MaxFrame: MaxFrame, BackoffMax: maxBackoff}
+	cfg := link.PoolConfig{Self: self, ClusterKey: []byte(clusterKey), MaxFrame: MaxFrame, BackoffMax: maxBackoff}
+	if self.Role == RoleEntry {
+		cfg.HeartbeatInterval, cfg.HeartbeatTimeout = linkHeartbeatInterval, linkHeartbeatTimeout
+	}
+	return cfg
+}
+
+// ServerConfig returns the configuration of the links that a control replica accepts.
+func ServerConfig(self link.PeerInfo, clusterKey string) link.ServerConfig {
+	return link.ServerConfig{
+		Self: self, ClusterKey: []byte(clusterKey), MaxFrame: MaxFrame,
+		HeartbeatInterval: linkHeartbeatInterval, HeartbeatTimeout: linkHeartbeatTimeout,
+	}
 }
 
 // Names of the methods on links.
@@ -43,10 +63,15 @@
 	RoleControl = "control"
 )
 
+// Messages that are exchanged hundreds of times a second are encoded as arrays: a new field
+// goes last, and none is removed.
+
 // WatchRequest requests the changes at a control replica since the sender's last call. The
 // replica holds the call open until something changes, or until Wait has passed. The request
 // is also the heartbeat of its sender.
 type WatchRequest struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Role  string           `msgpack:"role"`
 	Entry *directory.Entry `msgpack:"entry,omitempty"` // the sender's own record, if it is an entry
 
@@ -118,6 +143,8 @@
 
 // ServiceWork is the prefill work that the sender has sent to the servers of a service.
 type ServiceWork struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Service string  `msgpack:"s"`
 	Tokens  uint64  `msgpack:"n"`           // prompt tokens, since the sender's start, that no server was known to cache
 	Rate    float64 `msgpack:"r,omitempty"` // estimated prefill rate of a server in tokens per second; 0: no estimate yet
@@ -129,6 +156,8 @@
 
 // WindowUsage counts the requests that started to run at one entry in one window.
 type WindowUsage struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Window int64            `msgpack:"w"` // Unix time divided by the window's length
 	Counts map[string]int64 `msgpack:"c"` // requests by workspace
 }
@@ -136,6 +165,8 @@
 // WatchReply holds the changes at a control replica that the sender of the request has not
 // received from it.
 type WatchReply struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Incarnation uint64             `msgpack:"life"` // changes when the replica restarts; Seen then starts from 0
 	Seen        uint64             `msgpack:"seen"`
 	Servers     []directory.Server `msgpack:"servers,omitempty"`
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -306,8 +306,7 @@
 	if err != nil {
 		return err
 	}
-	srv := link.NewServer(link.ServerConfig{Self: c.peerInfo(), ClusterKey: []byte(c.cfg.ClusterKey), MaxFrame: api.MaxFrame},
-		link.ServerDeps{Log: c.log, Traffic: c.traffic})
+	srv := link.NewServer(api.ServerConfig(c.peerInfo(), c.cfg.ClusterKey), link.ServerDeps{Log: c.log, Traffic: c.traffic})
 	c.registerHandlers(srv)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, c.group.run)
--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -45,8 +45,10 @@
 
 // Config holds the settings of a Follower.
 type Config struct {
-	Self string        // own link address, which is not followed; empty at an entry
-	Wait time.Duration // how long a replica may hold a call open; DefaultWait if not positive
+	Self string // own link address, which is not followed; empty at an entry
+	// Wait is how long a replica that sends complete records may hold a call open;
+	// DefaultWait if not positive.
+	Wait time.Duration
 	// SingleSource makes only one replica at a time send complete records and, once the
 	// process has a first catalogue, the catalogue. It is for processes on slow links, and for
 	// those of which there are hundreds.
@@ -230,6 +232,7 @@
 	}
 	send, highestRevision := f.source.shouldSend(addr, f.deps.Now())
 	if send {
+		req.Wait = min(req.Wait, f.cfg.Wait)
 		return
 	}
 	req.Detail = api.DetailStatuses
--- a/coordinator/follow/source_test.go
+++ b/coordinator/follow/source_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/coordinator/api"
 )
 
 // senders returns which of the replicas would send the catalogue if they were called in this
@@ -59,3 +61,57 @@
 	s.observeRevision("c", 8, true, startTime.Add(maxSourceDelay+2*time.Millisecond))
 	require.Equal(t, []string{"b"}, s.senders("a", "b", "c"), "a new source has the full delay")
 }
+
+// replicasByZone returns a source of a process in zone z1 that knows the zones of the
+// replicas a1, b1 (in z1) and c2 (in z2).
+func replicasByZone() *recordSource {
+	s := &recordSource{zone: "z1", vacantSince: startTime}
+	s.observeZone("a1", "z1")
+	s.observeZone("b1", "z1")
+	s.observeZone("c2", "z2")
+	return s
+}
+
+// Guards against records and catalogues that every entry reads from another zone, though its
+// own has a replica.
+func TestSourceInOwnZoneIsPreferred(t *testing.T) {
+	s := replicasByZone()
+	send, _ := s.shouldSend("c2", startTime)
+	require.False(t, send, "a replica in the own zone may still answer")
+	send, _ = s.shouldSend("b1", startTime.Add(localSourceWait/2))
+	require.True(t, send)
+
+	s.markUnreachable("b1", startTime)
+	send, _ = s.shouldSend("c2", startTime.Add(localSourceWait))
+	require.True(t, send, "no replica in the own zone answers")
+	send, _ = s.shouldSend("a1", startTime.Add(2*localSourceWait))
+	require.True(t, send, "one answers again")
+}
+
+// Guards against returning to a replica in the own zone that lacks the newest revision: the
+// entry would switch back and forth and get a complete list each time.
+func TestOutdatedReplicaInOwnZoneIsNotPreferred(t *testing.T) {
+	s := replicasByZone()
+	s.observeRevision("c2", 8, false, startTime)
+	s.observeRevision("a1", 7, false, startTime)
+	send, _ := s.shouldSend("c2", startTime.Add(localSourceWait))
+	require.True(t, send)
+	send, _ = s.shouldSend("a1", startTime.Add(localSourceWait))
+	require.False(t, send)
+	s.observeRevision("a1", 8, false, startTime)
+	send, _ = s.shouldSend("a1", startTime.Add(localSourceWait))
+	require.True(t, send)
+}
+
+// Guards against a new source that sends only what changed since its last statuses: records
+// that the old source alone had sent would be missing.
+func TestNewSourceSendsAllRecords(t *testing.T) {
+	var seen seenChanges
+	seen.record(api.DetailNone, 0)
+	require.Zero(t, seen.next(api.DetailStatuses))
+	seen.record(api.DetailStatuses, 120)
+	require.EqualValues(t, 120, seen.next(api.DetailStatuses))
+	require.Zero(t, seen.next(api.DetailRecords))
+	seen.record(api.DetailRecords, 130)
+	require.EqualValues(t, 130, seen.next(api.DetailStatuses))
+}
--- a/coordinator/loads.go
+++ b/coordinator/loads.go
@@ -94,7 +94,7 @@
 	// maxReportedLoads bounds the servers in a reply. Entries query the load of the servers
 	// among which they choose from each other; what a replica reports keeps them away from
 	// the most loaded ones.
-	maxReportedLoads = 256
+	maxReportedLoads = 128
 	// rankInterval is how long a ranking of the servers by load is used.
 	rankInterval = 250 * time.Millisecond
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,9 +138,10 @@
 	maxRetryBackoff = 50 * time.Millisecond
 	// minWatchWait and maxWatchWait bound the time between two calls to a control replica,
 	// which exchange what entries have running. watchWaitPerEntry limits a replica to about
-	// fifty calls a second until maxWatchWait is reached.
+	// fifty calls a second until maxWatchWait is reached. The follower waits less for the
+	// replica that sends complete records.
 	minWatchWait      = 400 * time.Millisecond
-	maxWatchWait      = time.Second
+	maxWatchWait      = 2 * time.Second
 	watchWaitPerEntry = 20 * time.Millisecond
 	// minStartWatchWait and startWatchWaitPerEntry apply to an entry that has just started
 	// and has no usable share of the limits yet.
