platform control: idle connections of heartbeats are closed after three intervals

Cause: a server whose heartbeat is acknowledged late connects to another replica. While all replicas were late, 3,000 servers left up to 8,187 connections at each of them, which were kept for two minutes: more than its 4,096 descriptors, and some 200 MB. No server, entry or operator could connect any more, so the replicas did not recover.

Change: a connection for heartbeats may be idle for three heartbeat intervals.

--- a/cmd/savoryreel/platform.go
+++ b/cmd/savoryreel/platform.go
@@ -164,15 +164,36 @@
 	}
 	return c.Run(ctx, func(group *run.Group) error {
 		daemon.Actor(group, n.watch)
-		if err := serve(ctx, group, log, "operators", siteNode.Listen.Operators, platform.ControlHandler(c, log)); err != nil {
+		operators := platform.ControlHandler(c, log)
+		if err := serveIdle(ctx, group, log, "operators", siteNode.Listen.Operators, operators, heartbeatIdleTimeout(siteNode.AnnounceInterval)); err != nil {
 			return err
 		}
 		return serve(ctx, group, log, "directory", siteNode.Listen.Directory, platform.DirectoryHandler(c))
 	})
 }
 
+// idleHeartbeats is the number of heartbeat intervals for which a replica keeps the
+// connection of a backend server that sends none.
+const idleHeartbeats = 3
+
+// heartbeatIdleTimeout returns how long a connection for heartbeats may be idle. A server
+// whose heartbeat was acknowledged late goes on at another replica; while all replicas are
+// late, thousands of servers would leave behind more connections than a replica has
+// descriptors, and none of them could connect any more.
+func heartbeatIdleTimeout(interval time.Duration) time.Duration {
+	if interval <= 0 {
+		return daemon.DefaultIdleTimeout
+	}
+	return idleHeartbeats * interval
+}
+
 // serve adds an HTTP server on address to the group. It does nothing if address is empty.
 func serve(ctx context.Context, group *run.Group, log *slog.Logger, purpose, address string, h http.Handler) error {
+	return serveIdle(ctx, group, log, purpose, address, h, daemon.DefaultIdleTimeout)
+}
+
+// serveIdle is serve with a time after which a connection without a request is closed.
+func serveIdle(ctx context.Context, group *run.Group, log *slog.Logger, purpose, address string, h http.Handler, idle time.Duration) error {
 	if address == "" {
 		return nil
 	}
@@ -180,6 +201,6 @@
 	if err != nil {
 		return err
 	}
-	daemon.Serve(group, l, h, daemon.CloseGrace, log)
+	daemon.ServeIdle(group, l, h, daemon.CloseGrace, idle, log)
 	return nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,11 +22,13 @@
 	"savoryreel.example/savoryreel/event"
 )
 
+// DefaultIdleTimeout is how long an HTTP server keeps a connection without a request.
+const DefaultIdleTimeout = 2 * time.Minute
+
 // Limits of every HTTP server. Without them a client that sends its request header slowly,
 // or not at all, holds a connection without a time limit.
 const (
 	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
 	closeTimeout   = 2 * time.Second
 )
@@ -35,10 +37,15 @@
 // listener at once, waits up to grace for running requests, and then closes the remaining
 // connections.
 func Serve(g *run.Group, l net.Listener, h http.Handler, grace time.Duration, log *slog.Logger) {
+	ServeIdle(g, l, h, grace, DefaultIdleTimeout, log)
+}
+
+// ServeIdle is Serve with a time after which a connection without a request is closed.
+func ServeIdle(g *run.Group, l net.Listener, h http.Handler, grace, idle time.Duration, log *slog.Logger) {
 	srv := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       idle,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
