--- a/link/server.go
+++ b/link/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -16,7 +17,12 @@
 // DefaultMaxInFlight is the default limit on running calls per connection.
 const DefaultMaxInFlight = 1024
 
-const serverNoticeQueueLen = 256 // per connection
+const (
+	serverNoticeQueueLen = 256 // per connection
+	// acceptRetryDelay is the pause after a connection was not accepted for lack of
+	// descriptors.
+	acceptRetryDelay = 100 * time.Millisecond
+)
 
 // ServerConfig configures a Server. Zero limits and durations take the defaults.
 type ServerConfig struct {
@@ -128,12 +134,27 @@
 			if ctx.Err() != nil {
 				return nil
 			}
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				s.log.Warn("link connection not accepted", "address", l.Addr().String(), "err", err)
+				pause(ctx, acceptRetryDelay)
+				continue
+			}
 			return trace.Wrap(err, "accept at %v", l.Addr())
 		}
 		conns.Go(func() { s.serveConn(ctx, nc) })
 	}
 }
 
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // serverConn is the accepting end of a connection.
 type serverConn struct {
 	*conn
