coordinator: a replica that has just started judges no server unreachable

Cause: after all replicas were killed, servers connect again over some seconds. The ages of the servers in the data folder grow meanwhile, and 4.6 s after the last heartbeat a majority of replicas, all just started, would judge those that had not yet connected unreachable.

Change: no judgement within twice the time after which a heartbeat is overdue from the start of the process. A server that ends in that time is noticed by its failing requests.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -53,6 +53,8 @@
 	deps        Deps
 	self        string // own link address
 	incarnation uint64 // start time in Unix nanoseconds
+	startedAt   time.Time
+	judgeAfter  time.Duration // time after the start in which no server is judged unreachable
 	log         *slog.Logger
 	now         func() time.Time
 	metrics     *metrics.Set
@@ -102,6 +104,7 @@
 		cfg: cfg, deps: deps, log: deps.Log, now: deps.Now, metrics: metrics.NewSet(),
 		self:        cfg.Node.ControlLink(cfg.Node.IP),
 		incarnation: uint64(deps.Now().UnixNano()),
+		startedAt:   deps.Now(), judgeAfter: 2 * overdueAfter(cfg.Node.AnnounceInterval),
 		directory: directory.NewStore(directory.Config{
 			OverdueAfter: overdueAfter(cfg.Node.AnnounceInterval), EntryExpiry: entryExpiry, ForgetAfter: directory.DefaultForgetAfter,
 			AddressHold: time.Duration(addressHoldFraction * float64(cfg.Node.Bounds.AddressReuse)),
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -13,12 +13,18 @@
 // sweepInterval is the interval at which expired heartbeats and reports are processed.
 const sweepInterval = 500 * time.Millisecond
 
-// sweep marks unreachable servers and entries and drops expired reports. The directory
-// is told whether this replica is in contact with a majority of the replicas.
+// judgesServers reports whether this replica may judge servers unreachable, by how many of
+// the followed replicas have replied: it is in contact with a majority, and has been up for
+// long enough to have received the heartbeats of all servers, which all connect again when
+// all replicas restart.
+func (c *Coordinator) judgesServers(replied, followed int) bool {
+	return replied+1 > (followed+1)/2 && c.now().Sub(c.startedAt) > c.judgeAfter
+}
+
+// sweep marks unreachable servers and entries and drops expired reports.
 func (c *Coordinator) sweep(ctx context.Context) error {
 	return daemon.Every(ctx, sweepInterval, func() {
-		replied, followed := c.follower.CountReplied(maxReplyAge)
-		c.directory.Sweep(c.now(), replied+1 > (followed+1)/2)
+		c.directory.Sweep(c.now(), c.judgesServers(c.follower.CountReplied(maxReplyAge)))
 		c.loads.expire(c.now())
 		c.work.expire(c.now())
 	})
--- a/coordinator/watch_test.go
+++ b/coordinator/watch_test.go
@@ -224,3 +224,14 @@
 	wg.Wait()
 	require.LessOrEqual(t, replies.Load(), int64(2*entries+reportRates.Routine))
 }
+
+// All replicas restart, and thousands of servers connect to them again over some seconds.
+// Guards against judging those that have not yet connected unreachable: entries would refuse
+// requests for lack of servers.
+func TestReplicaThatHasJustStartedJudgesNoServer(t *testing.T) {
+	c := newIdleReplica(t)
+	require.False(t, c.judgesServers(5, 5))
+	c.startedAt = c.now().Add(-c.judgeAfter - time.Second)
+	require.True(t, c.judgesServers(5, 5))
+	require.False(t, c.judgesServers(1, 5), "out of contact with most replicas")
+}
