--- a/cmd/savoryreel/platform.go
+++ b/cmd/savoryreel/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -164,14 +165,35 @@
 	}
 	return c.Run(ctx, func(group *run.Group) error {
 		daemon.Actor(group, n.watch)
-		operators := platform.ControlHandler(c, log)
-		if err := serveIdle(ctx, group, log, "operators", siteNode.Listen.Operators, operators, heartbeatIdleTimeout(siteNode.AnnounceInterval)); err != nil {
+		if err := serveOperators(ctx, group, log, &siteNode, platform.ControlHandler(c, log)); err != nil {
 			return err
 		}
 		return serve(ctx, group, log, "directory", siteNode.Listen.Directory, platform.DirectoryHandler(c))
 	})
 }
 
+// heartbeatAccepts is the rate of new connections at which a replica on a small instance still
+// answers every heartbeat in time. Backend servers wait for a second.
+var heartbeatAccepts = daemon.AcceptRate{PerSecond: 150, Burst: 200, Backlog: 64}
+
+// serveOperators adds the HTTP server for operators and for heartbeats of backend servers.
+func serveOperators(ctx context.Context, group *run.Group, log *slog.Logger, n *site.Node, h http.Handler) error {
+	if n.Listen.Operators == "" {
+		return nil
+	}
+	l, err := daemon.Listen(ctx, log, "operators", n.Listen.Operators)
+	if err != nil {
+		return err
+	}
+	if tcp, ok := l.(*net.TCPListener); ok {
+		if l, err = daemon.Paced(tcp, heartbeatAccepts); err != nil {
+			return err
+		}
+	}
+	daemon.ServeIdle(group, l, h, daemon.CloseGrace, heartbeatIdleTimeout(n.AnnounceInterval), log)
+	return nil
+}
+
 // idleHeartbeats is the number of heartbeat intervals for which a replica keeps the
 // connection of a backend server that sends none.
 const idleHeartbeats = 3
@@ -189,11 +211,6 @@
 
 // serve adds an HTTP server on address to the group. It does nothing if address is empty.
 func serve(ctx context.Context, group *run.Group, log *slog.Logger, purpose, address string, h http.Handler) error {
-	return serveIdle(ctx, group, log, purpose, address, h, daemon.DefaultIdleTimeout)
-}
-
-// serveIdle is serve with a time after which a connection without a request is closed.
-func serveIdle(ctx context.Context, group *run.Group, log *slog.Logger, purpose, address string, h http.Handler, idle time.Duration) error {
 	if address == "" {
 		return nil
 	}
@@ -201,6 +218,6 @@
 	if err != nil {
 		return err
 	}
-	daemon.ServeIdle(group, l, h, daemon.CloseGrace, idle, log)
+	daemon.Serve(group, l, h, daemon.CloseGrace, log)
 	return nil
 }
