--- a/directory/record.go
+++ b/directory/record.go
@@ -23,6 +23,7 @@
 
 // Entry is the record of an entry.
 type Entry struct {
+	//lint:ignore U1000 the codec reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Name         string         `msgpack:"name"`
