coordinator/follow: a replica that takes over sends no record twice

Cause: an entry whose source was late requested all records from another replica, some 285 KB at 4,700 servers, and again when it returned to a replica of its zone; a reply that came after the call's timeout of 2 s was requested again, and the first catalogue interrupted the call.

Change: only the first source sends all records. One that takes over goes on from its statuses; records that only it has are requested by the keys of the statuses, and those of entries are sent whole (60 B each).

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -70,6 +70,7 @@
 // replica holds the call open until something changes, or until Wait has passed. The request
 // is also the heartbeat of its sender.
 type WatchRequest struct {
+	//lint:ignore U1000 the codec reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Role  string           `msgpack:"role"`
@@ -111,6 +112,8 @@
 	// share.
 	ShareDivisor int           `msgpack:"shareOf,omitempty"`
 	Work         []ServiceWork `msgpack:"work,omitempty"`
+	// AllEntries requests the records of all entries besides what changed on servers.
+	AllEntries bool `msgpack:"allEntries,omitempty"`
 }
 
 // Detail is how much a reply says on the servers and entries that changed.
@@ -134,6 +137,7 @@
 
 // ServerLoad is the load that the requests of entries put on a backend server.
 type ServerLoad struct {
+	//lint:ignore U1000 the codec reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Server  string `msgpack:"s"`
@@ -143,6 +147,7 @@
 
 // ServiceWork is the prefill work that the sender has sent to the servers of a service.
 type ServiceWork struct {
+	//lint:ignore U1000 the codec reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Service string  `msgpack:"s"`
@@ -156,6 +161,7 @@
 
 // WindowUsage counts the requests that started to run at one entry in one window.
 type WindowUsage struct {
+	//lint:ignore U1000 the codec reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Window int64            `msgpack:"w"` // Unix time divided by the window's length
@@ -165,6 +171,7 @@
 // WatchReply holds the changes at a control replica that the sender of the request has not
 // received from it.
 type WatchReply struct {
+	//lint:ignore U1000 the codec reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Incarnation uint64             `msgpack:"life"` // changes when the replica restarts; Seen then starts from 0
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -93,11 +93,14 @@
 		return
 	case req.Detail == api.DetailStatuses:
 		reply.Statuses, reply.Seen = c.directory.StatusesSince(seen)
-		reply.Servers = c.directory.Records(req.Missing, now)
 	default:
 		changes := c.directory.Since(seen, now)
 		reply.Servers, reply.Entries, reply.Seen = changes.Servers, changes.Entries, changes.Seq
 	}
+	reply.Servers = append(reply.Servers, c.directory.Records(req.Missing, now)...)
+	if req.AllEntries {
+		reply.Entries = c.directory.Entries(now)
+	}
 	if req.Role == api.RoleControl {
 		reply.ServerBeats, reply.EntryBeats = c.directory.HeartbeatsSince(seen, req.Unreached, now)
 	}
