directory, coordinator/follow: missing records are requested only after the source's delay

Cause: an entry requested a record from the replica that had sent only its status after 500 ms, but while a site starts the source's reports are delayed by up to 2 s at 300 entries. The calls of all entries ended together every 2 s.

Waits end up to a quarter sooner at random.

--- a/coordinator/follow/detail.go
+++ b/coordinator/follow/detail.go
@@ -1,6 +1,15 @@
 package follow
 
-import "savoryreel.example/savoryreel/coordinator/api"
+import (
+	"math/rand/v2"
+	"time"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+)
+
+// waitJitter is the fraction of the wait by which a call may end sooner. Without it the calls
+// of all entries, which a change ends at the same moment, would end together from then on.
+const waitJitter = 0.25
 
 // setDetail sets what a replica is asked to send, by what it has sent before. The first call
 // to a replica asks for nothing but its zone and revision, by which the replica that sends
@@ -30,6 +39,7 @@
 	if len(req.Missing) > 0 || f.source.vacant() {
 		req.Wait = min(req.Wait, shortWait)
 	}
+	req.Wait = time.Duration((1 - waitJitter*rand.Float64()) * float64(req.Wait))
 	req.Seen, req.AllEntries = seen.next(req.Detail, f.haveRecords.Load())
 }
 
--- a/coordinator/watch_test.go
+++ b/coordinator/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -188,9 +189,9 @@
 	req.Detail = api.DetailStatuses
 	statuses := call()
 	require.Empty(t, statuses.Servers)
-	require.Len(t, statuses.Statuses, 1)
+	require.Equal(t, 1, statuses.Statuses.Len())
 	c.Announce(serverAnnouncement("s1", 2, instance.StateLeaving))
-	require.Equal(t, instance.StateLeaving, call().Statuses[0].State)
+	require.Equal(t, instance.StateLeaving, slices.Collect(call().Statuses.All())[0].State)
 
 	req.Detail, req.Seen = api.DetailRecords, 0
 	require.Equal(t, "s1", call().Servers[0].ID)
--- a/directory/statuses.go
+++ b/directory/statuses.go
@@ -2,12 +2,10 @@
 
 import (
 	"encoding/binary"
+	"iter"
 	"slices"
 	"time"
 
-	"github.com/gravitational/trace"
-	"github.com/vmihailenco/msgpack/v5"
-
 	"savoryreel.example/savoryreel/instance"
 )
 
@@ -20,12 +18,12 @@
 	Unreachable bool
 }
 
-// Statuses is encoded as one byte string, since every replica sends the status of thousands
-// of servers to each of hundreds of entries when they start.
-type Statuses []Status
+// Statuses is a list in the form in which it is sent: statusBytes for each. Every replica
+// sends the status of thousands of servers to each of hundreds of entries when they start.
+type Statuses []byte
 
 const (
-	statusBytes = 9 // of an encoded Status: key and flags
+	statusBytes = 9 // of a status: key and flags
 
 	statusStateMask   = 0b0011
 	statusOverdue     = 0b0100
@@ -35,58 +33,64 @@
 // statesByOrder holds the states at their stateOrder.
 var statesByOrder = [...]instance.State{instance.StateServing, instance.StateLeaving, instance.StateGone}
 
-// EncodeMsgpack implements msgpack.CustomEncoder.
-func (l Statuses) EncodeMsgpack(enc *msgpack.Encoder) error {
-	buf := make([]byte, 0, statusBytes*len(l))
-	for _, status := range l {
-		flags := byte(stateOrder(status.State))
-		if status.Overdue {
-			flags |= statusOverdue
-		}
-		if status.Unreachable {
-			flags |= statusUnreachable
-		}
-		buf = append(binary.LittleEndian.AppendUint64(buf, uint64(status.Key)), flags)
+// append returns the list with one more status.
+func (l Statuses) append(status Status) Statuses {
+	flags := byte(stateOrder(status.State))
+	if status.Overdue {
+		flags |= statusOverdue
+	}
+	if status.Unreachable {
+		flags |= statusUnreachable
 	}
-	return enc.EncodeBytes(buf)
+	return append(binary.LittleEndian.AppendUint64(l, uint64(status.Key)), flags)
 }
 
-// DecodeMsgpack implements msgpack.CustomDecoder. A truncated element or an unknown state is
-// an error.
-func (l *Statuses) DecodeMsgpack(dec *msgpack.Decoder) error {
-	buf, err := dec.DecodeBytes()
-	if err != nil {
-		return err
-	}
-	if len(buf)%statusBytes != 0 {
-		return trace.BadParameter("statuses of %d bytes are truncated", len(buf))
-	}
-	*l = make(Statuses, 0, len(buf)/statusBytes)
-	for part := range slices.Chunk(buf, statusBytes) {
-		flags := part[statusBytes-1]
-		state := int(flags & statusStateMask)
-		if state >= len(statesByOrder) {
-			return trace.BadParameter("state %d of a server is unknown", state)
+// Len returns the number of statuses.
+func (l Statuses) Len() int { return len(l) / statusBytes }
+
+// All returns the statuses. It skips those of a state that this version does not know, and a
+// truncated last one.
+func (l Statuses) All() iter.Seq[Status] {
+	return func(yield func(Status) bool) {
+		for part := range slices.Chunk(l, statusBytes) {
+			if len(part) < statusBytes {
+				return
+			}
+			flags := part[statusBytes-1]
+			state := int(flags & statusStateMask)
+			if state >= len(statesByOrder) {
+				continue
+			}
+			status := Status{
+				Key: Key(binary.LittleEndian.Uint64(part)), State: statesByOrder[state],
+				Overdue: flags&statusOverdue != 0, Unreachable: flags&statusUnreachable != 0,
+			}
+			if !yield(status) {
+				return
+			}
 		}
-		*l = append(*l, Status{
-			Key: Key(binary.LittleEndian.Uint64(part)), State: statesByOrder[state],
-			Overdue: flags&statusOverdue != 0, Unreachable: flags&statusUnreachable != 0,
-		})
 	}
-	return nil
 }
 
 // StatusesSince returns the statuses of the servers whose records changed after seq, and the
-// number to pass to the next call.
+// number to pass to the next call. The list must not be changed: all of seq 0 share one until
+// the next change, since hundreds of entries request it at once when this process has
+// restarted.
 func (s *Store) StatusesSince(seq uint64) (statuses Statuses, next uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if seq == 0 && s.allStatuses != nil && s.allStatusesAt == s.lastServerChange {
+		return s.allStatuses, s.lastSeq
+	}
 	for e := s.updates.serverChanges.Back(); e != nil; e = e.Prev() {
 		stored := e.Value.(*storedServer)
 		if stored.changeSeq <= seq {
 			break
 		}
-		statuses = append(statuses, Status{stored.key, stored.State, stored.Overdue, stored.Unreachable})
+		statuses = statuses.append(Status{stored.key, stored.State, stored.Overdue, stored.Unreachable})
+	}
+	if seq == 0 {
+		s.allStatuses, s.allStatusesAt = statuses, s.lastServerChange
 	}
 	return statuses, s.lastSeq
 }
@@ -109,8 +113,10 @@
 	// only their statuses.
 	maxMissing = 256
 	// missingGrace is how long the replica that sends complete records may take to send that
-	// of a server on which another replica has reported.
-	missingGrace = 500 * time.Millisecond
+	// of a server on which another replica has reported. It exceeds the time for which reports
+	// of new servers are delayed: otherwise, while a site starts, entries would request most
+	// records from all replicas.
+	missingGrace = 4 * time.Second
 	// pendingTTL is how long the record of a server is requested from a replica that has
 	// reported on it. The replica may have dropped the record meanwhile.
 	pendingTTL = 30 * time.Second
@@ -133,7 +139,7 @@
 	if replica == nil {
 		return changed
 	}
-	for _, status := range statuses {
+	for status := range statuses.All() {
 		stored := s.serversByKey[status.Key]
 		if stored == nil {
 			replica.pending[status.Key] = pendingStatus{status, now}
--- a/directory/store.go
+++ b/directory/store.go
@@ -51,6 +51,9 @@
 	changed  chan struct{}            // closed at the next change
 
 	urgentlyChanged chan struct{} // closed at the next urgent change
+
+	allStatuses   Statuses // last result of StatusesSince(0)
+	allStatusesAt uint64   // lastServerChange when it was made
 }
 
 type storedServer struct {
@@ -311,6 +314,7 @@
 	if s.serversByKey[stored.key] == stored {
 		delete(s.serversByKey, stored.key)
 	}
+	s.allStatuses = nil
 	s.updates.serverChanges.Remove(stored.inChanges)
 	s.updates.serverHeartbeats.Remove(stored.inHeartbeats)
 }
--- a/directory/wire_test.go
+++ b/directory/wire_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -27,7 +28,11 @@
 // Guards against a compact list that is decoded to other statuses or heartbeats than were
 // sent.
 func TestCompactListsSurviveEncoding(t *testing.T) {
-	statuses := Statuses{{Key: 1 << 63, State: instance.StateGone, Overdue: true}, {Key: 2, State: instance.StateServing, Unreachable: true}}
+	in := []Status{{Key: 1 << 63, State: instance.StateGone, Overdue: true}, {Key: 2, State: instance.StateServing, Unreachable: true}}
+	var statuses Statuses
+	for _, status := range in {
+		statuses = statuses.append(status)
+	}
 	beats := Heartbeats{{Key: 1 << 63, Sequence: 1 << 40, Age: 1500 * time.Millisecond}, {Key: 2}}
 	data, err := msgpack.Marshal(&struct {
 		S Statuses
@@ -39,12 +44,13 @@
 		H Heartbeats
 	}
 	require.NoError(t, msgpack.Unmarshal(data, &out))
-	require.Equal(t, statuses, out.S)
+	require.Equal(t, in, slices.Collect(out.S.All()))
+	require.Equal(t, len(in), out.S.Len())
 	require.Equal(t, beats, out.H)
 }
 
-// Guards against a panic or a value that cannot be encoded again when a peer sends bytes that
-// are not a list.
+// Guards against a panic, an unknown state or a negative age when a peer sends bytes that are
+// not a list.
 func FuzzDecodeCompactLists(f *testing.F) {
 	f.Add([]byte{1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
 	f.Add([]byte{1, 2, 3, 4, 5, 6, 7, 8, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255})
@@ -52,9 +58,9 @@
 		data, err := msgpack.Marshal(raw)
 		require.NoError(t, err)
 		var statuses Statuses
-		if msgpack.Unmarshal(data, &statuses) == nil {
-			_, err := msgpack.Marshal(statuses)
-			require.NoError(t, err)
+		require.NoError(t, msgpack.Unmarshal(data, &statuses))
+		for status := range statuses.All() {
+			require.Contains(t, statesByOrder, status.State)
 		}
 		var beats Heartbeats
 		if msgpack.Unmarshal(data, &beats) == nil {
