coordinator: callers are referred to an entry as soon as it is known

Cause: with look-ups answered from the list that is cached for 100 ms, a caller was told that there is no entry, or of one of two, just after the first entries had started.

Change: the list is made anew when a record of an entry has changed. And a call that requests everything may be interrupted again: an entry's own record would otherwise wait with it.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -113,7 +113,7 @@
 		stopping: make(chan struct{}), lastCalls: make(map[string]time.Time),
 	}
 	c.shares = newShareRegistry(deps.Now(), cfg.Node.FirstStart)
-	c.live = &liveEntries{entries: c.directory.LiveEntries}
+	c.live = &liveEntries{entries: c.directory.LiveEntries, lastChange: c.directory.LastEntryChange}
 	c.traffic = link.NewTraffic(c.metrics)
 	c.pool = link.NewPool(api.PoolConfig(c.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: c.traffic})
 	c.follower = follow.New(follow.Config{Self: c.self}, follow.Deps{
--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -250,13 +250,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	woken := make(chan struct{})
-	// A call that requests everything is not interrupted: the reply comes without a wait, and
-	// the replica would have to send it again.
-	interruptible := req.Seen > 0 || req.Detail == api.DetailNone
 	go func() {
-		if !interruptible {
-			return
-		}
 		select {
 		case <-p.wake:
 			close(woken)
--- a/coordinator/live.go
+++ b/coordinator/live.go
@@ -15,11 +15,13 @@
 
 // liveEntries caches the list of the entries that take callers.
 type liveEntries struct {
-	entries func(now time.Time) []directory.Entry
+	entries    func(now time.Time) []directory.Entry
+	lastChange func() uint64 // number of the last change of an entry's record
 
 	mu       sync.Mutex
 	list     liveList
 	listedAt time.Time
+	listed   uint64 // lastChange when it was listed
 }
 
 // liveList is such a list. It is immutable.
@@ -30,11 +32,13 @@
 	digest  uint64            // of the names; equal lists have equal digests
 }
 
-// current returns the list, at most liveListTTL old.
+// current returns the list. It is at most liveListTTL old, and contains every entry whose
+// record has arrived.
 func (l *liveEntries) current(now time.Time) liveList {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.listedAt.IsZero() && now.Sub(l.listedAt) < liveListTTL {
+	change := l.lastChange()
+	if !l.listedAt.IsZero() && now.Sub(l.listedAt) < liveListTTL && change == l.listed {
 		return l.list
 	}
 	entries := l.entries(now)
@@ -46,5 +50,6 @@
 		_, _ = digest.WriteString(entries[i].Name + "\n") // never fails
 	}
 	l.list, l.listedAt = liveList{entries: entries, names: names, hashes: hashes, digest: digest.Sum64()}, now
+	l.listed = change
 	return l.list
 }
--- a/coordinator/live_test.go
+++ b/coordinator/live_test.go
@@ -14,7 +14,8 @@
 func TestLiveListIsCached(t *testing.T) {
 	listed := 0
 	entries := []directory.Entry{{Name: "a"}, {Name: "b"}}
-	l := &liveEntries{entries: func(time.Time) []directory.Entry { listed++; return entries }}
+	change := uint64(1)
+	l := &liveEntries{entries: func(time.Time) []directory.Entry { listed++; return entries }, lastChange: func() uint64 { return change }}
 	now := time.Unix(1000, 0)
 	first := l.current(now)
 	for range 370 {
@@ -25,4 +26,7 @@
 	second := l.current(now.Add(liveListTTL))
 	require.Equal(t, []string{"a"}, second.names)
 	require.NotEqual(t, first.digest, second.digest)
+
+	entries, change = nil, 2
+	require.Empty(t, l.current(now.Add(liveListTTL)).names, "a change is listed at once: callers are referred to an entry as soon as it is known")
 }
--- a/directory/changes.go
+++ b/directory/changes.go
@@ -130,3 +130,10 @@
 		Servers: s.lastServerChange > seq, Entries: s.lastEntryChange > seq, Urgent: s.lastUrgentChange > seq,
 	}, s.changed, s.urgentlyChanged
 }
+
+// LastEntryChange returns the number of the last change of an entry's record.
+func (s *Store) LastEntryChange() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastEntryChange
+}
