--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -178,7 +178,7 @@
 	Seen        uint64             `msgpack:"seen"`
 	Servers     []directory.Server `msgpack:"servers,omitempty"`
 	Entries     []directory.Entry  `msgpack:"entries,omitempty"`
-	Statuses    directory.Statuses `msgpack:"statuses,omitempty"` // in place of the two above, if DetailStatuses is requested
+	Statuses    directory.Statuses `msgpack:"statuses,omitempty"` // if DetailStatuses is requested, of all servers that changed; otherwise of those of which no more changed
 	// ServerBeats and EntryBeats are the heartbeats without a change, sent to replicas.
 	ServerBeats directory.Heartbeats `msgpack:"serverBeats,omitempty"`
 	EntryBeats  directory.Heartbeats `msgpack:"entryBeats,omitempty"`
--- a/directory/statuses_test.go
+++ b/directory/statuses_test.go
@@ -140,8 +140,14 @@
 	require.Empty(t, overdue.Servers)
 	require.Equal(t, []Status{{Key: keyOf("s1", 1), State: instance.StateServing, Overdue: true, Unreachable: true}}, slices.Collect(overdue.Statuses.All()))
 
-	s.Announce(heartbeat("s1", 1, 2, instance.StateLeaving), now)
-	left, err := s.EntryChangesSince(overdue.Seq, now)
+	s.Announce(heartbeat("s1", 1, 2, instance.StateServing), now)
+	heard, err := s.EntryChangesSince(overdue.Seq, now)
+	require.NoError(t, err)
+	require.Empty(t, heard.Servers)
+	require.Equal(t, 1, heard.Statuses.Len())
+
+	s.Announce(heartbeat("s1", 1, 3, instance.StateLeaving), now)
+	left, err := s.EntryChangesSince(heard.Seq, now)
 	require.NoError(t, err)
 	records, err = left.Servers.Unpack()
 	require.NoError(t, err)
