--- a/directory/packed.go
+++ b/directory/packed.go
@@ -28,8 +28,8 @@
 	return servers, nil
 }
 
-// EntryChanges holds what a replica that sends complete records tells an entry: the records
-// that changed after a sequence number, and the statuses of servers of which nothing else
+// EntryChanges is the update that the source replica of an entry sends: the records that
+// changed after a sequence number, and the statuses of servers of which only the reachability
 // changed. Seq is the number to pass to the next call.
 type EntryChanges struct {
 	Seq      uint64
--- a/directory/scale_test.go
+++ b/directory/scale_test.go
@@ -13,8 +13,8 @@
 
 const modelReplicas = 6
 
-// siteModel is a site at its start: every server has announced itself at one of the replicas,
-// and the replicas have told each other.
+// siteModel is a site after its start: every server has announced itself at one of the
+// replicas, and every replica has the records of all servers.
 type siteModel struct {
 	replicas []*testReplica
 	servers  int
--- a/directory/statuses_test.go
+++ b/directory/statuses_test.go
@@ -38,8 +38,9 @@
 	require.Equal(t, instance.StateLeaving, stateOf(entry, "s1"))
 }
 
-// Guards against a leave that is lost because it arrives before the record of the server: the
-// record, sent by a replica that has not heard of the leave, would bring the server into use.
+// Guards against a leave that is lost because its status arrives before the record of the
+// server: the record, from a replica that has not received the leave, would put the server in
+// use.
 func TestLeaveBeforeRecordIsKept(t *testing.T) {
 	source, other, entry := siteWithSource()
 	other.Announce(heartbeat("s2", 1, 1, instance.StateServing), epoch)
--- a/directory/wire.go
+++ b/directory/wire.go
@@ -13,8 +13,8 @@
 const serverFields = 18
 
 // EncodeMsgpack implements msgpack.CustomEncoder. A Server is encoded as an array, since a
-// reply may hold thousands. Announcement.Load is left out: it changes with each heartbeat and
-// is not part of what processes tell each other about a server.
+// reply may hold thousands. Announcement.Load is left out, since it changes with each heartbeat
+// and no receiver uses it.
 func (s Server) EncodeMsgpack(enc *msgpack.Encoder) error {
 	return firstError(
 		enc.EncodeArrayLen(serverFields),
