directory: the model of a start uses neutral names

Cause: the model named a service and a zone of one deployment. Change: other names of the same length; no decision depends on them.

--- a/directory/scale_test.go
+++ b/directory/scale_test.go
@@ -38,7 +38,7 @@
 func (m *siteModel) announce(sequence uint64, now time.Time) {
 	for i := range m.servers {
 		a := heartbeat(fmt.Sprintf("i-%08x", i), 0, sequence, instance.StateServing)
-		a.Address, a.Services, a.Zone = fmt.Sprintf("10.%d.%d.1:8080", i/250, i%250), []string{"reel-pool"}, "lj-hall-a"
+		a.Address, a.Services, a.Zone = fmt.Sprintf("10.%d.%d.1:8080", i/250, i%250), []string{"chat-pool"}, "dc-zone-a"
 		m.replicas[i%modelReplicas].Announce(a, now)
 	}
 }
