policy/limit, gateway: an entry's first incarnation asks nobody to return shares, others at a bounded rate

Cause: an entry that starts asked every other entry, every 50 ms, to return the shares that its previous incarnation may have lent, and each answer copied and sorted the list of all entries. With n entries that start together this is 20 n^2 datagrams a second and n^2 log n work. Change: control replicas say in their vote whether they know of an earlier incarnation; with the word of a majority there is nothing to wait for. The argument is that of the vote itself: who allowed the previous incarnation its share knows of it for ShareTTL, longer than any lease. A replica that restarted does not vouch for a minute. An entry that did restart asks 50 others every 50 ms in turn, and answers without a list. Ruled out: asking only probable owners (a lender may have lent to another under an older list).

--- a/coordinator/remembered_test.go
+++ b/coordinator/remembered_test.go
@@ -120,7 +120,7 @@
 	}}))
 	at := savedAt.Add(1500 * time.Millisecond)
 	c := restartReplica(dir, at)
-	c.shares.observe("a", 0, at)
+	c.shares.observe(entryIncarnation{"a", 2}, 0, at)
 	require.Equal(t, limit.ShareVote{Entries: 2, Allowed: true}, c.shares.vote("a", at))
 	require.Equal(t, "10.0.0.1:80", c.directory.Entries(at)[0].Address)
 	require.Empty(t, c.directory.LiveEntries(at), "no call received yet")
@@ -130,9 +130,9 @@
 // entry the whole limit.
 func TestReplicaThatLostItsDiskDoesNotVoteOnShares(t *testing.T) {
 	c := restartReplica(t.TempDir(), savedAt)
-	c.shares.observe("a", 0, savedAt)
+	c.shares.observe(entryIncarnation{"a", 2}, 0, savedAt)
 	require.Zero(t, c.shares.vote("a", savedAt))
 	later := savedAt.Add(limit.ShareTTL)
-	c.shares.observe("a", 0, later)
+	c.shares.observe(entryIncarnation{"a", 2}, 0, later)
 	require.Equal(t, limit.ShareVote{Entries: 1, Allowed: true}, c.shares.vote("a", later))
 }
--- a/coordinator/shares.go
+++ b/coordinator/shares.go
@@ -26,10 +26,10 @@
 }
 
 // observe records a call of an entry and the divisor of the share that it uses.
-func (b *shareRegistry) observe(name string, divisor int, now time.Time) {
+func (b *shareRegistry) observe(entry entryIncarnation, divisor int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.registry.Observe(name, divisor, now)
+	b.registry.Observe(entry.name, entry.incarnation, divisor, now)
 }
 
 // vote returns this replica's vote on an entry's share.
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -136,7 +136,7 @@
 			// reported to that one. Recorded here, it would pass for all counts of the entry.
 			c.usage.record(entryIncarnation{req.Entry.Name, req.Entry.Incarnation}, req.OpenWindow, req.Usage)
 		}
-		c.shares.observe(req.Entry.Name, req.ShareDivisor, c.now())
+		c.shares.observe(entryIncarnation{req.Entry.Name, req.Entry.Incarnation}, req.ShareDivisor, c.now())
 		c.loads.record(req.Entry.Name, req.Loads, c.now())
 		c.work.record(entryIncarnation{req.Entry.Name, req.Entry.Incarnation}, req.Work, c.now())
 	}
--- a/coordinator/watch_test.go
+++ b/coordinator/watch_test.go
@@ -129,7 +129,7 @@
 	reply, err := c.watch(ctx, link.PeerInfo{}, req)
 	require.NoError(t, err)
 	require.NoError(t, ctx.Err(), "it did not wait")
-	require.Equal(t, limit.ShareVote{Entries: 1, Allowed: true}, reply.ShareVote)
+	require.Equal(t, limit.ShareVote{Entries: 1, Allowed: true, First: true}, reply.ShareVote)
 }
 
 // Guards against every replica sending the loads and names of hundreds of entries to
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -73,6 +73,17 @@
 	return out
 }
 
+// Entry returns the record of an entry.
+func (s *Store) Entry(name string, now time.Time) (Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored := s.entries[name]
+	if stored == nil {
+		return Entry{}, false
+	}
+	return stored.record(now), true
+}
+
 // LiveEntries returns the entries that are serving and whose last heartbeat is no older than
 // Config.EntryExpiry, sorted by name.
 func (s *Store) LiveEntries(now time.Time) []Entry {
--- a/gateway/bookkeeper.go
+++ b/gateway/bookkeeper.go
@@ -33,7 +33,8 @@
 	self            booking.Reporter
 	now             func() time.Time
 	liveEntries     func() []directory.Entry
-	knownEntries    func() []directory.Entry    // also those that may have left
+	knownEntries    func() []directory.Entry // also those that may have left; sorted by name
+	knownEntry      func(name string) (directory.Entry, bool)
 	datagramAddress func(host string) string    // of the entry on a host
 	prefillRate     func(server string) float64 // prompt tokens per second of a server
 	transport       transport
@@ -269,6 +270,7 @@
 	x := newPeerExchange(booking.Reporter{Name: g.cfg.Node.Name, Incarnation: g.incarnation}, g.now)
 	x.liveEntries = func() []directory.Entry { return g.peers.entries(g.now()) }
 	x.knownEntries = func() []directory.Entry { return g.directory.Entries(g.now()) }
+	x.knownEntry = func(name string) (directory.Entry, bool) { return g.directory.Entry(name, g.now()) }
 	x.datagramAddress = g.cfg.Node.EntryExchange
 	x.prefillRate = g.prefillRateOf
 	g.datagrams = newDatagrams(g.cfg.ClusterKey, g.log, x.handle)
--- a/gateway/bookkeeper_test.go
+++ b/gateway/bookkeeper_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,13 @@
 		x := newPeerExchange(booking.Reporter{Name: name, Incarnation: 1}, time.Now)
 		x.liveEntries = func() []directory.Entry { return s.entries }
 		x.knownEntries = x.liveEntries
+		x.knownEntry = func(name string) (directory.Entry, bool) {
+			i := slices.IndexFunc(s.entries, func(e directory.Entry) bool { return e.Name == name })
+			if i < 0 {
+				return directory.Entry{}, false
+			}
+			return s.entries[i], true
+		}
 		x.datagramAddress = func(host string) string { return s.datagramAddresses[host] }
 		x.prefillRate = func(string) float64 { return 1 }
 		d := newDatagrams("key", slog.New(slog.DiscardHandler), x.handle)
--- a/gateway/limitshares.go
+++ b/gateway/limitshares.go
@@ -16,6 +16,9 @@
 	// moment.
 	fastRenewWindow = 2 * time.Second
 	fastRenewPeriod = 100 * time.Millisecond
+	// maxReturnRequests bounds the requests for the return of shares that an entry sends every
+	// renewInterval, and so what each entry receives when all have restarted.
+	maxReturnRequests = 50
 	// leaseClockFraction is the fraction of a lease that the borrower relies on, which
 	// allows for clocks that run at different rates.
 	leaseClockFraction = 0.95
@@ -41,6 +44,7 @@
 	// ownersListedAt is the time of the list of entries that ownedPools was computed from.
 	ownersListedAt time.Time
 	pending        map[uint64]pendingLease // by sequence
+	nextReturn     int                     // index of the known entry last asked for a return
 }
 
 // pendingLease is a lease request without a response.
@@ -211,16 +215,24 @@
 	return now.Sub(l.start) < fastRenewWindow && len(l.exchange.peerNames())+1 < l.shares.divisorInUse()
 }
 
-// requestReturns asks all other entries to return the shares that the previous incarnation
-// of this entry may have lent them. This entry uses no share until all have responded or
-// every such lease has expired.
+// requestReturns asks other entries to return the shares that the previous incarnation of
+// this entry may have lent them, a bounded number at a time. This entry uses no share until
+// all have responded or every such lease has expired. It is called every renewInterval.
 func (l *limits) requestReturns() {
-	if l.shares.settled(l.now()) {
+	if !l.shares.returnsNeeded(l.now()) {
 		return
 	}
-	for _, e := range l.exchange.knownEntries() {
+	entries := l.exchange.knownEntries()
+	requests := min(maxReturnRequests, len(entries))
+	for range entries {
+		if requests == 0 {
+			return
+		}
+		l.renewal.nextReturn = (l.renewal.nextReturn + 1) % len(entries)
+		e := &entries[l.renewal.nextReturn]
 		if e.Name != l.exchange.self.Name && !l.shares.hasReturned(e.Name) {
-			l.exchange.sendToKnown(&e, &message{Kind: kindReturnRequest})
+			l.exchange.sendToKnown(e, &message{Kind: kindReturnRequest})
+			requests--
 		}
 	}
 }
@@ -240,9 +252,7 @@
 	}
 	held := l.lenders[m.From].held
 	l.mu.Unlock()
-	for _, e := range l.exchange.knownEntries() {
-		if e.Name == m.From {
-			l.exchange.sendToKnown(&e, &message{Kind: kindReturnResponse, Held: held, Up: l.now().Sub(l.start)})
-		}
+	if e, known := l.exchange.knownEntry(m.From); known {
+		l.exchange.sendToKnown(&e, &message{Kind: kindReturnResponse, Held: held, Up: l.now().Sub(l.start)})
 	}
 }
--- a/gateway/limitsite_test.go
+++ b/gateway/limitsite_test.go
@@ -40,6 +40,8 @@
 
 	registryMu sync.Mutex // serializes heartbeats
 
+	delay time.Duration // of a message, one way
+
 	mu       sync.Mutex
 	admitted []admittedRequest
 }
@@ -59,6 +61,8 @@
 	isolated      atomic.Bool // cut off from the other entries and the control replica
 	lastHeartbeat time.Time   // at the control replica; registryMu is held
 	process       atomic.Pointer[entryProcess]
+
+	returnRequests atomic.Int64 // sent by all incarnations
 }
 
 // entryProcess is one run of an entry.
@@ -75,7 +79,7 @@
 
 func newLimitSite(t *testing.T, entries int, perSecond, slack float64, seed uint64) *limitSite {
 	s := &limitSite{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), registry: limit.NewRegistry(time.Now(), true),
+		t: t, delay: networkDelay, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), registry: limit.NewRegistry(time.Now(), true),
 		workspace: routes.Workspace{Name: "w", PerSecond: perSecond, Burst: perSecond},
 		bounds:    site.Bounds{QuotaWindow: 8 * time.Second, QuotaOverrun: 0.1, QuotaSlack: slack},
 	}
@@ -99,6 +103,7 @@
 	exchange := newPeerExchange(booking.Reporter{Name: e.name, Incarnation: uint64(time.Now().UnixNano())}, time.Now)
 	exchange.liveEntries = func() []directory.Entry { return p.entries(time.Now()) }
 	exchange.knownEntries = func() []directory.Entry { return p.directory.Entries(time.Now()) }
+	exchange.knownEntry = func(name string) (directory.Entry, bool) { return p.directory.Entry(name, time.Now()) }
 	exchange.datagramAddress = func(host string) string { return host }
 	exchange.prefillRate = func(string) float64 { return 1 }
 	exchange.transport = siteTransport{e}
@@ -116,10 +121,13 @@
 
 func (w siteTransport) send(to netip.AddrPort, m *message) {
 	sent := *m
+	if sent.Kind == kindReturnRequest {
+		w.from.returnRequests.Add(1)
+	}
 	for _, e := range w.from.site.entries {
 		if e.addr == to && !e.isolated.Load() && !w.from.isolated.Load() {
 			exchange := e.process.Load().exchange
-			time.AfterFunc(networkDelay, func() { exchange.handle(sent) })
+			time.AfterFunc(w.from.site.delay, func() { exchange.handle(sent) })
 		}
 	}
 }
@@ -141,7 +149,7 @@
 	if process.peers.update(digestOf(names), names, now) {
 		process.exchange.invalidateOwners()
 	}
-	e.site.registry.Observe(e.name, process.limits.shares.divisorInUse(), now)
+	e.site.registry.Observe(e.name, process.exchange.self.Incarnation, process.limits.shares.divisorInUse(), now)
 	process.limits.shares.recordVote("c1", e.site.registry.Vote(e.name, now), 1, now)
 }
 
@@ -365,3 +373,37 @@
 		})
 	}
 }
+
+// Hundreds of entries start for the first time, or all restart, and are too busy to answer at
+// once. Guards against each asking all others again and again for the shares that it may have
+// lent: the fleet would be occupied with nothing else before its first request.
+func TestEntriesThatStartTogetherAskForFewReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries, perSecond = 150, 150_000.0
+		s := newLimitSite(t, entries, perSecond, 110_000, 1)
+		s.delay = 400 * time.Millisecond
+		e := s.entries[entries-1] // its directory has the others
+		requestsInASecond := func() int {
+			before := e.returnRequests.Load()
+			for range time.Second / renewInterval {
+				e.renewShares()
+				time.Sleep(renewInterval)
+			}
+			return int(e.returnRequests.Load() - before)
+		}
+		require.Zero(t, requestsInASecond(), "there are no votes yet")
+		e.heartbeat()
+		require.Zero(t, requestsInASecond(), "it has no previous incarnation")
+		require.Positive(t, e.process.Load().limits.shares.share(time.Now()))
+
+		for _, other := range s.entries {
+			other.heartbeat()
+			other.start()
+		}
+		e.heartbeat()
+		requests := requestsInASecond()
+		require.LessOrEqual(t, requests, 1000)
+		require.GreaterOrEqual(t, requests, entries-1)
+		require.Positive(t, e.process.Load().limits.shares.share(time.Now()), "all have answered")
+	})
+}
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -52,6 +52,14 @@
 	s.votes.RecordReturn(entry, held, up, now)
 }
 
+// returnsNeeded reports whether other entries have to be asked for the shares that the
+// previous incarnation lent.
+func (s *shares) returnsNeeded(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.votes.ReturnsNeeded(now)
+}
+
 // hasReturned reports whether an entry has returned the previous incarnation's shares.
 func (s *shares) hasReturned(entry string) bool {
 	s.mu.Lock()
--- a/policy/limit/model_test.go
+++ b/policy/limit/model_test.go
@@ -176,7 +176,7 @@
 	if r.group != e.group {
 		return
 	}
-	r.registry.Observe(e.name, e.votes.DivisorInUse(), m.now)
+	r.registry.Observe(e.name, uint64(e.incarnation), e.votes.DivisorInUse(), m.now)
 	vote := r.registry.Vote(e.name, m.now)
 	m.send(r.group, e, func() {
 		if e.calls[r.name] == c {
--- a/policy/limit/pool.go
+++ b/policy/limit/pool.go
@@ -75,8 +75,11 @@
 
 // RemoveShare removes an entry's share and reports whether the pool had it.
 func (p *Pool) RemoveShare(entry string, now time.Time) (held bool) {
+	if _, held = p.shares[entry]; !held {
+		return false
+	}
 	p.fill(now)
-	_, held = p.shares[entry]
+	_, held = p.shares[entry] // fill removes it if it has expired
 	delete(p.shares, entry)
 	p.level = min(p.level, p.capacity())
 	return held
--- a/policy/limit/roster.go
+++ b/policy/limit/roster.go
@@ -16,6 +16,8 @@
 type ShareVote struct {
 	Entries int  `msgpack:"n"` // number that may use a share, this one included
 	Allowed bool `msgpack:"ok"`
+	// First reports that no earlier incarnation of the entry has called within ShareTTL.
+	First bool `msgpack:"first,omitempty"`
 }
 
 // Registry is a control replica's record of the entries that may use a share of the
@@ -26,11 +28,16 @@
 // may use a share only once each of the others has reported a share that is small enough.
 type Registry struct {
 	completeAt time.Time // from then on all entries are known; until then Vote abstains
-	entries    map[string]*member
+	// firstsKnownAt is when an entry without a record has not called within ShareTTL. Stored
+	// entries do not count, since one that was first seen just before the restart is missing.
+	firstsKnownAt time.Time
+	entries       map[string]*member
 }
 
 // member is an entry that has or requests a share.
 type member struct {
+	incarnation   uint64 // 0: has not called since this replica started
+	first         bool   // see ShareVote.First
 	lastHeartbeat time.Time
 	divisor       int // its share is at most 1/divisor; 0: it uses none, or unknownDivisor
 	allowed       bool
@@ -42,9 +49,10 @@
 // NewRegistry returns the registry of a replica that starts. firstStart says that the whole
 // system starts for the first time, so that no other entry can have a share.
 func NewRegistry(now time.Time, firstStart bool) *Registry {
-	r := &Registry{entries: make(map[string]*member), completeAt: now}
+	r := &Registry{entries: make(map[string]*member), completeAt: now, firstsKnownAt: now}
 	if !firstStart {
 		r.completeAt = now.Add(ShareTTL)
+		r.firstsKnownAt = r.completeAt
 	}
 	return r
 }
@@ -60,14 +68,17 @@
 	r.completeAt = now
 }
 
-// Observe records a call of an entry; divisor is that of its largest share that may be in
-// use, 0 if it uses none.
-func (r *Registry) Observe(name string, divisor int, now time.Time) {
+// Observe records a call of an incarnation of an entry; divisor is that of its largest share
+// that may be in use, 0 if it uses none.
+func (r *Registry) Observe(name string, incarnation uint64, divisor int, now time.Time) {
 	s := r.entries[name]
 	if s == nil || now.Sub(s.lastHeartbeat) > ShareTTL {
-		s = &member{}
+		s = &member{incarnation: incarnation, first: !now.Before(r.firstsKnownAt)}
 		r.entries[name] = s
 	}
+	if s.incarnation != incarnation {
+		s.incarnation, s.first = incarnation, false
+	}
 	s.lastHeartbeat = now
 	if divisor > 0 || !s.allowed {
 		s.divisor = divisor // an allowed entry that reports 0 may be about to use the share last voted
@@ -90,7 +101,7 @@
 	if s.allowed && s.divisor == 0 {
 		s.divisor = n // it may use 1/n once it receives this vote
 	}
-	return ShareVote{Entries: n, Allowed: s.allowed}
+	return ShareVote{Entries: n, Allowed: s.allowed, First: s.first}
 }
 
 // othersUseAtMost reports whether no other entry uses a share larger than 1/divisor.
--- a/policy/limit/roster_test.go
+++ b/policy/limit/roster_test.go
@@ -11,24 +11,24 @@
 // theirs are small enough: the shares would sum to more than 1.
 func TestNewEntryWaitsForSmallerShares(t *testing.T) {
 	r := NewRegistry(start, true)
-	r.Observe("a", 0, start)
-	require.Equal(t, ShareVote{Entries: 1, Allowed: true}, r.Vote("a", start))
-	r.Observe("a", 1, start)
-	r.Observe("b", 0, start)
-	require.Equal(t, ShareVote{Entries: 2}, r.Vote("b", start))
-	require.Equal(t, ShareVote{Entries: 2, Allowed: true}, r.Vote("a", start))
-	r.Observe("a", 2, start)
-	require.Equal(t, ShareVote{Entries: 2, Allowed: true}, r.Vote("b", start))
+	r.Observe("a", 1, 0, start)
+	require.Equal(t, ShareVote{Entries: 1, Allowed: true, First: true}, r.Vote("a", start))
+	r.Observe("a", 1, 1, start)
+	r.Observe("b", 1, 0, start)
+	require.Equal(t, ShareVote{Entries: 2, First: true}, r.Vote("b", start))
+	require.Equal(t, ShareVote{Entries: 2, Allowed: true, First: true}, r.Vote("a", start))
+	r.Observe("a", 1, 2, start)
+	require.Equal(t, ShareVote{Entries: 2, Allowed: true, First: true}, r.Vote("b", start))
 }
 
 // An entry is partitioned and continues to use its share. Guards against the others using it
 // at the same time.
 func TestPartitionedEntryIsCounted(t *testing.T) {
 	r := NewRegistry(start, true)
-	r.Observe("a", 2, start)
-	r.Observe("b", 2, start)
+	r.Observe("a", 1, 2, start)
+	r.Observe("b", 1, 2, start)
 	voteAfter := func(after time.Duration) ShareVote {
-		r.Observe("a", 2, start.Add(after))
+		r.Observe("a", 1, 2, start.Add(after))
 		return r.Vote("a", start.Add(after))
 	}
 	require.Equal(t, 2, voteAfter(ShareTTL).Entries)
@@ -40,12 +40,12 @@
 func TestRestartedEntryStaysAllowed(t *testing.T) {
 	r := NewRegistry(start, true)
 	for _, name := range []string{"a", "b"} {
-		r.Observe(name, 0, start)
+		r.Observe(name, 1, 0, start)
 		r.Vote(name, start)
-		r.Observe(name, 2, start)
+		r.Observe(name, 1, 2, start)
 	}
 	require.True(t, r.Vote("b", start).Allowed)
-	r.Observe("b", 0, start.Add(time.Second))
+	r.Observe("b", 2, 0, start.Add(time.Second))
 	require.Equal(t, ShareVote{Entries: 2, Allowed: true}, r.Vote("b", start.Add(time.Second)))
 }
 
@@ -137,3 +137,39 @@
 	require.Equal(t, 1.0/3, votes.Share(now))
 	require.Equal(t, start.Add(100*time.Millisecond), votes.UnusedSince())
 }
+
+// Guards against an entry that uses its first share while one that its previous incarnation
+// lent is in use: a replica that was restarted does not know whether there was one.
+func TestFirstIncarnationIsKnownOnlyWithACompleteRecord(t *testing.T) {
+	r := NewRegistry(start, true)
+	r.Observe("a", 1, 0, start)
+	require.True(t, r.Vote("a", start).First)
+	r.Observe("a", 2, 0, start)
+	require.False(t, r.Vote("a", start).First, "it has restarted")
+
+	r = NewRegistry(start, false)
+	r.Restore([]string{"a"}, start)
+	r.Observe("a", 1, 0, start)
+	r.Observe("b", 1, 0, start)
+	require.False(t, r.Vote("a", start).First)
+	require.False(t, r.Vote("b", start).First, "it may have started just before the restart")
+	r.Observe("c", 1, 0, start.Add(ShareTTL))
+	require.True(t, r.Vote("c", start.Add(ShareTTL)).First)
+}
+
+// Guards against an entry that starts for the first time and waits for all others to return
+// a share that it never lent.
+func TestFirstIncarnationUsesItsShareAtOnce(t *testing.T) {
+	votes := NewShareVotes(start)
+	require.False(t, votes.ReturnsNeeded(start), "no votes yet")
+	first := ShareVote{Entries: 900, Allowed: true, First: true}
+	votes.Record("c1", first, 3, start)
+	require.Zero(t, votes.Share(start))
+	require.False(t, votes.ReturnsNeeded(start))
+	votes.Record("c2", ShareVote{Entries: 900, Allowed: true}, 3, start)
+	require.Zero(t, votes.Share(start), "only a minority knows that it is the first")
+	require.True(t, votes.ReturnsNeeded(start))
+	votes.Record("c3", first, 3, start)
+	require.Equal(t, 1.0/900, votes.Share(start))
+	require.False(t, votes.ReturnsNeeded(start))
+}
--- a/policy/limit/words.go
+++ b/policy/limit/words.go
@@ -16,6 +16,8 @@
 	returned     map[string]bool         // entries that have returned the previous incarnation's share
 	unusedSince  time.Time               // final once ShareRecovered returns true
 	votes        map[string]receivedVote // by replica
+	counted      bool                    // a majority of the replicas has voted or abstained
+	first        bool                    // there was no previous incarnation that could have lent the share
 	entryCount   int                     // entries that may use a share, by the votes
 	divisor      int                     // the share is 1/divisor; 0: no share
 	divisorSince time.Time               // when divisor last changed
@@ -67,9 +69,17 @@
 // incarnation.
 func (v *ShareVotes) HasReturned(entry string) bool { return v.returned[entry] }
 
+// ReturnsNeeded reports whether other entries have to be asked for the share that the previous
+// incarnation may have lent. It is false until the votes show whether there was one: when
+// hundreds of entries start for the first time, none has to ask the others.
+func (v *ShareVotes) ReturnsNeeded(now time.Time) bool { return v.counted && !v.ShareRecovered(now) }
+
 // ShareRecovered reports whether the share that the previous incarnation may have lent is
-// back: all other entries have returned it, or the lease has expired.
+// back: there was none, all other entries have returned it, or the lease has expired.
 func (v *ShareVotes) ShareRecovered(now time.Time) bool {
+	if v.first {
+		return true
+	}
 	if v.entryCount > 0 && len(v.returned) >= v.entryCount-1 {
 		return true
 	}
@@ -89,7 +99,7 @@
 
 // Share returns this entry's share of every limit, or 0 while it may use none.
 func (v *ShareVotes) Share(now time.Time) float64 {
-	allowed, replicas, entries := 0, 0, 0
+	allowed, first, replicas, entries := 0, 0, 0, 0
 	for replica, vote := range v.votes {
 		if now.Sub(vote.requestedAt) > voteTTL {
 			delete(v.votes, replica)
@@ -100,8 +110,15 @@
 		if vote.Allowed {
 			allowed++
 		}
+		if vote.First {
+			first++
+		}
 	}
 	v.entryCount = entries
+	v.counted = 2*len(v.votes) > replicas
+	// Each replica of a majority that allowed the previous incarnation its share knows of it
+	// for longer than the share may be lent.
+	v.first = v.first || 2*first > replicas
 	if 2*allowed <= replicas || !v.ShareRecovered(now) {
 		entries = 0
 	}
