gateway: what follows from the list of entries is computed when the list changes

Cause: every 500 ms an entry parsed the addresses of all others, hashed their names and worked out the owner of each pool of each workspace (666 x 984 scores with 333 workspaces), and every 50 ms it sorted their names. Change: one immutable entryList holds names, addresses and the owners of the 16 x 2 pools, and is made again only when an entry joins, leaves or moves.

--- a/gateway/bookkeeper.go
+++ b/gateway/bookkeeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -17,9 +16,6 @@
 	// responseTimeout is how long a choice of a server waits for the load from the
 	// candidates' owners: about three round trips between zones while both ends are busy.
 	responseTimeout = 12 * time.Millisecond
-	// ownersTTL is how long a list of entries is used. Entries with different lists choose
-	// different owners meanwhile, each with a fraction of the reports.
-	ownersTTL = 500 * time.Millisecond
 	// maxLoadsPerMessage keeps a message within a datagram.
 	maxLoadsPerMessage = 20
 	// reportInterval is how often an entry repeats its reports to the owners.
@@ -43,10 +39,9 @@
 	mu        sync.Mutex
 	sequence  uint64
 	loads     *booking.LoadTable
-	owners    *booking.Owners
-	addresses map[string]netip.AddrPort // by entry
-	listedAt  time.Time                 // when owners and addresses were computed
-	pending   map[uint64]*pendingCall   // by sequence
+	list      *entryList
+	checkedAt time.Time               // when list was last compared with the live entries
+	pending   map[uint64]*pendingCall // by sequence
 }
 
 // transport sends messages to other entries without waiting for their receipt.
@@ -77,7 +72,7 @@
 }
 
 func newPeerExchange(self booking.Reporter, now func() time.Time) *peerExchange {
-	return &peerExchange{self: self, now: now, loads: booking.NewLoadTable(), owners: booking.NewOwners(nil), pending: make(map[uint64]*pendingCall)}
+	return &peerExchange{self: self, now: now, loads: booking.NewLoadTable(), list: newEntryList(nil, self.Name, nil), pending: make(map[uint64]*pendingCall)}
 }
 
 // queryLoads returns the load that other entries have placed on the servers, as far as the
@@ -101,15 +96,15 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.now()
-	x.refreshOwners(now)
+	list := x.entryList(now)
 	remote = make(map[netip.AddrPort][]serverLoad)
 	for _, server := range servers {
-		owner := x.owners.Owner(server)
+		owner := list.owners.Owner(server)
 		if owner == x.self.Name {
 			local = append(local, x.loadOfOthers(x.self.Name, server, now))
 			continue
 		}
-		if addr, known := x.addresses[owner]; known {
+		if addr, known := list.addresses[owner]; known {
 			remote[addr] = append(remote[addr], serverLoad{Server: server})
 		}
 	}
@@ -121,38 +116,6 @@
 	return serverLoad{Server: server, Running: l.Running, Prefill: l.Prefill, Down: l.Down}
 }
 
-// refreshOwners recomputes the owners and addresses every ownersTTL. x.mu is held.
-func (x *peerExchange) refreshOwners(now time.Time) {
-	if now.Sub(x.listedAt) < ownersTTL {
-		return
-	}
-	x.listedAt = now
-	x.addresses = make(map[string]netip.AddrPort)
-	var names []string
-	for _, e := range x.liveEntries() {
-		if e.Name == x.self.Name {
-			names = append(names, e.Name)
-			continue
-		}
-		if addr, ok := x.entryAddress(&e); ok {
-			names = append(names, e.Name)
-			x.addresses[e.Name] = addr
-		}
-	}
-	x.owners = booking.NewOwners(names)
-}
-
-// entryAddress returns an entry's address for datagrams; ok is false if its record has no
-// valid one.
-func (x *peerExchange) entryAddress(e *directory.Entry) (addr netip.AddrPort, ok bool) {
-	host, _, err := net.SplitHostPort(e.Address)
-	if err != nil {
-		return netip.AddrPort{}, false
-	}
-	addr, err = netip.ParseAddrPort(x.datagramAddress(host))
-	return addr, err == nil
-}
-
 func (x *peerExchange) startCall(owners int) (*pendingCall, uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -208,8 +171,7 @@
 func (x *peerExchange) handleLoadsRequest(m *message) {
 	x.mu.Lock()
 	now := x.now()
-	x.refreshOwners(now)
-	to, known := x.addresses[m.From]
+	to, known := x.entryList(now).addresses[m.From]
 	response := message{From: x.self.Name, Life: x.self.Incarnation, Sequence: m.Sequence, Kind: kindLoadsResponse}
 	for _, l := range m.Loads {
 		response.Loads = append(response.Loads, x.loadOfOthers(m.From, l.Server, now))
@@ -239,16 +201,15 @@
 // reportLoads reports this entry's load on servers to their owners.
 func (x *peerExchange) reportLoads(loads ...serverLoad) {
 	x.mu.Lock()
-	now := x.now()
-	x.refreshOwners(now)
+	list := x.entryList(x.now())
 	x.sequence++
 	sequence := x.sequence
 	remote := make(map[netip.AddrPort][]serverLoad)
 	for _, l := range loads {
-		owner := x.owners.Owner(l.Server)
+		owner := list.owners.Owner(l.Server)
 		if owner == x.self.Name {
 			x.recordLocked(x.self, sequence, l)
-		} else if addr, known := x.addresses[owner]; known {
+		} else if addr, known := list.addresses[owner]; known {
 			remote[addr] = append(remote[addr], l)
 		}
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -64,7 +64,7 @@
 	g.directory.MergeStatuses(from, r.Statuses, g.now())
 	g.updateEntryCount(addr, r.LiveEntries)
 	if g.peers.update(r.LiveDigest, r.LiveNames, g.now()) {
-		g.exchange.invalidateOwners()
+		g.exchange.invalidateList()
 	}
 	g.applyDirectory()
 	if r.HasLoads {
--- a/gateway/limitquestions.go
+++ b/gateway/limitquestions.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"maps"
 	"net/netip"
-	"slices"
 	"strconv"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,58 +19,28 @@
 // an owner for each pool, the lease requests to each entry would grow with the workspaces.
 const limitGroups = 16
 
-// limitGroupName returns the name by which the owners of a workspace's pools are chosen. Its
+// limitGroup returns the group of a workspace.
+func limitGroup(workspace string) int { return int(xxhash.Sum64String(workspace) % limitGroups) }
+
+// limitGroupName returns the name by which the owners of a group's pools are chosen. Its
 // prefix keeps it apart from servers' names. Pool n goes to the n-th entry in the order of
 // that name, so that the pools of a limit have distinct owners.
-func limitGroupName(key limit.Key) string {
-	return "limits/" + strconv.FormatUint(xxhash.Sum64String(key.Workspace)%limitGroups, 10)
-}
+func limitGroupName(group int) string { return "limits/" + strconv.Itoa(group) }
 
 // poolOwner returns the entry that should own a pool, by the current list of entries; empty
 // if the list has none.
-func (x *peerExchange) poolOwner(key limit.Key) string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.refreshOwners(x.now())
-	return x.owners.OwnerAt(limitGroupName(key), key.Number)
-}
-
-// peerNames returns the names of the other live entries, sorted.
-func (x *peerExchange) peerNames() []string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.refreshOwners(x.now())
-	return slices.Sorted(maps.Keys(x.addresses))
-}
-
-// invalidateOwners makes the next use reload the list of entries.
-func (x *peerExchange) invalidateOwners() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.listedAt = time.Time{}
-}
-
-// ownersListedAt returns when the list of entries was loaded.
-func (x *peerExchange) ownersListedAt() time.Time {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.refreshOwners(x.now())
-	return x.listedAt
-}
+func (x *peerExchange) poolOwner(key limit.Key) string { return x.currentList().poolOwner(key) }
 
 // peerAddress returns the address for datagrams to an entry; the second result is false if
 // the entry is not live.
 func (x *peerExchange) peerAddress(entry string) (netip.AddrPort, bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.refreshOwners(x.now())
-	addr, known := x.addresses[entry]
+	addr, known := x.currentList().addresses[entry]
 	return addr, known
 }
 
 // sendToKnown sends a message to an entry by its record, whether or not it is live.
 func (x *peerExchange) sendToKnown(e *directory.Entry, m *message) {
-	if addr, ok := x.entryAddress(e); ok {
+	if addr, ok := entryAddress(e, x.datagramAddress); ok {
 		m.From, m.Life = x.self.Name, x.self.Incarnation
 		x.transport.send(addr, m)
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -128,7 +128,7 @@
 		}
 	}
 	l.pools.Retain(func(workspace string) bool { return l.workspaces[workspace].PerSecond > 0 }, l.now())
-	l.renewal.ownersListedAt = time.Time{}
+	l.renewal.list = nil
 }
 
 // updateShare applies this entry's current share, by the control replicas' votes, to its
--- a/gateway/limitshares.go
+++ b/gateway/limitshares.go
@@ -41,10 +41,10 @@
 	nextEntry  int     // index of the entry last asked, in order of names
 	dueEntries float64 // entries that are due, with a fraction carried over
 	ownedPools []limit.Key
-	// ownersListedAt is the time of the list of entries that ownedPools was computed from.
-	ownersListedAt time.Time
-	pending        map[uint64]pendingLease // by sequence
-	nextReturn     int                     // index of the known entry last asked for a return
+	list       *entryList              // that ownedPools was computed from
+	loggedAt   time.Time               // when the owned limits were last compared with those logged
+	pending    map[uint64]pendingLease // by sequence
+	nextReturn int                     // index of the known entry last asked for a return
 }
 
 // pendingLease is a lease request without a response.
@@ -57,11 +57,15 @@
 // renewLeases asks the entries that are due to lend their shares of the pools that this
 // entry should own. It is called every renewInterval.
 func (l *limits) renewLeases() {
-	names := l.exchange.peerNames()
+	list := l.exchange.currentList()
+	names := list.names
 	l.mu.Lock()
 	now := l.now()
-	if listedAt := l.exchange.ownersListedAt(); listedAt != l.renewal.ownersListedAt {
-		l.renewal.ownedPools, l.renewal.ownersListedAt = l.ownedPools(), listedAt
+	if list != l.renewal.list {
+		l.renewal.ownedPools, l.renewal.list = l.ownedPools(list), list
+	}
+	if now.Sub(l.renewal.loggedAt) >= entryListTTL {
+		l.renewal.loggedAt = now
 		l.logOwnedLimits(now)
 	}
 	owned := l.renewal.ownedPools
@@ -101,12 +105,13 @@
 	l.exchange.sendTo(entry, &message{Sequence: sequence, Kind: kindLeaseRequest, Shares: &sharesMessage{Pools: keys, For: duration}})
 }
 
-// ownedPools returns the pools that this entry should own, sorted. l.mu is held.
-func (l *limits) ownedPools() []limit.Key {
+// ownedPools returns the pools that this entry should own by a list of entries, sorted. l.mu
+// is held.
+func (l *limits) ownedPools(list *entryList) []limit.Key {
 	var owned []limit.Key
 	for workspace := range l.workspaces {
 		for n := range limitPools {
-			if key := (limit.Key{Workspace: workspace, Number: n}); l.exchange.poolOwner(key) == l.exchange.self.Name {
+			if key := (limit.Key{Workspace: workspace, Number: n}); list.poolOwner(key) == l.exchange.self.Name {
 				owned = append(owned, key)
 			}
 		}
@@ -212,7 +217,7 @@
 	if !l.shares.settled(now) {
 		return true
 	}
-	return now.Sub(l.start) < fastRenewWindow && len(l.exchange.peerNames())+1 < l.shares.divisorInUse()
+	return now.Sub(l.start) < fastRenewWindow && len(l.exchange.currentList().names)+1 < l.shares.divisorInUse()
 }
 
 // requestReturns asks other entries to return the shares that the previous incarnation of
--- a/gateway/limitsite_test.go
+++ b/gateway/limitsite_test.go
@@ -147,7 +147,7 @@
 		}
 	}
 	if process.peers.update(digestOf(names), names, now) {
-		process.exchange.invalidateOwners()
+		process.exchange.invalidateList()
 	}
 	e.site.registry.Observe(e.name, process.exchange.self.Incarnation, process.limits.shares.divisorInUse(), now)
 	process.limits.shares.recordVote("c1", e.site.registry.Vote(e.name, now), 1, now)
