policy/limit: leases survive a lost request at any size, and a starting owner asks a thousand entries a second at most

Cause: an owner requested each entry's share every 8 ms x entries, without an upper bound, while a lease lasts 8 s at most: at 984 entries the period is 7.9 s, so one lost datagram takes the share away for up to 8 s, and from 1,000 on leases end before they are renewed. In its first 2 s an owner asked every entry ten times a second: 9,830 requests a second at 984 entries, and as many answers.

--- a/gateway/limitshares.go
+++ b/gateway/limitshares.go
@@ -12,10 +12,8 @@
 	// renewInterval is how often an owner sends lease requests to the entries that are due.
 	renewInterval = 50 * time.Millisecond
 	// fastRenewWindow is how long after its start an owner asks each entry every
-	// fastRenewPeriod: if all entries restart at once, each gets its share at another
-	// moment.
+	// limit.FirstRenewPeriod.
 	fastRenewWindow = 2 * time.Second
-	fastRenewPeriod = 100 * time.Millisecond
 	// maxReturnRequests bounds the requests for the return of shares that an entry sends every
 	// renewInterval, and so what each entry receives when all have restarted.
 	maxReturnRequests = 50
@@ -80,7 +78,7 @@
 	}
 	period := limit.RenewPeriod(len(names) + 1)
 	if now.Sub(l.start) < fastRenewWindow {
-		period = min(period, fastRenewPeriod)
+		period = limit.FirstRenewPeriod(len(names) + 1)
 	}
 	l.renewal.dueEntries = min(l.renewal.dueEntries+float64(len(names))*float64(renewInterval)/float64(period), float64(len(names)))
 	duration := limit.LeaseDuration(len(names) + 1)
--- a/policy/limit/pool_test.go
+++ b/policy/limit/pool_test.go
@@ -158,3 +158,18 @@
 	set.Retain(func(string) bool { return false }, start.Add(2*time.Second))
 	require.Empty(t, set.pools)
 }
+
+// Guards against leases that expire before they are renewed once there are a thousand entries,
+// so that an owner has only some of the shares and refuses requests within the limit; and
+// against an owner that, just started, asks a thousand entries ten times a second.
+func TestLeasesOfManyEntries(t *testing.T) {
+	for _, entries := range []int{2, 6, 60, 190, 370, 984, 2000, 4000} {
+		require.LessOrEqual(t, 2*RenewPeriod(entries)+leaseMargin, LeaseDuration(entries), "%d entries: a lease survives a lost request", entries)
+		require.LessOrEqual(t, LeaseDuration(entries), maxLease)
+		require.LessOrEqual(t, FirstRenewPeriod(entries), RenewPeriod(entries))
+		requestsPerSecond := float64(entries) / FirstRenewPeriod(entries).Seconds()
+		if entries <= 2000 {
+			require.LessOrEqual(t, requestsPerSecond, 1000.0, "%d entries", entries)
+		}
+	}
+}
