gateway, policy/route: a report of loads is applied to the servers that have any, not to all

Cause: with each report of a control replica, 1.3 a second, an entry announced every server to its router again, though the report names 128 at most: the work of an idle entry grew with the fleet's servers. Change: a service keeps which servers may have load, its own or others'; only those are announced, and the router keeps the time of the report for the rest. A changed record of a server replaces its owner's report. TestReportsOfLoadedServersEqualCompleteReports compares 20 x 400 steps with complete reports, verdict by verdict; it is red without the last sentence of the change.

--- a/gateway/service.go
+++ b/gateway/service.go
@@ -50,6 +50,7 @@
 	running         map[string]int       // this entry's requests, by server
 	prefillTokens   uint64               // prompt tokens sent to servers, less the cached ones
 	reportedAt      time.Time            // last report of the control replicas on others' load
+	busy            map[string]struct{}  // servers that may have load: own, or others' by the last report
 	ownerReportedAt map[string]time.Time // last report of its owner, by server
 	onLoadChange    func(serverLoad)     // called without mu with this entry's load on a server after each change
 }
@@ -70,6 +71,7 @@
 	}
 	return &service{
 		name: name, router: router, servers: make(map[string]directory.Server), cacheSequence: make(map[string]uint64), running: make(map[string]int),
+		busy:            make(map[string]struct{}),
 		ownerReportedAt: make(map[string]time.Time), onLoadChange: onLoadChange,
 	}
 }
@@ -110,6 +112,7 @@
 		s.cacheSequence[rec.ID] = 0
 	default:
 		s.servers[rec.ID] = rec
+		delete(s.ownerReportedAt, rec.ID) // the announcement replaces its report
 		s.announce(rec, s.running[rec.ID], 0, now)
 	}
 }
@@ -147,6 +150,7 @@
 		return choice{verdict: v}, false
 	}
 	s.running[v.Server]++
+	s.busy[v.Server] = struct{}{}
 	s.prefillTokens += uint64(max(v.UncachedTokens(), 0))
 	c := choice{verdict: v, attempt: s.router.Started(&v, now), prefixes: prefixes, loadAge: s.loadAge(v.Server, now)}
 	c.prefillTime = time.Duration(float64(v.UncachedTokens()) / s.router.PrefillRate() * float64(time.Second))
@@ -185,6 +189,7 @@
 	defer s.mu.Unlock()
 	for _, l := range loads {
 		s.ownerReportedAt[l.Server] = now
+		s.busy[l.Server] = struct{}{}
 		s.router.UpdateLoad(l.Server, l.Running, l.Prefill, now)
 	}
 }
@@ -241,18 +246,32 @@
 	return api.ServiceWork{Service: s.name, Tokens: s.prefillTokens, Rate: s.router.LearnedPrefillRate()}
 }
 
-// applyReportedLoads applies the load of other entries as a control replica reports it.
+// applyReportedLoads applies the load of other entries as a control replica reports it. A
+// server that others does not name has none of them. Only servers that have load, or had at
+// the last report, are announced again: the others, thousands of them, are as they were.
 func (s *service) applyReportedLoads(others map[string]api.ServerLoad, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reportedAt = now
-	for id, rec := range s.servers {
+	s.router.SetReportTime(now)
+	for id := range others {
+		s.busy[id] = struct{}{}
+	}
+	for id := range s.busy {
+		rec, known := s.servers[id]
+		if !known {
+			delete(s.busy, id)
+			continue
+		}
 		if now.Sub(s.ownerReportedAt[id]) < ownerReportTTL {
 			continue // the owner's report is newer
 		}
 		if rec.State == instance.StateServing && !rec.Unreachable {
 			s.announce(rec, others[id].Running+s.running[id], others[id].Prefill, now)
 		}
+		if others[id].Running == 0 && s.running[id] == 0 {
+			delete(s.busy, id)
+		}
 	}
 }
 
--- /dev/null
+++ b/gateway/service_test.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/route"
+)
+
+// announceAll applies a report of loads to every server, whether or not it has load.
+func (s *service) announceAll(others map[string]api.ServerLoad, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reportedAt = now
+	for id, rec := range s.servers {
+		if now.Sub(s.ownerReportedAt[id]) >= ownerReportTTL && rec.State == instance.StateServing && !rec.Unreachable {
+			s.announce(rec, others[id].Running+s.running[id], others[id].Prefill, now)
+		}
+	}
+}
+
+// An entry with thousands of servers applies the reported load only of those that have any.
+// Guards against a choice that differs from that by a complete report: a server would keep a
+// load that has ended, or look idle while others use it.
+func TestReportsOfLoadedServersEqualCompleteReports(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		now := time.Unix(1_700_000_000, 0)
+		brief, complete := newService("chat", 30, func(serverLoad) {}), newService("chat", 30, func(serverLoad) {})
+		both := []*service{brief, complete}
+		name := func() string { return fmt.Sprint("s", rng.IntN(40)) }
+		record := func(id string, unreachable bool) {
+			rec := directory.Server{Announcement: instance.Announcement{ID: id, Incarnation: 1, State: instance.StateServing, Slots: 4}, Unreachable: unreachable}
+			for _, s := range both {
+				s.update(rec, now)
+			}
+		}
+		for i := range 40 {
+			record(fmt.Sprint("s", i), false)
+		}
+		var running [][]choice
+		for step := range 400 {
+			now = now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)
+			switch rng.IntN(6) {
+			case 0, 1:
+				req := &route.Request{Key: rng.Uint64(), Now: now, PromptTokens: 1000}
+				a, ok := brief.choose(req, nil, now)
+				b, _ := complete.choose(req, nil, now)
+				require.Equal(t, b.verdict, a.verdict, "seed %d, step %d", seed, step)
+				if ok {
+					running = append(running, []choice{a, b})
+				}
+			case 2:
+				if len(running) > 0 {
+					i := rng.IntN(len(running))
+					for k, s := range both {
+						s.end(&running[i][k], endedOK, now)
+					}
+					running = append(running[:i], running[i+1:]...)
+				}
+			case 3:
+				load := serverLoad{Server: name(), Running: rng.IntN(3), Prefill: rng.IntN(4000)}
+				for _, s := range both {
+					s.applyOwnerLoads([]serverLoad{load}, now)
+				}
+			case 4:
+				record(name(), rng.IntN(3) == 0)
+			default:
+				others := make(map[string]api.ServerLoad)
+				for range rng.IntN(8) {
+					id := name()
+					others[id] = api.ServerLoad{Server: id, Running: 1 + rng.IntN(4), Prefill: rng.IntN(5000)}
+				}
+				brief.applyReportedLoads(others, now)
+				complete.announceAll(others, now)
+			}
+		}
+	}
+}
--- a/policy/route/choose.go
+++ b/policy/route/choose.go
@@ -248,7 +248,7 @@
 	if !r.cfg.CountSenders {
 		return float64(r.cfg.Entries - 1)
 	}
-	age := (now.Sub(s.reportTime) + s.reportLag).Seconds()
+	age := r.reportAge(s, now).Seconds()
 	sent := r.sendRate.perSecond(now) * age * float64(r.cfg.Entries) * r.cfg.LoadFactor / float64(t.servers)
 	return min(float64(r.cfg.Entries-1), sent)
 }
--- a/policy/route/router.go
+++ b/policy/route/router.go
@@ -23,6 +23,7 @@
 	medianLatencyRatio float64       // over all servers with enough samples
 	meanFirstToken     time.Duration // moving average over all servers
 	registrations      uint64        // number of the last registration, see server.registration
+	reportTime         time.Time     // see SetReportTime
 	rateSamples        int           // samples that the prefill rate was learned from
 
 	slotsByID []int // slots of the servers, sorted by id; nil if not up to date
@@ -70,6 +71,18 @@
 	return true
 }
 
+// SetReportTime records a report, collected at, on the load of all servers, from which those
+// are left out whose load is as last announced.
+func (r *Router) SetReportTime(at time.Time) { r.reportTime = at }
+
+// reportAge returns how long ago the load of a server was measured.
+func (r *Router) reportAge(s *server, now time.Time) time.Duration {
+	if !s.queried && r.reportTime.After(s.reportTime) {
+		return now.Sub(r.reportTime) + collectedReportLag
+	}
+	return now.Sub(s.reportTime) + s.reportLag
+}
+
 // UpdateLoad sets the load of other entries on a server at now, as the caller has queried it:
 // their running requests, and the prompt tokens of those without a first token.
 func (r *Router) UpdateLoad(id string, running, prefill int, now time.Time) {
--- a/policy/route/server.go
+++ b/policy/route/server.go
@@ -71,6 +71,7 @@
 	firstSeen    time.Time // in this incarnation
 	reportTime   time.Time
 	reportLag    time.Duration // age of the report on arrival
+	queried      bool          // the report was queried by updateLoad
 	history      *history
 
 	othersBacklog backlog // prompt tokens of other entries, as reported
@@ -97,7 +98,7 @@
 	if at.Before(s.reportTime) {
 		return
 	}
-	s.reportTime, s.reportLag = at, collectedReportLag
+	s.reportTime, s.reportLag, s.queried = at, collectedReportLag, false
 	s.reportedLoad = a.Load.Running + a.Load.Waiting
 	s.othersBacklog = backlog{float64(a.Load.Prefill), at}
 	s.netStarts = s.history.since(at)
@@ -105,7 +106,7 @@
 
 // updateLoad sets the current load of other entries, as queried.
 func (s *server) updateLoad(running, prefill int, now time.Time) {
-	s.reportTime, s.reportLag = now, queriedReportLag
+	s.reportTime, s.reportLag, s.queried = now, queriedReportLag, true
 	s.reportedLoad = running + s.ownRequests
 	s.othersBacklog = backlog{float64(prefill), now}
 	s.netStarts = 0
