policy/route: only servers that this entry uses have a history of its requests

Cause: an entry kept 2 KB of history for each known server, 6 MB at 3,000 servers, though it sends to a few dozen.

--- a/policy/route/router_test.go
+++ b/policy/route/router_test.go
@@ -416,3 +416,15 @@
 	}
 	return r, req
 }
+
+// Guards against a history of own requests for each of thousands of servers, of which an entry
+// uses few: it would take most of the entry's memory.
+func TestOnlyUsedServersHaveAHistory(t *testing.T) {
+	var s server
+	start := time.Unix(1_700_000_000, 0)
+	s.update(&instance.Announcement{ID: "s", Incarnation: 1, State: instance.StateServing, Slots: 4}, start, start)
+	require.Nil(t, s.history)
+	s.started(start.Add(time.Second))
+	s.update(&instance.Announcement{ID: "s", Incarnation: 1, Sequence: 1, State: instance.StateServing, Slots: 4}, start, start.Add(2*time.Second))
+	require.Equal(t, 1, s.netStarts)
+}
--- a/policy/route/server.go
+++ b/policy/route/server.go
@@ -14,7 +14,7 @@
 	historyBucketWidth = 10 * time.Millisecond
 )
 
-// history counts own starts minus own ends per historyBucketWidth.
+// history counts own starts minus own ends per historyBucketWidth. A nil history has none.
 type history struct {
 	newestBucket int64                 // number of the newest bucket, see bucketOf
 	netStarts    [historyBuckets]int32 // by bucket number modulo historyBuckets
@@ -38,6 +38,9 @@
 
 // since returns the sum of the buckets that begin after t.
 func (h *history) since(t time.Time) int {
+	if h == nil {
+		return 0
+	}
 	sum := 0
 	from := max(bucketOf(t)+1, h.newestBucket-historyBuckets+1)
 	for tick := from; tick <= h.newestBucket; tick++ {
@@ -72,7 +75,7 @@
 	reportTime   time.Time
 	reportLag    time.Duration // age of the report on arrival
 	queried      bool          // the report was queried by updateLoad
-	history      *history
+	history      *history      // nil until the first own request: most entries use few of thousands of servers
 
 	othersBacklog backlog // prompt tokens of other entries, as reported
 }
@@ -81,7 +84,7 @@
 func (s *server) update(a *instance.Announcement, at, now time.Time) {
 	wasLeaving := s.incarnation == a.Incarnation && !s.firstSeen.IsZero() && !s.serving
 	if s.incarnation != a.Incarnation || s.firstSeen.IsZero() {
-		*s = server{id: s.id, hash: s.hash, registration: s.registration, firstSeen: now, history: &history{}, health: newHealth()}
+		*s = server{id: s.id, hash: s.hash, registration: s.registration, firstSeen: now, health: newHealth()}
 	}
 	s.incarnation = a.Incarnation
 	s.sequence = a.Sequence
@@ -115,13 +118,20 @@
 func (s *server) started(now time.Time) {
 	s.ownRequests++
 	s.netStarts++
-	s.history.add(now, 1)
+	s.recordHistory(now, 1)
 }
 
 func (s *server) ended(now time.Time) {
 	s.ownRequests--
 	s.netStarts--
-	s.history.add(now, -1)
+	s.recordHistory(now, -1)
+}
+
+func (s *server) recordHistory(now time.Time, d int32) {
+	if s.history == nil {
+		s.history = &history{}
+	}
+	s.history.add(now, d)
 }
 
 // load estimates the running and waiting requests: the report plus own starts minus own ends
