gateway: at most 20 log lines a second on changes of servers

Cause: an entry wrote a line for each record of a server, 2,910 of them in the second in which the fleet starts, and again for each server that is exchanged: 7% of an entry's time in the fleet's start (perf, six entries), with a system call each. Change: they go through a sampler, as lines on answered requests do; lines left out are counted by the event for that. The control replica that receives a change still writes each.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -192,6 +192,8 @@
 	}
 }
 
+// logServer logs a change of a server. Thousands may change within a second, at hundreds of
+// entries.
 func (g *Gateway) logServer(rec *directory.Server) {
 	kind := event.ServerAnnounced
 	switch {
@@ -200,7 +202,7 @@
 	case rec.State == instance.StateGone || rec.Unreachable:
 		kind = event.ServerGone
 	}
-	event.Log(context.Background(), g.log, slog.LevelInfo, kind, slog.String("server", rec.ID), slog.String("address", rec.Address),
+	g.serverSampler.Log(context.Background(), kind, slog.String("server", rec.ID), slog.String("address", rec.Address),
 		slog.Uint64("incarnation", rec.Incarnation), slog.Uint64("sequence", rec.Sequence), slog.Any("services", rec.Services),
 		slog.String("zone", rec.Zone), slog.Bool("silent", rec.Unreachable), slog.Duration("heardAgo", rec.HeartbeatAge))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,8 @@
 	usage      *usage
 	outcomes   outcomes
 	sampler    *event.Sampler
+	// serverSampler is for the lines about servers.
+	serverSampler *event.Sampler
 
 	inFlight       atomic.Int64
 	leaving        atomic.Bool
@@ -110,6 +112,7 @@
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
 	g.outcomes = outcomes{set: g.metrics}
 	g.sampler = event.NewSampler(g.log, g.now, event.DefaultSampledPerSecond)
+	g.serverSampler = event.NewSampler(g.log, g.now, maxServerLines)
 	var err error
 	if g.retries, err = retry.New(retryConfig(b)); err != nil {
 		return nil, trace.Wrap(err, "step=set up retries")
@@ -209,6 +212,9 @@
 	return g.callerWaits.ObjectivePassed(r.Name, remaining, r.Objective)
 }
 
+// maxServerLines bounds the log lines per second on changes of servers.
+const maxServerLines = 20
+
 // sweepInterval is how often idle connections and expired records are removed.
 const sweepInterval = time.Second
 
