policy/supply: a large service is exchanged by and by, and its reserve follows its load

Cause: the need is the initial number until the load is known, and two zones are spare: right after its start the fleet with 2,910 on-demand servers orders 4,850 reclaimable ones, and once those serve stops the first ones all at once. Later half of the initial number is kept at any load, 1,455 servers for a load that 110 bear. Change: at most 256 servers of a service start at a time and at most 1,024 stop; the reserve is half of the initial number, but no more than four times the need. The rate of changes is the same at twice the size. Ruled out: no reserve (earlier deployments rely on it in surges; their need is over an eighth of what they start with). Measured: TestLargeServiceIsExchangedByAndBy and TestReserveIsBoundedByTheLoad are red without the change.

--- a/policy/supply/need.go
+++ b/policy/supply/need.go
@@ -22,8 +22,11 @@
 	maxUtilization = 0.7
 	// targetSlotFraction leaves slots free for surges; answers slow down as slots fill up.
 	targetSlotFraction = 0.5
-	// minSizeFraction is the fraction of the initial servers that is kept at any load.
+	// minSizeFraction is the fraction of the initial servers that is kept as a reserve against
+	// surges, unless it is more than surgeReserve times what the load needs: a service that
+	// started with many times its need would pay for them for ever.
 	minSizeFraction = 0.5
+	surgeReserve    = 4.0
 
 	// smoothingTime is the time constant of the moving average of the load: longer than a
 	// burst of arrivals, shorter than a server takes to boot.
@@ -88,7 +91,8 @@
 	}
 	busyServers := d.promptTokens.servers(tokensPerSecond).peak
 	withinObjective := min(busyServers/targetUtilization, float64(initialServers))
-	want := max(withinObjective, busyServers/maxUtilization, d.occupiedServers.peak/targetSlotFraction, minSizeFraction*float64(initialServers))
+	want := max(withinObjective, busyServers/maxUtilization, d.occupiedServers.peak/targetSlotFraction)
+	want = max(want, min(surgeReserve*want, minSizeFraction*float64(initialServers)))
 	if want > float64(d.lastNeed) || want < float64(d.lastNeed)-1-lowerHysteresisServers {
 		d.lastNeed = int(math.Ceil(want))
 	}
--- a/policy/supply/need_test.go
+++ b/policy/supply/need_test.go
@@ -79,3 +79,12 @@
 	require.Equal(t, 5, d.ServersForCurrentLoad(1))
 	require.Greater(t, d.ServersNeeded(12, 1), 6)
 }
+
+// Guards against paying for ever for a service that started with many times the servers that
+// its load needs.
+func TestReserveIsBoundedByTheLoad(t *testing.T) {
+	var d Demand
+	feed(&d, Usage{Tokens: 99.9 * targetUtilization}, time.Unix(0, 0), 20*time.Second)
+	require.Equal(t, 400, d.ServersNeeded(3000, 1))
+	require.Equal(t, 200, d.ServersNeeded(400, 1), "half of the initial servers")
+}
--- a/policy/supply/supply.go
+++ b/policy/supply/supply.go
@@ -85,7 +85,9 @@
 			spot[z.Name] = clamp(serversPerZone(in.Need, len(zones), in.spareZones()), in.Min, in.spotLimit(z.Name))
 		}
 	}
+	in.limitStarts(zones, spot)
 	onDemand := in.onDemand(zones, spot)
+	in.limitStops(zones, onDemand)
 	var orders []Order
 	for _, z := range zones {
 		orders = append(orders,
@@ -95,6 +97,59 @@
 	return orders
 }
 
+const (
+	// maxStarting and maxStopping bound how many servers of a service start and stop at a time.
+	// Each one is a change that every entry has to learn, and a new one is a record with each.
+	maxStarting = 256
+	maxStopping = 1024
+)
+
+// limitStarts lowers the wanted numbers of reclaimable servers so that at most maxStarting are
+// not present yet. On-demand servers are kept for those that are left out.
+func (in *Input) limitStarts(zones []Zone, wanted map[string]int) {
+	starting := 0
+	for _, z := range zones {
+		starting += max(wanted[z.Name]-in.Present[CapacityPool{z.Name, true}], 0)
+	}
+	if starting <= maxStarting {
+		return
+	}
+	for _, z := range zones {
+		pool := CapacityPool{z.Name, true}
+		present, ordered := in.Present[pool], min(in.Ordered[pool], wanted[z.Name])
+		switch missing := wanted[z.Name] - present; {
+		case missing <= 0:
+		case ordered > present:
+			wanted[z.Name] = ordered // still booting
+		default:
+			wanted[z.Name] = present + missing*maxStarting/starting
+		}
+	}
+}
+
+// limitStops raises the wanted numbers of on-demand servers so that at most maxStopping stop at
+// a time, with those that are leaving already.
+func (in *Input) limitStops(zones []Zone, wanted map[string]int) {
+	leaving, stopping := 0, 0
+	for _, z := range zones {
+		pool := CapacityPool{z.Name, false}
+		leaving += max(in.Present[pool]-in.Serving[pool], 0)
+		stopping += max(in.Serving[pool]-wanted[z.Name], 0)
+	}
+	allowed := maxStopping - leaving
+	if stopping <= allowed {
+		return
+	}
+	if allowed < maxStopping/2 {
+		allowed = 0 // wait for a larger part rather than order many small ones
+	}
+	for _, z := range zones {
+		if surplus := in.Serving[CapacityPool{z.Name, false}] - wanted[z.Name]; surplus > 0 {
+			wanted[z.Name] += surplus - surplus*allowed/stopping
+		}
+	}
+}
+
 // spotOccupancy returns how many reclaimable servers take up capacity in each zone: the
 // wanted number or, in an unavailable pool, at most the present one. Capacity reserved for
 // servers that cannot be started would stay unused during a wave.
--- a/policy/supply/supply_test.go
+++ b/policy/supply/supply_test.go
@@ -173,3 +173,43 @@
 	require.Equal(t, 24, spot)
 	require.Zero(t, onDemand)
 }
+
+// Guards against starting thousands of reclaimable servers in the second in which a fleet with
+// thousands of on-demand ones starts, and against stopping the latter all at once: every entry
+// has to learn of each, and the control replicas would do nothing else.
+func TestLargeServiceIsExchangedByAndBy(t *testing.T) {
+	in := Input{Min: 1, Max: 1200, SpotPrice: 0.22, Need: 2910, InitialServers: 2910, Serving: map[CapacityPool]int{}, Present: map[CapacityPool]int{}}
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		in.Zones = append(in.Zones, Zone{name, 1})
+		in.Serving[CapacityPool{name, false}], in.Present[CapacityPool{name, false}] = 582, 582
+	}
+	spot, onDemand := counts(Plan(in))
+	require.LessOrEqual(t, spot, maxStarting)
+	require.Greater(t, spot, maxStarting-len(in.Zones))
+	require.Equal(t, 2910, onDemand, "none is stopped before others serve")
+
+	in.Ordered = map[CapacityPool]int{}
+	for _, o := range Plan(in) {
+		in.Ordered[o.CapacityPool] = o.Count
+	}
+	again, _ := counts(Plan(in))
+	require.Equal(t, spot, again, "the order stays while its servers boot")
+
+	in.Need = 200
+	for _, z := range in.Zones {
+		in.Serving[CapacityPool{z.Name, true}], in.Present[CapacityPool{z.Name, true}] = 67, 67
+	}
+	_, onDemand = counts(Plan(in))
+	require.GreaterOrEqual(t, onDemand, 2910-maxStopping)
+	require.LessOrEqual(t, onDemand, 2910-maxStopping+len(in.Zones))
+	for _, z := range in.Zones {
+		in.Serving[CapacityPool{z.Name, false}] -= 150
+	}
+	_, onDemand = counts(Plan(in))
+	require.GreaterOrEqual(t, onDemand, 2910-maxStopping, "750 are leaving")
+	for _, z := range in.Zones {
+		in.Present[CapacityPool{z.Name, false}] = in.Serving[CapacityPool{z.Name, false}]
+	}
+	_, onDemand = counts(Plan(in))
+	require.LessOrEqual(t, onDemand, 2160-maxStopping+len(in.Zones), "those have left")
+}
