coordinator/follow: replicas that a reply names are followed at once

Cause: a follower compared all replicas' names four times a second, in each of a thousand idle entries, and still learned of a new replica up to 250 ms late. Change: it does so when a reply names other replicas than the one before, and once a second for the seeds.

--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -46,9 +46,9 @@
 	// shortWait is the wait of a call while no replica sends complete records, or while
 	// records are missing.
 	shortWait = 200 * time.Millisecond
-	// reconcileInterval is the interval at which calls are started for new replicas and
-	// ended for removed ones.
-	reconcileInterval = 250 * time.Millisecond
+	// reconcileInterval is the interval at which the seeds are read again. Replicas that a
+	// reply names are followed, and others no longer, at once.
+	reconcileInterval = time.Second
 )
 
 // Config holds the settings of a Follower.
@@ -93,7 +93,8 @@
 	deps   Deps
 	source recordSource
 
-	haveRecords atomic.Bool // a replica has sent complete records
+	haveRecords atomic.Bool   // a replica has sent complete records
+	renamed     chan struct{} // receives a value after a replica has named other replicas than before
 
 	mu            sync.Mutex
 	peers         map[string]*peer
@@ -113,7 +114,7 @@
 	if cfg.Wait <= 0 {
 		cfg.Wait = DefaultWait
 	}
-	f := &Follower{cfg: cfg, deps: deps, peers: make(map[string]*peer), namedReplicas: make(map[string][]string)}
+	f := &Follower{cfg: cfg, deps: deps, peers: make(map[string]*peer), namedReplicas: make(map[string][]string), renamed: make(chan struct{}, 1)}
 	f.source = recordSource{zone: cfg.Zone, vacantSince: deps.Now()}
 	return f
 }
@@ -129,11 +130,28 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-f.renamed:
 		case <-tick.C:
 		}
 	}
 }
 
+// recordNames records the replicas that a reply names.
+func (f *Follower) recordNames(addr string, names []string) {
+	slices.Sort(names)
+	f.mu.Lock()
+	changed := !slices.Equal(f.namedReplicas[addr], names)
+	f.namedReplicas[addr] = names
+	f.mu.Unlock()
+	if !changed {
+		return
+	}
+	select {
+	case f.renamed <- struct{}{}:
+	default:
+	}
+}
+
 // reconcile starts a goroutine for each replica that is not followed yet and cancels those
 // of replicas that neither the seeds nor any reply name any more.
 func (f *Follower) reconcile(ctx context.Context, wg *sync.WaitGroup) {
@@ -224,9 +242,7 @@
 		incarnation = reply.Incarnation
 		seen.record(req.Detail, reply.Seen)
 		f.source.observeZone(addr, reply.Zone)
-		f.mu.Lock()
-		f.namedReplicas[addr] = reply.Replicas
-		f.mu.Unlock()
+		f.recordNames(addr, reply.Replicas)
 		reply.SentAt = sentAt
 		f.deps.Reply(addr, reply)
 		lastRevision = reply.Revision
