link: the connections that a process dials tick together

Cause: an entry has a link to each control replica, and each looked once a second, at a moment of its own, whether a heartbeat is due: ten wakes a second at each of 984 entries. Change: dialled connections count their intervals from one moment. Accepted ones, of which a replica has a thousand, don't.

--- a/link/conn.go
+++ b/link/conn.go
@@ -27,6 +27,7 @@
 	br                *bufio.Reader
 	maxFrame          int
 	heartbeatInterval time.Duration
+	tickOrigin        time.Time // from which the heartbeat intervals count
 	traffic           *Traffic
 	sendQueue         chan outgoing
 	ctx               context.Context
@@ -69,6 +70,7 @@
 		br:                bufio.NewReader(&timeoutReader{nc: nc, timeout: l.heartbeatTimeout}),
 		maxFrame:          l.maxFrame,
 		heartbeatInterval: l.heartbeatInterval,
+		tickOrigin:        time.Now(),
 		traffic:           t,
 		sendQueue:         make(chan outgoing, sendQueueLen),
 		ctx:               ctx,
@@ -116,7 +118,7 @@
 // the read side ends the connection, and a slow peer must not lose it.
 func (c *conn) writeLoop(notices <-chan outgoing, onTick func()) error {
 	bw := bufio.NewWriter(c.nc)
-	tick := time.NewTicker(c.heartbeatInterval)
+	tick := time.NewTimer(c.untilTick(time.Now()))
 	defer tick.Stop()
 	idle := true
 	for {
@@ -136,6 +138,7 @@
 			}
 			idle = true
 			onTick()
+			tick.Reset(c.untilTick(time.Now()))
 		}
 		if err != nil {
 			return err
@@ -143,6 +146,16 @@
 	}
 }
 
+// dialledTickOrigin is the tickOrigin of all connections that this process dials: an idle process
+// with a link to each of ten replicas wakes once per interval for their heartbeats, and not ten
+// times. Accepted connections, of which there may be a thousand, tick at different moments.
+var dialledTickOrigin = time.Now()
+
+// untilTick returns the time until the next multiple of the heartbeat interval since tickOrigin.
+func (c *conn) untilTick(now time.Time) time.Duration {
+	return c.heartbeatInterval - now.Sub(c.tickOrigin)%c.heartbeatInterval
+}
+
 // writeBatch writes o and all frames queued meanwhile, then flushes once.
 func (c *conn) writeBatch(bw *bufio.Writer, o outgoing, notices <-chan outgoing) error {
 	for {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -492,3 +492,18 @@
 	b.ReportMetric(float64(m.BytesSent)/float64(m.MessagesSent), "sent-B/op")
 	b.ReportMetric(float64(m.BytesReceived)/float64(m.MessagesReceived), "received-B/op")
 }
+
+// Guards against an idle process that wakes for the heartbeats of each of its links at another
+// moment, and against a beat that is put off each time.
+func TestDialledConnectionsTickTogether(t *testing.T) {
+	for _, interval := range []time.Duration{DefaultHeartbeatInterval, time.Second} {
+		c := &conn{heartbeatInterval: interval, tickOrigin: dialledTickOrigin}
+		for _, age := range []time.Duration{0, time.Millisecond, 1700 * time.Millisecond, time.Hour} {
+			now := dialledTickOrigin.Add(age)
+			next := c.untilTick(now)
+			require.Positive(t, next)
+			require.LessOrEqual(t, next, interval)
+			require.Zero(t, (age+next)%interval)
+		}
+	}
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -133,6 +133,7 @@
 		return nil, &CallError{Step: StepDial, Peer: pr.addr, Kind: ErrUnreachable, Cause: err}
 	}
 	c := newConn(p.ctx, nc, p.limits, p.traffic)
+	c.tickOrigin = dialledTickOrigin
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	info, err := dialHandshake(c, p.cfg.Self, p.cfg.ClusterKey)
 	if err == nil && !stop() {
