link: the connections that a process accepts tick in groups

Cause: a control replica with a thousand accepted connections woke a thousand times a second to see whether a heartbeat is due. Change: they tick on a grid of 50 ms, twenty groups a second, as they were accepted.

--- a/link/conn.go
+++ b/link/conn.go
@@ -70,7 +70,7 @@
 		br:                bufio.NewReader(&timeoutReader{nc: nc, timeout: l.heartbeatTimeout}),
 		maxFrame:          l.maxFrame,
 		heartbeatInterval: l.heartbeatInterval,
-		tickOrigin:        time.Now(),
+		tickOrigin:        acceptedTickOrigin(time.Now()),
 		traffic:           t,
 		sendQueue:         make(chan outgoing, sendQueueLen),
 		ctx:               ctx,
@@ -148,9 +148,18 @@
 
 // dialledTickOrigin is the tickOrigin of all connections that this process dials: an idle process
 // with a link to each of ten replicas wakes once per interval for their heartbeats, and not ten
-// times. Accepted connections, of which there may be a thousand, tick at different moments.
+// times.
 var dialledTickOrigin = time.Now()
 
+// acceptedTickSpacing is the least time between the ticks of accepted connections. There may be a
+// thousand: at one moment they would hold the process up, at a thousand it would always wake.
+const acceptedTickSpacing = 50 * time.Millisecond
+
+// acceptedTickOrigin returns the tickOrigin of a connection that is accepted now.
+func acceptedTickOrigin(now time.Time) time.Time {
+	return dialledTickOrigin.Add(now.Sub(dialledTickOrigin).Truncate(acceptedTickSpacing))
+}
+
 // untilTick returns the time until the next multiple of the heartbeat interval since tickOrigin.
 func (c *conn) untilTick(now time.Time) time.Duration {
 	return c.heartbeatInterval - now.Sub(c.tickOrigin)%c.heartbeatInterval
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -504,6 +504,9 @@
 			require.Positive(t, next)
 			require.LessOrEqual(t, next, interval)
 			require.Zero(t, (age+next)%interval)
+			accepted := acceptedTickOrigin(now)
+			require.WithinRange(t, accepted, now.Add(-acceptedTickSpacing), now)
+			require.Zero(t, accepted.Sub(dialledTickOrigin)%acceptedTickSpacing)
 		}
 	}
 }
