link: a connection without notices has no queue and no goroutine for them

Cause: each accepted connection had a queue of 256 frames (16 KB) and a goroutine for notices, which only control replicas send to each other; a replica has some 984 connections of entries, which its garbage collector looks through: 20% of a replica's time in the fleet's start went into collections (perf, ten replicas).

--- a/link/server.go
+++ b/link/server.go
@@ -160,7 +160,7 @@
 	*conn
 	server     *Server
 	peer       PeerInfo
-	notices    chan frame // in the order received
+	notices    chan frame // in the order received; nil before the first, used by readLoop and noticeLoop
 	goroutines sync.WaitGroup
 
 	mu         sync.Mutex // guards cancelByID
@@ -189,7 +189,6 @@
 		conn:       c,
 		server:     s,
 		peer:       peer,
-		notices:    make(chan frame, serverNoticeQueueLen),
 		cancelByID: make(map[uint64]context.CancelFunc),
 	}
 	sc.run()
@@ -197,7 +196,6 @@
 
 func (sc *serverConn) run() {
 	sc.goroutines.Go(func() { sc.cancel(sc.writeLoop(nil, func() {})) })
-	sc.goroutines.Go(sc.noticeLoop)
 	err := sc.readLoop(sc.dispatch)
 	sc.cancel(err)
 	sc.goroutines.Wait()
@@ -328,6 +326,12 @@
 		return
 	}
 	sc.traffic.received(f.method, size)
+	if sc.notices == nil {
+		// Of a thousand connections few carry notices; the queue and the goroutine of each
+		// would take more memory than all else.
+		sc.notices = make(chan frame, serverNoticeQueueLen)
+		sc.goroutines.Go(sc.noticeLoop)
+	}
 	select {
 	case sc.notices <- f:
 	case <-sc.conn.ctx.Done():
