coordinator, policy/route: the read rate of servers is pooled from the samples of all entries

Cause: an entry told the rate that it has learned only after 40 samples of long prompts. Change: entries tell their rate with its samples; for the size of a service the replica takes the median weighted by samples, from one accurate entry or 240 samples on. To entries it suggests accurate rates only, as before.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -153,6 +153,7 @@
 	Service string  `msgpack:"s"`
 	Tokens  uint64  `msgpack:"n"`           // prompt tokens, since the sender's start, that no server was known to cache
 	Rate    float64 `msgpack:"r,omitempty"` // estimated prefill rate of a server in tokens per second; 0: no estimate yet
+	Samples int     `msgpack:"k,omitempty"` // number of the sender's samples that Rate was learned from
 }
 
 // Lacks reports whether the sender has no catalogue or one older than revision. The first
--- a/coordinator/work.go
+++ b/coordinator/work.go
@@ -1,12 +1,14 @@
 package coordinator
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/policy/route"
 )
 
 // workTable sums the prompt tokens that all entries have sent to the servers of each
@@ -75,31 +77,56 @@
 	return b.total[service]
 }
 
-// rate returns how many prompt tokens per second a server of a service reads: the median
-// of the entries' measurements, 0 if there is none.
+// minPooledSamples is the number of samples, of all entries together, from which their rates are
+// used for the size of a service. Each entry of a large fleet takes few: no one learns an accurate
+// rate for minutes, during which the service would keep all servers that it started with.
+const minPooledSamples = 240
+
+// rate returns how many prompt tokens per second a server of a service reads: the median of
+// the entries' measurements, weighted by their samples. It is 0 until one entry has an accurate
+// rate, or all together have minPooledSamples.
 func (b *workTable) rate(service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.median(service)
+	measured := b.measured(service, 1)
+	samples, accurate := 0, false
+	for _, w := range measured {
+		samples += w.Samples
+		accurate = accurate || w.Samples >= route.MinRateSamples
+	}
+	if !accurate && samples < minPooledSamples {
+		return 0
+	}
+	return weightedMedian(measured, samples)
 }
 
-// median returns the median of the entries' measurements for a service, 0 if there is none.
+// measured returns the entries' measurements for a service from at least this many samples.
 // The caller holds mu.
-func (b *workTable) median(service string) float64 {
-	var rates []float64
+func (b *workTable) measured(service string, samples int) []api.ServiceWork {
+	var out []api.ServiceWork
 	for _, l := range b.incarnations {
-		if w := l.services[service]; w.Rate > 0 {
-			rates = append(rates, w.Rate)
+		if w := l.services[service]; w.Rate > 0 && w.Samples >= samples {
+			out = append(out, w)
 		}
 	}
-	if len(rates) == 0 {
-		return 0
+	return out
+}
+
+// weightedMedian returns the median of the rates, each counted once for each of its samples, of
+// which there are this many in all; 0 if there are none.
+func weightedMedian(measured []api.ServiceWork, samples int) float64 {
+	slices.SortFunc(measured, func(x, y api.ServiceWork) int { return cmp.Compare(x.Rate, y.Rate) })
+	before := 0
+	for _, w := range measured {
+		if before += w.Samples; 2*before > samples {
+			return w.Rate
+		}
 	}
-	slices.Sort(rates)
-	return rates[len(rates)/2]
+	return 0
 }
 
-// rates returns the known read rates by service, at most ratesTTL old.
+// rates returns the read rates that entries have learned accurately, by service, at most
+// ratesTTL old: other entries take them over for good.
 func (b *workTable) rates(now time.Time) []api.ServiceWork {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -108,7 +135,8 @@
 	}
 	b.lastRates, b.ratedAt = nil, now
 	for _, name := range slices.Sorted(maps.Keys(b.total)) {
-		if rate := b.median(name); rate > 0 {
+		accurate := b.measured(name, route.MinRateSamples)
+		if rate := weightedMedian(accurate, len(accurate)*route.MinRateSamples); rate > 0 {
 			b.lastRates = append(b.lastRates, api.ServiceWork{Service: name, Rate: rate})
 		}
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -243,7 +243,8 @@
 func (s *service) prefillWork() api.ServiceWork {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return api.ServiceWork{Service: s.name, Tokens: s.prefillTokens, Rate: s.router.LearnedPrefillRate()}
+	rate, samples := s.router.LearnedPrefillRate()
+	return api.ServiceWork{Service: s.name, Tokens: s.prefillTokens, Rate: rate, Samples: samples}
 }
 
 // applyReportedLoads applies the load of other entries as a control replica reports it. A
--- a/policy/route/attempt.go
+++ b/policy/route/attempt.go
@@ -81,9 +81,9 @@
 	// learnStepHalvingSamples is the number of samples after which the step is half of the
 	// first one.
 	learnStepHalvingSamples = 6
-	// minRateSamples is the number of samples after which the learned rate is reported
-	// and a suggested one is ignored.
-	minRateSamples = 40
+	// MinRateSamples is the number of samples after which an entry's learned rate is accurate
+	// enough to be suggested to others, and a suggested one is ignored.
+	MinRateSamples = 40
 	// minPrefillRate and maxPrefillRate bound the learned rate, in tokens per second.
 	minPrefillRate = 1_000
 	maxPrefillRate = 200_000
@@ -97,6 +97,7 @@
 	}
 	step := max(firstLearnStep*learnStepHalvingSamples/(learnStepHalvingSamples+float64(r.rateSamples)), minLearnStep)
 	r.rateSamples++
+	r.ownRateSamples++
 	if a.expectedFirstToken > elapsed {
 		r.cfg.PrefillRate = min(r.cfg.PrefillRate*(1+step), maxPrefillRate)
 		return
@@ -107,23 +108,21 @@
 // SuggestPrefillRate sets the rate that other entries have learned, in tokens per second,
 // unless this entry has learned its own.
 func (r *Router) SuggestPrefillRate(rate float64) {
-	if !r.cfg.LearnPrefill || rate <= 0 || r.rateSamples >= minRateSamples {
+	if !r.cfg.LearnPrefill || rate <= 0 || r.rateSamples >= MinRateSamples {
 		return
 	}
 	r.cfg.PrefillRate = min(max(rate, minPrefillRate), maxPrefillRate)
-	r.rateSamples = minRateSamples
+	r.rateSamples = MinRateSamples
 }
 
 // PrefillRate returns the prefill rate in use, in tokens per second.
 func (r *Router) PrefillRate() float64 { return r.cfg.PrefillRate }
 
-// LearnedPrefillRate returns the prefill rate in use, in tokens per second, or 0 before
-// enough samples were taken.
-func (r *Router) LearnedPrefillRate() float64 {
-	if r.rateSamples < minRateSamples {
-		return 0
-	}
-	return r.cfg.PrefillRate
+// LearnedPrefillRate returns the prefill rate in use, in tokens per second, and the number of
+// this entry's samples that it was learned from: at most MinRateSamples, from which on more
+// samples add little.
+func (r *Router) LearnedPrefillRate() (rate float64, samples int) {
+	return r.cfg.PrefillRate, min(r.ownRateSamples, MinRateSamples)
 }
 
 // Finished counts a request that was answered completely. Calls after the first have no effect.
--- a/policy/route/learn_test.go
+++ b/policy/route/learn_test.go
@@ -29,6 +29,12 @@
 	return &learningRouter{r, t, now}
 }
 
+// samples returns the number of samples that the rate was learned from.
+func (l *learningRouter) samples() int {
+	_, samples := l.LearnedPrefillRate()
+	return samples
+}
+
 // sendPrompt runs a request whose prefill starts after otherWork.
 func (l *learningRouter) sendPrompt(tokens int, otherWork time.Duration) {
 	v := l.Choose(&Request{Now: l.now, PromptTokens: tokens})
@@ -44,14 +50,15 @@
 // is not spent on prefill counts.
 func TestLearnedPrefillRateConverges(t *testing.T) {
 	r := newLearningRouter(t)
-	require.Zero(t, r.LearnedPrefillRate())
-	for i := range minRateSamples {
+	require.Zero(t, r.samples())
+	for i := range MinRateSamples {
 		r.sendPrompt(2000+500*(i%10), 0)
 	}
-	require.InEpsilon(t, prefillTokensPerSecond, r.LearnedPrefillRate(), 0.25)
+	require.Equal(t, MinRateSamples, r.samples())
+	require.InEpsilon(t, prefillTokensPerSecond, r.PrefillRate(), 0.25)
 	for i := range 200 {
 		r.sendPrompt(2000+500*(i%10), 0)
-		require.InEpsilon(t, prefillTokensPerSecond, r.LearnedPrefillRate(), 0.25, "the learned rate must not drift")
+		require.InEpsilon(t, prefillTokensPerSecond, r.PrefillRate(), 0.25, "the learned rate must not drift")
 	}
 }
 
@@ -67,7 +74,7 @@
 		}
 		r.sendPrompt(5000, otherWork)
 	}
-	require.InEpsilon(t, prefillTokensPerSecond, r.LearnedPrefillRate(), 0.25)
+	require.InEpsilon(t, prefillTokensPerSecond, r.PrefillRate(), 0.25)
 }
 
 // A new entry must use the rate that other entries learned, and an entry with a learned rate
@@ -78,9 +85,11 @@
 	r, err := New(cfg)
 	require.NoError(t, err)
 	r.SuggestPrefillRate(0)
-	require.Zero(t, r.LearnedPrefillRate())
+	require.InDelta(t, cfg.PrefillRate, r.PrefillRate(), 0)
 	r.SuggestPrefillRate(50_000)
-	require.InDelta(t, 50_000, r.LearnedPrefillRate(), 0)
+	require.InDelta(t, 50_000, r.PrefillRate(), 0)
 	r.SuggestPrefillRate(20_000)
-	require.InDelta(t, 50_000, r.LearnedPrefillRate(), 0)
+	require.InDelta(t, 50_000, r.PrefillRate(), 0)
+	_, samples := r.LearnedPrefillRate()
+	require.Zero(t, samples, "suggested rates must not be reported as this entry's")
 }
--- a/policy/route/router.go
+++ b/policy/route/router.go
@@ -25,6 +25,7 @@
 	registrations      uint64        // number of the last registration, see server.registration
 	reportTime         time.Time     // see SetReportTime
 	rateSamples        int           // samples that the prefill rate was learned from
+	ownRateSamples     int           // those of this entry, without a suggested rate
 
 	slotsByID []int // slots of the servers, sorted by id; nil if not up to date
 
