policy/limit: a pool's work for a request or a renewal no longer grows with its shares

Cause: a pool went through all its shares to add tokens, and twice more to sum them, at each request and each renewed lease. The owner of a group of limits has 984 shares in each of some 21 pools, renewed 249 times a second: more work than its processor does. Change: the sum is kept, and a heap says which share ends first. TestPoolEqualsOneThatLooksAtEveryShare compares 20 x 2,000 steps with a pool that looks at each share.

--- a/policy/limit/pool.go
+++ b/policy/limit/pool.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"container/heap"
 	"time"
 )
 
@@ -15,9 +16,11 @@
 // Pool is a token bucket for the shares of a limit that it holds. The zero Pool has no
 // shares and admits nothing.
 type Pool struct {
-	limit  Limit
-	shares map[string]share // by entry
-	level  float64          // unused tokens; below 0: overdrawn
+	limit    Limit
+	shares   map[string]*share // by entry
+	sum      float64           // of the shares
+	expiries expiryHeap        // the shares
+	level    float64           // unused tokens; below 0: overdrawn
 	// promised is the cost of refused requests that were given a time to retry. Each
 	// further one waits until these have been served, so that they don't all retry for
 	// the same tokens.
@@ -25,10 +28,40 @@
 	updatedAt time.Time // time of the last fill
 }
 
-// share is an entry's share of a limit and the time during which the pool may use it.
+// share is an entry's share of a limit and the time until which the pool may use it.
 type share struct {
-	fraction    float64 // of the limit, 0..1
-	from, until time.Time
+	entry    string
+	fraction float64 // of the limit, 0..1
+	until    time.Time
+	index    int // in Pool.expiries
+}
+
+// expiryHeap implements heap.Interface: the share that ends first is first. An owner has a share of
+// each of hundreds of entries in dozens of pools: with a look at all of them for each request and
+// each renewal, it would do nothing else.
+type expiryHeap []*share
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].until.Before(h[j].until) }
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	s := x.(*share)
+	s.index = len(*h)
+	*h = append(*h, s)
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	last := len(*h) - 1
+	s := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return s
 }
 
 const (
@@ -41,7 +74,8 @@
 
 // newPool returns a pool with one entry's share, unused since unusedSince.
 func newPool(entry string, fraction float64, unusedSince, until time.Time) Pool {
-	return Pool{shares: map[string]share{entry: {fraction: fraction, from: unusedSince, until: until}}, updatedAt: unusedSince}
+	first := &share{entry: entry, fraction: fraction, until: until}
+	return Pool{shares: map[string]*share{entry: first}, sum: fraction, expiries: expiryHeap{first}, updatedAt: unusedSince}
 }
 
 // SetLimit sets the limit. Tokens above the new capacity are dropped.
@@ -60,31 +94,49 @@
 func (p *Pool) AddShare(entry string, fraction float64, from, until, now time.Time) {
 	p.fill(now)
 	if p.shares == nil {
-		p.shares = make(map[string]share)
+		p.shares = make(map[string]*share)
 	}
 	old, exists := p.shares[entry]
-	if exists && !until.After(old.until) {
+	switch {
+	case exists && !until.After(old.until):
 		return // a later lease arrived first
-	}
-	if exists {
+	case exists:
 		from = now // tokens up to now are already in level
+		p.sum += fraction - old.fraction
+		old.fraction, old.until = fraction, until
+		heap.Fix(&p.expiries, old.index)
+	default:
+		p.sum += fraction
+		p.shares[entry] = &share{entry: entry, fraction: fraction, until: until}
+		heap.Push(&p.expiries, p.shares[entry])
 	}
-	p.shares[entry] = share{fraction: fraction, from: from, until: until}
 	p.add(p.limit.Rate * fraction * positiveSeconds(now.Sub(from)))
 }
 
 // RemoveShare removes an entry's share and reports whether the pool had it.
 func (p *Pool) RemoveShare(entry string, now time.Time) (held bool) {
-	if _, held = p.shares[entry]; !held {
+	if p.shares[entry] == nil {
 		return false
 	}
 	p.fill(now)
-	_, held = p.shares[entry] // fill removes it if it has expired
-	delete(p.shares, entry)
+	removed, held := p.shares[entry] // fill removes it if it has expired
+	if held {
+		heap.Remove(&p.expiries, removed.index)
+		p.drop(removed)
+	}
 	p.level = min(p.level, p.capacity())
 	return held
 }
 
+// drop removes a share that is not in p.expiries any more.
+func (p *Pool) drop(s *share) {
+	p.sum -= s.fraction
+	delete(p.shares, s.entry)
+	if len(p.shares) == 0 {
+		p.sum = 0 // without rounding errors
+	}
+}
+
 // withdrawShare removes an entry's share and returns the tokens that no longer fit without it.
 func (p *Pool) withdrawShare(entry string, now time.Time) float64 {
 	p.fill(now)
@@ -96,35 +148,23 @@
 // ShareSum returns the sum of the shares in the pool.
 func (p *Pool) ShareSum(now time.Time) float64 {
 	p.fill(now)
-	return p.shareSum()
-}
-
-func (p *Pool) shareSum() float64 {
-	sum := 0.0
-	for _, s := range p.shares {
-		sum += s.fraction
-	}
-	return sum
+	return p.sum
 }
 
-func (p *Pool) capacity() float64 { return p.limit.Burst * p.shareSum() }
+func (p *Pool) capacity() float64 { return p.limit.Burst * p.sum }
 
 // fill adds the tokens since the last call and removes expired shares.
 func (p *Pool) fill(now time.Time) {
 	refill := 0.0
-	for entry, s := range p.shares {
-		from, until := p.updatedAt, now
-		if s.from.After(from) {
-			from = s.from
-		}
-		if s.until.Before(until) {
-			until = s.until
-		}
-		refill += p.limit.Rate * s.fraction * positiveSeconds(until.Sub(from))
-		if !s.until.After(now) {
-			delete(p.shares, entry)
+	for len(p.expiries) > 0 && !p.expiries[0].until.After(now) {
+		expired := heap.Pop(&p.expiries).(*share)
+		refill += p.limit.Rate * p.sum * positiveSeconds(expired.until.Sub(p.updatedAt))
+		if expired.until.After(p.updatedAt) {
+			p.updatedAt = expired.until
 		}
+		p.drop(expired)
 	}
+	refill += p.limit.Rate * p.sum * positiveSeconds(now.Sub(p.updatedAt))
 	p.updatedAt = now
 	p.promised = max(p.promised-refill, 0)
 	p.add(refill)
@@ -153,8 +193,8 @@
 		p.fill(now)
 		level += p.level
 		capacity += p.capacity()
-		rate += p.limit.Rate * p.shareSum()
-		shareSum += p.shareSum()
+		rate += p.limit.Rate * p.sum
+		shareSum += p.sum
 		promised += p.promised
 		lateReserve = p.limit.LateReserve
 	}
@@ -176,7 +216,7 @@
 	}
 	wait = time.Duration((need - level + promised) / rate * float64(time.Second))
 	for _, p := range pools {
-		poolRate := p.limit.Rate * p.shareSum()
+		poolRate := p.limit.Rate * p.sum
 		p.promised = min(p.promised+cost*poolRate/rate, maxPromisedSeconds*poolRate)
 	}
 	return false, wait
--- a/policy/limit/pool_test.go
+++ b/policy/limit/pool_test.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -173,3 +175,75 @@
 		}
 	}
 }
+
+// naivePool is a pool that looks at every share each time.
+type naivePool struct {
+	limit     Limit
+	shares    map[string]share
+	level     float64
+	updatedAt time.Time
+}
+
+func (p *naivePool) sum() float64 {
+	sum := 0.0
+	for _, s := range p.shares {
+		sum += s.fraction
+	}
+	return sum
+}
+
+func (p *naivePool) fill(now time.Time) {
+	for entry, s := range p.shares {
+		until := now
+		if s.until.Before(now) {
+			until = s.until
+		}
+		p.level += p.limit.Rate * s.fraction * positiveSeconds(until.Sub(p.updatedAt))
+		if !s.until.After(now) {
+			delete(p.shares, entry)
+		}
+	}
+	p.updatedAt = now
+	p.level = min(p.level, p.limit.Burst*p.sum())
+}
+
+// Guards against tokens that are gained or lost, and shares that stay too long, since a pool does not
+// look at each share for each request: an owner has those of hundreds of entries.
+func TestPoolEqualsOneThatLooksAtEveryShare(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		l, now := Limit{Burst: 5000, Rate: 1000}, start
+		pool := &Pool{updatedAt: now}
+		pool.SetLimit(l, now)
+		naive := &naivePool{limit: l, shares: make(map[string]share), updatedAt: now}
+		for step := range 2000 {
+			now = now.Add(time.Duration(rng.IntN(100)) * time.Millisecond)
+			entry := fmt.Sprint(rng.IntN(30))
+			switch rng.IntN(4) {
+			case 0, 1:
+				fraction, until := 0.01*float64(1+rng.IntN(3)), now.Add(time.Duration(rng.IntN(4000))*time.Millisecond)
+				pool.AddShare(entry, fraction, now, until, now)
+				naive.fill(now)
+				if old, exists := naive.shares[entry]; !exists || until.After(old.until) {
+					naive.shares[entry] = share{fraction: fraction, until: until}
+				}
+			case 2:
+				held := pool.RemoveShare(entry, now)
+				naive.fill(now)
+				_, want := naive.shares[entry]
+				require.Equal(t, want, held)
+				delete(naive.shares, entry)
+			default:
+				ok, _ := Allow([]*Pool{pool}, 50, false, now)
+				naive.fill(now)
+				if ok {
+					naive.level -= 50
+				}
+			}
+			naive.fill(now)
+			require.InDelta(t, naive.sum(), pool.ShareSum(now), 1e-9, "seed %d, step %d", seed, step)
+			require.InDelta(t, naive.level, pool.level, 1e-6, "seed %d, step %d", seed, step)
+			require.Len(t, pool.expiries, len(pool.shares))
+		}
+	}
+}
