daemon, gateway: drain done says how many connections had a request in progress

The callers' HTTP server now knows for each connection whether a request is in progress, from its first byte until its answer is flushed, and event 1011 bears the open connections and those with a request. No logic is changed: the server stops as before.

--- a/cmd/savoryreel/platform.go
+++ b/cmd/savoryreel/platform.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	return g.Run(ctx, func(group *run.Group) (func(), error) {
+	return g.Run(ctx, func(group *run.Group) (*daemon.HTTPServer, error) {
 		listen := n.current.Load().Listen
 		daemon.Actor(group, n.watch)
 		daemon.Actor(group, daemon.TuneGC)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -238,8 +238,8 @@
 }
 
 // Run serves until ctx ends, a signal arrives or a component fails. public adds the actors
-// that serve callers and returns a function that stops accepting connections.
-func (g *Gateway) Run(ctx context.Context, public func(g *run.Group) (stopAccepting func(), err error)) error {
+// that serve callers and returns the callers' server.
+func (g *Gateway) Run(ctx context.Context, public func(g *run.Group) (callers *daemon.HTTPServer, err error)) error {
 	defer g.links.Close()
 	defer g.pool.Close()
 	var group run.Group
@@ -256,11 +256,11 @@
 	daemon.Actor(&group, g.limits.run)
 	daemon.EndWith(ctx, &group)
 	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.CloseGrace, g.log)
-	stopAccepting, err := public(&group)
+	callers, err := public(&group)
 	if err != nil {
 		return err
 	}
-	daemon.Signals(&group, func(ctx context.Context) { g.Leave(ctx, stopAccepting) }, g.log)
+	daemon.Signals(&group, func(ctx context.Context) { g.Leave(ctx, callers) }, g.log)
 	event.Log(ctx, g.log, slog.LevelInfo, event.ProcessStarted,
 		slog.String("role", "gateway"), slog.String("name", g.cfg.Node.Name), slog.String("zone", g.cfg.Node.Zone), slog.Any("seeds", g.cfg.Node.Seeds))
 	err = group.Run()
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -38,9 +38,9 @@
 )
 
 // Leave stops this entry gracefully. Its record is marked as leaving, so that callers stop
-// using it; stopAccepting is called after acceptFraction of the grace. Leave returns when
+// using it; callers stops accepting connections after acceptFraction of the grace. Leave returns when
 // the last request has ended or the grace is over.
-func (g *Gateway) Leave(ctx context.Context, stopAccepting func()) {
+func (g *Gateway) Leave(ctx context.Context, callers *daemon.HTTPServer) {
 	start := g.now()
 	g.leaving.Store(true)
 	g.recordSequence.Add(1)
@@ -48,9 +48,10 @@
 	event.Log(ctx, g.log, slog.LevelInfo, event.DrainBegun, slog.Int64("inFlight", g.inFlight.Load()))
 	grace := g.cfg.Node.Bounds.StopGrace
 	daemon.Pause(ctx, time.Duration(float64(grace)*acceptFraction))
-	stopAccepting()
+	callers.StopAccepting()
 	for g.inFlight.Load() > 0 && g.now().Sub(start) < grace-stopMargin && ctx.Err() == nil {
 		daemon.Pause(ctx, idleCheckInterval)
 	}
-	event.Log(ctx, g.log, slog.LevelInfo, event.DrainDone, slog.Int64("unfinished", g.inFlight.Load()))
+	open, inRequest := callers.Connections()
+	event.Log(ctx, g.log, slog.LevelInfo, event.DrainDone, slog.Int64("unfinished", g.inFlight.Load()), slog.Int("connections", open), slog.Int("inRequest", inRequest))
 }
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -23,32 +22,36 @@
 // catalogueCheckInterval is how often ServeCallers checks for the first catalogue.
 const catalogueCheckInterval = 20 * time.Millisecond
 
-// ServeCallers adds the HTTP server for callers to the group. It returns a function that
-// stops accepting connections while requests in progress continue.
+// ServeCallers adds the HTTP server for callers to the group and returns it.
 //
 // Connections wait in the listener's queue until the first catalogue has arrived, since it
 // contains the bounds on requests.
-func (g *Gateway) ServeCallers(group *run.Group, l net.Listener, h http.Handler) (stopAccepting func()) {
-	srv := &http.Server{Handler: h, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug)}
+func (g *Gateway) ServeCallers(group *run.Group, l net.Listener, h http.Handler) *daemon.HTTPServer {
+	srv := daemon.NewHTTPServer(h, g.log)
 	daemon.Actor(group, func(ctx context.Context) error {
 		defer srv.Close()
-		stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+		stop := context.AfterFunc(ctx, srv.Close)
 		defer stop()
 		if err := g.awaitCatalogue(ctx); err != nil {
 			return errors.Join(err, l.Close())
 		}
-		limits := g.Limits()
-		srv.ReadHeaderTimeout = orDefault(limits.HeaderTimeout, defaultHeaderTimeout)
-		srv.IdleTimeout = orDefault(limits.IdleTimeout, defaultIdleTimeout)
-		srv.MaxHeaderBytes = orDefault(limits.MaxHeaderBytes, defaultHeaderBytes)
-		err := srv.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			<-ctx.Done() // requests in progress continue
-			return nil
+		if err := srv.Serve(l, g.httpLimits()); err != nil {
+			return err
 		}
-		return err
+		<-ctx.Done() // requests in progress continue
+		return nil
 	})
-	return func() { go func() { _ = srv.Shutdown(context.Background()) }() } // Shutdown waits for all requests; Leave counts them itself
+	return srv
+}
+
+// httpLimits returns the catalogue's bounds on requests.
+func (g *Gateway) httpLimits() daemon.HTTPLimits {
+	limits := g.Limits()
+	return daemon.HTTPLimits{
+		HeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:   orDefault(limits.IdleTimeout, defaultIdleTimeout),
+		HeaderBytes:   orDefault(limits.MaxHeaderBytes, defaultHeaderBytes),
+	}
 }
 
 func (g *Gateway) awaitCatalogue(ctx context.Context) error {
