daemon, gateway: a stop answers every request of which a byte has been read

Cause: a stop counted requests only between the start and the end of Serve. A request whose header or body was still being read, or whose answer net/http had not flushed, was not counted, and with a count of 0 Leave returned and http.Server.Close closed every connection. An instance that gets its processor in slices reads a request and ends accepting in the same moment. http.Server.Shutdown, called before, drops what it is reading too. Closing the listener reset the callers that waited in its queue.

Change: daemon.HTTPServer counts by connection, from the first byte of a request until its answer is flushed. Drain accepts what waits in the queue (for 0.1 s at most), ends connections without a request by a read timeout after one last read, so that a request that has been read is always handled, and waits for the others. Answers of a draining server say Connection: close. Shutdown is not used any more.

--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -1,15 +1,19 @@
 package daemon
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"time"
 )
 
 // connSet holds the open connections of an HTTP server.
 type connSet struct {
-	mu    sync.Mutex
-	conns map[*serverConn]struct{}
+	mu     sync.Mutex
+	conns  map[*serverConn]struct{}
+	ending bool // see end
 }
 
 func newConnSet() *connSet { return &connSet{conns: make(map[*serverConn]struct{})} }
@@ -29,6 +33,22 @@
 	delete(s.conns, c)
 }
 
+// end closes the connections without a request, and the others once theirs has ended.
+func (s *connSet) end() {
+	s.mu.Lock()
+	s.ending = true
+	s.mu.Unlock()
+	for _, c := range s.list() {
+		c.endIfIdle()
+	}
+}
+
+func (s *connSet) isEnding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending
+}
+
 // list returns the open connections.
 func (s *connSet) list() []*serverConn {
 	s.mu.Lock()
@@ -51,26 +71,51 @@
 	return len(list), busy
 }
 
+// lastReadWait is how long a connection that is about to end waits for a request. A caller
+// that has just connected sends one within that time.
+const lastReadWait = 100 * time.Millisecond
+
 // serverConn is a connection of an HTTP server that knows whether a request is in progress
 // on it: from the first byte read until net/http has flushed the answer. net/http itself
-// calls a connection idle until it has read a whole header.
+// calls a connection idle until it has read a whole header, and http.Server.Shutdown drops
+// the request that it is reading then.
+//
+// A connection without a request ends by a read timeout, never by Close: a request that has
+// been read is then always passed on to the handler and answered.
 type serverConn struct {
 	net.Conn
 	set *connSet
 
-	mu   sync.Mutex
-	busy bool // a request is in progress
+	mu       sync.Mutex
+	busy     bool      // a request is in progress
+	ending   bool      // ends unless a last read brings a request
+	lastRead bool      // the last read has begun
+	deadline time.Time // of reads, as net/http has set it
 }
 
 // Read reads from the connection.
 func (c *serverConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.beginLastRead() {
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
-		c.setBusy(true)
+		c.beginRequest()
 	}
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads, except on a connection that is ending.
+func (c *serverConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.ending && !c.busy {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Close closes the connection.
 func (c *serverConn) Close() error {
 	c.set.remove(c)
@@ -92,10 +137,49 @@
 	return c.busy
 }
 
-func (c *serverConn) setBusy(busy bool) {
+// endIfIdle ends the connection unless a request is in progress: the pending read fails, and
+// the last one follows.
+func (c *serverConn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = busy
+	if c.busy {
+		return
+	}
+	c.ending, c.lastRead = true, false
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+// beginLastRead reports whether the connection is to be read once more, since a request may
+// have arrived before it was ended.
+func (c *serverConn) beginLastRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending || c.busy || c.lastRead {
+		return false
+	}
+	c.lastRead = true
+	return c.Conn.SetReadDeadline(time.Now().Add(lastReadWait)) == nil
+}
+
+func (c *serverConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy {
+		return
+	}
+	c.busy = true
+	if c.ending {
+		_ = c.Conn.SetReadDeadline(c.deadline) // fails only on a closed connection
+	}
+}
+
+func (c *serverConn) endRequest() {
+	c.mu.Lock()
+	c.busy = false
+	c.mu.Unlock()
+	if c.set.isEnding() {
+		c.endIfIdle()
+	}
 }
 
 // onState follows the states of a connection; it is the ConnState of an http.Server. A
@@ -107,9 +191,9 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.setBusy(true)
+		c.beginRequest()
 	case http.StateIdle:
-		c.setBusy(false)
+		c.endRequest()
 	default:
 	}
 }
--- a/daemon/httpserver.go
+++ b/daemon/httpserver.go
@@ -6,16 +6,22 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 )
 
-// HTTPServer is an HTTP server that knows which of its connections have a request in
-// progress.
+// HTTPServer is an HTTP server that can be drained: each request of which a byte has been
+// read is answered, and no connection is closed under one.
 type HTTPServer struct {
 	http  http.Server
 	conns *connSet
+
+	mu       sync.Mutex
+	listener *connListener // nil before Serve
+	served   chan struct{} // closed when Serve has ended; nil before Serve
+	draining bool
 }
 
 // HTTPLimits bounds the requests of an HTTPServer.
@@ -25,26 +31,45 @@
 	HeaderBytes   int
 }
 
-// DefaultHTTPLimits returns the limits of listeners other than the callers'.
-func DefaultHTTPLimits() HTTPLimits {
-	return HTTPLimits{HeaderTimeout: headerTimeout, IdleTimeout: DefaultIdleTimeout, HeaderBytes: maxHeaderBytes}
-}
-
 // NewHTTPServer returns a server that does not listen yet.
 func NewHTTPServer(h http.Handler, log *slog.Logger) *HTTPServer {
 	s := &HTTPServer{conns: newConnSet()}
-	s.http.Handler = h
+	s.http.Handler = s.closeWhenDraining(h)
 	s.http.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelDebug)
 	s.http.ConnState = onState
 	return s
 }
 
-// Serve accepts connections from l until the server is stopped. It returns nil when
-// accepting has ended; requests in progress may continue.
+// closeWhenDraining makes the answers of a draining server say that their connection closes.
+func (s *HTTPServer) closeWhenDraining(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isDraining() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (s *HTTPServer) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// Serve accepts connections from l, which it closes, until the server is drained or closed.
+// It returns nil then; requests in progress may continue. Call it once.
 func (s *HTTPServer) Serve(l net.Listener, limits HTTPLimits) error {
+	listener := &connListener{Listener: l, conns: s.conns}
+	s.mu.Lock()
+	s.listener, s.served = listener, make(chan struct{})
+	if s.draining {
+		listener.stop()
+	}
+	s.mu.Unlock()
+	defer close(s.served)
 	s.http.ReadHeaderTimeout, s.http.IdleTimeout, s.http.MaxHeaderBytes = limits.HeaderTimeout, limits.IdleTimeout, limits.HeaderBytes
-	err := s.http.Serve(&connListener{Listener: l, conns: s.conns})
-	if errors.Is(err, http.ErrServerClosed) {
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && s.isDraining() {
 		return nil
 	}
 	return trace.Wrap(err, "step=serve address=%s", l.Addr())
@@ -54,25 +79,37 @@
 // progress.
 func (s *HTTPServer) Connections() (open, inRequest int) { return s.conns.counts() }
 
-// StopAccepting stops accepting connections while requests in progress continue.
-func (s *HTTPServer) StopAccepting() {
-	go func() { _ = s.http.Shutdown(context.Background()) }() // waits for all requests
-}
+// drainPollInterval is how often Drain checks whether all connections have ended.
+const drainPollInterval = 10 * time.Millisecond
 
-// Close closes the listener and all connections.
-func (s *HTTPServer) Close() { _ = s.http.Close() }
-
-// connListener adds the connections that it accepts to a connSet.
-type connListener struct {
-	net.Listener
-	conns *connSet
+// Drain accepts the connections that wait in the listener's queue and no others, closes those
+// without a request, and returns when the last request has been answered or ctx ends.
+func (s *HTTPServer) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.draining = true
+	listener, served := s.listener, s.served
+	s.mu.Unlock()
+	if listener == nil {
+		return
+	}
+	listener.stop()
+	select {
+	case <-served:
+	case <-ctx.Done():
+	}
+	s.conns.end()
+	for open, _ := s.conns.counts(); open > 0 && ctx.Err() == nil; open, _ = s.conns.counts() {
+		Pause(ctx, drainPollInterval)
+	}
 }
 
-// Accept implements net.Listener.
-func (l *connListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.conns.add(nc), nil
+// Stop drains the server for at most grace and closes it.
+func (s *HTTPServer) Stop(grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	s.Drain(ctx)
+	s.Close()
 }
+
+// Close closes the listener and all connections.
+func (s *HTTPServer) Close() { _ = s.http.Close() } // the connections are closed in any case
--- /dev/null
+++ b/daemon/httpserver_test.go
@@ -0,0 +1,221 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// startHTTPServer serves h on l, and returns the server and a function that waits until it
+// accepts no more connections.
+func startHTTPServer(t *testing.T, l net.Listener, h http.HandlerFunc) (s *HTTPServer, served func()) {
+	s = NewHTTPServer(h, slog.New(slog.DiscardHandler))
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(l, HTTPLimits{HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}) }()
+	t.Cleanup(s.Close)
+	return s, func() { require.NoError(t, <-ended) }
+}
+
+func listenLocal(t *testing.T) *net.TCPListener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return l.(*net.TCPListener)
+}
+
+func drainWithin(t *testing.T, s *HTTPServer, limit time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	s.Drain(ctx)
+	require.NoError(t, ctx.Err(), "the drain did not end")
+	open, _ := s.Connections()
+	require.Zero(t, open)
+}
+
+// exchangeOn sends a request in parts, with a pause after each, and reads the answer.
+func exchangeOn(c net.Conn, r *bufio.Reader, id string, parts int, pause func()) (string, bool, error) {
+	text := "POST /" + id + " HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n12345678"
+	for i := range parts {
+		from, to := len(text)*i/parts, len(text)*(i+1)/parts
+		if _, err := io.WriteString(c, text[from:to]); err != nil {
+			return "", false, err
+		}
+		if i < parts-1 {
+			pause()
+		}
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return "", false, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return string(body), resp.Close, err
+}
+
+// drainedSite is a server with callers that keep their connections until they are closed.
+type drainedSite struct {
+	mu       sync.Mutex
+	started  map[string]bool // ids of requests that reached the handler
+	answered map[string]bool
+}
+
+func (d *drainedSite) handle(w http.ResponseWriter, r *http.Request, delay time.Duration) {
+	id := strings.TrimPrefix(r.URL.Path, "/")
+	body, err := io.ReadAll(r.Body)
+	if err != nil || len(body) != 8 {
+		return
+	}
+	d.mu.Lock()
+	d.started[id] = true
+	d.mu.Unlock()
+	time.Sleep(delay)
+	if r.Context().Err() == nil {
+		_, _ = io.WriteString(w, id)
+	}
+}
+
+// callUntilClosed sends requests on one connection after the other until the server accepts
+// none, in parts and with pauses drawn from rng.
+func (d *drainedSite) callUntilClosed(addr, name string, rng *rand.Rand) {
+	for n := 0; ; {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(c)
+		for closing := false; !closing && rng.IntN(8) > 0; n++ {
+			id := fmt.Sprintf("%s-%d", name, n)
+			pause := func() { time.Sleep(time.Duration(rng.IntN(3000)) * time.Microsecond) }
+			var body string
+			body, closing, err = exchangeOn(c, r, id, 1+rng.IntN(3), pause)
+			if err != nil {
+				break
+			}
+			if body == id {
+				d.mu.Lock()
+				d.answered[id] = true
+				d.mu.Unlock()
+			}
+			pause()
+		}
+		_ = c.Close()
+	}
+}
+
+// Guards against a stop that closes a connection under a request, wherever the request is
+// between its first byte and the last one of its answer: its caller would get neither an
+// answer nor a refusal.
+func TestDrainAnswersEveryRequestThatIsHandled(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			d := &drainedSite{started: map[string]bool{}, answered: map[string]bool{}}
+			l := listenLocal(t)
+			s, served := startHTTPServer(t, l, func(w http.ResponseWriter, r *http.Request) {
+				d.handle(w, r, time.Duration(len(r.URL.Path)%4)*time.Millisecond)
+			})
+			var callers sync.WaitGroup
+			for i := range 20 {
+				rng := rand.New(rand.NewPCG(seed, uint64(i)))
+				callers.Go(func() { d.callUntilClosed(l.Addr().String(), fmt.Sprint(i), rng) })
+			}
+			time.Sleep(time.Duration(50+10*seed) * time.Millisecond)
+			drainWithin(t, s, 10*time.Second)
+			served()
+			s.Close()
+			callers.Wait()
+			require.NotEmpty(t, d.started)
+			require.Equal(t, d.started, d.answered, "requests that were handled and answered")
+		})
+	}
+}
+
+// Guards against a stop that resets callers whose connections wait to be accepted.
+func TestDrainAcceptsConnectionsInTheQueue(t *testing.T) {
+	l := listenLocal(t)
+	paced, err := Paced(l, AcceptRate{PerSecond: 400, Burst: 1, Backlog: 16})
+	require.NoError(t, err)
+	s, served := startHTTPServer(t, paced, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	var conns []net.Conn
+	for range 8 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	var answers sync.WaitGroup
+	for i, c := range conns {
+		answers.Go(func() {
+			body, _, err := exchangeOn(c, bufio.NewReader(c), fmt.Sprint(i), 1, nil)
+			if err != nil || body != fmt.Sprint("/", i) {
+				t.Errorf("connection %d: %q, %v", i, body, err)
+			}
+		})
+	}
+	drainWithin(t, s, 10*time.Second)
+	served()
+	answers.Wait()
+}
+
+// Guards against a request that net/http has read together with the one before it, and that a
+// drain cuts off since no read announces it.
+func TestDrainAnswersPipelinedRequest(t *testing.T) {
+	l := listenLocal(t)
+	started, drained := make(chan struct{}, 2), make(chan struct{})
+	s, _ := startHTTPServer(t, l, func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		if r.URL.Path == "/1" {
+			<-drained
+		}
+		time.Sleep(20 * time.Millisecond)
+		if r.Context().Err() == nil {
+			_, _ = io.WriteString(w, r.URL.Path)
+		}
+	})
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	<-started
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		close(drained)
+	}()
+	drainWithin(t, s, 10*time.Second)
+	r := bufio.NewReader(c)
+	for _, path := range []string{"/1", "/2"} {
+		resp, err := http.ReadResponse(r, nil)
+		require.NoError(t, err, path)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, path, string(body))
+		if resp.Close {
+			break
+		}
+	}
+}
+
+// Guards against a server that is stopped before it serves, as when no catalogue has arrived,
+// and then accepts callers whom nobody answers.
+func TestServerStoppedBeforeItServes(t *testing.T) {
+	l := listenLocal(t)
+	s := NewHTTPServer(http.NotFoundHandler(), slog.New(slog.DiscardHandler))
+	s.Stop(time.Second)
+	require.NoError(t, s.Serve(l, HTTPLimits{}))
+	_, err := net.Dial("tcp", l.Addr().String())
+	require.Error(t, err)
+	require.True(t, errors.Is(l.Close(), net.ErrClosed))
+}
--- a/daemon/paced.go
+++ b/daemon/paced.go
@@ -40,11 +40,11 @@
 		return nil, trace.Wrap(err, "step=set backlog address=%s", l.Addr())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &pacedListener{Listener: l, limiter: rate.NewLimiter(rate.Limit(r.PerSecond), r.Burst), ctx: ctx, cancel: cancel}, nil
+	return &pacedListener{TCPListener: l, limiter: rate.NewLimiter(rate.Limit(r.PerSecond), r.Burst), ctx: ctx, cancel: cancel}, nil
 }
 
 type pacedListener struct {
-	net.Listener
+	*net.TCPListener
 	limiter *rate.Limiter
 	ctx     context.Context // ends when the listener is closed
 	cancel  context.CancelFunc
@@ -55,11 +55,11 @@
 	if err := p.limiter.Wait(p.ctx); err != nil {
 		return nil, net.ErrClosed
 	}
-	return p.Listener.Accept()
+	return p.TCPListener.Accept()
 }
 
 // Close closes the listener and ends a waiting Accept.
 func (p *pacedListener) Close() error {
 	p.cancel()
-	return p.Listener.Close()
+	return p.TCPListener.Close()
 }
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -33,13 +33,11 @@
 	acceptFraction = 0.35
 	// stopMargin is the end of the grace reserved for the exit of the process.
 	stopMargin = 400 * time.Millisecond
-	// idleCheckInterval is how often a leaving entry checks whether all requests have ended.
-	idleCheckInterval = 50 * time.Millisecond
 )
 
 // Leave stops this entry gracefully. Its record is marked as leaving, so that callers stop
-// using it; callers stops accepting connections after acceptFraction of the grace. Leave returns when
-// the last request has ended or the grace is over.
+// using it; callers is drained after acceptFraction of the grace. Leave returns when the last
+// request has been answered or the grace is over.
 func (g *Gateway) Leave(ctx context.Context, callers *daemon.HTTPServer) {
 	start := g.now()
 	g.leaving.Store(true)
@@ -48,10 +46,9 @@
 	event.Log(ctx, g.log, slog.LevelInfo, event.DrainBegun, slog.Int64("inFlight", g.inFlight.Load()))
 	grace := g.cfg.Node.Bounds.StopGrace
 	daemon.Pause(ctx, time.Duration(float64(grace)*acceptFraction))
-	callers.StopAccepting()
-	for g.inFlight.Load() > 0 && g.now().Sub(start) < grace-stopMargin && ctx.Err() == nil {
-		daemon.Pause(ctx, idleCheckInterval)
-	}
+	drainCtx, cancel := context.WithTimeout(ctx, grace-stopMargin-g.now().Sub(start))
+	defer cancel()
+	callers.Drain(drainCtx)
 	open, inRequest := callers.Connections()
 	event.Log(ctx, g.log, slog.LevelInfo, event.DrainDone, slog.Int64("unfinished", g.inFlight.Load()), slog.Int("connections", open), slog.Int("inRequest", inRequest))
 }
--- a/gateway/leave_test.go
+++ b/gateway/leave_test.go
@@ -159,7 +159,7 @@
 					close(started)
 					<-stopping
 					e.waitUntilClosed()
-					daemon.Pause(t.Context(), 5*idleCheckInterval)
+					daemon.Pause(t.Context(), 250*time.Millisecond)
 				}
 				p := pauses{beforeServe: hold}
 				if !before {
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -28,18 +27,19 @@
 // contains the bounds on requests.
 func (g *Gateway) ServeCallers(group *run.Group, l net.Listener, h http.Handler) *daemon.HTTPServer {
 	srv := daemon.NewHTTPServer(h, g.log)
-	daemon.Actor(group, func(ctx context.Context) error {
-		defer srv.Close()
-		stop := context.AfterFunc(ctx, srv.Close)
-		defer stop()
-		if err := g.awaitCatalogue(ctx); err != nil {
-			return errors.Join(err, l.Close())
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		if g.awaitCatalogue(ctx) != nil {
+			return l.Close()
 		}
 		if err := srv.Serve(l, g.httpLimits()); err != nil {
 			return err
 		}
 		<-ctx.Done() // requests in progress continue
 		return nil
+	}, func(error) {
+		srv.Stop(daemon.CloseGrace)
+		cancel()
 	})
 	return srv
 }
