daemon: HTTP servers at the end of a group answer what they are reading

The end of a process's group of actors called http.Server.Shutdown, which drops a request whose header it is reading: operators, backend servers with a heartbeat, and callers that ask where to connect got a closed connection. Same class as the stop of the callers' listener. Serve now adds an HTTPServer, which is drained as there. TestEndOfGroupAnswersRequestThatIsBeingRead: red before (unexpected EOF), green now; TestEndOfGroupAnswersEveryRequestThatIsHandled was green before and after (8 seeds).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,35 +33,17 @@
 	closeTimeout   = 2 * time.Second
 )
 
-// Serve adds an HTTP server on l to the group. When the group ends, the server closes its
-// listener at once, waits up to grace for running requests, and then closes the remaining
-// connections.
+// Serve adds an HTTP server on l to the group. When the group ends, the server is drained
+// for at most grace and closed.
 func Serve(g *run.Group, l net.Listener, h http.Handler, grace time.Duration, log *slog.Logger) {
 	ServeIdle(g, l, h, grace, DefaultIdleTimeout, log)
 }
 
 // ServeIdle is Serve with a time after which a connection without a request is closed.
 func ServeIdle(g *run.Group, l net.Listener, h http.Handler, grace, idle time.Duration, log *slog.Logger) {
-	srv := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idle,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}
-	g.Add(func() error {
-		err := srv.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return trace.Wrap(err, "step=serve address=%s", l.Addr())
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), grace)
-		defer cancel()
-		if err := srv.Shutdown(ctx); err != nil {
-			_ = srv.Close() // closes the connections that are still open after grace
-		}
-	})
+	srv := NewHTTPServer(h, log)
+	limits := HTTPLimits{HeaderTimeout: headerTimeout, IdleTimeout: idle, HeaderBytes: maxHeaderBytes}
+	g.Add(func() error { return srv.Serve(l, limits) }, func(error) { srv.Stop(grace) })
 }
 
 // Actor adds fn to the group and cancels fn's context when the group ends. The error of
--- a/daemon/httpserver_test.go
+++ b/daemon/httpserver_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/oklog/run"
 	"github.com/stretchr/testify/require"
 )
 
@@ -114,6 +115,26 @@
 	}
 }
 
+// requireAllAnswered runs 20 callers against serve, which returns a function that stops it, and
+// checks that each request that was handled has been answered.
+func requireAllAnswered(t *testing.T, seed uint64, serve func(l net.Listener, h http.HandlerFunc) (stop func())) {
+	d := &drainedSite{started: map[string]bool{}, answered: map[string]bool{}}
+	l := listenLocal(t)
+	stop := serve(l, func(w http.ResponseWriter, r *http.Request) {
+		d.handle(w, r, time.Duration(len(r.URL.Path)%4)*time.Millisecond)
+	})
+	var callers sync.WaitGroup
+	for i := range 20 {
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		callers.Go(func() { d.callUntilClosed(l.Addr().String(), fmt.Sprint(i), rng) })
+	}
+	time.Sleep(time.Duration(50+10*seed) * time.Millisecond)
+	stop()
+	callers.Wait()
+	require.NotEmpty(t, d.started)
+	require.Equal(t, d.started, d.answered, "requests that were handled and answered")
+}
+
 // Guards against a stop that closes a connection under a request, wherever the request is
 // between its first byte and the last one of its answer: its caller would get neither an
 // answer nor a refusal.
@@ -121,27 +142,66 @@
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			d := &drainedSite{started: map[string]bool{}, answered: map[string]bool{}}
-			l := listenLocal(t)
-			s, served := startHTTPServer(t, l, func(w http.ResponseWriter, r *http.Request) {
-				d.handle(w, r, time.Duration(len(r.URL.Path)%4)*time.Millisecond)
+			requireAllAnswered(t, seed, func(l net.Listener, h http.HandlerFunc) func() {
+				s, served := startHTTPServer(t, l, h)
+				return func() {
+					drainWithin(t, s, 10*time.Second)
+					served()
+					s.Close()
+				}
+			})
+		})
+	}
+}
+
+// Guards against the same at the end of a process's group of actors: operators, backend servers
+// and callers that ask where to connect would get no answer.
+func TestEndOfGroupAnswersEveryRequestThatIsHandled(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			requireAllAnswered(t, seed, func(l net.Listener, h http.HandlerFunc) func() {
+				return serveInGroup(t, l, h)
 			})
-			var callers sync.WaitGroup
-			for i := range 20 {
-				rng := rand.New(rand.NewPCG(seed, uint64(i)))
-				callers.Go(func() { d.callUntilClosed(l.Addr().String(), fmt.Sprint(i), rng) })
-			}
-			time.Sleep(time.Duration(50+10*seed) * time.Millisecond)
-			drainWithin(t, s, 10*time.Second)
-			served()
-			s.Close()
-			callers.Wait()
-			require.NotEmpty(t, d.started)
-			require.Equal(t, d.started, d.answered, "requests that were handled and answered")
 		})
 	}
 }
 
+// serveInGroup serves h in a group of actors and returns a function that ends the group.
+func serveInGroup(t *testing.T, l net.Listener, h http.HandlerFunc) (end func()) {
+	var g run.Group
+	ctx, cancel := context.WithCancel(t.Context())
+	EndWith(ctx, &g)
+	Serve(&g, l, h, 10*time.Second, slog.New(slog.DiscardHandler))
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run() }()
+	return func() {
+		cancel()
+		require.NoError(t, <-ended)
+	}
+}
+
+// Guards against the end of a process that drops a request whose header it is just reading.
+func TestEndOfGroupAnswersRequestThatIsBeingRead(t *testing.T) {
+	t.Parallel()
+	l := listenLocal(t)
+	end := serveInGroup(t, l, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, _, err = exchangeOn(c, bufio.NewReader(c), "1", 2, func() {
+		go end()
+		require.Eventually(t, func() bool {
+			probe, err := net.Dial("tcp", l.Addr().String())
+			if err == nil {
+				_ = probe.Close()
+			}
+			return err != nil
+		}, 5*time.Second, time.Millisecond)
+	})
+	require.NoError(t, err)
+}
+
 // Guards against a stop that resets callers whose connections wait to be accepted.
 func TestDrainAcceptsConnectionsInTheQueue(t *testing.T) {
 	l := listenLocal(t)
