entry: a leaving entry answers the requests that it is reading, and servers end before what they need

Same class as the stop of the gateway: leave waited for the requests that it had registered. One whose header or body was being read was not, and the process ended after it had lost the components that requests need. leave now drains the callers' server in the time that remains, the answers of a leaving entry say Connection: close, and the HTTP servers are the first actors of the group, since actors are ended in that order. HTTPServer.Serve returns only when the server is closed, so that a drain does not end the group.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,17 +22,6 @@
 	"savoryreel.example/savoryreel/event"
 )
 
-// DefaultIdleTimeout is how long an HTTP server keeps a connection without a request.
-const DefaultIdleTimeout = 2 * time.Minute
-
-// Limits of every HTTP server. Without them a client that sends its request header slowly,
-// or not at all, holds a connection without a time limit.
-const (
-	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 64 << 10
-	closeTimeout   = 2 * time.Second
-)
-
 // Serve adds an HTTP server on l to the group. When the group ends, the server is drained
 // for at most grace and closed.
 func Serve(g *run.Group, l net.Listener, h http.Handler, grace time.Duration, log *slog.Logger) {
@@ -41,9 +30,9 @@
 
 // ServeIdle is Serve with a time after which a connection without a request is closed.
 func ServeIdle(g *run.Group, l net.Listener, h http.Handler, grace, idle time.Duration, log *slog.Logger) {
-	srv := NewHTTPServer(h, log)
-	limits := HTTPLimits{HeaderTimeout: headerTimeout, IdleTimeout: idle, HeaderBytes: maxHeaderBytes}
-	g.Add(func() error { return srv.Serve(l, limits) }, func(error) { srv.Stop(grace) })
+	limits := DefaultHTTPLimits()
+	limits.IdleTimeout = idle
+	NewHTTPServer(h, log).AddTo(g, l, limits, grace)
 }
 
 // Actor adds fn to the group and cancels fn's context when the group ends. The error of
@@ -151,4 +140,4 @@
 }
 
 // CloseGrace is the grace for Serve on the operators' listeners.
-const CloseGrace = closeTimeout
+const CloseGrace = 2 * time.Second
--- a/daemon/httpserver.go
+++ b/daemon/httpserver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/oklog/run"
 )
 
 // HTTPServer is an HTTP server that can be drained: each request of which a byte has been
@@ -18,9 +19,12 @@
 	http  http.Server
 	conns *connSet
 
+	accepted  chan struct{} // closed when the last connection has been accepted
+	closed    chan struct{}
+	closeOnce sync.Once
+
 	mu       sync.Mutex
 	listener *connListener // nil before Serve
-	served   chan struct{} // closed when Serve has ended; nil before Serve
 	draining bool
 }
 
@@ -31,9 +35,19 @@
 	HeaderBytes   int
 }
 
+// DefaultIdleTimeout is how long an HTTP server keeps a connection without a request.
+const DefaultIdleTimeout = 2 * time.Minute
+
+// DefaultHTTPLimits returns the limits of servers for which the catalogue has none. Without
+// them a client that sends its request header slowly, or not at all, holds a connection
+// without a time limit.
+func DefaultHTTPLimits() HTTPLimits {
+	return HTTPLimits{HeaderTimeout: 10 * time.Second, IdleTimeout: DefaultIdleTimeout, HeaderBytes: 64 << 10}
+}
+
 // NewHTTPServer returns a server that does not listen yet.
 func NewHTTPServer(h http.Handler, log *slog.Logger) *HTTPServer {
-	s := &HTTPServer{conns: newConnSet()}
+	s := &HTTPServer{conns: newConnSet(), accepted: make(chan struct{}), closed: make(chan struct{})}
 	s.http.Handler = s.closeWhenDraining(h)
 	s.http.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelDebug)
 	s.http.ConnState = onState
@@ -56,23 +70,38 @@
 	return s.draining
 }
 
-// Serve accepts connections from l, which it closes, until the server is drained or closed.
-// It returns nil then; requests in progress may continue. Call it once.
+// Serve accepts connections from l, which it closes, until the server is drained, and returns
+// nil once the server has been closed. Call it once.
 func (s *HTTPServer) Serve(l net.Listener, limits HTTPLimits) error {
+	s.http.ReadHeaderTimeout, s.http.IdleTimeout, s.http.MaxHeaderBytes = limits.HeaderTimeout, limits.IdleTimeout, limits.HeaderBytes
+	if err := s.accept(l); err != nil {
+		return trace.Wrap(err, "step=serve address=%s", l.Addr())
+	}
+	<-s.closed // requests in progress continue
+	return nil
+}
+
+// accept accepts connections from l until the server is drained or closed.
+func (s *HTTPServer) accept(l net.Listener) error {
 	listener := &connListener{Listener: l, conns: s.conns}
 	s.mu.Lock()
-	s.listener, s.served = listener, make(chan struct{})
+	s.listener = listener
 	if s.draining {
 		listener.stop()
 	}
 	s.mu.Unlock()
-	defer close(s.served)
-	s.http.ReadHeaderTimeout, s.http.IdleTimeout, s.http.MaxHeaderBytes = limits.HeaderTimeout, limits.IdleTimeout, limits.HeaderBytes
+	defer close(s.accepted)
 	err := s.http.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && s.isDraining() {
 		return nil
 	}
-	return trace.Wrap(err, "step=serve address=%s", l.Addr())
+	return err
+}
+
+// AddTo adds the server to a group of actors. When the group ends, the server is drained for
+// at most grace and closed.
+func (s *HTTPServer) AddTo(g *run.Group, l net.Listener, limits HTTPLimits, grace time.Duration) {
+	g.Add(func() error { return s.Serve(l, limits) }, func(error) { s.Stop(grace) })
 }
 
 // Connections returns the number of open connections, and of those with a request in
@@ -87,14 +116,14 @@
 func (s *HTTPServer) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.draining = true
-	listener, served := s.listener, s.served
+	listener := s.listener
 	s.mu.Unlock()
 	if listener == nil {
 		return
 	}
 	listener.stop()
 	select {
-	case <-served:
+	case <-s.accepted:
 	case <-ctx.Done():
 	}
 	s.conns.end()
@@ -112,4 +141,7 @@
 }
 
 // Close closes the listener and all connections.
-func (s *HTTPServer) Close() { _ = s.http.Close() } // the connections are closed in any case
+func (s *HTTPServer) Close() {
+	_ = s.http.Close() // the connections are closed in any case
+	s.closeOnce.Do(func() { close(s.closed) })
+}
--- a/daemon/httpserver_test.go
+++ b/daemon/httpserver_test.go
@@ -19,14 +19,16 @@
 	"github.com/stretchr/testify/require"
 )
 
-// startHTTPServer serves h on l, and returns the server and a function that waits until it
-// accepts no more connections.
-func startHTTPServer(t *testing.T, l net.Listener, h http.HandlerFunc) (s *HTTPServer, served func()) {
-	s = NewHTTPServer(h, slog.New(slog.DiscardHandler))
+// startHTTPServer serves h on l.
+func startHTTPServer(t *testing.T, l net.Listener, h http.HandlerFunc) *HTTPServer {
+	s := NewHTTPServer(h, slog.New(slog.DiscardHandler))
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(l, HTTPLimits{HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}) }()
-	t.Cleanup(s.Close)
-	return s, func() { require.NoError(t, <-ended) }
+	t.Cleanup(func() {
+		s.Close()
+		require.NoError(t, <-ended)
+	})
+	return s
 }
 
 func listenLocal(t *testing.T) *net.TCPListener {
@@ -143,10 +145,9 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			requireAllAnswered(t, seed, func(l net.Listener, h http.HandlerFunc) func() {
-				s, served := startHTTPServer(t, l, h)
+				s := startHTTPServer(t, l, h)
 				return func() {
 					drainWithin(t, s, 10*time.Second)
-					served()
 					s.Close()
 				}
 			})
@@ -207,7 +208,7 @@
 	l := listenLocal(t)
 	paced, err := Paced(l, AcceptRate{PerSecond: 400, Burst: 1, Backlog: 16})
 	require.NoError(t, err)
-	s, served := startHTTPServer(t, paced, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	s := startHTTPServer(t, paced, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
 	var conns []net.Conn
 	for range 8 {
 		c, err := net.Dial("tcp", l.Addr().String())
@@ -225,7 +226,6 @@
 		})
 	}
 	drainWithin(t, s, 10*time.Second)
-	served()
 	answers.Wait()
 }
 
@@ -234,7 +234,7 @@
 func TestDrainAnswersPipelinedRequest(t *testing.T) {
 	l := listenLocal(t)
 	started, drained := make(chan struct{}, 2), make(chan struct{})
-	s, _ := startHTTPServer(t, l, func(w http.ResponseWriter, r *http.Request) {
+	s := startHTTPServer(t, l, func(w http.ResponseWriter, r *http.Request) {
 		started <- struct{}{}
 		if r.URL.Path == "/1" {
 			<-drained
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,7 @@
 	ctx    context.Context // cancelled after the drain
 	cancel context.CancelFunc
 
+	callers        *daemon.HTTPServer
 	traffic        *link.Traffic
 	pool           *link.Pool
 	members        *membership.Node
@@ -130,6 +131,7 @@
 		control: e.control, pool: e.pool, peers: e.peerLinks, log: deps.Log, now: deps.Now,
 		freshFor: cfg.FreshFor, interval: catalogueInterval, serveUnconfirmed: cfg.ServeUnconfirmed, onChange: e.catalogueChanged,
 	}
+	e.callers = daemon.NewHTTPServer(e.closeWhenLeaving(e.Handler()), deps.Log)
 	return e, e.join()
 }
 
@@ -173,6 +175,9 @@
 	}
 	srv := link.NewServer(link.ServerConfig{Self: e.peerInfo(), ClusterKey: []byte(e.cfg.ClusterKey)}, link.ServerDeps{Log: e.deps.Log, Traffic: e.traffic})
 	e.register(srv)
+	// Actors are ended in this order: requests in progress need the components below.
+	e.callers.AddTo(g, callers, daemon.DefaultHTTPLimits(), closeTimeout)
+	daemon.Serve(g, ops, e.operationsHandler(), daemon.CloseGrace, e.deps.Log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, e.members.Run)
 	daemon.Actor(g, e.follower.run)
@@ -185,8 +190,6 @@
 	addPeriodic(g, housekeepInterval, e.housekeep)
 	daemon.Actor(g, e.awaitNotice)
 	daemon.EndWith(ctx, g)
-	daemon.Serve(g, callers, e.Handler(), closeTimeout, e.deps.Log)
-	daemon.Serve(g, ops, e.operationsHandler(), daemon.CloseGrace, e.deps.Log)
 	daemon.Signals(g, func(c context.Context) { e.leave(c, e.cfg.DrainTimeout) }, e.deps.Log)
 	return nil
 }
--- a/entry/life.go
+++ b/entry/life.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// leaving reports whether the process is going to end.
+func (l *lifecycle) leaving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.endsProcess
+}
+
 // close moves the entry to its last phase.
 func (l *lifecycle) close() {
 	l.mu.Lock()
@@ -132,12 +139,23 @@
 	}
 }
 
+// closeWhenLeaving makes the answers of an entry that leaves say that their connection closes,
+// so that the caller's next request goes to another entry.
+func (e *Entry) closeWhenLeaving(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.lifecycle.leaving() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // drainPollInterval is how often a drain checks whether it is done.
 const drainPollInterval = 50 * time.Millisecond
 
 // leave drains this entry within about limit. It unlists the entry, accepts requests until
 // the lists that contain it expire, closes, lets requests finish until half of limit has
-// passed, and hands over the rest.
+// passed, and hands over the rest. Requests that are still being read are answered too.
 func (e *Entry) leave(ctx context.Context, limit time.Duration) {
 	startedAt := e.deps.Now()
 	e.lifecycle.startLeaving()
@@ -151,6 +169,9 @@
 	e.waitUntil(ctx, finishBy, func() bool { return e.unfinished() == 0 })
 	e.handOverAll(ctx)
 	e.waitUntil(ctx, startedAt.Add(limit), func() bool { return e.unfinished() == 0 && e.registry.followerCount() == 0 })
+	drainCtx, cancel := context.WithTimeout(ctx, startedAt.Add(limit).Sub(e.deps.Now()))
+	defer cancel()
+	e.callers.Drain(drainCtx)
 	event.Log(ctx, e.deps.Log, slog.LevelInfo, event.DrainDone, slog.Int("unfinished", e.unfinished()))
 }
 
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -32,11 +32,7 @@
 		if g.awaitCatalogue(ctx) != nil {
 			return l.Close()
 		}
-		if err := srv.Serve(l, g.httpLimits()); err != nil {
-			return err
-		}
-		<-ctx.Done() // requests in progress continue
-		return nil
+		return srv.Serve(l, g.httpLimits())
 	}, func(error) {
 		srv.Stop(daemon.CloseGrace)
 		cancel()
