coordinator, control, gateway: servers end before the components that their requests need

Actors of a group are ended in the order in which they were added, and a replica's log and links ended first: an order that its HTTP server was still reading got a closed connection, though the replica could have carried it out. The public and operations servers are now added first.

--- a/control/control.go
+++ b/control/control.go
@@ -141,6 +141,9 @@
 	link.Handle(srv, api.MethodLeases, c.leases.report)
 	c.members.Register(srv)
 	operatorsAPI := &operatorAPI{service: c.service, log: c.log, keyHash: c.cfg.operatorKeyHash()}
+	// Actors are ended in this order: requests in progress need the components below.
+	daemon.Serve(g, operators, operatorsAPI.handler(), daemon.CloseGrace, c.log)
+	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.CloseGrace, c.log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, c.runReplica)
 	daemon.Actor(g, c.watchLeader)
@@ -149,8 +152,6 @@
 		daemon.Actor(g, c.runFleet)
 	}
 	daemon.EndWith(ctx, g)
-	daemon.Serve(g, operators, operatorsAPI.handler(), daemon.CloseGrace, c.log)
-	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.CloseGrace, c.log)
 	daemon.Signals(g, c.handOverLeadership, c.log)
 	return nil
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -311,6 +311,11 @@
 	}
 	srv := link.NewServer(api.ServerConfig(c.peerInfo(), c.cfg.ClusterKey), link.ServerDeps{Log: c.log, Traffic: c.traffic})
 	c.registerHandlers(srv)
+	// Actors are ended in this order: requests in progress need the components below.
+	if err := public(g); err != nil {
+		return err
+	}
+	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.CloseGrace, c.log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, c.group.run)
 	daemon.Actor(g, c.follower.Run)
@@ -318,10 +323,6 @@
 	daemon.Actor(g, c.saveCache)
 	daemon.Actor(g, c.runLeaderLoop)
 	daemon.EndWith(ctx, g)
-	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.CloseGrace, c.log)
-	if err := public(g); err != nil {
-		return err
-	}
 	daemon.Signals(g, c.stop, c.log)
 	return nil
 }
--- a/coordinator/group_test.go
+++ b/coordinator/group_test.go
@@ -69,6 +69,11 @@
 func (c *cluster) dir(ip string) string { return filepath.Join(c.baseDir, ip) }
 
 func (c *cluster) start(ip string, firstStart bool) *testReplica {
+	return c.startWith(ip, firstStart, func(*Coordinator, *run.Group) error { return nil })
+}
+
+// startWith starts a replica; public adds the actors that serve its public API.
+func (c *cluster) startWith(ip string, firstStart bool, public func(*Coordinator, *run.Group) error) *testReplica {
 	node := site.Node{
 		Name: ip, IP: ip, Zone: "z", Region: "r", FirstPort: c.port, LastPort: c.port + 9, Seeds: c.seeds, FirstStart: firstStart,
 		DataDir: c.dir(ip), AnnounceInterval: time.Second,
@@ -83,7 +88,7 @@
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &testReplica{Coordinator: co, stop: cancel, done: make(chan error, 1)}
-	go func() { r.done <- co.Run(ctx, func(*run.Group) error { return nil }) }()
+	go func() { r.done <- co.Run(ctx, func(g *run.Group) error { return public(co, g) }) }()
 	c.replicas[ip] = r
 	return r
 }
--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -73,7 +73,7 @@
 
 // lastReadWait is how long a connection that is about to end waits for a request. A caller
 // that has just connected sends one within that time.
-const lastReadWait = 100 * time.Millisecond
+const lastReadWait = 50 * time.Millisecond
 
 // serverConn is a connection of an HTTP server that knows whether a request is in progress
 // on it: from the first byte read until net/http has flushed the answer. net/http itself
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -250,16 +250,17 @@
 	if err := g.datagrams.open(ctx, g.cfg.Node.EntryExchange(g.cfg.Node.IP)); err != nil {
 		return err
 	}
+	// Actors are ended in this order: requests in progress need the components below.
+	callers, err := public(&group)
+	if err != nil {
+		return err
+	}
+	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.CloseGrace, g.log)
 	daemon.Actor(&group, g.follower.Run)
 	daemon.Actor(&group, g.datagrams.run)
 	daemon.Actor(&group, func(ctx context.Context) error { return daemon.Every(ctx, upkeepInterval, g.upkeep) })
 	daemon.Actor(&group, g.limits.run)
 	daemon.EndWith(ctx, &group)
-	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.CloseGrace, g.log)
-	callers, err := public(&group)
-	if err != nil {
-		return err
-	}
 	daemon.Signals(&group, func(ctx context.Context) { g.Leave(ctx, callers) }, g.log)
 	event.Log(ctx, g.log, slog.LevelInfo, event.ProcessStarted,
 		slog.String("role", "gateway"), slog.String("name", g.cfg.Node.Name), slog.String("zone", g.cfg.Node.Zone), slog.Any("seeds", g.cfg.Node.Seeds))
