gateway, platform: entries log what servers' answers say about the servers

The logs could not tell whether a server had asked for a pause, or whether that was read. Events 3009 and 3010 name the server, the request and the time of the pause: with the routing decisions (2101) they show each choice of a server within its pause, and by which path. No decision is changed.

--- a/event/event.go
+++ b/event/event.go
@@ -16,67 +16,69 @@
 // servers, membership and limits; 4xxx: catalogue and planned stops; 5xxx: control replicas
 // and cloud.
 const (
-	ProcessStarted    Kind = 1001
-	ProcessStopping   Kind = 1002
-	ProcessStopped    Kind = 1003
-	SettingsRefused   Kind = 1004
-	SettingsRead      Kind = 1006
-	LinesDropped      Kind = 1007
-	LinesSampled      Kind = 1008
-	ListenerOpen      Kind = 1005
-	DrainBegun        Kind = 1010
-	DrainDone         Kind = 1011
-	RequestEnded      Kind = 2001
-	RequestRefused    Kind = 2002
-	RouteChosen       Kind = 2101
-	RouteWaits        Kind = 2102
-	AttemptFailed     Kind = 2103
-	StreamResumed     Kind = 2104
-	CallerLeft        Kind = 2105
-	CallerReturned    Kind = 2106
-	EvacuationPlanned Kind = 2107
-	CarryFailed       Kind = 2108
-	RequestTaken      Kind = 2110
-	RequestHandedOff  Kind = 2111
-	HandOffFailed     Kind = 2112
-	LedgerAnswered    Kind = 2201
-	LedgerFailed      Kind = 2202
-	EntryPicked       Kind = 2120
-	SuspectHeld       Kind = 2301
-	Quarantined       Kind = 2302
-	ServerAnnounced   Kind = 3001
-	ServerLeaving     Kind = 3002
-	ServerGone        Kind = 3003
-	ServerRefused     Kind = 3004
-	ServersRecalled   Kind = 3007
-	ServersNotKept    Kind = 3008
-	ServerSlow        Kind = 3005
-	CacheGap          Kind = 3006
-	MemberChanged     Kind = 3101
-	CatalogueChanged  Kind = 4001
-	CatalogueRefused  Kind = 4002
-	CatalogueTaken    Kind = 4003
-	FreshnessLost     Kind = 4004
-	FreshnessBack     Kind = 4005
-	StopBegun         Kind = 4101
-	LeaderChanged     Kind = 5001
-	ReplicaFailed     Kind = 5002
-	ReplicaLost       Kind = 5003
-	ReplicaRegained   Kind = 5004
-	ReplicaStarted    Kind = 5005
-	ReplicaSetChanged Kind = 5006
-	DatagramNotSent   Kind = 3102
-	LimitUsed         Kind = 3103
-	LimitOwned        Kind = 3104
-	ShareChanged      Kind = 3105
-	RevisionTaken     Kind = 5010
-	RevisionRefused   Kind = 5011
-	CloudCalled       Kind = 5301
-	CloudCallFailed   Kind = 5302
-	OrderGiven        Kind = 5101
-	OrderRefused      Kind = 5102
-	PlacementChosen   Kind = 5201
-	StartRefused      Kind = 5202
+	ProcessStarted        Kind = 1001
+	ProcessStopping       Kind = 1002
+	ProcessStopped        Kind = 1003
+	SettingsRefused       Kind = 1004
+	SettingsRead          Kind = 1006
+	LinesDropped          Kind = 1007
+	LinesSampled          Kind = 1008
+	ListenerOpen          Kind = 1005
+	DrainBegun            Kind = 1010
+	DrainDone             Kind = 1011
+	RequestEnded          Kind = 2001
+	RequestRefused        Kind = 2002
+	RouteChosen           Kind = 2101
+	RouteWaits            Kind = 2102
+	AttemptFailed         Kind = 2103
+	StreamResumed         Kind = 2104
+	CallerLeft            Kind = 2105
+	CallerReturned        Kind = 2106
+	EvacuationPlanned     Kind = 2107
+	CarryFailed           Kind = 2108
+	RequestTaken          Kind = 2110
+	RequestHandedOff      Kind = 2111
+	HandOffFailed         Kind = 2112
+	LedgerAnswered        Kind = 2201
+	LedgerFailed          Kind = 2202
+	EntryPicked           Kind = 2120
+	SuspectHeld           Kind = 2301
+	Quarantined           Kind = 2302
+	ServerAnnounced       Kind = 3001
+	ServerLeaving         Kind = 3002
+	ServerGone            Kind = 3003
+	ServerRefused         Kind = 3004
+	ServersRecalled       Kind = 3007
+	ServersNotKept        Kind = 3008
+	ServerBackOff         Kind = 3009
+	ServerLeavingByAnswer Kind = 3010
+	ServerSlow            Kind = 3005
+	CacheGap              Kind = 3006
+	MemberChanged         Kind = 3101
+	CatalogueChanged      Kind = 4001
+	CatalogueRefused      Kind = 4002
+	CatalogueTaken        Kind = 4003
+	FreshnessLost         Kind = 4004
+	FreshnessBack         Kind = 4005
+	StopBegun             Kind = 4101
+	LeaderChanged         Kind = 5001
+	ReplicaFailed         Kind = 5002
+	ReplicaLost           Kind = 5003
+	ReplicaRegained       Kind = 5004
+	ReplicaStarted        Kind = 5005
+	ReplicaSetChanged     Kind = 5006
+	DatagramNotSent       Kind = 3102
+	LimitUsed             Kind = 3103
+	LimitOwned            Kind = 3104
+	ShareChanged          Kind = 3105
+	RevisionTaken         Kind = 5010
+	RevisionRefused       Kind = 5011
+	CloudCalled           Kind = 5301
+	CloudCallFailed       Kind = 5302
+	OrderGiven            Kind = 5101
+	OrderRefused          Kind = 5102
+	PlacementChosen       Kind = 5201
+	StartRefused          Kind = 5202
 )
 
 // Description describes one event.
@@ -121,6 +123,8 @@
 	{ServerRefused, "announcement refused"},
 	{ServersRecalled, "backend servers restored"},
 	{ServersNotKept, "backend servers not saved"},
+	{ServerBackOff, "backend server asks for a pause"},
+	{ServerLeavingByAnswer, "backend server says in an answer that it leaves"},
 	{ServerSlow, "backend server slow"},
 	{CacheGap, "cache events have a gap"},
 	{MemberChanged, "instance changed"},
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -104,6 +104,12 @@
 	Unusable                           // it may have run, and the answer can't be relayed
 )
 
+// Notice is what a server's answer says about the server.
+type Notice struct {
+	Leaving bool          // it is about to end
+	BackOff time.Duration // it wants no requests from this entry for that long; 0: not stated
+}
+
 // Dialect builds requests to servers and reads their answers.
 type Dialect interface {
 	// RequestHeader returns the header of an attempt.
@@ -112,6 +118,8 @@
 	Matches(r *Request, h http.Header) bool
 	// Classify returns the class of an answer.
 	Classify(status int, h http.Header) AnswerClass
+	// Notice returns what an answer says about its server.
+	Notice(status int, h http.Header) Notice
 	// AnswerHeader returns the header that is relayed to the caller.
 	AnswerHeader(h http.Header) http.Header
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -29,6 +29,7 @@
 	}
 	defer answer.Close()
 	j.recordSend(sentAt)
+	j.recordNotice(ctx, c, answer)
 	return j.handleAnswer(ctx, c, answer)
 }
 
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -48,6 +49,11 @@
 	}
 }
 
+func (plainDialect) Notice(_ int, h http.Header) Notice {
+	ms, _ := strconv.Atoi(h.Get("X-Back-Off-Ms"))
+	return Notice{Leaving: h.Get("X-Leaving") != "", BackOff: time.Duration(ms) * time.Millisecond}
+}
+
 func (plainDialect) AnswerHeader(h http.Header) http.Header { return h.Clone() }
 
 // standIn is a backend server with a given handler that records its requests.
