--- /dev/null
+++ b/gateway/notice_test.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/routes"
+)
+
+// noticeSite is a gateway with one server that gives notices and another that serves.
+type noticeSite struct {
+	*rig
+	noticing *standIn
+	header   http.Header // of the answers of noticing
+	refuses  bool        // noticing does not run requests
+}
+
+func newNoticeSite(t *testing.T, route routes.Route, header http.Header, refuses bool) *noticeSite {
+	s := &noticeSite{rig: newRig(t), header: header, refuses: refuses}
+	route.Prefix, route.MaxServers = "/", 3
+	s.setRoutes(route)
+	s.noticing = s.server("web", func(w http.ResponseWriter, req *http.Request) {
+		for name, values := range s.header {
+			w.Header()[name] = values
+		}
+		if s.refuses {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		stream(resumeAt, 3, true)(w, req)
+	})
+	s.server("web", stream(resumeAt, 3, true))
+	s.fillBudget()
+	return s
+}
+
+// announce passes on a record of the noticing server.
+func (s *noticeSite) announce(incarnation, sequence uint64, unreachable bool) {
+	s.service("web").update(directory.Server{
+		Announcement: instance.Announcement{
+			ID: "s1", Incarnation: incarnation, Sequence: sequence, State: instance.StateServing,
+			Address: s.noticing.Listener.Addr().String(), Zone: "z", Slots: 8, Services: []string{"web"},
+		},
+		Unreachable: unreachable,
+	}, s.now())
+}
+
+// serveFor serves requests for a while of the gateway's clock and returns how many reached the
+// noticing server.
+func (s *noticeSite) serveFor(d time.Duration) int {
+	const step = 20 * time.Millisecond
+	before := s.noticing.count()
+	for range int(d / step) {
+		_, _ = s.serve("/x")
+		s.clockOffset.Add(int64(step))
+	}
+	return s.noticing.count() - before
+}
+
+// untilNotice serves requests until one has reached the noticing server.
+func (s *noticeSite) untilNotice() {
+	for range 200 {
+		if s.noticing.count() > 0 {
+			return
+		}
+		_, _ = s.serve("/x")
+	}
+	require.Positive(s.t, s.noticing.count(), "no request reached the server")
+}
+
+var noticeRoutes = map[string]routes.Route{
+	"idempotent":       {Kind: routes.Idempotent},
+	"non-idempotent":   {Kind: routes.NonIdempotent},
+	"stream":           {Kind: routes.Stream},
+	"resumable stream": {Kind: routes.Stream, Resumable: true},
+}
+
+// meanwhile lists what may bring a server back into the choice.
+var meanwhile = map[string]func(s *noticeSite){
+	"nothing":                func(*noticeSite) {},
+	"it announces itself":    func(s *noticeSite) { s.announce(1, 2, false) },
+	"it was unreachable":     func(s *noticeSite) { s.announce(1, 2, true); s.announce(1, 3, false) },
+	"the other server fails": func(s *noticeSite) { s.service("web").drop("s2") },
+}
+
+// Guards against requests to a server that has turned one away and asked for a pause: it is
+// overloaded, each request costs it more, and callers wait for a refusal.
+func TestServerThatAsksForPauseGetsNoRequests(t *testing.T) {
+	const pause = 3 * time.Second
+	for kind, route := range noticeRoutes {
+		for name, happens := range meanwhile {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				s := newNoticeSite(t, route, http.Header{"X-Back-Off-Ms": {strconv.Itoa(int(pause.Milliseconds()))}}, true)
+				s.untilNotice()
+				happens(s)
+				require.Zero(t, s.serveFor(pause-100*time.Millisecond), "requests within the pause")
+				s.clockOffset.Add(int64(200 * time.Millisecond))
+				s.refuses = false
+				s.header = nil
+				require.Positive(t, s.serveFor(2*time.Second), "requests after the pause")
+			})
+		}
+	}
+}
+
+// Guards against requests to a server that says in its answers that it leaves: they would be
+// cut off when it ends, also at an entry that hears of no announcement.
+func TestServerThatLeavesInItsAnswersGetsNoRequests(t *testing.T) {
+	for kind, route := range noticeRoutes {
+		for name, happens := range meanwhile {
+			for _, refuses := range []bool{false, true} {
+				t.Run(kind+", "+name+", refuses "+strconv.FormatBool(refuses), func(t *testing.T) {
+					s := newNoticeSite(t, route, http.Header{"X-Leaving": {"1"}}, refuses)
+					s.untilNotice()
+					happens(s)
+					require.Zero(t, s.serveFor(10*time.Second))
+				})
+			}
+		}
+	}
+}
+
+// Guards against a server that stays out of use after it has started again under its id.
+func TestNoticeEndsWithTheIncarnation(t *testing.T) {
+	for _, header := range []http.Header{{"X-Leaving": {"1"}}, {"X-Back-Off-Ms": {"60000"}}} {
+		s := newNoticeSite(t, routes.Route{Kind: routes.Idempotent}, header, true)
+		s.untilNotice()
+		s.refuses, s.header = false, nil
+		s.announce(2, 1, false)
+		require.Positive(t, s.serveFor(2*time.Second))
+	}
+}
+
+// Guards against callers that wait, or come back too early, while all servers of a service have
+// asked for a pause.
+func TestRefusalWhileAllServersPause(t *testing.T) {
+	s := newNoticeSite(t, routes.Route{Kind: routes.Idempotent}, http.Header{"X-Back-Off-Ms": {"3000"}}, true)
+	s.untilNotice()
+	s.service("web").drop("s2")
+	s.clockOffset.Add(int64(time.Second))
+	start := time.Now()
+	_, refusal := s.serve("/x")
+	require.Less(t, time.Since(start), time.Second)
+	require.NotNil(t, refusal)
+	require.Equal(t, Overloaded, refusal.Reason)
+	require.True(t, refusal.Reason.NotRun())
+	require.InDelta(t, 2.25, refusal.RetryAfter.Seconds(), 0.5, "the pause ends in 2 s; callers come back spread over some time")
+}
