policy/route, gateway: a server that asks for a pause gets no requests from this entry until it ends

Cause: nothing read what a server's answer says about the server. A refusal without evidence against the server leaves it idle and cheap, so that the next choices fall on it.

Change: the router keeps pauses by server and incarnation, also over a removal and a new announcement, and makes a paused server ineligible for every choice: ordinary, probe, pinned, last resort. A request that has waited for a connection asks again before it is sent and goes elsewhere. While all servers pause, requests are refused at once, with the end of the first pause and up to a quarter more as Retry-After.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -24,8 +24,15 @@
 	// accepts every answer. A faulty server may repeat an answer, and the copy would
 	// be read as the answer of the next call on the connection.
 	Matches func(http.Header) bool
+
+	// MaySend is asked once a connection is open, which may take a while; nil allows the
+	// call. If it returns false, nothing is sent and the call fails with ErrWithdrawn.
+	MaySend func() bool
 }
 
+// ErrWithdrawn is the cause of a call that Call.MaySend has stopped.
+var ErrWithdrawn = errors.New("withdrawn before it was sent")
+
 // Answer is a server's answer whose header has been read. The caller must close it.
 type Answer struct {
 	Status int
@@ -58,6 +65,10 @@
 	if err != nil {
 		return nil, &Error{Step: StepDial, Peer: addr, Cause: err}
 	}
+	if call.MaySend != nil && !call.MaySend() {
+		p.putUnused(addr, c)
+		return nil, &Error{Step: StepWrite, Peer: addr, Cause: ErrWithdrawn}
+	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
 	req := call.request()
 	writeResult := make(chan error, 1)
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -70,11 +70,25 @@
 	return c
 }
 
-// put returns a reusable connection to the pool, or closes it if MaxIdle is reached.
+// put returns a connection that has carried a call to the pool, or closes it if MaxIdle is
+// reached.
 func (p *Pool) put(addr string, c *conn) {
 	c.used = true
 	c.idleSince = p.now()
 	c.bytesWritten.Store(0)
+	p.store(addr, c)
+}
+
+// putUnused returns a connection that has carried no call since it left the pool or was opened.
+// The server counts its idle time from before.
+func (p *Pool) putUnused(addr string, c *conn) {
+	if c.idleSince.IsZero() {
+		c.idleSince = p.now()
+	}
+	p.store(addr, c)
+}
+
+func (p *Pool) store(addr string, c *conn) {
 	p.mu.Lock()
 	list := p.idle[addr]
 	full := len(list) >= p.cfg.MaxIdle
--- a/event/event.go
+++ b/event/event.go
@@ -50,7 +50,7 @@
 	ServerRefused         Kind = 3004
 	ServersRecalled       Kind = 3007
 	ServersNotKept        Kind = 3008
-	ServerBackOff         Kind = 3009
+	ServerPaused          Kind = 3009
 	ServerLeavingByAnswer Kind = 3010
 	ServerSlow            Kind = 3005
 	CacheGap              Kind = 3006
@@ -123,7 +123,7 @@
 	{ServerRefused, "announcement refused"},
 	{ServersRecalled, "backend servers restored"},
 	{ServersNotKept, "backend servers not saved"},
-	{ServerBackOff, "backend server asks for a pause"},
+	{ServerPaused, "backend server asks for a pause"},
 	{ServerLeavingByAnswer, "backend server says in an answer that it leaves"},
 	{ServerSlow, "backend server slow"},
 	{CacheGap, "cache events have a gap"},
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -3,19 +3,58 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
+	"time"
 
 	"savoryreel.example/savoryreel/backend"
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/policy/route"
 )
 
-// recordNotice records what an answer says about the server that gave it.
+// recordNotice heeds and logs what an answer says about the server that gave it.
 func (j *job) recordNotice(ctx context.Context, c *choice, answer *backend.Answer) {
 	n := j.gateway.deps.Dialect.Notice(answer.Status, answer.Header)
 	server := slog.String("server", c.verdict.Server)
+	j.service.applyNotice(c, n, j.gateway.now())
 	if n.Leaving {
 		j.gateway.serverSampler.Log(ctx, event.ServerLeavingByAnswer, slog.String("request", j.ID), server)
 	}
-	if n.BackOff > 0 {
-		j.gateway.serverSampler.Log(ctx, event.ServerBackOff, slog.String("request", j.ID), server, slog.Duration("for", n.BackOff))
+	if n.Pause > 0 {
+		j.gateway.serverSampler.Log(ctx, event.ServerPaused, slog.String("request", j.ID), server, slog.Duration("for", n.Pause))
 	}
 }
+
+// applyNotice applies a notice of the choice's server to later choices.
+func (s *service) applyNotice(c *choice, n Notice, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n.Pause > 0 {
+		s.router.Pause(c.verdict.Server, c.verdict.Incarnation, now.Add(n.Pause), now)
+	}
+}
+
+// maySend reports whether the choice's server may still be sent a request.
+func (s *service) maySend(c *choice, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.router.MaySend(c.verdict.Server, c.verdict.Incarnation, now)
+}
+
+// withdrawn returns the result of an attempt that was not sent, because its server has started
+// to leave or asked for a pause since it was chosen.
+func (j *job) withdrawn(c *choice) result {
+	j.service.end(c, endedByCaller, j.gateway.now())
+	r := result{retryable: true, notRun: true, server: c.verdict.Server}
+	r.refusal = j.failureRefusal("the server takes no more requests")
+	return r
+}
+
+// pauseSpread is the largest fraction by which callers are told to wait longer than until the
+// first server's pause ends, so that they don't all return at once.
+const pauseSpread = 0.25
+
+// pausedRefusal returns the refusal of a request while all servers have asked for a pause.
+func pausedRefusal(v *route.Verdict) *Refusal {
+	wait := time.Duration(float64(v.RetryAfter) * (1 + pauseSpread*rand.Float64()))
+	return &Refusal{Reason: Overloaded, RetryAfter: wait, Detail: v.Reason.String()}
+}
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -97,7 +97,7 @@
 	for kind, route := range noticeRoutes {
 		for name, happens := range meanwhile {
 			t.Run(kind+", "+name, func(t *testing.T) {
-				s := newNoticeSite(t, route, http.Header{"X-Back-Off-Ms": {strconv.Itoa(int(pause.Milliseconds()))}}, true)
+				s := newNoticeSite(t, route, http.Header{"X-Pause-Ms": {strconv.Itoa(int(pause.Milliseconds()))}}, true)
 				s.untilNotice()
 				happens(s)
 				require.Zero(t, s.serveFor(pause-100*time.Millisecond), "requests within the pause")
@@ -129,7 +129,7 @@
 
 // Guards against a server that stays out of use after it has started again under its id.
 func TestNoticeEndsWithTheIncarnation(t *testing.T) {
-	for _, header := range []http.Header{{"X-Leaving": {"1"}}, {"X-Back-Off-Ms": {"60000"}}} {
+	for _, header := range []http.Header{{"X-Leaving": {"1"}}, {"X-Pause-Ms": {"60000"}}} {
 		s := newNoticeSite(t, routes.Route{Kind: routes.Idempotent}, header, true)
 		s.untilNotice()
 		s.refuses, s.header = false, nil
@@ -138,10 +138,28 @@
 	}
 }
 
+// Guards against a request that has waited for a connection while its server asked for a pause,
+// and is then sent.
+func TestRequestChosenBeforeThePauseIsNotSent(t *testing.T) {
+	s := newNoticeSite(t, routes.Route{Kind: routes.NonIdempotent}, nil, false)
+	j := &job{Request: &Request{ID: "q1", Method: "POST", Target: "/x", Path: "/x", Host: "a.example", Header: http.Header{}}, gateway: s.Gateway, out: &recorder{}, startedAt: s.now()}
+	require.Nil(t, j.admit(t.Context()))
+	c, ok := j.choose(t.Context())
+	for c.verdict.Server != "s1" {
+		require.True(t, ok)
+		c, ok = j.choose(t.Context())
+	}
+	j.service.applyNotice(&c, Notice{Pause: time.Second}, s.now())
+	r := j.runAt(t.Context(), &c)
+	require.True(t, r.retryable && r.notRun && !r.reachedServer)
+	require.Zero(t, s.noticing.count())
+	require.Zero(t, j.sends)
+}
+
 // Guards against callers that wait, or come back too early, while all servers of a service have
 // asked for a pause.
 func TestRefusalWhileAllServersPause(t *testing.T) {
-	s := newNoticeSite(t, routes.Route{Kind: routes.Idempotent}, http.Header{"X-Back-Off-Ms": {"3000"}}, true)
+	s := newNoticeSite(t, routes.Route{Kind: routes.Idempotent}, http.Header{"X-Pause-Ms": {"3000"}}, true)
 	s.untilNotice()
 	s.service("web").drop("s2")
 	s.clockOffset.Add(int64(time.Second))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -107,7 +107,7 @@
 // Notice is what a server's answer says about the server.
 type Notice struct {
 	Leaving bool          // it is about to end
-	BackOff time.Duration // it wants no requests from this entry for that long; 0: not stated
+	Pause   time.Duration // it wants no requests from this entry for that long; 0: not stated
 }
 
 // Dialect builds requests to servers and reads their answers.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -253,6 +253,8 @@
 		return &Refusal{Reason: Truncated, Detail: c.verdict.Reason.String()}
 	case j.runs > 0:
 		return &Refusal{Reason: ServerFailed, Detail: c.verdict.Reason.String()}
+	case c.verdict.Reason == route.ReasonAllPaused:
+		return pausedRefusal(&c.verdict)
 	default:
 		return &Refusal{Reason: NoServer, RetryAfter: serverRetryAfter, Detail: c.verdict.Reason.String()}
 	}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -50,8 +50,8 @@
 }
 
 func (plainDialect) Notice(_ int, h http.Header) Notice {
-	ms, _ := strconv.Atoi(h.Get("X-Back-Off-Ms"))
-	return Notice{Leaving: h.Get("X-Leaving") != "", BackOff: time.Duration(ms) * time.Millisecond}
+	ms, _ := strconv.Atoi(h.Get("X-Pause-Ms"))
+	return Notice{Leaving: h.Get("X-Leaving") != "", Pause: time.Duration(ms) * time.Millisecond}
 }
 
 func (plainDialect) AnswerHeader(h http.Header) http.Header { return h.Clone() }
--- a/policy/route/choose.go
+++ b/policy/route/choose.go
@@ -13,7 +13,7 @@
 	r.assessServers(req.Now)
 	t := r.computeWeights(req)
 	if t.weightedSlots == 0 {
-		return Verdict{Reason: t.refusalReason()}
+		return t.refusal(req.Now)
 	}
 	r.index.match(req.Prefixes, r.matched)
 	if slot := r.probeSlot(req); slot >= 0 {
@@ -62,9 +62,19 @@
 	servers        int     // eligible servers
 	maxLoadPerSlot float64 // load bound for each slot at weight 1
 	anyServing     bool
-	anyVersion     bool // some serving server has the requested version
-	anyAdapter     bool // some server with the version has the adapter loaded
-	anyExcluded    bool // some server that matches is in Request.Exclude
+	anyVersion     bool      // some serving server has the requested version
+	anyAdapter     bool      // some server with the version has the adapter loaded
+	anyExcluded    bool      // some server that matches is in Request.Exclude
+	pausedUntil    time.Time // end of the first pause of a server that matches; zero if none
+}
+
+// refusal returns the verdict while no server is eligible.
+func (t *serverTotals) refusal(now time.Time) Verdict {
+	v := Verdict{Reason: t.refusalReason()}
+	if v.Reason == ReasonAllPaused {
+		v.RetryAfter = t.pausedUntil.Sub(now)
+	}
+	return v
 }
 
 // refusalReason returns why no server is eligible.
@@ -72,6 +82,8 @@
 	switch {
 	case t.anyExcluded:
 		return ReasonAllExcluded
+	case !t.pausedUntil.IsZero():
+		return ReasonAllPaused
 	case !t.anyServing:
 		return ReasonNoServer
 	case !t.anyVersion:
@@ -119,6 +131,12 @@
 		return false
 	}
 	t.anyAdapter = true
+	if s.isPaused(req.Now) {
+		if t.pausedUntil.IsZero() || s.pausedUntil.Before(t.pausedUntil) {
+			t.pausedUntil = s.pausedUntil
+		}
+		return false
+	}
 	if len(req.Exclude) > 0 && slices.Contains(req.Exclude, s.id) {
 		t.anyExcluded = true
 		return false
@@ -345,7 +363,7 @@
 	t := r.computeWeights(req)
 	slot, known := r.index.slotByID[id]
 	if !known || slot >= len(r.weights) || r.weights[slot] == 0 {
-		return Verdict{Reason: t.refusalReason()}
+		return t.refusal(req.Now)
 	}
 	r.index.match(req.Prefixes, r.matched)
 	var p candidateSet
--- /dev/null
+++ b/policy/route/restriction_test.go
@@ -0,0 +1,95 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"savoryreel.example/savoryreel/instance"
+)
+
+// restrictedServer is what a property test knows of a server.
+type restrictedServer struct {
+	incarnation uint64
+	sequence    uint64
+	pausedUntil time.Time
+}
+
+// Guards against a choice of a server within the pause that it has asked for, whatever is
+// announced, removed, probed or excluded in between, and against one that stays out of the
+// choice after its pause or its restart.
+func TestPausedServerIsNeverChosen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		cfg.SlowStart = 0
+		r, err := New(cfg)
+		require.NoError(t, err)
+		now := time.Unix(1_700_000_000, 0)
+		servers := map[string]*restrictedServer{}
+		announce := func(id string) {
+			s := servers[id]
+			s.sequence++
+			r.Announce(&instance.Announcement{ID: id, Incarnation: s.incarnation, Sequence: s.sequence, State: instance.StateServing, Slots: 4}, now, now)
+		}
+		for i := range 3 {
+			id := fmt.Sprint("s", i)
+			servers[id] = &restrictedServer{incarnation: 1}
+			announce(id)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "server"))
+			s := servers[id]
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				announce(id)
+			case 1:
+				r.Remove(id)
+				announce(id)
+			case 2: // it starts again
+				s.incarnation, s.sequence, s.pausedUntil = s.incarnation+1, 0, time.Time{}
+				announce(id)
+			case 3:
+				until := now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "pause")) * time.Millisecond)
+				r.Pause(id, s.incarnation, until, now)
+				if until.After(s.pausedUntil) {
+					s.pausedUntil = until
+				}
+			case 4: // the answer of an earlier incarnation arrives late
+				r.Pause(id, s.incarnation-1, now.Add(time.Hour), now)
+			case 5:
+				now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "time")) * time.Millisecond)
+			default:
+				requireChoiceHeedsPauses(t, r, servers, now)
+			}
+		}
+		requireChoiceHeedsPauses(t, r, servers, now)
+	})
+}
+
+// requireChoiceHeedsPauses makes a choice, fails on its server, so that later choices probe, and
+// checks the verdict.
+func requireChoiceHeedsPauses(t *rapid.T, r *Router, servers map[string]*restrictedServer, now time.Time) {
+	req := &Request{Now: now, Seed: rapid.Uint64().Draw(t, "seed"), Key: rapid.Uint64().Draw(t, "key")}
+	v := r.Choose(req)
+	var free []string
+	for id, s := range servers {
+		paused := now.Before(s.pausedUntil)
+		require.Equal(t, !paused, r.MaySend(id, s.incarnation, now), id)
+		if !paused {
+			free = append(free, id)
+		}
+		pinned := r.ChooseServer(req, id)
+		require.Equal(t, !paused, pinned.OK(), id)
+	}
+	if len(free) == 0 {
+		require.Equal(t, ReasonAllPaused, v.Reason)
+		require.Positive(t, v.RetryAfter)
+		return
+	}
+	require.Contains(t, free, v.Server)
+	a := r.Started(&v, now)
+	r.Failed(&a, now)
+}
--- a/policy/route/router.go
+++ b/policy/route/router.go
@@ -27,6 +27,8 @@
 	rateSamples        int           // samples that the prefill rate was learned from
 	ownRateSamples     int           // those of this entry, without a suggested rate
 
+	restrictions map[string]restriction // by server
+
 	slotsByID []int // slots of the servers, sorted by id; nil if not up to date
 
 	// Scratch space, so that Choose does not allocate.
@@ -41,7 +43,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	return &Router{cfg: cfg, index: NewPrefixIndex()}, nil
+	return &Router{cfg: cfg, index: NewPrefixIndex(), restrictions: make(map[string]restriction)}, nil
 }
 
 // Prefixes returns the Router's index. The caller applies the servers' cache events to it.
@@ -69,6 +71,9 @@
 		return false
 	}
 	s.update(a, at, now)
+	if x, restricted := r.restrictions[a.ID]; restricted {
+		s.apply(x)
+	}
 	return true
 }
 
--- a/policy/route/server.go
+++ b/policy/route/server.go
@@ -55,6 +55,7 @@
 	// cache line or two: with 600 servers, memory reads take most of a decision's time.
 	serving       bool // announced as serving, and not leaving
 	slowStartDone bool
+	paused        bool // pausedUntil is set
 	slots         float64
 	hash          uint64 // of id, for rendezvous hashing
 	reportedLoad  int    // running and waiting requests at reportTime
@@ -75,6 +76,7 @@
 	reportTime   time.Time
 	reportLag    time.Duration // age of the report on arrival
 	queried      bool          // the report was queried by updateLoad
+	pausedUntil  time.Time     // see Router.Pause
 	history      *history      // nil until the first own request: most entries use few of thousands of servers
 
 	othersBacklog backlog // prompt tokens of other entries, as reported
--- a/policy/route/verdict.go
+++ b/policy/route/verdict.go
@@ -34,13 +34,14 @@
 	ReasonNoVersion                  // no serving server has the requested version
 	ReasonNoAdapter                  // no serving server has the adapter loaded
 	ReasonAllExcluded                // every server that could run the request is excluded
+	ReasonAllPaused                  // every server that could run the request has asked for a pause
 )
 
 // String returns the reason in lower case with underscores, for logs.
 func (r Reason) String() string {
 	names := [...]string{
 		"cached_prefix", "rendezvous", "spread", "least_cost", "probe", "given",
-		"all_at_bound", "no_server", "no_version", "no_adapter", "all_excluded",
+		"all_at_bound", "no_server", "no_version", "no_adapter", "all_excluded", "all_paused",
 	}
 	if int(r) < len(names) {
 		return names[r]
@@ -66,6 +67,7 @@
 	Incarnation uint64 // of the chosen server
 	Address     string // host:port of the chosen server
 	Reason      Reason
+	RetryAfter  time.Duration // with ReasonAllPaused: until the first pause ends
 
 	uncachedTokens int
 	runnerUpCount  int
