daemon, gateway: a stopping entry takes no request after a late answer, and ends within its grace

An answer that began before the stop had no Connection: close, and its connection waited for one more request: that was run, and cut off at the end of the grace. And after a drain that used the whole grace the server was drained once more, so that the process was killed instead of ending. Servers stopped one after the other could take longer than the grace of a control replica (2 s each, four times).

Change: whether a connection closes is decided when an answer's header is written, from SIGTERM on; a connection that has carried its last answer is not read again; a server that has been drained is closed at once; servers that answer from memory get half a second. The queue is accepted from also after a stall of the process.

--- a/cmd/savoryreel/platform.go
+++ b/cmd/savoryreel/platform.go
@@ -220,6 +220,6 @@
 	if err != nil {
 		return err
 	}
-	daemon.Serve(group, l, h, daemon.CloseGrace, log)
+	daemon.Serve(group, l, h, daemon.LocalGrace, log)
 	return nil
 }
--- a/control/control.go
+++ b/control/control.go
@@ -143,7 +143,7 @@
 	operatorsAPI := &operatorAPI{service: c.service, log: c.log, keyHash: c.cfg.operatorKeyHash()}
 	// Actors are ended in this order: requests in progress need the components below.
 	daemon.Serve(g, operators, operatorsAPI.handler(), daemon.CloseGrace, c.log)
-	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.CloseGrace, c.log)
+	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.LocalGrace, c.log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, c.runReplica)
 	daemon.Actor(g, c.watchLeader)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -315,7 +315,7 @@
 	if err := public(g); err != nil {
 		return err
 	}
-	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.CloseGrace, c.log)
+	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.LocalGrace, c.log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, c.group.run)
 	daemon.Actor(g, c.follower.Run)
--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -39,7 +39,7 @@
 	s.ending = true
 	s.mu.Unlock()
 	for _, c := range s.list() {
-		c.endIfIdle()
+		c.endIfIdle(false)
 	}
 }
 
@@ -73,7 +73,7 @@
 
 // lastReadWait is how long a connection that is about to end waits for a request. A caller
 // that has just connected sends one within that time.
-const lastReadWait = 50 * time.Millisecond
+const lastReadWait = 40 * time.Millisecond
 
 // serverConn is a connection of an HTTP server that knows whether a request is in progress
 // on it: from the first byte read until net/http has flushed the answer. net/http itself
@@ -89,7 +89,7 @@
 	mu       sync.Mutex
 	busy     bool      // a request is in progress
 	ending   bool      // ends unless a last read brings a request
-	lastRead bool      // the last read has begun
+	lastRead bool      // there is no further read
 	deadline time.Time // of reads, as net/http has set it
 }
 
@@ -137,15 +137,15 @@
 	return c.busy
 }
 
-// endIfIdle ends the connection unless a request is in progress: the pending read fails, and
-// the last one follows.
-func (c *serverConn) endIfIdle() {
+// endIfIdle ends the connection unless a request is in progress: the pending read fails. A
+// last read follows, unless the connection has just carried its last answer.
+func (c *serverConn) endIfIdle(answered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy {
 		return
 	}
-	c.ending, c.lastRead = true, false
+	c.ending, c.lastRead = true, answered
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
@@ -178,7 +178,7 @@
 	c.busy = false
 	c.mu.Unlock()
 	if c.set.isEnding() {
-		c.endIfIdle()
+		c.endIfIdle(true)
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -139,5 +139,11 @@
 	return l, nil
 }
 
-// CloseGrace is the grace for Serve on the operators' listeners.
-const CloseGrace = 2 * time.Second
+// Graces for Serve. A process stops its servers one after the other, within the grace of its
+// own stop.
+const (
+	// CloseGrace is for requests that other processes take part in.
+	CloseGrace = 2 * time.Second
+	// LocalGrace is for requests that are answered from memory.
+	LocalGrace = 500 * time.Millisecond
+)
--- a/daemon/httpserver.go
+++ b/daemon/httpserver.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,6 +20,7 @@
 	http  http.Server
 	conns *connSet
 
+	closing   atomic.Bool   // see CloseAfterAnswers
 	accepted  chan struct{} // closed when the last connection has been accepted
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -26,6 +28,7 @@
 	mu       sync.Mutex
 	listener *connListener // nil before Serve
 	draining bool
+	drained  bool // a drain has ended
 }
 
 // HTTPLimits bounds the requests of an HTTPServer.
@@ -48,28 +51,57 @@
 // NewHTTPServer returns a server that does not listen yet.
 func NewHTTPServer(h http.Handler, log *slog.Logger) *HTTPServer {
 	s := &HTTPServer{conns: newConnSet(), accepted: make(chan struct{}), closed: make(chan struct{})}
-	s.http.Handler = s.closeWhenDraining(h)
+	s.http.Handler = s.closeWhenAsked(h)
 	s.http.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelDebug)
 	s.http.ConnState = onState
 	return s
 }
 
-// closeWhenDraining makes the answers of a draining server say that their connection closes.
-func (s *HTTPServer) closeWhenDraining(h http.Handler) http.Handler {
+// CloseAfterAnswers makes the answers that begin from now on say that their connection closes,
+// so that callers send their next request elsewhere. Connections are still accepted.
+func (s *HTTPServer) CloseAfterAnswers() { s.closing.Store(true) }
+
+// closeWhenAsked wraps a handler for CloseAfterAnswers.
+func (s *HTTPServer) closeWhenAsked(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.isDraining() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
+		answer := &closingWriter{ResponseWriter: w, closing: &s.closing}
+		h.ServeHTTP(answer, r)
+		answer.beforeHeader() // of a handler that writes nothing
 	})
 }
 
-func (s *HTTPServer) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
+// closingWriter decides when an answer's header is written whether its connection closes. The
+// request may have begun long before.
+type closingWriter struct {
+	http.ResponseWriter
+	closing *atomic.Bool
+	begun   bool
+}
+
+func (w *closingWriter) beforeHeader() {
+	if !w.begun && w.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.begun = true
 }
 
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.beforeHeader()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(p []byte) (int, error) {
+	w.beforeHeader()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // Serve accepts connections from l, which it closes, until the server is drained, and returns
 // nil once the server has been closed. Call it once.
 func (s *HTTPServer) Serve(l net.Listener, limits HTTPLimits) error {
@@ -114,6 +146,8 @@
 // Drain accepts the connections that wait in the listener's queue and no others, closes those
 // without a request, and returns when the last request has been answered or ctx ends.
 func (s *HTTPServer) Drain(ctx context.Context) {
+	defer s.markDrained()
+	s.CloseAfterAnswers()
 	s.mu.Lock()
 	s.draining = true
 	listener := s.listener
@@ -132,12 +166,33 @@
 	}
 }
 
-// Stop drains the server for at most grace and closes it.
+func (s *HTTPServer) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+func (s *HTTPServer) markDrained() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drained = true
+}
+
+func (s *HTTPServer) isDrained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drained
+}
+
+// Stop closes the server, after it has drained it for at most grace unless that has been done.
 func (s *HTTPServer) Stop(grace time.Duration) {
+	defer s.Close()
+	if s.isDrained() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	s.Drain(ctx)
-	s.Close()
 }
 
 // Close closes the listener and all connections.
--- a/daemon/httpserver_test.go
+++ b/daemon/httpserver_test.go
@@ -229,6 +229,57 @@
 	answers.Wait()
 }
 
+// stalledListener is a listener of a process that stands still before its first two accepts.
+type stalledListener struct {
+	*net.TCPListener
+	accepts int
+}
+
+func (l *stalledListener) Accept() (net.Conn, error) {
+	if l.accepts++; l.accepts <= 2 {
+		time.Sleep(5 * queueWait)
+	}
+	return l.TCPListener.Accept()
+}
+
+// Guards against the same when the process gets no processor for a while: the deadline of the
+// last accepts would pass before they look at the queue.
+func TestDrainAcceptsTheQueueAfterAStall(t *testing.T) {
+	l := listenLocal(t)
+	s := startHTTPServer(t, &stalledListener{TCPListener: l}, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	conn, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	var drained sync.WaitGroup
+	drained.Go(func() { s.Drain(t.Context()) })
+	body, _, err := exchangeOn(conn, bufio.NewReader(conn), "1", 1, nil)
+	require.NoError(t, err)
+	require.Equal(t, "/1", body)
+	drained.Wait()
+}
+
+// Guards against a process that waits for requests that don't end after their time is over.
+func TestStopAfterADrainClosesAtOnce(t *testing.T) {
+	l := listenLocal(t)
+	started := make(chan struct{})
+	s := startHTTPServer(t, l, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+	})
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	<-started
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	s.Drain(ctx)
+	start := time.Now()
+	s.Stop(5 * time.Second)
+	require.Less(t, time.Since(start), time.Second)
+}
+
 // Guards against a request that net/http has read together with the one before it, and that a
 // drain cuts off since no read announces it.
 func TestDrainAnswersPipelinedRequest(t *testing.T) {
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -11,7 +11,9 @@
 	// queueWait is how long it waits for a connection of its queue.
 	queueWait = 10 * time.Millisecond
 	// maxQueueTime ends the queue of a listener to which callers go on to connect.
-	maxQueueTime = 100 * time.Millisecond
+	maxQueueTime = 40 * time.Millisecond
+	// maxStalls is how often a wait is repeated because the process stood still during it.
+	maxStalls = 3
 )
 
 // connListener adds the connections that it accepts to a connSet. When it stops, it first
@@ -21,46 +23,69 @@
 	net.Listener
 	conns *connSet
 
+	acceptBy time.Time // end of accepting, used by Accept only; zero until the first wait after stop
+
 	mu       sync.Mutex
 	stopping bool
-	acceptBy time.Time // end of accepting; zero until the first wait after stop
 }
 
 // Accept returns net.ErrClosed once the listener has stopped.
 func (l *connListener) Accept() (net.Conn, error) {
-	stopping := l.prepare()
-	nc, err := l.Listener.Accept()
-	if err != nil && !stopping && l.prepare() {
-		nc, err = l.Listener.Accept() // stop ended the first wait
-		stopping = true
-	}
-	switch {
-	case err == nil:
-		return l.conns.add(nc), nil
-	case stopping:
-		return nil, net.ErrClosed
-	default:
+	nc, err := l.acceptNext()
+	if err != nil {
 		return nil, err
 	}
+	return l.conns.add(nc), nil
 }
 
-// prepare bounds the next wait for a connection if the listener stops, and reports that.
-func (l *connListener) prepare() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.stopping {
-		return false
+func (l *connListener) acceptNext() (net.Conn, error) {
+	if !l.isStopping() {
+		nc, err := l.Listener.Accept()
+		if err == nil || !l.isStopping() {
+			return nc, err
+		}
+	}
+	return l.acceptQueued()
+}
+
+// acceptQueued accepts a connection of the queue. A process that stands still between the
+// setting of the deadline and the wait tries again, since the wait ends then without a look at
+// the queue.
+func (l *connListener) acceptQueued() (net.Conn, error) {
+	for stalls := range maxStalls {
+		deadline := l.nextDeadline()
+		if stalls > 0 {
+			deadline = time.Now().Add(queueWait)
+		}
+		l.setDeadline(deadline)
+		nc, err := l.Listener.Accept()
+		if err == nil {
+			return nc, nil
+		}
+		if time.Since(deadline) < queueWait {
+			break
+		}
 	}
+	return nil, net.ErrClosed
+}
+
+// nextDeadline returns the end of the next wait for a connection of the queue.
+func (l *connListener) nextDeadline() time.Time {
 	now := time.Now()
 	if l.acceptBy.IsZero() {
 		l.acceptBy = now.Add(maxQueueTime) // from here: a busy process may be late
 	}
 	deadline := now.Add(queueWait)
 	if l.acceptBy.Before(deadline) {
-		deadline = l.acceptBy
+		return l.acceptBy
 	}
-	l.setDeadline(deadline)
-	return true
+	return deadline
+}
+
+func (l *connListener) isStopping() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopping
 }
 
 // stop makes Accept end once the queue is empty.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,7 @@
 	e.register(srv)
 	// Actors are ended in this order: requests in progress need the components below.
 	e.callers.AddTo(g, callers, daemon.DefaultHTTPLimits(), closeTimeout)
-	daemon.Serve(g, ops, e.operationsHandler(), daemon.CloseGrace, e.deps.Log)
+	daemon.Serve(g, ops, e.operationsHandler(), daemon.LocalGrace, e.deps.Log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, e.members.Run)
 	daemon.Actor(g, e.follower.run)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -255,7 +255,7 @@
 	if err != nil {
 		return err
 	}
-	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.CloseGrace, g.log)
+	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.LocalGrace, g.log)
 	daemon.Actor(&group, g.follower.Run)
 	daemon.Actor(&group, g.datagrams.run)
 	daemon.Actor(&group, func(ctx context.Context) error { return daemon.Every(ctx, upkeepInterval, g.upkeep) })
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -41,6 +41,7 @@
 func (g *Gateway) Leave(ctx context.Context, callers *daemon.HTTPServer) {
 	start := g.now()
 	g.leaving.Store(true)
+	callers.CloseAfterAnswers()
 	g.recordSequence.Add(1)
 	g.follower.SendNow()
 	event.Log(ctx, g.log, slog.LevelInfo, event.DrainBegun, slog.Int64("inFlight", g.inFlight.Load()))
--- a/gateway/leave_test.go
+++ b/gateway/leave_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,8 +27,9 @@
 
 // pauses are where a test holds up a request. A nil function does not.
 type pauses struct {
-	beforeServe func() // its body has been read
-	afterServe  func() // its answer has been written to net/http's buffer
+	beforeServe func()           // its body has been read
+	afterServe  func()           // its answer has been written to net/http's buffer
+	server      http.HandlerFunc // of the backend server; nil: a stream of three events
 }
 
 // startStop serves callers, calls before with the address, and then stops the entry.
@@ -35,7 +37,11 @@
 	r := newRig(t)
 	r.cfg.Node.Bounds.StopGrace = 3 * time.Second
 	r.setRoutes(routes.Route{Prefix: "/", Kind: kind, Timeout: 10 * time.Second})
-	r.server("web", stream(resumeAt, 3, true))
+	handler := p.server
+	if handler == nil {
+		handler = stream(resumeAt, 3, true)
+	}
+	r.server("web", handler)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	e := &stoppingEntry{rig: r, addr: l.Addr().String(), ended: make(chan struct{})}
@@ -73,20 +79,24 @@
 	if p.beforeServe != nil {
 		p.beforeServe()
 	}
-	out := &recorder{}
 	refusal := r.Serve(req.Context(), &Request{
 		ID: req.Header.Get("X-Id"), Method: req.Method, Host: "a.example", Path: req.URL.Path, Target: req.URL.Path, Header: http.Header{}, Body: body,
-	}, out)
+	}, relayed{w})
 	if refusal != nil {
 		http.Error(w, refusal.Reason.String(), http.StatusServiceUnavailable)
-		return
 	}
-	_, _ = w.Write(out.body)
 	if p.afterServe != nil {
 		p.afterServe()
 	}
 }
 
+// relayed is a Writer that writes an answer to a caller as it arrives.
+type relayed struct{ http.ResponseWriter }
+
+func (r relayed) Begin(status int, _ http.Header, _ int64) { r.WriteHeader(status) }
+
+func (r relayed) Flush() error { return http.NewResponseController(r.ResponseWriter).Flush() }
+
 // waitUntilClosed returns when the entry accepts no more connections.
 func (e *stoppingEntry) waitUntilClosed() {
 	require.Eventually(e.t, func() bool {
@@ -107,6 +117,13 @@
 	return c
 }
 
+func readHead(t *testing.T, r *bufio.Reader) *http.Response {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	return resp
+}
+
 func readAnswer(t *testing.T, c net.Conn) string {
 	t.Helper()
 	require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
@@ -193,3 +210,77 @@
 	<-e.ended
 	require.Less(t, time.Since(start), 2*time.Second)
 }
+
+// Guards against a stopping entry that takes another request on a connection whose answer it
+// ends late: the request is cut off at the end of the grace.
+func TestStopTakesNoRequestAfterALateAnswer(t *testing.T) {
+	for name, begunBefore := range map[string]bool{"answer begun before the stop": true, "answer begun after it": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var requests atomic.Int32
+			started, release := make(chan struct{}), make(chan struct{})
+			server := func(w http.ResponseWriter, req *http.Request) {
+				if requests.Add(1) > 1 {
+					<-req.Context().Done()
+					return
+				}
+				if begunBefore {
+					fmt.Fprint(w, "id: 1\ndata: event 1\n\n")
+					w.(http.Flusher).Flush()
+				}
+				close(started)
+				<-release
+				fmt.Fprint(w, "id: 2\ndata: event 2\n\n")
+			}
+			text := requestParts["within the body"][0] + "dy"
+			var c net.Conn
+			var r *bufio.Reader
+			var resp *http.Response
+			e := startStop(t, routes.Stream, pauses{server: server}, func(addr string) {
+				c = sendTo(t, addr, text)
+				require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+				r = bufio.NewReader(c)
+				<-started
+				if begunBefore {
+					resp = readHead(t, r)
+				}
+			})
+			defer c.Close()
+			e.waitUntilClosed()
+			daemon.Pause(t.Context(), 300*time.Millisecond)
+			close(release)
+			if !begunBefore {
+				resp = readHead(t, r)
+			}
+			require.Equal(t, !begunBefore, resp.Close, "the answer says that the connection closes")
+			_, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			if _, err = io.WriteString(c, text); err == nil {
+				_, err = http.ReadResponse(r, nil)
+			}
+			require.Error(t, err)
+			require.EqualValues(t, 1, requests.Load(), "requests that reached the server")
+			<-e.ended
+		})
+	}
+}
+
+// Guards against an entry that outlives the grace of its stop because a request does not end:
+// it would be killed before it has written its last log lines.
+func TestStopEndsWithinItsGrace(t *testing.T) {
+	t.Parallel()
+	started := make(chan struct{})
+	server := func(_ http.ResponseWriter, req *http.Request) {
+		close(started)
+		<-req.Context().Done()
+	}
+	var c net.Conn
+	e := startStop(t, routes.Idempotent, pauses{server: server}, func(addr string) {
+		c = sendTo(t, addr, requestParts["within the body"][0]+"dy")
+		<-started
+	})
+	defer c.Close()
+	start := time.Now()
+	<-e.ended
+	require.Less(t, time.Since(start), e.cfg.Node.Bounds.StopGrace)
+}
