entry: a request read after the hand-over is refused, and none is sent after its connection was closed

A request whose body was complete only after the entry had handed over its requests was begun and cut off, 6 s after the notice; it is now refused as not run, so that another entry runs it. Answers of plain calls did not say Connection: close, since copying the server's header removed it. A call that waits for a server, or may run only once, now ends before the callers' connections are closed; it could be sent in the time until the process ended.

--- a/daemon/httpserver.go
+++ b/daemon/httpserver.go
@@ -186,7 +186,12 @@
 
 // Stop closes the server, after it has drained it for at most grace unless that has been done.
 func (s *HTTPServer) Stop(grace time.Duration) {
-	defer s.Close()
+	s.DrainOnce(grace)
+	s.Close()
+}
+
+// DrainOnce drains the server for at most grace, unless a drain has ended before.
+func (s *HTTPServer) DrainOnce(grace time.Duration) {
 	if s.isDrained() {
 		return
 	}
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -36,21 +36,21 @@
 	return &pausedRequest{conn: c, rest: text[split:]}
 }
 
-// finish sends the rest of the request and returns the status and the whole body.
-func (p *pausedRequest) finish() (int, string, error) {
+// finish sends the rest of the request and returns the answer and its whole body.
+func (p *pausedRequest) finish() (*http.Response, string, error) {
 	if _, err := io.WriteString(p.conn, p.rest); err != nil {
-		return 0, "", err
+		return nil, "", err
 	}
 	if err := p.conn.SetReadDeadline(time.Now().Add(waitTimeout)); err != nil {
-		return 0, "", err
+		return nil, "", err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(p.conn), nil)
 	if err != nil {
-		return 0, "", err
+		return nil, "", err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(body), err
+	return resp, string(body), err
 }
 
 // Guards against a reclaimed entry that ends while requests are being read: their callers would
@@ -71,9 +71,9 @@
 	s.reclaimEntry(1, notice)
 	time.Sleep(notice * 5 / 8) // the entry has no request that it counts since half of the notice
 	for i, p := range parts {
-		status, body, err := p.finish()
-		if err != nil || status != http.StatusOK && status != http.StatusServiceUnavailable {
-			t.Errorf("request %d: status %d, %v, %s", i, status, err, body)
+		resp, body, err := p.finish()
+		if err != nil || resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("request %d: %+v, %v, %s", i, resp, err, body)
 		}
 	}
 	select {
@@ -83,3 +83,37 @@
 		t.Error("the entry has not ended within the notice")
 	}
 }
+
+// Guards against a reclaimed entry that begins a long answer when it has handed over its
+// requests already: the answer would be cut off, and the entry outlive its notice.
+func TestReclaimedEntryBeginsNoAnswerAfterItsHandOver(t *testing.T) {
+	const notice = 6 * time.Second
+	s, entries, _ := newSmallSite(t, 1)
+	stream, _ := chatBody("Good morning", 2000, true) // takes 20 s
+	p := s.sendPart(1, "POST", "/v1/chat/completions", stream, true)
+	s.reclaimEntry(1, notice)
+	noticed := time.Now()
+	time.Sleep(notice * 5 / 8)
+	resp, body, err := p.finish()
+	require.NoError(t, err, "the answer is cut off")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Contains(t, body, "not_run")
+	<-entries[0].done
+	require.Less(t, time.Since(noticed), notice+time.Second)
+}
+
+// Guards against callers that keep their connections to a leaving entry until it ends.
+func TestAnswersOfALeavingEntryCloseTheirConnections(t *testing.T) {
+	s, _, _ := newSmallSite(t, 1)
+	chat, _ := chatBody("hello", 2, false)
+	s.reclaimEntry(1, 20*time.Second)
+	time.Sleep(200 * time.Millisecond)
+	for _, x := range []struct{ method, path, body string }{
+		{"PUT", "/svc/echo/tiles/7", "1 EUR"}, {"POST", "/svc/echo/credit", "1 EUR"}, {"POST", "/v1/chat/completions", chat},
+	} {
+		resp, _, err := s.sendPart(1, x.method, x.path, x.body, true).finish()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.True(t, resp.Close, "%s %s", x.method, x.path)
+	}
+}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -118,6 +118,17 @@
 	return now.Add(min(time.Duration(min(ms, maxDeadline.Milliseconds()))*time.Millisecond, maxDeadline)), nil
 }
 
+// readBody reads a whole request body of at most limit bytes. It refuses the request if this
+// entry has closed meanwhile: its requests may have been handed over already, and this one
+// would be cut off.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *request.Problem) {
+	body, p := readBody(w, r, limit)
+	if p == nil && !e.acceptsRequests() {
+		return nil, e.drainingProblem()
+	}
+	return body, p
+}
+
 // readBody reads a whole request body of at most limit bytes. Nothing is sent to a backend
 // server before the body is complete, so a request whose body breaks off has not run and
 // occupies no server.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,7 +131,7 @@
 		control: e.control, pool: e.pool, peers: e.peerLinks, log: deps.Log, now: deps.Now,
 		freshFor: cfg.FreshFor, interval: catalogueInterval, serveUnconfirmed: cfg.ServeUnconfirmed, onChange: e.catalogueChanged,
 	}
-	e.callers = daemon.NewHTTPServer(e.closeWhenLeaving(e.Handler()), deps.Log)
+	e.callers = daemon.NewHTTPServer(e.Handler(), deps.Log)
 	return e, e.join()
 }
 
@@ -176,7 +176,7 @@
 	srv := link.NewServer(link.ServerConfig{Self: e.peerInfo(), ClusterKey: []byte(e.cfg.ClusterKey)}, link.ServerDeps{Log: e.deps.Log, Traffic: e.traffic})
 	e.register(srv)
 	// Actors are ended in this order: requests in progress need the components below.
-	e.callers.AddTo(g, callers, daemon.DefaultHTTPLimits(), closeTimeout)
+	g.Add(func() error { return e.callers.Serve(callers, daemon.DefaultHTTPLimits()) }, func(error) { e.closeCallers() })
 	daemon.Serve(g, ops, e.operationsHandler(), daemon.LocalGrace, e.deps.Log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, e.members.Run)
@@ -194,6 +194,14 @@
 	return nil
 }
 
+// closeCallers closes the callers' connections. Requests end before them: one that waits for a
+// server would be sent although its caller gets no answer.
+func (e *Entry) closeCallers() {
+	e.callers.DrainOnce(closeTimeout)
+	e.cancel()
+	e.callers.Close()
+}
+
 // addPeriodic adds an actor that calls fn once per period.
 func addPeriodic(g *run.Group, period time.Duration, fn func()) {
 	daemon.Actor(g, func(ctx context.Context) error { return daemon.Every(ctx, period, fn) })
--- a/entry/life.go
+++ b/entry/life.go
@@ -59,13 +59,6 @@
 	}
 }
 
-// leaving reports whether the process is going to end.
-func (l *lifecycle) leaving() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.endsProcess
-}
-
 // close moves the entry to its last phase.
 func (l *lifecycle) close() {
 	l.mu.Lock()
@@ -139,17 +132,6 @@
 	}
 }
 
-// closeWhenLeaving makes the answers of an entry that leaves say that their connection closes,
-// so that the caller's next request goes to another entry.
-func (e *Entry) closeWhenLeaving(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.lifecycle.leaving() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
 // drainPollInterval is how often a drain checks whether it is done.
 const drainPollInterval = 50 * time.Millisecond
 
@@ -159,6 +141,7 @@
 func (e *Entry) leave(ctx context.Context, limit time.Duration) {
 	startedAt := e.deps.Now()
 	e.lifecycle.startLeaving()
+	e.callers.CloseAfterAnswers()
 	e.publishLeaving()
 	event.Log(ctx, e.deps.Log, slog.LevelInfo, event.DrainBegun,
 		slog.String("cause", "leave"), slog.Duration("limit", limit), slog.Int("unfinished", e.unfinished()))
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -55,7 +55,7 @@
 		return
 	}
 	defer e.release(call.request, plainCallTokens)
-	ctx, cancel := context.WithDeadline(callContext(r.Context(), call.request), call.request.Deadline)
+	ctx, cancel := e.callContext(r.Context(), call.request)
 	defer cancel()
 	call.ctx = ctx
 	e.plainRunning.Add(1)
@@ -66,14 +66,20 @@
 	}
 }
 
-// callContext returns the context in which a call runs. A call that may run only once
-// continues after its caller has disconnected. If it were cancelled, its outcome would be
-// unknown although the server may be about to answer, and no resend could get the answer.
-func callContext(caller context.Context, r *request.Request) context.Context {
-	if r.Idempotent {
-		return caller
-	}
-	return context.WithoutCancel(caller)
+// callContext returns the context in which a call runs, until its deadline and the end of this
+// entry. A call that may run only once continues after its caller has disconnected. If it were
+// cancelled, its outcome would be unknown although the server may be about to answer, and no
+// resend could get the answer.
+func (e *Entry) callContext(caller context.Context, r *request.Request) (context.Context, context.CancelFunc) {
+	if !r.Idempotent {
+		caller = context.WithoutCancel(caller)
+	}
+	ctx, cancel := context.WithDeadline(caller, r.Deadline)
+	stop := context.AfterFunc(e.ctx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
 // acceptPlain validates and admits a plain call.
@@ -91,7 +97,7 @@
 	if !req.Idempotent && req.Key == "" {
 		return nil, request.NewProblem(request.CodeKeyMissing, request.NotRun, "%s %s may not be repeated", req.Method, path)
 	}
-	if req.Body, p = readBody(w, c.http, s.BodyLimit()); p != nil {
+	if req.Body, p = e.readBody(w, c.http, s.BodyLimit()); p != nil {
 		return nil, p
 	}
 	req.Path = path
