policy/route, gateway: a server that says in its answers that it leaves gets no more requests from this entry

An entry heard only from control replicas that a server leaves. One that is out of touch with them, or hears late, went on sending to it. The header of an answer (Server-Leaving on the users' platform) now restricts the server for the rest of its incarnation, whatever is announced, and also after it was unreachable.

--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -28,6 +28,9 @@
 func (s *service) applyNotice(c *choice, n Notice, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if n.Leaving {
+		s.router.RecordLeaving(c.verdict.Server, c.verdict.Incarnation, now)
+	}
 	if n.Pause > 0 {
 		s.router.Pause(c.verdict.Server, c.verdict.Incarnation, now.Add(n.Pause), now)
 	}
--- a/policy/route/restriction.go
+++ b/policy/route/restriction.go
@@ -6,6 +6,7 @@
 // incarnation, and also after the server has been removed and announced again.
 type restriction struct {
 	incarnation uint64
+	leaving     bool      // it is about to end
 	pausedUntil time.Time // it wants no requests until then
 	recordedAt  time.Time
 }
@@ -25,6 +26,12 @@
 	})
 }
 
+// RecordLeaving keeps requests from a server that has said in an answer that it leaves. Unlike
+// MarkLeaving it holds for the rest of the incarnation, whatever is announced.
+func (r *Router) RecordLeaving(id string, incarnation uint64, now time.Time) {
+	r.restrict(id, incarnation, now, func(x *restriction) { x.leaving = true })
+}
+
 // restrict changes the restriction of a server, and applies it unless the server has started
 // again.
 func (r *Router) restrict(id string, incarnation uint64, now time.Time, change func(*restriction)) {
@@ -44,7 +51,7 @@
 	}
 }
 
-// expireRestrictions removes the restrictions of servers that are gone.
+// expireRestrictions removes the restrictions of servers that have been gone for long.
 func (r *Router) expireRestrictions(now time.Time) {
 	for id, x := range r.restrictions {
 		if now.Sub(x.recordedAt) > restrictionTTL && !now.Before(x.pausedUntil) && r.server(id) == nil {
@@ -67,6 +74,7 @@
 	if s.incarnation != x.incarnation {
 		return
 	}
+	s.serving = s.serving && !x.leaving
 	s.pausedUntil = x.pausedUntil
 	s.paused = !x.pausedUntil.IsZero()
 }
