daemon: a listener that stops ends its queue, also after the process stood still

A wait during which the process stood still got another 10 ms, for each connection anew: after one stall of 60 ms a listener went on accepting for as long as callers connected every 10 ms, up to the end of the grace, and idle connections stayed open. Such waits are now bounded over the listener's life. A connection that has carried its last answer is never read again. Servers that answer from memory get 0.3 s, less than what a leaving entry keeps for its end.

TestDrainEndsAcceptingWhileCallersConnect: red before (2 s, its limit), green now.

--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -145,7 +145,7 @@
 	if c.busy {
 		return
 	}
-	c.ending, c.lastRead = true, answered
+	c.ending, c.lastRead = true, c.lastRead || answered
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -145,5 +145,5 @@
 	// CloseGrace is for requests that other processes take part in.
 	CloseGrace = 2 * time.Second
 	// LocalGrace is for requests that are answered from memory.
-	LocalGrace = 500 * time.Millisecond
+	LocalGrace = 300 * time.Millisecond
 )
--- a/daemon/httpserver_test.go
+++ b/daemon/httpserver_test.go
@@ -258,6 +258,31 @@
 	drained.Wait()
 }
 
+// Guards against a listener that goes on accepting, once the process has stood still, for as long
+// as callers connect: the drain would take requests that it cuts off at its end.
+func TestDrainEndsAcceptingWhileCallersConnect(t *testing.T) {
+	l := listenLocal(t)
+	s := startHTTPServer(t, &stalledListener{TCPListener: l}, func(http.ResponseWriter, *http.Request) {})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	var callers sync.WaitGroup
+	callers.Go(func() {
+		for ctx.Err() == nil {
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			time.Sleep(3 * time.Millisecond)
+			_ = c.Close()
+		}
+	})
+	time.Sleep(20 * time.Millisecond)
+	s.Drain(ctx)
+	require.NoError(t, ctx.Err(), "the drain did not end")
+	callers.Wait()
+}
+
 // Guards against a process that waits for requests that don't end after their time is over.
 func TestStopAfterADrainClosesAtOnce(t *testing.T) {
 	l := listenLocal(t)
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -12,7 +12,7 @@
 	queueWait = 10 * time.Millisecond
 	// maxQueueTime ends the queue of a listener to which callers go on to connect.
 	maxQueueTime = 40 * time.Millisecond
-	// maxStalls is how often a wait is repeated because the process stood still during it.
+	// maxStalls bounds the waits that are repeated because the process stood still.
 	maxStalls = 3
 )
 
@@ -23,7 +23,9 @@
 	net.Listener
 	conns *connSet
 
-	acceptBy time.Time // end of accepting, used by Accept only; zero until the first wait after stop
+	// Used by Accept only.
+	acceptBy time.Time // end of accepting; zero until the first wait after stop
+	stalls   int       // waits after stop during which the process stood still
 
 	mu       sync.Mutex
 	stopping bool
@@ -52,21 +54,19 @@
 // setting of the deadline and the wait tries again, since the wait ends then without a look at
 // the queue.
 func (l *connListener) acceptQueued() (net.Conn, error) {
-	for stalls := range maxStalls {
+	for {
 		deadline := l.nextDeadline()
-		if stalls > 0 {
-			deadline = time.Now().Add(queueWait)
-		}
 		l.setDeadline(deadline)
 		nc, err := l.Listener.Accept()
 		if err == nil {
 			return nc, nil
 		}
-		if time.Since(deadline) < queueWait {
-			break
+		if time.Since(deadline) < queueWait || l.stalls >= maxStalls {
+			return nil, net.ErrClosed
 		}
+		l.stalls++
+		l.acceptBy = time.Now().Add(queueWait)
 	}
-	return nil, net.ErrClosed
 }
 
 // nextDeadline returns the end of the next wait for a connection of the queue.
