daemon: a body that is too large is answered at once

The writer that decides on Connection: close hid net/http's own from http.MaxBytesReader, which closes the connection of a request that is too large. Without that the answer waited for up to 256 KB of the rest of the body.

TestTooLargeBodyIsAnsweredAtOnce: red before (no answer in 2 s), green now.

--- a/daemon/httpserver.go
+++ b/daemon/httpserver.go
@@ -14,8 +14,9 @@
 	"github.com/oklog/run"
 )
 
-// HTTPServer is an HTTP server that can be drained: each request of which a byte has been
-// read is answered, and no connection is closed under one.
+// HTTPServer is an HTTP server that can be drained: no connection is closed under a request of
+// which a byte has been read, except one that is sent before the answer to the last request of
+// its connection has ended.
 type HTTPServer struct {
 	http  http.Server
 	conns *connSet
@@ -71,7 +72,9 @@
 }
 
 // closingWriter decides when an answer's header is written whether its connection closes. The
-// request may have begun long before.
+// request may have begun long before. It also closes after a body that is too large, as
+// http.MaxBytesReader does on a writer of net/http itself; otherwise the answer would wait for
+// the rest of the body.
 type closingWriter struct {
 	http.ResponseWriter
 	closing *atomic.Bool
@@ -87,6 +90,9 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (w *closingWriter) WriteHeader(status int) {
+	if status == http.StatusRequestEntityTooLarge {
+		w.Header().Set("Connection", "close")
+	}
 	if status >= http.StatusOK {
 		w.beforeHeader()
 	}
--- a/daemon/httpserver_test.go
+++ b/daemon/httpserver_test.go
@@ -283,6 +283,27 @@
 	callers.Wait()
 }
 
+// Guards against a caller whose request is too large and who gets no answer until it has sent all
+// of it.
+func TestTooLargeBodyIsAnsweredAtOnce(t *testing.T) {
+	l := listenLocal(t)
+	startHTTPServer(t, l, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1000)); err != nil {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		}
+	})
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 2000))
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(2*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+	require.True(t, resp.Close)
+}
+
 // Guards against a process that waits for requests that don't end after their time is over.
 func TestStopAfterADrainClosesAtOnce(t *testing.T) {
 	l := listenLocal(t)
