policy/route, gateway: a pause outlasts a restart of its server for a short time, and callers are told to come back within a second

Up to 10 s of a pause now carry over. Callers that were refused while all servers pause could be told to wait for up to an hour, though the pause is this entry's alone: they are told 0.1 to 1 s. A server that is removed or has started again after it was chosen is no longer excluded before the send. Expired restrictions are looked for once a minute.

--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -52,12 +52,19 @@
 	return r
 }
 
-// pauseSpread is the largest fraction by which callers are told to wait longer than until the
-// first server's pause ends, so that they don't all return at once.
-const pauseSpread = 0.25
+const (
+	// minPauseRetry and maxPauseRetry bound the Retry-After of a refusal while all servers have
+	// asked for a pause. The pause is this entry's: at another one a server may have room before.
+	minPauseRetry = 100 * time.Millisecond
+	maxPauseRetry = time.Second
+	// pauseRetrySpread is the largest fraction by which callers are told to wait longer, so that
+	// they don't all return at once.
+	pauseRetrySpread = 0.25
+)
 
 // pausedRefusal returns the refusal of a request while all servers have asked for a pause.
 func pausedRefusal(v *route.Verdict) *Refusal {
-	wait := time.Duration(float64(v.RetryAfter) * (1 + pauseSpread*rand.Float64()))
+	wait := min(max(v.RetryAfter, minPauseRetry), maxPauseRetry)
+	wait = time.Duration(float64(wait) * (1 + pauseRetrySpread*rand.Float64()))
 	return &Refusal{Reason: Overloaded, RetryAfter: wait, Detail: v.Reason.String()}
 }
--- a/policy/route/restriction.go
+++ b/policy/route/restriction.go
@@ -2,57 +2,92 @@
 
 import "time"
 
-// restriction is what a server has said about itself in its answers. It holds for one
-// incarnation, and also after the server has been removed and announced again.
+// restriction is what a server has said about itself in its answers. It also holds while the
+// server is removed, and after it has been announced again.
 type restriction struct {
 	incarnation uint64
-	leaving     bool      // it is about to end
+	leaving     bool      // this incarnation is about to end
 	pausedUntil time.Time // it wants no requests until then
 	recordedAt  time.Time
 }
 
-// restrictionTTL is how long the restriction of a server is kept that is not in use. Servers
-// that are only unreachable return sooner.
-const restrictionTTL = 10 * time.Minute
+const (
+	// restrictionTTL is how long the restriction of a server is kept that is not known.
+	// Servers that are only unreachable return sooner.
+	restrictionTTL = 10 * time.Minute
+	// expireEvery is the minimum interval between looks for expired restrictions, of which
+	// there may be thousands.
+	expireEvery = time.Minute
+	// maxCarriedPause bounds a pause that outlasts a restart of the server. An answer of the
+	// new incarnation may arrive before its announcement, and the two can't be told apart.
+	maxCarriedPause = 10 * time.Second
+)
 
 // Pause keeps requests from a server until a time, because it has turned one away and asked for
-// that. It has no effect on a later incarnation, and none if the server has asked for a longer
-// pause before.
+// that, unless it has asked for a longer pause before.
 func (r *Router) Pause(id string, incarnation uint64, until, now time.Time) {
-	r.restrict(id, incarnation, now, func(x *restriction) {
-		if until.After(x.pausedUntil) {
-			x.pausedUntil = until
-		}
-	})
+	r.expireRestrictions(now)
+	x := r.restrictionFor(id, incarnation, now)
+	if x.incarnation > incarnation {
+		until = earlier(until, now.Add(maxCarriedPause))
+	}
+	if until.After(x.pausedUntil) {
+		x.pausedUntil = until
+	}
+	r.restrict(id, x, now)
 }
 
 // RecordLeaving keeps requests from a server that has said in an answer that it leaves. Unlike
 // MarkLeaving it holds for the rest of the incarnation, whatever is announced.
 func (r *Router) RecordLeaving(id string, incarnation uint64, now time.Time) {
-	r.restrict(id, incarnation, now, func(x *restriction) { x.leaving = true })
+	r.expireRestrictions(now)
+	x := r.restrictionFor(id, incarnation, now)
+	if x.incarnation == incarnation {
+		x.leaving = true
+	}
+	r.restrict(id, x, now)
 }
 
-// restrict changes the restriction of a server, and applies it unless the server has started
-// again.
-func (r *Router) restrict(id string, incarnation uint64, now time.Time, change func(*restriction)) {
-	x, known := r.restrictions[id]
-	switch {
-	case known && x.incarnation > incarnation:
-		return
-	case !known || x.incarnation < incarnation:
-		r.expireRestrictions(now)
-		x = restriction{incarnation: incarnation}
+// restrictionFor returns the restriction of a server for an incarnation, or for the one that is
+// known by now if that is later.
+func (r *Router) restrictionFor(id string, incarnation uint64, now time.Time) restriction {
+	if s := r.server(id); s != nil {
+		incarnation = max(incarnation, s.incarnation)
 	}
+	x := r.restrictions[id]
+	if x.incarnation < incarnation {
+		return restriction{incarnation: incarnation, pausedUntil: earlier(x.pausedUntil, now.Add(maxCarriedPause))}
+	}
+	return x
+}
+
+func (r *Router) restrict(id string, x restriction, now time.Time) {
 	x.recordedAt = now
-	change(&x)
 	r.restrictions[id] = x
 	if s := r.server(id); s != nil {
 		s.apply(x)
 	}
 }
 
+// applyRestriction applies the restriction of a server that has been announced.
+func (r *Router) applyRestriction(s *server, now time.Time) {
+	x, restricted := r.restrictions[s.id]
+	if !restricted {
+		return
+	}
+	if x.incarnation < s.incarnation {
+		r.restrict(s.id, r.restrictionFor(s.id, s.incarnation, now), now)
+		return
+	}
+	s.apply(x)
+}
+
 // expireRestrictions removes the restrictions of servers that have been gone for long.
 func (r *Router) expireRestrictions(now time.Time) {
+	if now.Sub(r.restrictionsExpired) < expireEvery {
+		return
+	}
+	r.restrictionsExpired = now
 	for id, x := range r.restrictions {
 		if now.Sub(x.recordedAt) > restrictionTTL && !now.Before(x.pausedUntil) && r.server(id) == nil {
 			delete(r.restrictions, id)
@@ -84,9 +119,20 @@
 	return s.paused && now.Before(s.pausedUntil)
 }
 
-// MaySend reports whether a server that was chosen may still be sent a request: it has not
-// started again, been removed, begun to leave or asked for a pause since.
+// MaySend reports whether a server that was chosen may still be sent a request: it has not begun
+// to leave or asked for a pause since.
 func (r *Router) MaySend(id string, incarnation uint64, now time.Time) bool {
+	x := r.restrictions[id]
+	if now.Before(x.pausedUntil) || x.leaving && x.incarnation == incarnation {
+		return false
+	}
 	s := r.server(id)
-	return s != nil && s.incarnation == incarnation && s.serving && !s.isPaused(now)
+	return s == nil || s.incarnation != incarnation || s.serving
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
--- a/policy/route/restriction_test.go
+++ b/policy/route/restriction_test.go
@@ -21,7 +21,7 @@
 
 // Guards against a choice of a server within the pause that it has asked for, or after it has
 // said that it leaves, whatever is announced, removed, probed or excluded in between, and
-// against one that stays out of the choice after its pause or its restart.
+// against one that stays out of the choice after its pause, or that leaves no longer after a restart.
 func TestRestrictedServerIsNeverChosen(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := DefaultConfig()
@@ -50,7 +50,7 @@
 				r.Remove(id)
 				announce(id)
 			case 2: // it starts again
-				*s = restrictedServer{incarnation: s.incarnation + 1}
+				*s = restrictedServer{incarnation: s.incarnation + 1, pausedUntil: earlier(s.pausedUntil, now.Add(maxCarriedPause))}
 				announce(id)
 			case 3:
 				until := now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "pause")) * time.Millisecond)
@@ -60,6 +60,9 @@
 				}
 			case 4: // the answer of an earlier incarnation arrives late
 				r.Pause(id, s.incarnation-1, now.Add(time.Hour), now)
+				if until := now.Add(maxCarriedPause); until.After(s.pausedUntil) {
+					s.pausedUntil = until
+				}
 				r.RecordLeaving(id, s.incarnation-1, now)
 			case 5:
 				r.RecordLeaving(id, s.incarnation, now)
--- a/policy/route/router.go
+++ b/policy/route/router.go
@@ -27,7 +27,8 @@
 	rateSamples        int           // samples that the prefill rate was learned from
 	ownRateSamples     int           // those of this entry, without a suggested rate
 
-	restrictions map[string]restriction // by server
+	restrictions        map[string]restriction // by server
+	restrictionsExpired time.Time              // last look for expired ones
 
 	slotsByID []int // slots of the servers, sorted by id; nil if not up to date
 
@@ -71,9 +72,7 @@
 		return false
 	}
 	s.update(a, at, now)
-	if x, restricted := r.restrictions[a.ID]; restricted {
-		s.apply(x)
-	}
+	r.applyRestriction(s, now)
 	return true
 }
 
