entry, native: a server that asks for a pause gets no requests from this entry until it ends

Cause: the entry read Retry-After of a server's 503 nowhere, so the server, idle after its refusal, was the cheapest for the next request. Fractions of a second weren't parsed either.

Change: native.NoticeOf and NoticeOfError read the pause of a 503, with fractions. lanes.heed applies it to all lanes before the failed attempt ends, which dispatches the next request, and keeps it for lanes that are created later.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -51,6 +51,7 @@
 	now     func() time.Time
 	metrics *Metrics
 	guard   *guard
+	lanes   *lanes
 }
 
 // run makes attempts until w's journal has ended. granted is the server that the queue
@@ -201,6 +202,7 @@
 	go watch.run(ctx)
 	stream, err := r.engines.Chat(ctx, g.verdict.Address, string(w.request.ID), body)
 	if err != nil {
+		r.lanes.heed(g, native.NoticeOfError(err))
 		return request.End{}, attemptError(ctx, err)
 	}
 	defer stream.Close()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,7 +122,7 @@
 	engines := native.NewEngine(native.EngineConfig{})
 	e.plainClient = native.NewPlain(native.PlainConfig{})
 	e.runner = &runner{
-		engines: engines, log: deps.Log, now: deps.Now, metrics: e.metrics, guard: e.guard,
+		engines: engines, log: deps.Log, now: deps.Now, metrics: e.metrics, guard: e.guard, lanes: e.lanes,
 	}
 	e.prefixes = &prefixes{
 		entry: e, lanes: e.lanes, engines: engines, log: deps.Log, fetchGroup: &e.listingFetches, ctx: e.ctx, fetches: map[string]bool{},
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -1,16 +1,13 @@
 package entry
 
 import (
-	"context"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"savoryreel.example/savoryreel/contract"
-	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/policy/admit"
 	"savoryreel.example/savoryreel/policy/queue"
@@ -328,26 +325,6 @@
 	l.dispatch(l.now())
 }
 
-// slowHealthWeight is the health weight below which a server is logged as slow. The weight
-// excludes the slow start of a new server.
-const slowHealthWeight = 0.5
-
-// logSlow logs each server that becomes slow or ceases to be.
-func (l *lane) logSlow() {
-	now := l.now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id := range l.slots {
-		slow := l.router.HealthWeight(id) < slowHealthWeight
-		if slow == l.loggedSlow[id] {
-			continue
-		}
-		l.loggedSlow[id] = slow
-		event.Log(context.Background(), l.log, slog.LevelWarn, event.ServerSlow,
-			slog.String("server", id), slog.Bool("slow", slow), slog.Float64("share", l.router.Weight(id, now)))
-	}
-}
-
 // announce applies a backend server's announcement, whose load was measured at loadAt, and
 // dispatches waiting requests.
 func (l *lane) announce(a *instance.Announcement, loadAt time.Time) {
@@ -397,21 +374,3 @@
 	l.entryCount, l.entryIndex = count, index
 	l.router.SetEntries(count)
 }
-
-// logRoute logs a routing decision with its runners-up.
-func (l *lane) logRoute(r *request.Request, v *route.Verdict, waited time.Duration) {
-	ctx := context.Background()
-	if !l.log.Enabled(ctx, slog.LevelInfo) {
-		return
-	}
-	others := make([]string, 0, len(v.RunnersUp()))
-	for _, c := range v.RunnersUp() {
-		others = append(others, c.Server+":"+strconv.FormatInt(c.Score.Milliseconds(), 10)+"ms")
-	}
-	event.Log(ctx, l.log, slog.LevelInfo, event.RouteChosen,
-		slog.String("request", string(r.ID)), slog.String("workspace", r.Workspace),
-		slog.String("service", r.Service), slog.String("class", string(r.Class)),
-		slog.String("server", v.Server), slog.String("reason", v.Reason.String()),
-		slog.Duration("score", v.Score), slog.Int("load", v.Load), slog.Int("cachedTokens", v.CachedTokens),
-		slog.Duration("waited", waited), slog.Any("runnersUp", others))
-}
--- a/entry/lanes.go
+++ b/entry/lanes.go
@@ -23,8 +23,9 @@
 	// servers holds the last known state of each server. A lane that is created later, when
 	// a catalogue change adds a service, starts with it.
 	servers  map[string]*serverState
-	stopped  map[string]bool // servers that a planned stop covers
-	sequence uint64          // of the announcements passed to the lanes
+	notices  map[string]notice // by server
+	stopped  map[string]bool   // servers that a planned stop covers
+	sequence uint64            // of the announcements passed to the lanes
 }
 
 // serverState is a server's state from the membership. loadAt is when its load was
@@ -37,7 +38,7 @@
 func newLanes(location entryLocation, log *slog.Logger, now func() time.Time) *lanes {
 	return &lanes{
 		location: location, log: log, now: now, entryCount: 1,
-		byKey: map[laneKey]*lane{}, servers: map[string]*serverState{}, stopped: map[string]bool{},
+		byKey: map[laneKey]*lane{}, servers: map[string]*serverState{}, notices: map[string]notice{}, stopped: map[string]bool{},
 	}
 }
 
@@ -64,6 +65,7 @@
 		return nil, err
 	}
 	l.setEntries(ls.entryCount, ls.entryIndex) // does not block on the lane's lock, since the lane is not shared yet
+	ls.applyNotices(l)
 	for _, h := range ls.servers {
 		if slices.Contains(laneKeysOf(h.server), key) {
 			l.announce(ls.announcement(h), h.loadAt)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -236,6 +236,7 @@
 	started := c.entry.deps.Now()
 	resp, sent, err := do(c.ctx, g.verdict.Address, out)
 	if err == nil {
+		c.entry.lanes.heed(g, native.NoticeOf(resp.StatusCode, resp.Header))
 		g.firstToken(c.entry.deps.Now().Sub(started))
 		return resp, sent, nil
 	}
--- /dev/null
+++ b/native/notice.go
@@ -0,0 +1,46 @@
+package native
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// AnswerNotice is what an answer says about the server that gave it.
+type AnswerNotice struct {
+	Pause time.Duration // the server wants no requests for so long; 0: it asks for no pause
+}
+
+// NoticeOf returns the notice in an answer. Only with status 503 a Retry-After asks for a pause:
+// with other statuses it concerns the one request.
+func NoticeOf(status int, h http.Header) AnswerNotice {
+	var n AnswerNotice
+	if status == http.StatusServiceUnavailable {
+		n.Pause = parseRetryAfter(h.Get(HeaderRetryAfter))
+	}
+	return n
+}
+
+// NoticeOfError returns the notice in the answer that a call has failed with, if any.
+func NoticeOfError(err error) AnswerNotice {
+	var callErr *CallError
+	if !errors.As(err, &callErr) || callErr.Status != http.StatusServiceUnavailable {
+		return AnswerNotice{}
+	}
+	return AnswerNotice{Pause: callErr.RetryAfter}
+}
+
+// parseRetryAfter parses a Retry-After header in seconds, also with a fraction. It returns 0 for
+// any other format.
+func parseRetryAfter(value string) time.Duration {
+	if strings.Trim(value, "0123456789.") != "" {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
--- /dev/null
+++ b/native/notice_test.go
@@ -0,0 +1,26 @@
+package native_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/native"
+)
+
+// Guards against a pause that is too long, or that the server hasn't asked for: a server would
+// be out of use for nothing, or get requests before it wants them.
+func TestPauseThatAnswerAsksFor(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"2": 2 * time.Second, "0.25": 250 * time.Millisecond, "1.": time.Second, "3600.5": time.Hour, "99999999999999999999": time.Hour,
+		"": 0, "0": 0, "-1": 0, "+1": 0, "NaN": 0, "Inf": 0, "1e3": 0, "0x10": 0, "1 s": 0, ".": 0, "1.2.3": 0, "Thu, 03 Dec 2026 17:00:00 GMT": 0,
+	} {
+		h := http.Header{native.HeaderRetryAfter: {value}}
+		require.Equal(t, native.AnswerNotice{Pause: want}, native.NoticeOf(http.StatusServiceUnavailable, h), "%q", value)
+		for _, status := range []int{http.StatusOK, http.StatusTooManyRequests, http.StatusBadGateway} {
+			require.Zero(t, native.NoticeOf(status, h))
+		}
+	}
+}
--- a/native/transport.go
+++ b/native/transport.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"sync"
 	"time"
 )
@@ -207,13 +206,3 @@
 	}
 	return MaybeRan
 }
-
-// parseRetryAfter parses a Retry-After header in seconds. It returns 0 for any other
-// format.
-func parseRetryAfter(value string) time.Duration {
-	seconds, err := strconv.ParseUint(value, 10, 32)
-	if err != nil {
-		return 0
-	}
-	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
-}
