entry, native: a backend server that says in its answers that it leaves gets no more requests from this entry

Cause: the native protocol had no way to say so. An entry that an announcement didn't reach sent on to a server about to end.

Change: header Savoryreel-Leaving: 1 on any answer of a plain service or a model engine; the stand-ins send it once they leave. The entry records it for the incarnation in all lanes, also against later announcements as serving; a lane whose last server it was refuses at once; the server's end is no crash of the requests there. The header isn't passed on, in either direction.

Measured: TestServerThatLeavesInItsAnswersGetsNoRequests (six cases), TestCallerGetsNoLeavingHeader and TestLeavingStandInsSayItInTheirAnswers failed before ("Should be false {plain web}", "Should be empty, but was [1]", "expected [true true true] actual [false false false]") and pass now. go test -race of entry, native, internal and policy/route passes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -206,6 +206,7 @@
 		return request.End{}, attemptError(ctx, err)
 	}
 	defer stream.Close()
+	r.lanes.heed(g, stream.Notice())
 	end, err := r.read(ctx, w, stream, g, watch)
 	if err != nil {
 		r.metrics.recomputed.Add(recomputed) // a failed attempt reports no usage
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -43,9 +43,9 @@
 	router         *route.Router
 	drainEstimator *admit.DrainEstimator
 	starter        *queue.Starter
-	slots          map[string]int  // by serving backend server
-	loggedSlow     map[string]bool // servers that were slow when last logged
-	ownSlots       map[string]int  // slots held here, by workspace
+	serving        map[string]uint64 // incarnations of the serving backend servers
+	loggedSlow     map[string]bool   // servers that were slow when last logged
+	ownSlots       map[string]int    // slots held here, by workspace
 
 	avoidedServers []string       // servers that run a suspect, which may crash them
 	remoteSlots    map[string]int // slots held at other entries, by workspace, as last reported
@@ -100,7 +100,7 @@
 	return &lane{
 		key: key, starter: starter, entryCount: 1, location: location, log: log, now: now, queue: q, router: r,
 		drainEstimator: admit.NewDrainEstimator(admit.DefaultConfig().Memory),
-		slots:          map[string]int{}, loggedSlow: map[string]bool{}, ownSlots: map[string]int{}, tickets: map[string]*ticket{},
+		serving:        map[string]uint64{}, loggedSlow: map[string]bool{}, ownSlots: map[string]int{}, tickets: map[string]*ticket{},
 	}, nil
 }
 
@@ -109,7 +109,7 @@
 	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.slots) == 0 {
+	if len(l.serving) == 0 {
 		return request.NewProblem(request.CodeNoServer, request.NotRun, "no backend server serves %s", l.key.name).After(noServerRetryDelay)
 	}
 	item := itemOf(t.request, t.weight, now)
@@ -335,9 +335,9 @@
 		return
 	}
 	if a.State == instance.StateServing {
-		l.slots[a.ID] = max(a.Slots, 1)
+		l.serving[a.ID] = a.Incarnation
 	} else {
-		delete(l.slots, a.ID)
+		delete(l.serving, a.ID)
 	}
 	l.dispatch(now)
 }
@@ -347,7 +347,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.router.MarkLeaving(id, incarnation)
-	delete(l.slots, id)
+	delete(l.serving, id)
 }
 
 // restore resumes work to a server whose planned stop was cancelled. The server is removed
@@ -362,7 +362,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.router.Remove(id)
-	delete(l.slots, id)
+	delete(l.serving, id)
 	delete(l.loggedSlow, id)
 }
 
--- a/entry/lanelog.go
+++ b/entry/lanelog.go
@@ -20,7 +20,7 @@
 	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id := range l.slots {
+	for id := range l.serving {
 		slow := l.router.HealthWeight(id) < slowHealthWeight
 		if slow == l.loggedSlow[id] {
 			continue
--- a/entry/lanes.go
+++ b/entry/lanes.go
@@ -89,12 +89,14 @@
 
 // announcement returns the announcement of a server for the routers. Its sequence number is
 // this entry's own, since the membership has ordered the server's announcements already. A
-// server that a planned stop covers counts as leaving. The lock is held.
+// server that a planned stop covers, or that has said in an answer that it leaves, counts as
+// leaving. The lock is held.
 func (ls *lanes) announcement(h *serverState) *instance.Announcement {
 	a := h.server.Announcement
 	ls.sequence++
 	a.Sequence = ls.sequence
-	if ls.stopped[a.ID] && a.State == instance.StateServing {
+	stops := ls.stopped[a.ID] || ls.notices[a.ID].leaves(a.Incarnation)
+	if stops && a.State == instance.StateServing {
 		a.State = instance.StateLeaving
 	}
 	return &a
--- a/entry/members.go
+++ b/entry/members.go
@@ -141,6 +141,9 @@
 // onLeavingServer reports whether the server of an attempt is leaving, gone or restarted. A
 // new attempt on another server then does not count as a retry.
 func (e *Entry) onLeavingServer(g *grant) bool {
+	if e.lanes.leavesByAnswer(g.verdict.Server, g.verdict.Incarnation) {
+		return true
+	}
 	s, known := e.members.View().Server(g.verdict.Server)
 	return known && (s.State != instance.StateServing || s.Incarnation != g.verdict.Incarnation)
 }
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -13,9 +13,13 @@
 type notice struct {
 	incarnation uint64
 	pausedUntil time.Time
+	leaving     bool
 	recordedAt  time.Time
 }
 
+// leaves reports whether the incarnation has said that it leaves.
+func (x notice) leaves(incarnation uint64) bool { return x.leaving && x.incarnation == incarnation }
+
 // noticeTTL is how long the notice of a server is kept that is gone. Servers that are only
 // unreachable return sooner.
 const noticeTTL = 10 * time.Minute
@@ -34,7 +38,19 @@
 	for _, l := range ls.all() {
 		l.restrict(server, x, now)
 	}
-	event.Log(context.Background(), ls.log, slog.LevelInfo, event.ServerPaused, slog.String("server", server), slog.Duration("for", n.Pause))
+	kind := event.ServerPaused
+	if n.Leaving {
+		kind = event.ServerLeavingByAnswer
+	}
+	event.Log(context.Background(), ls.log, slog.LevelInfo, kind, slog.String("server", server), slog.Duration("for", n.Pause))
+}
+
+// leavesByAnswer reports whether an incarnation of a server has said in an answer that it
+// leaves.
+func (ls *lanes) leavesByAnswer(server string, incarnation uint64) bool {
+	ls.mu.RLock()
+	defer ls.mu.RUnlock()
+	return ls.notices[server].leaves(incarnation)
 }
 
 // recordNotice records a notice for lanes that are created later, and returns all that is known
@@ -53,6 +69,9 @@
 	if until := now.Add(n.Pause); n.Pause > 0 && until.After(x.pausedUntil) {
 		x.pausedUntil, news = until, true
 	}
+	if n.Leaving && !x.leaving {
+		x.leaving, news = true, true
+	}
 	x.recordedAt = now
 	ls.notices[server] = x
 	return x, news
@@ -80,4 +99,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.router.Pause(server, x.incarnation, x.pausedUntil, now)
+	if !x.leaving {
+		return
+	}
+	l.router.RecordLeaving(server, x.incarnation, now)
+	if l.serving[server] == x.incarnation {
+		delete(l.serving, server)
+	}
 }
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -200,3 +201,60 @@
 	require.True(t, r.used(plainKey("web")))
 	require.True(t, r.used(plainKey("later")))
 }
+
+// leave answers each request, or turns it away, and says that the server leaves.
+func leave(serves bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set(native.HeaderLeaving, "1")
+		switch {
+		case !serves:
+			w.Header().Set(native.HeaderNotRun, "1")
+			w.WriteHeader(http.StatusTooManyRequests)
+		case req.URL.Path == native.PathChat:
+			_, _ = io.WriteString(w, "data: {\"choices\":[{\"delta\":{\"content\":\"a\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
+		}
+	}
+}
+
+// Guards against requests to a server that says in its answers that it leaves, also when it is
+// announced as serving again: they would be cut off when it ends. Requests that only it could
+// run are refused at once, and its end is no crash of theirs.
+func TestServerThatLeavesInItsAnswersGetsNoRequests(t *testing.T) {
+	for name, send := range noticePaths {
+		for _, serves := range []bool{true, false} {
+			t.Run(name+", serves "+strconv.FormatBool(serves), func(t *testing.T) {
+				r := newNoticeRig(t, leave(serves))
+				keys := []laneKey{plainKey("web"), plainKey("other"), modelKey, plainKey("later")}
+				require.True(t, r.used(plainKey("other")))
+				send(r)
+				for range 2 {
+					for _, key := range keys {
+						require.False(t, r.used(key), "%v", key)
+					}
+					require.True(t, r.onLeavingServer(&grant{verdict: route.Verdict{Candidate: route.Candidate{Server: "s1"}, Incarnation: 1}}))
+					c, _ := r.plainCall("q2", http.MethodGet, time.Minute)
+					p := c.ticket.lane.submit(c.ticket)
+					require.NotNil(t, p)
+					require.Equal(t, request.CodeNoServer, p.Code)
+					r.lanes.remove("s1")
+					r.announce(1)
+					r.advance(time.Minute)
+				}
+				r.announce(2)
+				for _, key := range keys {
+					require.True(t, r.used(key), "%v, started again", key)
+				}
+				require.EqualValues(t, 1, r.received.Load())
+			})
+		}
+	}
+}
+
+// Guards against a header about a server that reaches the caller.
+func TestCallerGetsNoLeavingHeader(t *testing.T) {
+	r := newNoticeRig(t, leave(true))
+	c, out := r.plainCall("q1", http.MethodGet, 3*time.Second)
+	require.Nil(t, c.serve())
+	require.Equal(t, http.StatusOK, out.Code)
+	require.Empty(t, out.Header().Values(native.HeaderLeaving))
+}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -258,6 +258,7 @@
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", request.HeaderKeep, request.HeaderClass,
+	native.HeaderLeaving,
 }
 
 // backendRequest returns the request that is sent to the backend server.
--- a/internal/fake/announce.go
+++ b/internal/fake/announce.go
@@ -106,6 +106,16 @@
 	return instance.StateLeaving
 }
 
+// tellLeaving says in every answer of next that the server leaves, once it does.
+func (a *announcer) tellLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if a.state() == instance.StateLeaving {
+			w.Header().Set(native.HeaderLeaving, "1")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // announceGone announces StateGone. A crashed, killed or frozen server sends
 // nothing.
 func (a *announcer) announceGone() {
--- a/internal/fake/announce_test.go
+++ b/internal/fake/announce_test.go
@@ -199,3 +199,25 @@
 	}), waitTimeout, pollInterval)
 	require.Equal(t, fake.StoreStats{Served: 2, Refused: 1}, store.Stats())
 }
+
+// Guards against a stand-in that leaves and doesn't say so in its answers: tests with it would
+// show nothing about entries that hear of no announcement.
+func TestLeavingStandInsSayItInTheirAnswers(t *testing.T) {
+	e := startEngine(t, fake.EngineConfig{})
+	p := fake.NewPlain(fake.PlainConfig{}, fake.Deps{})
+	s, _ := startPlain(t, p)
+	leaving := func() []bool {
+		e.SetFaults(fake.Faults{})
+		chat := e.chat(t, "q", chatRequest("x", 1))
+		defer chat.Close()
+		e.SetFaults(fake.Faults{Refuse: true})
+		_, err := e.client.Chat(t.Context(), e.address, "q", chatRequest("x", 1))
+		resp, doErr := s.do(t, http.MethodGet, "/", "", nil)
+		require.NoError(t, doErr)
+		return []bool{chat.Notice().Leaving, native.NoticeOfError(err).Leaving, native.NoticeOf(resp.StatusCode, resp.Header).Leaving}
+	}
+	require.Equal(t, []bool{false, false, false}, leaving())
+	e.Leave(time.Minute)
+	p.Leave(time.Minute)
+	require.Equal(t, []bool{true, true, true}, leaving())
+}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -144,7 +144,7 @@
 	outer := http.NewServeMux()
 	outer.HandleFunc(PathFaults, faultHandler(e.faults))
 	outer.HandleFunc("GET "+PathStats, e.serveStats)
-	outer.Handle("/", e.faults.guard(mux))
+	outer.Handle("/", e.faults.guard(e.announcer.tellLeaving(mux)))
 	return outer
 }
 
--- a/internal/fake/plain.go
+++ b/internal/fake/plain.go
@@ -109,7 +109,7 @@
 	mux.HandleFunc(PathFaults, faultHandler(p.faults))
 	mux.HandleFunc("GET "+PathStats, p.serveStats)
 	mux.Handle("GET "+native.PathHealth, p.faults.guard(http.HandlerFunc(serveHealth)))
-	mux.Handle("/", p.faults.guard(http.HandlerFunc(p.serveCall)))
+	mux.Handle("/", p.faults.guard(p.announcer.tellLeaving(http.HandlerFunc(p.serveCall))))
 	return mux
 }
 
--- a/native/client.go
+++ b/native/client.go
@@ -75,7 +75,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, trace.Wrap(statusError(address, resp))
 	}
-	return newChatStream(address, resp.Body, c.cfg.MaxEvent), nil
+	return newChatStream(address, resp, c.cfg.MaxEvent), nil
 }
 
 // newJSONRequest returns a request to http://address+path with v as its JSON body.
--- a/native/notice.go
+++ b/native/notice.go
@@ -10,13 +10,14 @@
 
 // AnswerNotice is what an answer says about the server that gave it.
 type AnswerNotice struct {
-	Pause time.Duration // the server wants no requests for so long; 0: it asks for no pause
+	Pause   time.Duration // the server wants no requests for so long; 0: it asks for no pause
+	Leaving bool          // the server is about to end
 }
 
 // NoticeOf returns the notice in an answer. Only with status 503 a Retry-After asks for a pause:
 // with other statuses it concerns the one request.
 func NoticeOf(status int, h http.Header) AnswerNotice {
-	var n AnswerNotice
+	n := AnswerNotice{Leaving: isLeaving(h)}
 	if status == http.StatusServiceUnavailable {
 		n.Pause = parseRetryAfter(h.Get(HeaderRetryAfter))
 	}
@@ -26,12 +27,18 @@
 // NoticeOfError returns the notice in the answer that a call has failed with, if any.
 func NoticeOfError(err error) AnswerNotice {
 	var callErr *CallError
-	if !errors.As(err, &callErr) || callErr.Status != http.StatusServiceUnavailable {
+	if !errors.As(err, &callErr) {
 		return AnswerNotice{}
 	}
-	return AnswerNotice{Pause: callErr.RetryAfter}
+	n := AnswerNotice{Leaving: callErr.Leaving}
+	if callErr.Status == http.StatusServiceUnavailable {
+		n.Pause = callErr.RetryAfter
+	}
+	return n
 }
 
+func isLeaving(h http.Header) bool { return h.Get(HeaderLeaving) == "1" }
+
 // parseRetryAfter parses a Retry-After header in seconds, also with a fraction. It returns 0 for
 // any other format.
 func parseRetryAfter(value string) time.Duration {
--- a/native/notice_test.go
+++ b/native/notice_test.go
@@ -24,3 +24,12 @@
 		}
 	}
 }
+
+// Guards against taking a value that the protocol doesn't have for a server's leaving.
+func TestLeavingInAnswer(t *testing.T) {
+	for value, want := range map[string]bool{"1": true, "": false, "0": false, "true": false} {
+		for _, status := range []int{http.StatusOK, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+			require.Equal(t, native.AnswerNotice{Leaving: want}, native.NoticeOf(status, http.Header{native.HeaderLeaving: {value}}))
+		}
+	}
+}
--- a/native/stream.go
+++ b/native/stream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 
 	"github.com/gravitational/trace"
@@ -18,15 +19,21 @@
 	peer      string
 	body      io.ReadCloser
 	events    *EventReader
+	notice    AnswerNotice
 	usage     Usage
 	done      bool
 	closeOnce sync.Once
 }
 
-func newChatStream(peer string, body io.ReadCloser, maxEvent int) *ChatStream {
-	return &ChatStream{peer: peer, body: body, events: NewEventReader(body, maxEvent)}
+func newChatStream(peer string, resp *http.Response, maxEvent int) *ChatStream {
+	return &ChatStream{
+		peer: peer, body: resp.Body, events: NewEventReader(resp.Body, maxEvent), notice: NoticeOf(resp.StatusCode, resp.Header),
+	}
 }
 
+// Notice returns what the answer's header says about the engine.
+func (s *ChatStream) Notice() AnswerNotice { return s.notice }
+
 // Next returns the next chunk. It returns io.EOF, not wrapped, after the event "[DONE]".
 // Any other error is a *CallError with StepBody and MaybeRan. If the connection ends
 // before "[DONE]", the answer is truncated and errors.Is(err, io.ErrUnexpectedEOF) is
--- a/native/transport.go
+++ b/native/transport.go
@@ -17,6 +17,7 @@
 	HeaderRequestID  = "X-Request-Id"
 	HeaderNotRun     = "X-Not-Run" // on an error status: the request was rejected without being run
 	HeaderRetryAfter = "Retry-After"
+	HeaderLeaving    = "Savoryreel-Leaving" // "1" on any answer: the server is about to end
 )
 
 // Defaults and limits of the clients.
@@ -187,6 +188,7 @@
 		Delivery:   deliveryOf(resp),
 		Status:     resp.StatusCode,
 		RetryAfter: parseRetryAfter(resp.Header.Get(HeaderRetryAfter)),
+		Leaving:    isLeaving(resp.Header),
 		Code:       problemCode(text),
 		Message:    string(text),
 	}
