entry, policy/route: while all servers of a lane pause, requests are refused at once with the time that it lasts

Cause: the queue knows nothing of pauses, so requests waited in it until their deadlines. The slots of a paused server counted as free, and its share of the queue was sent to the others beyond their slots.

Change: lane.submit refuses with the first pause's end, spread by a quarter; waiting requests are refused if the pause ends after their latest start (at a new pause, and at each tick while one lasts), and else dispatched by the tick after it. A request that its only server has refused ends if the pause outlasts its deadline and it has no token. Router.Occupancies leaves paused servers out.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -160,6 +160,11 @@
 		if g, ok := w.ticket.lane.regrant(w.ticket); ok {
 			return g, nil
 		}
+		if len(w.journal.Tokens()) == 0 {
+			if p := w.ticket.lane.endlessPause(w.ticket); p != nil {
+				return nil, p
+			}
+		}
 		if waits == 0 {
 			event.Log(ctx, r.log, slog.LevelWarn, event.RouteWaits,
 				slog.String("request", string(w.request.ID)), slog.String("service", w.request.Service))
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -47,6 +47,7 @@
 	loggedSlow     map[string]bool   // servers that were slow when last logged
 	ownSlots       map[string]int    // slots held here, by workspace
 
+	lastPauseEnd   time.Time      // when no server pauses any more
 	avoidedServers []string       // servers that run a suspect, which may crash them
 	remoteSlots    map[string]int // slots held at other entries, by workspace, as last reported
 	tickets        map[string]*ticket
@@ -71,6 +72,7 @@
 	route         route.Request
 	failedServers []string // servers on which an attempt failed
 	weight        int
+	latestStart   time.Time
 	decision      chan decision // receives exactly one decision, unless the request is withdrawn
 }
 
@@ -112,8 +114,12 @@
 	if len(l.serving) == 0 {
 		return request.NewProblem(request.CodeNoServer, request.NotRun, "no backend server serves %s", l.key.name).After(noServerRetryDelay)
 	}
+	if pause := l.pauseFor(t, now); pause > 0 {
+		return l.pausedProblem(pause)
+	}
 	item := itemOf(t.request, t.weight, now)
 	item.Deadline = l.latestStart(t.request, now)
+	t.latestStart = item.Deadline
 	l.starter.ObserveArrival(now, &item)
 	verdict := l.queue.Push(now, item)
 	for _, item := range verdict.Evicted {
@@ -318,11 +324,13 @@
 	return true
 }
 
-// tick refuses expired requests and dispatches waiting ones.
+// tick refuses requests that can't start in time, and dispatches waiting ones.
 func (l *lane) tick() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.dispatch(l.now())
+	now := l.now()
+	l.refusePaused(now)
+	l.dispatch(now)
 }
 
 // announce applies a backend server's announcement, whose load was measured at loadAt, and
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -93,17 +93,3 @@
 		l.restrict(id, x, now)
 	}
 }
-
-// restrict applies a notice of a server, which need not be in the lane.
-func (l *lane) restrict(server string, x notice, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.router.Pause(server, x.incarnation, x.pausedUntil, now)
-	if !x.leaving {
-		return
-	}
-	l.router.RecordLeaving(server, x.incarnation, now)
-	if l.serving[server] == x.incarnation {
-		delete(l.serving, server)
-	}
-}
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -258,3 +258,39 @@
 	require.Equal(t, http.StatusOK, out.Code)
 	require.Empty(t, out.Header().Values(native.HeaderLeaving))
 }
+
+// Guards against callers that wait in the queue until their deadlines, or come back too early,
+// while all servers have asked for a pause.
+func TestRefusalWhileAllServersPause(t *testing.T) {
+	r := newNoticeRig(t, refuseFor("30"))
+	noticePaths["plain"](r)
+	r.advance(10 * time.Second)
+	requireRefusal := func(p *request.Problem) {
+		t.Helper()
+		require.NotNil(t, p)
+		require.Equal(t, request.CodeNoServer, p.Code)
+		require.Equal(t, request.NotRun, p.Outcome)
+		require.InDelta(t, 22.5, p.RetryAfter.Seconds(), 3, "the pause ends in 20 s; callers come back spread over some time")
+	}
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		c, _ := r.plainCall("q2", method, 3*time.Second)
+		requireRefusal(c.serve())
+		require.NoError(t, c.ctx.Err(), "it was refused at once")
+	}
+	_, p := r.chat("q3", 3*time.Second)
+	requireRefusal(p)
+	require.EqualValues(t, 1, r.received.Load())
+}
+
+// Guards against a request that waits for its deadline after its only server has refused it
+// and asked for a longer pause.
+func TestRefusedRequestEndsIfThePauseOutlastsIt(t *testing.T) {
+	r := newNoticeRig(t, refuseFor("60"))
+	w, p := r.chat("q1", 3*time.Second)
+	require.Nil(t, p)
+	require.Eventually(t, func() bool { return w.journal.Ended() != nil }, 2*time.Second, time.Millisecond)
+	end := w.journal.Ended().Problem
+	require.Equal(t, request.CodeNoServer, end.Code)
+	require.Equal(t, request.NotRun, end.Outcome)
+	require.Greater(t, end.RetryAfter, 59*time.Second)
+}
--- a/policy/route/occupancy.go
+++ b/policy/route/occupancy.go
@@ -14,23 +14,23 @@
 	OwnSinceReport int // requests of this entry that the report does not include
 }
 
-// Occupancies appends to dst the occupancy of each serving server, in the order of the
-// server ids, which is the same at all entries. The slots of a slow or new server are scaled
-// by its weight. Otherwise its free slots would look available while Choose sends the requests
-// to other servers, and the queue would drain into servers that are full.
+// Occupancies appends to dst the occupancy of each serving server that doesn't pause, in the
+// order of the server ids, which is the same at all entries. The slots of a slow or new server
+// are scaled by its weight. Otherwise its free slots would look available while Choose sends
+// the requests to other servers, and the queue would drain into servers that are full.
 func (r *Router) Occupancies(dst []Occupancy, now time.Time) []Occupancy {
 	if r.slotsByID == nil {
 		r.sortServers()
 	}
 	maxWeight := 0.0
 	for _, slot := range r.slotsByID {
-		if s := &r.servers[slot]; s.serving {
+		if s := &r.servers[slot]; s.serving && !s.isPaused(now) {
 			maxWeight = max(maxWeight, s.health.weight*s.slowStartFraction(&r.cfg, now))
 		}
 	}
 	for _, slot := range r.slotsByID {
 		s := &r.servers[slot]
-		if !s.serving {
+		if !s.serving || s.isPaused(now) {
 			continue
 		}
 		relativeWeight := s.health.weight * s.slowStartFraction(&r.cfg, now) / maxWeight
--- a/policy/route/restriction.go
+++ b/policy/route/restriction.go
@@ -119,6 +119,18 @@
 	return s.paused && now.Before(s.pausedUntil)
 }
 
+// PausedFor returns how long no server may run the request because all that could have asked for
+// a pause; 0 if some server may, or none could.
+func (r *Router) PausedFor(req *Request) time.Duration {
+	r.assessServers(req.Now)
+	t := r.computeWeights(req)
+	if t.weightedSlots > 0 {
+		return 0
+	}
+	v := t.refusal(req.Now)
+	return v.RetryAfter
+}
+
 // MaySend reports whether a server that was chosen may still be sent a request: it has not begun
 // to leave or asked for a pause since.
 func (r *Router) MaySend(id string, incarnation uint64, now time.Time) bool {
