entry, native: nothing is sent to a server that has asked for a pause since it was chosen

Cause: a grant may wait for the quarantine, for another server's KV cache and up to a second for a connection. What was sent then could come within a pause, as could fetches of listings and imports of KV caches.

Change: native.WithMaySend asks once the connection is open, and seals it unwritten if the answer is no (ErrWithdrawn, not sent). A withdrawn call is no failed attempt: it goes to another server or to the queue, which may refuse it; a chat waits for a server and keeps the KV cache that it is to bring. Listings wait for the events after the pause; their refusals, and those of imports, are heeded. Exports and probes go on.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -133,7 +133,7 @@
 		r.guard.finish(g.lane.key, g.quarantineRun)
 		return end, nil
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, native.ErrWithdrawn) {
 		g.cancelled()
 		r.guard.end(g.lane.key, g.quarantineRun)
 		return end, err
@@ -194,7 +194,11 @@
 	defer cancel(nil)
 	recomputed := 0
 	if received := w.journal.Tokens(); len(received) > 0 {
-		body.Resume = &native.Resume{Tokens: received, Handle: r.transferKV(ctx, w, g.verdict.Address)}
+		handle, err := r.transferKV(ctx, w, g)
+		if err != nil {
+			return request.End{}, err
+		}
+		body.Resume = &native.Resume{Tokens: received, Handle: handle}
 		if body.Resume.Handle == "" {
 			recomputed = w.heldTokens()
 		}
@@ -205,13 +209,13 @@
 	}
 	watch := newStreamWatch(r, g.verdict.Address, cancel)
 	go watch.run(ctx)
-	stream, err := r.engines.Chat(ctx, g.verdict.Address, string(w.request.ID), body)
+	stream, err := r.engines.Chat(native.WithMaySend(ctx, g.maySend), g.verdict.Address, string(w.request.ID), body)
 	if err != nil {
-		r.lanes.heed(g, native.NoticeOfError(err))
+		r.lanes.heed(g.server(), native.NoticeOfError(err))
 		return request.End{}, attemptError(ctx, err)
 	}
 	defer stream.Close()
-	r.lanes.heed(g, stream.Notice())
+	r.lanes.heed(g.server(), stream.Notice())
 	end, err := r.read(ctx, w, stream, g, watch)
 	if err != nil {
 		r.metrics.recomputed.Add(recomputed) // a failed attempt reports no usage
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -139,27 +139,48 @@
 	return from
 }
 
-// transferKV transfers the KV cache of w's request to the engine at address to and returns
-// its handle there. The handle is empty if nothing is to be transferred or the transfer
-// fails; then the tokens are prefilled again.
-func (r *runner) transferKV(ctx context.Context, w *work, to string) string {
+// setKVSource restores the address after a transfer that has not begun.
+func (w *work) setKVSource(from string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.kvSource = from
+}
+
+// transferKV transfers the KV cache of w's request to the engine of g and returns its handle
+// there. The handle is empty if nothing is to be transferred or the transfer fails; then the
+// tokens are prefilled again. The error is native.ErrWithdrawn if the engine takes no more
+// requests; the transfer then waits for the next attempt.
+func (r *runner) transferKV(ctx context.Context, w *work, g *grant) (string, error) {
 	from := w.takeKVSource()
 	if from == "" {
-		return ""
+		return "", nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, kvTransferTimeout)
 	defer cancel()
 	exported, err := r.engines.ExportKV(ctx, from, string(w.request.ID))
 	if err == nil {
-		exported, err = r.engines.ImportKV(ctx, to, native.ImportRequest{From: from, Handle: exported.Handle})
+		exported, err = r.importKV(ctx, g, native.ImportRequest{From: from, Handle: exported.Handle})
+	}
+	if errors.Is(err, native.ErrWithdrawn) {
+		w.setKVSource(from)
+		return "", err
 	}
 	if err != nil {
 		event.Log(ctx, r.log, slog.LevelWarn, event.CarryFailed,
 			slog.String("request", string(w.request.ID)), slog.String("from", from), slog.String("error", err.Error()))
-		return ""
+		return "", nil
 	}
 	r.metrics.carried.Add(exported.Tokens)
-	return exported.Handle
+	return exported.Handle, nil
+}
+
+// importKV makes the engine of g import a KV cache.
+func (r *runner) importKV(ctx context.Context, g *grant, from native.ImportRequest) (native.ExportReply, error) {
+	imported, err := r.engines.ImportKV(native.WithMaySend(ctx, g.maySend), g.verdict.Address, from)
+	if err != nil {
+		r.lanes.heed(g.server(), native.NoticeOfError(err))
+	}
+	return imported, err
 }
 
 // answerCost returns the work of a chat request, in tokens of answer. Prompt tokens are
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -7,6 +7,7 @@
 
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/native"
+	"savoryreel.example/savoryreel/policy/quarantine"
 )
 
 // notice is what one incarnation of a server has said about itself in its answers.
@@ -24,25 +25,25 @@
 // unreachable return sooner.
 const noticeTTL = 10 * time.Minute
 
-// heed applies what an answer says about the server of g to all lanes, since a server may be in
+// heed applies what an answer says about its server to all lanes, since a server may be in
 // several, and come into others.
-func (ls *lanes) heed(g *grant, n native.AnswerNotice) {
+func (ls *lanes) heed(s quarantine.Server, n native.AnswerNotice) {
 	if n == (native.AnswerNotice{}) {
 		return
 	}
-	now, server := ls.now(), g.verdict.Server
-	x, news := ls.recordNotice(server, g.verdict.Incarnation, n, now)
+	now := ls.now()
+	x, news := ls.recordNotice(s, n, now)
 	if !news {
 		return
 	}
 	for _, l := range ls.all() {
-		l.restrict(server, x, now)
+		l.restrict(s.ID, x, now)
 	}
 	kind := event.ServerPaused
 	if n.Leaving {
 		kind = event.ServerLeavingByAnswer
 	}
-	event.Log(context.Background(), ls.log, slog.LevelInfo, kind, slog.String("server", server), slog.Duration("for", n.Pause))
+	event.Log(context.Background(), ls.log, slog.LevelInfo, kind, slog.String("server", s.ID), slog.Duration("for", n.Pause))
 }
 
 // leavesByAnswer reports whether an incarnation of a server has said in an answer that it
@@ -55,16 +56,16 @@
 
 // recordNotice records a notice for lanes that are created later, and returns all that is known
 // of the server's incarnation. news is false if that was known before.
-func (ls *lanes) recordNotice(server string, incarnation uint64, n native.AnswerNotice, now time.Time) (x notice, news bool) {
+func (ls *lanes) recordNotice(s quarantine.Server, n native.AnswerNotice, now time.Time) (x notice, news bool) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	x, known := ls.notices[server]
+	x, known := ls.notices[s.ID]
 	switch {
-	case known && x.incarnation > incarnation:
+	case known && x.incarnation > s.Incarnation:
 		return x, false
-	case !known || x.incarnation < incarnation:
+	case !known || x.incarnation < s.Incarnation:
 		ls.expireNotices(now)
-		x = notice{incarnation: incarnation}
+		x = notice{incarnation: s.Incarnation}
 	}
 	if until := now.Add(n.Pause); n.Pause > 0 && until.After(x.pausedUntil) {
 		x.pausedUntil, news = until, true
@@ -73,7 +74,7 @@
 		x.leaving, news = true, true
 	}
 	x.recordedAt = now
-	ls.notices[server] = x
+	ls.notices[s.ID] = x
 	return x, news
 }
 
@@ -93,3 +94,14 @@
 		l.restrict(id, x, now)
 	}
 }
+
+// maySend reports whether the granted server may still be sent the request. It may have asked
+// for a pause or begun to leave while the grant's holder waited.
+func (g *grant) maySend() bool { return g.lane.maySend(g.server()) }
+
+// maySend reports whether an incarnation of a server takes requests.
+func (l *lane) maySend(s quarantine.Server) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.router.MaySend(s.ID, s.Incarnation, l.now())
+}
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -72,10 +72,13 @@
 
 func (r *noticeRig) advance(d time.Duration) { r.offset.Add(int64(d)) }
 
-func (r *noticeRig) announce(incarnation uint64) {
+// announce announces s1.
+func (r *noticeRig) announce(incarnation uint64) { r.announceAt("s1", incarnation, r.address) }
+
+func (r *noticeRig) announceAt(id string, incarnation uint64, address string) {
 	r.sequence++
 	require.NoError(r.t, r.members.Announce(instance.Announcement{
-		ID: "s1", Incarnation: incarnation, Sequence: r.sequence, Address: r.address, Region: "r1", Zone: "z1",
+		ID: id, Incarnation: incarnation, Sequence: r.sequence, Address: address, Region: "r1", Zone: "z1",
 		State: instance.StateServing, Model: "m", Services: []string{"web", "other", "later"}, Slots: 8,
 	}))
 	r.syncServers()
@@ -124,13 +127,19 @@
 	}, out
 }
 
-// chat starts a request of the model m.
-func (r *noticeRig) chat(id string, timeout time.Duration) (*work, *request.Problem) {
-	body := native.ChatRequest{Model: "m", Messages: []native.Message{{Role: "user", Content: "hi"}}}
+// newChat returns the work of a request of the model m.
+func (r *noticeRig) newChat(id string, timeout time.Duration, body native.ChatRequest) *work {
 	s := &contract.Service{Name: "chat", Kind: contract.KindModel, Model: "m"}
 	w, err := r.newWork(s, r.newRequest(id, http.MethodPost, timeout), body, nil, 1)
 	require.NoError(r.t, err)
 	r.t.Cleanup(w.cancel)
+	return w
+}
+
+// chat starts a request of the model m.
+func (r *noticeRig) chat(id string, timeout time.Duration) (*work, *request.Problem) {
+	body := native.ChatRequest{Model: "m", Messages: []native.Message{{Role: "user", Content: "hi"}}}
+	w := r.newChat(id, timeout, body)
 	if p := w.ticket.lane.submit(w.ticket); p != nil {
 		return w, p
 	}
--- a/entry/once.go
+++ b/entry/once.go
@@ -104,7 +104,7 @@
 // surely did not run: no byte of it was written, or the server refused it before running it.
 // Otherwise the outcome is unknown.
 func (c *plainCall) sendOnce(g *grant) *request.Problem {
-	for n := 1; ; n++ {
+	for attempts := 1; ; {
 		resp, sent, err := c.send(g, c.entry.plainClient.DoOnce)
 		if err == nil {
 			return c.relayOnce(g, resp)
@@ -113,12 +113,13 @@
 			c.updateLedger(ledger.OpGiveUp, nil)
 			return request.NewProblem(request.CodeOutcomeUnknown, request.Unknown, "the backend server broke off: %v", err)
 		}
-		next, p := c.nextGrant(g, n, err, request.NotRun)
+		next, p := c.nextGrant(g, attempts, err, request.NotRun)
 		if p != nil {
 			c.updateLedger(ledger.OpRelease, nil)
 			return p
 		}
 		g = next
+		attempts += countedAttempts(err)
 	}
 }
 
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -159,6 +159,26 @@
 	return nil, expiredProblem()
 }
 
+// regrant returns another grant for a call whose server takes no more requests. If no server can
+// take the call at once, it queues again.
+func (c *plainCall) regrant(outcome request.Outcome) (*grant, *request.Problem) {
+	g, ok := c.ticket.lane.regrant(c.ticket)
+	var p *request.Problem
+	if !ok {
+		c.ticket.failedServers = nil // the queue would wait for another server than these
+		if p = c.ticket.lane.submit(c.ticket); p == nil {
+			g, p = c.awaitGrant()
+		}
+	}
+	if p == nil {
+		g, p = c.checkGrant(g)
+	}
+	if p != nil && outcome != request.NotRun {
+		p = withUnknownOutcome(p)
+	}
+	return g, p
+}
+
 // checkGrant waits for the quarantine's decision and returns the grant, perhaps on another
 // server, or the call's final problem.
 func (c *plainCall) checkGrant(g *grant) (*grant, *request.Problem) {
@@ -177,7 +197,7 @@
 // or returns the call's final problem. No byte has been sent to the caller by then.
 func (c *plainCall) runRepeatable(g *grant) *request.Problem {
 	outcome := request.NotRun
-	for attempts := 1; ; attempts++ {
+	for attempts := 1; ; {
 		resp, _, err := c.send(g, c.entry.plainClient.Do)
 		if err == nil {
 			c.relay(g, resp)
@@ -194,12 +214,25 @@
 			return p
 		}
 		g = next
+		attempts += countedAttempts(err)
+	}
+}
+
+// countedAttempts returns 1, or 0 if nothing was attempted because the server took no more
+// requests.
+func countedAttempts(err error) int {
+	if errors.Is(err, native.ErrWithdrawn) {
+		return 0
 	}
+	return 1
 }
 
 // nextGrant returns a grant on another server after a failed attempt, if the retry budgets
 // allow a further attempt, and else the call's final problem.
 func (c *plainCall) nextGrant(g *grant, attempts int, err error, outcome request.Outcome) (*grant, *request.Problem) {
+	if errors.Is(err, native.ErrWithdrawn) {
+		return c.regrant(outcome)
+	}
 	failed := request.NewProblem(request.CodeServerFailed, outcome, "%v", err).After(time.Second)
 	v := c.entry.retries.attemptFailed(c.entry.deps.Now(), g.verdict.Server, retry.Failure{
 		Call: retryCall(c.request), Attempts: attempts, NotRun: native.NotRun(err), Reclaimed: c.entry.onLeavingServer(g),
@@ -234,13 +267,13 @@
 		return nil, false, err
 	}
 	started := c.entry.deps.Now()
-	resp, sent, err := do(c.ctx, g.verdict.Address, out)
+	resp, sent, err := do(native.WithMaySend(c.ctx, g.maySend), g.verdict.Address, out)
 	if err == nil {
-		c.entry.lanes.heed(g, native.NoticeOf(resp.StatusCode, resp.Header))
+		c.entry.lanes.heed(g.server(), native.NoticeOf(resp.StatusCode, resp.Header))
 		g.firstToken(c.entry.deps.Now().Sub(started))
 		return resp, sent, nil
 	}
-	if c.ctx.Err() != nil {
+	if c.ctx.Err() != nil || errors.Is(err, native.ErrWithdrawn) {
 		c.cancelAttempt(g)
 		return nil, sent, err
 	}
--- a/entry/prefixes.go
+++ b/entry/prefixes.go
@@ -11,6 +11,7 @@
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/native"
+	"savoryreel.example/savoryreel/policy/quarantine"
 	"savoryreel.example/savoryreel/policy/route"
 )
 
@@ -85,7 +86,11 @@
 	if l.applyCacheEvents(server, incarnation, events) {
 		return
 	}
-	p.fetchListing(l, server, address)
+	s := quarantine.Server{ID: server, Incarnation: incarnation}
+	if !l.maySend(s) {
+		return // events after its pause show the gap again
+	}
+	p.fetchListing(l, s, address)
 }
 
 // modelLane returns the lane and the address of a model server. ok is false unless this
@@ -104,24 +109,25 @@
 
 // fetchListing fetches a server's full listing in the background, unless a fetch for the
 // server is running already.
-func (p *prefixes) fetchListing(l *lane, server, address string) {
+func (p *prefixes) fetchListing(l *lane, s quarantine.Server, address string) {
 	p.mu.Lock()
-	fetching := p.fetches[server]
-	p.fetches[server] = true
+	fetching := p.fetches[s.ID]
+	p.fetches[s.ID] = true
 	p.mu.Unlock()
 	if fetching {
 		return
 	}
-	event.Log(p.ctx, p.log, slog.LevelInfo, event.CacheGap, slog.String("server", server))
+	event.Log(p.ctx, p.log, slog.LevelInfo, event.CacheGap, slog.String("server", s.ID))
 	p.fetchGroup.Go(func() {
-		defer p.fetchDone(server)
+		defer p.fetchDone(s.ID)
 		ctx, cancel := context.WithTimeout(p.ctx, listingTimeout)
 		defer cancel()
-		listing, err := p.engines.Listing(ctx, address)
+		listing, err := p.engines.Listing(native.WithMaySend(ctx, func() bool { return l.maySend(s) }), address)
 		if err != nil {
+			p.lanes.heed(s, native.NoticeOfError(err))
 			return // the next events show the gap again, and the fetch is repeated
 		}
-		l.applyCacheListing(server, listing)
+		l.applyCacheListing(s.ID, listing)
 	})
 }
 
--- a/native/notice_test.go
+++ b/native/notice_test.go
@@ -1,7 +1,11 @@
 package native_test
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,3 +37,31 @@
 		}
 	}
 }
+
+// Guards against a request that is written after it was withdrawn while it waited for a
+// connection, new or pooled.
+func TestWithdrawnCallIsNotWritten(t *testing.T) {
+	var received atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer s.Close()
+	c := native.NewPlain(native.PlainConfig{})
+	defer c.Close()
+	for _, do := range []func(context.Context, string, *http.Request) (*http.Response, bool, error){c.DoOnce, c.Do, c.Do} {
+		for _, may := range []bool{false, true} {
+			received.Store(0)
+			req, err := http.NewRequest(http.MethodPost, "/", strings.NewReader("x"))
+			require.NoError(t, err)
+			resp, sent, err := do(native.WithMaySend(t.Context(), func() bool { return may }), s.Listener.Addr().String(), req)
+			require.Equal(t, may, sent)
+			if may {
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.EqualValues(t, 1, received.Load())
+				continue
+			}
+			require.ErrorIs(t, err, native.ErrWithdrawn)
+			require.True(t, native.NotRun(err))
+			require.Zero(t, received.Load())
+		}
+	}
+}
--- a/native/transport.go
+++ b/native/transport.go
@@ -83,7 +83,10 @@
 
 // sendTracker records whether any byte of one request was written.
 type sendTracker struct {
+	maySend func() bool // nil: always
+
 	mu            sync.Mutex
+	withdrawn     bool
 	conn          *countingConn
 	writtenBefore int64
 }
@@ -99,8 +102,13 @@
 		return
 	}
 	writtenBefore := conn.bytesWritten()
+	withdrawn := t.maySend != nil && !t.maySend()
+	if withdrawn {
+		conn.sealIfUnwritten(writtenBefore)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.withdrawn = withdrawn
 	t.conn = conn
 	t.writtenBefore = writtenBefore
 }
@@ -118,6 +126,12 @@
 	return conn.sealIfUnwritten(writtenBefore)
 }
 
+func (t *sendTracker) wasWithdrawn() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.withdrawn
+}
+
 // transportConfig holds the settings of newTransport.
 type transportConfig struct {
 	dialTimeout time.Duration
@@ -167,12 +181,16 @@
 func roundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
 	forbidReplay(req)
 	var tracker sendTracker
+	tracker.maySend, _ = req.Context().Value(maySendKey{}).(func() bool)
 	peer := req.URL.Host
 	resp, err := rt.RoundTrip(req.WithContext(tracker.attach(req.Context())))
 	if err == nil {
 		return resp, nil
 	}
 	if !tracker.sent() {
+		if tracker.wasWithdrawn() {
+			err = ErrWithdrawn
+		}
 		return nil, &CallError{Step: StepConnect, Peer: peer, Delivery: NotSent, Err: err}
 	}
 	return nil, &CallError{Step: StepForward, Peer: peer, Delivery: MaybeRan, Err: err}
