entry: a notice that asks for a pause and tells of leaving is logged as both

Cause: one line was written for both, so that the pause was missing from a count of pauses. Change: a line for each. Measured: go test -race of entry passes; no test covers the lines.

--- a/entry/notice.go
+++ b/entry/notice.go
@@ -39,11 +39,12 @@
 	for _, l := range ls.all() {
 		l.restrict(s.ID, x, now)
 	}
-	kind := event.ServerPaused
 	if n.Leaving {
-		kind = event.ServerLeavingByAnswer
+		event.Log(context.Background(), ls.log, slog.LevelInfo, event.ServerLeavingByAnswer, slog.String("server", s.ID))
+	}
+	if n.Pause > 0 {
+		event.Log(context.Background(), ls.log, slog.LevelInfo, event.ServerPaused, slog.String("server", s.ID), slog.Duration("for", n.Pause))
 	}
-	event.Log(context.Background(), ls.log, slog.LevelInfo, kind, slog.String("server", s.ID), slog.Duration("for", n.Pause))
 }
 
 // leavesByAnswer reports whether an incarnation of a server has said in an answer that it
