--- a/entry/lanepause.go
+++ b/entry/lanepause.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"savoryreel.example/savoryreel/policy/admit"
 	"savoryreel.example/savoryreel/request"
 )
 
@@ -79,8 +80,11 @@
 // first server's pause ends, so that they don't all return at once.
 const pauseSpread = 0.25
 
-// pausedProblem returns the problem of a request while all its servers pause.
+// pausedProblem returns the problem of a request while all its servers pause. The pause is this
+// entry's, and may be long; the wait stays within the bounds of admit.Config.
 func (l *lane) pausedProblem(pause time.Duration) *request.Problem {
+	cfg := admit.DefaultConfig()
 	wait := time.Duration(float64(pause) * (1 + pauseSpread*rand.Float64()))
+	wait = min(max(wait, cfg.MinRetryAfter), cfg.MaxRetryAfter)
 	return request.NewProblem(request.CodeNoServer, request.NotRun, "all backend servers of %s have asked for a pause", l.key.name).After(wait)
 }
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -8,6 +8,7 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/quarantine"
+	"savoryreel.example/savoryreel/policy/route"
 )
 
 // notice is what one incarnation of a server has said about itself in its answers.
@@ -88,10 +89,15 @@
 	}
 }
 
-// applyNotices applies all notices to a new lane. The lock is held.
+// applyNotices applies all notices to a new lane. A pause outlasts a restart of its server as
+// long as in the lanes that were there. The lock is held.
 func (ls *lanes) applyNotices(l *lane) {
 	now := ls.now()
 	for id, x := range ls.notices {
+		h := ls.servers[id]
+		if carried := x.recordedAt.Add(route.MaxCarriedPause); h != nil && h.server.Incarnation > x.incarnation && carried.Before(x.pausedUntil) {
+			x.pausedUntil = carried
+		}
 		l.restrict(id, x, now)
 	}
 }
--- a/policy/route/restriction.go
+++ b/policy/route/restriction.go
@@ -18,9 +18,9 @@
 	// expireEvery is the minimum interval between looks for expired restrictions, of which
 	// there may be thousands.
 	expireEvery = time.Minute
-	// maxCarriedPause bounds a pause that outlasts a restart of the server. An answer of the
+	// MaxCarriedPause bounds a pause that outlasts a restart of the server. An answer of the
 	// new incarnation may arrive before its announcement, and the two can't be told apart.
-	maxCarriedPause = 10 * time.Second
+	MaxCarriedPause = 10 * time.Second
 )
 
 // Pause keeps requests from a server until a time, because it has turned one away and asked for
@@ -29,7 +29,7 @@
 	r.expireRestrictions(now)
 	x := r.restrictionFor(id, incarnation, now)
 	if x.incarnation > incarnation {
-		until = earlier(until, now.Add(maxCarriedPause))
+		until = earlier(until, now.Add(MaxCarriedPause))
 	}
 	if until.After(x.pausedUntil) {
 		x.pausedUntil = until
@@ -56,7 +56,7 @@
 	}
 	x := r.restrictions[id]
 	if x.incarnation < incarnation {
-		return restriction{incarnation: incarnation, pausedUntil: earlier(x.pausedUntil, now.Add(maxCarriedPause))}
+		return restriction{incarnation: incarnation, pausedUntil: earlier(x.pausedUntil, now.Add(MaxCarriedPause))}
 	}
 	return x
 }
