gateway: test that a stream is not resumed on a server that pauses or leaves

The kinds of requests in the tests of pauses and leaving were first requests; a stream that loses its server within an answer was covered by reading only. With the checks of policy/route/restriction.go taken out by hand it is red.

--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -111,7 +111,7 @@
 }
 
 // Guards against requests to a server that says in its answers that it leaves: they would be
-// cut off when it ends, also at an entry that hears of no announcement.
+// cut off when it ends, also at an entry that receives no announcement.
 func TestServerThatLeavesInItsAnswersGetsNoRequests(t *testing.T) {
 	for kind, on := range noticeRoutes {
 		for name, happens := range meanwhile {
@@ -148,6 +148,29 @@
 	require.Positive(t, s.serveFor(2*time.Second))
 }
 
+// Guards against a stream that is resumed on a server within its pause, or after it has said that
+// it leaves: the caller waits for a refusal in the middle of its answer, or is cut off again.
+func TestStreamIsNotResumedOnARestrictedServer(t *testing.T) {
+	for _, header := range []http.Header{{"X-Leaving": {"1"}}, {"X-Pause-Ms": {"60000"}}} {
+		s := newNoticeSite(t, routes.Route{Kind: routes.Stream, Resumable: true}, header, true)
+		s.untilNotice()
+		s.service("web").drop("s2")
+		for range 2 {
+			s.server("web", func(w http.ResponseWriter, req *http.Request) {
+				stream(resumeAt, 3, req.Header.Get("X-After") != "")(w, req)
+			})
+		}
+		s.fillBudget()
+		before := s.noticing.count()
+		for range 10 {
+			out, refusal := s.serve("/x")
+			require.Nil(t, refusal)
+			require.Equal(t, eventsText(3), string(out.body))
+		}
+		require.Equal(t, before, s.noticing.count())
+	}
+}
+
 // Guards against a request that has waited for a connection while its server asked for a pause,
 // and is then sent.
 func TestRequestChosenBeforeThePauseIsNotSent(t *testing.T) {
