--- a/daemon/httpserver_test.go
+++ b/daemon/httpserver_test.go
@@ -229,7 +229,7 @@
 	answers.Wait()
 }
 
-// stalledListener is a listener of a process that stands still before its first two accepts.
+// stalledListener is a listener of a process that is not scheduled for a while before its first two accepts.
 type stalledListener struct {
 	*net.TCPListener
 	accepts int
@@ -258,7 +258,7 @@
 	drained.Wait()
 }
 
-// Guards against a listener that goes on accepting, once the process has stood still, for as long
+// Guards against a listener that goes on accepting, once the process was not scheduled, for as long
 // as callers connect: the drain would take requests that it cuts off at its end.
 func TestDrainEndsAcceptingWhileCallersConnect(t *testing.T) {
 	l := listenLocal(t)
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -12,7 +12,7 @@
 	queueWait = 10 * time.Millisecond
 	// maxQueueTime ends the queue of a listener to which callers go on to connect.
 	maxQueueTime = 40 * time.Millisecond
-	// maxStalls bounds the waits that are repeated because the process stood still.
+	// maxStalls bounds the waits that are repeated because the process was not scheduled.
 	maxStalls = 3
 )
 
@@ -25,7 +25,7 @@
 
 	// Used by Accept only.
 	acceptBy time.Time // end of accepting; zero until the first wait after stop
-	stalls   int       // waits after stop during which the process stood still
+	stalls   int       // waits after stop during which the process was not scheduled
 
 	mu       sync.Mutex
 	stopping bool
@@ -50,8 +50,8 @@
 	return l.acceptQueued()
 }
 
-// acceptQueued accepts a connection of the queue. A process that stands still between the
-// setting of the deadline and the wait tries again, since the wait ends then without a look at
+// acceptQueued accepts a connection of the queue. A process that is not scheduled between the
+// setting of the deadline and the wait tries again, since Accept then returns without checking
 // the queue.
 func (l *connListener) acceptQueued() (net.Conn, error) {
 	for {
--- a/entry/lanepause.go
+++ b/entry/lanepause.go
@@ -76,8 +76,8 @@
 	return nil
 }
 
-// pauseSpread is the largest fraction by which callers are told to wait longer than until the
-// first server's pause ends, so that they don't all return at once.
+// pauseSpread is the maximum relative jitter of the Retry-After while all servers pause, so that
+// callers don't all return at once.
 const pauseSpread = 0.25
 
 // pausedProblem returns the problem of a request while all its servers pause. The pause is this
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -33,8 +33,8 @@
 		return
 	}
 	now := ls.now()
-	x, news := ls.recordNotice(s, n, now)
-	if !news {
+	x, changed := ls.recordNotice(s, n, now)
+	if !changed {
 		return
 	}
 	for _, l := range ls.all() {
@@ -57,8 +57,8 @@
 }
 
 // recordNotice records a notice for lanes that are created later, and returns all that is known
-// of the server's incarnation. news is false if that was known before.
-func (ls *lanes) recordNotice(s quarantine.Server, n native.AnswerNotice, now time.Time) (x notice, news bool) {
+// of the server's incarnation. changed is false if that was known before.
+func (ls *lanes) recordNotice(s quarantine.Server, n native.AnswerNotice, now time.Time) (x notice, changed bool) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	x, known := ls.notices[s.ID]
@@ -70,14 +70,14 @@
 		x = notice{incarnation: s.Incarnation}
 	}
 	if until := now.Add(n.Pause); n.Pause > 0 && until.After(x.pausedUntil) {
-		x.pausedUntil, news = until, true
+		x.pausedUntil, changed = until, true
 	}
 	if n.Leaving && !x.leaving {
-		x.leaving, news = true, true
+		x.leaving, changed = true, true
 	}
 	x.recordedAt = now
 	ls.notices[s.ID] = x
-	return x, news
+	return x, changed
 }
 
 // expireNotices removes the notices of servers that have been gone for long. The lock is held.
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -57,8 +57,8 @@
 	// asked for a pause. The pause is this entry's: at another one a server may have room before.
 	minPauseRetry = 100 * time.Millisecond
 	maxPauseRetry = time.Second
-	// pauseRetrySpread is the largest fraction by which callers are told to wait longer, so that
-	// they don't all return at once.
+	// pauseRetrySpread is the maximum relative jitter of that Retry-After, so that callers don't
+	// all return at once.
 	pauseRetrySpread = 0.25
 )
 
