gateway: entries log and count the repeats of each service

Repeats beyond the site's budget can't be traced: line 2103 tells only why one retry was refused. Event 3106 and two counters tell, per service and second, first attempts, retries granted and refused, and sends beyond the first. No decision changes.

--- a/event/event.go
+++ b/event/event.go
@@ -71,6 +71,7 @@
 	LimitUsed             Kind = 3103
 	LimitOwned            Kind = 3104
 	ShareChanged          Kind = 3105
+	RepeatsUsed           Kind = 3106
 	RevisionTaken         Kind = 5010
 	RevisionRefused       Kind = 5011
 	CloudCalled           Kind = 5301
@@ -132,6 +133,7 @@
 	{LimitUsed, "usage of a refused workspace"},
 	{LimitOwned, "owner of a limit's pools"},
 	{ShareChanged, "share of the limits"},
+	{RepeatsUsed, "repeats of a service"},
 	{CatalogueChanged, "catalogue changed"},
 	{CatalogueRefused, "catalogue change refused"},
 	{CatalogueTaken, "catalogue version in force here"},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 	datagrams  *datagrams
 	limits     *limits
 	limitUsage *limitUsage
+	repeatUse  *repeatUse
 	usage      *usage
 	outcomes   outcomes
 	sampler    *event.Sampler
@@ -109,6 +110,7 @@
 	}
 	g.peers = &peers{directory: g.directory}
 	g.limitUsage = newLimitUsage(g.log, g.metrics, g.now)
+	g.repeatUse = newRepeatUse(g.log, g.metrics)
 	g.exchange = g.newExchange()
 	g.limits = newLimits(g.exchange, g.shares, b, g.log, g.now)
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
@@ -198,12 +200,15 @@
 	g.retryMu.Lock()
 	defer g.retryMu.Unlock()
 	g.retries.RecordFirstAttempt(g.now(), c)
+	g.repeatUse.recordFirst(c.Service)
 }
 
 func (g *Gateway) decideRetry(f retry.Failure) retry.Verdict {
 	g.retryMu.Lock()
 	defer g.retryMu.Unlock()
-	return g.retries.Failed(g.now(), f, rand.Float64())
+	v := g.retries.Failed(g.now(), f, rand.Float64())
+	g.repeatUse.recordVerdict(f.Call.Service, v)
+	return v
 }
 
 // objectivePassed reports whether the request's objective has passed since its caller's
@@ -225,7 +230,7 @@
 const forgetInterval = 10 * time.Second
 
 // upkeep repeats this entry's reports of load, removes idle connections and expired records, and
-// logs the use of limits. It is one task, so that an idle entry wakes once for it.
+// logs the use of limits and retry budgets. It is one task, so that an idle entry wakes once for it.
 func (g *Gateway) upkeep() {
 	g.reportAllLoads()
 	g.pool.Sweep()
@@ -235,6 +240,7 @@
 	}
 	g.applyDirectory()
 	g.limitUsage.logUsage()
+	g.repeatUse.logUse()
 }
 
 // Run serves until ctx ends, a signal arrives or a component fails. public adds the actors
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -42,6 +42,9 @@
 	if j.workspace != nil {
 		j.gateway.limitUsage.recordSend(j.workspace.Name, j.cost, j.sends > 0, at.Sub(j.admittedAt))
 	}
+	if j.sends > 0 {
+		j.gateway.repeatUse.recordRepeat(j.service.name)
+	}
 	j.sends++
 }
 
