--- a/cmd/savoryreel/devplatform.go
+++ b/cmd/savoryreel/devplatform.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	for i := range devServers {
-		s, err := standin.StartServer(fmt.Sprintf("server-%d", i+1), "web", "z1", []string{devAddress(standin.ControlPort)})
+		s, err := standin.StartServer(standin.ServerConfig{ID: fmt.Sprintf("server-%d", i+1), Service: "web", Zone: "z1", ControlAddrs: []string{devAddress(standin.ControlPort)}})
 		if err != nil {
 			return err
 		}
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -38,10 +38,41 @@
 	entries  []*process
 	cloud    *standin.Cloud
 	servers  []*standin.Server
+
+	retryWindow time.Duration // of the settings; 0: the default
+	retrySlack  int           // of the settings; 0: the default
 }
 
 func newPlatformSite(t *testing.T, controls, entries, servers int) *platformSite {
+	p := startPlatformSite(t, controls, entries, func(*platformSite) {})
+	for i := range servers {
+		s, err := standin.StartServer(standin.ServerConfig{ID: fmt.Sprintf("s%d", i), Service: "web", Zone: "z1", ControlAddrs: p.controlAddrs()})
+		require.NoError(t, err)
+		t.Cleanup(s.Close)
+		p.servers = append(p.servers, s)
+	}
+	p.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
+	for i := range entries {
+		p.eventually(func() bool { return standin.Ready(p.ctx(), p.addrOf(entryOctet(i), standin.ReadinessPort)) }, "entry is ready")
+		p.awaitServing(i, "/get/x")
+	}
+	return p
+}
+
+// awaitServing waits until entry i answers requests for path.
+func (p *platformSite) awaitServing(i int, path string) {
+	p.t.Helper()
+	p.eventually(func() bool {
+		a, err := standin.Call(p.ctx(), p.entryAddr(i), platformKey, path, "")
+		return err == nil && a.Status == 200
+	}, "entry serves")
+}
+
+// startPlatformSite starts the processes of a site with the settings that configure changes,
+// and no backend servers.
+func startPlatformSite(t *testing.T, controls, entries int, configure func(*platformSite)) *platformSite {
 	p := &platformSite{site: newSite(t)}
+	configure(p)
 	parts := strings.Split(p.ip, ".")
 	// The last octet of a site's address is unique in this run. Used as the third octet, it
 	// leaves the last one for the site's processes.
@@ -56,20 +87,6 @@
 	for i := range entries {
 		p.entries = append(p.entries, p.startPlatformEntry(i))
 	}
-	for i := range servers {
-		s, err := standin.StartServer(fmt.Sprintf("s%d", i), "web", "z1", p.controlAddrs())
-		require.NoError(t, err)
-		t.Cleanup(s.Close)
-		p.servers = append(p.servers, s)
-	}
-	p.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
-	for i := range entries {
-		p.eventually(func() bool { return standin.Ready(p.ctx(), p.addrOf(entryOctet(i), standin.ReadinessPort)) }, "entry is ready")
-		p.eventually(func() bool {
-			a, err := standin.Call(p.ctx(), p.entryAddr(i), platformKey, "/get/x", "")
-			return err == nil && a.Status == 200
-		}, "entry serves")
-	}
 	return p
 }
 
@@ -100,6 +117,7 @@
 // startPlatform starts a process of a role with a settings file in the platform's format.
 func (p *platformSite) startPlatform(role string, s standin.Settings) *process {
 	s.Seeds, s.Zone, s.Cloud, s.PortBase = p.controlAddrs(), "z1", p.cloud.Address(), platformPort
+	s.RetryWindow, s.RetrySlack = p.retryWindow, p.retrySlack
 	file := filepath.Join(p.dir, "settings-"+s.IP)
 	require.NoError(p.t, os.WriteFile(file, []byte(s.File()), 0o600))
 	return p.start(role+"-"+s.IP, "platform", role, "--settings-file", file)
