policy/retry, gateway: repeats stay within the site's budget in every window

What callers saw: nothing directly; failing servers got up to a sixth more repeats than the site allows, and fail more for it. Cause: a budget could be saved up to a window's earnings and spend these on top of the next window's; each start of an entry brought a repeat, and the slack was divided by a count of entries that each entry learned at another time. Change: a budget counts first attempts and repeats in slots of a sliding window. Repeats in each window are at most the entry's slack and the ratio times the mean of the first attempts in it and the window before, which adds up over entries. The slack is divided by the shares that a majority of the replicas votes on, the smallest of the last window counting. Requests read after a pause count at its start. A send beyond a request's first one is charged once its connection is open, whatever path leads there.

--- a/entry/retries.go
+++ b/entry/retries.go
@@ -40,7 +40,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.policy.ServerFailed(now, server)
-	return t.policy.Failed(now, f, rand.Float64())
+	v := t.policy.Failed(now, f, rand.Float64())
+	if v.Go && !f.Reclaimed {
+		t.policy.Repeat(now, f.Call)
+	}
+	return v
+}
+
+// setEntries sets the number of entries, which divide the slack.
+func (t *retries) setEntries(now time.Time, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.policy.SetSlack(now, float64(retry.DefaultSlack)/float64(max(1, count)))
 }
 
 // setServers sets the number of backend servers. The policy detects a wave of failures by
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -137,8 +137,7 @@
 const liveCountTTL = 5 * time.Second
 
 // updateEntryCount applies a replica's count of live entries. The highest count is used: a
-// replica that has just started knows few entries, and with its count each entry would take
-// too large a fraction of the site's retry budget.
+// replica that has just started knows few entries.
 func (g *Gateway) updateEntryCount(addr string, n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -156,9 +155,6 @@
 		return
 	}
 	g.entryCount = highest
-	g.retryMu.Lock()
-	g.retries.SetMinBudget(retryBudget(g.cfg.Node.Bounds, highest))
-	g.retryMu.Unlock()
 	for _, s := range g.services {
 		s.setEntries(highest)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +19,6 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/patience"
-	"savoryreel.example/savoryreel/policy/retry"
 	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/site"
 	"savoryreel.example/savoryreel/wallclock"
@@ -84,17 +82,12 @@
 	entryCount    int                  // live entries, 1 until a replica has reported
 	liveCounts    map[string]liveCount // by control replica
 
-	retryMu sync.Mutex
-	retries *retry.Policy
+	repeats *repeats
 
 	callerWaitsMu sync.Mutex
 	callerWaits   *patience.Estimator
 }
 
-// retryBudgetFraction is the fraction of the site's retry budget that entries spend. The
-// rest covers differences between the windows in which entries count.
-const retryBudgetFraction = 0.7
-
 // New returns an entry that is not running yet.
 func New(cfg Config, deps Deps) (*Gateway, error) {
 	if err := cfg.Node.Validate(); err != nil {
@@ -118,9 +111,10 @@
 	g.sampler = event.NewSampler(g.log, g.now, event.DefaultSampledPerSecond)
 	g.serverSampler = event.NewSampler(g.log, g.now, maxServerLines)
 	var err error
-	if g.retries, err = retry.New(retryConfig(b)); err != nil {
+	if g.repeats, err = newRepeats(b, g.repeatUse, g.now); err != nil {
 		return nil, trace.Wrap(err, "step=set up retries")
 	}
+	g.limits.onShare = g.repeats.setShare
 	g.traffic = link.NewTraffic(g.metrics)
 	g.links = link.NewPool(api.PoolConfig(g.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: g.traffic})
 	g.follower = follow.New(follow.Config{SingleSource: true, Zone: cfg.Node.Zone}, follow.Deps{
@@ -131,18 +125,6 @@
 }
 
 const (
-	// assumedEntries is how many entries share the site's retry slack until their number is
-	// known.
-	assumedEntries = 8
-	// minRetryRatio and minRetryBudget keep the retry policy's settings valid on a site that
-	// allows next to no retries.
-	minRetryRatio  = 0.01
-	minRetryBudget = 0.5
-	// initialRetries is the retry budget of a workspace or a service before its requests
-	// have added to it.
-	initialRetries = 1
-	// maxRetryBackoff is short because callers' objectives are a few hundred milliseconds.
-	maxRetryBackoff = 50 * time.Millisecond
 	// minWatchWait and maxWatchWait bound the time between two calls to a control replica,
 	// which exchange what entries have running. watchWaitPerEntry limits a replica to about
 	// fifty calls a second until maxWatchWait is reached. The follower waits less for the
@@ -156,25 +138,6 @@
 	startWatchWaitPerEntry = time.Millisecond
 )
 
-// retryConfig returns the retry policy for a site's budget. Its backoff is shorter than the
-// default because callers' objectives are short.
-func retryConfig(b site.Bounds) retry.Config {
-	cfg := retry.DefaultConfig()
-	cfg.Ratio = max(b.RetryRatio*retryBudgetFraction, minRetryRatio)
-	cfg.Window = b.RetryWindow
-	cfg.MinBudget = max(retryBudget(b, assumedEntries), initialRetries) // the site may allow no slack
-	cfg.Start = initialRetries
-	cfg.Backoff = maxRetryBackoff
-	cfg.WaveSpread = maxRetryBackoff
-	return cfg
-}
-
-// retryBudget returns the retries that one of the given number of entries may accumulate.
-// All entries may spend theirs at once when servers are lost.
-func retryBudget(b site.Bounds, entries int) float64 {
-	return max(b.RetrySlack*retryBudgetFraction/float64(max(entries, 1)), minRetryBudget)
-}
-
 func (g *Gateway) peerInfo() link.PeerInfo {
 	return link.PeerInfo{ID: g.cfg.Node.Name, Incarnation: g.incarnation, Role: api.RoleEntry}
 }
@@ -196,21 +159,6 @@
 	return s
 }
 
-func (g *Gateway) recordFirstAttempt(c retry.Call) {
-	g.retryMu.Lock()
-	defer g.retryMu.Unlock()
-	g.retries.RecordFirstAttempt(g.now(), c)
-	g.repeatUse.recordFirst(c.Service)
-}
-
-func (g *Gateway) decideRetry(f retry.Failure) retry.Verdict {
-	g.retryMu.Lock()
-	defer g.retryMu.Unlock()
-	v := g.retries.Failed(g.now(), f, rand.Float64())
-	g.repeatUse.recordVerdict(f.Call.Service, v)
-	return v
-}
-
 // objectivePassed reports whether the request's objective has passed since its caller's
 // first attempt. remaining is the time that the caller waits.
 func (g *Gateway) objectivePassed(r *routes.Route, remaining time.Duration) bool {
@@ -237,6 +185,7 @@
 	if now := g.now(); now.Sub(g.forgotAt) >= forgetInterval {
 		g.forgotAt = now
 		g.directory.Sweep(now, false)
+		g.repeats.forget()
 	}
 	g.applyDirectory()
 	g.limitUsage.logUsage()
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -74,6 +74,7 @@
 	backoffs         map[limit.Key]backoff
 	unreachableUntil map[string]time.Time // by entry; no requests go to it until then
 	shares           *shares
+	onShare          func(share float64) // called with the share each time that it is read; nil: not called
 	start            time.Time
 	hadShare         bool                         // this entry has had a share since its start
 	shareReady       chan struct{}                // closed firstLeaseDelay after the first share
@@ -136,6 +137,9 @@
 func (l *limits) updateShare() {
 	now := l.now()
 	share := l.shares.share(now)
+	if l.onShare != nil {
+		l.onShare(share)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	since := now
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -44,9 +44,12 @@
 }
 
 // withdrawn returns the result of an attempt that was not sent, because its server has started
-// to leave or asked for a pause since it was chosen.
+// to leave or asked for a pause since it was chosen, or because the retry budgets have no room.
 func (j *job) withdrawn(c *choice) result {
 	j.service.end(c, endedByCaller, j.gateway.now())
+	if j.repeatRefused != "" {
+		return result{refusal: j.failureRefusal("no repeat: " + j.repeatRefused)}
+	}
 	r := result{retryable: true, notRun: true, server: c.verdict.Server}
 	r.refusal = j.failureRefusal("the server takes no more requests")
 	return r
--- a/gateway/repeatuse.go
+++ b/gateway/repeatuse.go
@@ -12,7 +12,7 @@
 	"savoryreel.example/savoryreel/policy/retry"
 )
 
-// repeatUse counts, by service, the first attempts, the retries that the budget granted or
+// repeatUse counts, by service, the first attempts, the repeats that the budget granted or
 // refused, and the repeated sends of this entry.
 //
 // The budget applies to all entries together. If a service gets too many repeats, the sums
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -23,7 +23,7 @@
 	answer, err := g.pool.Do(ctx, c.verdict.Address, &backend.Call{
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: g.deps.Dialect.RequestHeader(j.Request, attempt), Body: j.Body,
 		Matches: func(h http.Header) bool { return g.deps.Dialect.Matches(j.Request, h) },
-		MaySend: func() bool { return j.service.maySend(c, g.now()) },
+		MaySend: func() bool { return j.service.maySend(c, g.now()) && j.takeRepeat() },
 	})
 	if errors.Is(err, backend.ErrWithdrawn) {
 		return j.withdrawn(c)
@@ -37,6 +37,19 @@
 	return j.handleAnswer(ctx, c, answer)
 }
 
+// takeRepeat takes a send beyond the request's first one from the retry budgets. It is called
+// once a connection is open: every way to send a request again passes through here.
+func (j *job) takeRepeat() bool {
+	if j.sends == 0 {
+		return true
+	}
+	v := j.gateway.repeats.take(j.call())
+	if !v.Go {
+		j.repeatRefused = v.Reason.String()
+	}
+	return v.Go
+}
+
 // recordSend counts a send of the request to a server.
 func (j *job) recordSend(at time.Time) {
 	if j.workspace != nil {
@@ -150,7 +163,7 @@
 	}
 	_, _ = io.Copy(io.Discard, answer) // lets the connection be reused; an error only closes it
 	j.service.end(c, endedFailed, j.gateway.now())
-	r.reachedServer, r.notRun, r.server = false, true, "" // mayRetry has charged the budget already
+	r.reachedServer, r.notRun, r.server = false, true, "" // mayRetry has asked already
 	return r
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -59,6 +59,8 @@
 	lastEventID   string // last event sent to the caller
 	lastServer    string // of the last attempt, for the log
 
+	repeatRefused string // why the retry budgets allow no repeat; empty if they have not refused one
+
 	firstByte time.Duration // from the request's arrival to the answer's header
 }
 
@@ -108,7 +110,7 @@
 	}
 	j.service = g.service(j.route.Choose(rand.Float64()))
 	j.prefixes = prefixesOf(j.Model, j.PromptSegments)
-	g.recordFirstAttempt(j.call())
+	g.repeats.recordFirst(j.call())
 	return nil
 }
 
@@ -265,7 +267,7 @@
 	refusal       *Refusal // returned if the request is not sent again
 	retryable     bool     // it may be sent again if its route's rules allow
 	notRun        bool     // this attempt certainly has not run
-	reachedServer bool     // another attempt counts as a retry
+	reachedServer bool     // the retry policy decides on another attempt
 	server        string   // excluded from further attempts; empty: none
 }
 
@@ -282,9 +284,9 @@
 		j.triedServers = append(j.triedServers, r.server)
 	}
 	if !r.reachedServer {
-		return true // nothing to charge to the retry budget
+		return true // nothing was tried
 	}
-	v := j.gateway.decideRetry(retry.Failure{Call: j.call(), Attempts: max(j.runs, 1), NotRun: r.notRun})
+	v := j.gateway.repeats.decide(retry.Failure{Call: j.call(), Attempts: max(j.runs, 1), NotRun: r.notRun})
 	event.Log(ctx, j.gateway.log, slog.LevelInfo, event.AttemptFailed, slog.String("request", j.ID), slog.String("server", r.server),
 		slog.Bool("notRun", r.notRun), slog.Bool("again", v.Go), slog.String("reason", v.Reason.String()), slog.Duration("after", v.After))
 	if !v.Go {
--- a/policy/policytest/fault.go
+++ b/policy/policytest/fault.go
@@ -96,7 +96,7 @@
 		c.Class = contract.ClassStandard
 	}
 	v := e.retry.Failed(m.now, retry.Failure{Call: c, Attempts: j.Attempts, NotRun: true}, m.rng.Float64())
-	if !v.Go {
+	if !v.Go || !e.retry.Repeat(m.now, c).Go {
 		m.endFailed(j)
 		return
 	}
@@ -122,7 +122,7 @@
 			Call: retryCall(j), Waited: m.now.Sub(j.Started), Usual: e.usualFirstToken(),
 			Load: 1 - float64(slots.Free-slots.Taken)/float64(max(1, slots.Total)),
 		})
-		if !v.Go {
+		if !v.Go || !e.retry.Repeat(m.now, retryCall(j)).Go {
 			m.scheduleHedgeCheck(e, j)
 			return
 		}
--- a/policy/policytest/model.go
+++ b/policy/policytest/model.go
@@ -109,6 +109,8 @@
 	if m.policies.Retry != nil {
 		e.retry = m.policies.Retry()
 		e.retry.SetServers(len(m.servers))
+		upSince := m.now.Add(-2 * retry.DefaultConfig().Window)
+		e.retry.SetSlack(upSince, float64(retry.DefaultSlack)/float64(m.scenario.Entries))
 	}
 	for i, b := range m.servers {
 		e.view[i] = ServerView{Alive: true, Zone: b.zone, Slots: m.scenario.Fleet.Slots, Assigned: m.scenario.Fleet.Slots / m.scenario.Entries}
--- a/policy/retry/config.go
+++ b/policy/retry/config.go
@@ -8,19 +8,10 @@
 
 // Config bounds retries and hedges. Start from DefaultConfig.
 type Config struct {
-	// Ratio is the fraction of first attempts that may be retried or hedged.
-	Ratio float64 // above 0, at most 1
-
-	// A budget saves up at most MinBudget attempts, or, if that is more, Ratio of its
-	// first attempts in about the last Window. Without a bound a quiet week would pay for
-	// a storm of retries.
-	MinBudget float64
-	Window    time.Duration
-
-	// Start is the initial value of a budget, in attempts; MinBudget bounds it. With 0,
-	// an entry that receives only a few requests of a workspace could retry none of them,
-	// and their callers would see one server's error although another server is available.
-	Start float64
+	// In each Window the repeats are at most the attempts of Policy.SetSlack and Ratio times
+	// the first attempts, in the mean of this window and the one before.
+	Ratio  float64 // above 0, at most 1
+	Window time.Duration
 
 	// MaxAttempts bounds the attempts of one request, including the first.
 	MaxAttempts int
@@ -44,6 +35,10 @@
 	MaxHedgeLoad float64 // 0 to 1
 }
 
+// DefaultSlack is the number of repeats that all entries of a site may make in a window beside
+// Config.Ratio, so that single failures are retried also where few requests come.
+const DefaultSlack = 100
+
 // DefaultConfig returns the default values; docs/DECISIONS.md has the reasons.
 //
 // With MaxAttempts, one request in a thousand fails where one attempt in ten fails at random.
@@ -54,7 +49,6 @@
 func DefaultConfig() Config {
 	return Config{
 		Ratio:        0.1,
-		MinBudget:    10,
 		Window:       10 * time.Second,
 		MaxAttempts:  3,
 		Backoff:      100 * time.Millisecond,
@@ -71,9 +65,7 @@
 func (c Config) Validate() error {
 	return policy.Check("retry",
 		policy.Require("Ratio", c.Ratio > 0 && c.Ratio <= 1, "above 0 and at most 1"),
-		policy.Require("MinBudget", c.MinBudget >= 1, "at least 1"),
-		policy.Require("Start", c.Start >= 0, "at least 0"),
-		policy.Require("Window", c.Window > 0, "above 0"),
+		policy.Require("Window", c.Window >= minWindow, "at least 40 ns"),
 		policy.Require("MaxAttempts", c.MaxAttempts >= 1, "at least 1"),
 		policy.Require("Backoff", c.Backoff >= 0, "at least 0"),
 		policy.Require("WaveServers", c.WaveServers >= 1, "at least 1"),
--- a/policy/retry/doc.go
+++ b/policy/retry/doc.go
@@ -7,10 +7,12 @@
 // Without it the remaining backend servers receive the failed work again at once, on top of
 // their own. The retries take the capacity that first attempts need, which then fail too.
 //
-// Retries and hedges spend a budget for each workspace and each service, which is filled
-// by a fraction of their first attempts (Config.Ratio). Beyond Config.Start they stay
-// within that fraction of first attempts, whatever fails. An accepted request whose backend
-// server was reclaimed continues on another one; this is not a retry and spends nothing.
+// Whatever sends a request to a server once more, a repeat, spends a budget of its workspace
+// and its service: a retry, a hedge, a resumed stream, a request that continues after its
+// server was reclaimed. In every window the repeats at all entries together are at most a
+// fraction of the first attempts (Config.Ratio) and a slack that the entries divide
+// (Policy.SetSlack). Failed and Slow say whether a repeat is worth while and the budgets have
+// room; Repeat, called right before the send, spends it.
 //
 // The package has no clock and no source of randomness: both are arguments. Policy is not
 // safe for concurrent use; its owner holds a lock around it.
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -10,6 +10,11 @@
 // use, so that interactive requests can still be retried.
 const batchReserveFraction = 0.5
 
+// minWorkspaceSlack is the least slack of a workspace's budget at an entry: among hundreds of
+// entries a workspace has few requests at each. It keeps one workspace from using up the budget
+// of a service; the bound on what servers get is that of the service's budget.
+const minWorkspaceSlack = 1
+
 // Policy decides on retries and hedges at one entry. It is not safe for concurrent use.
 type Policy struct {
 	cfg        Config
@@ -17,6 +22,9 @@
 	services   map[string]*budget
 	wave       wave
 	servers    int
+	clock      clock
+	slack      trailingMin
+	pauses     pauses
 }
 
 // New returns a Policy, or the *policy.ConfigError of an invalid cfg.
@@ -35,27 +43,40 @@
 // SetServers sets the number of backend servers, of which Config.WaveShare is a fraction.
 func (p *Policy) SetServers(n int) { p.servers = n }
 
-// ForgetWorkspace drops the budget of a workspace that was removed from the catalogue.
-func (p *Policy) ForgetWorkspace(name string) { delete(p.workspaces, name) }
-
-// ForgetService drops the budget of a service that was removed from the catalogue.
-func (p *Policy) ForgetService(name string) { delete(p.services, name) }
+// SetSlack sets this entry's share of the repeats that all entries may make in a window beyond
+// Config.Ratio; it is 0 at the start. The shares of all entries must sum to at most the whole
+// at any moment. The smallest share of the last window counts, since a larger one was another
+// entry's before, which may have used it.
+func (p *Policy) SetSlack(now time.Time, attempts float64) { p.slack.set(now, attempts, p.cfg.Window) }
+
+// Forget drops the budgets that no request has used for two windows.
+func (p *Policy) Forget(now time.Time) {
+	slot := p.clock.slotAt(now, p.cfg.Window)
+	for _, budgets := range []map[string]*budget{p.workspaces, p.services} {
+		for name, b := range budgets {
+			if b.unused(slot) {
+				delete(budgets, name)
+			}
+		}
+	}
+}
 
-// SetMinBudget changes Config.MinBudget, for example when the number of entries that share
-// a budget changes. Attempts saved up beyond the new bound are lost.
-func (p *Policy) SetMinBudget(attempts float64) { p.cfg.MinBudget = attempts }
+// Observe records that the process runs. Its owner calls it every ObserveInterval, or a little
+// later, so that the policy knows when the process stood still.
+func (p *Policy) Observe(now time.Time) { p.pauses.observe(now) }
 
 // RecordFirstAttempt adds the first attempt of a request to the budgets of its workspace
 // and service.
 func (p *Policy) RecordFirstAttempt(now time.Time, c Call) {
-	p.budgetOf(p.workspaces, c.Workspace).recordFirst(now, &p.cfg)
-	p.budgetOf(p.services, c.Service).recordFirst(now, &p.cfg)
+	slot := p.clock.slotAt(p.pauses.earliestArrival(now), p.cfg.Window)
+	p.budgetOf(p.workspaces, c.Workspace).recordFirst(slot)
+	p.budgetOf(p.services, c.Service).recordFirst(slot)
 }
 
 func (p *Policy) budgetOf(budgets map[string]*budget, name string) *budget {
 	b, ok := budgets[name]
 	if !ok {
-		b = &budget{available: min(p.cfg.Start, p.cfg.MinBudget)}
+		b = &budget{}
 		budgets[name] = b
 	}
 	return b
@@ -70,14 +91,14 @@
 // InWave reports whether many backend servers have failed within Config.WaveWindow.
 func (p *Policy) InWave(now time.Time) bool { return p.wave.active(now, &p.cfg, p.servers) }
 
-// Failed decides whether a failed attempt is retried, and spends the budgets if so. random
-// is uniform in [0, 1) and spreads the delay.
+// Failed decides whether a failed attempt is retried. random is uniform in [0, 1) and spreads
+// the delay. It spends nothing; see Repeat.
 func (p *Policy) Failed(now time.Time, f Failure, random float64) Verdict {
 	if !f.Call.Idempotent && !f.NotRun {
 		return Verdict{Reason: MayHaveRun}
 	}
 	if f.Reclaimed {
-		return Verdict{Go: true, Reason: GoOn}
+		return p.room(now, &f.Call, GoOn)
 	}
 	if f.Attempts >= p.cfg.MaxAttempts {
 		return Verdict{Reason: TooManyAttempts}
@@ -86,12 +107,8 @@
 	if !f.Call.meetsDeadline(now, delay) {
 		return Verdict{Reason: NoTimeLeft}
 	}
-	reserveFraction := 0.0
-	if f.Call.Class == contract.ClassBatch {
-		reserveFraction = batchReserveFraction
-	}
-	if reason, ok := p.spend(now, f.Call, reserveFraction); !ok {
-		return Verdict{Reason: reason}
+	if v := p.room(now, &f.Call, Retry); !v.Go {
+		return v
 	}
 	if delay > 0 {
 		return Verdict{Go: true, Reason: RetryLater, After: delay}
@@ -116,20 +133,35 @@
 	return c.Deadline.IsZero() || !now.Add(delay+c.EstimatedDuration).After(c.Deadline)
 }
 
-// spend takes one attempt from both budgets, or returns the reason if one of them does not
-// allow it.
-func (p *Policy) spend(now time.Time, c Call, reserveFraction float64) (Reason, bool) {
-	workspace := p.budgetOf(p.workspaces, c.Workspace)
-	service := p.budgetOf(p.services, c.Service)
-	if !workspace.allows(now, &p.cfg, reserveFraction) {
-		return WorkspaceBudget, false
+// Repeat spends one repeat of both budgets, or says which of them has no room for it. It is
+// called right before a request is sent once more: since the decision to do so, the process may
+// have stood still or waited for a connection.
+func (p *Policy) Repeat(now time.Time, c Call) Verdict {
+	v := p.room(now, &c, Retry)
+	if v.Go {
+		slot := p.clock.slotAt(now, p.cfg.Window)
+		p.budgetOf(p.workspaces, c.Workspace).recordRepeat(slot)
+		p.budgetOf(p.services, c.Service).recordRepeat(slot)
 	}
-	if !service.allows(now, &p.cfg, reserveFraction) {
-		return ServiceBudget, false
+	return v
+}
+
+// room returns a verdict to go with the given reason if both budgets have room for a repeat,
+// and else one that names the budget without.
+func (p *Policy) room(now time.Time, c *Call, reason Reason) Verdict {
+	reserveFraction := 0.0
+	if c.Class == contract.ClassBatch {
+		reserveFraction = batchReserveFraction
 	}
-	workspace.available--
-	service.available--
-	return Retry, true
+	slot, slack := p.clock.slotAt(now, p.cfg.Window), p.slack.get(now, p.cfg.Window)
+	workspaceSlack := max(slack, minWorkspaceSlack)
+	if !p.budgetOf(p.workspaces, c.Workspace).allows(slot, workspaceSlack, p.cfg.Ratio, reserveFraction) {
+		return Verdict{Reason: WorkspaceBudget}
+	}
+	if !p.budgetOf(p.services, c.Service).allows(slot, slack, p.cfg.Ratio, reserveFraction) {
+		return Verdict{Reason: ServiceBudget}
+	}
+	return Verdict{Go: true, Reason: reason}
 }
 
 // Slow decides whether an attempt without a first token is hedged on another backend
@@ -153,8 +185,5 @@
 	case !s.Call.meetsDeadline(now, 0):
 		return Verdict{Reason: NoTimeLeft}
 	}
-	if reason, ok := p.spend(now, s.Call, 0); !ok {
-		return Verdict{Reason: reason}
-	}
-	return Verdict{Go: true, Reason: Hedge}
+	return p.room(now, &s.Call, Hedge)
 }
--- a/policy/retry/verdict.go
+++ b/policy/retry/verdict.go
@@ -43,7 +43,7 @@
 const (
 	Retry           Reason = iota // at once
 	RetryLater                    // after the wait in Verdict.After
-	GoOn                          // its server was reclaimed: continue on another one at once, without spending a budget
+	GoOn                          // its server was reclaimed: continue on another one at once
 	Hedge                         // start a second attempt now
 	MayHaveRun                    // not idempotent, and may have run: the outcome is unknown
 	NotIdempotent                 // not idempotent, and still running
