entry: every send of a request beyond its first takes from the retry budgets

Cause: the native front asked the budgets when a plain call failed, and nowhere else. Answers were resumed, continued after a reclaim and sent again after each refusal without asking; a call whose server had left was sent again without bound. Change: one place, asked once the connection is open, counts the sends of a request and takes each beyond the first from the budgets. An entry that takes a request over knows whether it was sent. What was accepted and has lost its server waits for room until its deadline; a request stays on a leaving server until there is room to move it. The slack is divided by the number of entries.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -152,13 +152,16 @@
 	return request.NewProblem(request.CodeInternal, request.Unknown, "request %s was cancelled", r.ID)
 }
 
-// reroute waits until another server can take the request.
+// reroute waits until another server can take the request, and the retry budgets allow that it
+// is sent once more.
 func (r *runner) reroute(ctx context.Context, w *work) (*grant, error) {
 	tick := time.NewTicker(rerouteInterval)
 	defer tick.Stop()
 	for waits := 0; ; waits++ {
-		if g, ok := w.ticket.lane.regrant(w.ticket); ok {
-			return g, nil
+		if w.ticket.sends.allowed() {
+			if g, ok := w.ticket.lane.regrant(w.ticket); ok {
+				return g, nil
+			}
 		}
 		if len(w.journal.Tokens()) == 0 {
 			if p := w.ticket.lane.endlessPause(w.ticket); p != nil {
@@ -209,7 +212,7 @@
 	}
 	watch := newStreamWatch(r, g.verdict.Address, cancel)
 	go watch.run(ctx)
-	stream, err := r.engines.Chat(native.WithMaySend(ctx, g.maySend), g.verdict.Address, string(w.request.ID), body)
+	stream, err := r.engines.Chat(native.WithMaySend(ctx, w.ticket.maySend(g)), g.verdict.Address, string(w.request.ID), body)
 	if err != nil {
 		r.lanes.heed(g.server(), native.NoticeOfError(err))
 		return request.End{}, attemptError(ctx, err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,7 @@
 	"savoryreel.example/savoryreel/membership"
 	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/pick"
+	"savoryreel.example/savoryreel/policy/retry"
 )
 
 // Intervals and timeouts of the periodic work.
@@ -106,7 +107,7 @@
 	if e.admitter, err = newAdmission(fmt.Sprintf("%s/%d", cfg.ID, e.incarnation), deps.Now); err != nil {
 		return nil, err
 	}
-	if e.retries, err = newRetries(); err != nil {
+	if e.retries, err = newRetries(deps.Now); err != nil {
 		return nil, err
 	}
 	if e.picker, err = pick.New(cfg.pickConfig()); err != nil {
@@ -186,6 +187,7 @@
 	addPeriodic(g, plannedStopInterval, e.refreshPlannedStops)
 	addPeriodic(g, syncInterval, e.syncServers)
 	addPeriodic(g, quarantineExpireInterval, e.guard.expire)
+	addPeriodic(g, retry.ObserveInterval, e.retries.observe)
 	addPeriodic(g, slotExchangeInterval, e.slotExchange.exchange)
 	addPeriodic(g, housekeepInterval, e.housekeep)
 	daemon.Actor(g, e.awaitNotice)
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -25,6 +25,9 @@
 	// kvBytesPerSecond is the bandwidth between two engines, that of a 10 Gbit/s link.
 	kvBytesPerSecond  = 1.25e9
 	kvTransferTimeout = 5 * time.Second
+	// moveRetryInterval is how often a request that runs on a leaving server looks for room in
+	// the retry budgets.
+	moveRetryInterval = 100 * time.Millisecond
 )
 
 // evacuations moves requests off backend servers that are about to be reclaimed.
@@ -111,6 +114,10 @@
 	if !w.runsOn(server, incarnation) {
 		return
 	}
+	if !w.ticket.sends.allowed() {
+		time.AfterFunc(moveRetryInterval, func() { w.moveOff(server, incarnation, withKV) })
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.paused != nil {
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -28,6 +28,7 @@
 	Request request.Request `msgpack:"req"`
 	Tokens  []string        `msgpack:"tok"`
 	Weight  int             `msgpack:"w"`
+	Sent    bool            `msgpack:"sent"` // it has been sent to a backend server
 }
 
 // takeOverReply returns the address at which callers reach the entry that has taken the
@@ -87,7 +88,7 @@
 	if !wk.pause() {
 		return // it has ended
 	}
-	msg := takeOverRequest{Request: *wk.request, Tokens: wk.journal.Tokens(), Weight: wk.ticket.weight}
+	msg := takeOverRequest{Request: *wk.request, Tokens: wk.journal.Tokens(), Weight: wk.ticket.weight, Sent: wk.ticket.sends.wasSent()}
 	for _, m := range peers {
 		reply, err := e.offer(ctx, m, msg)
 		if err != nil {
@@ -140,6 +141,7 @@
 		return takeOverReply{}, err
 	}
 	wk.takenOver, wk.lastFollowerLeft = true, e.deps.Now()
+	wk.ticket.sends.sent = msg.Sent
 	if !e.launch(wk, e.engineRequest(s, &req, chat), false) {
 		return reply, nil
 	}
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -74,6 +74,7 @@
 	weight        int
 	latestStart   time.Time
 	decision      chan decision // receives exactly one decision, unless the request is withdrawn
+	sends         *sends
 }
 
 // decision ends the wait of a request with a grant or with the problem for the caller.
--- a/entry/members.go
+++ b/entry/members.go
@@ -154,7 +154,7 @@
 	members := e.members.View().Members(instance.RoleEntry)
 	index := slices.IndexFunc(members, func(m *instance.Member) bool { return m.ID == e.cfg.ID })
 	e.lanes.setEntries(max(1, len(members)), max(0, index))
-	e.retries.setEntries(e.deps.Now(), len(members))
+	e.retries.setEntries(len(members))
 }
 
 // recordChanged applies a shared record. It ignores a record that it cannot decode, which
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -121,7 +121,7 @@
 		entry: r.Entry, request: req, http: httptest.NewRequest(method, "/svc/web/x", nil), writer: out, ctx: ctx,
 		service: &contract.Service{Name: "web", Kind: contract.KindPlain},
 		ticket: &ticket{
-			request: req, weight: 1, lane: r.lane(plainKey("web")), decision: make(chan decision, 1),
+			request: req, weight: 1, lane: r.lane(plainKey("web")), decision: make(chan decision, 1), sends: &sends{retries: r.retries, request: req},
 			route: route.Request{Key: 1, Zone: "z1", Region: "r1", NoProbe: true},
 		},
 	}, out
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -40,6 +40,8 @@
 	http    *http.Request
 	writer  http.ResponseWriter
 	ctx     context.Context
+
+	reclaimed bool // the server of the last failed attempt was leaving
 }
 
 // handlePlain handles a call of a plain service under /svc/{service}/.
@@ -112,7 +114,7 @@
 		return nil, p
 	}
 	t := &ticket{
-		request: req, weight: c.workspace.Weight, lane: l, decision: make(chan decision, 1),
+		request: req, weight: c.workspace.Weight, lane: l, decision: make(chan decision, 1), sends: &sends{retries: e.retries, request: req},
 		route: route.Request{Key: xxhash.Sum64String(req.Path), Zone: e.cfg.Zone, Region: e.cfg.Region, NoProbe: !req.Idempotent},
 	}
 	return &plainCall{entry: e, service: s, request: req, ticket: t, http: c.http, writer: w}, nil
@@ -139,7 +141,6 @@
 	if p != nil {
 		return nil, p
 	}
-	c.entry.retries.firstAttempt(c.entry.deps.Now(), c.request)
 	return c.checkGrant(g)
 }
 
@@ -230,13 +231,15 @@
 // nextGrant returns a grant on another server after a failed attempt, if the retry budgets
 // allow a further attempt, and else the call's final problem.
 func (c *plainCall) nextGrant(g *grant, attempts int, err error, outcome request.Outcome) (*grant, *request.Problem) {
+	failed := request.NewProblem(request.CodeServerFailed, outcome, "%v", err).After(time.Second)
+	if refusal := c.ticket.sends.refusal(); refusal != "" && !(c.reclaimed && c.awaitRoom()) {
+		failed.Detail = "a backend server failed (" + refusal + ")"
+		return nil, failed
+	}
 	if errors.Is(err, native.ErrWithdrawn) {
 		return c.regrant(outcome)
 	}
-	failed := request.NewProblem(request.CodeServerFailed, outcome, "%v", err).After(time.Second)
-	v := c.entry.retries.attemptFailed(c.entry.deps.Now(), g.verdict.Server, retry.Failure{
-		Call: retryCall(c.request), Attempts: attempts, NotRun: native.NotRun(err), Reclaimed: c.entry.onLeavingServer(g),
-	})
+	v := c.decideRetry(g, attempts, err)
 	if !v.Go {
 		failed.Detail += " (" + v.Reason.String() + ")"
 		return nil, failed
@@ -258,6 +261,35 @@
 	return next, p
 }
 
+// decideRetry decides whether a call is sent again after a failed attempt. A call whose server
+// leaves waits until the budgets have room.
+func (c *plainCall) decideRetry(g *grant, attempts int, err error) retry.Verdict {
+	f := retry.Failure{
+		Call: retryCall(c.request), Attempts: attempts, NotRun: native.NotRun(err), Reclaimed: c.entry.onLeavingServer(g),
+	}
+	c.reclaimed = f.Reclaimed
+	v := c.entry.retries.attemptFailed(g.verdict.Server, f)
+	if f.Reclaimed && v.Reason.NoRoom() && c.awaitRoom() {
+		return retry.Verdict{Go: true, Reason: retry.GoOn}
+	}
+	return v
+}
+
+// awaitRoom waits until the budgets have room for a repeat of the call, and reports false if its
+// context ends before.
+func (c *plainCall) awaitRoom() bool {
+	tick := time.NewTicker(rerouteInterval)
+	defer tick.Stop()
+	for !c.ticket.sends.allowed() {
+		select {
+		case <-c.ctx.Done():
+			return false
+		case <-tick.C:
+		}
+	}
+	return true
+}
+
 // send makes one attempt, and closes its grant if it fails. The bool is false only if the error
 // proves that the request did not run.
 func (c *plainCall) send(g *grant, do func(context.Context, string, *http.Request) (*http.Response, bool, error)) (*http.Response, bool, error) {
@@ -267,7 +299,7 @@
 		return nil, false, err
 	}
 	started := c.entry.deps.Now()
-	resp, sent, err := do(native.WithMaySend(c.ctx, g.maySend), g.verdict.Address, out)
+	resp, sent, err := do(native.WithMaySend(c.ctx, c.ticket.maySend(g)), g.verdict.Address, out)
 	if err == nil {
 		c.entry.lanes.heed(g.server(), native.NoticeOf(resp.StatusCode, resp.Header))
 		g.firstToken(c.entry.deps.Now().Sub(started))
--- a/entry/repeats_test.go
+++ b/entry/repeats_test.go
@@ -13,6 +13,7 @@
 
 	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/retry"
+	"savoryreel.example/savoryreel/request"
 )
 
 // refuse answers that the request was not run.
@@ -117,3 +118,17 @@
 		})
 	}
 }
+
+// Guards against an entry that takes a request over and sends it again without asking the retry
+// budgets.
+func TestTakenOverRequestIsARepeat(t *testing.T) {
+	r := newNoticeRig(t, refuse)
+	r.retries.policy.SetSlack(r.now(), 0)
+	body := native.ChatRequest{Model: "m", Messages: []native.Message{{Role: "user", Content: "hi"}}}
+	w := r.newChat("q1", 300*time.Millisecond, body)
+	w.ticket.sends.sent = true // at the entry before
+	r.launch(w, body, false)
+	r.runningRequests.Wait()
+	require.Zero(t, r.received.Load())
+	require.Equal(t, request.CodeDeadlineExpired, w.journal.Ended().Problem.Code)
+}
--- a/entry/retries.go
+++ b/entry/retries.go
@@ -11,47 +11,65 @@
 
 // retries holds this entry's retry budgets. It is safe for concurrent use.
 type retries struct {
+	now func() time.Time
+
 	mu     sync.Mutex
 	policy *retry.Policy
 }
 
-func newRetries() (*retries, error) {
+func newRetries(now func() time.Time) (*retries, error) {
 	p, err := retry.New(retry.DefaultConfig())
 	if err != nil {
 		return nil, err
 	}
-	return &retries{policy: p}, nil
-}
-
-func retryCall(r *request.Request) retry.Call {
-	return retry.Call{Workspace: r.Workspace, Service: r.Service, Class: r.Class, Idempotent: r.Idempotent, Deadline: r.Deadline}
+	return &retries{now: now, policy: p}, nil
 }
 
 // firstAttempt records the first attempt of a request, which adds to the budgets.
-func (t *retries) firstAttempt(now time.Time, r *request.Request) {
+func (t *retries) firstAttempt(r *request.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.policy.RecordFirstAttempt(now, retryCall(r))
+	t.policy.RecordFirstAttempt(t.now(), retryCall(r))
 }
 
 // attemptFailed records a failed attempt on a server and decides whether the request may be
 // retried.
-func (t *retries) attemptFailed(now time.Time, server string, f retry.Failure) retry.Verdict {
+func (t *retries) attemptFailed(server string, f retry.Failure) retry.Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
 	t.policy.ServerFailed(now, server)
-	v := t.policy.Failed(now, f, rand.Float64())
-	if v.Go && !f.Reclaimed {
-		t.policy.Repeat(now, f.Call)
-	}
-	return v
+	return t.policy.Failed(now, f, rand.Float64())
+}
+
+// take takes one repeat of a request from the budgets.
+func (t *retries) take(r *request.Request) retry.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.policy.Repeat(t.now(), retryCall(r))
+}
+
+// hasRoom reports whether the budgets have room for a repeat of a request.
+func (t *retries) hasRoom(r *request.Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.policy.HasRoom(t.now(), retryCall(r))
+}
+
+// observe tells the policy that the process runs, and drops budgets that are not in use. It is
+// called every retry.ObserveInterval.
+func (t *retries) observe() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.policy.Observe(t.now())
+	t.policy.Forget(t.now())
 }
 
 // setEntries sets the number of entries, which divide the slack.
-func (t *retries) setEntries(now time.Time, count int) {
+func (t *retries) setEntries(count int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.policy.SetSlack(now, float64(retry.DefaultSlack)/float64(max(1, count)))
+	t.policy.SetSlack(t.now(), float64(retry.DefaultSlack)/float64(max(1, count)))
 }
 
 // setServers sets the number of backend servers. The policy detects a wave of failures by
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -146,6 +146,9 @@
 	return v
 }
 
+// HasRoom reports whether Repeat would succeed.
+func (p *Policy) HasRoom(now time.Time, c Call) bool { return p.room(now, &c, Retry).Go }
+
 // room returns a verdict to go with the given reason if both budgets have room for a repeat,
 // and else one that names the budget without.
 func (p *Policy) room(now time.Time, c *Call, reason Reason) Verdict {
--- a/policy/retry/verdict.go
+++ b/policy/retry/verdict.go
@@ -84,6 +84,9 @@
 	return reasonNames[r]
 }
 
+// NoRoom reports that a budget is used up, which time mends.
+func (r Reason) NoRoom() bool { return r == WorkspaceBudget || r == ServiceBudget }
+
 // Verdict is the decision on one attempt. If Go is false, a failed attempt's error is the
 // request's answer, and a slow one goes on without a hedge.
 type Verdict struct {
