--- a/e2e/budgetsoak_test.go
+++ b/e2e/budgetsoak_test.go
@@ -297,8 +297,16 @@
 		name string
 		do   func()
 	}{
-		{"fault", s.failServers}, {"fault", s.failServers}, {"fault", s.failServers}, {"load", s.changeLoad}, {"load", s.changeLoad},
-		{"member", s.disturbMember}, {"member", s.disturbMember}, {"server", s.endOneServer}, {"link", s.disturbLink}, {"crash", s.sendCrashingRequest},
+		{"fault", s.failServers},
+		{"fault", s.failServers},
+		{"fault", s.failServers},
+		{"load", s.changeLoad},
+		{"load", s.changeLoad},
+		{"member", s.disturbMember},
+		{"member", s.disturbMember},
+		{"server", s.endOneServer},
+		{"link", s.disturbLink},
+		{"crash", s.sendCrashingRequest},
 	}
 	k := kinds[s.rand.IntN(len(kinds))]
 	s.actions[k.name]++
