e2e: failing test of a request that crashes each server that runs it

A caller sends it 30 times at three entries: each entry sends it on to a second server each time, 23 times after it has crashed three (3 are allowed). The quarantine is the native front's only.

--- a/e2e/budget_test.go
+++ b/e2e/budget_test.go
@@ -112,3 +112,24 @@
 	s.wg.Wait()
 	return s.audit.check()
 }
+
+// Guards against a request that crashes each server that runs it and is sent on to the next one
+// for as long as its caller comes back: the service loses server after server.
+func TestPlatformRequestThatCrashesServersIsNotRepeated(t *testing.T) {
+	const path, calls, gap = "/get/crash/1", 30, 500 * time.Millisecond
+	shape := budgetCIShape
+	shape.webServers = 8
+	s := newBudgetSoak(t, 1, shape)
+	time.Sleep(shape.bound.window) // until the entries may use the slack
+	for i := range s.shape.entries {
+		s.callers = append(s.callers, newBudgetCaller(s.audit, s.entryAddr(i), func() string { return path }))
+	}
+	for i := range calls {
+		s.callers[i%len(s.callers)].send(path)
+		time.Sleep(gap)
+	}
+	report := s.audit.check()
+	t.Log(report)
+	require.GreaterOrEqual(t, len(s.audit.crashes[path]), crashesUntilQuarantine)
+	require.LessOrEqual(t, report.crashRetries, allowedCrashRetries)
+}
