gateway, policy/suspect: a request that crashes servers is not sent on to more of them

What callers saw: a request that crashes each server that runs it took two servers with every attempt of its caller, at any entry; others lost theirs. Cause: the quarantine is the native front's; entries of the users' platform repeated a request that broke off as any other. Change: two entries, by the request's fingerprint, count the servers on which it broke off; an entry reports a break and asks for the count before it repeats the request. From three servers on it is not repeated, until a server answers it or a minute has passed. First sends go on: a caller's own retry is a new request.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -82,7 +82,7 @@
 		how = endedServerGone
 	}
 	j.service.end(c, how, j.gateway.now())
-	r := result{retryable: true, notRun: !sent, reachedServer: sent, server: c.verdict.Server}
+	r := result{retryable: true, notRun: !sent, reachedServer: sent, brokeOff: sent, server: c.verdict.Server}
 	r.refusal = j.failureRefusal(err.Error())
 	return r
 }
@@ -223,12 +223,15 @@
 		return result{refusal: j.contextRefusal(ctx)}
 	}
 	j.service.end(c, endedFailed, j.gateway.now())
-	return result{retryable: !j.answerStarted, reachedServer: true, server: c.verdict.Server, refusal: j.failureRefusal(err.Error())}
+	return result{retryable: !j.answerStarted, reachedServer: true, brokeOff: true, server: c.verdict.Server, refusal: j.failureRefusal(err.Error())}
 }
 
 // finished ends an attempt with a complete answer; err is that of writing it to the caller.
 func (j *job) finished(c *choice, how ending, err error) result {
 	j.service.end(c, how, j.gateway.now())
+	if how == endedOK {
+		j.recordAnswered()
+	}
 	if err != nil {
 		return result{refusal: &Refusal{Reason: CallerGone, Detail: err.Error()}}
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,6 +13,7 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/policy/retry"
 	"savoryreel.example/savoryreel/policy/route"
+	"savoryreel.example/savoryreel/policy/suspect"
 	"savoryreel.example/savoryreel/policy/urgency"
 	"savoryreel.example/savoryreel/routes"
 )
@@ -181,6 +182,9 @@
 		if result.refusal == nil && !result.retryable {
 			return nil
 		}
+		if result.brokeOff && j.route.Repeatable() {
+			result.suspect = j.crashesServers(ctx, suspect.Server{ID: c.verdict.Server, Incarnation: c.verdict.Incarnation})
+		}
 		if allowed := j.mayRetry(ctx, &result); !allowed {
 			return result.refusal
 		}
@@ -269,6 +273,8 @@
 	notRun        bool     // this attempt certainly has not run
 	reachedServer bool     // the retry policy decides on another attempt
 	server        string   // excluded from further attempts; empty: none
+	brokeOff      bool     // the server ended the connection without a complete answer
+	suspect       bool     // the request may be what ends servers
 }
 
 // mayRetry reports whether the request is to be sent again, after the backoff, which it
@@ -287,9 +293,13 @@
 		return true // nothing was tried
 	}
 	v := j.gateway.repeats.decide(retry.Failure{Call: j.call(), Attempts: max(j.runs, 1), NotRun: r.notRun})
+	again, reason := v.Go, v.Reason.String()
+	if r.suspect {
+		again, reason = false, reasonSuspect
+	}
 	event.Log(ctx, j.gateway.log, slog.LevelInfo, event.AttemptFailed, slog.String("request", j.ID), slog.String("server", r.server),
-		slog.Bool("notRun", r.notRun), slog.Bool("again", v.Go), slog.String("reason", v.Reason.String()), slog.Duration("after", v.After))
-	if !v.Go {
+		slog.Bool("notRun", r.notRun), slog.Bool("again", again), slog.String("reason", reason), slog.Duration("after", v.After))
+	if !again {
 		return false
 	}
 	if v.After > 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -169,5 +169,5 @@
 		event.Log(ctx, j.gateway.log, slog.LevelInfo, event.StreamResumed, slog.String("request", j.ID),
 			slog.String("server", c.verdict.Server), slog.String("after", j.lastEventID), slog.String("error", err.Error()))
 	}
-	return result{retryable: retryable, reachedServer: true, server: c.verdict.Server, refusal: j.failureRefusal(err.Error())}
+	return result{retryable: retryable, reachedServer: true, brokeOff: true, server: c.verdict.Server, refusal: j.failureRefusal(err.Error())}
 }
