--- a/e2e/budgetsoak_test.go
+++ b/e2e/budgetsoak_test.go
@@ -254,20 +254,28 @@
 	return "web"
 }
 
-// drive disturbs the site in overlapping series, and ends with everything undone.
+// drive disturbs the site in overlapping series, with calm times between them, in which a budget
+// might save up, and ends with everything undone.
 func (s *budgetSoak) drive() {
-	next := time.Now()
-	for end := next.Add(s.shape.duration); time.Now().Before(end); time.Sleep(soakAdvanceInterval) {
-		s.advance()
-		if time.Now().Before(next) {
-			continue
+	for end := time.Now().Add(s.shape.duration); time.Now().Before(end); {
+		s.changeAllLoad(1 + 4*s.rand.Float64())
+		s.wait(time.Duration((0.5 + 1.5*s.rand.Float64()) * float64(s.shape.bound.window)))
+		s.failAllServers()
+		for storm := time.Now().Add(s.shape.bound.window); time.Now().Before(storm); {
+			s.wait(time.Duration(s.rand.Int64N(int64(budgetMaxActionGap))))
+			s.disturb()
 		}
-		next = time.Now().Add(time.Duration(s.rand.Int64N(int64(budgetMaxActionGap))))
-		s.disturb()
+		s.setAllFaults(standin.Fault{})
 	}
 	for len(s.planned) > 0 {
+		s.wait(soakAdvanceInterval)
+	}
+}
+
+// wait goes on undoing disturbances for a time.
+func (s *budgetSoak) wait(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(soakAdvanceInterval) {
 		s.advance()
-		time.Sleep(soakAdvanceInterval)
 	}
 }
 
@@ -313,11 +321,26 @@
 	k.do()
 }
 
+// quickFaults are the faults whose requests end at once; one that hangs leaves no time to repeat
+// it.
+var quickFaults = []standin.FaultKind{
+	standin.FaultError, standin.FaultUnsigned, standin.FaultShed, standin.FaultReset, standin.FaultLose, standin.FaultBreak,
+}
+
+// failAllServers makes all servers fail most requests in one way.
+func (s *budgetSoak) failAllServers() {
+	s.setAllFaults(standin.Fault{Kind: quickFaults[s.rand.IntN(len(quickFaults))], Share: 0.6 + 0.4*s.rand.Float64()})
+}
+
+func (s *budgetSoak) setAllFaults(f standin.Fault) {
+	for _, b := range s.fleet {
+		s.setServerFault(b, f)
+	}
+}
+
 // failServers makes a random part of the servers fail for a while.
 func (s *budgetSoak) failServers() {
-	kinds := []standin.FaultKind{
-		standin.FaultError, standin.FaultUnsigned, standin.FaultShed, standin.FaultReset, standin.FaultLose, standin.FaultBreak, standin.FaultHang,
-	}
+	kinds := append([]standin.FaultKind{standin.FaultHang}, quickFaults...)
 	f := standin.Fault{Kind: kinds[s.rand.IntN(len(kinds))], Share: []float64{0.2, 0.6, 1}[s.rand.IntN(3)]}
 	part := []float64{0.2, 0.5, 1}[s.rand.IntN(3)]
 	for _, b := range s.fleet {
@@ -338,13 +361,17 @@
 
 // changeLoad changes the rate of requests at one entry or at all.
 func (s *budgetSoak) changeLoad() {
-	rate := int64(float64(s.shape.rate) * []float64{0, 0.3, 1, 1, 3, 5}[s.rand.IntN(6)])
+	factor := []float64{0, 0.3, 1, 1, 3, 5}[s.rand.IntN(6)]
 	if s.rand.IntN(2) == 0 {
-		s.callers[s.rand.IntN(len(s.callers))].perSecond.Store(rate)
+		s.callers[s.rand.IntN(len(s.callers))].perSecond.Store(int64(float64(s.shape.rate) * factor))
 		return
 	}
+	s.changeAllLoad(factor)
+}
+
+func (s *budgetSoak) changeAllLoad(factor float64) {
 	for _, c := range s.callers {
-		c.perSecond.Store(rate)
+		c.perSecond.Store(int64(float64(s.shape.rate) * factor))
 	}
 }
 
