--- a/e2e/budgetsoak_test.go
+++ b/e2e/budgetsoak_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -14,13 +15,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"savoryreel.example/savoryreel/internal/relay"
 	"savoryreel.example/savoryreel/platform/standin"
 )
 
-// budgetSoakSeeds is an environment variable: seeds "from-to" that are played by hand, in the
-// shape of the users' deployments.
-const budgetSoakSeeds = "SAVORYREEL_BUDGET_SEEDS"
+// Environment variables of runs by hand.
+const (
+	budgetSoakSeeds   = "SAVORYREEL_BUDGET_SEEDS"   // "from-to", in the shape of the smaller deployments
+	budgetSoakEntries = "SAVORYREEL_BUDGET_ENTRIES" // that many entries, which divide the requests
+)
 
 // budgetShape is the size of a site and the length of a run.
 type budgetShape struct {
@@ -60,6 +62,12 @@
 		_, err := fmt.Sscanf(seeds, "%d-%d", &from, &to)
 		require.NoError(t, err, "%s=%s", budgetSoakSeeds, seeds)
 	}
+	if entries := os.Getenv(budgetSoakEntries); entries != "" {
+		n, err := strconv.Atoi(entries)
+		require.NoError(t, err, "%s=%s", budgetSoakEntries, entries)
+		shape.rate = max(1, shape.rate*shape.entries/n)
+		shape.entries = n
+	}
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { newBudgetSoak(t, seed, shape).run() })
 	}
@@ -96,13 +104,6 @@
 	busy  bool // stopped, paused or being restarted
 }
 
-// budgetServer is a backend server behind a relay, through all its incarnations.
-type budgetServer struct {
-	service string
-	server  *standin.Server // nil while it is down
-	relay   *relay.Relay
-}
-
 func newBudgetSoak(t *testing.T, seed uint64, shape budgetShape) *budgetSoak {
 	s := &budgetSoak{shape: shape, seed: seed, rand: newSoakRand(seed, 0), audit: newBudgetAudit(shape.bound), actions: make(map[string]int)}
 	s.platformSite = startPlatformSite(t, soakControls, shape.entries, func(p *platformSite) {
@@ -129,71 +130,6 @@
 	return s
 }
 
-func (s *budgetSoak) newServerID() string {
-	s.nextID++
-	return fmt.Sprintf("s%d", s.nextID)
-}
-
-// startServer starts an incarnation of a server behind a new relay.
-func (s *budgetSoak) startServer(b *budgetServer, id string) {
-	server, err := standin.StartServer(standin.ServerConfig{
-		ID: id, Service: b.service, Zone: "z1", ControlAddrs: s.controlAddrs(),
-		AnnouncedAs: func(listening string) string {
-			r, err := relay.New(listening)
-			if err != nil {
-				return listening // the server is reached directly
-			}
-			b.relay = r
-			return r.Addr()
-		},
-	})
-	require.NoError(s.t, err)
-	server.OnArrival(s.audit.recordArrival)
-	server.OnCrash(func(path string) {
-		s.audit.recordCrash(path)
-		s.endServer(b, server)
-		time.Sleep(budgetCrashGap)
-		s.restartServer(b, id)
-	})
-	b.server = server
-}
-
-// restartServer starts a server that is down.
-func (s *budgetSoak) restartServer(b *budgetServer, id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if b.server == nil && s.ctx().Err() == nil {
-		s.startServer(b, id)
-	}
-}
-
-// endServer ends an incarnation of a server, unless it has ended.
-func (s *budgetSoak) endServer(b *budgetServer, server *standin.Server) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if b.server != server {
-		return
-	}
-	b.server = nil
-	s.audit.recordEnd(serverRun{server.ID, server.Incarnation()})
-	r := b.relay
-	go func() {
-		server.Close()
-		r.Close()
-	}()
-}
-
-func (s *budgetSoak) closeServers() {
-	for _, b := range s.fleet {
-		s.mu.Lock()
-		server := b.server
-		s.mu.Unlock()
-		if server != nil {
-			s.endServer(b, server)
-		}
-	}
-}
-
 // run runs the callers and the driver, and checks what was recorded.
 func (s *budgetSoak) run() {
 	ctx, stopCallers := context.WithCancel(s.ctx())
@@ -321,44 +257,6 @@
 	k.do()
 }
 
-// quickFaults are the faults whose requests end at once; one that hangs leaves no time to repeat
-// it.
-var quickFaults = []standin.FaultKind{
-	standin.FaultError, standin.FaultUnsigned, standin.FaultShed, standin.FaultReset, standin.FaultLose, standin.FaultBreak,
-}
-
-// failAllServers makes all servers fail most requests in one way.
-func (s *budgetSoak) failAllServers() {
-	s.setAllFaults(standin.Fault{Kind: quickFaults[s.rand.IntN(len(quickFaults))], Share: 0.6 + 0.4*s.rand.Float64()})
-}
-
-func (s *budgetSoak) setAllFaults(f standin.Fault) {
-	for _, b := range s.fleet {
-		s.setServerFault(b, f)
-	}
-}
-
-// failServers makes a random part of the servers fail for a while.
-func (s *budgetSoak) failServers() {
-	kinds := append([]standin.FaultKind{standin.FaultHang}, quickFaults...)
-	f := standin.Fault{Kind: kinds[s.rand.IntN(len(kinds))], Share: []float64{0.2, 0.6, 1}[s.rand.IntN(3)]}
-	part := []float64{0.2, 0.5, 1}[s.rand.IntN(3)]
-	for _, b := range s.fleet {
-		if s.rand.Float64() < part {
-			s.setServerFault(b, f)
-			s.undo(func() { s.setServerFault(b, standin.Fault{}) })
-		}
-	}
-}
-
-func (s *budgetSoak) setServerFault(b *budgetServer, f standin.Fault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if b.server != nil {
-		b.server.SetFault(f)
-	}
-}
-
 // changeLoad changes the rate of requests at one entry or at all.
 func (s *budgetSoak) changeLoad() {
 	factor := []float64{0, 0.3, 1, 1, 3, 5}[s.rand.IntN(6)]
@@ -419,49 +317,6 @@
 	m.busy = false
 }
 
-// endOneServer crashes a server, or lets it leave, and starts another one in its place.
-func (s *budgetSoak) endOneServer() {
-	b := s.fleet[s.rand.IntN(len(s.fleet))]
-	crash := s.rand.IntN(2) == 0
-	s.mu.Lock()
-	server := b.server
-	s.mu.Unlock()
-	if server == nil {
-		return
-	}
-	if crash {
-		s.endServer(b, server)
-		s.undo(func() { s.restartServer(b, server.ID) })
-		return
-	}
-	go func() { _ = server.Drain(s.ctx()) }() // without an acknowledgement it leaves anyway
-	s.undo(func() {
-		s.endServer(b, server)
-		s.restartServer(b, s.newServerID())
-	})
-}
-
-// disturbLink cuts, silences or delays the connections to a server.
-func (s *budgetSoak) disturbLink() {
-	b := s.fleet[s.rand.IntN(len(s.fleet))]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if b.server == nil {
-		return
-	}
-	r := b.relay
-	s.audit.recordEnd(serverRun{b.server.ID, b.server.Incarnation()})
-	switch s.rand.IntN(3) {
-	case 0:
-		r.Cut()
-	case 1:
-		r.Silence()
-	default:
-		r.Delay(time.Duration(s.rand.Int64N(int64(300 * time.Millisecond))))
-		s.undo(func() { r.Delay(0) })
-	}
-}
-
 // sendCrashingRequest lets a caller send a request that crashes servers, again and again, at
 // random entries.
 func (s *budgetSoak) sendCrashingRequest() {
