--- a/gateway/breaks.go
+++ b/gateway/breaks.go
@@ -53,6 +53,13 @@
 	return b.set.RecordAnswer(fingerprint)
 }
 
+// expire forgets the requests that have not broken off for long.
+func (b *breaks) expire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.set.Expire(b.now())
+}
+
 func (b *breaks) empty() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -186,6 +186,7 @@
 		g.forgotAt = now
 		g.directory.Sweep(now, false)
 		g.repeats.forget()
+		g.exchange.breaks.expire()
 	}
 	g.applyDirectory()
 	g.limitUsage.logUsage()
--- a/policy/suspect/suspect.go
+++ b/policy/suspect/suspect.go
@@ -78,16 +78,22 @@
 // Empty reports whether no request is held.
 func (s *Set) Empty() bool { return len(s.requests) == 0 }
 
-// makeRoom drops expired requests, and others if there are too many.
-func (s *Set) makeRoom(now time.Time) {
-	if len(s.requests) < maxRequests {
-		return
-	}
+// Expire drops the requests that have not broken off for TTL.
+func (s *Set) Expire(now time.Time) {
 	for fingerprint, r := range s.requests {
 		if now.Sub(r.lastAt) > TTL {
 			delete(s.requests, fingerprint)
 		}
 	}
+}
+
+// makeRoom drops requests if there are too many: expired ones, then those that broke off on few
+// servers.
+func (s *Set) makeRoom(now time.Time) {
+	if len(s.requests) < maxRequests {
+		return
+	}
+	s.Expire(now)
 	for fingerprint, r := range s.requests {
 		if len(s.requests) <= keptRequests {
 			return
--- a/policy/suspect/suspect_test.go
+++ b/policy/suspect/suspect_test.go
@@ -24,6 +24,10 @@
 	require.Equal(t, 3, s.RecordBreak(7, Server{"b", 1}, epoch.Add(TTL)))
 	require.Equal(t, 3, s.RecordBreak(7, Server{"c", 1}, epoch.Add(TTL)))
 	require.Equal(t, 1, s.RecordBreak(7, Server{"c", 1}, epoch.Add(2*TTL+1)))
+	s.Expire(epoch.Add(2*TTL + 1))
+	require.False(t, s.Empty())
+	s.Expire(epoch.Add(3*TTL + 2))
+	require.True(t, s.Empty())
 }
 
 // Guards against a request that many callers send and that is not repeated any more, although
