--- a/e2e/budget_test.go
+++ b/e2e/budget_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -64,12 +63,7 @@
 func newBudgetSite(t *testing.T, path string) *budgetSite {
 	s := &budgetSite{audit: newBudgetAudit(budgetBound{ratio: standin.RetryRatio, slack: budgetSlack, window: budgetWindow})}
 	s.platformSite = startPlatformSite(t, 3, budgetEntries, func(p *platformSite) { p.retryWindow, p.retrySlack = budgetWindow, budgetSlack })
-	for i := range budgetServers {
-		server, err := standin.StartServer(standin.ServerConfig{ID: fmt.Sprintf("s%d", i), Service: "web", Zone: "z1", ControlAddrs: s.controlAddrs()})
-		require.NoError(t, err)
-		t.Cleanup(server.Close)
-		s.servers = append(s.servers, server)
-	}
+	s.startServers(budgetServers)
 	s.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
 	for i := range budgetEntries {
 		s.awaitServing(i, path)
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -45,12 +45,7 @@
 
 func newPlatformSite(t *testing.T, controls, entries, servers int) *platformSite {
 	p := startPlatformSite(t, controls, entries, func(*platformSite) {})
-	for i := range servers {
-		s, err := standin.StartServer(standin.ServerConfig{ID: fmt.Sprintf("s%d", i), Service: "web", Zone: "z1", ControlAddrs: p.controlAddrs()})
-		require.NoError(t, err)
-		t.Cleanup(s.Close)
-		p.servers = append(p.servers, s)
-	}
+	p.startServers(servers)
 	p.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
 	for i := range entries {
 		p.eventually(func() bool { return standin.Ready(p.ctx(), p.addrOf(entryOctet(i), standin.ReadinessPort)) }, "entry is ready")
@@ -59,6 +54,17 @@
 	return p
 }
 
+// startServers starts n backend servers of the service web.
+func (p *platformSite) startServers(n int) {
+	p.t.Helper()
+	for i := range n {
+		s, err := standin.StartServer(standin.ServerConfig{ID: fmt.Sprintf("s%d", i), Service: "web", Zone: "z1", ControlAddrs: p.controlAddrs()})
+		require.NoError(p.t, err)
+		p.t.Cleanup(s.Close)
+		p.servers = append(p.servers, s)
+	}
+}
+
 // awaitServing waits until entry i answers requests for path.
 func (p *platformSite) awaitServing(i int, path string) {
 	p.t.Helper()
