gateway, backend: only a server that is gone counts as ended by the request that it broke off

What callers saw: after three broken connections a request that many callers send was not repeated any more, although its servers were there. Change: a break counts if the server holds no idle connection open and takes no new one within 100 ms. Guarded by TestBrokenConnectionsMakeNoSuspect. entry: a race within TestEveryRepeatIsWithinTheBudgets, whose handlers announced at the same time.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -58,6 +58,19 @@
 	return dial(ctx, p.dialer, addr, p.cfg.BufferBytes)
 }
 
+// Alive reports whether the server at addr holds an idle connection open, or takes a new one
+// within timeout, which is kept for later calls.
+func (p *Pool) Alive(ctx context.Context, addr string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := p.get(ctx, addr)
+	if err != nil {
+		return false
+	}
+	p.putUnused(addr, c)
+	return true
+}
+
 func (p *Pool) popIdle(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/repeats_test.go
+++ b/entry/repeats_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,13 +93,16 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var r *noticeRig
-			var incarnation atomic.Uint64
-			incarnation.Store(1)
+			var restart sync.Mutex
+			incarnation := uint64(1)
 			var arrivals arrivalCount
 			r = newNoticeRig(t, func(w http.ResponseWriter, req *http.Request) {
 				arrivals.record(req)
 				if c.restarts {
-					r.announce(incarnation.Add(1))
+					restart.Lock()
+					incarnation++
+					r.announce(incarnation)
+					restart.Unlock()
 				}
 				c.handler(w, req)
 			})
--- a/gateway/breaks.go
+++ b/gateway/breaks.go
@@ -16,6 +16,9 @@
 // one of them is lost or starts anew, the other one still knows.
 const breakOwners = 2
 
+// aliveTimeout is how long a server that broke a connection has to take another one.
+const aliveTimeout = 100 * time.Millisecond
+
 // reasonSuspect is logged for a request that is not repeated because it broke off on too many
 // servers.
 const reasonSuspect = "suspect"
@@ -120,10 +123,14 @@
 	return d.Sum64()
 }
 
-// crashesServers records that the request broke off on a server, and reports whether it has on
-// so many that it may be what ends them.
-func (j *job) crashesServers(ctx context.Context, server suspect.Server) bool {
-	m := breakMessage{Fingerprint: j.fingerprint(), Server: server.ID, Incarnation: server.Incarnation}
+// crashesServers records that the request broke off on a server which is gone since, and reports
+// whether it has on so many that it may be what ends them. A server that still takes connections
+// has only broken this one.
+func (j *job) crashesServers(ctx context.Context, c *choice) bool {
+	if j.gateway.pool.Alive(ctx, c.verdict.Address, aliveTimeout) {
+		return false
+	}
+	m := breakMessage{Fingerprint: j.fingerprint(), Server: c.verdict.Server, Incarnation: c.verdict.Incarnation}
 	return j.gateway.exchange.reportBreak(ctx, m) >= suspect.MaxServers
 }
 
--- a/gateway/breaks_test.go
+++ b/gateway/breaks_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/policy/suspect"
+	"savoryreel.example/savoryreel/routes"
 )
 
 // breakAt reports a break of the request with fingerprint 7 from an entry.
@@ -56,3 +57,19 @@
 		return true
 	}, 2*time.Second, time.Millisecond)
 }
+
+// Guards against a request of many callers that is not repeated any more because servers reset
+// some of its connections.
+func TestBrokenConnectionsMakeNoSuspect(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.Idempotent, MaxServers: 2})
+	for range suspect.MaxServers + 1 {
+		r.server("web", abort)
+	}
+	r.server("web", respond("ok"))
+	r.fillBudgetFor(40)
+	for range 20 {
+		_, _ = r.serve("/x")
+	}
+	require.True(t, r.exchange.breaks.empty())
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,7 +13,6 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/policy/retry"
 	"savoryreel.example/savoryreel/policy/route"
-	"savoryreel.example/savoryreel/policy/suspect"
 	"savoryreel.example/savoryreel/policy/urgency"
 	"savoryreel.example/savoryreel/routes"
 )
@@ -183,7 +182,7 @@
 			return nil
 		}
 		if result.brokeOff && j.route.Repeatable() {
-			result.suspect = j.crashesServers(ctx, suspect.Server{ID: c.verdict.Server, Incarnation: c.verdict.Incarnation})
+			result.suspect = j.crashesServers(ctx, &c)
 		}
 		if allowed := j.mayRetry(ctx, &result); !allowed {
 			return result.refusal
