--- a/policy/suspect/suspect.go
+++ b/policy/suspect/suspect.go
@@ -1,5 +1,5 @@
-// Package suspect counts on how many backend servers a request has broken off, so that one
-// that crashes each server which runs it is not sent on to the next.
+// Package suspect counts the backend servers that were gone after a request had broken off on
+// them, so that one that crashes each server which runs it is not sent on to the next.
 //
 // Load pattern: a caller sends the same request again and again, and each server that runs it
 // ends without an answer.
