--- a/entry/retries.go
+++ b/entry/retries.go
@@ -56,7 +56,7 @@
 	return t.policy.HasRoom(t.now(), retryCall(r))
 }
 
-// observe tells the policy that the process runs, and drops budgets that are not in use. It is
+// observe records for the policy that the process runs, and drops budgets that are not in use. It is
 // called every retry.ObserveInterval.
 func (t *retries) observe() {
 	t.mu.Lock()
--- a/gateway/breaks.go
+++ b/gateway/breaks.go
@@ -105,7 +105,7 @@
 	x.sendTo(m.From, &message{Sequence: m.Sequence, Kind: kindBreakResponse, Break: &response})
 }
 
-// reportAnswer tells the owners of a fingerprint that a server has answered the request.
+// reportAnswer reports to the owners of a fingerprint that a server has answered the request.
 func (x *peerExchange) reportAnswer(fingerprint uint64) {
 	for _, owner := range x.breakOwnersOf(fingerprint) {
 		x.sendTo(owner, &message{Kind: kindBreakAnswered, Break: &breakMessage{Fingerprint: fingerprint}})
--- a/gateway/datagram.go
+++ b/gateway/datagram.go
@@ -86,7 +86,7 @@
 	kindBreakReport
 	// kindBreakResponse is the response to kindBreakReport.
 	kindBreakResponse
-	// kindBreakAnswered tells an owner that a server has answered a request that broke off before.
+	// kindBreakAnswered reports to an owner that a server has answered a request that broke off before.
 	kindBreakAnswered
 )
 
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -51,7 +51,7 @@
 }
 
 // setShare sets this entry's share of what the entries divide. The shares of all entries sum to
-// at most 1 whichever of them can reach each other. It also tells the policy that the process
+// at most 1 whichever of them can reach each other. It also records that the process
 // runs, and is called at least every retry.ObserveInterval.
 func (r *repeats) setShare(share float64) {
 	r.mu.Lock()
--- a/gateway/repeatuse.go
+++ b/gateway/repeatuse.go
@@ -16,7 +16,7 @@
 // refused, and the repeated sends of this entry.
 //
 // The budget applies to all entries together. If a service gets too many repeats, the sums
-// over the lines of all entries tell whether more were granted than the budget allows, or
+// over the lines of all entries show whether more were granted than the budget allows, or
 // more were sent than granted.
 type repeatUse struct {
 	log *slog.Logger
--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -28,7 +28,7 @@
 	origin time.Time
 }
 
-// slotAt returns the number of the slot that now lies in. The first ones are numbered so that
+// slotAt returns the number of the slot that contains now. The first ones are numbered so that
 // all slots that a budget looks back to have positive numbers.
 func (c *clock) slotAt(now time.Time, window time.Duration) int64 {
 	if c.origin.IsZero() {
