e2e: the test of requests that crash servers counts every arrival, and each kind of route

The rule counts what reaches servers of a request with the same path, caller and body, whatever its id. The audit counted a repeat only where the same id had arrived before, so that a caller who comes back was not seen. It now counts each arrival of a path that has crashed three servers, 3 s after the third; the test sends requests that may be repeated, that run once, and streams, through all entries, also while entries restart, and checks that others are served afterwards.

--- a/e2e/budget_test.go
+++ b/e2e/budget_test.go
@@ -107,23 +107,79 @@
 	return s.audit.check()
 }
 
-// Guards against a request that crashes each server that runs it and is sent on to the next one
-// for as long as its caller comes back: the service loses server after server.
+// Guards against a request that crashes each server that runs it and is sent to the next one for
+// as long as its caller comes back, through whatever entry and with whatever kind of route: the
+// service loses server after server, and callers of other requests lose their answers.
 func TestPlatformRequestThatCrashesServersIsNotRepeated(t *testing.T) {
-	const path, calls, gap = "/get/crash/1", 30, 500 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		restarts bool
+	}{{"steady", false}, {"entries restart", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newCrashSite(t)
+			s.playCrashes(c.restarts)
+			report := s.audit.check()
+			t.Log(report)
+			for _, path := range crashPaths {
+				t.Logf("%s: %d servers crashed", path, len(s.audit.crashes[path]))
+				require.GreaterOrEqual(t, len(s.audit.crashes[path]), crashesUntilQuarantine)
+			}
+			require.LessOrEqual(t, report.crashArrivals, allowedCrashArrivals)
+			s.requireServed(t)
+		})
+	}
+}
+
+// crashPaths are requests that crash servers, of each kind of route: one that may be repeated, one
+// that runs once, a stream.
+var crashPaths = []string{"/get/crash/1", "/web/crash/2", "/chat/crash/3"}
+
+const (
+	crashCalls   = 24 // of each request
+	crashCallGap = 500 * time.Millisecond
+)
+
+// newCrashSite returns a site with enough servers that some run while others are down.
+func newCrashSite(t *testing.T) *budgetSoak {
 	shape := budgetCIShape
-	shape.webServers = 8
+	shape.webServers, shape.chatServers = 8, 8
 	s := newBudgetSoak(t, 1, shape)
 	time.Sleep(shape.bound.window) // until the entries may use the slack
 	for i := range s.shape.entries {
-		s.callers = append(s.callers, newBudgetCaller(s.audit, s.entryAddr(i), func() string { return path }))
+		c := newBudgetCaller(s.audit, s.entryAddr(i), func() string { return "/get/x" })
+		c.service = budgetService
+		s.callers = append(s.callers, c)
 	}
-	for i := range calls {
-		s.callers[i%len(s.callers)].send(path)
-		time.Sleep(gap)
+	return s
+}
+
+// playCrashes lets one caller send each of crashPaths again and again, each time through the next
+// entry. With restarts an entry is killed and started again every second.
+func (s *budgetSoak) playCrashes(restarts bool) {
+	var calls sync.WaitGroup
+	for i := range crashCalls {
+		for j, path := range crashPaths {
+			c := s.callers[(i+j)%len(s.callers)]
+			calls.Go(func() { c.send(path) })
+		}
+		if m := s.members[i/2%s.shape.entries]; restarts && i%2 == 1 {
+			m.proc.kill(s.t)
+			m.restart()
+		}
+		time.Sleep(crashCallGap)
+	}
+	calls.Wait()
+}
+
+// requireServed checks that each other request is served when the crashes are over.
+func (s *budgetSoak) requireServed(t *testing.T) {
+	for i, c := range s.callers {
+		s.awaitServing(i, "/get/x")
+		s.awaitServing(i, "/chat/stream/1")
+		c.answered.Store(0)
+		for _, path := range []string{"/get/x", "/web/x", "/chat/stream/3"} {
+			c.send(path)
+		}
+		require.EqualValues(t, 3, c.answered.Load())
 	}
-	report := s.audit.check()
-	t.Log(report)
-	require.GreaterOrEqual(t, len(s.audit.crashes[path]), crashesUntilQuarantine)
-	require.LessOrEqual(t, report.crashRetries, allowedCrashRetries)
 }
--- a/e2e/budgetaudit_test.go
+++ b/e2e/budgetaudit_test.go
@@ -49,7 +49,7 @@
 	allowedLateDeadlines   = 20  // sends with too much time
 	allowedLateFraction    = 0.2 // of those and of all late repeats
 	deadlineTolerance      = 500 * time.Millisecond
-	allowedCrashRetries    = 3
+	allowedCrashArrivals   = 3
 	crashesUntilQuarantine = 3
 	auditContactTime       = 3 * time.Second // contact_ms of the deployments
 )
@@ -108,7 +108,7 @@
 	excessServers int                   // requests that ran on more servers than their route allows
 	lateDeadlines int                   // sends with too much time
 	lateRepeats   int                   // repeats over deadlineTolerance after the first send
-	crashRetries  int                   // of one request that crashes servers, after it was due to be known
+	crashArrivals int                   // of one request that crashes servers, resends included, after it was due to be known
 }
 
 // violations returns a line for each broken rule.
@@ -124,15 +124,15 @@
 	if r.lateDeadlines > allowedLateDeadlines && float64(r.lateDeadlines) > allowedLateFraction*float64(r.lateDeadlines+r.lateRepeats) {
 		list = append(list, fmt.Sprintf("%d sends with more time than was left, %d late repeats", r.lateDeadlines, r.lateRepeats))
 	}
-	if r.crashRetries > allowedCrashRetries {
-		list = append(list, fmt.Sprintf("%d retries of a request that had crashed %d servers", r.crashRetries, crashesUntilQuarantine))
+	if r.crashArrivals > allowedCrashArrivals {
+		list = append(list, fmt.Sprintf("%d more arrivals of a request that had crashed %d servers", r.crashArrivals, crashesUntilQuarantine))
 	}
 	return list
 }
 
 func (r *budgetReport) String() string {
-	s := fmt.Sprintf("%d requests, %d arrivals, %d repeats, %d on too many servers, %d of %d late repeats with too much time, %d crash retries",
-		r.requests, r.arrivals, r.repeats, r.excessServers, r.lateDeadlines, r.lateRepeats, r.crashRetries)
+	s := fmt.Sprintf("%d requests, %d arrivals, %d repeats, %d on too many servers, %d of %d late repeats with too much time, %d crash arrivals",
+		r.requests, r.arrivals, r.repeats, r.excessServers, r.lateDeadlines, r.lateRepeats, r.crashArrivals)
 	for _, c := range r.worst {
 		s += "; worst window of " + c.String()
 	}
@@ -148,7 +148,7 @@
 	first := make(map[string]standin.Arrival)
 	servers := make(map[string]map[serverRun]bool)
 	repeats := make(map[string][]time.Time)
-	crashRetries := make(map[string]int)
+	crashArrivals := make(map[string]int)
 	for _, arrival := range a.arrivals {
 		sent, known := a.sent[arrival.ID]
 		if !known {
@@ -160,9 +160,9 @@
 		} else {
 			r.repeats++
 			repeats[arrival.Service] = append(repeats[arrival.Service], arrival.At)
-			if a.knownToCrash(&arrival) {
-				crashRetries[arrival.Path]++
-			}
+		}
+		if a.knownToCrash(&arrival) {
+			crashArrivals[arrival.Path]++
 		}
 		a.checkDeadline(r, &arrival, &firstArrival, repeated, sent)
 		a.recordServer(servers, &arrival)
@@ -172,8 +172,8 @@
 			r.excessServers++
 		}
 	}
-	for _, n := range crashRetries {
-		r.crashRetries = max(r.crashRetries, n)
+	for _, n := range crashArrivals {
+		r.crashArrivals = max(r.crashArrivals, n)
 	}
 	for service, times := range repeats {
 		r.worst[service] = a.worstWindow(service, times)
@@ -210,7 +210,8 @@
 	servers[arrival.ID][run] = true
 }
 
-// knownToCrash reports whether the request had crashed enough servers long before.
+// knownToCrash reports whether the request had crashed enough servers long before. Callers here
+// send one body and one key, so that their requests for one path are the same request.
 func (a *budgetAudit) knownToCrash(arrival *standin.Arrival) bool {
 	crashes := a.crashes[arrival.Path]
 	return len(crashes) >= crashesUntilQuarantine && arrival.At.After(crashes[crashesUntilQuarantine-1].Add(auditContactTime))
