gateway, coordinator, policy/suspect: a request that crashes servers needs a trial for each send

Cause: what was known of such a request was asked for before a repeat within one attempt only, never before the first send of an attempt; and routes that may run once were not counted. Class: a bound over all entries, asked in one of the places that spend it, and held by two entries' memory.

Change: entries report requests that broke off on a server which is gone to the control replicas, with the calls that they make anyway; the replicas merge the records and list the suspects (two servers since the last answer) to all entries, waking their calls. Each send of a suspect, first or repeat, on any kind of route, asks for a trial, checked again once the connection is open. An answer clears all. A request without a trial is refused at once (503, not run). The datagrams to two owners are gone; their tests (counted over all entries, known without one owner, cleared by an answer) are now those of records that converge, of the registry and of the log. TestBrokenConnectionsMakeNoSuspect stays.

Alive opens or takes a connection as before.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -8,6 +8,7 @@
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/limit"
+	"savoryreel.example/savoryreel/policy/suspect"
 )
 
 const (
@@ -55,6 +56,9 @@
 	MethodRead     = "coordinator.read"
 	MethodRegister = "coordinator.register"
 	MethodJoin     = "coordinator.join"
+	MethodTrial    = "coordinator.trial" // at any replica
+	// MethodLeaderTrial is MethodTrial at the leader.
+	MethodLeaderTrial = "coordinator.trial.leader"
 )
 
 // Roles of the processes that send a WatchRequest.
@@ -114,6 +118,11 @@
 	Work         []ServiceWork `msgpack:"work,omitempty"`
 	// AllEntries requests the records of all entries besides what changed on servers.
 	AllEntries bool `msgpack:"allEntries,omitempty"`
+	// BrokenOff holds the sender's records of requests that broke off on servers, as far as they
+	// changed since this incarnation of the replica received them.
+	BrokenOff []suspect.Record `msgpack:"brokenOff,omitempty"`
+	// SuspectsVersion is copied from the last reply of this replica.
+	SuspectsVersion uint64 `msgpack:"suspects,omitempty"`
 }
 
 // Detail is how much a reply says on the servers and entries that changed.
@@ -201,6 +210,11 @@
 	// Packed holds the records of servers for an entry; Servers then holds only those that were
 	// requested by their keys.
 	Packed directory.PackedServers `msgpack:"packed,omitempty"`
+	// Suspects holds the fingerprints of all suspects (package suspect), sorted, if HasSuspects; the
+	// sender of the request has those of SuspectsVersion otherwise.
+	HasSuspects     bool     `msgpack:"hasSuspects,omitempty"`
+	Suspects        []uint64 `msgpack:"suspects,omitempty"`
+	SuspectsVersion uint64   `msgpack:"suspectsVersion,omitempty"`
 	// SentAt is when the request was sent, by the clock of its sender.
 	SentAt time.Time `msgpack:"-"`
 }
@@ -237,6 +251,13 @@
 	ID uint64 `msgpack:"id"`
 }
 
+// TrialRequest asks for a trial of a suspect. The reply is a suspect.Grant. With Answered it reports
+// that a server has answered the request.
+type TrialRequest struct {
+	Fingerprint uint64 `msgpack:"fp"`
+	Answered    bool   `msgpack:"answered,omitempty"`
+}
+
 // JoinRequest asks to add the replica as a learner. The replica repeats it until it is a
 // member.
 type JoinRequest struct {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -68,6 +68,7 @@
 	shares     *shareRegistry
 	pacers     *watchPacers
 	work       *workTable
+	suspects   *suspectRegistry
 	clock      *wallclock.Clock
 	pool       *link.Pool
 	traffic    *link.Traffic
@@ -110,7 +111,7 @@
 			AddressHold: time.Duration(addressHoldFraction * float64(cfg.Node.Bounds.AddressReuse)),
 		}),
 		catalogue: newLatestCatalogue(), usage: newUsageTable(cfg.Node.Bounds.UsageWindows()), loads: newLoadTable(), work: newWorkTable(), pacers: newWatchPacers(), clock: wallclock.System(),
-		stopping: make(chan struct{}), lastCalls: make(map[string]time.Time),
+		stopping: make(chan struct{}), lastCalls: make(map[string]time.Time), suspects: newSuspectRegistry(deps.Now),
 	}
 	c.shares = newShareRegistry(deps.Now(), cfg.Node.FirstStart)
 	c.live = &liveEntries{entries: c.directory.LiveEntries, lastChange: c.directory.LastEntryChange}
@@ -122,7 +123,7 @@
 	c.reconciler = newReconciler(c.log, c.now, c.follower.LastReply)
 	c.group = &group{
 		self: c.self, store: identityStore{fs: deps.FS, dir: cfg.Node.DataDir}, pool: c.pool, log: c.log, now: c.now,
-		founders: c.founders, peers: c.follower.Replicas, onRevision: c.acceptCatalogue, onMembers: c.setMembers,
+		founders: c.founders, peers: c.follower.Replicas, onRevision: c.acceptCatalogue, onMembers: c.setMembers, onTrials: c.suspects.setTrials,
 	}
 	c.cache = &serverCache{fs: deps.FS, dir: cfg.Node.DataDir}
 	c.tasks = &leaderTasks{log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, now: c.now, leaseTime: cfg.Node.Bounds.LeaseTime}
@@ -335,6 +336,8 @@
 	link.Handle(srv, api.MethodRead, serveLeader(c, c.readAsLeader))
 	link.Handle(srv, api.MethodRegister, serveLeader(c, c.registerAsLeader))
 	link.Handle(srv, api.MethodJoin, serveLeader(c, c.joinAsLeader))
+	link.Handle(srv, api.MethodTrial, c.trial)
+	link.Handle(srv, api.MethodLeaderTrial, serveLeader(c, c.trialAsLeader))
 }
 
 // ready returns an error while no leader is known.
--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -22,6 +22,7 @@
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/policy/suspect"
 )
 
 const (
@@ -82,6 +83,9 @@
 	// Missing, if set, returns the servers on which a replica has reported and whose records
 	// the process lacks.
 	Missing func(addr string) []directory.Key
+	// BrokenOff, if set, returns the records of requests that broke off which changed after a
+	// version, and the version to pass to the next call.
+	BrokenOff func(since uint64) ([]suspect.Record, uint64)
 	// Seeds returns the configured addresses of replicas. It is called repeatedly, so the
 	// result may change.
 	Seeds func() []string
@@ -204,11 +208,13 @@
 	var incarnation, lastRevision uint64
 	var seen seenChanges
 	var sent sentUsage
+	var suspects suspectState
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		req := f.deps.Request()
 		req.Incarnation = incarnation
 		sent.trimUsage(&req)
+		suspects.prepare(&req, f.deps.BrokenOff)
 		if req.Wait <= 0 {
 			req.Wait = f.cfg.Wait
 		}
@@ -238,6 +244,7 @@
 		retryDelay = minRetryDelay
 		if reply.Incarnation == req.Incarnation || req.Incarnation == 0 {
 			sent.record(&req)
+			suspects.record(&reply)
 		}
 		incarnation = reply.Incarnation
 		seen.record(req.Detail, reply.Seen)
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -27,6 +27,7 @@
 		c.directory.Sweep(c.now(), c.judgesServers(c.follower.CountReplied(maxReplyAge)))
 		c.loads.expire(c.now())
 		c.work.expire(c.now())
+		c.suspects.expire()
 	})
 }
 
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"savoryreel.example/savoryreel/policy/suspect"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/roster"
 )
@@ -22,6 +23,7 @@
 	kindUsage
 	kindUsageSent
 	kindSize
+	kindTrial
 )
 
 type reviseCommand struct {
@@ -80,13 +82,17 @@
 	highestID     uint64         // highest id ever issued; ids are never reused
 	usage         []usageWindow
 	initialSizes  map[string]int // servers of each service before any was ordered
+	trials        *suspect.Trials
 
 	onRevision func(revision uint64, document []byte)
 	onMembers  func([]roster.Member)
+	onTrials   func(fingerprints []uint64) // sorted
 }
 
-func newState(onRevision func(uint64, []byte), onMembers func([]roster.Member)) *state {
-	return &state{initialSizes: make(map[string]int), onRevision: onRevision, onMembers: onMembers}
+func newState(onRevision func(uint64, []byte), onMembers func([]roster.Member), onTrials func([]uint64)) *state {
+	return &state{
+		initialSizes: make(map[string]int), trials: suspect.NewTrials(nil), onRevision: onRevision, onMembers: onMembers, onTrials: onTrials,
+	}
 }
 
 // Apply implements host.Machine.
@@ -106,6 +112,8 @@
 		return apply(e, s.applyUsageSent)
 	case kindSize:
 		return apply(e, s.applySize)
+	case kindTrial:
+		return apply(e, s.applyTrial)
 	default:
 		return nil, trace.BadParameter("log entry %d has unknown kind %d", e.Index, e.Kind)
 	}
@@ -291,7 +299,8 @@
 	Highest       uint64         `msgpack:"highest"`
 	Usage         []usageWindow  `msgpack:"usage"`
 
-	Sizes map[string]int `msgpack:"sizes"`
+	Sizes  map[string]int                `msgpack:"sizes"`
+	Trials map[uint64]suspect.TrialCount `msgpack:"trials,omitempty"`
 }
 
 // Snapshot implements host.Machine.
@@ -305,6 +314,7 @@
 	}
 	enc, err := msgpack.Marshal(&stateSnapshot{
 		Revision: s.revision, Document: s.document, Registrations: s.registrations, Highest: s.highestID, Usage: usage, Sizes: maps.Clone(s.initialSizes),
+		Trials: s.trials.Snapshot(),
 	})
 	return enc, trace.Wrap(err, "step=snapshot")
 }
@@ -320,8 +330,10 @@
 	s.registrations, s.highestID, s.usage = in.Registrations, in.Highest, in.Usage
 	s.initialSizes = make(map[string]int, len(in.Sizes))
 	maps.Copy(s.initialSizes, in.Sizes)
+	s.trials = suspect.NewTrials(in.Trials)
 	s.mu.Unlock()
 	s.onRevision(in.Revision, in.Document)
 	s.notifyMembers()
+	s.notifyTrials()
 	return nil
 }
--- a/coordinator/state_test.go
+++ b/coordinator/state_test.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"savoryreel.example/savoryreel/policy/referral"
+	"savoryreel.example/savoryreel/policy/suspect"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/roster"
 	"savoryreel.example/savoryreel/replica/storage"
@@ -27,7 +28,7 @@
 }
 
 func newEmptyState() *state {
-	return newState(func(uint64, []byte) {}, func([]roster.Member) {})
+	return newState(func(uint64, []byte) {}, func([]roster.Member) {}, func([]uint64) {})
 }
 
 // An older change arrives after a newer one, or the same revision with another content.
@@ -89,16 +90,18 @@
 	applyTo(t, s, kindUsage, usageWindow{Window: 7, Counts: map[string]int64{"w": 3}})
 	applyTo(t, s, kindSize, sizeCommand{Service: "chat", Servers: 12})
 	applyTo(t, s, kindSize, sizeCommand{Service: "chat", Servers: 5})
+	require.Equal(t, suspect.Grant{Granted: true}, applyTo(t, s, kindTrial, trialCommand{Fingerprint: 7, At: time.Unix(1, 0)}))
 	enc, err := s.Snapshot()
 	require.NoError(t, err)
 	restored := uint64(0)
-	other := newState(func(revision uint64, _ []byte) { restored = revision }, func([]roster.Member) {})
+	other := newState(func(revision uint64, _ []byte) { restored = revision }, func([]roster.Member) {}, func([]uint64) {})
 	require.NoError(t, other.Restore(enc))
 	require.Equal(t, uint64(3), restored)
 	require.Equal(t, s.members(), other.members())
 	require.Equal(t, s.usageWindows(), other.usageWindows())
 	require.Equal(t, s.highestID, other.highestID)
 	require.Equal(t, 12, other.initialSize("chat"), "the first size is kept")
+	require.False(t, other.checkTrial(7, time.Unix(2, 0)).Granted)
 }
 
 // Guards against a replica with an empty disk that resumes under its old id and votes
--- /dev/null
+++ b/coordinator/trials.go
@@ -0,0 +1,45 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"savoryreel.example/savoryreel/policy/suspect"
+)
+
+// trialCommand takes a trial of a suspect, or forgets its trials if a server has answered it.
+type trialCommand struct {
+	Fingerprint uint64    `msgpack:"fp"`
+	Answered    bool      `msgpack:"answered,omitempty"`
+	At          time.Time `msgpack:"at"` // by the leader's clock
+}
+
+// applyTrial returns the decision on a trial.
+func (s *state) applyTrial(c trialCommand) suspect.Grant {
+	s.mu.Lock()
+	var grant suspect.Grant
+	if c.Answered {
+		s.trials.Answered(c.Fingerprint)
+	} else {
+		grant = s.trials.Take(c.Fingerprint, c.At)
+	}
+	s.mu.Unlock()
+	s.notifyTrials()
+	return grant
+}
+
+// checkTrial returns what applyTrial would decide by the entries of the log that are applied.
+func (s *state) checkTrial(fingerprint uint64, now time.Time) suspect.Grant {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.trials.Check(fingerprint, now)
+}
+
+// notifyTrials passes the requests that have had trials to onTrials.
+func (s *state) notifyTrials() {
+	s.mu.RLock()
+	list := slices.Sorted(maps.Keys(s.trials.Snapshot()))
+	s.mu.RUnlock()
+	s.onTrials(list)
+}
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -53,6 +53,7 @@
 // a change since the last reply to the sender, or until the requested wait is over.
 func (c *Coordinator) watch(ctx context.Context, from link.PeerInfo, req api.WatchRequest) (api.WatchReply, error) {
 	c.recordSender(from, req)
+	c.suspects.merge(req.BrokenOff)
 	seen := req.Seen
 	if req.Incarnation != c.incarnation {
 		seen = 0
@@ -79,6 +80,9 @@
 		reply.Work = c.work.rates(now)
 		reply.ShareVote = c.shares.vote(req.Entry.Name, now)
 	}
+	if req.Role == api.RoleEntry {
+		c.addSuspects(&reply, &req)
+	}
 	revision, document, _ := c.catalogue.get()
 	reply.Revision = revision
 	if document != nil && !req.RevisionOnly && req.Lacks(revision) {
@@ -158,6 +162,10 @@
 		if document != nil && req.WantsRevision(revision) {
 			return
 		}
+		_, suspectsVersion, suspectsChanged := c.suspects.current()
+		if req.Role == api.RoleEntry && suspectsVersion != req.SuspectsVersion {
+			return
+		}
 		change, directoryChanged, urgentlyChanged := c.directory.ChangedSince(seen)
 		var due <-chan time.Time
 		if change.Servers || change.Entries && req.Detail != api.DetailStatuses {
@@ -172,6 +180,7 @@
 		}
 		select {
 		case <-catalogueChanged:
+		case <-suspectsChanged:
 		case <-directoryChanged:
 		case <-due:
 		case <-c.stopping:
--- a/event/event.go
+++ b/event/event.go
@@ -44,6 +44,8 @@
 	EntryPicked           Kind = 2120
 	SuspectHeld           Kind = 2301
 	Quarantined           Kind = 2302
+	BrokeOffOnGoneServer  Kind = 2303
+	SuspectTrial          Kind = 2304
 	ServerAnnounced       Kind = 3001
 	ServerLeaving         Kind = 3002
 	ServerGone            Kind = 3003
@@ -118,6 +120,8 @@
 	{LedgerFailed, "ledger failed"},
 	{SuspectHeld, "suspect request held back from shared servers"},
 	{Quarantined, "request quarantined"},
+	{BrokeOffOnGoneServer, "request broke off on a server that is gone"},
+	{SuspectTrial, "trial of a suspect request"},
 	{ServerAnnounced, "backend server announced"},
 	{ServerLeaving, "backend server leaving"},
 	{ServerGone, "backend server gone"},
--- a/gateway/breaks_test.go
+++ b/gateway/breaks_test.go
@@ -2,60 +2,111 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/policy/suspect"
 	"savoryreel.example/savoryreel/routes"
 )
 
-// breakAt reports a break of the request with fingerprint 7 from an entry.
-func (s *exchangeCluster) breakAt(t *testing.T, entry, server string) int {
-	return s.exchanges[entry].reportBreak(t.Context(), breakMessage{Fingerprint: 7, Server: server, Incarnation: 1})
+// fingerprintOf returns the fingerprint of the request that serve sends for a path.
+func fingerprintOf(path string) uint64 {
+	j := &job{Request: &Request{Method: "POST", Target: path, Host: "a.example"}}
+	return j.fingerprint()
 }
 
-// Guards against a request that crashes servers and comes through another entry each time: each
-// entry would take it for one that broke off once.
-func TestBreaksAreCountedOverAllEntries(t *testing.T) {
-	s := newExchangeCluster(t, 6)
-	require.Equal(t, 1, s.breakAt(t, "entry-0", "a"))
-	require.Equal(t, 2, s.breakAt(t, "entry-1", "b"))
-	require.Equal(t, 2, s.breakAt(t, "entry-2", "b"))
-	require.Equal(t, suspect.MaxServers, s.breakAt(t, "entry-3", "c"))
-	require.Equal(t, suspect.MaxServers, s.breakAt(t, "entry-4", "a"))
+// crashingServer adds a server that ends with the first request that it gets.
+func (r *rig) crashingServer(service string) *standIn {
+	var s *standIn
+	s = r.server(service, func(http.ResponseWriter, *http.Request) {
+		_ = s.Listener.Close()
+		panic(http.ErrAbortHandler)
+	})
+	return s
 }
 
-// Guards against an owner that starts anew and has lost what it counted.
-func TestBreaksAreKnownWithoutOneOwner(t *testing.T) {
-	s := newExchangeCluster(t, 6)
-	s.breakAt(t, "entry-0", "a")
-	s.breakAt(t, "entry-0", "b")
-	lost := s.exchanges["entry-0"].currentList().owners.OwnerAt("request/7", 0)
-	s.exchanges[lost].breaks.forget(7) // as if it had started anew
-	for i := range 6 {
-		require.Equal(t, suspect.MaxServers, s.breakAt(t, fmt.Sprint("entry-", i), "c"))
+// Guards against a request that is sent to servers although it has ended some, on whatever kind of
+// route: each caller that comes back would take another one.
+func TestRequestThatCrashesServersIsRefused(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.NonIdempotent, routes.Stream} {
+		t.Run(fmt.Sprint(kind), func(t *testing.T) {
+			r := newRig(t)
+			r.setRoutes(routes.Route{Prefix: "/", Kind: kind, MaxServers: 1})
+			var servers []*standIn
+			for range 6 {
+				servers = append(servers, r.crashingServer("web"))
+			}
+			arrived := func() (n int) {
+				for _, s := range servers {
+					n += s.count()
+				}
+				return n
+			}
+			for i := range suspect.Threshold {
+				_, refusal := r.serve("/x")
+				require.Equal(t, ServerFailed, refusal.Reason)
+				require.Eventually(t, func() bool { return len(r.recordedBreaks("/x")) == i+1 }, 2*time.Second, time.Millisecond)
+			}
+			for range 5 {
+				_, refusal := r.serve("/x")
+				require.Equal(t, Quarantined, refusal.Reason)
+				require.True(t, refusal.Reason.NotRun())
+				require.Positive(t, refusal.RetryAfter)
+			}
+			require.Equal(t, suspect.Threshold, arrived())
+			_, refusal := r.serve("/other")
+			require.Equal(t, ServerFailed, refusal.Reason, "another request is sent")
+		})
 	}
 }
 
-// Guards against a request of many callers that is not repeated any more after some broken
-// connections, although servers answer it.
-func TestAnswerClearsBreaksAtOwners(t *testing.T) {
-	s := newExchangeCluster(t, 4)
-	for _, server := range []string{"a", "b", "c"} {
-		s.breakAt(t, "entry-0", server)
-	}
-	require.True(t, s.exchanges["entry-0"].breaks.forget(7))
-	s.exchanges["entry-0"].reportAnswer(7)
-	require.Eventually(t, func() bool {
-		for _, x := range s.exchanges {
-			if !x.breaks.empty() {
-				return false
-			}
+// recordedBreaks returns the servers on which the request for a path broke off.
+func (r *rig) recordedBreaks(path string) []suspect.Break {
+	records, _ := r.breaks.since(0)
+	for _, record := range records {
+		if record.Fingerprint == fingerprintOf(path) {
+			return record.Breaks
 		}
-		return true
-	}, 2*time.Second, time.Millisecond)
+	}
+	return nil
+}
+
+// Guards against an entry that has just started, or has never seen the request, and sends it on.
+func TestSuspectOfOtherEntriesIsRefused(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.Idempotent})
+	server := r.server("web", respond("ok"))
+	r.breaks.updateList("replica", &api.WatchReply{HasSuspects: true, Suspects: []uint64{fingerprintOf("/x")}})
+	_, refusal := r.serve("/x")
+	require.Equal(t, Quarantined, refusal.Reason)
+	require.Zero(t, server.count())
+	_, refusal = r.serve("/y")
+	require.Nil(t, refusal)
+	r.breaks.updateList("replica", &api.WatchReply{}) // no change
+	_, refusal = r.serve("/x")
+	require.Equal(t, Quarantined, refusal.Reason)
+	r.breaks.updateList("replica", &api.WatchReply{HasSuspects: true})
+	_, refusal = r.serve("/x")
+	require.Nil(t, refusal)
+}
+
+// Guards against a request of many callers that is not run any more after some servers ended,
+// although another one answers it.
+func TestAnswerClearsBreaks(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.Idempotent})
+	r.server("web", respond("ok"))
+	fingerprint := fingerprintOf("/x")
+	for i := range suspect.Threshold {
+		_, refusal := r.serve("/x")
+		require.Nil(t, refusal)
+		r.breaks.record(fingerprint, suspect.Server{ID: fmt.Sprint(i)})
+		require.False(t, r.breaks.suspect(fingerprint))
+	}
 }
 
 // Guards against a request of many callers that is not repeated any more because servers reset
@@ -63,7 +114,7 @@
 func TestBrokenConnectionsMakeNoSuspect(t *testing.T) {
 	r := newRig(t)
 	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.Idempotent, MaxServers: 2})
-	for range suspect.MaxServers + 1 {
+	for range suspect.Threshold + 2 {
 		r.server("web", abort)
 	}
 	r.server("web", respond("ok"))
@@ -71,5 +122,5 @@
 	for range 20 {
 		_, _ = r.serve("/x")
 	}
-	require.True(t, r.exchange.breaks.empty())
+	require.True(t, r.breaks.empty())
 }
--- a/gateway/datagram.go
+++ b/gateway/datagram.go
@@ -52,7 +52,6 @@
 	Shares   *sharesMessage
 	Held     bool          // in kindReturnResponse: the sender had shares to return
 	Up       time.Duration // in kindReturnResponse: time since the sender's start
-	Break    *breakMessage
 }
 
 // messageKind is the type of a message.
@@ -81,13 +80,6 @@
 	kindReturnRequest
 	// kindReturnResponse is the response to kindReturnRequest.
 	kindReturnResponse
-	// kindBreakReport reports to an owner of a request's fingerprint that the request broke off,
-	// and asks on how many servers it has.
-	kindBreakReport
-	// kindBreakResponse is the response to kindBreakReport.
-	kindBreakResponse
-	// kindBreakAnswered reports to an owner that a server has answered a request that broke off before.
-	kindBreakAnswered
 )
 
 // serverLoad is the load on a backend server. It is encoded by the order of its fields.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -33,7 +33,6 @@
 	prefillRate     func(server string) float64 // prompt tokens per second of a server
 	transport       transport
 	limits          *limits
-	breaks          *breaks
 	listChanged     chan struct{} // receives a value after the live entries may have changed
 
 	mu        sync.Mutex
@@ -54,7 +53,6 @@
 	outstanding int // owners that have not responded
 	loads       []serverLoad
 	limit       *limitResponse
-	broken      int           // most servers on which the request broke off, by the responses
 	done        chan struct{} // closed once all have responded
 }
 
@@ -73,7 +71,7 @@
 }
 
 func newPeerExchange(self booking.Reporter, now func() time.Time) *peerExchange {
-	return &peerExchange{self: self, now: now, loads: booking.NewLoadTable(), list: newEntryList(nil, self.Name, nil), listChanged: make(chan struct{}, 1), breaks: newBreaks(now), pending: make(map[uint64]*pendingCall)}
+	return &peerExchange{self: self, now: now, loads: booking.NewLoadTable(), list: newEntryList(nil, self.Name, nil), listChanged: make(chan struct{}, 1), pending: make(map[uint64]*pendingCall)}
 }
 
 // queryLoads returns the load that other entries have placed on the servers, as far as the
@@ -140,7 +138,7 @@
 	switch m.Kind {
 	case kindLoadsRequest:
 		x.handleLoadsRequest(&m)
-	case kindLoadsResponse, kindLimitResponse, kindBreakResponse:
+	case kindLoadsResponse, kindLimitResponse:
 		x.handleResponse(&m)
 	case kindLimitRequest:
 		x.handleLimitRequest(&m)
@@ -154,10 +152,6 @@
 		x.limits.returnShares(&m)
 	case kindReturnResponse:
 		x.limits.recordReturn(&m)
-	case kindBreakReport:
-		x.handleBreakReport(&m)
-	case kindBreakAnswered:
-		x.breaks.forget(m.Break.Fingerprint)
 	case kindLoadsReport:
 		x.mu.Lock()
 		defer x.mu.Unlock()
@@ -198,9 +192,6 @@
 	if m.Answer != nil {
 		call.limit = m.Answer
 	}
-	if m.Break != nil {
-		call.broken = max(call.broken, m.Break.Servers)
-	}
 	if call.outstanding--; call.outstanding == 0 {
 		close(call.done)
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -54,6 +54,7 @@
 // applyReply applies the reply of a control replica.
 func (g *Gateway) applyReply(addr string, r api.WatchReply) {
 	g.clock.Observe(addr, r.Clock)
+	g.breaks.updateList(addr, &r)
 	hadNone := g.table.Load() == nil
 	g.adopt(r.Revision, r.Document, addr)
 	if hadNone && g.table.Load() != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,7 @@
 	shares     *shares
 	peers      *peers
 	exchange   *peerExchange
+	breaks     *breaks
 	datagrams  *datagrams
 	limits     *limits
 	limitUsage *limitUsage
@@ -70,6 +71,8 @@
 	// serverSampler is for the lines about servers.
 	serverSampler *event.Sampler
 
+	breakReporter delayedCall // reports breaks to the control replicas at once
+
 	forgotAt time.Time // last sweep of the directory; used by upkeep only
 
 	inFlight       atomic.Int64
@@ -105,6 +108,7 @@
 	g.limitUsage = newLimitUsage(g.log, g.metrics, g.now)
 	g.repeatUse = newRepeatUse(g.log, g.metrics)
 	g.exchange = g.newExchange()
+	g.breaks = newBreaks(g.now)
 	g.limits = newLimits(g.exchange, g.shares, b, g.log, g.now)
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
 	g.outcomes = outcomes{set: g.metrics}
@@ -119,7 +123,7 @@
 	g.links = link.NewPool(api.PoolConfig(g.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: g.traffic})
 	g.follower = follow.New(follow.Config{SingleSource: true, Zone: cfg.Node.Zone}, follow.Deps{
 		Pool: g.links, Log: g.log, Now: g.now, Request: g.watchRequest, Reply: g.applyReply, OnUnreachable: g.onReplicaUnreachable, Seeds: deps.Seeds,
-		Missing: func(addr string) []directory.Key { return g.directory.Missing(addr, g.now()) },
+		Missing: func(addr string) []directory.Key { return g.directory.Missing(addr, g.now()) }, BrokenOff: g.breaks.since,
 	})
 	return g, nil
 }
@@ -186,7 +190,7 @@
 		g.forgotAt = now
 		g.directory.Sweep(now, false)
 		g.repeats.forget()
-		g.exchange.breaks.expire()
+		g.breaks.expire()
 	}
 	g.applyDirectory()
 	g.limitUsage.logUsage()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -57,6 +57,7 @@
 	OverLimit     // the workspace's limit is exhausted
 	NoServer      // no server is available
 	Overloaded    // servers are too busy to answer within the deadline
+	Quarantined   // it crashes the servers that run it
 	ExpiredUnsent // the deadline passed before it was sent
 
 	ServerFailed // the server failed, or its answer is unusable
@@ -67,7 +68,7 @@
 
 var reasonNames = map[Reason]string{
 	NoRoute: "no_route", UnknownKey: "unknown_key", NoCatalogue: "no_catalogue", OverLimit: "over_limit", NoServer: "no_server",
-	Overloaded: "overloaded", ExpiredUnsent: "out_of_time", ServerFailed: "broken", TimedOut: "timed_out", Truncated: "broke_off", CallerGone: "caller_left",
+	Overloaded: "overloaded", Quarantined: "quarantined", ExpiredUnsent: "out_of_time", ServerFailed: "broken", TimedOut: "timed_out", Truncated: "broke_off", CallerGone: "caller_left",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -59,6 +59,10 @@
 	lastEventID   string // last event sent to the caller
 	lastServer    string // of the last attempt, for the log
 
+	fingerprintSum   uint64 // if fingerprintKnown; see fingerprint
+	fingerprintKnown bool
+	trial            bool // the next send has a trial; see takeTrial
+
 	repeatRefused string // why the retry budgets allow no repeat; empty if they have not refused one
 
 	firstByte time.Duration // from the request's arrival to the answer's header
@@ -176,13 +180,17 @@
 			j.service.end(&c, endedByCaller, j.gateway.now())
 			return refusal
 		}
+		if refusal := j.takeTrial(ctx); refusal != nil {
+			j.service.end(&c, endedByCaller, j.gateway.now())
+			return refusal
+		}
 		j.logChoice(&c)
 		result := j.runAt(ctx, &c)
 		if result.refusal == nil && !result.retryable {
 			return nil
 		}
-		if result.brokeOff && j.route.Repeatable() {
-			result.suspect = j.crashesServers(ctx, &c)
+		if result.brokeOff {
+			j.recordBreakOf(ctx, &c, &result)
 		}
 		if allowed := j.mayRetry(ctx, &result); !allowed {
 			return result.refusal
@@ -273,7 +281,6 @@
 	reachedServer bool     // the retry policy decides on another attempt
 	server        string   // excluded from further attempts; empty: none
 	brokeOff      bool     // the server ended the connection without a complete answer
-	suspect       bool     // the request may be what ends servers
 }
 
 // mayRetry reports whether the request is to be sent again, after the backoff, which it
@@ -292,12 +299,9 @@
 		return true // nothing was tried
 	}
 	v := j.gateway.repeats.decide(retry.Failure{Call: j.call(), Attempts: max(j.runs, 1), NotRun: r.notRun})
-	again, reason := v.Go, v.Reason.String()
-	if r.suspect {
-		again, reason = false, reasonSuspect
-	}
+	again := v.Go
 	event.Log(ctx, j.gateway.log, slog.LevelInfo, event.AttemptFailed, slog.String("request", j.ID), slog.String("server", r.server),
-		slog.Bool("notRun", r.notRun), slog.Bool("again", again), slog.String("reason", reason), slog.Duration("after", v.After))
+		slog.Bool("notRun", r.notRun), slog.Bool("again", again), slog.String("reason", v.Reason.String()), slog.Duration("after", v.After))
 	if !again {
 		return false
 	}
