--- /dev/null
+++ b/coordinator/slowlink_test.go
@@ -0,0 +1,149 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/coordinator/follow"
+	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/link"
+)
+
+// slowConn is a connection of an entry that shares its bandwidth with the others.
+type slowConn struct {
+	net.Conn
+	limiter *rate.Limiter
+}
+
+// Read reads at most a small chunk, at the rate of the link.
+func (c *slowConn) Read(p []byte) (int, error) {
+	const chunk = 4 << 10
+	n, err := c.Conn.Read(p[:min(len(p), chunk)])
+	_ = c.limiter.WaitN(context.Background(), n) // n is at most the burst
+	return n, err
+}
+
+// slowFollower follows replicas over a link of some bytes per second, as an entry does, and counts
+// what it receives.
+type slowFollower struct {
+	*follow.Follower
+	revision atomic.Uint64
+	has      atomic.Bool
+	content  atomic.Pointer[[]byte]
+}
+
+func newSlowFollower(t *testing.T, bytesPerSecond int, seeds []string) *slowFollower {
+	f := &slowFollower{}
+	limiter := rate.NewLimiter(rate.Limit(bytesPerSecond), 64<<10)
+	self := link.PeerInfo{ID: "entry", Incarnation: 1, Role: api.RoleEntry}
+	pool := link.NewPool(api.PoolConfig(self, "k"), link.PoolDeps{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		var d net.Dialer
+		nc, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return &slowConn{Conn: nc, limiter: limiter}, nil
+	}})
+	f.Follower = follow.New(follow.Config{SingleSource: true, Zone: "z"}, follow.Deps{
+		Pool: pool, Log: slog.New(slog.DiscardHandler), Now: time.Now, Seeds: func() []string { return seeds },
+		Request: func() api.WatchRequest {
+			return api.WatchRequest{
+				Role: api.RoleEntry, HasCatalogue: f.has.Load(), Revision: f.revision.Load(), Wait: 400 * time.Millisecond,
+				Entry: &directory.Entry{Name: "entry", Incarnation: 1, State: instance.StateServing}, ShareDivisor: 1,
+			}
+		},
+		Reply: func(_ string, r api.WatchReply) { f.take(r.Revision, r.Document) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		pool.Close()
+		<-done
+	})
+	return f
+}
+
+func (f *slowFollower) take(revision uint64, document []byte) {
+	if document != nil && (!f.has.Load() || revision > f.revision.Load()) {
+		f.content.Store(&document)
+		f.revision.Store(revision)
+		f.has.Store(true)
+	}
+}
+
+// await waits until a revision has arrived.
+func (f *slowFollower) await(t *testing.T, revision uint64, within time.Duration) {
+	t.Helper()
+	require.Eventually(t, func() bool { return f.has.Load() && f.revision.Load() >= revision }, within, 10*time.Millisecond, "revision %d", revision)
+}
+
+// serveReplicas serves replicas that are not running, each with its own state, and returns their
+// addresses.
+func serveReplicas(t *testing.T, n int) (replicas []*Coordinator, addresses []string) {
+	for range n {
+		c := newIdleReplica(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		c.self = l.Addr().String()
+		srv := link.NewServer(api.ServerConfig(c.peerInfo(), "k"), link.ServerDeps{})
+		c.registerHandlers(srv)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- srv.Serve(ctx, l) }()
+		t.Cleanup(func() { cancel(); <-done })
+		replicas, addresses = append(replicas, c), append(addresses, c.self)
+	}
+	return replicas, addresses
+}
+
+// routesText returns a document of n routes that doesn't compress to little.
+func routesText(n int, random *rand.Rand) []byte {
+	var b bytes.Buffer
+	for i := range n {
+		fmt.Fprintf(&b, `{"name":"r-%d","host":"a.example","path_prefix":"/%016x/","timeout_ms":3000,"note":"%016x%016x"}`, i, random.Uint64(), random.Uint64(), random.Uint64())
+	}
+	return b.Bytes()
+}
+
+// Guards against a catalogue that never reaches an entry, since its transfer takes longer than a
+// call may: each call throws away what has arrived, and the next replica begins anew. Callers of
+// new routes get 404 from that entry for good.
+func TestCatalogueArrivesOverSlowLink(t *testing.T) {
+	const bytesPerSecond = 200 << 10
+	replicas, addresses := serveReplicas(t, 3)
+	random := rand.New(rand.NewPCG(1, 2))
+	put := func(revision uint64, document []byte) {
+		for _, c := range replicas {
+			c.acceptCatalogue(revision, document)
+		}
+	}
+	put(1, []byte("first"))
+	f := newSlowFollower(t, bytesPerSecond, addresses)
+	f.await(t, 1, 10*time.Second)
+
+	large := routesText(5000, random)
+	put(2, large)
+	transfer := time.Duration(len(large)) * time.Second / bytesPerSecond
+	f.await(t, 2, 2*transfer)
+	require.Equal(t, string(large), string(*f.content.Load()))
+
+	// A change of one route arrives soon, however large the catalogue is.
+	changed := bytes.Replace(large, []byte(`"timeout_ms":3000`), []byte(`"timeout_ms":2000`), 1)
+	put(3, changed)
+	f.await(t, 3, time.Second)
+	require.Equal(t, string(changed), string(*f.content.Load()))
+}
