coordinator, document: entries fetch the catalogue in parts, and only what changed

Cause: each revision was sent whole (826 kB, 0.66 s of an entry's link) with the reply to a watch call. After 0.7 s the entry asked the next replica as well; a call gave up 1.4 s to 1.8 s after it was sent and threw away what had arrived. Two transfers at once never ended: livelock. Class: a transfer that counts only as a whole, under a timeout that doesn't grow with it, and is begun anew elsewhere.

Change: a watch call brings the number of the newest revision only. A fetch of its own takes the catalogue in parts of 32 kB, one at a time; what has arrived counts, at whatever replica the next part comes from. While a part is late the next replica is asked too (up to three), so that one that stands still costs 0.3 s. Replicas keep the last versions and send the difference from the one that the entry has. A checksum of the whole decides; if it fails, the whole version is asked for. The source of the records is replaced when it lags, no longer when a transfer takes long.

observeRevision lost its parameter lacks, which was the process's lack of a revision that no longer comes with the reply; the tests of the source are otherwise unchanged.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -56,7 +56,8 @@
 	MethodRead     = "coordinator.read"
 	MethodRegister = "coordinator.register"
 	MethodJoin     = "coordinator.join"
-	MethodTrial    = "coordinator.trial" // at any replica
+	MethodTrial    = "coordinator.trial"    // at any replica
+	MethodDocument = "coordinator.document" // a part of the catalogue
 	// MethodLeaderTrial is MethodTrial at the leader.
 	MethodLeaderTrial = "coordinator.trial.leader"
 )
@@ -87,9 +88,9 @@
 	Revision     uint64        `msgpack:"rev"` // of that catalogue
 	Wait         time.Duration `msgpack:"wait"`
 
-	// RevisionOnly reports that another replica sends the sender the catalogue, and the loads
-	// and names of other entries. This replica replies with the number of a revision above
-	// NotifiedRevision, without its content.
+	// RevisionOnly reports that another replica sends the sender the loads and names of other
+	// entries. This replica replies with the number of a revision above NotifiedRevision, without
+	// its content.
 	RevisionOnly     bool   `msgpack:"revOnly,omitempty"`
 	NotifiedRevision uint64 `msgpack:"told,omitempty"`
 
@@ -123,6 +124,9 @@
 	BrokenOff []suspect.Record `msgpack:"brokenOff,omitempty"`
 	// SuspectsVersion is copied from the last reply of this replica.
 	SuspectsVersion uint64 `msgpack:"suspects,omitempty"`
+	// NoDocument reports that the sender fetches the catalogue with MethodDocument: the reply has
+	// only its revision.
+	NoDocument bool `msgpack:"noDoc,omitempty"`
 }
 
 // Detail is how much a reply says on the servers and entries that changed.
@@ -138,7 +142,7 @@
 
 // WantsRevision reports whether the sender must be notified of a catalogue of this revision.
 func (r *WatchRequest) WantsRevision(revision uint64) bool {
-	if r.RevisionOnly {
+	if r.RevisionOnly || r.NoDocument {
 		return revision > r.NotifiedRevision
 	}
 	return r.Lacks(revision)
@@ -195,7 +199,7 @@
 
 	Zone        string   `msgpack:"zone"` // of the replica
 	Revision    uint64   `msgpack:"rev"`
-	Document    []byte   `msgpack:"doc,omitempty"` // catalogue of Revision, if the sender lacks it and RevisionOnly is not set
+	Document    []byte   `msgpack:"doc,omitempty"` // catalogue of Revision, if the sender lacks it and sets neither RevisionOnly nor NoDocument
 	Replicas    []string `msgpack:"replicas"`      // link addresses of all replicas
 	LiveEntries int      `msgpack:"live"`          // number of entries that accept requests of callers
 	// LiveDigest is the digest of the names of those entries. LiveNames holds the sorted names
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"savoryreel.example/savoryreel/coordinator/follow"
 	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/document"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
@@ -63,6 +64,7 @@
 	live       *liveEntries
 	cache      *serverCache
 	catalogue  *latestCatalogue
+	documents  *document.Store // the last catalogues, for entries
 	usage      *usageTable
 	loads      *loadTable
 	shares     *shareRegistry
@@ -110,7 +112,7 @@
 			OverdueAfter: overdueAfter(cfg.Node.AnnounceInterval), EntryExpiry: entryExpiry, ForgetAfter: directory.DefaultForgetAfter,
 			AddressHold: time.Duration(addressHoldFraction * float64(cfg.Node.Bounds.AddressReuse)),
 		}),
-		catalogue: newLatestCatalogue(), usage: newUsageTable(cfg.Node.Bounds.UsageWindows()), loads: newLoadTable(), work: newWorkTable(), pacers: newWatchPacers(), clock: wallclock.System(),
+		catalogue: newLatestCatalogue(), documents: document.NewStore(deps.Now), usage: newUsageTable(cfg.Node.Bounds.UsageWindows()), loads: newLoadTable(), work: newWorkTable(), pacers: newWatchPacers(), clock: wallclock.System(),
 		stopping: make(chan struct{}), lastCalls: make(map[string]time.Time), suspects: newSuspectRegistry(deps.Now),
 	}
 	c.shares = newShareRegistry(deps.Now(), cfg.Node.FirstStart)
@@ -225,17 +227,25 @@
 
 // acceptCatalogue puts a committed catalogue, from this replica's log or from another
 // replica, in force if it is newer than the present one.
-func (c *Coordinator) acceptCatalogue(revision uint64, document []byte) {
-	if c.catalogue.update(revision, document) {
-		c.decodeCatalogue(revision, document)
+func (c *Coordinator) acceptCatalogue(revision uint64, content []byte) {
+	if content != nil {
+		c.documents.Put(revision, content)
+	}
+	if c.catalogue.update(revision, content) {
+		c.decodeCatalogue(revision, content)
 		event.Log(context.Background(), c.log, slog.LevelInfo, event.RevisionTaken,
-			slog.Uint64("revision", revision), slog.Int("bytes", len(document)))
+			slog.Uint64("revision", revision), slog.Int("bytes", len(content)))
 	}
 }
 
+// documentPart returns a part of the catalogue.
+func (c *Coordinator) documentPart(_ context.Context, _ link.PeerInfo, r document.Request) (document.Part, error) {
+	return c.documents.Part(&r), nil
+}
+
 // decodeCatalogue decodes the catalogue into routeTable, which the leader's tasks read.
-func (c *Coordinator) decodeCatalogue(revision uint64, document []byte) {
-	catalogue, err := c.deps.Decode(document)
+func (c *Coordinator) decodeCatalogue(revision uint64, content []byte) {
+	catalogue, err := c.deps.Decode(content)
 	if err != nil {
 		event.Log(context.Background(), c.log, slog.LevelError, event.RevisionRefused,
 			slog.Uint64("revision", revision), slog.String("error", err.Error()))
@@ -246,9 +256,9 @@
 
 // watchRequest returns the request that the follower sends to other replicas.
 func (c *Coordinator) watchRequest() api.WatchRequest {
-	revision, document, _ := c.catalogue.get()
+	revision, content, _ := c.catalogue.get()
 	return api.WatchRequest{
-		Role: api.RoleControl, HasCatalogue: document != nil, Revision: revision, Unreached: c.follower.Unreached(unreachedAge),
+		Role: api.RoleControl, HasCatalogue: content != nil, Revision: revision, Unreached: c.follower.Unreached(unreachedAge),
 	}
 }
 
@@ -337,6 +347,7 @@
 	link.Handle(srv, api.MethodRegister, serveLeader(c, c.registerAsLeader))
 	link.Handle(srv, api.MethodJoin, serveLeader(c, c.joinAsLeader))
 	link.Handle(srv, api.MethodTrial, c.trial)
+	link.Handle(srv, api.MethodDocument, c.documentPart)
 	link.Handle(srv, api.MethodLeaderTrial, serveLeader(c, c.trialAsLeader))
 }
 
--- a/coordinator/follow/detail.go
+++ b/coordinator/follow/detail.go
@@ -19,6 +19,7 @@
 		req.Seen = seen.seq
 		return
 	}
+	req.NoDocument = true
 	if !seen.replied {
 		req.Detail = api.DetailNone
 		req.RevisionOnly = req.HasCatalogue
@@ -28,13 +29,12 @@
 		req.Missing = f.deps.Missing(addr)
 	}
 	send, highestRevision := f.source.shouldSend(addr, f.deps.Now())
+	req.NotifiedRevision = max(highestRevision, req.Revision)
 	if send {
 		req.Wait = min(req.Wait, f.cfg.Wait)
 	} else {
 		req.Detail = api.DetailStatuses
-		if req.HasCatalogue {
-			req.RevisionOnly, req.NotifiedRevision = true, max(highestRevision, req.Revision)
-		}
+		req.RevisionOnly = req.HasCatalogue
 	}
 	if len(req.Missing) > 0 || f.source.vacant() {
 		req.Wait = min(req.Wait, shortWait)
--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -58,9 +58,9 @@
 	// Wait is how long a replica that sends complete records may hold a call open;
 	// DefaultWait if not positive.
 	Wait time.Duration
-	// SingleSource makes only one replica at a time send complete records and, once the
-	// process has a first catalogue, the catalogue. It is for processes on slow links, and for
-	// those of which there are hundreds.
+	// SingleSource makes only one replica at a time send complete records, and fetches the
+	// catalogue in parts. It is for processes on slow links, and for those of which there are
+	// hundreds.
 	SingleSource bool
 	Zone         string // own zone, in which SingleSource prefers a replica
 }
@@ -71,12 +71,15 @@
 	Log  *slog.Logger
 	Now  func() time.Time
 	// Request returns the next request to send. The follower sets Incarnation, Seen, Detail,
-	// Missing, RevisionOnly and NotifiedRevision, shortens Wait or sets it if it is not
+	// Missing, NoDocument, RevisionOnly and NotifiedRevision, shortens Wait or sets it if it is not
 	// positive, and removes usage that the replica already has.
 	Request func() api.WatchRequest
 	// Reply handles a reply of the replica at addr. Each replica has its own goroutine, so
 	// calls for different replicas may be concurrent.
 	Reply func(addr string, r api.WatchReply)
+	// Catalogue handles a catalogue, in ascending order of revisions. It is called instead of
+	// sending one with a reply if Config.SingleSource is set.
+	Catalogue func(addr string, revision uint64, document []byte)
 	// OnUnreachable, if set, is called when calls to a replica begin to fail and when the
 	// replica is no longer followed. For one replica, it is never concurrent with Reply.
 	OnUnreachable func(addr string)
@@ -96,6 +99,7 @@
 	cfg    Config
 	deps   Deps
 	source recordSource
+	fetch  *catalogueFetch
 
 	haveRecords atomic.Bool   // a replica has sent complete records
 	renamed     chan struct{} // receives a value after a replica has named other replicas than before
@@ -118,7 +122,7 @@
 	if cfg.Wait <= 0 {
 		cfg.Wait = DefaultWait
 	}
-	f := &Follower{cfg: cfg, deps: deps, peers: make(map[string]*peer), namedReplicas: make(map[string][]string), renamed: make(chan struct{}, 1)}
+	f := &Follower{cfg: cfg, deps: deps, peers: make(map[string]*peer), namedReplicas: make(map[string][]string), renamed: make(chan struct{}, 1), fetch: newCatalogueFetch()}
 	f.source = recordSource{zone: cfg.Zone, vacantSince: deps.Now()}
 	return f
 }
@@ -129,6 +133,9 @@
 	defer wg.Wait()
 	tick := time.NewTicker(reconcileInterval)
 	defer tick.Stop()
+	if f.cfg.SingleSource {
+		wg.Go(func() { f.fetchCatalogues(ctx) })
+	}
 	for {
 		f.reconcile(ctx, &wg)
 		select {
@@ -204,8 +211,8 @@
 	if f.deps.OnUnreachable != nil {
 		defer f.deps.OnUnreachable(addr)
 	}
-	defer func() { f.source.markUnreachable(addr, f.deps.Now()) }()
-	var incarnation, lastRevision uint64
+	defer func() { f.source.forget(addr, f.deps.Now()) }()
+	var incarnation uint64
 	var seen seenChanges
 	var sent sentUsage
 	var suspects suspectState
@@ -218,9 +225,6 @@
 		if req.Wait <= 0 {
 			req.Wait = f.cfg.Wait
 		}
-		if seen.replied {
-			f.source.observeRevision(addr, lastRevision, req.Lacks(lastRevision), f.deps.Now())
-		}
 		f.setDetail(&req, addr, &seen)
 		sentAt := f.deps.Now()
 		reply, err := f.call(ctx, addr, p, req)
@@ -249,10 +253,12 @@
 		incarnation = reply.Incarnation
 		seen.record(req.Detail, reply.Seen)
 		f.source.observeZone(addr, reply.Zone)
+		if f.source.observeRevision(addr, reply.Revision, f.deps.Now()) {
+			f.fetch.notify()
+		}
 		f.recordNames(addr, reply.Replicas)
 		reply.SentAt = sentAt
 		f.deps.Reply(addr, reply)
-		lastRevision = reply.Revision
 		if req.Detail == api.DetailRecords {
 			f.haveRecords.Store(true)
 		}
--- a/coordinator/follow/source_test.go
+++ b/coordinator/follow/source_test.go
@@ -28,9 +28,9 @@
 func TestOneReplicaSendsTheCatalogue(t *testing.T) {
 	var s recordSource
 	require.Equal(t, []string{"a"}, s.senders("a", "b", "c"))
-	s.observeRevision("b", 7, true, startTime)
-	s.observeRevision("a", 7, false, startTime.Add(maxSourceDelay/2))
-	s.observeRevision("c", 7, false, startTime.Add(2*maxSourceDelay))
+	s.observeRevision("b", 7, startTime)
+	s.observeRevision("a", 7, startTime.Add(maxSourceDelay/2))
+	s.observeRevision("c", 7, startTime.Add(2*maxSourceDelay))
 	require.Equal(t, []string{"a"}, s.senders("c", "b", "a"), "the source has sent the revision in time")
 	_, highestRevision := s.shouldSend("b", startTime)
 	require.EqualValues(t, 7, highestRevision)
@@ -51,14 +51,14 @@
 func TestOutdatedSourceIsReplaced(t *testing.T) {
 	var s recordSource
 	s.senders("a", "b", "c")
-	s.observeRevision("b", 8, true, startTime)
-	s.observeRevision("a", 7, false, startTime.Add(maxSourceDelay/2))
-	s.observeRevision("c", 8, true, startTime.Add(maxSourceDelay-time.Millisecond))
+	s.observeRevision("b", 8, startTime)
+	s.observeRevision("a", 7, startTime.Add(maxSourceDelay/2))
+	s.observeRevision("c", 8, startTime.Add(maxSourceDelay-time.Millisecond))
 	require.Equal(t, []string{"a"}, s.senders("a", "b", "c"), "the revision may be in transit")
-	s.observeRevision("a", 7, false, startTime.Add(maxSourceDelay))
-	s.observeRevision("b", 8, true, startTime.Add(maxSourceDelay+time.Millisecond))
+	s.observeRevision("a", 7, startTime.Add(maxSourceDelay))
+	s.observeRevision("b", 8, startTime.Add(maxSourceDelay+time.Millisecond))
 	require.Equal(t, []string{"b"}, s.senders("a", "b", "c"))
-	s.observeRevision("c", 8, true, startTime.Add(maxSourceDelay+2*time.Millisecond))
+	s.observeRevision("c", 8, startTime.Add(maxSourceDelay+2*time.Millisecond))
 	require.Equal(t, []string{"b"}, s.senders("a", "b", "c"), "a new source has the full delay")
 }
 
@@ -92,13 +92,13 @@
 // entry would switch back and forth and get a complete list each time.
 func TestOutdatedReplicaInOwnZoneIsNotPreferred(t *testing.T) {
 	s := replicasByZone()
-	s.observeRevision("c2", 8, false, startTime)
-	s.observeRevision("a1", 7, false, startTime)
+	s.observeRevision("c2", 8, startTime)
+	s.observeRevision("a1", 7, startTime)
 	send, _ := s.shouldSend("c2", startTime.Add(localSourceWait))
 	require.True(t, send)
 	send, _ = s.shouldSend("a1", startTime.Add(localSourceWait))
 	require.False(t, send)
-	s.observeRevision("a1", 8, false, startTime)
+	s.observeRevision("a1", 8, startTime)
 	send, _ = s.shouldSend("a1", startTime.Add(localSourceWait))
 	require.True(t, send)
 }
--- a/coordinator/slowlink_test.go
+++ b/coordinator/slowlink_test.go
@@ -17,6 +17,7 @@
 	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/coordinator/follow"
 	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/document"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
 )
@@ -25,12 +26,14 @@
 type slowConn struct {
 	net.Conn
 	limiter *rate.Limiter
+	read    *atomic.Int64 // bytes, of all connections
 }
 
 // Read reads at most a small chunk, at the rate of the link.
 func (c *slowConn) Read(p []byte) (int, error) {
 	const chunk = 4 << 10
 	n, err := c.Conn.Read(p[:min(len(p), chunk)])
+	c.read.Add(int64(n))
 	_ = c.limiter.WaitN(context.Background(), n) // n is at most the burst
 	return n, err
 }
@@ -42,6 +45,7 @@
 	revision atomic.Uint64
 	has      atomic.Bool
 	content  atomic.Pointer[[]byte]
+	read     atomic.Int64
 }
 
 func newSlowFollower(t *testing.T, bytesPerSecond int, seeds []string) *slowFollower {
@@ -54,7 +58,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &slowConn{Conn: nc, limiter: limiter}, nil
+		return &slowConn{Conn: nc, limiter: limiter, read: &f.read}, nil
 	}})
 	f.Follower = follow.New(follow.Config{SingleSource: true, Zone: "z"}, follow.Deps{
 		Pool: pool, Log: slog.New(slog.DiscardHandler), Now: time.Now, Seeds: func() []string { return seeds },
@@ -64,7 +68,7 @@
 				Entry: &directory.Entry{Name: "entry", Incarnation: 1, State: instance.StateServing}, ShareDivisor: 1,
 			}
 		},
-		Reply: func(_ string, r api.WatchReply) { f.take(r.Revision, r.Document) },
+		Reply: func(string, api.WatchReply) {}, Catalogue: func(_ string, revision uint64, document []byte) { f.take(revision, document) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -93,14 +97,17 @@
 
 // serveReplicas serves replicas that are not running, each with its own state, and returns their
 // addresses.
-func serveReplicas(t *testing.T, n int) (replicas []*Coordinator, addresses []string) {
-	for range n {
+func serveReplicas(t *testing.T, n int, handlers func(i int, srv *link.Server)) (replicas []*Coordinator, addresses []string) {
+	for i := range n {
 		c := newIdleReplica(t)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		c.self = l.Addr().String()
 		srv := link.NewServer(api.ServerConfig(c.peerInfo(), "k"), link.ServerDeps{})
 		c.registerHandlers(srv)
+		if handlers != nil {
+			handlers(i, srv)
+		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		go func() { done <- srv.Serve(ctx, l) }()
@@ -124,7 +131,7 @@
 // new routes get 404 from that entry for good.
 func TestCatalogueArrivesOverSlowLink(t *testing.T) {
 	const bytesPerSecond = 200 << 10
-	replicas, addresses := serveReplicas(t, 3)
+	replicas, addresses := serveReplicas(t, 3, nil)
 	random := rand.New(rand.NewPCG(1, 2))
 	put := func(revision uint64, document []byte) {
 		for _, c := range replicas {
@@ -137,9 +144,11 @@
 
 	large := routesText(5000, random)
 	put(2, large)
+	read := f.read.Load()
 	transfer := time.Duration(len(large)) * time.Second / bytesPerSecond
 	f.await(t, 2, 2*transfer)
 	require.Equal(t, string(large), string(*f.content.Load()))
+	require.Less(t, f.read.Load()-read, int64(len(large))*5/4, "bytes that the transfer took")
 
 	// A change of one route arrives soon, however large the catalogue is.
 	changed := bytes.Replace(large, []byte(`"timeout_ms":3000`), []byte(`"timeout_ms":2000`), 1)
@@ -147,3 +156,33 @@
 	f.await(t, 3, time.Second)
 	require.Equal(t, string(changed), string(*f.content.Load()))
 }
+
+// Guards against an entry that waits for a replica which stands still, although others have the
+// catalogue: a change would not be in force in time.
+func TestCatalogueArrivesBesideReplicaThatStandsStill(t *testing.T) {
+	for still := range 3 {
+		t.Run(fmt.Sprint("replica ", still), func(t *testing.T) {
+			stop := make(chan struct{})
+			t.Cleanup(func() { close(stop) })
+			replicas, addresses := serveReplicas(t, 3, func(i int, srv *link.Server) {
+				if i != still {
+					return
+				}
+				link.Handle(srv, api.MethodDocument, func(ctx context.Context, _ link.PeerInfo, _ document.Request) (document.Part, error) {
+					select {
+					case <-ctx.Done():
+					case <-stop:
+					}
+					return document.Part{}, ctx.Err()
+				})
+			})
+			f := newSlowFollower(t, 1<<20, addresses)
+			for revision := range uint64(4) {
+				for _, c := range replicas {
+					c.acceptCatalogue(revision+1, routesText(3000, rand.New(rand.NewPCG(revision, 1))))
+				}
+				f.await(t, revision+1, 1500*time.Millisecond)
+			}
+		})
+	}
+}
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -85,7 +85,7 @@
 	}
 	revision, document, _ := c.catalogue.get()
 	reply.Revision = revision
-	if document != nil && !req.RevisionOnly && req.Lacks(revision) {
+	if document != nil && !req.RevisionOnly && !req.NoDocument && req.Lacks(revision) {
 		reply.Document = document
 	}
 	return reply, nil
--- a/event/event.go
+++ b/event/event.go
@@ -60,6 +60,7 @@
 	CatalogueChanged      Kind = 4001
 	CatalogueRefused      Kind = 4002
 	CatalogueTaken        Kind = 4003
+	CataloguePartRefused  Kind = 4006
 	FreshnessLost         Kind = 4004
 	FreshnessBack         Kind = 4005
 	StopBegun             Kind = 4101
@@ -141,6 +142,7 @@
 	{CatalogueChanged, "catalogue changed"},
 	{CatalogueRefused, "catalogue change refused"},
 	{CatalogueTaken, "catalogue version in force here"},
+	{CataloguePartRefused, "part of a catalogue refused"},
 	{FreshnessLost, "catalogue may be out of date, new requests refused"},
 	{FreshnessBack, "catalogue confirmed again"},
 	{StopBegun, "planned stop in force"},
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -55,11 +55,6 @@
 func (g *Gateway) applyReply(addr string, r api.WatchReply) {
 	g.clock.Observe(addr, r.Clock)
 	g.breaks.updateList(addr, &r)
-	hadNone := g.table.Load() == nil
-	g.adopt(r.Revision, r.Document, addr)
-	if hadNone && g.table.Load() != nil {
-		g.follower.SendNow()
-	}
 	from := directory.Origin{Replica: addr, Incarnation: r.Incarnation}
 	g.directory.Merge(from, r.Servers, r.Entries, g.now())
 	g.directory.MergeStatuses(from, r.Statuses, g.now())
@@ -76,6 +71,16 @@
 	g.limits.updateShare()
 }
 
+// applyCatalogue puts a catalogue of a control replica in force. After the first one the entry
+// reports itself at once.
+func (g *Gateway) applyCatalogue(addr string, revision uint64, document []byte) {
+	hadNone := g.table.Load() == nil
+	g.adopt(revision, document, addr)
+	if hadNone && g.table.Load() != nil {
+		g.follower.SendNow()
+	}
+}
+
 // onReplicaUnreachable is called when a control replica no longer replies.
 func (g *Gateway) onReplicaUnreachable(addr string) {
 	if g.directory.MarkUnreachable(addr) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,7 +122,7 @@
 	g.traffic = link.NewTraffic(g.metrics)
 	g.links = link.NewPool(api.PoolConfig(g.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: g.traffic})
 	g.follower = follow.New(follow.Config{SingleSource: true, Zone: cfg.Node.Zone}, follow.Deps{
-		Pool: g.links, Log: g.log, Now: g.now, Request: g.watchRequest, Reply: g.applyReply, OnUnreachable: g.onReplicaUnreachable, Seeds: deps.Seeds,
+		Pool: g.links, Log: g.log, Now: g.now, Request: g.watchRequest, Reply: g.applyReply, Catalogue: g.applyCatalogue, OnUnreachable: g.onReplicaUnreachable, Seeds: deps.Seeds,
 		Missing: func(addr string) []directory.Key { return g.directory.Missing(addr, g.now()) }, BrokenOff: g.breaks.since,
 	})
 	return g, nil
