control, control/api: native entries fetch the catalogue in parts too

The client keeps a document.Receiver over its calls, replicas hold the encoded replies in a document.Store. One call of Catalogue lasts a second at most, so that the entry goes on confirming the catalogue that it has meanwhile.

internal/testutil: the slow link that both tests use.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -13,7 +13,7 @@
 const (
 	MethodVersion   = "control.version"
 	MethodVoters    = "control.voters"
-	MethodCatalogue = "control.catalogue"
+	MethodCatalogue = "control.catalogue.part" // document.Request, returns a document.Part of an encoded CatalogueReply
 	MethodPropose   = "control.propose"
 	MethodStatus    = "control.status"
 	MethodBarrier   = "control.barrier"
--- a/control/api/client.go
+++ b/control/api/client.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"savoryreel.example/savoryreel/document"
 	"savoryreel.example/savoryreel/ledger"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/admit"
@@ -34,6 +35,9 @@
 	initialReplicas []string // link addresses from the settings
 	idHash          uint64   // selects the replica from which Catalogue fetches first
 
+	fetchMu  sync.Mutex
+	receiver document.Receiver // of encoded CatalogueReplies
+
 	mu        sync.Mutex
 	replicas  []string // link addresses of the voters, as last reported; "" if unknown
 	preferred int      // index in replicas of the one that replied last; called first
@@ -201,31 +205,65 @@
 	return Confirmation{Needed: indexes[majority-1], Newest: indexes[len(indexes)-1]}, nil
 }
 
-// Catalogue returns the catalogue of the first replica that has one above index
-// knownIndex. The reply is marked Unchanged if no replica has one and at least one
-// replied.
+// catalogueFetchTime bounds one call of Catalogue, so that its caller can confirm the catalogue
+// that it has while a newer one is on its way.
+const catalogueFetchTime = time.Second
+
+// Catalogue fetches a catalogue above index knownIndex from the replicas, part by part. The reply
+// is marked Unchanged if no replica has one and at least one replied, or if not all parts arrived
+// in time: the next call goes on with what is missing.
 func (c *Client) Catalogue(ctx context.Context, knownIndex uint64) (CatalogueReply, error) {
+	c.fetchMu.Lock()
+	defer c.fetchMu.Unlock()
+	unchanged := CatalogueReply{Unchanged: true, Index: knownIndex}
 	var lastErr error
-	unchanged := false
+	replied := false
 	replicas := withoutUnknown(c.Replicas())
 	start := int(c.idHash % uint64(max(1, len(replicas))))
+	deadline := time.Now().Add(catalogueFetchTime)
 	for _, addr := range rotated(replicas, start) {
-		reply, err := callReplica[CatalogueReply](ctx, c.pool, addr, MethodCatalogue, CatalogueRequest{KnownIndex: knownIndex})
+		reply, found, err := c.fetchFrom(ctx, addr, deadline)
 		if err != nil {
 			lastErr = err
 			continue
 		}
-		if !reply.Unchanged {
+		if found && reply.Index > knownIndex {
 			return reply, nil
 		}
-		unchanged = true
+		if !time.Now().Before(deadline) {
+			return unchanged, nil
+		}
+		replied = true
 	}
-	if unchanged {
-		return CatalogueReply{Unchanged: true, Index: knownIndex}, nil
+	if replied {
+		return unchanged, nil
 	}
 	return CatalogueReply{}, trace.Wrap(lastErr, "step=fetch catalogue")
 }
 
+// fetchFrom takes parts from one replica until a catalogue is complete, the replica has none that is
+// newer, or the deadline has passed. found is true in the first case.
+func (c *Client) fetchFrom(ctx context.Context, addr string, deadline time.Time) (reply CatalogueReply, found bool, err error) {
+	for time.Now().Before(deadline) {
+		part, err := callReplica[document.Part](ctx, c.pool, addr, MethodCatalogue, c.receiver.Request(cataloguePartBytes))
+		if err != nil {
+			return reply, false, err
+		}
+		_, encoded, done, err := c.receiver.Accept(&part)
+		if err != nil {
+			return reply, false, trace.Wrap(err, "step=assemble catalogue peer=%s", addr)
+		}
+		if done {
+			reply, err = DecodeCatalogue(encoded)
+			return reply, err == nil, err
+		}
+		if part.Status == document.StatusNone {
+			return reply, false, nil
+		}
+	}
+	return reply, false, nil
+}
+
 // Ledger commits one command and returns its result. Commands are idempotent, so a
 // failed call is repeated at other replicas until ctx ends. After an error the
 // command may or may not have been committed.
--- a/control/api/client_test.go
+++ b/control/api/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -10,7 +12,10 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/document"
 	"savoryreel.example/savoryreel/internal/testutil"
+	"savoryreel.example/savoryreel/link"
 )
 
 // versionReplies returns the replies of replicas with these indexes.
@@ -133,3 +138,44 @@
 	_, err := confirmation([]VersionReply{{Index: 7}}, 3)
 	require.ErrorIs(t, err, ErrNoMajority)
 }
+
+// Guards against a catalogue that never reaches an entry over a slow link, since its transfer takes
+// longer than one call to a replica: the entry would serve by the old one for good.
+func TestCatalogueArrivesOverSlowLink(t *testing.T) {
+	const bytesPerSecond, workspaces = 200 << 10, 8000
+	reply := CatalogueReply{Index: 5, Version: 3}
+	for i := range workspaces {
+		reply.Catalogue.Workspaces = append(reply.Catalogue.Workspaces, contract.Workspace{Name: fmt.Sprint("workspace-", i), Owner: fmt.Sprint("owner-", i)})
+	}
+	encoded, err := EncodeCatalogue(&reply)
+	require.NoError(t, err)
+	documents := document.NewStore(time.Now)
+	documents.Put(reply.Index, encoded)
+	var replicas []string
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		srv := link.NewServer(link.ServerConfig{Self: link.PeerInfo{ID: fmt.Sprint("r", i)}, ClusterKey: []byte("k")}, link.ServerDeps{})
+		link.Handle(srv, MethodCatalogue, func(_ context.Context, _ link.PeerInfo, r document.Request) (document.Part, error) {
+			return documents.Part(&r), nil
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- srv.Serve(ctx, l) }()
+		t.Cleanup(func() { cancel(); <-done })
+		replicas = append(replicas, l.Addr().String())
+	}
+	pool := link.NewPool(link.PoolConfig{Self: link.PeerInfo{ID: "entry"}, ClusterKey: []byte("k")}, link.PoolDeps{Dial: testutil.NewSlowLink(bytesPerSecond).Dial})
+	t.Cleanup(pool.Close)
+	client := NewClient(pool, replicas, "entry")
+	var got CatalogueReply
+	transfer := time.Duration(len(encoded)) * time.Second / bytesPerSecond
+	require.Greater(t, transfer, 2*attemptTimeout)
+	for deadline := time.Now().Add(2 * transfer); time.Now().Before(deadline) && got.Index == 0; {
+		if r, err := client.Catalogue(t.Context(), 1); err == nil && !r.Unchanged {
+			got = r
+		}
+	}
+	require.Equal(t, reply.Index, got.Index)
+	require.Len(t, got.Catalogue.Workspaces, workspaces)
+}
--- a/control/control.go
+++ b/control/control.go
@@ -16,6 +16,7 @@
 
 	"savoryreel.example/savoryreel/control/api"
 	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/document"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/fleet"
 	"savoryreel.example/savoryreel/instance"
@@ -85,7 +86,7 @@
 		return nil, trace.Wrap(err, "step=join")
 	}
 	c.leases = &limitLeases{leader: c.host, machine: c.machine, maxEntries: cfg.MaxEntries, now: deps.Now}
-	c.service = &service{log: c.host, machine: c.machine, pool: c.pool, peers: addresses, now: deps.Now}
+	c.service = &service{log: c.host, machine: c.machine, pool: c.pool, peers: addresses, now: deps.Now, documents: document.NewStore(deps.Now)}
 	return c, nil
 }
 
--- a/control/service.go
+++ b/control/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -11,6 +12,7 @@
 
 	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/control/api"
+	"savoryreel.example/savoryreel/document"
 	"savoryreel.example/savoryreel/ledger"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/replica"
@@ -47,6 +49,10 @@
 	pool    *link.Pool
 	peers   *roster.AddressBook
 	now     func() time.Time
+
+	documentsMu sync.Mutex
+	documents   *document.Store // encoded CatalogueReplies, by their index
+	storedIndex uint64          // of the newest one
 }
 
 func (s *service) register(srv *link.Server) {
@@ -63,8 +69,29 @@
 	})
 }
 
-func (s *service) catalogue(_ context.Context, _ link.PeerInfo, r api.CatalogueRequest) (api.CatalogueReply, error) {
-	return s.machine.Catalogue(r.KnownIndex), nil
+// catalogue returns a part of the newest catalogue.
+func (s *service) catalogue(_ context.Context, _ link.PeerInfo, r document.Request) (document.Part, error) {
+	if err := s.storeCatalogue(); err != nil {
+		return document.Part{}, err
+	}
+	return s.documents.Part(&r), nil
+}
+
+// storeCatalogue adds the catalogue to the documents if it has changed.
+func (s *service) storeCatalogue() error {
+	s.documentsMu.Lock()
+	defer s.documentsMu.Unlock()
+	reply := s.machine.Catalogue(s.storedIndex)
+	if reply.Unchanged || reply.Index == 0 {
+		return nil
+	}
+	encoded, err := api.EncodeCatalogue(&reply)
+	if err != nil {
+		return err
+	}
+	s.documents.Put(reply.Index, encoded)
+	s.storedIndex = reply.Index
+	return nil
 }
 
 func (s *service) status(context.Context, link.PeerInfo, api.StatusRequest) (api.ReplicaStatus, error) {
--- a/coordinator/slowlink_test.go
+++ b/coordinator/slowlink_test.go
@@ -12,32 +12,16 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/time/rate"
 
 	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/coordinator/follow"
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/document"
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/internal/testutil"
 	"savoryreel.example/savoryreel/link"
 )
 
-// slowConn is a connection of an entry that shares its bandwidth with the others.
-type slowConn struct {
-	net.Conn
-	limiter *rate.Limiter
-	read    *atomic.Int64 // bytes, of all connections
-}
-
-// Read reads at most a small chunk, at the rate of the link.
-func (c *slowConn) Read(p []byte) (int, error) {
-	const chunk = 4 << 10
-	n, err := c.Conn.Read(p[:min(len(p), chunk)])
-	c.read.Add(int64(n))
-	_ = c.limiter.WaitN(context.Background(), n) // n is at most the burst
-	return n, err
-}
-
 // slowFollower follows replicas over a link of some bytes per second, as an entry does, and counts
 // what it receives.
 type slowFollower struct {
@@ -45,21 +29,13 @@
 	revision atomic.Uint64
 	has      atomic.Bool
 	content  atomic.Pointer[[]byte]
-	read     atomic.Int64
+	link     *testutil.SlowLink
 }
 
 func newSlowFollower(t *testing.T, bytesPerSecond int, seeds []string) *slowFollower {
-	f := &slowFollower{}
-	limiter := rate.NewLimiter(rate.Limit(bytesPerSecond), 64<<10)
+	f := &slowFollower{link: testutil.NewSlowLink(bytesPerSecond)}
 	self := link.PeerInfo{ID: "entry", Incarnation: 1, Role: api.RoleEntry}
-	pool := link.NewPool(api.PoolConfig(self, "k"), link.PoolDeps{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-		var d net.Dialer
-		nc, err := d.DialContext(ctx, "tcp", addr)
-		if err != nil {
-			return nil, err
-		}
-		return &slowConn{Conn: nc, limiter: limiter, read: &f.read}, nil
-	}})
+	pool := link.NewPool(api.PoolConfig(self, "k"), link.PoolDeps{Dial: f.link.Dial})
 	f.Follower = follow.New(follow.Config{SingleSource: true, Zone: "z"}, follow.Deps{
 		Pool: pool, Log: slog.New(slog.DiscardHandler), Now: time.Now, Seeds: func() []string { return seeds },
 		Request: func() api.WatchRequest {
@@ -144,11 +120,11 @@
 
 	large := routesText(5000, random)
 	put(2, large)
-	read := f.read.Load()
+	read := f.link.BytesRead()
 	transfer := time.Duration(len(large)) * time.Second / bytesPerSecond
 	f.await(t, 2, 2*transfer)
 	require.Equal(t, string(large), string(*f.content.Load()))
-	require.Less(t, f.read.Load()-read, int64(len(large))*5/4, "bytes that the transfer took")
+	require.Less(t, f.link.BytesRead()-read, int64(len(large))*5/4, "bytes that the transfer took")
 
 	// A change of one route arrives soon, however large the catalogue is.
 	changed := bytes.Replace(large, []byte(`"timeout_ms":3000`), []byte(`"timeout_ms":2000`), 1)
