gateway, policy/freshness: nothing final is said, and nothing decided, by a catalogue that may be old

Cause: an entry answered by the catalogue that it had, also when a replica had reported a higher revision seconds before and when no replica had replied for long.

Change: policy/freshness holds the revision that each replica had, and as of when (sent, plus how long the replica held the call). The catalogue is confirmed if a majority had no higher one within half of the time in which a change must be in force. "No such route" and "unknown key" are said by a confirmed catalogue only: otherwise the replicas are prompted, the request waits up to 0.5 s for a reply or the newer catalogue, and is then refused with 503 and Retry-After. If a newer revision has been known for longer than a change may take, the old one decides nothing any more: routes, keys, time-outs, weights and limits alike. Without any reply an entry serves on: a cut from control must not take the service down.

--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -47,6 +47,8 @@
 	// shortWait is the wait of a call while no replica sends complete records, or while
 	// records are missing.
 	shortWait = 200 * time.Millisecond
+	// promptWait is the wait of a call that is to return at once.
+	promptWait = time.Millisecond
 	// reconcileInterval is the interval at which the seeds are read again. Replicas that a
 	// reply names are followed, and others no longer, at once.
 	reconcileInterval = time.Second
@@ -101,6 +103,7 @@
 	source recordSource
 	fetch  *catalogueFetch
 
+	prompts     atomic.Uint64 // number of calls of Prompt
 	haveRecords atomic.Bool   // a replica has sent complete records
 	renamed     chan struct{} // receives a value after a replica has named other replicas than before
 
@@ -216,6 +219,7 @@
 	var seen seenChanges
 	var sent sentUsage
 	var suspects suspectState
+	prompts := f.prompts.Load()
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		req := f.deps.Request()
@@ -226,6 +230,9 @@
 			req.Wait = f.cfg.Wait
 		}
 		f.setDetail(&req, addr, &seen)
+		if n := f.prompts.Load(); n != prompts {
+			prompts, req.Wait = n, promptWait
+		}
 		sentAt := f.deps.Now()
 		reply, err := f.call(ctx, addr, p, req)
 		if err == errWoken {
@@ -345,6 +352,12 @@
 	}
 }
 
+// Prompt makes each replica reply at once, with the newest revision that it has.
+func (f *Follower) Prompt() {
+	f.prompts.Add(1)
+	f.SendNow()
+}
+
 // LastReply returns the time of the last reply of a replica. It is zero if the replica has
 // not replied or is not followed.
 func (f *Follower) LastReply(addr string) time.Time {
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -52,6 +52,7 @@
 // watch handles one call of a process that follows this replica. It waits until there is
 // a change since the last reply to the sender, or until the requested wait is over.
 func (c *Coordinator) watch(ctx context.Context, from link.PeerInfo, req api.WatchRequest) (api.WatchReply, error) {
+	receivedAt := c.now()
 	c.recordSender(from, req)
 	c.suspects.merge(req.BrokenOff)
 	seen := req.Seen
@@ -83,6 +84,7 @@
 	if req.Role == api.RoleEntry {
 		c.addSuspects(&reply, &req)
 	}
+	reply.Held = c.now().Sub(receivedAt)
 	revision, document, _ := c.catalogue.get()
 	reply.Revision = revision
 	if document != nil && !req.RevisionOnly && !req.NoDocument && req.Lacks(revision) {
--- /dev/null
+++ b/e2e/catalogue_test.go
@@ -0,0 +1,47 @@
+package e2e
+
+import (
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/platform/standin"
+)
+
+// Guards against final answers by an old catalogue: an entry that stood still while a key and a
+// route were added answers what has arrived meanwhile as soon as it goes on, and its callers get 401
+// and 404 for what is in force everywhere else.
+func TestPlatformPausedEntryGivesNoFinalAnswers(t *testing.T) {
+	const rounds, calls, newKey = 4, 25, "new-key"
+	p := newPlatformSite(t, 3, 2, 2)
+	keys := []string{platformKey}
+	p.awaitServing(0, "/get/x")
+	var refused atomic.Int64
+	for round := range rounds {
+		p.entries[0].signal(t, syscall.SIGSTOP)
+		prefix := "/extra" + string(rune('a'+round)) + "/"
+		key := newKey + prefix[1:7]
+		keys = append(keys, key)
+		p.replaceCatalogue(0, standin.Catalogue{Revision: uint64(10 + round), Service: "web", Keys: keys, ExtraPrefix: prefix})
+		var callers sync.WaitGroup
+		for i := range calls {
+			callers.Go(func() {
+				path, with := prefix+"x", platformKey
+				if i%2 == 0 {
+					path, with = "/get/x", key
+				}
+				if a, err := standin.Call(p.ctx(), p.entryAddr(0), with, path, ""); err == nil && (a.Status == 401 || a.Status == 404) {
+					refused.Add(1)
+				}
+			})
+		}
+		time.Sleep(3 * time.Second) // longer than a change may take
+		p.entries[0].signal(t, syscall.SIGCONT)
+		callers.Wait()
+	}
+	require.Zero(t, refused.Load(), "final answers of %d", rounds*calls)
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -55,6 +55,7 @@
 func (g *Gateway) applyReply(addr string, r api.WatchReply) {
 	g.clock.Observe(addr, r.Clock)
 	g.breaks.updateList(addr, &r)
+	g.freshness.record(addr, &r)
 	from := directory.Origin{Replica: addr, Incarnation: r.Incarnation}
 	g.directory.Merge(from, r.Servers, r.Entries, g.now())
 	g.directory.MergeStatuses(from, r.Statuses, g.now())
@@ -76,6 +77,7 @@
 func (g *Gateway) applyCatalogue(addr string, revision uint64, document []byte) {
 	hadNone := g.table.Load() == nil
 	g.adopt(revision, document, addr)
+	g.freshness.notify()
 	if hadNone && g.table.Load() != nil {
 		g.follower.SendNow()
 	}
--- /dev/null
+++ b/gateway/freshness_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/routes"
+)
+
+// confirmRevision lets the only control replica report that revision is its newest one.
+func (r *rig) confirmRevision(revision uint64) {
+	r.freshness.record("replica", &api.WatchReply{Revision: revision, Replicas: []string{"replica"}, SentAt: r.now()})
+}
+
+// Guards against a final answer by a catalogue that may be old: to the caller of a route that was
+// just added, or with a key that was, it says not to come back.
+func TestUnconfirmedCatalogueGivesNoFinalAnswer(t *testing.T) {
+	for name, makeUnsure := range map[string]func(r *rig){
+		"no reply of replicas for long": func(r *rig) { r.clockOffset.Add(int64(r.freshness.applyWithin)) },
+		"a replica has a newer one":     func(r *rig) { r.confirmRevision(2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.setRoutes(routes.Route{Prefix: "/a/", Kind: routes.Idempotent})
+			_, refusal := r.serve("/b")
+			require.Equal(t, NoRoute, refusal.Reason)
+			makeUnsure(r)
+			started := time.Now()
+			_, refusal = r.serve("/b")
+			require.Equal(t, NoCatalogue, refusal.Reason)
+			require.True(t, refusal.Reason.NotRun())
+			require.Positive(t, refusal.RetryAfter)
+			require.Less(t, time.Since(started), 2*maxConfirmWait)
+		})
+	}
+}
+
+// Guards against callers of a new route that are sent away although the catalogue with it is about
+// to arrive.
+func TestRequestWaitsForNewerCatalogue(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/a/", Kind: routes.Idempotent})
+	r.server("web", respond("ok"))
+	r.confirmRevision(2)
+	time.AfterFunc(maxConfirmWait/5, func() {
+		c := &routes.Catalogue{Revision: 2, Services: []routes.Service{{Name: "web"}}, Routes: []routes.Route{{
+			Name: "b", Host: "a.example", Prefix: "/b", Kind: routes.Idempotent, Timeout: time.Second, MaxServers: 1,
+			Split: []routes.WeightedService{{Service: "web", Weight: 1}},
+		}}}
+		r.table.Store(routes.NewTable(c))
+		r.freshness.notify()
+	})
+	out, refusal := r.serve("/b")
+	require.Nil(t, refusal)
+	require.Equal(t, "ok", string(out.body))
+}
+
+// Guards against an entry that goes on serving by a catalogue that must not be in force any more:
+// requests run by routes, keys, time-outs and limits that the operator has changed.
+func TestOutdatedCatalogueDecidesNothing(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/a/", Kind: routes.Idempotent})
+	server := r.server("web", respond("ok"))
+	r.confirmRevision(2)
+	_, refusal := r.serve("/a/x")
+	require.Nil(t, refusal, "the change need not be in force yet")
+	r.clockOffset.Add(int64(r.freshness.applyWithin))
+	_, refusal = r.serve("/a/x")
+	require.Equal(t, NoCatalogue, refusal.Reason)
+	require.Equal(t, 1, server.count())
+}
+
+// Guards against an entry without control replicas that refuses what it can serve.
+func TestEntryWithoutRepliesServes(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/a/", Kind: routes.Idempotent})
+	r.server("web", respond("ok"))
+	r.clockOffset.Add(int64(time.Minute))
+	_, refusal := r.serve("/a/x")
+	require.Nil(t, refusal)
+}
+
+// Guards against a caller that has left and whose request goes on waiting.
+func TestCallerLeavesWhileCatalogueIsUnconfirmed(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/a/", Kind: routes.Idempotent})
+	r.confirmRevision(2)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	started := time.Now()
+	_, refusal := r.serveContext(ctx, "/b")
+	require.NotNil(t, refusal)
+	require.Less(t, time.Since(started), maxConfirmWait)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,7 @@
 	peers      *peers
 	exchange   *peerExchange
 	breaks     *breaks
+	freshness  *freshness
 	datagrams  *datagrams
 	limits     *limits
 	limitUsage *limitUsage
@@ -109,6 +110,7 @@
 	g.repeatUse = newRepeatUse(g.log, g.metrics)
 	g.exchange = g.newExchange()
 	g.breaks = newBreaks(g.now)
+	g.freshness = newFreshness(b.ConfigApply, g.now)
 	g.limits = newLimits(g.exchange, g.shares, b, g.log, g.now)
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
 	g.outcomes = outcomes{set: g.metrics}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -19,7 +19,7 @@
 
 // Retry-After values of refusals, by when the cause is likely to be gone.
 const (
-	// catalogueRetryAfter: a new entry receives the catalogue within a few hundred
+	// catalogueRetryAfter: an entry without the newest catalogue receives it within a few hundred
 	// milliseconds.
 	catalogueRetryAfter = 300 * time.Millisecond
 	// serverRetryAfter: lost servers are replaced or reachable again within one or two
@@ -91,15 +91,8 @@
 // admit finds the request's route and workspace and applies the workspace's limit.
 func (j *job) admit(ctx context.Context) *Refusal {
 	g := j.gateway
-	table := g.table.Load()
-	if table == nil {
-		return &Refusal{Reason: NoCatalogue, RetryAfter: catalogueRetryAfter}
-	}
-	if j.route = table.Route(j.Host, j.Path); j.route == nil {
-		return &Refusal{Reason: NoRoute}
-	}
-	if j.workspace = table.Workspace(j.Key); j.workspace == nil && table.Catalogue().KeysNeeded && !j.route.Public {
-		return &Refusal{Reason: UnknownKey}
+	if refusal := j.lookUpInForce(ctx); refusal != nil {
+		return refusal
 	}
 	j.deadline = j.startedAt.Add(j.route.Timeout)
 	if callerDeadline := j.startedAt.Add(j.CallerTimeout); j.CallerTimeout > 0 && callerDeadline.Before(j.deadline) {
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -147,6 +147,7 @@
 	}
 	require.NoError(r.t, c.Validate())
 	r.table.Store(routes.NewTable(c))
+	r.confirmRevision(c.Revision)
 }
 
 // recorder is a Writer that records an answer.
