gateway: an entry that was starved or stood still serves by a confirmed catalogue only

What callers would see: an entry that stood still while a key was taken away serves requests with that key as soon as it goes on.

Change: the upkeep, which runs each second, notices when it is late by 0.3 s or overdue: the process was starved of its processor or stood still, and may not have read what replicas sent. For 2 s the catalogue must then be confirmed within the time that a change may take, or requests wait for it up to 0.5 s. An entry whose tasks run in time and that gets no replies is cut off, and serves on.

--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -14,6 +14,12 @@
 	maxConfirmWait = 500 * time.Millisecond
 	// promptInterval is the least time between two prompts of the control replicas.
 	promptInterval = 100 * time.Millisecond
+	// maxTickDelay is how late a task of this process may run at its interval. A later one was
+	// starved, or the process stood still, and so may be what the control replicas sent.
+	maxTickDelay = 300 * time.Millisecond
+	// starvedFor is how long the process counts as starved after a late task: replies that were
+	// late as well are read within that time.
+	starvedFor = 2 * time.Second
 )
 
 // freshness tracks whether this entry's catalogue is the newest. It is safe for concurrent use.
@@ -26,6 +32,8 @@
 	changed    chan struct{} // closed at the next report or catalogue
 	waiting    int           // requests that wait for changed
 	promptedAt time.Time
+	tickedAt   time.Time // of the last upkeep; zero before the first
+	lateAt     time.Time // of the last upkeep that was late
 }
 
 func newFreshness(applyWithin time.Duration, now func() time.Time) *freshness {
@@ -72,6 +80,32 @@
 	return f.tracker.Behind(revision, now) == 0 && now.Sub(f.tracker.ConfirmedAt(revision)) <= f.applyWithin/2
 }
 
+// tick records that the upkeep runs, which it does each upkeepInterval.
+func (f *freshness) tick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	if f.tickOverdue(now) {
+		f.lateAt = now
+	}
+	f.tickedAt = now
+}
+
+func (f *freshness) tickOverdue(now time.Time) bool {
+	return !f.tickedAt.IsZero() && now.Sub(f.tickedAt) > upkeepInterval+maxTickDelay
+}
+
+// mayServe reports whether a request that the catalogue allows may be served. A process that is
+// starved may have missed replies, so that its catalogue must be confirmed; one that is not starved
+// and gets no replies is cut off from the control replicas, and serves on.
+func (f *freshness) mayServe(revision uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	starved := f.tickOverdue(now) || !f.lateAt.IsZero() && now.Sub(f.lateAt) < starvedFor
+	return !starved || now.Sub(f.tracker.ConfirmedAt(revision)) <= f.applyWithin
+}
+
 // wait returns a channel that is closed at the next change, and whether the replicas are to be
 // prompted.
 func (f *freshness) wait() (changed <-chan struct{}, prompt bool) {
@@ -86,13 +120,13 @@
 
 // lookUpInForce finds the request's route and workspace in the catalogue in force, or returns its
 // refusal. That there is no such route or key is final for a caller, so it is only said if the
-// catalogue is confirmed; until then the request waits for a short while.
+// catalogue is confirmed. Until the result is certain the request waits for a short while.
 func (j *job) lookUpInForce(ctx context.Context) *Refusal {
 	timeout := time.NewTimer(j.confirmWait())
 	defer timeout.Stop()
 	for {
 		refusal, revision := j.lookUp()
-		if refusal == nil || refusal.Reason == NoCatalogue || j.gateway.freshness.confirmed(revision) {
+		if j.isCertain(refusal, revision) {
 			return refusal
 		}
 		changed, prompt := j.gateway.freshness.wait()
@@ -102,13 +136,25 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return &Refusal{Reason: NoCatalogue, RetryAfter: catalogueRetryAfter, Detail: "catalogue is not confirmed: " + refusal.Reason.String()}
+			return &Refusal{Reason: NoCatalogue, RetryAfter: catalogueRetryAfter, Detail: "catalogue is not confirmed"}
 		case <-ctx.Done():
 			return j.contextRefusal(ctx)
 		}
 	}
 }
 
+// isCertain reports whether the result of lookUp may be acted on.
+func (j *job) isCertain(refusal *Refusal, revision uint64) bool {
+	switch {
+	case refusal == nil:
+		return j.gateway.freshness.mayServe(revision)
+	case refusal.Reason == NoCatalogue:
+		return true
+	default:
+		return j.gateway.freshness.confirmed(revision)
+	}
+}
+
 // confirmWait returns how long the request may wait for a confirmation of the catalogue.
 func (j *job) confirmWait() time.Duration {
 	if j.CallerTimeout > 0 {
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -96,3 +96,30 @@
 	require.NotNil(t, refusal)
 	require.Less(t, time.Since(started), maxConfirmWait)
 }
+
+// Guards against an entry that stood still, or was starved of its processor, and serves by the
+// catalogue of before: a key that was taken away since is still good there.
+func TestStarvedEntryServesByConfirmedCatalogueOnly(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/a/", Kind: routes.Idempotent})
+	r.server("web", respond("ok"))
+	r.freshness.tick()
+	serve := func() Reason {
+		if _, refusal := r.serve("/a/x"); refusal != nil {
+			return refusal.Reason
+		}
+		return 0
+	}
+	require.Zero(t, serve())
+	r.clockOffset.Add(int64(10 * time.Second))
+	require.Equal(t, NoCatalogue, serve(), "the tick is overdue")
+	r.freshness.tick()
+	require.Equal(t, NoCatalogue, serve(), "it was late")
+	r.confirmRevision(1)
+	require.Zero(t, serve())
+	for range 5 {
+		r.clockOffset.Add(int64(upkeepInterval))
+		r.freshness.tick()
+	}
+	require.Zero(t, serve(), "it is in time, and only cut off")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -186,6 +186,7 @@
 // upkeep repeats this entry's reports of load, removes idle connections and expired records, and
 // logs the use of limits and retry budgets. It is one task, so that an idle entry wakes once for it.
 func (g *Gateway) upkeep() {
+	g.freshness.tick()
 	g.reportAllLoads()
 	g.pool.Sweep()
 	if now := g.now(); now.Sub(g.forgotAt) >= forgetInterval {
