gateway, coordinator, policy/throttle: requests to a server that names a limit need a token each

Cause: nothing read Server-Limit. An entry that heeded it alone would not do: 1 a second leaves no whole request to each of six.

Change: an entry that has got an answer with a limit sends that server a request only with a token, spent once the connection is open, by every kind of request and each repeat. The leader of the control replicas grants tokens from one bucket for each incarnation of a server (a token and a quarter of a second's worth), and confirms that it leads after it has taken them; a new leader begins with empty buckets. A token is good for 0.3 s from when it was asked for. Without one the server is left out of the choice until the time that the leader said, by the limit and by how many entries ask, and another server is chosen; if there is none, the request is refused at once with that time as Retry-After. A limit ends with an answer without one to a request that was sent after it was named. Without a leader a limited server gets nothing from entries that were told.

Bound: what is granted in 4.3 s is at most 1 + 4.55 times the limit; allowed are 6 times the limit and 5.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -58,6 +58,10 @@
 	MethodJoin     = "coordinator.join"
 	MethodTrial    = "coordinator.trial"    // at any replica
 	MethodDocument = "coordinator.document" // a part of the catalogue
+	// MethodServerTokens asks for tokens of a server that names a limit, at any replica, and
+	// MethodLeaderServerTokens at the leader.
+	MethodServerTokens       = "coordinator.tokens"
+	MethodLeaderServerTokens = "coordinator.tokens.leader"
 	// MethodLeaderTrial is MethodTrial at the leader.
 	MethodLeaderTrial = "coordinator.trial.leader"
 )
@@ -264,6 +268,21 @@
 	Answered    bool   `msgpack:"answered,omitempty"`
 }
 
+// ServerTokensRequest asks for tokens to send requests to a server that names a limit.
+type ServerTokensRequest struct {
+	Server      string  `msgpack:"s"`
+	Incarnation uint64  `msgpack:"inc"`
+	Limit       float64 `msgpack:"limit"` // requests a second, as the server named it last
+	Entry       string  `msgpack:"entry"`
+	Want        int     `msgpack:"want"`
+}
+
+// ServerTokensReply returns the tokens, or when to ask again.
+type ServerTokensReply struct {
+	Granted int           `msgpack:"n"`
+	After   time.Duration `msgpack:"after"`
+}
+
 // JoinRequest asks to add the replica as a learner. The replica repeats it until it is a
 // member.
 type JoinRequest struct {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -71,6 +71,7 @@
 	pacers     *watchPacers
 	work       *workTable
 	suspects   *suspectRegistry
+	tokens     *serverTokens
 	clock      *wallclock.Clock
 	pool       *link.Pool
 	traffic    *link.Traffic
@@ -114,6 +115,7 @@
 		}),
 		catalogue: newLatestCatalogue(), documents: document.NewStore(deps.Now), usage: newUsageTable(cfg.Node.Bounds.UsageWindows()), loads: newLoadTable(), work: newWorkTable(), pacers: newWatchPacers(), clock: wallclock.System(),
 		stopping: make(chan struct{}), lastCalls: make(map[string]time.Time), suspects: newSuspectRegistry(deps.Now),
+		tokens: newServerTokens(),
 	}
 	c.shares = newShareRegistry(deps.Now(), cfg.Node.FirstStart)
 	c.live = &liveEntries{entries: c.directory.LiveEntries, lastChange: c.directory.LastEntryChange}
@@ -348,6 +350,8 @@
 	link.Handle(srv, api.MethodJoin, serveLeader(c, c.joinAsLeader))
 	link.Handle(srv, api.MethodTrial, c.trial)
 	link.Handle(srv, api.MethodDocument, c.documentPart)
+	link.Handle(srv, api.MethodServerTokens, c.serverTokensAnywhere)
+	link.Handle(srv, api.MethodLeaderServerTokens, serveLeader(c, c.serverTokensAsLeader))
 	link.Handle(srv, api.MethodLeaderTrial, serveLeader(c, c.trialAsLeader))
 }
 
--- /dev/null
+++ b/coordinator/servertokens.go
@@ -0,0 +1,51 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/policy/throttle"
+)
+
+// serverTokens grants the tokens of servers that name a limit, while this replica leads. It is safe
+// for concurrent use.
+type serverTokens struct {
+	mu     sync.Mutex
+	term   uint64 // in which grants was begun
+	grants *throttle.Grants
+}
+
+func newServerTokens() *serverTokens { return &serverTokens{grants: throttle.NewGrants()} }
+
+// take takes tokens from the buckets of a term. Another term's buckets are dropped: another replica
+// may have granted in between.
+func (t *serverTokens) take(term uint64, r *api.ServerTokensRequest, now time.Time) api.ServerTokensReply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if term != t.term {
+		t.term, t.grants = term, throttle.NewGrants()
+	}
+	granted, after := t.grants.Take(throttle.Server{ID: r.Server, Incarnation: r.Incarnation}, r.Limit, r.Entry, r.Want, now)
+	return api.ServerTokensReply{Granted: granted, After: after}
+}
+
+// serverTokensAnywhere passes an entry's request for tokens to the leader.
+func (c *Coordinator) serverTokensAnywhere(ctx context.Context, _ link.PeerInfo, req api.ServerTokensRequest) (api.ServerTokensReply, error) {
+	return runOnLeader(ctx, c, api.MethodLeaderServerTokens, req, c.serverTokensAsLeader)
+}
+
+// serverTokensAsLeader grants tokens. They are taken before this replica confirms that it leads: one
+// that leads after it has none of them to grant again.
+func (c *Coordinator) serverTokensAsLeader(ctx context.Context, m *member, req api.ServerTokensRequest) (api.ServerTokensReply, error) {
+	reply := c.tokens.take(m.host.Status().Term, &req, c.now())
+	if reply.Granted == 0 {
+		return reply, nil
+	}
+	if err := m.host.ReadBarrier(ctx); err != nil {
+		return api.ServerTokensReply{}, notLeaderError(err)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/coordinator/servertokens_test.go
@@ -0,0 +1,65 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/link"
+)
+
+// Guards against replicas that grant the tokens of a server beside each other: each by itself, or an
+// old leader and its successor.
+func TestServerTokensAreGrantedByOneReplica(t *testing.T) {
+	const limit, window = 10, 4 * time.Second
+	c := newCluster(t, 3)
+	c.startFirst(3)
+	c.replaceCatalogue(c.replicas[address(0)], 1)
+	var granted atomic.Int64
+	ctx, cancel := context.WithTimeout(t.Context(), window)
+	defer cancel()
+	var askers sync.WaitGroup
+	for ip, r := range c.replicas {
+		for range 2 {
+			askers.Go(func() {
+				for ctx.Err() == nil {
+					callCtx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+					reply, err := r.serverTokensAnywhere(callCtx, link.PeerInfo{}, api.ServerTokensRequest{Server: "s", Limit: limit, Entry: ip, Want: 1})
+					cancel()
+					if err == nil {
+						granted.Add(int64(reply.Granted))
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+			})
+		}
+	}
+	time.Sleep(window / 2)
+	for i := range 3 {
+		if m := c.replicas[address(i)].group.current.Load(); m != nil && m.leading() {
+			c.kill(address(i))
+			break
+		}
+	}
+	askers.Wait()
+	t.Logf("%d tokens", granted.Load())
+	require.LessOrEqual(t, float64(granted.Load()), 1.5*limit*window.Seconds()+5)
+	require.Greater(t, float64(granted.Load()), 0.3*limit*window.Seconds())
+}
+
+// Guards against a new leader that grants what its predecessor has granted just before.
+func TestTokensOfAnotherTermAreNotGranted(t *testing.T) {
+	tokens := newServerTokens()
+	now := time.Unix(1, 0)
+	req := &api.ServerTokensRequest{Server: "s", Limit: 4, Entry: "a", Want: 10}
+	require.Zero(t, tokens.take(1, req, now).Granted)
+	now = now.Add(time.Second)
+	require.Equal(t, 2, tokens.take(1, req, now).Granted)
+	now = now.Add(time.Second)
+	require.Zero(t, tokens.take(2, req, now).Granted)
+}
--- a/event/event.go
+++ b/event/event.go
@@ -54,6 +54,7 @@
 	ServersNotKept        Kind = 3008
 	ServerPaused          Kind = 3009
 	ServerLeavingByAnswer Kind = 3010
+	ServerLimited         Kind = 3011
 	ServerSlow            Kind = 3005
 	CacheGap              Kind = 3006
 	MemberChanged         Kind = 3101
@@ -131,6 +132,7 @@
 	{ServersNotKept, "backend servers not saved"},
 	{ServerPaused, "backend server asks for a pause"},
 	{ServerLeavingByAnswer, "backend server says in an answer that it leaves"},
+	{ServerLimited, "backend server names a limit"},
 	{ServerSlow, "backend server slow"},
 	{CacheGap, "cache events have a gap"},
 	{MemberChanged, "instance changed"},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,26 +49,28 @@
 	now         func() time.Time
 	metrics     *metrics.Set
 
-	adoptMu    sync.Mutex // serializes adopt
-	table      atomic.Pointer[routes.Table]
-	directory  *directory.Store
-	clock      *wallclock.Clock
-	links      *link.Pool
-	traffic    *link.Traffic
-	follower   *follow.Follower
-	pool       *backend.Pool
-	shares     *shares
-	peers      *peers
-	exchange   *peerExchange
-	breaks     *breaks
-	freshness  *freshness
-	datagrams  *datagrams
-	limits     *limits
-	limitUsage *limitUsage
-	repeatUse  *repeatUse
-	usage      *usage
-	outcomes   outcomes
-	sampler    *event.Sampler
+	adoptMu   sync.Mutex // serializes adopt
+	table     atomic.Pointer[routes.Table]
+	directory *directory.Store
+	clock     *wallclock.Clock
+	links     *link.Pool
+	traffic   *link.Traffic
+	follower  *follow.Follower
+	pool      *backend.Pool
+	shares    *shares
+	peers     *peers
+	exchange  *peerExchange
+	breaks    *breaks
+	freshness *freshness
+	// serverLimits holds what servers take from all entries together.
+	serverLimits *serverLimits
+	datagrams    *datagrams
+	limits       *limits
+	limitUsage   *limitUsage
+	repeatUse    *repeatUse
+	usage        *usage
+	outcomes     outcomes
+	sampler      *event.Sampler
 	// serverSampler is for the lines about servers.
 	serverSampler *event.Sampler
 
@@ -110,6 +112,7 @@
 	g.repeatUse = newRepeatUse(g.log, g.metrics)
 	g.exchange = g.newExchange()
 	g.breaks = newBreaks(g.now)
+	g.serverLimits = newServerLimits(g.now)
 	g.freshness = newFreshness(b.ConfigApply, g.now)
 	g.limits = newLimits(g.exchange, g.shares, b, g.log, g.now)
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -11,11 +11,16 @@
 	"savoryreel.example/savoryreel/policy/route"
 )
 
-// recordNotice heeds and logs what an answer says about the server that gave it.
-func (j *job) recordNotice(ctx context.Context, c *choice, answer *backend.Answer) {
+// recordNotice heeds and logs what an answer to a request that was sent at a time says about the
+// server that gave it.
+func (j *job) recordNotice(ctx context.Context, c *choice, answer *backend.Answer, sentAt time.Time) {
 	n := j.gateway.deps.Dialect.Notice(answer.Status, answer.Header)
 	server := slog.String("server", c.verdict.Server)
 	j.service.applyNotice(c, n, j.gateway.now())
+	class := j.gateway.deps.Dialect.Classify(answer.Status, answer.Header)
+	if j.gateway.serverLimits.heed(limitedServer(c), n, class, sentAt) {
+		j.logServerLimit(ctx, c, n.Limit)
+	}
 	if n.Leaving {
 		j.gateway.serverSampler.Log(ctx, event.ServerLeavingByAnswer, slog.String("request", j.ID), server)
 	}
@@ -44,7 +49,8 @@
 }
 
 // withdrawn returns the result of an attempt that was not sent, because its server has started
-// to leave or asked for a pause since it was chosen, or because the retry budgets have no room.
+// to leave or asked for a pause since it was chosen, or has no token, or because the retry budgets
+// have no room.
 func (j *job) withdrawn(c *choice) result {
 	j.service.end(c, endedByCaller, j.gateway.now())
 	if j.repeatRefused != "" {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -109,6 +109,9 @@
 type Notice struct {
 	Leaving bool          // it is about to end
 	Pause   time.Duration // it wants no requests from this entry for that long; 0: not stated
+	// Limit is how many requests a second it takes from all entries together, if Limited.
+	Limited bool
+	Limit   float64
 }
 
 // Dialect builds requests to servers and reads their answers.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -23,7 +23,9 @@
 	answer, err := g.pool.Do(ctx, c.verdict.Address, &backend.Call{
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: g.deps.Dialect.RequestHeader(j.Request, attempt), Body: j.Body,
 		Matches: func(h http.Header) bool { return g.deps.Dialect.Matches(j.Request, h) },
-		MaySend: func() bool { return j.service.maySend(c, g.now()) && j.maySendSuspect() && j.takeRepeat() },
+		MaySend: func() bool {
+			return j.service.maySend(c, g.now()) && g.serverLimits.spend(limitedServer(c)) && j.maySendSuspect() && j.takeRepeat()
+		},
 	})
 	if errors.Is(err, backend.ErrWithdrawn) {
 		return j.withdrawn(c)
@@ -33,7 +35,7 @@
 	}
 	defer answer.Close()
 	j.recordSend(sentAt)
-	j.recordNotice(ctx, c, answer)
+	j.recordNotice(ctx, c, answer, sentAt)
 	return j.handleAnswer(ctx, c, answer)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -62,6 +62,7 @@
 	fingerprintSum   uint64 // if fingerprintKnown; see fingerprint
 	fingerprintKnown bool
 	trial            bool // the next send has a trial; see takeTrial
+	tokenRequests    int  // how often it asked for a token; see takeServerToken
 
 	repeatRefused string // why the retry budgets allow no repeat; empty if they have not refused one
 
@@ -173,6 +174,13 @@
 			j.service.end(&c, endedByCaller, j.gateway.now())
 			return refusal
 		}
+		if !j.takeServerToken(ctx, &c) {
+			j.service.end(&c, endedByCaller, j.gateway.now())
+			if j.tokenRequests > maxTokenRequests {
+				return j.limitedRefusal()
+			}
+			continue
+		}
 		if refusal := j.takeTrial(ctx); refusal != nil {
 			j.service.end(&c, endedByCaller, j.gateway.now())
 			return refusal
@@ -198,10 +206,11 @@
 	loads := g.exchange.queryLoads(ctx, j.service.candidates(req))
 	req.Now = g.now()
 	j.service.applyOwnerLoads(loads, req.Now)
-	req.Exclude = excludeDown(j.triedServers, loads)
+	exclude := req.Exclude
+	req.Exclude = excludeDown(exclude, loads)
 	c, ok := j.service.choose(req, j.prefixes, req.Now)
-	if !ok && len(req.Exclude) > len(j.triedServers) {
-		req.Exclude = j.triedServers // a server that was down a moment ago is better than none
+	if !ok && len(req.Exclude) > len(exclude) {
+		req.Exclude = exclude // a server that was down a moment ago is better than none
 		c, ok = j.service.choose(req, j.prefixes, req.Now)
 	}
 	c.rank = j.rank()
@@ -229,9 +238,10 @@
 // routeRequest returns the input for the choice of a server.
 func (j *job) routeRequest() *route.Request {
 	node := &j.gateway.cfg.Node
+	limited, _ := j.gateway.serverLimits.waiting()
 	return &route.Request{
 		Now: j.gateway.now(), Seed: rand.Uint64(), Prefixes: hashesOf(j.prefixes), PromptTokens: j.PromptTokens, SharedTokens: sharedTokens(j.prefixes),
-		Zone: node.Zone, Region: node.Region, Exclude: j.triedServers, NoProbe: !j.route.Repeatable(),
+		Zone: node.Zone, Region: node.Region, Exclude: append(slices.Clip(j.triedServers), limited...), NoProbe: !j.route.Repeatable(),
 	}
 }
 
@@ -261,9 +271,11 @@
 		return &Refusal{Reason: ServerFailed, Detail: c.verdict.Reason.String()}
 	case c.verdict.Reason == route.ReasonAllPaused:
 		return pausedRefusal(&c.verdict)
-	default:
-		return &Refusal{Reason: NoServer, RetryAfter: serverRetryAfter, Detail: c.verdict.Reason.String()}
 	}
+	if j.gateway.serverLimits.anyWaiting() {
+		return j.limitedRefusal()
+	}
+	return &Refusal{Reason: NoServer, RetryAfter: serverRetryAfter, Detail: c.verdict.Reason.String()}
 }
 
 // result is the outcome of one attempt.
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -51,7 +51,8 @@
 
 func (plainDialect) Notice(_ int, h http.Header) Notice {
 	ms, _ := strconv.Atoi(h.Get("X-Pause-Ms"))
-	return Notice{Leaving: h.Get("X-Leaving") != "", Pause: time.Duration(ms) * time.Millisecond}
+	limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
+	return Notice{Leaving: h.Get("X-Leaving") != "", Pause: time.Duration(ms) * time.Millisecond, Limited: err == nil, Limit: limit}
 }
 
 func (plainDialect) AnswerHeader(h http.Header) http.Header { return h.Clone() }
--- a/gateway/trials.go
+++ b/gateway/trials.go
@@ -22,10 +22,10 @@
 	aliveTimeout = 100 * time.Millisecond
 	// breakReportDelay collects the breaks of a server that ends under many requests.
 	breakReportDelay = 20 * time.Millisecond
-	// trialCallTimeout bounds a call for a trial to one replica, and maxTrialCalls the replicas
-	// that are called.
-	trialCallTimeout = 400 * time.Millisecond
-	maxTrialCalls    = 2
+	// replicaCallTimeout bounds a call of callReplicas to one replica, and maxReplicaCalls the
+	// replicas that are called.
+	replicaCallTimeout = 400 * time.Millisecond
+	maxReplicaCalls    = 2
 	// maxTrialRetryAfter bounds Retry-After while a suspect may still get a trial: a request that
 	// is no cause of crashes is cleared within one round trip of its answer.
 	maxTrialRetryAfter = time.Second
@@ -100,29 +100,27 @@
 // askForTrial asks the control replicas for a trial of a suspect. Without a majority of them there
 // is none: it would not be counted.
 func (g *Gateway) askForTrial(ctx context.Context, fingerprint uint64) suspect.Grant {
-	grant, err := g.callTrial(ctx, api.TrialRequest{Fingerprint: fingerprint})
+	grant, err := callReplicas[suspect.Grant](ctx, g, api.MethodTrial, api.TrialRequest{Fingerprint: fingerprint})
 	if err != nil {
 		return suspect.Grant{After: maxTrialRetryAfter}
 	}
 	return grant
 }
 
-// callTrial sends a request on a trial to replicas until one replies.
-func (g *Gateway) callTrial(ctx context.Context, req api.TrialRequest) (grant suspect.Grant, err error) {
+// callReplicas sends a request to control replicas, in random order, until one replies.
+func callReplicas[Resp any](ctx context.Context, g *Gateway, method string, req any) (reply Resp, err error) {
 	replicas := g.follower.Replicas()
 	rand.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
-	for _, addr := range replicas[:min(maxTrialCalls, len(replicas))] {
-		callCtx, cancel := context.WithTimeout(ctx, trialCallTimeout)
-		grant, err = link.Call[suspect.Grant](callCtx, g.links, addr, api.MethodTrial, req)
+	err = errNoReplica
+	for _, addr := range replicas[:min(maxReplicaCalls, len(replicas))] {
+		callCtx, cancel := context.WithTimeout(ctx, replicaCallTimeout)
+		reply, err = link.Call[Resp](callCtx, g.links, addr, method, req)
 		cancel()
 		if err == nil || ctx.Err() != nil {
-			return grant, err
+			return reply, err
 		}
 	}
-	if err == nil {
-		err = errNoReplica
-	}
-	return grant, err
+	return reply, err
 }
 
 // errNoReplica reports that no control replica is known.
@@ -167,9 +165,9 @@
 	}
 	req := api.TrialRequest{Fingerprint: j.fingerprint(), Answered: true}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), maxTrialCalls*trialCallTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), maxReplicaCalls*replicaCallTimeout)
 		defer cancel()
-		_, _ = g.callTrial(ctx, req) // the replicas also learn of the answer by this entry's records
+		_, _ = callReplicas[suspect.Grant](ctx, g, api.MethodTrial, req) // the replicas also learn of the answer by this entry's records
 	}()
 }
 
