--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -143,6 +143,31 @@
 	}
 }
 
+// AwaitConfirmed waits for a short while until the catalogue is confirmed, and reports whether it is
+// and was in force all the while. Without that nothing final may be said to a caller.
+func (g *Gateway) AwaitConfirmed(ctx context.Context) bool {
+	table := g.table.Load()
+	timeout := time.NewTimer(maxConfirmWait)
+	defer timeout.Stop()
+	for table != nil && table == g.table.Load() {
+		if g.freshness.confirmed(table.Catalogue().Revision) {
+			return true
+		}
+		changed, prompt := g.freshness.wait()
+		if prompt {
+			g.follower.Prompt()
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
 // isCertain reports whether the result of lookUp may be acted on.
 func (j *job) isCertain(refusal *Refusal, revision uint64) bool {
 	switch {
