--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -17,7 +17,9 @@
 	Method string
 	Target string // path and query, sent unchanged
 	Host   string
-	Header http.Header // not modified; must not be modified during the call
+	// Header is called once a connection is open, which may take a while: it may say how much time
+	// is left. Its result is not modified, and must not be modified during the call.
+	Header func() http.Header
 	Body   []byte
 
 	// Matches reports whether an answer with this header answers this call; nil
@@ -102,7 +104,7 @@
 // request returns the call as an http.Request.
 func (c *Call) request() *http.Request {
 	req := &http.Request{
-		Method: c.Method, Host: c.Host, Header: c.Header, URL: targetURL(c.Target),
+		Method: c.Method, Host: c.Host, Header: c.Header(), URL: targetURL(c.Target),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(c.Body)),
 	}
 	if len(c.Body) > 0 {
--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -53,7 +53,7 @@
 
 func newCall(id string) *Call {
 	return &Call{
-		Method: "POST", Target: "/a?b=c", Host: "a.example", Header: http.Header{"X-Id": {id}}, Body: []byte("body"),
+		Method: "POST", Target: "/a?b=c", Host: "a.example", Header: func() http.Header { return http.Header{"X-Id": {id}} }, Body: []byte("body"),
 		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
 	}
 }
@@ -104,6 +104,31 @@
 	require.EqualValues(t, 1, p.Dials())
 }
 
+// Guards against a header that says how much time is left, but as of before the connection was
+// opened: the server would work on after its caller has given up.
+func TestHeaderIsMadeOnceConnectionIsOpen(t *testing.T) {
+	addr := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		id, _ := readRequest(r)
+		writeAnswer(c, id, "")
+	})
+	p := NewPool(DefaultConfig(), time.Now)
+	defer p.Close()
+	call := newCall("1")
+	open := false
+	call.MaySend = func() bool {
+		open = true
+		return true
+	}
+	header := call.Header
+	call.Header = func() http.Header {
+		require.True(t, open)
+		return header()
+	}
+	a, err := p.Do(t.Context(), addr, call)
+	require.NoError(t, err)
+	a.Close()
+}
+
 // Guards against reuse of a connection with bytes after an answer (conn.openAndEmpty,
 // the buffer check in Answer.Close): the next caller would read them as its answer.
 func TestExtraBytesCloseConnection(t *testing.T) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,14 +14,10 @@
 // runAt sends the request once to the chosen server and relays the answer.
 func (j *job) runAt(ctx context.Context, c *choice) result {
 	g := j.gateway
-	server := c.verdict.Server
-	j.lastServer = server
-	attempt := Attempt{
-		Server: server, Workspace: j.workspaceName(), Remaining: j.deadline.Sub(g.now()), Rank: c.rank, ResumeAfter: j.lastEventID,
-	}
+	j.lastServer = c.verdict.Server
 	sentAt := g.now()
 	answer, err := g.pool.Do(ctx, c.verdict.Address, &backend.Call{
-		Method: j.Method, Target: j.Target, Host: j.Host, Header: g.deps.Dialect.RequestHeader(j.Request, attempt), Body: j.Body,
+		Method: j.Method, Target: j.Target, Host: j.Host, Header: func() http.Header { return j.attemptHeader(c) }, Body: j.Body,
 		Matches: func(h http.Header) bool { return g.deps.Dialect.Matches(j.Request, h) },
 		MaySend: func() bool {
 			return j.service.maySend(c, g.now()) && g.serverLimits.spend(limitedServer(c)) && j.maySendSuspect() && j.takeRepeat()
@@ -39,6 +35,13 @@
 	return j.handleAnswer(ctx, c, answer)
 }
 
+// attemptHeader returns the header of an attempt that is sent now.
+func (j *job) attemptHeader(c *choice) http.Header {
+	return j.gateway.deps.Dialect.RequestHeader(j.Request, Attempt{
+		Server: c.verdict.Server, Workspace: j.workspaceName(), Remaining: j.deadline.Sub(j.gateway.now()), Rank: c.rank, ResumeAfter: j.lastEventID,
+	})
+}
+
 // takeRepeat takes a send beyond the request's first one from the retry budgets. It is called
 // once a connection is open: every way to send a request again passes through here.
 func (j *job) takeRepeat() bool {
