entry, control, native: a limit that a server names, natively

The other front for LIMIT: native backend servers may name Savoryreel-Limit in their answers. Entries keep it with the same tokens (policy/throttle), asked for where each send already asks the quarantine and spent once the connection is open; the leader grants them under its lease. Servers without a token are left out of the lanes' choice; a request for which there is no other waits in its queue. throttle.TermGrants holds what the two kinds of control replicas had in common. api.Client.Leases and ServerTokens share callLeader.

Not played with processes.

--- a/control/api/client.go
+++ b/control/api/client.go
@@ -306,16 +306,26 @@
 // Leases reports an entry's demand to the leader and returns the entry's leases. It
 // calls each replica at most once until one replies.
 func (c *Client) Leases(ctx context.Context, r admit.Report) (admit.Reply, error) {
-	var lastErr error
+	reply, err := callLeader[admit.Reply](ctx, c, MethodLeases, r)
+	return reply, trace.Wrap(err, "step=report demand")
+}
+
+// ServerTokens asks the leader for tokens of a server that names a limit. It calls each replica at
+// most once until one replies.
+func (c *Client) ServerTokens(ctx context.Context, r ServerTokensRequest) (ServerTokensReply, error) {
+	reply, err := callLeader[ServerTokensReply](ctx, c, MethodServerTokens, r)
+	return reply, trace.Wrap(err, "step=take server tokens")
+}
+
+// callLeader calls the replicas in turn, from the one that replied last, until one replies.
+func callLeader[Resp any](ctx context.Context, c *Client, method string, req any) (reply Resp, err error) {
 	for _, addr := range c.callOrder() {
-		reply, err := callReplica[admit.Reply](ctx, c.pool, addr, MethodLeases, r)
-		if err == nil {
+		if reply, err = callReplica[Resp](ctx, c.pool, addr, method, req); err == nil {
 			c.preferReplica(addr)
 			return reply, nil
 		}
-		lastErr = err
 	}
-	return admit.Reply{}, trace.Wrap(lastErr, "step=report demand")
+	return reply, err
 }
 
 // isPermanent reports whether every replica would return this error.
--- a/control/control.go
+++ b/control/control.go
@@ -42,6 +42,7 @@
 	pool    *link.Pool
 	service *service
 	leases  *limitLeases
+	tokens  *serverTokens
 	storage *storage.Log
 	members *membership.Node
 	cloud   *native.CloudClient // nil: the fleet is not managed
@@ -85,6 +86,7 @@
 		_ = c.storage.Close() // the earlier error is returned
 		return nil, trace.Wrap(err, "step=join")
 	}
+	c.tokens = newServerTokens(c.host, deps.Now)
 	c.leases = &limitLeases{leader: c.host, machine: c.machine, maxEntries: cfg.MaxEntries, now: deps.Now}
 	c.service = &service{log: c.host, machine: c.machine, pool: c.pool, peers: addresses, now: deps.Now, documents: document.NewStore(deps.Now)}
 	return c, nil
@@ -140,6 +142,7 @@
 	srv := link.NewServer(link.ServerConfig{Self: c.peerInfo(), ClusterKey: []byte(c.cfg.ClusterKey)}, link.ServerDeps{Log: c.log, Traffic: c.traffic})
 	c.service.register(srv)
 	link.Handle(srv, api.MethodLeases, c.leases.report)
+	link.Handle(srv, api.MethodServerTokens, c.tokens.grant)
 	c.members.Register(srv)
 	operatorsAPI := &operatorAPI{service: c.service, log: c.log, keyHash: c.cfg.operatorKeyHash()}
 	// Actors are ended in this order: requests in progress need the components below.
--- a/coordinator/servertokens.go
+++ b/coordinator/servertokens.go
@@ -14,21 +14,16 @@
 // for concurrent use.
 type serverTokens struct {
 	mu     sync.Mutex
-	term   uint64 // in which grants was begun
-	grants *throttle.Grants
+	grants *throttle.TermGrants
 }
 
-func newServerTokens() *serverTokens { return &serverTokens{grants: throttle.NewGrants()} }
+func newServerTokens() *serverTokens { return &serverTokens{grants: throttle.NewTermGrants()} }
 
-// take takes tokens from the buckets of a term. Another term's buckets are dropped: another replica
-// may have granted in between.
+// take takes tokens from the buckets of a term.
 func (t *serverTokens) take(term uint64, r *api.ServerTokensRequest, now time.Time) api.ServerTokensReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if term != t.term {
-		t.term, t.grants = term, throttle.NewGrants()
-	}
-	granted, after := t.grants.Take(throttle.Server{ID: r.Server, Incarnation: r.Incarnation}, r.Limit, r.Entry, r.Want, now)
+	granted, after := t.grants.Take(term, throttle.Server{ID: r.Server, Incarnation: r.Incarnation}, r.Limit, r.Entry, r.Want, now)
 	return api.ServerTokensReply{Granted: granted, After: after}
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -214,11 +214,11 @@
 	go watch.run(ctx)
 	stream, err := r.engines.Chat(native.WithMaySend(ctx, w.ticket.maySend(g)), g.verdict.Address, string(w.request.ID), body)
 	if err != nil {
-		r.lanes.heed(g.server(), native.NoticeOfError(err))
+		r.lanes.heedAnswer(g, native.NoticeOfError(err), false)
 		return request.End{}, attemptError(ctx, err)
 	}
 	defer stream.Close()
-	r.lanes.heed(g.server(), stream.Notice())
+	r.lanes.heedAnswer(g, stream.Notice(), true)
 	end, err := r.read(ctx, w, stream, g, watch)
 	if err != nil {
 		r.metrics.recomputed.Add(recomputed) // a failed attempt reports no usage
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -102,7 +102,8 @@
 		link.PoolDeps{Log: deps.Log, Traffic: e.traffic})
 	e.control = api.NewClient(e.pool, cfg.Control, cfg.ID)
 	e.ledger = e.control
-	e.lanes = newLanes(entryLocation{zone: cfg.Zone, region: cfg.Region}, deps.Log, deps.Now)
+	limits := newServerLimits(cfg.ID, e.control, deps.Now)
+	e.lanes = newLanes(entryLocation{zone: cfg.Zone, region: cfg.Region}, limits, deps.Log, deps.Now)
 	var err error
 	if e.admitter, err = newAdmission(fmt.Sprintf("%s/%d", cfg.ID, e.incarnation), deps.Now); err != nil {
 		return nil, err
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -14,6 +14,7 @@
 	verdict       route.Verdict
 	attempt       route.Attempt
 	quarantineRun quarantine.Run
+	sentAt        time.Time // when the request was about to be sent
 
 	workspace     string
 	chargedTokens int64 // tokens of work charged to the workspace at the start
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -104,11 +104,15 @@
 			return nil, request.NewProblem(request.CodeQuarantined, request.NotRun,
 				"backend servers stopped while they ran this request; it is refused until %s", v.Until.UTC().Format(time.RFC3339))
 		case quarantine.ActionRun:
-			if moved, ok := t.lane.exchangeGrant(t, g, v.Server); ok {
+			moved, ok := t.lane.exchangeGrant(t, g, v.Server)
+			if ok && t.lane.limits.acquire(ctx, moved.server()) {
 				moved.quarantineRun = q.start(fingerprint, v)
 				return moved, nil
 			}
 			q.end(t.lane.key, q.start(fingerprint, v)) // the server of the verdict is unavailable, so its run ends
+			if ok {
+				moved.cancelled()
+			}
 		default:
 			g.cancelled()
 		}
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -35,6 +35,7 @@
 type lane struct {
 	key      laneKey
 	location entryLocation
+	limits   *serverLimits // of all lanes
 	log      *slog.Logger
 	now      func() time.Time
 
@@ -87,7 +88,7 @@
 // themselves every second.
 const noServerRetryDelay = 2 * time.Second
 
-func newLane(key laneKey, location entryLocation, log *slog.Logger, now func() time.Time) (*lane, error) {
+func newLane(key laneKey, location entryLocation, limits *serverLimits, log *slog.Logger, now func() time.Time) (*lane, error) {
 	q, err := queue.New(queue.DefaultConfig())
 	if err != nil {
 		return nil, err
@@ -101,7 +102,7 @@
 		return nil, err
 	}
 	return &lane{
-		key: key, starter: starter, entryCount: 1, location: location, log: log, now: now, queue: q, router: r,
+		key: key, starter: starter, entryCount: 1, location: location, limits: limits, log: log, now: now, queue: q, router: r,
 		drainEstimator: admit.NewDrainEstimator(admit.DefaultConfig().Memory),
 		serving:        map[string]uint64{}, loggedSlow: map[string]bool{}, ownSlots: map[string]int{}, tickets: map[string]*ticket{},
 	}, nil
@@ -265,14 +266,25 @@
 
 // excludedServers lists the servers that a request is not sent to. The lock is held.
 func (l *lane) excludedServers(t *ticket) []string {
+	avoided := l.avoidedNow()
 	switch {
 	case len(t.failedServers) == 0:
-		return l.avoidedServers
-	case len(l.avoidedServers) == 0:
+		return avoided
+	case len(avoided) == 0:
 		return t.failedServers
 	default:
-		return slices.Concat(t.failedServers, l.avoidedServers)
+		return slices.Concat(t.failedServers, avoided)
+	}
+}
+
+// avoidedNow lists the servers that get no new work: they run a suspect, or have no token left of
+// what their limits allow. The lock is held.
+func (l *lane) avoidedNow() []string {
+	limited := l.limits.waiting()
+	if len(limited) == 0 {
+		return l.avoidedServers
 	}
+	return slices.Concat(l.avoidedServers, limited)
 }
 
 // setAvoidedServers sets the servers that get no new work while a suspect runs there.
@@ -300,7 +312,7 @@
 	t.route.Exclude = l.excludedServers(t)
 	v := l.router.Choose(&t.route)
 	if !v.OK() && v.Reason == route.ReasonAllExcluded {
-		t.failedServers, t.route.Exclude = nil, l.avoidedServers // prefer a server that has failed to none
+		t.failedServers, t.route.Exclude = nil, l.avoidedNow() // prefer a server that has failed to none
 		v = l.router.Choose(&t.route)
 	}
 	if !v.OK() {
--- a/entry/lane_test.go
+++ b/entry/lane_test.go
@@ -25,7 +25,7 @@
 
 func newTestLane(t require.TestingT) *testLane {
 	clock := newTestClock()
-	l, err := newLane(laneKey{kind: contract.KindModel, name: "m"}, entryLocation{zone: "z1", region: "r1"}, slog.New(slog.DiscardHandler), clock.now)
+	l, err := newLane(laneKey{kind: contract.KindModel, name: "m"}, entryLocation{zone: "z1", region: "r1"}, newServerLimits("e1", nil, clock.now), slog.New(slog.DiscardHandler), clock.now)
 	require.NoError(t, err)
 	return &testLane{lane: l, clock: clock}
 }
--- a/entry/lanes.go
+++ b/entry/lanes.go
@@ -13,6 +13,7 @@
 // lanes holds the lane of each pool of backend servers.
 type lanes struct {
 	location entryLocation
+	limits   *serverLimits
 	log      *slog.Logger
 	now      func() time.Time
 
@@ -35,9 +36,9 @@
 	loadAt time.Time
 }
 
-func newLanes(location entryLocation, log *slog.Logger, now func() time.Time) *lanes {
+func newLanes(location entryLocation, limits *serverLimits, log *slog.Logger, now func() time.Time) *lanes {
 	return &lanes{
-		location: location, log: log, now: now, entryCount: 1,
+		location: location, limits: limits, log: log, now: now, entryCount: 1,
 		byKey: map[laneKey]*lane{}, servers: map[string]*serverState{}, notices: map[string]notice{}, stopped: map[string]bool{},
 	}
 }
@@ -60,7 +61,7 @@
 	if l, known := ls.byKey[key]; known {
 		return l, nil
 	}
-	l, err := newLane(key, ls.location, ls.log, ls.now)
+	l, err := newLane(key, ls.location, ls.limits, ls.log, ls.now)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -209,7 +209,7 @@
 	started := c.entry.deps.Now()
 	resp, sent, err := do(native.WithMaySend(c.ctx, c.ticket.maySend(g)), g.verdict.Address, out)
 	if err == nil {
-		c.entry.lanes.heed(g.server(), native.NoticeOf(resp.StatusCode, resp.Header))
+		c.entry.lanes.heedAnswer(g, native.NoticeOf(resp.StatusCode, resp.Header), resp.StatusCode < http.StatusInternalServerError)
 		g.firstToken(c.entry.deps.Now().Sub(started))
 		return resp, sent, nil
 	}
@@ -231,7 +231,7 @@
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", request.HeaderKeep, request.HeaderClass,
-	native.HeaderLeaving,
+	native.HeaderLeaving, native.HeaderLimit,
 }
 
 // backendRequest returns the request that is sent to the backend server.
--- a/entry/sends.go
+++ b/entry/sends.go
@@ -59,7 +59,10 @@
 
 // maySend returns the function that is asked once a connection to the granted server is open.
 func (t *ticket) maySend(g *grant) func() bool {
-	return func() bool { return g.maySend() && t.sends.take() }
+	return func() bool {
+		g.sentAt = t.lane.now()
+		return g.maySend() && t.lane.limits.spend(g.server()) && t.sends.take()
+	}
 }
 
 // retryCall returns the request as the retry policy sees it.
--- a/native/errors.go
+++ b/native/errors.go
@@ -50,6 +50,8 @@
 	Status     int           // HTTP status; 0 if no answer header was read
 	RetryAfter time.Duration // from the answer's Retry-After; 0: none
 	Leaving    bool          // the peer has said in its answer that it leaves
+	Limited    bool          // the peer has named a limit in its answer
+	Limit      float64       // requests a second, if Limited
 	Code       string        // Problem.Code of the peer's answer, if any
 	Message    string        // start of the answer's body, at most maxErrorTextBytes
 	Err        error         // cause; nil for an error status
--- a/native/notice_test.go
+++ b/native/notice_test.go
@@ -65,3 +65,15 @@
 		}
 	}
 }
+
+// Guards against a limit that is not understood, and against a server that gets no requests for a
+// header that is none.
+func TestLimitInAnswer(t *testing.T) {
+	for value, want := range map[string]native.AnswerNotice{
+		"2.5": {Limited: true, Limit: 2.5}, "0": {Limited: true}, "": {}, "-1": {}, "NaN": {}, "Inf": {}, "two": {},
+	} {
+		for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+			require.Equal(t, want, native.NoticeOf(status, http.Header{native.HeaderLimit: {value}}), "%q", value)
+		}
+	}
+}
--- a/native/transport.go
+++ b/native/transport.go
@@ -18,6 +18,7 @@
 	HeaderNotRun     = "X-Not-Run" // on an error status: the request was rejected without being run
 	HeaderRetryAfter = "Retry-After"
 	HeaderLeaving    = "Savoryreel-Leaving" // "1" on any answer: the server is about to end
+	HeaderLimit      = "Savoryreel-Limit"   // on any answer: requests a second that the server takes from all entries
 )
 
 // Defaults and limits of the clients.
@@ -200,6 +201,7 @@
 func statusError(peer string, resp *http.Response) *CallError {
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorTextBytes))
+	limit, limited := parseLimit(resp.Header.Get(HeaderLimit))
 	return &CallError{
 		Step:       StepStatus,
 		Peer:       peer,
@@ -207,6 +209,8 @@
 		Status:     resp.StatusCode,
 		RetryAfter: parseRetryAfter(resp.Header.Get(HeaderRetryAfter)),
 		Leaving:    isLeaving(resp.Header),
+		Limited:    limited,
+		Limit:      limit,
 		Code:       problemCode(text),
 		Message:    string(text),
 	}
