serverlimit, policy/throttle: one place for the limits that servers name, for both kinds of entries

gateway and entry had the same state under a lock and the same request for tokens; throttle.Request and Reply were defined twice. No change of behaviour, but that a request without any server is refused for a limit only if a server of its own service has named one.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -4,8 +4,6 @@
 package api
 
 import (
-	"time"
-
 	"github.com/vmihailenco/msgpack/v5"
 
 	"savoryreel.example/savoryreel/contract"
@@ -21,25 +19,10 @@
 	MethodBarrier      = "control.barrier"
 	MethodLeases       = "control.leases"  // admit.Report to the leader, returns an admit.Reply
 	MethodReplica      = "control.replica" // replica.Message between replicas, as a notice
-	MethodServerTokens = "control.tokens"  // ServerTokensRequest to the leader, returns a ServerTokensReply
+	MethodServerTokens = "control.tokens"  // throttle.Request to the leader, returns a throttle.Reply
 	MethodChange       = "control.change"  // ReplicaChange to the leader, returns a ReplicaStatus
 )
 
-// ServerTokensRequest asks for tokens to send requests to a backend server that names a limit.
-type ServerTokensRequest struct {
-	Server      string  `msgpack:"s"`
-	Incarnation uint64  `msgpack:"inc"`
-	Limit       float64 `msgpack:"limit"` // requests a second, as the server named it last
-	Entry       string  `msgpack:"entry"`
-	Want        int     `msgpack:"want"`
-}
-
-// ServerTokensReply returns the tokens, or when to ask again.
-type ServerTokensReply struct {
-	Granted int           `msgpack:"n"`
-	After   time.Duration `msgpack:"after"`
-}
-
 // ProposalKind names the state machine that a proposal is for. Its values are
 // stored as the kinds of the replicated log's entries.
 type ProposalKind uint8
--- a/control/api/client.go
+++ b/control/api/client.go
@@ -16,6 +16,7 @@
 	"savoryreel.example/savoryreel/ledger"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/admit"
+	"savoryreel.example/savoryreel/policy/throttle"
 )
 
 // attemptTimeout bounds one call to one replica, so that an unresponsive replica
@@ -312,8 +313,8 @@
 
 // ServerTokens asks the leader for tokens of a server that names a limit. It calls each replica at
 // most once until one replies.
-func (c *Client) ServerTokens(ctx context.Context, r ServerTokensRequest) (ServerTokensReply, error) {
-	reply, err := callLeader[ServerTokensReply](ctx, c, MethodServerTokens, r)
+func (c *Client) ServerTokens(ctx context.Context, r throttle.Request) (throttle.Reply, error) {
+	reply, err := callLeader[throttle.Reply](ctx, c, MethodServerTokens, r)
 	return reply, trace.Wrap(err, "step=take server tokens")
 }
 
--- a/control/servertokens.go
+++ b/control/servertokens.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"savoryreel.example/savoryreel/control/api"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/throttle"
 )
@@ -26,16 +25,16 @@
 
 // grant handles an entry's request. It checks the leader's lease before and after the tokens are
 // taken: a leader that has been replaced must not grant beside its successor.
-func (t *serverTokens) grant(_ context.Context, _ link.PeerInfo, r api.ServerTokensRequest) (api.ServerTokensReply, error) {
+func (t *serverTokens) grant(_ context.Context, _ link.PeerInfo, r throttle.Request) (throttle.Reply, error) {
 	term, _, ok := t.leader.HoldsLease()
 	if !ok {
-		return api.ServerTokensReply{}, errNotLeader
+		return throttle.Reply{}, errNotLeader
 	}
 	t.mu.Lock()
-	granted, after := t.grants.Take(term, throttle.Server{ID: r.Server, Incarnation: r.Incarnation}, r.Limit, r.Entry, r.Want, t.now())
+	reply := t.grants.Take(term, &r, t.now())
 	t.mu.Unlock()
 	if termAfter, _, ok := t.leader.HoldsLease(); !ok || termAfter != term {
-		return api.ServerTokensReply{}, errNotLeader
+		return throttle.Reply{}, errNotLeader
 	}
-	return api.ServerTokensReply{Granted: granted, After: after}, nil
+	return reply, nil
 }
--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -268,21 +268,6 @@
 	Answered    bool   `msgpack:"answered,omitempty"`
 }
 
-// ServerTokensRequest asks for tokens to send requests to a server that names a limit.
-type ServerTokensRequest struct {
-	Server      string  `msgpack:"s"`
-	Incarnation uint64  `msgpack:"inc"`
-	Limit       float64 `msgpack:"limit"` // requests a second, as the server named it last
-	Entry       string  `msgpack:"entry"`
-	Want        int     `msgpack:"want"`
-}
-
-// ServerTokensReply returns the tokens, or when to ask again.
-type ServerTokensReply struct {
-	Granted int           `msgpack:"n"`
-	After   time.Duration `msgpack:"after"`
-}
-
 // JoinRequest asks to add the replica as a learner. The replica repeats it until it is a
 // member.
 type JoinRequest struct {
--- a/coordinator/servertokens.go
+++ b/coordinator/servertokens.go
@@ -20,27 +20,26 @@
 func newServerTokens() *serverTokens { return &serverTokens{grants: throttle.NewTermGrants()} }
 
 // take takes tokens from the buckets of a term.
-func (t *serverTokens) take(term uint64, r *api.ServerTokensRequest, now time.Time) api.ServerTokensReply {
+func (t *serverTokens) take(term uint64, r *throttle.Request, now time.Time) throttle.Reply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	granted, after := t.grants.Take(term, throttle.Server{ID: r.Server, Incarnation: r.Incarnation}, r.Limit, r.Entry, r.Want, now)
-	return api.ServerTokensReply{Granted: granted, After: after}
+	return t.grants.Take(term, r, now)
 }
 
 // serverTokensAnywhere passes an entry's request for tokens to the leader.
-func (c *Coordinator) serverTokensAnywhere(ctx context.Context, _ link.PeerInfo, req api.ServerTokensRequest) (api.ServerTokensReply, error) {
+func (c *Coordinator) serverTokensAnywhere(ctx context.Context, _ link.PeerInfo, req throttle.Request) (throttle.Reply, error) {
 	return runOnLeader(ctx, c, api.MethodLeaderServerTokens, req, c.serverTokensAsLeader)
 }
 
 // serverTokensAsLeader grants tokens. They are taken before this replica confirms that it leads: one
 // that leads after it has none of them to grant again.
-func (c *Coordinator) serverTokensAsLeader(ctx context.Context, m *member, req api.ServerTokensRequest) (api.ServerTokensReply, error) {
+func (c *Coordinator) serverTokensAsLeader(ctx context.Context, m *member, req throttle.Request) (throttle.Reply, error) {
 	reply := c.tokens.take(m.host.Status().Term, &req, c.now())
 	if reply.Granted == 0 {
 		return reply, nil
 	}
 	if err := m.host.ReadBarrier(ctx); err != nil {
-		return api.ServerTokensReply{}, notLeaderError(err)
+		return throttle.Reply{}, notLeaderError(err)
 	}
 	return reply, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/pick"
 	"savoryreel.example/savoryreel/policy/retry"
+	"savoryreel.example/savoryreel/serverlimit"
 )
 
 // Intervals and timeouts of the periodic work.
@@ -102,7 +103,7 @@
 		link.PoolDeps{Log: deps.Log, Traffic: e.traffic})
 	e.control = api.NewClient(e.pool, cfg.Control, cfg.ID)
 	e.ledger = e.control
-	limits := newServerLimits(cfg.ID, e.control, deps.Now)
+	limits := serverlimit.New(cfg.ID, e.control.ServerTokens, deps.Now)
 	e.lanes = newLanes(entryLocation{zone: cfg.Zone, region: cfg.Region}, limits, deps.Log, deps.Now)
 	var err error
 	if e.admitter, err = newAdmission(fmt.Sprintf("%s/%d", cfg.ID, e.incarnation), deps.Now); err != nil {
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -105,7 +105,7 @@
 				"backend servers stopped while they ran this request; it is refused until %s", v.Until.UTC().Format(time.RFC3339))
 		case quarantine.ActionRun:
 			moved, ok := t.lane.exchangeGrant(t, g, v.Server)
-			if ok && t.lane.limits.acquire(ctx, moved.server()) {
+			if ok && t.lane.limits.Acquire(ctx, moved.limitedServer()) {
 				moved.quarantineRun = q.start(fingerprint, v)
 				return moved, nil
 			}
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -13,6 +13,7 @@
 	"savoryreel.example/savoryreel/policy/queue"
 	"savoryreel.example/savoryreel/policy/route"
 	"savoryreel.example/savoryreel/request"
+	"savoryreel.example/savoryreel/serverlimit"
 )
 
 // laneKey identifies a pool of interchangeable backend servers: all servers of one model,
@@ -35,7 +36,7 @@
 type lane struct {
 	key      laneKey
 	location entryLocation
-	limits   *serverLimits // of all lanes
+	limits   *serverlimit.Limits // of all lanes
 	log      *slog.Logger
 	now      func() time.Time
 
@@ -88,7 +89,7 @@
 // themselves every second.
 const noServerRetryDelay = 2 * time.Second
 
-func newLane(key laneKey, location entryLocation, limits *serverLimits, log *slog.Logger, now func() time.Time) (*lane, error) {
+func newLane(key laneKey, location entryLocation, limits *serverlimit.Limits, log *slog.Logger, now func() time.Time) (*lane, error) {
 	q, err := queue.New(queue.DefaultConfig())
 	if err != nil {
 		return nil, err
@@ -280,7 +281,7 @@
 // avoidedNow lists the servers that get no new work: they run a suspect, or have no token left of
 // what their limits allow. The lock is held.
 func (l *lane) avoidedNow() []string {
-	limited := l.limits.waiting()
+	limited, _ := l.limits.Waiting()
 	if len(limited) == 0 {
 		return l.avoidedServers
 	}
--- a/entry/lanes.go
+++ b/entry/lanes.go
@@ -8,12 +8,13 @@
 
 	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/serverlimit"
 )
 
 // lanes holds the lane of each pool of backend servers.
 type lanes struct {
 	location entryLocation
-	limits   *serverLimits
+	limits   *serverlimit.Limits
 	log      *slog.Logger
 	now      func() time.Time
 
@@ -36,7 +37,7 @@
 	loadAt time.Time
 }
 
-func newLanes(location entryLocation, limits *serverLimits, log *slog.Logger, now func() time.Time) *lanes {
+func newLanes(location entryLocation, limits *serverlimit.Limits, log *slog.Logger, now func() time.Time) *lanes {
 	return &lanes{
 		location: location, limits: limits, log: log, now: now, entryCount: 1,
 		byKey: map[laneKey]*lane{}, servers: map[string]*serverState{}, notices: map[string]notice{}, stopped: map[string]bool{},
--- a/entry/sends.go
+++ b/entry/sends.go
@@ -61,7 +61,7 @@
 func (t *ticket) maySend(g *grant) func() bool {
 	return func() bool {
 		g.sentAt = t.lane.now()
-		return g.maySend() && t.lane.limits.spend(g.server()) && t.sends.take()
+		return g.maySend() && t.lane.limits.Spend(g.limitedServer()) && t.sends.take()
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/patience"
 	"savoryreel.example/savoryreel/routes"
+	"savoryreel.example/savoryreel/serverlimit"
 	"savoryreel.example/savoryreel/site"
 	"savoryreel.example/savoryreel/wallclock"
 )
@@ -63,7 +64,7 @@
 	breaks    *breaks
 	freshness *freshness
 	// serverLimits holds what servers take from all entries together.
-	serverLimits *serverLimits
+	serverLimits *serverlimit.Limits
 	datagrams    *datagrams
 	limits       *limits
 	limitUsage   *limitUsage
@@ -112,7 +113,7 @@
 	g.repeatUse = newRepeatUse(g.log, g.metrics)
 	g.exchange = g.newExchange()
 	g.breaks = newBreaks(g.now)
-	g.serverLimits = newServerLimits(g.now)
+	g.serverLimits = serverlimit.New(cfg.Node.Name, g.askForTokens, g.now)
 	g.freshness = newFreshness(b.ConfigApply, g.now)
 	g.limits = newLimits(g.exchange, g.shares, b, g.log, g.now)
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -17,10 +17,7 @@
 	n := j.gateway.deps.Dialect.Notice(answer.Status, answer.Header)
 	server := slog.String("server", c.verdict.Server)
 	j.service.applyNotice(c, n, j.gateway.now())
-	class := j.gateway.deps.Dialect.Classify(answer.Status, answer.Header)
-	if j.gateway.serverLimits.heed(limitedServer(c), n, class, sentAt) {
-		j.logServerLimit(ctx, c, n.Limit)
-	}
+	j.heedLimit(ctx, c, n, j.gateway.deps.Dialect.Classify(answer.Status, answer.Header), sentAt)
 	if n.Leaving {
 		j.gateway.serverSampler.Log(ctx, event.ServerLeavingByAnswer, slog.String("request", j.ID), server)
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -20,7 +20,7 @@
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: func() http.Header { return j.attemptHeader(c) }, Body: j.Body,
 		Matches: func(h http.Header) bool { return g.deps.Dialect.Matches(j.Request, h) },
 		MaySend: func() bool {
-			return j.service.maySend(c, g.now()) && g.serverLimits.spend(limitedServer(c)) && j.maySendSuspect() && j.takeRepeat()
+			return j.service.maySend(c, g.now()) && g.serverLimits.Spend(limitedServer(c)) && j.maySendSuspect() && j.takeRepeat()
 		},
 	})
 	if errors.Is(err, backend.ErrWithdrawn) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -238,7 +238,7 @@
 // routeRequest returns the input for the choice of a server.
 func (j *job) routeRequest() *route.Request {
 	node := &j.gateway.cfg.Node
-	limited, _ := j.gateway.serverLimits.waiting()
+	limited, _ := j.gateway.serverLimits.Waiting()
 	return &route.Request{
 		Now: j.gateway.now(), Seed: rand.Uint64(), Prefixes: hashesOf(j.prefixes), PromptTokens: j.PromptTokens, SharedTokens: sharedTokens(j.prefixes),
 		Zone: node.Zone, Region: node.Region, Exclude: append(slices.Clip(j.triedServers), limited...), NoProbe: !j.route.Repeatable(),
@@ -272,7 +272,7 @@
 	case c.verdict.Reason == route.ReasonAllPaused:
 		return pausedRefusal(&c.verdict)
 	}
-	if j.gateway.serverLimits.anyWaiting() {
+	if j.awaitsTokens() {
 		return j.limitedRefusal()
 	}
 	return &Refusal{Reason: NoServer, RetryAfter: serverRetryAfter, Detail: c.verdict.Reason.String()}
