--- a/coordinator/follow/catalogue.go
+++ b/coordinator/follow/catalogue.go
@@ -16,8 +16,8 @@
 	// cataloguePartBytes is the size of a part of the catalogue. It takes little of a slow link at
 	// a time, so that replies to watch calls don't wait long behind it.
 	cataloguePartBytes = 32 << 10
-	// partTimeout bounds a call for a part. It is long: what counts against a replica that stands
-	// still is the delay after which the next one is asked too.
+	// partTimeout bounds a call for a part. It is long: a stalled replica costs the delay after
+	// which the next one is asked too.
 	partTimeout = 5 * time.Second
 	// minHedgeDelay and maxHedgeDelay bound the time after which another replica is asked for a
 	// part, and hedgeFactor says how many times longer than the last part it must have taken.
--- a/coordinator/slowlink_test.go
+++ b/coordinator/slowlink_test.go
@@ -133,9 +133,8 @@
 	require.Equal(t, string(changed), string(*f.content.Load()))
 }
 
-// Guards against an entry that waits for a replica which stands still, although others have the
-// catalogue: a change would not be in force in time.
-func TestCatalogueArrivesBesideReplicaThatStandsStill(t *testing.T) {
+// Guards against an entry that waits for a stalled replica, although others have the catalogue: a change would not be in force in time.
+func TestCatalogueArrivesBesideStalledReplica(t *testing.T) {
 	for still := range 3 {
 		t.Run(fmt.Sprint("replica ", still), func(t *testing.T) {
 			stop := make(chan struct{})
--- a/e2e/limit_test.go
+++ b/e2e/limit_test.go
@@ -63,7 +63,7 @@
 			for _, server := range s.servers[:c.limited] {
 				server.SetLimit(c.limit)
 			}
-			time.Sleep(auditContactTime) // until all entries are told
+			time.Sleep(auditContactTime) // until all entries know the limits
 			from := time.Now()
 			s.playLimits(3*limitWindow, c.disturb)
 			s.stop()
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -15,7 +15,7 @@
 	// promptInterval is the least time between two prompts of the control replicas.
 	promptInterval = 100 * time.Millisecond
 	// maxTickDelay is how late a task of this process may run at its interval. A later one was
-	// starved, or the process stood still, and so may be what the control replicas sent.
+	// starved, or the process was paused, and replies of control replicas may not have been read.
 	maxTickDelay = 300 * time.Millisecond
 	// starvedFor is how long the process counts as starved after a late task: replies that were
 	// late as well are read within that time.
--- a/policy/freshness/freshness.go
+++ b/policy/freshness/freshness.go
@@ -1,7 +1,7 @@
 // Package freshness tracks whether the catalogue of a process is the newest one.
 //
-// Load pattern: a process is starved, its link is full, a replica stands still or the process was
-// paused, while an operator changes the catalogue.
+// Load pattern: a process is starved, its link is full, a replica stalls or the process was paused,
+// while an operator changes the catalogue.
 //
 // Without it the process goes on answering by what it has: callers of a new route get 404, which
 // they take as final, and requests run that the operator no longer allows.
--- a/policy/throttle/throttle.go
+++ b/policy/throttle/throttle.go
@@ -9,7 +9,7 @@
 // Grants, held by one process at a time, grants tokens by a bucket for each server. Allowance, held
 // by each entry, knows the limits that servers have named to it, and spends a token for each
 // request. A token is good for TokenTTL from when it was asked for, so that one which was delayed,
-// by the network or by a process that stood still, is not spent beside later ones.
+// by the network or by a paused process, is not spent beside later ones.
 //
 // # Bound
 //
@@ -30,7 +30,7 @@
 	// TokenTTL is how long after it was asked for a token may be spent.
 	TokenTTL = 300 * time.Millisecond
 	// limitMemory is how long the lowest limit named counts after a higher one, which other
-	// entries may not have heard of.
+	// entries may not know.
 	limitMemory = 4 * time.Second
 	// minTokens and secondsHeld make up the capacity of a bucket: a token, and what a quarter of a
 	// second brings.
@@ -84,7 +84,7 @@
 	return 0, b.wait()
 }
 
-// update adds the tokens since the last call, and applies a limit that an entry was told.
+// update adds the tokens since the last call, and applies a limit that an entry has received.
 func (b *bucket) update(limit float64, now time.Time) {
 	if elapsed := now.Sub(b.updatedAt).Seconds(); elapsed > 0 {
 		b.tokens += elapsed * b.limit
--- a/policy/throttle/throttle_test.go
+++ b/policy/throttle/throttle_test.go
@@ -93,7 +93,7 @@
 }
 
 // Guards against more than a server allows, in whatever order processes that grant follow each
-// other, limits change, entries are told, stand still or start anew: any four seconds count.
+// other, entries learn the limit, pause or start anew: any four seconds count.
 func TestSendsStayWithinLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.SampledFrom([]float64{0, 0.1, 0.5, 1, 2, 7, 50, 400}).Draw(t, "limit")
@@ -140,7 +140,7 @@
 	})
 }
 
-// Guards against a higher limit that one entry was told and that counts for all while others know of
+// Guards against a higher limit that one entry has received and that counts for all while others know
 // a lower one.
 func TestLowerLimitCounts(t *testing.T) {
 	g := NewGrants()
