gateway: a pause in the first second of an entry's life is noticed

The log: the process started at 18.18 s and was paused at 19.07 s, before its first upkeep, so that no delay was counted. The count begins with the start now.

--- a/e2e/catalogue_test.go
+++ b/e2e/catalogue_test.go
@@ -18,6 +18,8 @@
 func TestPlatformPausedEntryAnswersByNewCatalogue(t *testing.T) {
 	const rounds, calls, newKey, oldKey = 4, 25, "new-key", "old-key"
 	p := newPlatformSite(t, 3, 2, 2)
+	p.entries[0].kill(t)
+	p.entries[0] = p.startPlatformEntry(0) // the first pause comes within a second of its start
 	keys := []string{platformKey}
 	p.awaitServing(0, "/get/x")
 	var refused, served atomic.Int64
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -32,7 +32,7 @@
 	changed    chan struct{} // closed at the next report or catalogue
 	waiting    int           // requests that wait for changed
 	promptedAt time.Time
-	tickedAt   time.Time // of the last upkeep; zero before the first
+	tickedAt   time.Time // of the last upkeep, or of the start; zero before
 	lateAt     time.Time // of the last upkeep that was late
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -217,6 +217,7 @@
 	if err := g.datagrams.open(ctx, g.cfg.Node.EntryExchange(g.cfg.Node.IP)); err != nil {
 		return err
 	}
+	g.freshness.tick() // a pause before the first upkeep is noticed as well
 	// Actors are ended in this order: requests in progress need the components below.
 	callers, err := public(&group)
 	if err != nil {
