daemon: the test of drains begins its time with the first request that is handled

Traced by reading: it drains 50 ms to 120 ms after its 20 callers are started, whatever they have done; with the race detector at that load none had sent a request in 110 ms, and the test's own check that it tests something failed. It now waits for the first request before that time begins, which leaves the check and the bound as they were.

--- a/daemon/httpserver_test.go
+++ b/daemon/httpserver_test.go
@@ -89,6 +89,12 @@
 	}
 }
 
+func (d *drainedSite) anyStarted() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.started) > 0
+}
+
 // callUntilClosed sends requests on one connection after the other until the server accepts
 // none, in parts and with pauses drawn from rng.
 func (d *drainedSite) callUntilClosed(addr, name string, rng *rand.Rand) {
@@ -130,6 +136,7 @@
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		callers.Go(func() { d.callUntilClosed(l.Addr().String(), fmt.Sprint(i), rng) })
 	}
+	require.Eventually(t, d.anyStarted, 10*time.Second, time.Millisecond)
 	time.Sleep(time.Duration(50+10*seed) * time.Millisecond)
 	stop()
 	callers.Wait()
