entry, control: what entries know of requests that crash servers is held in the replicated log

What callers saw: a call that crashes servers took three or four of six servers, two allowed, when an entry restarted that is its own only seed; when all entries restarted, two more in any case. With each server the answers of the calls beside it are lost.

Cause: the records were in the memory of entries only. An entry that starts anew serves once a majority of the control replicas confirms its catalogue, some 0.5 s after its start, and got the records later, from entries that it first had to find.

Change: an entry commits the record of a suspect to the replicated log (gathered for 50 ms, since a server that crashes makes suspects of all requests on it), a control replica tells the log index of its newest records with the index of its newest catalogue, and an entry confirms nothing before it knows all records that a majority may hold. Merging is idempotent, so the command may be sent again. The table is bounded by the policy's Keep and MaxRecords.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -21,6 +21,7 @@
 	MethodReplica      = "control.replica" // replica.Message between replicas, as a notice
 	MethodServerTokens = "control.tokens"  // throttle.Request to the leader, returns a throttle.Reply
 	MethodChange       = "control.change"  // ReplicaChange to the leader, returns a ReplicaStatus
+	MethodQuarantine   = "control.quarantine"
 )
 
 // ProposalKind names the state machine that a proposal is for. Its values are
@@ -33,6 +34,8 @@
 	KindLedger    ProposalKind = 17 // a ledger.Command
 	KindReplica   ProposalKind = 18 // a ReplicaCommand
 	KindFleet     ProposalKind = 19 // a fleet.Command; proposed by the leader itself, not over a link
+
+	KindQuarantine ProposalKind = 20 // a QuarantineCommand
 )
 
 // Error codes of a control replica's replies.
@@ -53,7 +56,7 @@
 // one.
 //
 // Set is the VotersHash of the replica's current voters; a client compares it with
-// the voters that it has called. The reply is encoded as an array to keep it small:
+// the voters that it has called. Quarantine is like Index, for QuarantineCommands. The reply is encoded as an array to keep it small:
 // each replica sends one to every entry once a second.
 type VersionReply struct {
 	//lint:ignore U1000 the codec reads the tag
@@ -62,6 +65,8 @@
 	Replica string
 	Index   uint64
 	Set     uint64
+
+	Quarantine uint64
 }
 
 // VotersRequest requests a replica's current voters.
--- a/control/api/client.go
+++ b/control/api/client.go
@@ -69,14 +69,16 @@
 	c.replicas, c.preferred = replicas, 0
 }
 
-// Confirmation contains the log indexes of catalogue changes that a majority of
-// replicas reported.
+// Confirmation contains the log indexes of catalogue changes and of quarantine records
+// that a majority of replicas reported.
 type Confirmation struct {
 	// Needed is the index that a catalogue must have reached to be current: no
 	// change above it had been accepted when Confirm was called.
 	Needed uint64
 	// Newest is the highest index that any replica reported.
 	Newest uint64
+	// NeededQuarantine is like Needed, for quarantine records.
+	NeededQuarantine uint64
 }
 
 // Confirm calls every voter for the index of its newest catalogue change. It
@@ -198,12 +200,18 @@
 	if len(replies) < majority {
 		return Confirmation{}, trace.Wrap(ErrNoMajority)
 	}
-	indexes := make([]uint64, 0, len(replies))
+	catalogue := make([]uint64, 0, len(replies))
+	records := make([]uint64, 0, len(replies))
 	for _, a := range replies {
-		indexes = append(indexes, a.Index)
+		catalogue = append(catalogue, a.Index)
+		records = append(records, a.Quarantine)
 	}
-	slices.Sort(indexes)
-	return Confirmation{Needed: indexes[majority-1], Newest: indexes[len(indexes)-1]}, nil
+	slices.Sort(catalogue)
+	slices.Sort(records)
+	return Confirmation{
+		Needed: catalogue[majority-1], Newest: catalogue[len(catalogue)-1],
+		NeededQuarantine: records[majority-1],
+	}, nil
 }
 
 // catalogueFetchTime bounds one call of Catalogue, so that its caller can confirm the catalogue
--- a/control/machine.go
+++ b/control/machine.go
@@ -27,6 +27,7 @@
 	firstCatalogueTerm uint64 // term of the first catalogue entry; 0 if there is none
 	replicas           replicaTable
 	fleet              fleet.State
+	quarantine         quarantineTable
 
 	onCatalogue func(api.CatalogueReply)
 	onReplicas  func([]api.ReplicaAddress)
@@ -50,7 +51,7 @@
 }
 
 // Apply applies one committed entry. It returns a contract.Result, ledger.Result,
-// api.ReplicaResult or fleet.Result, by the entry's kind. An entry that cannot be
+// api.ReplicaResult, fleet.Result or nothing, by the entry's kind. An entry that cannot be
 // decoded is an error on every replica alike and changes nothing but, for a
 // catalogue entry, the catalogue's index.
 func (m *Machine) Apply(e replica.Entry) (any, error) {
@@ -63,6 +64,8 @@
 		return m.applyReplica(e)
 	case api.KindFleet:
 		return m.applyFleet(e)
+	case api.KindQuarantine:
+		return m.applyQuarantine(e)
 	default:
 		return nil, trace.BadParameter("log entry %d has unknown kind %d", e.Index, e.Kind)
 	}
@@ -148,8 +151,9 @@
 	CatalogueIndex     uint64 `msgpack:"index"`
 	FirstCatalogueTerm uint64 `msgpack:"first"`
 
-	Replicas replicaTable `msgpack:"replicas"`
-	Fleet    fleet.State  `msgpack:"fleet"`
+	Replicas   replicaTable       `msgpack:"replicas"`
+	Fleet      fleet.State        `msgpack:"fleet"`
+	Quarantine quarantineSnapshot `msgpack:"quarantine"`
 }
 
 // Snapshot encodes the whole state.
@@ -164,7 +168,10 @@
 	if err != nil {
 		return nil, err
 	}
-	enc, err := msgpack.Marshal(&machineSnapshot{CatalogueState: catalogueState, Ledger: records, CatalogueIndex: m.catalogueIndex, FirstCatalogueTerm: m.firstCatalogueTerm, Replicas: m.replicas, Fleet: m.fleet})
+	enc, err := msgpack.Marshal(&machineSnapshot{
+		CatalogueState: catalogueState, Ledger: records, CatalogueIndex: m.catalogueIndex, FirstCatalogueTerm: m.firstCatalogueTerm,
+		Replicas: m.replicas, Fleet: m.fleet, Quarantine: m.quarantine.snapshot(),
+	})
 	return enc, trace.Wrap(err, "step=snapshot")
 }
 
@@ -185,7 +192,7 @@
 	}
 	m.mu.Lock()
 	m.catalogueState, m.ledger, m.catalogueIndex, m.firstCatalogueTerm = catalogueState, records, s.CatalogueIndex, s.FirstCatalogueTerm
-	m.replicas, m.fleet = s.Replicas, s.Fleet
+	m.replicas, m.fleet, m.quarantine = s.Replicas, s.Fleet, s.Quarantine.restore()
 	m.mu.Unlock()
 	m.onCatalogue(m.Catalogue(0))
 	m.onReplicas(m.Replicas())
--- a/control/replicas.go
+++ b/control/replicas.go
@@ -49,12 +49,15 @@
 	return api.ReplicaResult{}
 }
 
-// version returns the index of this replica's newest catalogue change and the hash of
-// its current voters.
+// version returns the indexes of this replica's newest catalogue change and quarantine
+// records, and the hash of its current voters.
 func (s *service) version(context.Context, link.PeerInfo, api.VersionRequest) (api.VersionReply, error) {
-	index := s.log.LastIndexOf(uint8(api.KindCatalogue))
 	members := s.peers.Members(s.log.Voters().IDs)
-	return api.VersionReply{Replica: s.replicaID(), Index: index, Set: api.VotersHash(api.Addresses(members))}, nil
+	return api.VersionReply{
+		Replica: s.replicaID(), Set: api.VotersHash(api.Addresses(members)),
+		Index:      s.log.LastIndexOf(uint8(api.KindCatalogue)),
+		Quarantine: s.log.LastIndexOf(uint8(api.KindQuarantine)),
+	}, nil
 }
 
 // voters returns this replica's current voters.
--- a/control/service.go
+++ b/control/service.go
@@ -63,6 +63,7 @@
 	link.Handle(srv, api.MethodStatus, s.status)
 	link.Handle(srv, api.MethodChange, s.changeReplicas)
 	link.Handle(srv, api.MethodBarrier, s.leaderBarrier)
+	link.Handle(srv, api.MethodQuarantine, s.quarantine)
 	link.HandleNotice(srv, api.MethodReplica, func(_ context.Context, from link.PeerInfo, m replica.Message) {
 		s.peers.Observe(m.From, from.Address)
 		s.log.Step(m)
@@ -174,6 +175,16 @@
 		}
 		c.Now = s.now().UnixMilli()
 		return msgpack.Marshal(&c)
+	case api.KindQuarantine:
+		var c api.QuarantineCommand
+		if err := link.Unmarshal(r.Data, &c); err != nil {
+			return nil, trace.Wrap(err, "step=decode quarantine records")
+		}
+		if len(c.Records) > api.MaxQuarantineRecords {
+			return nil, trace.LimitExceeded("%d quarantine records in a command, %d allowed", len(c.Records), api.MaxQuarantineRecords)
+		}
+		c.Now = s.now().UnixMilli()
+		return msgpack.Marshal(&c)
 	default:
 		return nil, trace.BadParameter("unknown kind of proposal %d", r.Kind)
 	}
--- a/e2e/quarantine_test.go
+++ b/e2e/quarantine_test.go
@@ -90,6 +90,61 @@
 	playPlainCrashes(t, http.MethodPost, false)
 }
 
+// Guards against the same where all processes but the servers restart at once: what was known of the
+// call is lost with the memory of the entries, and it crashes two more servers.
+func TestPlainCallThatCrashesServersAfterAllProcessesRestart(t *testing.T) {
+	const servers = 6
+	s, entries, _ := newSmallSite(t, 1)
+	for i := 2; i <= servers; i++ {
+		s.startPlain(i, "z1")
+	}
+	for i := 1; i <= 2; i++ {
+		s.waitForServers(i, 1+servers)
+	}
+	for i := 1; i <= servers; i++ {
+		s.setFaults(7300+i, fake.Faults{CrashOn: "poison"})
+	}
+	sendPoison := func(i int) string {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		r, _ := s.call(ctx, i, http.MethodPut, "/svc/echo/items", "poison", map[string]string{"Savoryreel-Deadline-Ms": "4000"})
+		return problemCode(r)
+	}
+	for i := 1; i <= 2; i++ {
+		s.eventually("the call is quarantined", func() error {
+			if code := sendPoison(i); code != "quarantined" {
+				return fmt.Errorf("code %q", code)
+			}
+			return nil
+		})
+	}
+	time.Sleep(time.Second) // until what the entries know is committed
+	control := s.processes[0]
+	for _, p := range append(entries, control) {
+		p.kill(t)
+	}
+	s.startReplica(1, []string{"1=" + s.addr(7110)})
+	for i := 1; i <= 2; i++ {
+		s.startEntry(i, "z1")
+	}
+	for i := 1; i <= 2; i++ {
+		s.waitUntilServing(i, "/svc/echo/ready", "x")
+		require.Equal(t, "quarantined", sendPoison(i))
+	}
+	require.GreaterOrEqual(t, s.servingPlain(servers), servers-2, "servers that are left")
+}
+
+// servingPlain returns how many of the plain servers, from the first to the n-th, are alive.
+func (s *site) servingPlain(n int) (alive int) {
+	for i := 1; i <= n; i++ {
+		if resp, err := http.Get("http://" + s.addr(7300+i) + "/healthz"); err == nil {
+			_ = resp.Body.Close()
+			alive++
+		}
+	}
+	return alive
+}
+
 // playPlainCrashes sends a call that crashes servers through two entries in turn, and restarts the
 // first of them, with the second as a seed or without.
 func playPlainCrashes(t *testing.T, method string, seed bool) {
--- a/entry/catalogue.go
+++ b/entry/catalogue.go
@@ -95,8 +95,9 @@
 // An entry that a partition has cut off from control would go on serving by an old
 // catalogue, also for a workspace that an operator has disabled since. So an entry admits
 // new requests only if a majority of the control replicas has confirmed, within freshFor,
-// that no newer catalogue has been accepted. A confirmation needs no leader. One that
-// another entry has obtained counts as well, with its age.
+// that no newer catalogue has been accepted, and knows the quarantine records that a majority
+// holds. A confirmation needs no leader. One that another entry has obtained counts as well,
+// with its age.
 type follower struct {
 	control          controlClient
 	pool             *link.Pool
@@ -107,6 +108,7 @@
 	interval         time.Duration
 	serveUnconfirmed bool
 	onChange         func(*catalogue)
+	records          *recordFollower
 
 	current atomic.Pointer[catalogue]
 
@@ -183,6 +185,9 @@
 			f.applyReply(ctx, reply)
 		}
 	}
+	if err := f.records.follow(ctx, c.NeededQuarantine); err != nil {
+		return err
+	}
 	f.recordConfirmation(c.Needed, askedAt)
 	return nil
 }
--- a/entry/catalogue_test.go
+++ b/entry/catalogue_test.go
@@ -78,7 +78,7 @@
 func newTestFollower(c controlClient, now func() time.Time) *follower {
 	return &follower{
 		control: c, log: slog.New(slog.DiscardHandler), now: now, freshFor: testFreshFor,
-		peers: func() []string { return nil }, onChange: func(*catalogue) {},
+		peers: func() []string { return nil }, onChange: func(*catalogue) {}, records: &recordFollower{},
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -133,6 +133,7 @@
 	e.follower = &follower{
 		control: e.control, pool: e.pool, peers: e.peerLinks, log: deps.Log, now: deps.Now,
 		freshFor: cfg.FreshFor, interval: catalogueInterval, serveUnconfirmed: cfg.ServeUnconfirmed, onChange: e.catalogueChanged,
+		records: &recordFollower{log: e.control, merge: e.guard.merge},
 	}
 	e.callers = daemon.NewHTTPServer(e.Handler(), deps.Log)
 	return e, e.join()
@@ -184,6 +185,7 @@
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, e.members.Run)
 	daemon.Actor(g, e.follower.run)
+	daemon.Actor(g, e.guard.publisher.run)
 	addPeriodic(g, laneInterval, e.lanes.tick)
 	daemon.Actor(g, func(c context.Context) error { return e.admitter.leaseLoop(c, e.control) })
 	addPeriodic(g, plannedStopInterval, e.refreshPlannedStops)
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -48,6 +48,8 @@
 	viewsStale     bool                         // whether entries or servers have changed since
 	views          map[laneKey]*quarantine.View // by pool, since a trial needs a server that can run the request
 	servers        map[string]observedServer    // as last observed, by id
+
+	publisher *recordPublisher
 }
 
 // observedServer is the last observed state of a backend server.
@@ -64,6 +66,7 @@
 	return &guard{
 		entry: e, log: e.deps.Log, now: e.deps.Now, begun: e.deps.Now(), set: set,
 		views: map[laneKey]*quarantine.View{}, servers: map[string]observedServer{},
+		publisher: newRecordPublisher(e.control, e.deps.Log),
 	}, nil
 }
 
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -175,8 +175,9 @@
 	return q.set.Admit(query)
 }
 
-// broadcast publishes a record to all entries.
+// broadcast publishes a record to all entries, and to the control replicas for those that start later.
 func (q *guard) broadcast(r quarantine.Record) {
+	q.publisher.add(r)
 	body, err := records.EncodeQuarantine(r)
 	if err != nil {
 		return // unreachable: numbers, strings and times always encode
--- a/event/event.go
+++ b/event/event.go
@@ -46,6 +46,7 @@
 	Quarantined           Kind = 2302
 	BrokeOffOnGoneServer  Kind = 2303
 	SuspectTrial          Kind = 2304
+	RecordsNotCommitted   Kind = 2305
 	ServerAnnounced       Kind = 3001
 	ServerLeaving         Kind = 3002
 	ServerGone            Kind = 3003
@@ -122,6 +123,7 @@
 	{LedgerFailed, "ledger failed"},
 	{SuspectHeld, "suspect request held back from shared servers"},
 	{Quarantined, "request quarantined"},
+	{RecordsNotCommitted, "quarantine records not committed"},
 	{BrokeOffOnGoneServer, "request broke off on a server that is gone"},
 	{SuspectTrial, "trial of a suspect request"},
 	{ServerAnnounced, "backend server announced"},
--- a/policy/quarantine/record.go
+++ b/policy/quarantine/record.go
@@ -160,6 +160,20 @@
 	return len(r.Exposures) > 0
 }
 
+// Expired reports whether every run is older than Config.Keep.
+func (r *Record) Expired(cfg *Config, now time.Time) bool {
+	return !slices.ContainsFunc(r.Exposures, func(e Exposure) bool { return now.Before(e.At.Add(cfg.Keep)) })
+}
+
+// Covers reports whether merging another record of the fingerprint would change nothing.
+func (r *Record) Covers(other Record) bool {
+	if other.EverCrashed && !r.EverCrashed {
+		return false
+	}
+	merged := r.clone()
+	return !slices.ContainsFunc(other.Exposures, merged.mergeExposure)
+}
+
 func (r *Record) clone() Record {
 	c := *r
 	c.Exposures = slices.Clone(r.Exposures)
