contract, control: a stop that is sent again through another replica is the same change

What operators saw: a stop that was planned is reported as refused, 409 change_id_reused, when its answer was lost and the client sent it again: through any replica, the one that took it included, and with nothing failing.

Cause: the replica that took the call filled in the time from which the stop holds, its own, and the digest by which a resend is told from another change includes it. Ruled out: a digest that depends on how often a change was forwarded (TestForwardedChangeHasTheSameDigest passes without the change).

Change: the state machine fills in the time when the change is applied first; the replica adds nothing.

--- a/contract/book.go
+++ b/contract/book.go
@@ -124,7 +124,11 @@
 	if found {
 		return s.refuse(CodeInvalid, fmt.Sprintf("stop %q is planned already", c.Stop.ID))
 	}
-	s.stops = slices.Insert(s.stops, index, *c.Stop)
+	stop := *c.Stop
+	if stop.From.IsZero() {
+		stop.From = c.At
+	}
+	s.stops = slices.Insert(s.stops, index, stop)
 	return s.accept(c, []string{"stop " + c.Stop.ID + ": " + string(c.Stop.Scope) + " " + c.Stop.Name})
 }
 
@@ -177,8 +181,9 @@
 	}
 }
 
-// changeDigest returns a hash of the change without its time, which differs
-// between a change and its resend.
+// changeDigest returns a hash of the change as its operator sent it, without its time. A
+// replica that takes a change must add nothing else to it: a resend through another
+// replica would be another change.
 func changeDigest(c Change) string {
 	c.At = time.Time{}
 	enc, err := msgpack.Marshal(&c)
--- a/contract/book_test.go
+++ b/contract/book_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 )
 
@@ -91,3 +93,45 @@
 		require.Empty(t, Diff(a.Catalogue(), b.Catalogue()))
 	})
 }
+
+// Guards against a stop that is refused when its operator sends it again, since the replica that took
+// it filled in the time from which it holds: that is the time of the first one.
+func TestStopWithoutTimeBeginsWhenItIsFirstReceived(t *testing.T) {
+	b := NewState()
+	first := time.Unix(1_800_000_000, 0).UTC()
+	stop := Stop{ID: "zone-z1", Scope: StopZone, Name: "z1"}
+	result := b.Apply(Change{ID: "1", At: first, Kind: ChangeStopPlan, Stop: &stop})
+	require.Equal(t, CodeAccepted, result.Code)
+	require.Equal(t, result, b.Apply(Change{ID: "1", At: first.Add(time.Second), Kind: ChangeStopPlan, Stop: &stop}))
+	require.Equal(t, first, b.Stops()[0].From)
+	require.True(t, stop.From.IsZero(), "the change itself is not altered")
+}
+
+// Guards against a change that is taken for another one when it is sent again, since the first time a
+// replica forwarded it, which encodes and decodes it once more.
+func TestForwardedChangeHasTheSameDigest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Change{ID: "1", By: "ana", Kind: ChangeApply, Base: rapid.Uint64Range(0, 3).Draw(t, "base")}
+		if rapid.Bool().Draw(t, "stop") {
+			c.Kind = ChangeStopPlan
+			c.Stop = &Stop{ID: "s", From: time.Unix(0, rapid.Int64Range(0, 1<<60).Draw(t, "from")).In(time.FixedZone("z", 3600))}
+		} else {
+			c.Catalogue = catalogueWithWorkspaces(rapid.SliceOfN(rapid.StringN(0, 3, 9), 0, 3).Draw(t, "names")...)
+			if rapid.Bool().Draw(t, "empty lists") {
+				c.Catalogue.Services = []Service{}
+				c.Catalogue.Workspaces = append([]Workspace{}, c.Catalogue.Workspaces...)
+				for i := range c.Catalogue.Workspaces {
+					c.Catalogue.Workspaces[i].Keys = []KeyHash{}
+				}
+			}
+		}
+		forwarded := c
+		for range rapid.IntRange(1, 3).Draw(t, "hops") {
+			encoded, err := msgpack.Marshal(&forwarded)
+			require.NoError(t, err)
+			forwarded = Change{}
+			require.NoError(t, msgpack.Unmarshal(encoded, &forwarded))
+		}
+		require.Equal(t, changeDigest(c), changeDigest(forwarded))
+	})
+}
--- a/control/operator.go
+++ b/control/operator.go
@@ -152,9 +152,6 @@
 	if !readDocument(w, r, &s) {
 		return
 	}
-	if s.From.IsZero() {
-		s.From = o.service.now().UTC()
-	}
 	o.commitChange(w, r, contract.Change{Kind: contract.ChangeStopPlan, Stop: &s})
 }
 
