coordinator, policy/suspect: a trial of a suspect that is asked for again is the same trial

What callers would see: a harmless request that was on two servers when they crashed is refused for up to an hour. By reading, not seen in a run: an entry that gets no reply within 0.4 s asks another replica, the first trial may be committed all the same, and is never used; with three such replies lost (a leader that changes, lossy links) all trials are used up. Class: a call that may be sent again and gets something of its own from the process that takes it, here its time.

Change: the entry names each ask by a random number, and the state machine grants the last trial again to the ask that has it.

--- a/coordinator/trials.go
+++ b/coordinator/trials.go
@@ -12,7 +12,8 @@
 type trialCommand struct {
 	Fingerprint uint64    `msgpack:"fp"`
 	Answered    bool      `msgpack:"answered,omitempty"`
-	At          time.Time `msgpack:"at"` // by the leader's clock
+	Ask         uint64    `msgpack:"ask,omitempty"` // of the TrialRequest
+	At          time.Time `msgpack:"at"`            // by the leader's clock
 }
 
 // applyTrial returns the decision on a trial.
@@ -22,7 +23,7 @@
 	if c.Answered {
 		s.trials.Answered(c.Fingerprint)
 	} else {
-		grant = s.trials.Take(c.Fingerprint, c.At)
+		grant = s.trials.TakeOnce(c.Fingerprint, c.Ask, c.At)
 	}
 	s.mu.Unlock()
 	s.notifyTrials()
@@ -30,9 +31,12 @@
 }
 
 // checkTrial returns what applyTrial would decide by the entries of the log that are applied.
-func (s *state) checkTrial(fingerprint uint64, now time.Time) suspect.Grant {
+func (s *state) checkTrial(fingerprint, ask uint64, now time.Time) suspect.Grant {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
+	if s.trials.GrantedTo(fingerprint, ask) {
+		return suspect.Grant{Granted: true}
+	}
 	return s.trials.Check(fingerprint, now)
 }
 
--- a/gateway/trials.go
+++ b/gateway/trials.go
@@ -100,7 +100,7 @@
 // askForTrial asks the control replicas for a trial of a suspect. Without a majority of them there
 // is none: it would not be counted.
 func (g *Gateway) askForTrial(ctx context.Context, fingerprint uint64) suspect.Grant {
-	grant, err := callReplicas[suspect.Grant](ctx, g, api.MethodTrial, api.TrialRequest{Fingerprint: fingerprint})
+	grant, err := callReplicas[suspect.Grant](ctx, g, api.MethodTrial, api.TrialRequest{Fingerprint: fingerprint, Ask: rand.Uint64()})
 	if err != nil {
 		return suspect.Grant{After: maxTrialRetryAfter}
 	}
--- a/policy/suspect/suspect_test.go
+++ b/policy/suspect/suspect_test.go
@@ -194,3 +194,21 @@
 	require.Empty(t, list)
 	require.Greater(t, next, version)
 }
+
+// Guards against a harmless request that is refused for an hour, since the replies to its trials were
+// lost and each was asked for again: a trial that is granted again is the same one.
+func TestTrialThatIsAskedForAgainCountsOnce(t *testing.T) {
+	trials := NewTrials(nil)
+	now := epoch
+	for ask := uint64(1); ask <= MaxTrials; ask++ {
+		for range 3 {
+			require.True(t, trials.TakeOnce(7, ask, now).Granted)
+			now = now.Add(time.Second)
+		}
+		require.False(t, trials.TakeOnce(7, ask+MaxTrials, now).Granted, "another entry's")
+		now = now.Add(time.Minute * 5)
+	}
+	require.True(t, trials.TakeOnce(7, MaxTrials+1, now).Last)
+	require.True(t, NewTrials(trials.Snapshot()).GrantedTo(7, MaxTrials), "restored from a snapshot")
+	require.False(t, trials.GrantedTo(8, 0))
+}
--- a/policy/suspect/trials.go
+++ b/policy/suspect/trials.go
@@ -29,6 +29,8 @@
 type TrialCount struct {
 	Count int       `msgpack:"n"`
 	Last  time.Time `msgpack:"t"`
+	// Ask identifies who took the last one; see TakeOnce.
+	Ask uint64 `msgpack:"a,omitempty"`
 }
 
 // Grant is the decision on a trial.
@@ -62,6 +64,27 @@
 	return grant
 }
 
+// TakeOnce is like Take for an entry that asks again when it gets no reply. ask is a random number, the
+// same each time: the trial that was granted to it is granted again and not counted twice.
+func (t *Trials) TakeOnce(fingerprint, ask uint64, now time.Time) Grant {
+	if t.GrantedTo(fingerprint, ask) {
+		return Grant{Granted: true}
+	}
+	grant := t.Take(fingerprint, now)
+	if grant.Granted {
+		c := t.requests[fingerprint]
+		c.Ask = ask
+		t.requests[fingerprint] = c
+	}
+	return grant
+}
+
+// GrantedTo reports whether the last trial of a request was granted to ask.
+func (t *Trials) GrantedTo(fingerprint, ask uint64) bool {
+	c, known := t.requests[fingerprint]
+	return known && ask != 0 && c.Ask == ask
+}
+
 // Check returns what Take would decide.
 func (t *Trials) Check(fingerprint uint64, now time.Time) Grant {
 	c, known := t.requests[fingerprint]
