gateway: a request that is sent to a limit's owner again costs once

Cause: an entry sends a request up to three times under one sequence number, and the owner took its cost each time. Class: a call that may be sent again.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -33,6 +33,7 @@
 	prefillRate     func(server string) float64 // prompt tokens per second of a server
 	transport       transport
 	limits          *limits
+	limitResponses  sentResponses
 	listChanged     chan struct{} // receives a value after the live entries may have changed
 
 	mu        sync.Mutex
--- a/gateway/limitrequests.go
+++ b/gateway/limitrequests.go
@@ -82,7 +82,8 @@
 
 // handleLimitRequest responds to another entry's limitRequest.
 func (x *peerExchange) handleLimitRequest(m *message) {
-	if response, known := x.limits.decide(m.Limit); known {
+	decide := func() (limitResponse, bool) { return x.limits.decide(m.Limit) }
+	if response, known := x.limitResponses.once(m, decide); known {
 		x.sendTo(m.From, &message{Sequence: m.Sequence, Kind: kindLimitResponse, Answer: &response})
 	}
 }
