coordinator, policy/suspect: suspects are committed when they are listed, so that they outlast all processes

What callers would see: a request under which two servers have crashed gets seven sends in place of five, four of them after the third crash where the rule allows three, when all entries and control replicas restart before its first trial.

Change: the leader commits what its replica lists and the state lacks, gathered for 20 ms; a noted suspect has all its trials, the first one at once. The model counts what replicas were ever told, not what they remember, which is stricter than before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -335,6 +335,7 @@
 	daemon.Actor(g, c.sweep)
 	daemon.Actor(g, c.saveCache)
 	daemon.Actor(g, c.runLeaderLoop)
+	daemon.Actor(g, c.recordSuspects)
 	daemon.EndWith(ctx, g)
 	daemon.Signals(g, c.stop, c.log)
 	return nil
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -24,6 +24,7 @@
 	kindUsageSent
 	kindSize
 	kindTrial
+	kindSuspects
 )
 
 type reviseCommand struct {
@@ -114,6 +115,8 @@
 		return apply(e, s.applySize)
 	case kindTrial:
 		return apply(e, s.applyTrial)
+	case kindSuspects:
+		return apply(e, s.applySuspects)
 	default:
 		return nil, trace.BadParameter("log entry %d has unknown kind %d", e.Index, e.Kind)
 	}
--- a/coordinator/suspects.go
+++ b/coordinator/suspects.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// setTrials replaces the requests that have had trials.
+// setTrials replaces the requests that the replicated state holds.
 func (r *suspectRegistry) setTrials(fingerprints []uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -96,3 +96,40 @@
 	grant, err := proposeResult[suspect.Grant](ctx, m, kindTrial, command)
 	return grant, notLeaderError(err)
 }
+
+// recordSuspects commits, while this replica leads, the suspects that the replicated state lacks. Entries
+// and replicas hold them in memory: a request would crash as many servers again once all of them have
+// restarted.
+func (c *Coordinator) recordSuspects(ctx context.Context) error {
+	for {
+		list, _, changed := c.suspects.current()
+		if m := c.group.current.Load(); m != nil && m.leading() {
+			c.commitSuspects(ctx, m, m.state.withoutTrials(list))
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(sweepInterval):
+		}
+		select { // gathers the suspects of servers that end together
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(suspectsInterval):
+		}
+	}
+}
+
+// suspectsInterval is the least time between two commits of suspects.
+const suspectsInterval = 20 * time.Millisecond
+
+func (c *Coordinator) commitSuspects(ctx context.Context, m *member, suspects []uint64) {
+	if len(suspects) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
+	defer cancel()
+	if err := propose(ctx, m, kindSuspects, suspectsCommand{Fingerprints: suspects, At: c.clock.Now()}); err != nil {
+		c.log.DebugContext(ctx, "suspects not committed", "error", err) // tried again
+	}
+}
--- a/coordinator/suspects_test.go
+++ b/coordinator/suspects_test.go
@@ -100,3 +100,29 @@
 		break
 	}
 }
+
+// Guards against a request that has crashed two servers and crashes as many again once all entries and
+// control replicas have restarted at once, before it has had a trial.
+func TestSuspectsOutlastAllProcesses(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startFirst(3)
+	c.replaceCatalogue(c.replicas[address(0)], 1)
+	c.replicas[address(1)].suspects.merge(brokenOffOn(7, "s1", "s2"))
+	c.replicas[address(0)].suspects.merge(brokenOffOn(7, "s1", "s2")) // entries report to all replicas
+	c.replicas[address(2)].suspects.merge(brokenOffOn(7, "s1", "s2"))
+	require.Eventually(t, func() bool {
+		return len(c.replicas[address(0)].group.current.Load().state.withoutTrials([]uint64{7})) == 0
+	}, testWait, 10*time.Millisecond, "committed")
+	for i := range 3 {
+		c.kill(address(i))
+	}
+	for i := range 3 {
+		c.start(address(i), false)
+	}
+	for i := range 3 {
+		require.Eventually(t, func() bool {
+			list, _, _ := c.replicas[address(i)].suspects.current()
+			return len(list) == 1
+		}, testWait, 10*time.Millisecond, "listed again")
+	}
+}
--- a/coordinator/trials.go
+++ b/coordinator/trials.go
@@ -30,6 +30,28 @@
 	return grant
 }
 
+// suspectsCommand lists requests that have become suspects.
+type suspectsCommand struct {
+	Fingerprints []uint64  `msgpack:"fps"`
+	At           time.Time `msgpack:"at"` // by the leader's clock
+}
+
+// applySuspects holds suspects for the time after all processes have lost their records.
+func (s *state) applySuspects(c suspectsCommand) struct{} {
+	s.mu.Lock()
+	s.trials.Note(c.Fingerprints, c.At)
+	s.mu.Unlock()
+	s.notifyTrials()
+	return struct{}{}
+}
+
+// withoutTrials returns those of the suspects that this state does not hold.
+func (s *state) withoutTrials(fingerprints []uint64) []uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.trials.Without(fingerprints)
+}
+
 // checkTrial returns what applyTrial would decide by the entries of the log that are applied.
 func (s *state) checkTrial(fingerprint, ask uint64, now time.Time) suspect.Grant {
 	s.mu.RLock()
@@ -40,7 +62,7 @@
 	return s.trials.Check(fingerprint, now)
 }
 
-// notifyTrials passes the requests that have had trials to onTrials.
+// notifyTrials passes the requests that trials holds to onTrials.
 func (s *state) notifyTrials() {
 	s.mu.RLock()
 	list := slices.Sorted(maps.Keys(s.trials.Snapshot()))
--- a/policy/suspect/model_test.go
+++ b/policy/suspect/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,8 +29,11 @@
 	trials   *Trials
 	servers  int
 
-	listedAt int // step at which a replica first had three servers or a trial; -1: not yet
-	sends    int // by entries in touch, later than contactSteps after listedAt
+	suspectSince int // step at which a replica first listed the request; -1: not yet
+
+	reported map[Server]bool // that replicas were told of, also if they have forgotten them
+	listedAt int             // step at which three were reported, or of the first trial; -1: not yet
+	sends    int             // by entries in touch, later than contactSteps after listedAt
 }
 
 type modelEntry struct {
@@ -63,6 +67,17 @@
 	}
 }
 
+func newModel(t *rapid.T) *model {
+	m := &model{t: t, trials: NewTrials(nil), listedAt: -1, suspectSince: -1, reported: map[Server]bool{}}
+	for range rapid.IntRange(1, 8).Draw(t, "entries") {
+		m.entries = append(m.entries, m.newEntry())
+	}
+	for range rapid.SampledFrom([]int{3, 5}).Draw(t, "replicas") {
+		m.replicas = append(m.replicas, &modelReplica{registry: NewRegistry(), startedAt: -contactSteps})
+	}
+	return m
+}
+
 // exchange is one call of an entry to a replica.
 func (m *model) exchange(e *modelEntry, i int) {
 	r := m.replicas[i]
@@ -80,7 +95,12 @@
 		e.version[i] = version
 	}
 	e.exchanged[i] = m.step
-	if m.listedAt < 0 && (r.registry.Set.requests[modelRequest] != nil && r.registry.Set.requests[modelRequest].count() >= 3) {
+	for _, record := range records {
+		for _, b := range record.Breaks {
+			m.reported[b.Server] = true
+		}
+	}
+	if m.listedAt < 0 && len(m.reported) >= 3 {
 		m.listedAt = m.step
 	}
 }
@@ -123,6 +143,44 @@
 			}
 		}
 	}
+	m.commitSuspects()
+}
+
+// commitSuspects does what the leader does: a request that a replica lists gets into the log.
+func (m *model) commitSuspects() {
+	listed := slices.ContainsFunc(m.replicas, func(r *modelReplica) bool {
+		list, _ := r.registry.List()
+		return len(list) > 0
+	})
+	if !listed {
+		return
+	}
+	if m.suspectSince < 0 {
+		m.suspectSince = m.step
+	}
+	m.trials.Note([]uint64{modelRequest}, m.now())
+	for _, r := range m.replicas {
+		r.registry.SetTrials([]uint64{modelRequest})
+	}
+}
+
+// commitSteps is how long after a replica lists a request it is in the log.
+const commitSteps = 2
+
+// restartAll restarts all processes, if what replicas list had the time to get into the log.
+func (m *model) restartAll() {
+	if m.suspectSince < 0 || m.step-m.suspectSince < commitSteps {
+		return
+	}
+	for i := range m.entries {
+		m.entries[i] = m.newEntry()
+	}
+	for _, r := range m.replicas {
+		r.registry, r.life, r.startedAt = NewRegistry(), r.life+1, m.step
+		if m.trials.Requests() > 0 {
+			r.registry.SetTrials([]uint64{modelRequest})
+		}
+	}
 }
 
 // recordBreaks records the ends of servers under an entry's runs.
@@ -142,7 +200,7 @@
 func (m *model) disturb() {
 	i := rapid.IntRange(0, len(m.entries)-1).Draw(m.t, "entry")
 	e := m.entries[i]
-	switch rapid.SampledFrom([]string{"restart", "cut", "heal", "pause", "join", "replica"}).Draw(m.t, "disturbance") {
+	switch rapid.SampledFrom([]string{"restart", "cut", "heal", "pause", "join", "replica", "all"}).Draw(m.t, "disturbance") {
 	case "restart":
 		m.entries[i] = m.newEntry()
 	case "cut":
@@ -159,6 +217,9 @@
 		}
 	case "replica":
 		m.restartReplica()
+	case "all":
+		m.restartAll()
+		return
 	}
 	if e.cut {
 		e.touchedAt = m.step + 1<<30
@@ -181,16 +242,11 @@
 }
 
 // Guards against a request that crashes servers and reaches more of them than allowed, because
-// entries start, are cut off, pause or join in an unfortunate order: each with a trial of its own.
+// entries start, are cut off, pause or join in an unfortunate order, each with a trial of its own, or
+// because all processes restart and forget what they knew.
 func TestSendsOfSuspectStayWithinBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{t: t, trials: NewTrials(nil), listedAt: -1}
-		for range rapid.IntRange(1, 8).Draw(t, "entries") {
-			m.entries = append(m.entries, m.newEntry())
-		}
-		for range rapid.SampledFrom([]int{3, 5}).Draw(t, "replicas") {
-			m.replicas = append(m.replicas, &modelReplica{registry: NewRegistry(), startedAt: -contactSteps})
-		}
+		m := newModel(t)
 		disturbed := rapid.IntRange(0, 15).Draw(t, "disturbed") // in a hundred steps
 		arrivals := rapid.IntRange(5, 100).Draw(t, "arrivals")  // in a hundred steps
 		for range rapid.IntRange(200, 800).Draw(t, "steps") {
@@ -205,3 +261,23 @@
 		require.LessOrEqual(t, m.sends, MaxTrials)
 	})
 }
+
+// Guards against the same where all processes restart once, after a replica has listed the request and
+// before its first trial, and callers come back seldom.
+func TestSendsOfSuspectStayWithinBoundWhenAllRestart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		gap := rapid.IntRange(20, 60).Draw(t, "steps between arrivals")
+		wait := rapid.IntRange(commitSteps, 15).Draw(t, "steps until all restart")
+		for step := range 800 {
+			m.advance()
+			if m.suspectSince >= 0 && m.step-m.suspectSince == wait {
+				m.restartAll()
+			}
+			if step%gap == 0 {
+				m.arrive(m.entries[rapid.IntRange(0, len(m.entries)-1).Draw(t, "at")])
+			}
+		}
+		require.LessOrEqual(t, m.sends, MaxTrials)
+	})
+}
--- a/policy/suspect/registry.go
+++ b/policy/suspect/registry.go
@@ -4,12 +4,12 @@
 
 // Registry lists the suspects at a process that many report to. It is not safe for concurrent use.
 //
-// A request that has had trials and was not answered since is a suspect too: the bound on its sends
+// A request that Trials holds and that was not answered since is a suspect too: the bound on its sends
 // outlasts the records, which are lost when all processes restart.
 type Registry struct {
 	Set *Set
 
-	trials  []uint64 // requests that have had trials
+	trials  []uint64 // requests that Trials holds
 	list    []uint64 // all suspects, sorted
 	version uint64   // number of changes of list
 }
@@ -17,7 +17,7 @@
 // NewRegistry returns an empty Registry.
 func NewRegistry() *Registry { return &Registry{Set: NewSet()} }
 
-// SetTrials replaces the requests that have had trials, and reports whether the list has changed.
+// SetTrials replaces the requests that Trials holds, and reports whether the list has changed.
 func (r *Registry) SetTrials(fingerprints []uint64) (changed bool) {
 	r.trials = fingerprints
 	return r.Update()
--- a/policy/suspect/suspect_test.go
+++ b/policy/suspect/suspect_test.go
@@ -212,3 +212,32 @@
 	require.True(t, NewTrials(trials.Snapshot()).GrantedTo(7, MaxTrials), "restored from a snapshot")
 	require.False(t, trials.GrantedTo(8, 0))
 }
+
+// Guards against a harmless suspect whose first trial has to wait, or that has fewer of them, since it
+// was noted before.
+func TestNotedSuspectHasAllItsTrials(t *testing.T) {
+	trials := NewTrials(nil)
+	trials.Note([]uint64{7, 8}, epoch)
+	require.Equal(t, []uint64{9}, trials.Without([]uint64{7, 8, 9}))
+	now := epoch
+	for range MaxTrials {
+		require.True(t, trials.Take(7, now).Granted)
+		trials.Note([]uint64{7}, now)
+		require.False(t, trials.Take(7, now).Granted)
+		now = now.Add(5 * time.Minute)
+	}
+	require.True(t, trials.Take(7, now).Last)
+	trials.Answered(8)
+	require.Equal(t, []uint64{8}, trials.Without([]uint64{7, 8}))
+}
+
+// Guards against a memory of noted suspects that grows without bound.
+func TestNotedSuspectsAreBounded(t *testing.T) {
+	trials := NewTrials(nil)
+	for fingerprint := range uint64(2 * maxTrialRequests) {
+		trials.Note([]uint64{fingerprint}, epoch)
+	}
+	require.Equal(t, maxTrialRequests, trials.Requests())
+	trials.Note([]uint64{1 << 60}, epoch.Add(TrialTTL+1))
+	require.Equal(t, 1, trials.Requests())
+}
--- a/policy/suspect/trials.go
+++ b/policy/suspect/trials.go
@@ -25,7 +25,7 @@
 	requests map[uint64]TrialCount
 }
 
-// TrialCount is the number of trials that a request has had.
+// TrialCount is the number of trials that a request has had; 0 if it is only known to be a suspect.
 type TrialCount struct {
 	Count int       `msgpack:"n"`
 	Last  time.Time `msgpack:"t"`
@@ -92,7 +92,7 @@
 	switch {
 	case !known && len(t.requests) >= maxTrialRequests && t.oldest().Add(TrialTTL).After(now):
 		return Grant{After: t.oldest().Add(TrialTTL).Sub(now)}
-	case !known || elapsed > TrialTTL:
+	case !known || c.Count == 0 || elapsed > TrialTTL:
 		return Grant{Granted: true}
 	case c.Count >= MaxTrials:
 		return Grant{After: TrialTTL - elapsed, Last: true}
@@ -103,13 +103,35 @@
 	}
 }
 
+// Note holds requests that are suspects and have had no trial, so that they stay suspects when all
+// processes lose their records.
+func (t *Trials) Note(fingerprints []uint64, now time.Time) {
+	t.expire(now)
+	for _, fingerprint := range fingerprints {
+		c, known := t.requests[fingerprint]
+		if len(t.requests) < maxTrialRequests && (!known || now.Sub(c.Last) > TrialTTL) {
+			t.requests[fingerprint] = TrialCount{Last: now}
+		}
+	}
+}
+
+// Without returns those of the requests that are not held.
+func (t *Trials) Without(fingerprints []uint64) (missing []uint64) {
+	for _, fingerprint := range fingerprints {
+		if _, known := t.requests[fingerprint]; !known {
+			missing = append(missing, fingerprint)
+		}
+	}
+	return missing
+}
+
 // Answered forgets the trials of a request that a server has answered.
 func (t *Trials) Answered(fingerprint uint64) { delete(t.requests, fingerprint) }
 
 // Snapshot returns a copy of all counts.
 func (t *Trials) Snapshot() map[uint64]TrialCount { return maps.Clone(t.requests) }
 
-// Requests returns the number of requests that have had trials.
+// Requests returns the number of requests that are held.
 func (t *Trials) Requests() int { return len(t.requests) }
 
 // expire drops what is no longer counted once there are many.
