--- a/control/api/api.go
+++ b/control/api/api.go
@@ -17,11 +17,11 @@
 	MethodPropose      = "control.propose"
 	MethodStatus       = "control.status"
 	MethodBarrier      = "control.barrier"
-	MethodLeases       = "control.leases"  // admit.Report to the leader, returns an admit.Reply
-	MethodReplica      = "control.replica" // replica.Message between replicas, as a notice
-	MethodServerTokens = "control.tokens"  // throttle.Request to the leader, returns a throttle.Reply
-	MethodChange       = "control.change"  // ReplicaChange to the leader, returns a ReplicaStatus
-	MethodQuarantine   = "control.quarantine"
+	MethodLeases       = "control.leases"     // admit.Report to the leader, returns an admit.Reply
+	MethodReplica      = "control.replica"    // replica.Message between replicas, as a notice
+	MethodServerTokens = "control.tokens"     // throttle.Request to the leader, returns a throttle.Reply
+	MethodChange       = "control.change"     // ReplicaChange to the leader, returns a ReplicaStatus
+	MethodQuarantine   = "control.quarantine" // QuarantineRequest, returns a QuarantineReply
 )
 
 // ProposalKind names the state machine that a proposal is for. Its values are
@@ -30,11 +30,10 @@
 
 // The kinds of proposal.
 const (
-	KindCatalogue ProposalKind = 16 // a contract.Change
-	KindLedger    ProposalKind = 17 // a ledger.Command
-	KindReplica   ProposalKind = 18 // a ReplicaCommand
-	KindFleet     ProposalKind = 19 // a fleet.Command; proposed by the leader itself, not over a link
-
+	KindCatalogue  ProposalKind = 16 // a contract.Change
+	KindLedger     ProposalKind = 17 // a ledger.Command
+	KindReplica    ProposalKind = 18 // a ReplicaCommand
+	KindFleet      ProposalKind = 19 // a fleet.Command; proposed by the leader itself, not over a link
 	KindQuarantine ProposalKind = 20 // a QuarantineCommand
 )
 
@@ -56,16 +55,16 @@
 // one.
 //
 // Set is the VotersHash of the replica's current voters; a client compares it with
-// the voters that it has called. Quarantine is like Index, for QuarantineCommands. The reply is encoded as an array to keep it small:
-// each replica sends one to every entry once a second.
+// the voters that it has called. Quarantine is like Index, for QuarantineCommands. The
+// reply is encoded as an array to keep it small: each replica sends two a second to every
+// entry.
 type VersionReply struct {
 	//lint:ignore U1000 the codec reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Replica string
-	Index   uint64
-	Set     uint64
-
+	Replica    string
+	Index      uint64
+	Set        uint64
 	Quarantine uint64
 }
 
--- a/control/machine.go
+++ b/control/machine.go
@@ -51,7 +51,7 @@
 }
 
 // Apply applies one committed entry. It returns a contract.Result, ledger.Result,
-// api.ReplicaResult, fleet.Result or nothing, by the entry's kind. An entry that cannot be
+// api.ReplicaResult, fleet.Result or struct{}, by the entry's kind. An entry that cannot be
 // decoded is an error on every replica alike and changes nothing but, for a
 // catalogue entry, the catalogue's index.
 func (m *Machine) Apply(e replica.Entry) (any, error) {
