--- /dev/null
+++ b/coordinator/follow/replies.go
@@ -0,0 +1,59 @@
+package follow
+
+import (
+	"slices"
+	"time"
+)
+
+// LastReply returns the time of the last reply of a replica. It is zero if the replica has
+// not replied or is not followed.
+func (f *Follower) LastReply(addr string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.peers[addr]; p != nil {
+		return p.lastReply
+	}
+	return time.Time{}
+}
+
+// Replicas returns the sorted addresses of all replicas that are followed.
+func (f *Follower) Replicas() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]string, 0, len(f.peers))
+	for addr := range f.peers {
+		out = append(out, addr)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Unreached returns the sorted addresses of the followed replicas that have not replied
+// within the last age.
+func (f *Follower) Unreached(age time.Duration) []string {
+	now := f.deps.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for addr, p := range f.peers {
+		if now.Sub(p.lastReply) > age {
+			out = append(out, addr)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// CountReplied returns how many of the followed replicas replied within the last age, and
+// how many are followed.
+func (f *Follower) CountReplied(age time.Duration) (replied, all int) {
+	now := f.deps.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		if !p.lastReply.IsZero() && now.Sub(p.lastReply) <= age {
+			replied++
+		}
+	}
+	return replied, len(f.peers)
+}
