gateway: a repeated refusal tells how long the owner of a limit told

TestRepeatedRefusalTellsTheOwnersWait: 400 ms of 10 s before.

Cause: the entry repeats an owner's refusal for up to 0.1 s and worked the wait out from what was left of that time.

--- a/gateway/limitresend_test.go
+++ b/gateway/limitresend_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/policy/limit"
 )
 
 // Guards against callers far below their limit who are refused while messages between entries take long:
@@ -13,11 +15,11 @@
 // and its cost must be taken once.
 func TestRequestSentToOwnerAgainCostsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const limit = 150_000.0
-		s := newLimitSite(t, 6, limit, 110_000, 1)
-		defer s.run()()
+		const perSecond = 150_000.0
+		s := newLimitSite(t, 6, perSecond, 110_000, 1)
 		s.delay = responseTimeout * 5 / 6 // a round trip exceeds the timeout
-		offered, admitted := s.sendLoad(0.9*limit, 20*time.Second)
+		defer s.run()()
+		offered, admitted := s.sendLoad(0.9*perSecond, 20*time.Second)
 		t.Logf("%.3f admitted", admitted/offered)
 		require.GreaterOrEqual(t, admitted, 0.98*offered)
 		s.requireWithinLimit(t)
@@ -50,3 +52,22 @@
 	_, known := s.once(&message{From: "c", Life: 1, Sequence: 1}, func() (limitResponse, bool) { return limitResponse{}, false })
 	require.False(t, known)
 }
+
+// Guards against callers that are told to come back long before their workspace's limit allows it, since
+// the entry repeats an owner's refusal with a shorter wait than the owner's.
+func TestRepeatedRefusalTellsTheOwnersWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimitSite(t, 1, 150_000, 110_000, 1).entries[0].process.Load().limits
+		key := limit.Key{Workspace: "w"}
+		const wait, cost = 10 * time.Second, 100.0
+		l.startBackoff(key, cost, wait)
+		for elapsed := time.Duration(0); elapsed < maxBackoff; elapsed += maxBackoff / 4 {
+			told, refused := l.inBackoff(key, cost)
+			require.True(t, refused)
+			require.Equal(t, wait-elapsed, told)
+			time.Sleep(maxBackoff / 4)
+		}
+		_, refused := l.inBackoff(key, cost)
+		require.False(t, refused, "the owner is asked again")
+	})
+}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -85,8 +85,9 @@
 
 // backoff is a pool owner's refusal that this entry repeats until a time.
 type backoff struct {
-	cost  float64 // of the refused request; cheaper ones still go to the owner
-	until time.Time
+	cost    float64 // of the refused request; cheaper ones still go to the owner
+	until   time.Time
+	retryAt time.Time // when the owner expects to admit such a request
 }
 
 func newLimits(exchange *peerExchange, share *shares, bounds site.Bounds, log *slog.Logger, now func() time.Time) *limits {
@@ -313,18 +314,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, known := l.backoffs[key]
-	remaining := b.until.Sub(l.now())
-	if !known || cost < b.cost || remaining <= 0 {
+	now := l.now()
+	if !known || cost < b.cost || !now.Before(b.until) {
 		return 0, false
 	}
-	return time.Duration(float64(remaining) / backoffFraction), true
+	return b.retryAt.Sub(now), true
 }
 
 func (l *limits) startBackoff(key limit.Key, cost float64, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.now()
 	duration := min(time.Duration(backoffFraction*float64(wait)), maxBackoff)
-	l.backoffs[key] = backoff{cost: cost, until: l.now().Add(duration)}
+	l.backoffs[key] = backoff{cost: cost, until: now.Add(duration), retryAt: now.Add(wait)}
 }
 
 func (l *limits) markUnreachable(entry string) {
