--- a/control/api/client_test.go
+++ b/control/api/client_test.go
@@ -181,7 +181,8 @@
 	require.Len(t, got.Catalogue.Workspaces, workspaces)
 }
 
-// Guards against replies that grow with each kind of record whose index they tell, or that can't be read.
+// Guards against replies that grow with each kind of record whose index they contain, or that can't be
+// decoded.
 func TestVersionReplyIsSmall(t *testing.T) {
 	r := VersionReply{Replica: "1", Index: 70_000, Set: 1 << 63, Quarantine: 70_001}
 	encoded, err := msgpack.Marshal(r)
--- a/gateway/limitresend_test.go
+++ b/gateway/limitresend_test.go
@@ -53,18 +53,18 @@
 	require.False(t, known)
 }
 
-// Guards against callers that are told to come back long before their workspace's limit allows it, since
-// the entry repeats an owner's refusal with a shorter wait than the owner's.
-func TestRepeatedRefusalTellsTheOwnersWait(t *testing.T) {
+// Guards against a Retry-After far shorter than the time until a workspace's limit admits its callers, which
+// come back to be refused: the entry repeats an owner's refusal with a shorter wait than the owner's.
+func TestRepeatedRefusalHasTheOwnersWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLimitSite(t, 1, 150_000, 110_000, 1).entries[0].process.Load().limits
 		key := limit.Key{Workspace: "w"}
 		const wait, cost = 10 * time.Second, 100.0
 		l.startBackoff(key, cost, wait)
 		for elapsed := time.Duration(0); elapsed < maxBackoff; elapsed += maxBackoff / 4 {
-			told, refused := l.inBackoff(key, cost)
+			repeated, refused := l.inBackoff(key, cost)
 			require.True(t, refused)
-			require.Equal(t, wait-elapsed, told)
+			require.Equal(t, wait-elapsed, repeated)
 			time.Sleep(maxBackoff / 4)
 		}
 		_, refused := l.inBackoff(key, cost)
--- a/policy/suspect/model_test.go
+++ b/policy/suspect/model_test.go
@@ -31,7 +31,7 @@
 
 	suspectSince int // step at which a replica first listed the request; -1: not yet
 
-	reported map[Server]bool // that replicas were told of, also if they have forgotten them
+	reported map[Server]bool // servers in records that replicas have received, also if they have lost them since
 	listedAt int             // step at which three were reported, or of the first trial; -1: not yet
 	sends    int             // by entries in touch, later than contactSteps after listedAt
 }
