--- a/e2e/budget_test.go
+++ b/e2e/budget_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -200,3 +203,16 @@
 		require.EqualValues(t, 3, c.answered.Load())
 	}
 }
+
+// Guards against stand-ins whose resets don't reset, so that the tests of resets play a connection that
+// hangs and pass: the entry must see that its peer has reset the connection.
+func TestPlatformStandInResetsConnections(t *testing.T) {
+	p := newPlatformSite(t, 3, 1, 1)
+	p.servers[0].SetFault(standin.Fault{Kind: standin.FaultReset, Share: 1})
+	started := time.Now()
+	a, err := standin.Call(p.ctx(), p.entryAddr(0), platformKey, "/web/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, a.Status, "it may have run")
+	require.Less(t, time.Since(started), time.Second)
+	p.eventually(func() bool { return strings.Contains(p.entries[0].log.String(), syscall.ECONNRESET.Error()) }, "the entry has seen a reset")
+}
--- a/e2e/budgetfleet_test.go
+++ b/e2e/budgetfleet_test.go
@@ -27,7 +27,7 @@
 // startServer starts an incarnation of a server behind a new relay.
 func (s *budgetSoak) startServer(b *budgetServer, id string) {
 	server, err := standin.StartServer(standin.ServerConfig{
-		ID: id, Service: b.service, Zone: "z1", ControlAddrs: s.controlAddrs(), Listener: newTimedListener, ArrivedAt: kernelArrival,
+		ID: id, Service: b.service, Zone: "z1", ControlAddrs: s.controlAddrs(), Listener: newTimedListener, ArrivedAt: kernelArrival, OnPanic: s.failOnPanic,
 		AnnouncedAs: func(listening string) string {
 			r, err := relay.New(listening)
 			if err != nil {
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -58,13 +58,19 @@
 func (p *platformSite) startServers(n int) {
 	p.t.Helper()
 	for i := range n {
-		s, err := standin.StartServer(standin.ServerConfig{ID: fmt.Sprintf("s%d", i), Service: "web", Zone: "z1", ControlAddrs: p.controlAddrs(), Listener: newTimedListener, ArrivedAt: kernelArrival})
+		s, err := standin.StartServer(standin.ServerConfig{
+			ID: fmt.Sprintf("s%d", i), Service: "web", Zone: "z1", ControlAddrs: p.controlAddrs(),
+			Listener: newTimedListener, ArrivedAt: kernelArrival, OnPanic: p.failOnPanic,
+		})
 		require.NoError(p.t, err)
 		p.t.Cleanup(s.Close)
 		p.servers = append(p.servers, s)
 	}
 }
 
+// failOnPanic fails the test for a handler of a backend server that panicked.
+func (p *platformSite) failOnPanic(cause any) { p.t.Errorf("a handler of a backend server panicked: %v", cause) }
+
 // awaitServing waits until entry i answers requests for path.
 func (p *platformSite) awaitServing(i int, path string) {
 	p.t.Helper()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,9 +3,11 @@
 package relay
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -124,6 +126,9 @@
 			return
 		}
 		if err != nil {
+			if errors.Is(err, syscall.ECONNRESET) {
+				_ = dst.(*net.TCPConn).SetLinger(0) // a reset is passed on; fails only on a closed connection
+			}
 			r.remove(p)
 			return
 		}
