--- a/e2e/budgetload_test.go
+++ b/e2e/budgetload_test.go
@@ -65,13 +65,22 @@
 
 // send sends one request and reads its answer.
 func (c *budgetCaller) send(path string) {
+	if c.outcome(path) == http.StatusText(http.StatusOK) {
+		c.answered.Add(1)
+	} else {
+		c.failed.Add(1)
+	}
+}
+
+// outcome sends one request, reads its answer and returns how it ended: the text of its status, or
+// what failed.
+func (c *budgetCaller) outcome(path string) string {
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
 	id := uuid.NewString()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entry+path, strings.NewReader("body"))
 	if err != nil {
-		c.failed.Add(1)
-		return
+		return "request"
 	}
 	req.GetBody = nil // the transport must not send a request twice
 	req.Host = standin.Host
@@ -80,14 +89,15 @@
 	req.Header.Set("Authorization", "Token "+platformKey)
 	c.audit.recordSent(id, sentRequest{service: c.service(path), at: time.Now(), timeout: c.timeout, maxServers: budgetMaxServers})
 	resp, err := c.client.Do(req)
-	if err != nil {
-		c.failed.Add(1)
-		return
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return "deadline"
+	case err != nil:
+		return "connection"
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
-		c.failed.Add(1)
-		return
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return "answer broken off"
 	}
-	c.answered.Add(1)
+	return http.StatusText(resp.StatusCode)
 }
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -41,6 +42,8 @@
 
 	retryWindow time.Duration // of the settings; 0: the default
 	retrySlack  int           // of the settings; 0: the default
+
+	zoneOfEntry func(i int) string // nil: z1
 }
 
 func newPlatformSite(t *testing.T, controls, entries, servers int) *platformSite {
@@ -69,7 +72,9 @@
 }
 
 // failOnPanic fails the test for a handler of a backend server that panicked.
-func (p *platformSite) failOnPanic(cause any) { p.t.Errorf("a handler of a backend server panicked: %v", cause) }
+func (p *platformSite) failOnPanic(cause any) {
+	p.t.Errorf("a handler of a backend server panicked: %v", cause)
+}
 
 // awaitServing waits until entry i answers requests for path.
 func (p *platformSite) awaitServing(i int, path string) {
@@ -128,7 +133,8 @@
 
 // startPlatform starts a process of a role with a settings file in the platform's format.
 func (p *platformSite) startPlatform(role string, s standin.Settings) *process {
-	s.Seeds, s.Zone, s.Cloud, s.PortBase = p.controlAddrs(), "z1", p.cloud.Address(), platformPort
+	s.Seeds, s.Cloud, s.PortBase = p.controlAddrs(), p.cloud.Address(), platformPort
+	s.Zone = cmp.Or(s.Zone, "z1")
 	s.RetryWindow, s.RetrySlack = p.retryWindow, p.retrySlack
 	file := filepath.Join(p.dir, "settings-"+s.IP)
 	require.NoError(p.t, os.WriteFile(file, []byte(s.File()), 0o600))
@@ -141,7 +147,11 @@
 }
 
 func (p *platformSite) startPlatformEntry(i int) *process {
-	return p.startPlatform("entry", standin.Settings{IP: p.host(entryOctet(i))})
+	s := standin.Settings{IP: p.host(entryOctet(i))}
+	if p.zoneOfEntry != nil {
+		s.Zone = p.zoneOfEntry(i)
+	}
+	return p.startPlatform("entry", s)
 }
 
 // replaceCatalogue replaces the catalogue through control replica i and waits until the
