link: streams, connections that one exchange has for itself

For tunnels between entries. A stream has the handshake of a link, so that both ends prove that they hold the cluster key, but no frames, heartbeats or shared queue after it: what it carries must not wait behind other calls, nor end for a heartbeat that is late. The request follows the proof at once, which saves a round trip.

--- a/link/frame.go
+++ b/link/frame.go
@@ -37,6 +37,7 @@
 	kindError
 	kindNotice
 	kindCancel
+	kindStreamHello // hello of a connection that becomes a Stream
 )
 
 // frame is one message on the wire: a header, then a payload of the call ID and
@@ -137,7 +138,7 @@
 
 func parsePayload(k kind, payload []byte) (frame, error) {
 	f := frame{kind: k}
-	if k < kindHello || k > kindCancel {
+	if k < kindHello || k > kindStreamHello {
 		return f, fmt.Errorf("kind %d: %w", k, ErrMalformed)
 	}
 	if len(payload) == 0 {
--- a/link/hello.go
+++ b/link/hello.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -84,11 +85,22 @@
 // receives the peer's hello and proof, sends its proof and receives the welcome.
 // The PeerInfo is that of the peer, also on an error after its hello.
 func dialHandshake(c *conn, self PeerInfo, key []byte) (PeerInfo, error) {
+	peer, err := c.proveDialler(kindHello, self, key)
+	if err != nil {
+		return peer, err
+	}
+	_, err = c.handshakeReceive(kindWelcome)
+	return peer, err
+}
+
+// proveDialler runs the handshake of the dialling end up to its proof. helloKind says what the
+// connection is for.
+func (c *conn) proveDialler(helloKind kind, self PeerInfo, key []byte) (PeerInfo, error) {
 	ownHello, err := encodeHello(self)
 	if err != nil {
 		return PeerInfo{}, err
 	}
-	if err := c.handshakeSend(kindHello, ownHello); err != nil {
+	if err := c.handshakeSend(helloKind, ownHello); err != nil {
 		return PeerInfo{}, err
 	}
 	peerHello, err := c.handshakeReceive(kindHello)
@@ -106,41 +118,39 @@
 	if !hmac.Equal(peerProof, computeProof(key, roleListener, ownHello, peerHello)) {
 		return h.Peer, c.sendReject(ErrWrongKey)
 	}
-	if err := c.handshakeSend(kindProof, computeProof(key, roleDialler, ownHello, peerHello)); err != nil {
-		return h.Peer, err
-	}
-	_, err = c.handshakeReceive(kindWelcome)
-	return h.Peer, err
+	return h.Peer, c.handshakeSend(kindProof, computeProof(key, roleDialler, ownHello, peerHello))
 }
 
-// listenHandshake runs the handshake of the accepting end; see dialHandshake.
-func listenHandshake(c *conn, self PeerInfo, key []byte) (PeerInfo, error) {
-	peerHello, err := c.handshakeReceive(kindHello)
+// listenHandshake runs the handshake of the accepting end; see dialHandshake. It reports whether the
+// connection is a Stream.
+func listenHandshake(c *conn, self PeerInfo, key []byte) (peer PeerInfo, isStream bool, err error) {
+	helloKind, peerHello, err := c.handshakeReceiveAny(kindHello, kindStreamHello)
 	if err != nil {
-		return PeerInfo{}, c.sendReject(err)
+		return PeerInfo{}, false, c.sendReject(err)
 	}
+	isStream = helloKind == kindStreamHello
 	h, err := parseHello(peerHello)
 	if err != nil {
-		return PeerInfo{}, c.sendReject(err)
+		return PeerInfo{}, isStream, c.sendReject(err)
 	}
 	ownHello, err := encodeHello(self)
 	if err != nil {
-		return h.Peer, err
+		return h.Peer, isStream, err
 	}
 	if err := c.handshakeSend(kindHello, ownHello); err != nil {
-		return h.Peer, err
+		return h.Peer, isStream, err
 	}
 	if err := c.handshakeSend(kindProof, computeProof(key, roleListener, peerHello, ownHello)); err != nil {
-		return h.Peer, err
+		return h.Peer, isStream, err
 	}
 	peerProof, err := c.handshakeReceive(kindProof)
 	if err != nil {
-		return h.Peer, c.sendReject(err)
+		return h.Peer, isStream, c.sendReject(err)
 	}
 	if !hmac.Equal(peerProof, computeProof(key, roleDialler, peerHello, ownHello)) {
-		return h.Peer, c.sendReject(ErrWrongKey)
+		return h.Peer, isStream, c.sendReject(ErrWrongKey)
 	}
-	return h.Peer, c.handshakeSend(kindWelcome, nil)
+	return h.Peer, isStream, c.handshakeSend(kindWelcome, nil)
 }
 
 func (c *conn) handshakeSend(k kind, body []byte) error {
@@ -158,18 +168,23 @@
 // handshakeReceive reads one frame and returns its body. Any kind other than the
 // expected one is an error, so no request or notice is accepted before the proof.
 func (c *conn) handshakeReceive(want kind) ([]byte, error) {
+	_, body, err := c.handshakeReceiveAny(want)
+	return body, err
+}
+
+func (c *conn) handshakeReceiveAny(want ...kind) (kind, []byte, error) {
 	f, n, err := readFrame(c.br, min(maxHandshakeBytes, c.maxFrame))
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	c.traffic.received(MethodHandshake, n)
 	if f.kind == kindReject {
-		return nil, parseReject(f.body)
+		return 0, nil, parseReject(f.body)
 	}
-	if f.kind != want {
-		return nil, fmt.Errorf("kind %d before the handshake was done: %w", f.kind, ErrMalformed)
+	if !slices.Contains(want, f.kind) {
+		return 0, nil, fmt.Errorf("kind %d before the handshake was done: %w", f.kind, ErrMalformed)
 	}
-	return f.body, nil
+	return f.kind, f.body, nil
 }
 
 // sendReject reports err to the other end, if err has a reject code, and returns
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -145,7 +145,7 @@
 			if role == roleDialler {
 				_, err = dialHandshake(checking, PeerInfo{}, []byte("right"))
 			} else {
-				_, err = listenHandshake(checking, PeerInfo{}, []byte("right"))
+				_, _, err = listenHandshake(checking, PeerInfo{}, []byte("right"))
 			}
 			a.Close()
 			result <- err
--- a/link/server.go
+++ b/link/server.go
@@ -49,9 +49,10 @@
 	log     *slog.Logger
 	traffic *Traffic
 
-	mu             sync.RWMutex // guards the two maps of handlers
+	mu             sync.RWMutex // guards the maps of handlers
 	callHandlers   map[string]callHandler
 	noticeHandlers map[string]noticeHandler
+	streamHandlers map[string]streamHandler
 }
 
 type callHandler func(ctx context.Context, from PeerInfo, body []byte) ([]byte, error)
@@ -70,6 +71,7 @@
 		traffic:        deps.Traffic,
 		callHandlers:   make(map[string]callHandler),
 		noticeHandlers: make(map[string]noticeHandler),
+		streamHandlers: make(map[string]streamHandler),
 	}
 	if s.log == nil {
 		s.log = slog.New(slog.DiscardHandler)
@@ -176,7 +178,7 @@
 	// Bounds the whole handshake: a peer that sends a byte now and then would
 	// never exceed the timeout of a single read.
 	handshakeTimer := time.AfterFunc(s.limits.heartbeatTimeout, func() { c.cancel(ErrHeartbeatTimeout) })
-	peer, err := listenHandshake(c, s.cfg.Self, s.cfg.ClusterKey)
+	peer, isStream, err := listenHandshake(c, s.cfg.Self, s.cfg.ClusterKey)
 	if err == nil && !handshakeTimer.Stop() {
 		err = ErrHeartbeatTimeout
 	}
@@ -185,6 +187,10 @@
 		s.log.Warn("link handshake failed", "remote", nc.RemoteAddr().String(), "peer", peer.ID, "err", err)
 		return
 	}
+	if isStream {
+		s.serveStream(c.ctx, c, peer)
+		return
+	}
 	sc := &serverConn{
 		conn:       c,
 		server:     s,
