reach, gateway, backend, policy/path: an entry without a path to servers sends through other entries

Cause: an entry had one way to a server, its own connection, and took what it could not reach for the server's state: breaks counted as crashes (15 in 2 s at one entry, then trials at others), refused dials as servers that are down, and repeats that could not succeed took from everybody's budget.

Now policy/path decides whether the entry's own path is lost, by comparison: servers answer through another entry and not here. A failed dial, two servers that break off, or 400 ms in which nobody is heard only ask for that check. While it is lost, connections are opened through other entries, in the server's zone first; idle ones of before are closed, and exchanges that may be sent again leave a silent path. A server counts as gone only for an entry that reaches others. The own path is probed each 500 ms and used again after two answers. What was not delivered of an unanswered request is dropped with its connection, so that it can't reach a server later. Limits, tokens, trials, fences, repeats and deadlines stay where they were, at the entry that has the caller.

Gateway's stand-ins answer probes, which carry no request id, without counting them as requests.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -2,21 +2,19 @@
 
 import (
 	"bufio"
-	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"savoryreel.example/savoryreel/link"
 )
 
 // conn is a connection to a server. It carries one request at a time.
 type conn struct {
 	net.Conn
-	rawConn      syscall.RawConn
 	reader       *bufio.Reader
 	bytesWritten atomic.Int64 // bytes of the current request written to the socket
 	used         bool         // has carried a request before
@@ -31,70 +29,47 @@
 	return n, err
 }
 
-const (
-	// keepAliveIdle, keepAliveInterval and keepAliveProbes close a connection whose
-	// peer no longer answers, for example because a NAT has dropped it, after three
-	// seconds.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveProbes   = 2
-	// maxUnacknowledged is how long sent bytes may stay unacknowledged before the
-	// kernel closes the connection.
-	maxUnacknowledged = 3 * time.Second
-	// tcpUserTimeout is TCP_USER_TIMEOUT (RFC 5482), which package syscall lacks.
-	tcpUserTimeout = 0x12
-)
+// newConn returns a connection that carries no call yet.
+func newConn(nc net.Conn, bufferBytes int) *conn {
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, bufferBytes), idleTimeout: defaultIdleTimeout}
+}
 
-func newDialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
-		},
-		ControlContext: setUserTimeout,
+// reusable reports whether an idle connection is open and has no unread bytes.
+// Unread bytes belong to no pending request; the next caller would read them as its
+// own answer.
+func (c *conn) reusable() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	if p, ok := c.Conn.(pathConn); ok {
+		return p.Idle()
 	}
+	return link.OpenAndEmpty(c.Conn)
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT. Errors are ignored: keep-alive probes still
-// detect an unreachable peer while no sent bytes are unacknowledged.
-func setUserTimeout(_ context.Context, _, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(maxUnacknowledged.Milliseconds()))
-	})
+// pathConn is a connection that knows the path that it is on. Those of package reach are.
+type pathConn interface {
+	// Idle reports whether a further exchange may begin on the connection: it is open, has no unread
+	// bytes and is on the path that is in use.
+	Idle() bool
+	// Direct reports whether it is on the own path to the server, not through another entry.
+	Direct() bool
+	// SetRepeatable tells whether the exchange that begins may be sent again. The connection is
+	// closed if its path turns out to be lost before the answer begins.
+	SetRepeatable(repeatable bool)
 }
 
-func dial(ctx context.Context, d *net.Dialer, addr string, bufferBytes int) (*conn, error) {
-	nc, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: nc, reader: bufio.NewReaderSize(nc, bufferBytes), idleTimeout: defaultIdleTimeout}
-	if sc, ok := nc.(syscall.Conn); ok {
-		if c.rawConn, err = sc.SyscallConn(); err != nil {
-			return nil, errors.Join(err, nc.Close())
-		}
-	}
-	return c, nil
+// direct reports whether the connection is on the own path to the server, not through another entry.
+func (c *conn) direct() bool {
+	p, ok := c.Conn.(pathConn)
+	return !ok || p.Direct()
 }
 
-// openAndEmpty reports whether an idle connection is open and has no unread bytes.
-// Unread bytes belong to no pending request; the next caller would read them as its
-// own answer.
-func (c *conn) openAndEmpty() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	if c.rawConn == nil {
-		return true
+// setRepeatable tells the connection whether the call that begins may be sent again.
+func (c *conn) setRepeatable(repeatable bool) {
+	if p, ok := c.Conn.(pathConn); ok {
+		p.SetRepeatable(repeatable)
 	}
-	var buf [1]byte
-	noData := false
-	err := c.rawConn.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = errors.Is(err, syscall.EAGAIN)
-		return true // don't block
-	})
-	return err == nil && noData
 }
 
 // defaultIdleTimeout is the idle timeout assumed for a server that sends no
--- a/backend/error.go
+++ b/backend/error.go
@@ -16,8 +16,11 @@
 	Peer string // host:port
 	// Sent reports that at least one byte of the request was written, so the server
 	// may have run it. If false, the server has not run it.
-	Sent  bool
-	Cause error
+	Sent bool
+	// Direct reports that the connection was on the own path to the server, not through another
+	// entry.
+	Direct bool
+	Cause  error
 }
 
 func (e *Error) Error() string {
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -21,6 +21,8 @@
 	// is left. Its result is not modified, and must not be modified during the call.
 	Header func() http.Header
 	Body   []byte
+	// Repeatable says that the call may be sent again although it may have run.
+	Repeatable bool
 
 	// Matches reports whether an answer with this header answers this call; nil
 	// accepts every answer. A faulty server may repeat an answer, and the copy would
@@ -71,6 +73,7 @@
 		p.putUnused(addr, c)
 		return nil, &Error{Step: StepWrite, Peer: addr, Cause: ErrWithdrawn}
 	}
+	c.setRepeatable(call.Repeatable)
 	stopWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
 	req := call.request()
 	writeResult := make(chan error, 1)
@@ -91,7 +94,7 @@
 // must be closed already, so that the receive from writeResult returns.
 func (p *Pool) exchangeError(ctx context.Context, addr string, c *conn, writeResult <-chan error, err error) error {
 	writeErr := <-writeResult
-	e := &Error{Step: StepHead, Peer: addr, Sent: c.bytesWritten.Load() > 0, Cause: err}
+	e := &Error{Step: StepHead, Peer: addr, Sent: c.bytesWritten.Load() > 0, Direct: c.direct(), Cause: err}
 	if writeErr != nil && !e.Sent {
 		e.Step = StepWrite
 	}
@@ -163,7 +166,7 @@
 		a.complete = true
 		return n, io.EOF
 	default:
-		return n, &Error{Step: StepBody, Peer: a.addr, Sent: true, Cause: err}
+		return n, &Error{Step: StepBody, Peer: a.addr, Sent: true, Direct: a.conn.direct(), Cause: err}
 	}
 }
 
--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -79,7 +79,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		idle := p.idle[addr]
-		return len(idle) == 0 || !idle[len(idle)-1].openAndEmpty()
+		return len(idle) == 0 || !idle[len(idle)-1].reusable()
 	}, 5*time.Second, time.Millisecond)
 }
 
@@ -93,8 +93,8 @@
 		writeAnswer(c, id, "first")
 		writeAnswer(c, id2, "second")
 	})
-	p := NewPool(DefaultConfig(), time.Now)
-	defer p.Close()
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
 	body, err := doCall(t, p, addr, "1")
 	require.NoError(t, err)
 	require.Equal(t, "first", body)
@@ -111,8 +111,8 @@
 		id, _ := readRequest(r)
 		writeAnswer(c, id, "")
 	})
-	p := NewPool(DefaultConfig(), time.Now)
-	defer p.Close()
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
 	call := newCall("1")
 	open := false
 	call.MaySend = func() bool {
@@ -141,8 +141,8 @@
 		writeAnswer(c, id, "stray")
 		_, _ = readRequest(r)
 	})
-	p := NewPool(DefaultConfig(), time.Now)
-	defer p.Close()
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
 	for i := range 3 {
 		body, err := doCall(t, p, addr, fmt.Sprint(i))
 		require.NoError(t, err)
@@ -171,8 +171,8 @@
 					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s", id, response)
 				}
 			})
-			p := NewPool(DefaultConfig(), time.Now)
-			defer p.Close()
+			p := newTestPool(time.Now)
+			defer p.CloseAllIdle()
 			for i := range 2 {
 				_, err := doCall(t, p, addr, fmt.Sprint(i))
 				require.Error(t, err)
@@ -186,8 +186,8 @@
 // the connection: a retry could run it twice.
 func TestCloseAfterRequestMayHaveRun(t *testing.T) {
 	addr := startServer(t, func(_ net.Conn, r *bufio.Reader) { _, _ = readRequest(r) })
-	p := NewPool(DefaultConfig(), time.Now)
-	defer p.Close()
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
 	_, err := doCall(t, p, addr, "1")
 	var e *Error
 	require.ErrorAs(t, err, &e)
@@ -202,8 +202,8 @@
 	require.NoError(t, err)
 	addr := l.Addr().String()
 	require.NoError(t, l.Close())
-	p := NewPool(DefaultConfig(), time.Now)
-	defer p.Close()
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
 	_, err = doCall(t, p, addr, "1")
 	var e *Error
 	require.ErrorAs(t, err, &e)
@@ -218,8 +218,8 @@
 			writeAnswer(c, id, "ok")
 		}
 	})
-	p := NewPool(DefaultConfig(), time.Now)
-	defer p.Close()
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
 	for i := range 3 {
 		_, err := doCall(t, p, addr, fmt.Sprint(i))
 		require.NoError(t, err)
@@ -234,8 +234,8 @@
 		id, _ := readRequest(r)
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 100\r\n\r\nhalf", id)
 	})
-	p := NewPool(DefaultConfig(), time.Now)
-	defer p.Close()
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
 	_, err := doCall(t, p, addr, "1")
 	var e *Error
 	require.ErrorAs(t, err, &e)
@@ -252,8 +252,8 @@
 		_, _ = r.ReadByte() // returns when the connection is closed
 		close(closed)
 	})
-	p := NewPool(DefaultConfig(), time.Now)
-	defer p.Close()
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		<-received
@@ -287,8 +287,8 @@
 			writeAnswer(c, id, "late")
 		}
 	})
-	p := NewPool(DefaultConfig(), time.Now)
-	defer p.Close()
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
 	longCall := newCall("1")
 	longCall.Body = []byte(strings.Repeat("x", 8<<20))
 	a, err := p.Do(t.Context(), addr, longCall)
@@ -310,8 +310,8 @@
 	targets := make(chan string, 1)
 	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { targets <- r.RequestURI }))
 	defer s.Close()
-	p := NewPool(DefaultConfig(), time.Now)
-	defer p.Close()
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
 	for _, target := range []string{"/a/%2Fb%20c/../d?x=%41&y", "/a//b", "/", "/a?", "/ä"} {
 		c := newCall("1")
 		c.Target, c.Matches = target, nil
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -10,7 +10,6 @@
 
 // Config holds the limits of a Pool.
 type Config struct {
-	DialTimeout time.Duration
 	// MaxIdle is the maximum number of idle connections per server.
 	MaxIdle int
 	// BufferBytes is the size of the read buffer of one connection.
@@ -20,13 +19,21 @@
 // DefaultConfig returns limits for an instance with a few hundred megabytes of
 // memory and servers in the same region.
 func DefaultConfig() Config {
-	return Config{DialTimeout: 500 * time.Millisecond, MaxIdle: 64, BufferBytes: 4 << 10}
+	return Config{MaxIdle: 64, BufferBytes: 4 << 10}
+}
+
+// Dialer opens connections to servers. reach.Dialer implements it.
+type Dialer interface {
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+	// Alive opens a connection to learn whether the server lives, for which it may take no longer
+	// than timeout on the own path.
+	Alive(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error)
 }
 
 // Pool holds the idle connections to all servers. It is safe for concurrent use.
 type Pool struct {
 	cfg    Config
-	dialer *net.Dialer
+	dialer Dialer
 	now    func() time.Time
 	dials  atomic.Int64
 
@@ -35,8 +42,8 @@
 }
 
 // NewPool returns a pool without connections.
-func NewPool(cfg Config, now func() time.Time) *Pool {
-	return &Pool{cfg: cfg, dialer: newDialer(cfg.DialTimeout), now: now, idle: make(map[string][]*conn)}
+func NewPool(cfg Config, dialer Dialer, now func() time.Time) *Pool {
+	return &Pool{cfg: cfg, dialer: dialer, now: now, idle: make(map[string][]*conn)}
 }
 
 // Dials returns how many connections have been opened.
@@ -44,31 +51,45 @@
 
 // get returns an idle connection that can be reused, or dials a new one.
 func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+	if c := p.getIdle(addr); c != nil {
+		return c, nil
+	}
+	p.dials.Add(1)
+	nc, err := p.dialer.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(nc, p.cfg.BufferBytes), nil
+}
+
+// getIdle returns an idle connection that can be reused; nil if there is none.
+func (p *Pool) getIdle(addr string) *conn {
 	for {
 		c := p.popIdle(addr)
 		if c == nil {
-			break
+			return nil
 		}
-		if p.now().Before(c.reusableUntil()) && c.openAndEmpty() {
-			return c, nil
+		if p.now().Before(c.reusableUntil()) && c.reusable() {
+			return c
 		}
 		_ = c.Close() // expired or closed by the server
 	}
-	p.dials.Add(1)
-	return dial(ctx, p.dialer, addr, p.cfg.BufferBytes)
 }
 
-// Alive reports whether the server at addr holds an idle connection open, or takes a new one
-// within timeout, which is kept for later calls.
-func (p *Pool) Alive(ctx context.Context, addr string, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	c, err := p.get(ctx, addr)
+// Alive returns nil if the server at addr holds an idle connection open, or takes a new one, which is
+// kept for later calls. On the own path that may take no longer than timeout.
+func (p *Pool) Alive(ctx context.Context, addr string, timeout time.Duration) error {
+	if c := p.getIdle(addr); c != nil {
+		p.putUnused(addr, c)
+		return nil
+	}
+	p.dials.Add(1)
+	nc, err := p.dialer.Alive(ctx, addr, timeout)
 	if err != nil {
-		return false
+		return err
 	}
-	p.putUnused(addr, c)
-	return true
+	p.putUnused(addr, newConn(nc, p.cfg.BufferBytes))
+	return nil
 }
 
 func (p *Pool) popIdle(addr string) *conn {
@@ -124,6 +145,18 @@
 	closeAll(list)
 }
 
+// CloseAllIdle closes all idle connections. Call it when the path to the servers has changed, and at
+// the end.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[string][]*conn)
+	p.mu.Unlock()
+	for _, list := range idle {
+		closeAll(list)
+	}
+}
+
 // Sweep closes the idle connections that have expired. Call it periodically.
 func (p *Pool) Sweep() {
 	now := p.now()
@@ -147,17 +180,6 @@
 	closeAll(expired)
 }
 
-// Close closes all idle connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle = make(map[string][]*conn)
-	p.mu.Unlock()
-	for _, list := range idle {
-		closeAll(list)
-	}
-}
-
 func closeAll(list []*conn) {
 	for _, c := range list {
 		_ = c.Close() // an error on an idle connection affects no request
--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -4,14 +4,16 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -70,7 +72,9 @@
 
 // listen returns a listener whose connections the partition affects.
 func (p *partition) listen(l net.Listener) net.Listener {
-	return &partitionListener{Listener: newTimedListener(l), partition: p}
+	pl := &partitionListener{Listener: newTimedListener(l), partition: p, accepted: make(chan net.Conn), ended: make(chan struct{})}
+	go pl.run()
+	return pl
 }
 
 // hanging returns a channel that is closed once the bytes of a process's connection pass.
@@ -89,21 +93,42 @@
 	return c
 }()
 
+// partitionListener looks for the owners of several connections at a time, so that one does not hold
+// up the others.
 type partitionListener struct {
 	net.Listener
 	partition *partition
+	accepted  chan net.Conn
+	ended     chan struct{} // closed when the listener is
 }
 
-func (l *partitionListener) Accept() (net.Conn, error) {
+func (l *partitionListener) run() {
+	defer close(l.ended)
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
-			return nil, err
-		}
-		conn := &partitionConn{timedConn: c.(*timedConn), partition: l.partition, closed: make(chan struct{})}
-		if l.partition.admit(conn) {
-			return conn, nil
+			return
 		}
+		go func() {
+			conn := &partitionConn{timedConn: c.(*timedConn), partition: l.partition, closed: make(chan struct{})}
+			if !l.partition.admit(conn) {
+				return
+			}
+			select {
+			case l.accepted <- conn:
+			case <-l.ended:
+				_ = conn.Close()
+			}
+		}()
+	}
+}
+
+func (l *partitionListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.ended:
+		return nil, net.ErrClosed
 	}
 }
 
@@ -146,16 +171,40 @@
 	closeOnce sync.Once
 }
 
+// Read holds up what the peer has sent while it hangs. Bytes are lost if the peer resets the connection
+// meanwhile.
 func (c *partitionConn) Read(b []byte) (int, error) {
 	n, err := c.timedConn.Read(b)
+	passes := c.partition.hanging(c.pid)
 	select {
-	case <-c.partition.hanging(c.pid):
+	case <-passes:
+		return n, err
+	default:
+	}
+	select {
+	case <-passes:
 	case <-c.closed:
 		return 0, net.ErrClosed
 	}
+	if c.wasReset() {
+		return 0, syscall.ECONNRESET
+	}
 	return n, err
 }
 
+// wasReset reports whether the peer has reset the connection.
+func (c *partitionConn) wasReset() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
+		_, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return errors.Is(peeked, syscall.ECONNRESET)
+}
+
 func (c *partitionConn) Write(b []byte) (int, error) {
 	select {
 	case <-c.partition.hanging(c.pid):
@@ -181,7 +230,7 @@
 }
 
 // ownerLookups is how often a socket is looked for: the kernel's list may miss one while it changes.
-const ownerLookups = 20
+const ownerLookups = 3
 
 // ownerOf returns which of the processes holds the socket between two addresses; 0 if none does.
 func ownerOf(local, remote net.Addr, pids []int) int {
@@ -210,15 +259,18 @@
 
 // socketInode returns the inode of the IPv4 socket between two addresses; empty if there is none.
 func socketInode(local, remote net.Addr) string {
-	const localField, remoteField, inodeField = 1, 2, 9
+	const inodeField = 9
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
 	defer file.Close()
+	wanted := []byte(" " + kernelAddress(local) + " " + kernelAddress(remote) + " ")
 	for lines := bufio.NewScanner(file); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		if len(fields) > inodeField && fields[localField] == kernelAddress(local) && fields[remoteField] == kernelAddress(remote) {
+		if !bytes.Contains(lines.Bytes(), wanted) {
+			continue
+		}
+		if fields := strings.Fields(lines.Text()); len(fields) > inodeField {
 			return fields[inodeField]
 		}
 	}
@@ -241,7 +293,9 @@
 	l := p.listen(raw)
 	defer l.Close()
 	self := os.Getpid()
+	p.mu.Lock()
 	p.watched, p.cutOff = []int{self}, []int{self}
+	p.mu.Unlock()
 	client, err := net.Dial("tcp", raw.Addr().String())
 	require.NoError(t, err)
 	defer client.Close()
@@ -252,13 +306,11 @@
 	p.mu.Lock()
 	p.mode = partitionNoDial
 	p.mu.Unlock()
-	go func() { _, _ = l.Accept() }() // ends with the listener
 	refused, err := net.Dial("tcp", raw.Addr().String())
 	require.NoError(t, err)
 	defer refused.Close()
 	_, err = refused.Read(make([]byte, 1))
-	require.NotErrorIs(t, err, io.EOF)
-	require.Error(t, err)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
 	_, err = server.Write([]byte("lives on"))
 	require.NoError(t, err)
 }
--- a/e2e/recover_test.go
+++ b/e2e/recover_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -50,6 +51,7 @@
 type partitionSite struct {
 	*platformSite
 	partition *partition
+	audit     *budgetAudit
 	stop      chan struct{}
 	callers   sync.WaitGroup
 
@@ -57,6 +59,9 @@
 	tries []firstTry
 }
 
+// partitionTurn lets one partitionSite at a time run: this process plays all their callers and servers.
+var partitionTurn = make(chan struct{}, 1)
+
 // firstTry is one request of a caller that does not repeat it.
 type firstTry struct {
 	entry    int
@@ -74,14 +79,20 @@
 )
 
 func newPartitionSite(t *testing.T) *partitionSite {
-	s := &partitionSite{stop: make(chan struct{})}
+	s := &partitionSite{
+		audit: newBudgetAudit(budgetBound{ratio: standin.RetryRatio, slack: standin.DefaultRetrySlack, window: standin.DefaultRetryWindow}),
+		stop:  make(chan struct{}),
+	}
 	zoneOf := func(i int) string { return fmt.Sprintf("z%d", 1+i*2/partitionEntries) }
-	s.platformSite = startPlatformSite(t, 3, partitionEntries, func(p *platformSite) { p.zoneOfEntry = zoneOf }, budgetTurn)
+	s.platformSite = startPlatformSite(t, 3, partitionEntries, func(p *platformSite) { p.zoneOfEntry = zoneOf }, partitionTurn)
 	s.partition = s.startPartitionedServers(6)
 	s.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
 	for i := range partitionEntries {
 		s.awaitServing(i, "/get/x")
 	}
+	for _, server := range s.servers {
+		server.OnArrival(s.audit.recordArrival)
+	}
 	for i := range partitionEntries {
 		s.callers.Go(func() { s.call(i) })
 	}
@@ -90,7 +101,7 @@
 
 // call sends requests to entry i at a constant rate, over connections that are kept open.
 func (s *partitionSite) call(i int) {
-	c := newBudgetCaller(newBudgetAudit(budgetBound{}), s.entryAddr(i), nil)
+	c := newBudgetCaller(s.audit, s.entryAddr(i), nil)
 	c.timeout = partitionTimeout
 	defer c.client.CloseIdleConnections()
 	var requests sync.WaitGroup
@@ -160,9 +171,18 @@
 	s.callers.Wait()
 	for i, entry := range s.entries {
 		log := entry.log.String()
+		s.t.Logf("entry %d: own path lost %d times", i, strings.Count(log, "own path to backend servers lost"))
 		require.NotContains(s.t, log, "broke off on a server that is gone", "entry %d", i)
 		require.NotContains(s.t, log, "trial of a suspect request", "entry %d", i)
 	}
+	report := s.audit.check()
+	s.t.Log(report)
+	require.Empty(s.t, report.violations())
+	s.requireOnce()
+}
+
+// requireOnce checks that each call that may run once has run at most once.
+func (s *partitionSite) requireOnce() {
 	runs := make(map[string]int)
 	for _, run := range s.runs() {
 		if strings.HasPrefix(run.Path, "/web/") {
@@ -171,3 +191,46 @@
 		}
 	}
 }
+
+// Guards against answers that are cut off when the entry which carries them for another one stops as
+// planned, and against calls that run twice when such an entry is killed: callers at an entry that is cut
+// off from servers must not notice a stop, and lose only what was under way at a kill.
+func TestPlatformStopsOfEntriesThatHelpOthers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		stop func(p *process)
+		lost int // answers that may be lost: those under way at the entry that ends
+	}{
+		{"planned stop", func(p *process) { p.signal(t, syscall.SIGTERM) }, 0},
+		{"kill", func(p *process) { p.kill(t) }, stoppedCalls},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newPartitionSite(t)
+			s.partition.cut(partitionReset, s.entries[:partitionEntries-2]...)
+			s.play(contactTime)
+			outcomes := make(chan string, stoppedCalls)
+			caller := newBudgetCaller(s.audit, s.entryAddr(0), nil)
+			caller.timeout = 4 * time.Second
+			for range stoppedCalls {
+				go func() { outcomes <- caller.outcome("/web/slow/900") }()
+			}
+			s.play(300 * time.Millisecond)
+			c.stop(s.entries[partitionEntries-1])
+			lost := 0
+			for range stoppedCalls {
+				if <-outcomes != http.StatusText(http.StatusOK) {
+					lost++
+				}
+			}
+			t.Logf("%d of %d answers lost", lost, stoppedCalls)
+			require.LessOrEqual(t, lost, c.lost)
+			s.measure(time.Second)
+			close(s.stop)
+			s.callers.Wait()
+			s.requireOnce()
+		})
+	}
+}
+
+// stoppedCalls are under way through two entries when one of them ends.
+const stoppedCalls = 20
--- a/event/event.go
+++ b/event/event.go
@@ -77,6 +77,8 @@
 	LimitOwned            Kind = 3104
 	ShareChanged          Kind = 3105
 	RepeatsUsed           Kind = 3106
+	PathLost              Kind = 3107
+	PathRestored          Kind = 3108
 	RevisionTaken         Kind = 5010
 	RevisionRefused       Kind = 5011
 	CloudCalled           Kind = 5301
@@ -143,6 +145,8 @@
 	{LimitOwned, "owner of a limit's pools"},
 	{ShareChanged, "share of the limits"},
 	{RepeatsUsed, "repeats of a service"},
+	{PathLost, "own path to backend servers lost"},
+	{PathRestored, "own path to backend servers restored"},
 	{CatalogueChanged, "catalogue changed"},
 	{CatalogueRefused, "catalogue change refused"},
 	{CatalogueTaken, "catalogue version in force here"},
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -193,7 +193,10 @@
 	}
 	if rec.State == instance.StateGone {
 		g.pool.CloseIdle(rec.Address)
+		delete(g.serverZones, rec.Address)
+		return
 	}
+	g.serverZones[rec.Address] = rec.Zone
 }
 
 // logServer logs a change of a server. Thousands may change within a second, at hundreds of
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/patience"
+	"savoryreel.example/savoryreel/reach"
 	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/serverlimit"
 	"savoryreel.example/savoryreel/site"
@@ -57,6 +58,7 @@
 	links     *link.Pool
 	traffic   *link.Traffic
 	follower  *follow.Follower
+	reach     *reach.Dialer
 	pool      *backend.Pool
 	shares    *shares
 	peers     *peers
@@ -85,6 +87,7 @@
 
 	mu            sync.Mutex
 	services      map[string]*service
+	serverZones   map[string]string    // by address
 	appliedChange uint64               // last change of the directory that was applied to services
 	entryCount    int                  // live entries, 1 until a replica has reported
 	liveCounts    map[string]liveCount // by control replica
@@ -105,8 +108,7 @@
 		cfg: cfg, deps: deps, log: deps.Log, now: deps.Now, incarnation: uint64(time.Now().UnixMilli()), metrics: metrics.NewSet(),
 		directory: directory.NewStore(directory.Config{ForgetAfter: directory.DefaultForgetAfter}),
 		clock:     wallclock.System(), shares: newShares(deps.Now()), services: make(map[string]*service), entryCount: 1,
-		liveCounts: make(map[string]liveCount), callerWaits: patience.NewEstimator(),
-		pool: backend.NewPool(backend.DefaultConfig(), deps.Now),
+		liveCounts: make(map[string]liveCount), callerWaits: patience.NewEstimator(), serverZones: make(map[string]string),
 	}
 	g.peers = &peers{directory: g.directory}
 	g.limitUsage = newLimitUsage(g.log, g.metrics, g.now)
@@ -126,6 +128,8 @@
 	}
 	g.limits.onShare = g.repeats.setShare
 	g.traffic = link.NewTraffic(g.metrics)
+	g.reach = g.newReach()
+	g.pool = backend.NewPool(backend.DefaultConfig(), g.reach, deps.Now)
 	g.links = link.NewPool(api.PoolConfig(g.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: g.traffic})
 	g.follower = follow.New(follow.Config{SingleSource: true, Zone: cfg.Node.Zone}, follow.Deps{
 		Pool: g.links, Log: g.log, Now: g.now, Request: g.watchRequest, Reply: g.applyReply, Catalogue: g.applyCatalogue, OnUnreachable: g.onReplicaUnreachable, Seeds: deps.Seeds,
@@ -208,12 +212,18 @@
 // that serve callers and returns the callers' server.
 func (g *Gateway) Run(ctx context.Context, public func(g *run.Group) (callers *daemon.HTTPServer, err error)) error {
 	defer g.links.Close()
-	defer g.pool.Close()
+	defer g.pool.CloseAllIdle()
 	var group run.Group
 	ops, err := daemon.Listen(ctx, g.log, "operations", g.cfg.Node.EntryOps())
 	if err != nil {
 		return err
 	}
+	links, err := daemon.Listen(ctx, g.log, "link", g.cfg.Node.EntryLink(g.cfg.Node.IP))
+	if err != nil {
+		return err
+	}
+	accepting := link.NewServer(link.ServerConfig{Self: g.peerInfo(), ClusterKey: []byte(g.cfg.ClusterKey)}, link.ServerDeps{Log: g.log, Traffic: g.traffic})
+	g.reach.Carrier.Register(accepting)
 	if err := g.datagrams.open(ctx, g.cfg.Node.EntryExchange(g.cfg.Node.IP)); err != nil {
 		return err
 	}
@@ -224,6 +234,8 @@
 		return err
 	}
 	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.LocalGrace, g.log)
+	daemon.Actor(&group, func(ctx context.Context) error { return accepting.Serve(ctx, links) })
+	daemon.Actor(&group, g.reach.Run)
 	daemon.Actor(&group, g.follower.Run)
 	daemon.Actor(&group, g.datagrams.run)
 	daemon.Actor(&group, func(ctx context.Context) error { return daemon.Every(ctx, upkeepInterval, g.upkeep) })
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -37,11 +37,12 @@
 
 // Leave stops this entry gracefully. Its record is marked as leaving, so that callers stop
 // using it; callers is drained after acceptFraction of the grace. Leave returns when the last
-// request has been answered or the grace is over.
+// request has been answered, also of those that it carries for other entries, or the grace is over.
 func (g *Gateway) Leave(ctx context.Context, callers *daemon.HTTPServer) {
 	start := g.now()
 	g.leaving.Store(true)
 	callers.CloseAfterAnswers()
+	g.reach.Carrier.Leave()
 	g.recordSequence.Add(1)
 	g.follower.SendNow()
 	event.Log(ctx, g.log, slog.LevelInfo, event.DrainBegun, slog.Int64("inFlight", g.inFlight.Load()))
@@ -50,6 +51,7 @@
 	drainCtx, cancel := context.WithTimeout(ctx, grace-stopMargin-g.now().Sub(start))
 	defer cancel()
 	callers.Drain(drainCtx)
+	g.reach.Carrier.Drain(drainCtx)
 	open, inRequest := callers.Connections()
 	event.Log(ctx, g.log, slog.LevelInfo, event.DrainDone, slog.Int64("unfinished", g.inFlight.Load()), slog.Int("connections", open), slog.Int("inRequest", inRequest))
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/backend"
+	"savoryreel.example/savoryreel/reach"
 	"savoryreel.example/savoryreel/routes"
 )
 
@@ -17,7 +18,7 @@
 	j.lastServer = c.verdict.Server
 	sentAt := g.now()
 	answer, err := g.pool.Do(ctx, c.verdict.Address, &backend.Call{
-		Method: j.Method, Target: j.Target, Host: j.Host, Header: func() http.Header { return j.attemptHeader(c) }, Body: j.Body,
+		Method: j.Method, Target: j.Target, Host: j.Host, Header: func() http.Header { return j.attemptHeader(c) }, Body: j.Body, Repeatable: j.route.Repeatable(),
 		Matches: func(h http.Header) bool { return g.deps.Dialect.Matches(j.Request, h) },
 		MaySend: func() bool {
 			return j.service.maySend(c, g.now()) && g.serverLimits.Spend(limitedServer(c)) && j.maySendSuspect() && j.takeRepeat()
@@ -74,24 +75,38 @@
 		j.recordSend(sentAt)
 		j.runs++
 	}
+	ownPath := e != nil && j.gateway.ownPathLost(e)
 	if ctx.Err() != nil {
 		how := endedByCaller
-		if sent && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if sent && !ownPath && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			how = endedFailed
 		}
 		j.service.end(c, how, j.gateway.now())
 		return result{refusal: j.contextRefusal(ctx)}
 	}
-	how := endedFailed
-	if !sent {
-		how = endedServerGone
+	j.service.end(c, endingOfFailure(sent, ownPath, err), j.gateway.now())
+	r := result{retryable: true, notRun: !sent, reachedServer: sent, brokeOff: sent && !ownPath, server: c.verdict.Server}
+	if ownPath {
+		r.server = "" // it may be reached through another entry
 	}
-	j.service.end(c, how, j.gateway.now())
-	r := result{retryable: true, notRun: !sent, reachedServer: sent, brokeOff: sent, server: c.verdict.Server}
 	r.refusal = j.failureRefusal(err.Error())
 	return r
 }
 
+// endingOfFailure returns what an exchange that failed says about its server.
+func endingOfFailure(sent, ownPath bool, err error) ending {
+	switch {
+	case ownPath:
+		return endedByCaller
+	case sent:
+		return endedFailed
+	case reach.Gone(err):
+		return endedServerGone
+	default:
+		return endedByCaller
+	}
+}
+
 // failureRefusal returns the refusal if no further attempt follows.
 func (j *job) failureRefusal(detail string) *Refusal {
 	switch {
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -89,7 +89,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		g.links.Close()
-		g.pool.Close()
+		g.pool.CloseAllIdle()
 	})
 	r.Gateway = g
 	return r
@@ -117,6 +117,9 @@
 func (r *rig) server(service string, handle http.HandlerFunc) *standIn {
 	s := &standIn{}
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get("X-Id") == "" {
+			return // a health check, which runs nothing
+		}
 		s.mu.Lock()
 		s.requests = append(s.requests, req)
 		s.mu.Unlock()
--- a/gateway/trials.go
+++ b/gateway/trials.go
@@ -15,6 +15,7 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/suspect"
+	"savoryreel.example/savoryreel/reach"
 )
 
 const (
@@ -138,10 +139,10 @@
 }
 
 // recordBreak records that the request broke off on a server, if that is gone: a server that still
-// takes connections has only broken this one.
+// takes connections, from this entry or from another one, has only broken this one.
 func (j *job) recordBreak(ctx context.Context, c *choice) {
 	g := j.gateway
-	if g.pool.Alive(ctx, c.verdict.Address, aliveTimeout) || ctx.Err() != nil {
+	if err := g.pool.Alive(ctx, c.verdict.Address, aliveTimeout); !reach.Gone(err) || ctx.Err() != nil {
 		return
 	}
 	g.breaks.record(j.fingerprint(), suspect.Server{ID: c.verdict.Server, Incarnation: c.verdict.Incarnation})
--- a/site/site.go
+++ b/site/site.go
@@ -116,7 +116,8 @@
 	controlOpsOffset    = 1
 	entryOpsOffset      = 2
 	entryExchangeOffset = 3
-	lastOffset          = entryExchangeOffset
+	entryLinkOffset     = 4
+	lastOffset          = entryLinkOffset
 )
 
 // ControlLink returns the address on which the control replica at ip accepts links.
@@ -132,6 +133,9 @@
 // backend servers and the use of limits with other entries.
 func (n *Node) EntryExchange(ip string) string { return n.internalAddress(ip, entryExchangeOffset) }
 
+// EntryLink returns the address on which the entry at ip accepts links of other entries.
+func (n *Node) EntryLink(ip string) string { return n.internalAddress(ip, entryLinkOffset) }
+
 func (n *Node) internalAddress(ip string, offset int) string {
 	return net.JoinHostPort(ip, strconv.Itoa(n.FirstPort+offset))
 }
