--- a/e2e/recover_test.go
+++ b/e2e/recover_test.go
@@ -144,24 +144,31 @@
 	time.Sleep(partitionTimeout + 100*time.Millisecond) // until the last one has ended
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	requireServed(s.t, s.tries, partitionEntries/2, from, to)
+}
+
+// requireServed checks the first tries sent between two times: no more than the bound may fail at the
+// entries of the first zone, which are the first ones.
+func requireServed(t *testing.T, tries []firstTry, firstZone int, from, to time.Time) {
+	t.Helper()
 	all, failed := 0, 0
 	kinds := make(map[string]int)
-	for _, try := range s.tries {
+	for _, try := range tries {
 		if try.at.Before(from) || !try.at.Before(to) {
 			continue
 		}
 		all++
-		zone := "sound"
-		if try.entry < partitionEntries/2 {
-			zone = "cut off"
+		zone := "second zone"
+		if try.entry < firstZone {
+			zone = "first zone"
 		}
 		kinds[zone+" "+try.path+" "+try.how]++
-		if !try.answered && try.entry < partitionEntries/2 {
+		if !try.answered && try.entry < firstZone {
 			failed++
 		}
 	}
-	s.t.Logf("%d of %d first tries failed at the entries of the first zone: %v", failed, all, kinds)
-	require.LessOrEqual(s.t, float64(failed), maxFirstTriesFailed+maxFirstTriesShare*float64(all))
+	t.Logf("%d of %d first tries failed at the entries of the first zone: %v", failed, all, kinds)
+	require.LessOrEqual(t, float64(failed), maxFirstTriesFailed+maxFirstTriesShare*float64(all))
 }
 
 // finish ends the callers and checks that no entry took a server for crashed, or a request for what
