entry, native: a native entry without a path to servers sends through other entries

As on the platform: callers at entries that are cut off from servers got no answers, and natively it was worse for the others. A probe that fails on this entry's path counted as a crash of the server, so that two entries that were cut off had the harmless calls quarantined at all: sound entries answered 28 of 28 repeatable and 28 of 28 once-only calls with 422. Now both clients of backend servers open their connections by reach, tunnels arrive on the link listener, and a server that does not answer counts as crashed only if nobody gets an answer from it and others are reached. A connection of before the path changed is given up before a byte is written.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -182,7 +182,7 @@
 
 // attemptFailed records an attempt that its server has not answered.
 func (r *runner) attemptFailed(ctx context.Context, w *work, g *grant, err error) {
-	g.failed()
+	r.guard.entry.closeFailed(g)
 	r.metrics.attemptsFailed.Inc()
 	event.Log(ctx, r.log, slog.LevelWarn, event.AttemptFailed,
 		slog.String("request", string(w.request.ID)), slog.String("server", g.verdict.Server),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/pick"
 	"savoryreel.example/savoryreel/policy/retry"
+	"savoryreel.example/savoryreel/reach"
 	"savoryreel.example/savoryreel/serverlimit"
 )
 
@@ -69,6 +70,9 @@
 	registry       *registry
 	onceCalls      *onceCalls
 	runner         *runner
+	reach          *reach.Dialer
+	engines        *native.EngineClient
+	plains         *native.PlainClient
 	plainClient    plainClient
 	admitter       *admission
 	retries        *retries
@@ -122,13 +126,15 @@
 	if e.guard, err = newGuard(e); err != nil {
 		return nil, err
 	}
-	engines := native.NewEngine(native.EngineConfig{})
-	e.plainClient = native.NewPlain(native.PlainConfig{})
+	e.reach = e.newReach()
+	e.engines = native.NewEngine(native.EngineConfig{Dial: e.reach.Dial})
+	e.plains = native.NewPlain(native.PlainConfig{Dial: e.reach.Dial})
+	e.plainClient = e.plains
 	e.runner = &runner{
-		engines: engines, log: deps.Log, now: deps.Now, metrics: e.metrics, guard: e.guard, lanes: e.lanes,
+		engines: e.engines, log: deps.Log, now: deps.Now, metrics: e.metrics, guard: e.guard, lanes: e.lanes,
 	}
 	e.prefixes = &prefixes{
-		entry: e, lanes: e.lanes, engines: engines, log: deps.Log, fetchGroup: &e.listingFetches, ctx: e.ctx, fetches: map[string]bool{},
+		entry: e, lanes: e.lanes, engines: e.engines, log: deps.Log, fetchGroup: &e.listingFetches, ctx: e.ctx, fetches: map[string]bool{},
 	}
 	e.follower = &follower{
 		control: e.control, pool: e.pool, peers: e.peerLinks, log: deps.Log, now: deps.Now,
@@ -183,6 +189,7 @@
 	g.Add(func() error { return e.callers.Serve(callers, daemon.DefaultHTTPLimits()) }, func(error) { e.closeCallers() })
 	daemon.Serve(g, ops, e.operationsHandler(), daemon.LocalGrace, e.deps.Log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
+	daemon.Actor(g, e.reach.Run)
 	daemon.Actor(g, e.members.Run)
 	daemon.Actor(g, e.follower.run)
 	daemon.Actor(g, e.guard.publisher.run)
@@ -222,6 +229,7 @@
 	e.prefixes.register(srv)
 	link.Handle(srv, methodOwner, e.handleOwner)
 	link.Handle(srv, methodTakeOver, e.handleTakeOver)
+	e.reach.Carrier.Register(srv)
 }
 
 // Handler returns the handler of requests from callers and backend servers.
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -13,6 +13,7 @@
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/quarantine"
+	"savoryreel.example/savoryreel/reach"
 	"savoryreel.example/savoryreel/request"
 )
 
@@ -234,7 +235,8 @@
 }
 
 // serverAlive reports whether the failure of an attempt is no sign of a crash: the server
-// refused the request, answered with an error, was leaving, or answers a probe.
+// refused the request, answered with an error, was leaving, or answers a probe, this entry's
+// or another one's. It also does if only this entry's path to the servers may have failed.
 func (q *guard) serverAlive(ctx context.Context, g *grant, err error) bool {
 	var call *native.CallError
 	switch {
@@ -243,7 +245,14 @@
 	case errors.As(err, &call) && call.Status >= 300:
 		return true // the server answered with an error
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	ctx = context.WithoutCancel(ctx)
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return q.entry.runner.engines.Probe(ctx, g.verdict.Address) == nil
+	probeErr := q.entry.runner.engines.Probe(probeCtx, g.verdict.Address)
+	if probeErr == nil || reach.Gone(probeErr) {
+		return probeErr == nil
+	}
+	confirmCtx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
+	defer cancel()
+	return !q.entry.reach.ServerGone(confirmCtx, probedServer(g.verdict.Address, q.entry.zoneOfServer(g.verdict.Address)))
 }
--- a/entry/life.go
+++ b/entry/life.go
@@ -142,6 +142,7 @@
 	startedAt := e.deps.Now()
 	e.lifecycle.startLeaving()
 	e.callers.CloseAfterAnswers()
+	e.reach.Carrier.Leave()
 	e.publishLeaving()
 	event.Log(ctx, e.deps.Log, slog.LevelInfo, event.DrainBegun,
 		slog.String("cause", "leave"), slog.Duration("limit", limit), slog.Int("unfinished", e.unfinished()))
@@ -155,6 +156,7 @@
 	drainCtx, cancel := context.WithTimeout(ctx, startedAt.Add(limit).Sub(e.deps.Now()))
 	defer cancel()
 	e.callers.Drain(drainCtx)
+	e.reach.Carrier.Drain(drainCtx)
 	event.Log(ctx, e.deps.Log, slog.LevelInfo, event.DrainDone, slog.Int("unfinished", e.unfinished()))
 }
 
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -217,7 +217,7 @@
 		c.cancelAttempt(g)
 		return nil, sent, err
 	}
-	g.failed()
+	c.entry.closeFailed(g)
 	c.entry.guard.attemptFailed(c.ctx, g, err)
 	c.entry.metrics.attemptsFailed.Inc()
 	event.Log(c.ctx, c.entry.deps.Log, slog.LevelWarn, event.AttemptFailed,
@@ -281,7 +281,7 @@
 		g.finished(plainCallTokens)
 		c.entry.guard.finish(g.lane.key, g.quarantineRun)
 	case errors.As(err, &callErr) && c.ctx.Err() == nil:
-		g.failed()
+		c.entry.closeFailed(g)
 		c.entry.guard.attemptFailed(c.ctx, g, err)
 	default:
 		c.cancelAttempt(g) // the caller has disconnected or the deadline has passed
--- a/native/client.go
+++ b/native/client.go
@@ -16,6 +16,7 @@
 // EngineConfig configures an EngineClient. A zero field means the default named beside
 // it.
 type EngineConfig struct {
+	Dial        DialFunc      // TCP within DialTimeout
 	DialTimeout time.Duration // DefaultDialTimeout
 	IdleTimeout time.Duration // DefaultIdleTimeout; an idle connection is closed after it
 	IdlePerPeer int           // DefaultIdlePerPeer; maximum idle connections per engine
@@ -45,12 +46,12 @@
 	cfg = cfg.withDefaults()
 	return &EngineClient{
 		cfg:    cfg,
-		pooled: newTransport(transportConfig{cfg.DialTimeout, cfg.IdleTimeout, cfg.IdlePerPeer, true}),
-		fresh:  newTransport(transportConfig{cfg.DialTimeout, cfg.IdleTimeout, 0, false}),
+		pooled: newTransport(transportConfig{cfg.Dial, cfg.DialTimeout, cfg.IdleTimeout, cfg.IdlePerPeer, true}),
+		fresh:  newTransport(transportConfig{cfg.Dial, cfg.DialTimeout, cfg.IdleTimeout, 0, false}),
 	}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections. The client can be used on.
 func (c *EngineClient) Close() {
 	c.pooled.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
@@ -62,7 +63,7 @@
 // answer. The caller must close the stream.
 func (c *EngineClient) Chat(ctx context.Context, address, requestID string, req ChatRequest) (*ChatStream, error) {
 	req.Stream = true
-	httpReq, err := newJSONRequest(ctx, http.MethodPost, address, PathChat, req)
+	httpReq, err := newJSONRequest(withRepeatable(ctx), http.MethodPost, address, PathChat, req)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/native/cloud.go
+++ b/native/cloud.go
@@ -122,7 +122,7 @@
 	cfg.MaxReply = cmp.Or(cfg.MaxReply, DefaultMaxReply)
 	return &CloudClient{
 		cfg:       cfg,
-		transport: newTransport(transportConfig{cfg.DialTimeout, DefaultIdleTimeout, DefaultIdlePerPeer, true}),
+		transport: newTransport(transportConfig{nil, cfg.DialTimeout, DefaultIdleTimeout, DefaultIdlePerPeer, true}),
 	}
 }
 
--- a/native/maysend.go
+++ b/native/maysend.go
@@ -16,3 +16,11 @@
 func WithMaySend(ctx context.Context, maySend func() bool) context.Context {
 	return context.WithValue(ctx, maySendKey{}, maySend)
 }
+
+type repeatableKey struct{}
+
+// withRepeatable returns a context for a call that its caller sends again if it may have run and was
+// not answered.
+func withRepeatable(ctx context.Context) context.Context {
+	return context.WithValue(ctx, repeatableKey{}, true)
+}
--- a/native/plain.go
+++ b/native/plain.go
@@ -12,6 +12,7 @@
 
 // PlainConfig configures a PlainClient. A zero field means the default named beside it.
 type PlainConfig struct {
+	Dial        DialFunc      // TCP within DialTimeout
 	DialTimeout time.Duration // DefaultDialTimeout
 	IdleTimeout time.Duration // DefaultIdleTimeout; an idle connection is closed after it
 	IdlePerPeer int           // DefaultIdlePerPeer; maximum idle connections per server
@@ -34,25 +35,25 @@
 func NewPlain(cfg PlainConfig) *PlainClient {
 	cfg = cfg.withDefaults()
 	return &PlainClient{
-		pooled: newTransport(transportConfig{cfg.DialTimeout, cfg.IdleTimeout, cfg.IdlePerPeer, true}),
-		fresh:  newTransport(transportConfig{cfg.DialTimeout, cfg.IdleTimeout, 0, false}),
+		pooled: newTransport(transportConfig{cfg.Dial, cfg.DialTimeout, cfg.IdleTimeout, cfg.IdlePerPeer, true}),
+		fresh:  newTransport(transportConfig{cfg.Dial, cfg.DialTimeout, cfg.IdleTimeout, 0, false}),
 	}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections. The client can be used on.
 func (c *PlainClient) Close() {
 	c.pooled.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
 }
 
-// Do sends req to the service at address (host:port) and returns the answer with any
-// status; the caller must close its body. Both bodies are streamed. req is sent at most
+// Do sends req, which may be repeated, to the service at address (host:port) and returns
+// the answer with any status; the caller must close its body. Both bodies are streamed. req is sent at most
 // once: there are no retries, and redirects are not followed. req is not modified, but
 // its body is consumed.
 //
 // sent reports whether the request may have run; it is true if err is nil.
 func (c *PlainClient) Do(ctx context.Context, address string, req *http.Request) (resp *http.Response, sent bool, err error) {
-	return forward(ctx, c.pooled, address, req)
+	return forward(withRepeatable(ctx), c.pooled, address, req)
 }
 
 // DoOnce is Do over a new connection, for requests that must not run twice. A server
--- a/native/store.go
+++ b/native/store.go
@@ -29,7 +29,7 @@
 func NewStore(cfg StoreConfig) *StoreClient {
 	cfg.DialTimeout = cmp.Or(cfg.DialTimeout, DefaultDialTimeout)
 	return &StoreClient{
-		transport: newTransport(transportConfig{cfg.DialTimeout, DefaultIdleTimeout, DefaultIdlePerPeer, true}),
+		transport: newTransport(transportConfig{nil, cfg.DialTimeout, DefaultIdleTimeout, DefaultIdlePerPeer, true}),
 	}
 }
 
--- a/native/transport.go
+++ b/native/transport.go
@@ -82,9 +82,19 @@
 	return false
 }
 
+// pathConn is a connection that knows the path that it is on. Those of package reach are.
+type pathConn interface {
+	// Usable reports whether the connection is on the path to the servers that is in use.
+	Usable() bool
+	// SetRepeatable tells whether the exchange that begins may be sent again. The connection is
+	// closed if its path turns out to be lost before the answer is complete.
+	SetRepeatable(repeatable bool)
+}
+
 // sendTracker records whether any byte of one request was written.
 type sendTracker struct {
-	maySend func() bool // nil: always
+	maySend    func() bool // nil: always
+	repeatable bool        // the request may be sent again although it may have run
 
 	mu            sync.Mutex
 	withdrawn     bool
@@ -104,6 +114,10 @@
 	}
 	writtenBefore := conn.bytesWritten()
 	withdrawn := t.maySend != nil && !t.maySend()
+	if p, ok := conn.Conn.(pathConn); ok {
+		withdrawn = withdrawn || !p.Usable()
+		p.SetRepeatable(t.repeatable)
+	}
 	if withdrawn {
 		conn.sealIfUnwritten(writtenBefore)
 	}
@@ -133,8 +147,12 @@
 	return t.withdrawn
 }
 
+// DialFunc opens a connection to a server at host:port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // transportConfig holds the settings of newTransport.
 type transportConfig struct {
+	dial        DialFunc // nil: TCP, within dialTimeout
 	dialTimeout time.Duration
 	idleTimeout time.Duration
 	idlePerPeer int
@@ -144,10 +162,15 @@
 // newTransport returns an HTTP/1.1 transport that uses countingConn, no proxy and no
 // compression.
 func newTransport(cfg transportConfig) *http.Transport {
-	dialer := &net.Dialer{Timeout: cfg.dialTimeout, KeepAlive: cfg.idleTimeout}
+	if cfg.dial == nil {
+		dialer := &net.Dialer{Timeout: cfg.dialTimeout, KeepAlive: cfg.idleTimeout}
+		cfg.dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := cfg.dial(ctx, address)
 			if err != nil {
 				return nil, err
 			}
@@ -183,6 +206,7 @@
 	forbidReplay(req)
 	var tracker sendTracker
 	tracker.maySend, _ = req.Context().Value(maySendKey{}).(func() bool)
+	tracker.repeatable, _ = req.Context().Value(repeatableKey{}).(bool)
 	peer := req.URL.Host
 	resp, err := rt.RoundTrip(req.WithContext(tracker.attach(req.Context())))
 	if err == nil {
--- a/reach/check.go
+++ b/reach/check.go
@@ -92,6 +92,16 @@
 	return d.deps.Now().Sub(d.unknown) < unknownTTL
 }
 
+// ServerGone reports whether a server that does not answer is gone: nobody gets an answer from it, and
+// others are reached. Without that nothing is known.
+func (d *Dialer) ServerGone(ctx context.Context, server Server) bool {
+	err := d.probeThroughPeers(ctx, server)
+	if err == nil || Gone(err) {
+		return err != nil
+	}
+	return d.runCheck(ctx, server.Address, answers) == path.Sound
+}
+
 // connectsToOthers reports whether a server other than the one at addr takes a connection on the own
 // path.
 func (d *Dialer) connectsToOthers(ctx context.Context, addr string) bool {
--- a/reach/conn.go
+++ b/reach/conn.go
@@ -104,7 +104,10 @@
 
 // Idle reports whether a further exchange may begin on the connection: it is open, has no unread bytes,
 // which would belong to no exchange, and is on the path that is in use.
-func (c *directConn) Idle() bool { return !c.dialer.Lost() && link.OpenAndEmpty(c.Conn) }
+func (c *directConn) Idle() bool { return c.Usable() && link.OpenAndEmpty(c.Conn) }
+
+// Usable reports whether the connection is on the path that is in use.
+func (c *directConn) Usable() bool { return !c.dialer.Lost() }
 
 // Direct reports whether the connection is on the entry's own path.
 func (c *directConn) Direct() bool { return true }
@@ -246,7 +249,10 @@
 
 // Idle reports whether a further exchange may begin on the connection. Once the own path is back, that
 // is used.
-func (c *peerConn) Idle() bool { return c.dialer.Lost() && c.Conn.Idle() }
+func (c *peerConn) Idle() bool { return c.Usable() && c.Conn.Idle() }
+
+// Usable reports whether the connection is on the path that is in use.
+func (c *peerConn) Usable() bool { return c.dialer.Lost() }
 
 // Direct reports whether the connection is on the entry's own path.
 func (c *peerConn) Direct() bool { return false }
