gateway: prompts that no server was sent order no servers

Each choice of a server counted its request's prompt as work for the service, also if no connection could be opened, so that an entry that is cut off reported each prompt up to 23 times. Work is counted when a request is sent. TestPromptsThatAreNotSentAreNoWork: 300 tokens before for a prompt of 100 that nobody was sent, now none.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -20,9 +20,7 @@
 	answer, err := g.pool.Do(ctx, c.verdict.Address, &backend.Call{
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: func() http.Header { return j.attemptHeader(c) }, Body: j.Body, Repeatable: j.route.Repeatable(),
 		Matches: func(h http.Header) bool { return g.deps.Dialect.Matches(j.Request, h) },
-		MaySend: func() bool {
-			return j.service.maySend(c, g.now()) && g.serverLimits.Spend(limitedServer(c)) && j.maySendSuspect() && j.takeRepeat()
-		},
+		MaySend: func() bool { return j.maySend(c) },
 	})
 	if errors.Is(err, backend.ErrWithdrawn) {
 		return j.withdrawn(c)
@@ -36,6 +34,17 @@
 	return j.handleAnswer(ctx, c, answer)
 }
 
+// maySend reports whether the request may be sent to the chosen server now, and takes what that needs.
+// It is called once a connection is open.
+func (j *job) maySend(c *choice) bool {
+	g := j.gateway
+	if !j.service.maySend(c, g.now()) || !g.serverLimits.Spend(limitedServer(c)) || !j.maySendSuspect() || !j.takeRepeat() {
+		return false
+	}
+	j.service.recordSent(c)
+	return true
+}
+
 // attemptHeader returns the header of an attempt that is sent now.
 func (j *job) attemptHeader(c *choice) http.Header {
 	return j.gateway.deps.Dialect.RequestHeader(j.Request, Attempt{
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -151,7 +151,6 @@
 	}
 	s.running[v.Server]++
 	s.busy[v.Server] = struct{}{}
-	s.prefillTokens += uint64(max(v.UncachedTokens(), 0))
 	c := choice{verdict: v, attempt: s.router.Started(&v, now), prefixes: prefixes, loadAge: s.loadAge(v.Server, now)}
 	c.prefillTime = time.Duration(float64(v.UncachedTokens()) / s.router.PrefillRate() * float64(time.Second))
 	own := s.ownLoad(v.Server)
@@ -160,6 +159,13 @@
 	return c, true
 }
 
+// recordSent records that the request is sent to the chosen server.
+func (s *service) recordSent(c *choice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prefillTokens += uint64(max(c.verdict.UncachedTokens(), 0))
+}
+
 // ownLoad returns this entry's load on a server. s.mu is held.
 func (s *service) ownLoad(id string) serverLoad {
 	return serverLoad{Server: id, Running: s.running[id], Prefill: s.router.PendingPrefillTokens(id)}
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/policy/route"
+	"savoryreel.example/savoryreel/routes"
 )
 
 // announceAll applies a report of loads to every server, whether or not it has load.
@@ -84,3 +86,25 @@
 		}
 	}
 }
+
+// Guards against servers that are ordered for prompts which no server was sent: an entry that reaches
+// no server chooses one after the other for each request.
+func TestPromptsThatAreNotSentAreNoWork(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.Idempotent})
+	for range 3 {
+		_ = r.server("web", respond("ok")).Listener.Close()
+	}
+	prompt := func(id string) *Refusal {
+		return r.Serve(t.Context(), &Request{
+			ID: id, Method: "POST", Target: "/x", Path: "/x", Host: "a.example", Header: http.Header{}, PromptTokens: 100, HasSize: true,
+		}, &recorder{})
+	}
+	require.NotNil(t, prompt("1"))
+	require.Empty(t, r.prefillWork())
+	r.server("web", respond("ok"))
+	require.Nil(t, prompt("2"))
+	work := r.prefillWork()
+	require.Len(t, work, 1)
+	require.EqualValues(t, 100, work[0].Tokens)
+}
