e2e: failing test of brittle servers

Six servers that run two requests of 100 ms at once and say Server-Brittle: 3, behind six entries. Three seconds after they began to say so, two requests may wait at each, or none; a server that turns more than three away in a second is gone for two.

--- /dev/null
+++ b/e2e/brittle_test.go
@@ -0,0 +1,216 @@
+//go:build linux
+
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/platform/standin"
+)
+
+// What the rules allow the servers of a service in one time in which they are brittle: so many falls and
+// a share of their number.
+const (
+	allowedFalls      = 2
+	allowedFallsShare = 0.1
+)
+
+// The site of the tests of brittle servers. All of them together run brittleCapacity requests a second.
+const (
+	brittleEntries   = 6
+	brittleServers   = 6
+	brittleSlots     = 2
+	brittleWork      = 100 * time.Millisecond
+	brittleCapacity  = brittleServers * brittleSlots * float64(time.Second/brittleWork)
+	brittleOutage    = 2 * time.Second
+	brittleTurnaways = 3 // in a second, that a server bears
+	brittleTime      = 12 * time.Second
+)
+
+// Guards against servers that fall over because each entry sends what it takes to be room for, and
+// against callers that are refused though the servers have room.
+func TestPlatformBrittleServersAreNotOverrun(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		perSecond int     // requests at each entry
+		room      int     // requests that may wait at a server while it is brittle
+		minServed float64 // of what is offered, or of the capacity if that is less
+	}{
+		{"load below the capacity", 15, 2, 0.97},
+		{"load above the capacity", 27, 2, 0.85},
+		{"no room to wait", 27, 0, 0.7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newBrittleSite(t)
+			s.setRate(c.perSecond)
+			time.Sleep(2 * time.Second)
+			s.setRoom(standin.Room{Slots: brittleSlots, Waiting: 8, Brittle: brittleTurnaways})
+			time.Sleep(contactTime)
+			s.setRoom(standin.Room{Slots: brittleSlots, Waiting: c.room, Brittle: brittleTurnaways})
+			from := time.Now()
+			time.Sleep(brittleTime)
+			to := time.Now()
+			s.stop()
+			offered, served, outcomes := s.between(from, to)
+			due := min(float64(offered), brittleCapacity*to.Sub(from).Seconds())
+			t.Logf("%d of %d served, %.0f due, %d falls: %v", served, offered, due, s.fallCount(), outcomes)
+			require.LessOrEqual(t, float64(s.fallCount()), allowedFalls+allowedFallsShare*brittleServers)
+			require.GreaterOrEqual(t, float64(served), c.minServed*due)
+		})
+	}
+}
+
+// brittleSite is a site whose servers have little room.
+type brittleSite struct {
+	*platformSite
+	callers []*budgetCaller
+	stop    func()
+
+	mu     sync.Mutex
+	fleet  []*standin.Server // by number; nil while it is down
+	room   standin.Room
+	falls  int
+	tries  []firstTry
+	closed bool
+}
+
+func newBrittleSite(t *testing.T) *brittleSite {
+	s := &brittleSite{fleet: make([]*standin.Server, brittleServers), room: standin.Room{Slots: brittleSlots, Waiting: 8}}
+	s.platformSite = startPlatformSite(t, 3, brittleEntries, func(*platformSite) {}, partitionTurn)
+	for i := range s.fleet {
+		s.startServer(i)
+	}
+	t.Cleanup(s.closeServers)
+	s.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
+	for i := range brittleEntries {
+		s.awaitServing(i, "/get/x")
+	}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range brittleEntries {
+		c := newBudgetCaller(newBudgetAudit(budgetBound{}), s.entryAddr(i), nil)
+		c.timeout = time.Second
+		s.callers = append(s.callers, c)
+		callers.Go(func() { s.call(c, i, stop) })
+	}
+	s.stop = sync.OnceFunc(func() {
+		close(stop)
+		callers.Wait()
+	})
+	t.Cleanup(s.stop)
+	return s
+}
+
+func (s *brittleSite) setRate(perSecond int) {
+	for _, c := range s.callers {
+		c.perSecond.Store(int64(perSecond))
+	}
+}
+
+// call sends requests to entry i at the caller's rate.
+func (s *brittleSite) call(c *budgetCaller, i int, stop <-chan struct{}) {
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	due, last := 0.0, time.Now()
+	path := fmt.Sprintf("/web/slow/%d", brittleWork.Milliseconds())
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		now := time.Now()
+		due += now.Sub(last).Seconds() * float64(c.perSecond.Load())
+		last = now
+		for ; due >= 1; due-- {
+			requests.Go(func() {
+				try := firstTry{entry: i, path: path, at: time.Now()}
+				try.how = c.outcome(path)
+				try.answered = try.how == http.StatusText(http.StatusOK)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.tries = append(s.tries, try)
+			})
+		}
+	}
+}
+
+// between returns the requests that were sent between two times, and how they ended.
+func (s *brittleSite) between(from, to time.Time) (offered, served int, outcomes map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	outcomes = make(map[string]int)
+	for _, try := range s.tries {
+		if try.at.Before(from) || !try.at.Before(to) {
+			continue
+		}
+		offered++
+		outcomes[try.how]++
+		if try.answered {
+			served++
+		}
+	}
+	return offered, served, outcomes
+}
+
+func (s *brittleSite) fallCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.falls
+}
+
+// setRoom changes the room of all servers.
+func (s *brittleSite) setRoom(r standin.Room) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.room = r
+	for i, server := range s.fleet {
+		if server != nil {
+			server.SetRoom(r, func() { s.fall(i, server) })
+		}
+	}
+}
+
+func (s *brittleSite) startServer(i int) {
+	server, err := standin.StartServer(standin.ServerConfig{
+		ID: fmt.Sprintf("s%d", i), Service: "web", Zone: "z1", ControlAddrs: s.controlAddrs(), Slots: brittleSlots, OnPanic: s.failOnPanic,
+	})
+	require.NoError(s.t, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet[i] = server
+	server.SetRoom(s.room, func() { s.fall(i, server) })
+}
+
+// fall ends a server, which is back after brittleOutage.
+func (s *brittleSite) fall(i int, server *standin.Server) {
+	s.mu.Lock()
+	s.falls++
+	s.fleet[i] = nil
+	s.mu.Unlock()
+	server.Close()
+	time.Sleep(brittleOutage)
+	s.mu.Lock()
+	closed := s.closed
+	s.mu.Unlock()
+	if !closed {
+		s.startServer(i)
+	}
+}
+
+func (s *brittleSite) closeServers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, server := range s.fleet {
+		if server != nil {
+			go server.Close()
+		}
+	}
+}
