gateway, policy/booking: requests to brittle servers need a place that is granted for all entries

Cause: each entry decided by reports on the others' load, and sent what it took to be room for; the server turned it away, fell, and its load fell on the next.

While a service's servers say so, the entry that keeps a server's load (its owner in the booking) says yes or no to each request: all requests that entries count there, also those that ask, must fit its slots, and one more that waits so that it does not run idle. A request turned away takes a place back for a while, and shortly before the bound nothing more is granted for a second. An owner that is new grants nothing until the others have reported. Without a place a request asks other servers, then waits for a part of its objective, or is rejected at once if by the last places that would be too long.

--- a/e2e/brittle_test.go
+++ b/e2e/brittle_test.go
@@ -41,10 +41,12 @@
 		perSecond int     // requests at each entry
 		room      int     // requests that may wait at a server while it is brittle
 		minServed float64 // of what is offered, or of the capacity if that is less
+		restarts  bool    // of entries, one every two seconds
 	}{
-		{"load below the capacity", 15, 2, 0.97},
-		{"load above the capacity", 27, 2, 0.85},
-		{"no room to wait", 27, 0, 0.7},
+		{"load below the capacity", 15, 2, 0.97, false},
+		{"load above the capacity", 27, 2, 0.85, false},
+		{"no room to wait", 27, 0, 0.7, false},
+		{"entries restart", 27, 2, 0.5, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newBrittleSite(t)
@@ -52,9 +54,10 @@
 			time.Sleep(2 * time.Second)
 			s.setRoom(standin.Room{Slots: brittleSlots, Waiting: 8, Brittle: brittleTurnaways})
 			time.Sleep(contactTime)
-			s.setRoom(standin.Room{Slots: brittleSlots, Waiting: c.room, Brittle: brittleTurnaways})
+			s.setRoom(standin.Room{Slots: brittleSlots, Waiting: c.room, Brittle: brittleTurnaways, Falls: true})
 			from := time.Now()
-			time.Sleep(brittleTime)
+			t.Logf("may fall from %s", from.Format("05.000"))
+			s.playBrittle(c.restarts)
 			to := time.Now()
 			s.stop()
 			offered, served, outcomes := s.between(from, to)
@@ -66,6 +69,18 @@
 	}
 }
 
+// playBrittle lets the callers go on for brittleTime.
+func (s *brittleSite) playBrittle(restarts bool) {
+	const gap = 2 * time.Second
+	for i := range int(brittleTime / gap) {
+		if restarts {
+			s.entries[i].kill(s.t)
+			s.entries[i] = s.startPlatformEntry(i)
+		}
+		time.Sleep(gap)
+	}
+}
+
 // brittleSite is a site whose servers have little room.
 type brittleSite struct {
 	*platformSite
@@ -192,6 +207,7 @@
 func (s *brittleSite) fall(i int, server *standin.Server) {
 	s.mu.Lock()
 	s.falls++
+	s.t.Logf("%s falls over at %s", server.ID, time.Now().Format("05.000"))
 	s.fleet[i] = nil
 	s.mu.Unlock()
 	server.Close()
--- a/event/event.go
+++ b/event/event.go
@@ -56,6 +56,7 @@
 	ServerPaused          Kind = 3009
 	ServerLeavingByAnswer Kind = 3010
 	ServerLimited         Kind = 3011
+	ServersBrittle        Kind = 3012
 	ServerSlow            Kind = 3005
 	CacheGap              Kind = 3006
 	MemberChanged         Kind = 3101
@@ -137,6 +138,7 @@
 	{ServerPaused, "backend server asks for a pause"},
 	{ServerLeavingByAnswer, "backend server says in an answer that it leaves"},
 	{ServerLimited, "backend server names a limit"},
+	{ServersBrittle, "backend servers of a service are brittle"},
 	{ServerSlow, "backend server slow"},
 	{CacheGap, "cache events have a gap"},
 	{MemberChanged, "instance changed"},
--- a/gateway/datagram.go
+++ b/gateway/datagram.go
@@ -52,6 +52,8 @@
 	Shares   *sharesMessage
 	Held     bool          // in kindReturnResponse: the sender had shares to return
 	Up       time.Duration // in kindReturnResponse: time since the sender's start
+	Place    *placeRequest
+	Fits     bool // in kindPlaceResponse: the server has room
 }
 
 // messageKind is the type of a message.
@@ -80,6 +82,10 @@
 	kindReturnRequest
 	// kindReturnResponse is the response to kindReturnRequest.
 	kindReturnResponse
+	// kindPlaceRequest asks the owner of a brittle server for a place there.
+	kindPlaceRequest
+	// kindPlaceResponse is the response to kindPlaceRequest.
+	kindPlaceResponse
 )
 
 // serverLoad is the load on a backend server. It is encoded by the order of its fields.
@@ -200,6 +206,8 @@
 		return m.Answer != nil && m.Answer.Wait >= 0
 	case kindReturnResponse:
 		return m.Up >= 0
+	case kindPlaceRequest:
+		return m.Place != nil && m.Place.Brittle >= 0 && len(m.Loads) == 1
 	default:
 		return true
 	}
--- a/gateway/entrylist.go
+++ b/gateway/entrylist.go
@@ -83,6 +83,10 @@
 	}
 	x.checkedAt = now
 	if entries := x.liveEntries(); !x.list.lists(entries) {
+		if now.Sub(x.listChangedAt) >= booking.SettleTime {
+			x.settledOwners = x.list.owners
+		}
+		x.listChangedAt = now
 		x.list = newEntryList(entries, x.self.Name, x.datagramAddress)
 	}
 	return x.list
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -31,17 +31,23 @@
 	knownEntry      func(name string) (directory.Entry, bool)
 	datagramAddress func(host string) string    // of the entry on a host
 	prefillRate     func(server string) float64 // prompt tokens per second of a server
+	slots           func(server string) int     // requests that a server runs at once; 0 if it is not known
+	entryCount      func() int                  // live entries as last reported, at least 1
 	transport       transport
 	limits          *limits
 	limitResponses  sentResponses
 	listChanged     chan struct{} // receives a value after the live entries may have changed
 
-	mu        sync.Mutex
-	sequence  uint64
-	loads     *booking.LoadTable
-	list      *entryList
-	checkedAt time.Time               // when list was last compared with the live entries
-	pending   map[uint64]*pendingCall // by sequence
+	mu       sync.Mutex
+	sequence uint64
+	loads    *booking.LoadTable
+	places   *booking.Places
+	list     *entryList
+	// settledOwners are those of the list that was in use before listChangedAt.
+	settledOwners *booking.Owners
+	listChangedAt time.Time
+	checkedAt     time.Time               // when list was last compared with the live entries
+	pending       map[uint64]*pendingCall // by sequence
 }
 
 // transport sends messages to other entries without waiting for their receipt.
@@ -54,6 +60,7 @@
 	outstanding int // owners that have not responded
 	loads       []serverLoad
 	limit       *limitResponse
+	fits        bool
 	done        chan struct{} // closed once all have responded
 }
 
@@ -72,7 +79,7 @@
 }
 
 func newPeerExchange(self booking.Reporter, now func() time.Time) *peerExchange {
-	return &peerExchange{self: self, now: now, loads: booking.NewLoadTable(), list: newEntryList(nil, self.Name, nil), listChanged: make(chan struct{}, 1), pending: make(map[uint64]*pendingCall)}
+	return &peerExchange{self: self, now: now, loads: booking.NewLoadTable(), places: booking.NewPlaces(), settledOwners: booking.NewOwners(nil), list: newEntryList(nil, self.Name, nil), listChanged: make(chan struct{}, 1), pending: make(map[uint64]*pendingCall)}
 }
 
 // queryLoads returns the load that other entries have placed on the servers, as far as the
@@ -139,7 +146,9 @@
 	switch m.Kind {
 	case kindLoadsRequest:
 		x.handleLoadsRequest(&m)
-	case kindLoadsResponse, kindLimitResponse:
+	case kindPlaceRequest:
+		x.handlePlaceRequest(&m)
+	case kindLoadsResponse, kindLimitResponse, kindPlaceResponse:
 		x.handleResponse(&m)
 	case kindLimitRequest:
 		x.handleLimitRequest(&m)
@@ -193,6 +202,7 @@
 	if m.Answer != nil {
 		call.limit = m.Answer
 	}
+	call.fits = m.Fits
 	if call.outstanding--; call.outstanding == 0 {
 		close(call.done)
 	}
@@ -224,6 +234,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.loads.Sweep(x.now())
+	x.places.Sweep(x.now())
 }
 
 // newExchange returns this entry's exchange and sets up its datagrams.
@@ -234,6 +245,8 @@
 	x.knownEntry = func(name string) (directory.Entry, bool) { return g.directory.Entry(name, g.now()) }
 	x.datagramAddress = g.cfg.Node.EntryExchange
 	x.prefillRate = g.prefillRateOf
+	x.slots = g.slotsOf
+	x.entryCount = g.liveEntryCount
 	g.datagrams = newDatagrams(g.cfg.ClusterKey, g.log, x.handle)
 	x.transport = g.datagrams
 	return x
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -168,6 +168,13 @@
 	}
 }
 
+// liveEntryCount returns the number of live entries as last reported, at least 1.
+func (g *Gateway) liveEntryCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.entryCount
+}
+
 // applyDirectory applies the changes of the directory to the services.
 func (g *Gateway) applyDirectory() {
 	g.mu.Lock()
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -17,7 +17,9 @@
 	n := j.gateway.deps.Dialect.Notice(answer.Status, answer.Header)
 	server := slog.String("server", c.verdict.Server)
 	j.service.applyNotice(c, n, j.gateway.now())
-	j.heedLimit(ctx, c, n, j.gateway.deps.Dialect.Classify(answer.Status, answer.Header), sentAt)
+	class := j.gateway.deps.Dialect.Classify(answer.Status, answer.Header)
+	j.heedLimit(ctx, c, n, class, sentAt)
+	j.heedBrittle(ctx, c, n, class, sentAt)
 	if n.Leaving {
 		j.gateway.serverSampler.Log(ctx, event.ServerLeavingByAnswer, slog.String("request", j.ID), server)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -112,6 +112,10 @@
 	// Limit is how many requests a second it takes from all entries together, if Limited.
 	Limited bool
 	Limit   float64
+	// BrittleLimit is how many requests it bears to turn away in a second, if Brittle. One more and
+	// it falls over.
+	Brittle      bool
+	BrittleLimit int
 }
 
 // Dialect builds requests to servers and reads their answers.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -63,6 +63,7 @@
 	fingerprintKnown bool
 	trial            bool // the next send has a trial; see takeTrial
 	tokenRequests    int  // how often it asked for a token; see takeServerToken
+	places           placeSearch
 
 	repeatRefused string // why the retry budgets allow no repeat; empty if they have not refused one
 
@@ -162,18 +163,29 @@
 
 // run sends the request to servers until one answers it or no further attempt is allowed.
 func (j *job) run(ctx context.Context) *Refusal {
+	defer j.endPlaceSearch(false)
 	for {
 		if refusal := j.contextRefusal(ctx); refusal != nil {
 			return refusal
 		}
 		c, ok := j.choose(ctx)
 		if !ok {
+			if j.awaitPlace(ctx) {
+				continue
+			}
 			return j.noServerRefusal(&c)
 		}
 		if refusal := j.renewAdmission(ctx); refusal != nil {
 			j.service.end(&c, endedByCaller, j.gateway.now())
 			return refusal
 		}
+		if !j.takePlace(ctx, &c) {
+			j.service.end(&c, endedByCaller, j.gateway.now())
+			if len(j.places.full) >= maxPlacesAsked && !j.awaitPlace(ctx) {
+				return j.fullRefusal()
+			}
+			continue
+		}
 		if !j.takeServerToken(ctx, &c) {
 			j.service.end(&c, endedByCaller, j.gateway.now())
 			if j.tokenRequests > maxTokenRequests {
@@ -241,7 +253,7 @@
 	limited, _ := j.gateway.serverLimits.Waiting()
 	return &route.Request{
 		Now: j.gateway.now(), Seed: rand.Uint64(), Prefixes: hashesOf(j.prefixes), PromptTokens: j.PromptTokens, SharedTokens: sharedTokens(j.prefixes),
-		Zone: node.Zone, Region: node.Region, Exclude: append(slices.Clip(j.triedServers), limited...), NoProbe: !j.route.Repeatable(),
+		Zone: node.Zone, Region: node.Region, Exclude: slices.Concat(j.triedServers, j.places.full, limited), NoProbe: !j.route.Repeatable(),
 	}
 }
 
@@ -272,7 +284,10 @@
 	case c.verdict.Reason == route.ReasonAllPaused:
 		return pausedRefusal(&c.verdict)
 	}
-	if j.awaitsTokens() {
+	switch {
+	case len(j.places.full) > 0:
+		return j.fullRefusal()
+	case j.awaitsTokens():
 		return j.limitedRefusal()
 	}
 	return &Refusal{Reason: NoServer, RetryAfter: serverRetryAfter, Detail: c.verdict.Reason.String()}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -45,11 +45,12 @@
 	mu              sync.Mutex
 	router          *route.Router
 	servers         map[string]directory.Server
-	cacheSequence   map[string]uint64    // by server: last cache event derived from own requests
-	announced       uint64               // announcements passed to the router
-	running         map[string]int       // this entry's requests, by server
-	prefillTokens   uint64               // prompt tokens sent to servers, less the cached ones
-	reportedAt      time.Time            // last report of the control replicas on others' load
+	cacheSequence   map[string]uint64 // by server: last cache event derived from own requests
+	announced       uint64            // announcements passed to the router
+	running         map[string]int    // this entry's requests, by server
+	prefillTokens   uint64            // prompt tokens sent to servers, less the cached ones
+	reportedAt      time.Time         // last report of the control replicas on others' load
+	brittle         brittleness
 	busy            map[string]struct{}  // servers that may have load: own, or others' by the last report
 	ownerReportedAt map[string]time.Time // last report of its owner, by server
 	onLoadChange    func(serverLoad)     // called without mu with this entry's load on a server after each change
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -52,7 +52,11 @@
 func (plainDialect) Notice(_ int, h http.Header) Notice {
 	ms, _ := strconv.Atoi(h.Get("X-Pause-Ms"))
 	limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
-	return Notice{Leaving: h.Get("X-Leaving") != "", Pause: time.Duration(ms) * time.Millisecond, Limited: err == nil, Limit: limit}
+	brittle, brittleErr := strconv.Atoi(h.Get("X-Brittle"))
+	return Notice{
+		Leaving: h.Get("X-Leaving") != "", Pause: time.Duration(ms) * time.Millisecond, Limited: err == nil, Limit: limit,
+		Brittle: brittleErr == nil, BrittleLimit: brittle,
+	}
 }
 
 func (plainDialect) AnswerHeader(h http.Header) http.Header { return h.Clone() }
