e2e: failing test of a part of a prompt that crashes servers

Ten servers behind six entries, 50 requests a second that share their caller and first part; one in ten has a part that crashes each server which begins to answer it, no two alike.

--- a/e2e/budgetload_test.go
+++ b/e2e/budgetload_test.go
@@ -74,7 +74,10 @@
 
 // outcome sends one request, reads its answer and returns how it ended: the text of its status, or
 // what failed.
-func (c *budgetCaller) outcome(path string) string {
+func (c *budgetCaller) outcome(path string) string { return c.outcomeWithParts(path, "") }
+
+// outcomeWithParts is outcome of a request whose prompt has parts.
+func (c *budgetCaller) outcomeWithParts(path, parts string) string {
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
 	id := uuid.NewString()
@@ -87,6 +90,9 @@
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Deadline-Ms", strconv.Itoa(int(c.timeout.Milliseconds())))
 	req.Header.Set("Authorization", "Token "+platformKey)
+	if parts != "" {
+		req.Header.Set("X-Prefix-Hash", parts)
+	}
 	c.audit.recordSent(id, sentRequest{service: c.service(path), at: time.Now(), timeout: c.timeout, maxServers: budgetMaxServers})
 	resp, err := c.client.Do(req)
 	switch {
--- /dev/null
+++ b/e2e/parts_test.go
@@ -0,0 +1,224 @@
+//go:build linux
+
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/platform/standin"
+)
+
+// What the rules allow once a part has crashed crashesUntilPartKnown servers: so many requests with it
+// that reach servers later than contactTime after that.
+const (
+	crashesUntilPartKnown = 5
+	allowedPartArrivals   = 3
+)
+
+// The site of the tests of parts that crash servers.
+const (
+	partsEntries = 6
+	partsServers = 10
+	partsRate    = 50 // requests a second, over all entries
+	partsBadOf   = 10 // one request of so many has the part that crashes servers
+	partsOutage  = 1500 * time.Millisecond
+	partsTime    = 20 * time.Second
+)
+
+// Guards against a part of a prompt that crashes each server which begins to answer it: requests with it
+// are never alike, come at any entry and take server after server; sound requests of the same caller,
+// which share their first part, are refused or lose their servers. That holds while processes restart and
+// control changes its leader.
+func TestPlatformPartThatCrashesServers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		disturb func(s *partsSite, i int) // each second
+	}{
+		{"steady", func(*partsSite, int) {}},
+		{"entries restart", func(s *partsSite, i int) {
+			n := i % partsEntries
+			s.entries[n].kill(s.t)
+			s.entries[n] = s.startPlatformEntry(n)
+		}},
+		{"control replicas restart", func(s *partsSite, i int) {
+			if n := i / 3 % 3; i%3 == 0 {
+				s.controls[n].kill(s.t)
+				s.controls[n] = s.startPlatformControl(n, false)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newPartsSite(t)
+			s.callers.Go(s.call)
+			time.Sleep(2 * time.Second)
+			s.bad.Store(true)
+			for i := range int(partsTime / time.Second) {
+				if i >= 5 {
+					c.disturb(s, i)
+				}
+				time.Sleep(time.Second)
+			}
+			close(s.stop)
+			s.callers.Wait()
+			s.check(c.name == "steady")
+		})
+	}
+}
+
+// partsSite is a site to which sound requests come, and some with a part that crashes servers.
+type partsSite struct {
+	*platformSite
+	callers sync.WaitGroup
+	stop    chan struct{}
+	bad     atomic.Bool // requests with the part are sent
+
+	mu       sync.Mutex
+	fleet    []*standin.Server // nil while it is down
+	crashes  []time.Time
+	arrivals []time.Time // of requests with the part, at servers
+	tries    []firstTry
+	closed   bool
+}
+
+func newPartsSite(t *testing.T) *partsSite {
+	s := &partsSite{stop: make(chan struct{}), fleet: make([]*standin.Server, partsServers)}
+	s.platformSite = startPlatformSite(t, 3, partsEntries, func(*platformSite) {}, partitionTurn)
+	for i := range s.fleet {
+		s.startServer(i)
+	}
+	t.Cleanup(s.closeServers)
+	s.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
+	for i := range partsEntries {
+		s.awaitServing(i, "/get/x")
+	}
+	return s
+}
+
+func (s *partsSite) startServer(i int) {
+	server, err := standin.StartServer(standin.ServerConfig{
+		ID: fmt.Sprintf("s%d", i), Service: "web", Zone: "z1", ControlAddrs: s.controlAddrs(), OnPanic: s.failOnPanic,
+	})
+	require.NoError(s.t, err)
+	server.OnArrival(func(a standin.Arrival) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if a.Crashes {
+			s.arrivals = append(s.arrivals, a.At)
+		}
+	})
+	server.OnCrash(func(string) { s.crashed(i, server) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet[i] = server
+}
+
+// crashed lets a server that has crashed come back after partsOutage.
+func (s *partsSite) crashed(i int, server *standin.Server) {
+	s.mu.Lock()
+	s.crashes = append(s.crashes, time.Now())
+	s.fleet[i] = nil
+	s.mu.Unlock()
+	server.Close()
+	time.Sleep(partsOutage)
+	s.mu.Lock()
+	closed := s.closed
+	s.mu.Unlock()
+	if !closed {
+		s.startServer(i)
+	}
+}
+
+func (s *partsSite) closeServers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, server := range s.fleet {
+		if server != nil {
+			go server.Close()
+		}
+	}
+}
+
+// call sends requests to the entries in turn. All share their first part; those with the part that
+// crashes servers have a path, a body and a last part of their own, as the others.
+func (s *partsSite) call() {
+	var callers []*budgetCaller
+	for i := range partsEntries {
+		callers = append(callers, newBudgetCaller(newBudgetAudit(budgetBound{}), s.entryAddr(i), nil))
+	}
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	tick := time.NewTicker(time.Second / partsRate)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-s.stop:
+			return
+		case <-tick.C:
+		}
+		middle := fmt.Sprintf("cafe%04d", rand.IntN(8))
+		bad := s.bad.Load() && n%partsBadOf == 0
+		if bad {
+			middle = standin.CrashPart
+		}
+		parts := fmt.Sprintf("feed0001:400,%s:200,%08x:100", middle, rand.Uint32())
+		path := []string{"/get/x", "/web/x", "/chat/stream/3"}[n%3]
+		if n%3 != 2 {
+			path = fmt.Sprintf("%s%d", path, n)
+		}
+		i := rand.IntN(partsEntries)
+		requests.Go(func() {
+			try := firstTry{entry: i, path: path, at: time.Now()}
+			try.how = callers[i].outcomeWithParts(path, parts)
+			try.answered = try.how == http.StatusText(http.StatusOK)
+			if bad {
+				return
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.tries = append(s.tries, try)
+		})
+	}
+}
+
+// check checks what reached servers, and how sound requests were served.
+func (s *partsSite) check(steady bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slices.SortFunc(s.crashes, time.Time.Compare)
+	require.NotEmpty(s.t, s.crashes)
+	known := s.crashes[min(crashesUntilPartKnown, len(s.crashes))-1].Add(contactTime)
+	late := 0
+	for _, at := range s.arrivals {
+		if at.After(known) {
+			late++
+		}
+	}
+	sound := make(map[string]int)
+	for _, try := range s.tries {
+		if try.at.After(known.Add(contactTime)) {
+			sound[try.how]++
+		}
+	}
+	all := 0
+	for _, n := range sound {
+		all += n
+	}
+	s.t.Logf("%d servers crashed, %d requests with the part reached servers, %d of them late; sound requests: %v", len(s.crashes), len(s.arrivals), late, sound)
+	require.LessOrEqual(s.t, late, allowedPartArrivals)
+	require.Greater(s.t, all, 100)
+	atLeast := 0.5
+	if steady {
+		atLeast = 0.97
+	}
+	require.GreaterOrEqual(s.t, float64(sound[http.StatusText(http.StatusOK)]), atLeast*float64(all))
+}
