reach: the check of the own path waits for the servers that it asked

It ended when all other entries had been asked, at once if there are none, and said that nobody knows; an entry alone then took no crash for one. TestEntryAloneTellsWhichServerIsGone, red before.

--- a/reach/check.go
+++ b/reach/check.go
@@ -127,8 +127,13 @@
 		return d.askPeersOnly(ctx, addr)
 	}
 	direct := make(chan error, len(servers))
-	go func() { direct <- d.probeDirect(ctx, servers[0], s) }()
-	if succeeds(direct, firstProbeTime) {
+	first := make(chan error, 1)
+	go func() {
+		err := d.probeDirect(ctx, servers[0], s)
+		first <- err
+		direct <- err
+	}()
+	if succeeds(first, firstProbeTime) {
 		return path.Sound
 	}
 	for _, server := range servers[1:] {
@@ -159,9 +164,10 @@
 	var handicap <-chan time.Time
 	timeout := time.NewTimer(2 * probeTimeout)
 	defer timeout.Stop()
-	for pending := n; pending > 0 || handicap != nil; {
+	for pending, pendingDirect := n, n; pending > 0 || pendingDirect > 0 || handicap != nil; {
 		select {
 		case err := <-direct:
+			pendingDirect--
 			if err == nil {
 				return path.Sound
 			}
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -434,3 +434,18 @@
 	require.NoError(t, l.Close())
 	return l.Addr().String()
 }
+
+// Guards against an entry without others that takes no crash for one, since the check of its own path ends
+// before the servers have answered.
+func TestEntryAloneTellsWhichServerIsGone(t *testing.T) {
+	s := startEntries(t, 1, 3)
+	e := s.all[0]
+	for range 20 {
+		s.servers = append(s.servers[:2:2], closedAddress(t), closedAddress(t))
+		_, err := e.Alive(t.Context(), s.servers[3], time.Second)
+		require.True(t, Gone(err), "%v", err)
+		e.Dialer.mu.Lock()
+		e.tracker = path.NewTracker()
+		e.Dialer.mu.Unlock()
+	}
+}
