policy/suspect, gateway, coordinator: a part of a prompt may be what crashes servers

Cause: the evidence was kept for the whole request, of which no two had one fingerprint.

What crashes servers is now a property of requests: the whole of one, or a part of its prompt other than the last. A break counts against all properties of its request, an answer for all of them. A part that was answered within the last minute needs five separate crashes in a row, another one two; servers that end within 0.3 s of each other are one crash for a part, since a zone that is lost is no request's doing. A send needs a trial of each suspect property at once, except of parts that were answered lately if there are rarer ones, so that a trial of a shared part is not lost to a bad request. Trials, lists and the replicated log carry properties as they did requests.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -261,12 +261,13 @@
 	ID uint64 `msgpack:"id"`
 }
 
-// TrialRequest asks for a trial of a suspect. The reply is a suspect.Grant. With Answered it reports
-// that a server has answered the request. Ask is random, and the same when the request is sent again.
+// TrialRequest asks for a trial of a request whose properties are suspects, of each of them. The reply
+// is a suspect.Grant. With Answered it reports that a server has answered the request. Ask is random, and
+// the same when the request is sent again.
 type TrialRequest struct {
-	Fingerprint uint64 `msgpack:"fp"`
-	Answered    bool   `msgpack:"answered,omitempty"`
-	Ask         uint64 `msgpack:"ask,omitempty"`
+	Fingerprints []uint64 `msgpack:"fps"`
+	Answered     bool     `msgpack:"answered,omitempty"`
+	Ask          uint64   `msgpack:"ask,omitempty"`
 }
 
 // JoinRequest asks to add the replica as a learner. The replica repeats it until it is a
--- a/coordinator/state_test.go
+++ b/coordinator/state_test.go
@@ -101,7 +101,7 @@
 	require.Equal(t, s.usageWindows(), other.usageWindows())
 	require.Equal(t, s.highestID, other.highestID)
 	require.Equal(t, 12, other.initialSize("chat"), "the first size is kept")
-	require.False(t, other.checkTrial(7, 0, time.Unix(2, 0)).Granted)
+	require.False(t, other.checkTrial([]uint64{7}, 0, time.Unix(2, 0)).Granted)
 }
 
 // Guards against a harmless suspect that loses its trials, and is refused for an hour, when replies are
@@ -112,9 +112,9 @@
 	again := first
 	again.At = time.Unix(2, 0) // as another replica stamps it
 	require.True(t, applyTo(t, s, kindTrial, first).(suspect.Grant).Granted)
-	require.True(t, s.checkTrial(7, 1, again.At).Granted)
+	require.True(t, s.checkTrial([]uint64{7}, 1, again.At).Granted)
 	require.True(t, applyTo(t, s, kindTrial, again).(suspect.Grant).Granted)
-	require.False(t, s.checkTrial(7, 2, again.At).Granted)
+	require.False(t, s.checkTrial([]uint64{7}, 2, again.At).Granted)
 	require.False(t, applyTo(t, s, kindTrial, trialCommand{Fingerprint: 7, Ask: 2, At: again.At}).(suspect.Grant).Granted)
 	require.Equal(t, 1, s.trials.Snapshot()[7].Count)
 }
--- a/coordinator/suspects.go
+++ b/coordinator/suspects.go
@@ -89,10 +89,10 @@
 // callers come back often, and the log would grow with each call.
 func (c *Coordinator) trialAsLeader(ctx context.Context, m *member, req api.TrialRequest) (suspect.Grant, error) {
 	now := c.clock.Now()
-	if grant := m.state.checkTrial(req.Fingerprint, req.Ask, now); !req.Answered && !grant.Granted {
+	if grant := m.state.checkTrial(req.Fingerprints, req.Ask, now); !req.Answered && !grant.Granted {
 		return grant, nil
 	}
-	command := trialCommand{Fingerprint: req.Fingerprint, Answered: req.Answered, Ask: req.Ask, At: now}
+	command := trialCommand{Fingerprints: req.Fingerprints, Answered: req.Answered, Ask: req.Ask, At: now}
 	grant, err := proposeResult[suspect.Grant](ctx, m, kindTrial, command)
 	return grant, notLeaderError(err)
 }
--- a/coordinator/suspects_test.go
+++ b/coordinator/suspects_test.go
@@ -72,7 +72,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			var err error
-			grant, err = r.trial(ctx, link.PeerInfo{}, api.TrialRequest{Fingerprint: fingerprint})
+			grant, err = r.trial(ctx, link.PeerInfo{}, api.TrialRequest{Fingerprints: []uint64{fingerprint}})
 			return err == nil
 		}, testWait, 10*time.Millisecond)
 		return grant
--- a/coordinator/trials.go
+++ b/coordinator/trials.go
@@ -8,12 +8,21 @@
 	"savoryreel.example/savoryreel/policy/suspect"
 )
 
-// trialCommand takes a trial of a suspect, or forgets its trials if a server has answered it.
+// trialCommand takes a trial of each of a request's suspect properties, or forgets their trials if a server
+// has answered it.
 type trialCommand struct {
-	Fingerprint uint64    `msgpack:"fp"`
-	Answered    bool      `msgpack:"answered,omitempty"`
-	Ask         uint64    `msgpack:"ask,omitempty"` // of the TrialRequest
-	At          time.Time `msgpack:"at"`            // by the leader's clock
+	Fingerprint  uint64    `msgpack:"fp,omitempty"` // the only one, in logs of earlier versions
+	Fingerprints []uint64  `msgpack:"fps,omitempty"`
+	Answered     bool      `msgpack:"answered,omitempty"`
+	Ask          uint64    `msgpack:"ask,omitempty"` // of the TrialRequest
+	At           time.Time `msgpack:"at"`            // by the leader's clock
+}
+
+func (c *trialCommand) properties() []uint64 {
+	if c.Fingerprint != 0 {
+		return append([]uint64{c.Fingerprint}, c.Fingerprints...)
+	}
+	return c.Fingerprints
 }
 
 // applyTrial returns the decision on a trial.
@@ -21,9 +30,11 @@
 	s.mu.Lock()
 	var grant suspect.Grant
 	if c.Answered {
-		s.trials.Answered(c.Fingerprint)
+		for _, fingerprint := range c.properties() {
+			s.trials.Answered(fingerprint)
+		}
 	} else {
-		grant = s.trials.TakeOnce(c.Fingerprint, c.Ask, c.At)
+		grant = s.trials.TakeAll(c.properties(), c.Ask, c.At)
 	}
 	s.mu.Unlock()
 	s.notifyTrials()
@@ -53,13 +64,10 @@
 }
 
 // checkTrial returns what applyTrial would decide by the entries of the log that are applied.
-func (s *state) checkTrial(fingerprint, ask uint64, now time.Time) suspect.Grant {
+func (s *state) checkTrial(fingerprints []uint64, ask uint64, now time.Time) suspect.Grant {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if s.trials.GrantedTo(fingerprint, ask) {
-		return suspect.Grant{Granted: true}
-	}
-	return s.trials.Check(fingerprint, now)
+	return s.trials.CheckAll(fingerprints, ask, now)
 }
 
 // notifyTrials passes the requests that trials holds to onTrials.
--- a/gateway/breaks.go
+++ b/gateway/breaks.go
@@ -32,20 +32,28 @@
 	return &breaks{now: now, view: suspect.NewView(), refused: make(map[uint64]refusedTrial)}
 }
 
-// record records that a request broke off on a server that is gone since.
-func (b *breaks) record(fingerprint uint64, server suspect.Server) {
+// record records that a request with these properties broke off on a server that is gone since.
+func (b *breaks) record(properties []uint64, server suspect.Server) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.view.Set.RecordBreak(fingerprint, server, b.now())
+	b.view.RecordBreak(properties, server, b.now())
 }
 
-// recordAnswer records that a server has answered a request, and reports whether it had broken
-// off before, and whether it was a suspect.
-func (b *breaks) recordAnswer(fingerprint uint64) (changed, wasSuspect bool) {
+// recordAnswer records that a server has answered a request with these properties. It reports whether any
+// had broken off before, and which were suspects.
+func (b *breaks) recordAnswer(properties []uint64) (changed bool, suspects []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.refused, fingerprint)
-	return b.view.RecordAnswer(fingerprint, b.now())
+	now := b.now()
+	for _, p := range properties {
+		delete(b.refused, p)
+		propertyChanged, wasSuspect := b.view.RecordAnswer(p, now)
+		changed = changed || propertyChanged
+		if wasSuspect {
+			suspects = append(suspects, p)
+		}
+	}
+	return changed, suspects
 }
 
 // since returns the records that changed after a version, for the control replicas.
@@ -73,26 +81,31 @@
 	return b.view.Empty()
 }
 
-// suspect reports whether the request may be what ends servers.
-func (b *breaks) suspect(fingerprint uint64) bool {
+// needTrials returns those of a request's properties of which a send needs trials.
+func (b *breaks) needTrials(properties []uint64) []uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.view.Suspect(fingerprint)
+	return b.view.Needed(properties, b.now())
 }
 
-// lastRefusal returns the last refusal of a trial while it holds.
-func (b *breaks) lastRefusal(fingerprint uint64) (suspect.Grant, bool) {
+// lastRefusal returns the last refusal of a trial of one of the properties while it holds.
+func (b *breaks) lastRefusal(properties []uint64) (suspect.Grant, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r, known := b.refused[fingerprint]
-	return r.grant, known && b.now().Before(r.until)
+	now := b.now()
+	for _, p := range properties {
+		if r, known := b.refused[p]; known && now.Before(r.until) {
+			return r.grant, true
+		}
+	}
+	return suspect.Grant{}, false
 }
 
-// recordRefusal records the refusal of a trial.
-func (b *breaks) recordRefusal(fingerprint uint64, g suspect.Grant) {
+// recordRefusal records the refusal of a trial of a property.
+func (b *breaks) recordRefusal(g suspect.Grant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refused[fingerprint] = refusedTrial{until: b.now().Add(min(g.After, maxTrialRetryAfter)), grant: g}
+	b.refused[g.Refused] = refusedTrial{until: b.now().Add(min(g.After, maxTrialRetryAfter)), grant: g}
 }
 
 // expire forgets what is out of date.
--- a/gateway/breaks_test.go
+++ b/gateway/breaks_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 // fingerprintOf returns the fingerprint of the request that serve sends for a path.
 func fingerprintOf(path string) uint64 {
 	j := &job{Request: &Request{Method: "POST", Target: path, Host: "a.example"}}
-	return j.fingerprint()
+	return j.requestFingerprint()
 }
 
 // crashingServer adds a server that ends with the first request that it gets.
@@ -104,8 +105,8 @@
 	for i := range suspect.Threshold {
 		_, refusal := r.serve("/x")
 		require.Nil(t, refusal)
-		r.breaks.record(fingerprint, suspect.Server{ID: fmt.Sprint(i)})
-		require.False(t, r.breaks.suspect(fingerprint))
+		r.breaks.record([]uint64{fingerprint}, suspect.Server{ID: fmt.Sprint(i)})
+		require.Empty(t, r.breaks.needTrials([]uint64{fingerprint}))
 	}
 }
 
@@ -124,3 +125,51 @@
 	}
 	require.True(t, r.breaks.empty())
 }
+
+// serveParts sends a request whose prompt has parts.
+func (r *rig) serveParts(path string, ids ...string) *Refusal {
+	var segments []PromptSegment
+	for _, id := range ids {
+		segments = append(segments, PromptSegment{ID: id, Tokens: 10})
+	}
+	return r.Serve(r.t.Context(), &Request{
+		ID: fmt.Sprint(time.Now().UnixNano()), Method: "POST", Target: path, Path: path, Host: "a.example", Header: http.Header{"X-Part": ids},
+		PromptSegments: segments,
+	}, &recorder{})
+}
+
+// Guards against a part of a prompt that crashes servers in requests which are otherwise unlike, and against
+// sound requests that are refused for what they share with these.
+func TestPartThatCrashesServersIsRefused(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.NonIdempotent})
+	for range 6 {
+		var s *standIn
+		s = r.server("web", func(w http.ResponseWriter, req *http.Request) {
+			if parts := req.Header["X-Part"]; slices.Contains(parts[:len(parts)-1], "bad") {
+				_ = s.Listener.Close()
+				panic(http.ErrAbortHandler)
+			}
+			respond("ok")(w, req)
+		})
+	}
+	for i := range 4 {
+		require.Nil(t, r.serveParts(fmt.Sprint("/", i), "shared", "sound", fmt.Sprint(i)))
+	}
+	records := func() int {
+		list, _ := r.breaks.since(0)
+		return len(list)
+	}
+	for i := range suspect.Threshold {
+		before := records()
+		require.Equal(t, ServerFailed, r.serveParts(fmt.Sprint("/bad", i), "shared", "bad", fmt.Sprint("own", i)).Reason)
+		require.Eventually(t, func() bool { return records() > before }, 2*time.Second, time.Millisecond)
+		time.Sleep(400 * time.Millisecond) // servers that end together count once
+	}
+	for i := range 5 {
+		refusal := r.serveParts(fmt.Sprint("/more", i), "shared", "bad", fmt.Sprint("own", 10+i))
+		require.Equal(t, Quarantined, refusal.Reason)
+		require.Nil(t, r.serveParts(fmt.Sprint("/", 10+i), "shared", "sound", fmt.Sprint(i)))
+		require.Nil(t, r.serveParts(fmt.Sprint("/", 20+i), "bad"), "the last part is the request's own")
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -59,11 +59,10 @@
 	lastEventID   string // last event sent to the caller
 	lastServer    string // of the last attempt, for the log
 
-	fingerprintSum   uint64 // if fingerprintKnown; see fingerprint
-	fingerprintKnown bool
-	trial            bool // the next send has a trial; see takeTrial
-	tokenRequests    int  // how often it asked for a token; see takeServerToken
-	places           placeSearch
+	propertyFingerprints []uint64 // see properties
+	trial                bool     // the next send has its trials; see takeTrial
+	tokenRequests        int      // how often it asked for a token; see takeServerToken
+	places               placeSearch
 
 	repeatRefused string // why the retry budgets allow no repeat; empty if they have not refused one
 
--- a/gateway/trials.go
+++ b/gateway/trials.go
@@ -30,62 +30,84 @@
 	// maxTrialRetryAfter bounds Retry-After while a suspect may still get a trial: a request that
 	// is no cause of crashes is cleared within one round trip of its answer.
 	maxTrialRetryAfter = time.Second
+	// maxPartsWatched bounds the parts of a prompt that count as properties of its request.
+	maxPartsWatched = 16
 )
 
-// fingerprint identifies the request among those of its caller: the same request has the same
-// one, whatever its id.
-func (j *job) fingerprint() uint64 {
-	if j.fingerprintKnown {
-		return j.fingerprintSum
+// properties returns the fingerprints of what may crash servers about the request: the whole of it, the
+// same whenever its caller sends it, whatever its id, and each part of its prompt but the last, which is
+// the request's own.
+func (j *job) properties() []uint64 {
+	if j.propertyFingerprints == nil {
+		j.propertyFingerprints = append(j.partFingerprints(), j.requestFingerprint())
 	}
+	return j.propertyFingerprints
+}
+
+func (j *job) requestFingerprint() uint64 {
 	d := xxhash.New()
 	for _, field := range [][]byte{[]byte(j.workspaceName()), []byte(j.Host), []byte(j.Method), []byte(j.Target), j.Body} {
 		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(field)))) // a digest never fails
 		_, _ = d.Write(field)
 	}
-	j.fingerprintSum, j.fingerprintKnown = d.Sum64(), true
-	return j.fingerprintSum
+	return suspect.RequestFingerprint(d.Sum64())
+}
+
+func (j *job) partFingerprints() (list []uint64) {
+	for i, segment := range j.PromptSegments {
+		if i < min(len(j.PromptSegments)-1, maxPartsWatched) {
+			list = append(list, suspect.PartFingerprint(xxhash.Sum64String(segment.ID)))
+		}
+	}
+	return list
 }
 
-// isSuspect reports whether the request may be what ends servers, as far as this entry knows.
-func (j *job) isSuspect() bool {
+// suspects returns the properties of the request of which a send needs trials, as far as this entry knows.
+func (j *job) suspects() []uint64 {
 	b := j.gateway.breaks
-	return !b.empty() && b.suspect(j.fingerprint())
+	if b.empty() {
+		return nil
+	}
+	return b.needTrials(j.properties())
 }
 
-// takeTrial takes a trial for the next send of a suspect, or returns the request's refusal. Each
-// send needs a trial of its own.
+// takeTrial takes trials for the next send of a request with suspect properties, or returns its refusal.
+// Each send needs trials of its own.
 func (j *job) takeTrial(ctx context.Context) *Refusal {
-	if j.trial || !j.isSuspect() {
+	if j.trial {
+		return nil
+	}
+	suspects := j.suspects()
+	if len(suspects) == 0 {
 		return nil
 	}
-	grant, refused := j.gateway.breaks.lastRefusal(j.fingerprint())
+	grant, refused := j.gateway.breaks.lastRefusal(suspects)
 	if !refused {
-		grant = j.gateway.askForTrial(ctx, j.fingerprint())
-		event.Log(ctx, j.gateway.log, slog.LevelWarn, event.SuspectTrial, slog.String("request", j.ID), slog.Uint64("fingerprint", j.fingerprint()),
-			slog.Bool("granted", grant.Granted), slog.Duration("after", grant.After))
+		grant = j.gateway.askForTrial(ctx, suspects)
+		event.Log(ctx, j.gateway.log, slog.LevelWarn, event.SuspectTrial, slog.String("request", j.ID), slog.Uint64("fingerprint", j.requestFingerprint()),
+			slog.Any("suspects", suspects), slog.Bool("granted", grant.Granted), slog.Duration("after", grant.After), slog.Uint64("refused", grant.Refused))
 	}
 	if grant.Granted {
 		j.trial = true
 		return nil
 	}
 	if !refused {
-		j.gateway.breaks.recordRefusal(j.fingerprint(), grant)
+		j.gateway.breaks.recordRefusal(grant)
 	}
 	return j.suspectRefusal(&grant)
 }
 
-// maySendSuspect reports whether the request may be sent: it is no suspect, or has a trial, which
-// this uses. The request may have become a suspect since its server was chosen.
+// maySendSuspect reports whether the request may be sent: it has no suspect property, or has trials, which
+// this uses. A property may have become a suspect since the server was chosen.
 func (j *job) maySendSuspect() bool {
 	if j.trial {
 		j.trial = false
 		return true
 	}
-	return !j.isSuspect()
+	return len(j.suspects()) == 0
 }
 
-// suspectRefusal returns the refusal of a suspect that gets no trial.
+// suspectRefusal returns the refusal of a request that gets no trial.
 func (j *job) suspectRefusal(g *suspect.Grant) *Refusal {
 	r := j.failureRefusal("crashes servers")
 	if r.Reason != NoServer {
@@ -98,12 +120,12 @@
 	return &Refusal{Reason: Quarantined, RetryAfter: after, Detail: r.Detail}
 }
 
-// askForTrial asks the control replicas for a trial of a suspect. Without a majority of them there
-// is none: it would not be counted.
-func (g *Gateway) askForTrial(ctx context.Context, fingerprint uint64) suspect.Grant {
-	grant, err := callReplicas[suspect.Grant](ctx, g, api.MethodTrial, api.TrialRequest{Fingerprint: fingerprint, Ask: rand.Uint64()})
+// askForTrial asks the control replicas for a trial of each suspect property. Without a majority of them
+// there is none: it would not be counted.
+func (g *Gateway) askForTrial(ctx context.Context, suspects []uint64) suspect.Grant {
+	grant, err := callReplicas[suspect.Grant](ctx, g, api.MethodTrial, api.TrialRequest{Fingerprints: suspects, Ask: rand.Uint64()})
 	if err != nil {
-		return suspect.Grant{After: maxTrialRetryAfter}
+		return suspect.Grant{After: maxTrialRetryAfter, Refused: suspects[0]}
 	}
 	return grant
 }
@@ -130,7 +152,7 @@
 // recordBreakOf records that the request broke off. A request that may not be sent again is
 // answered meanwhile.
 func (j *job) recordBreakOf(ctx context.Context, c *choice, r *result) {
-	j.fingerprint() // computed here, since the goroutine only reads it
+	j.properties() // computed here, since the goroutine only reads them
 	if r.retryable && j.route.Repeatable() && j.runs < j.route.MaxServers {
 		j.recordBreak(ctx, c)
 		return
@@ -145,9 +167,11 @@
 	if err := g.pool.Alive(ctx, c.verdict.Address, aliveTimeout); !reach.Gone(err) || ctx.Err() != nil {
 		return
 	}
-	g.breaks.record(j.fingerprint(), suspect.Server{ID: c.verdict.Server, Incarnation: c.verdict.Incarnation})
+	g.breaks.record(j.propertyFingerprints, suspect.Server{ID: c.verdict.Server, Incarnation: c.verdict.Incarnation})
+	suspects := g.breaks.needTrials(j.propertyFingerprints)
 	event.Log(ctx, g.log, slog.LevelInfo, event.BrokeOffOnGoneServer, slog.String("request", j.ID), slog.String("server", c.verdict.Server),
-		slog.Uint64("fingerprint", j.fingerprint()), slog.Bool("suspect", g.breaks.suspect(j.fingerprint())))
+		slog.Uint64("fingerprint", j.requestFingerprint()), slog.Any("parts", j.partFingerprints()),
+		slog.Bool("suspect", len(suspects) > 0), slog.Any("suspects", suspects))
 	g.breakReporter.wake(g.follower.SendNow)
 }
 
@@ -155,16 +179,17 @@
 func (j *job) recordAnswered() {
 	g := j.gateway
 	if g.breaks.empty() {
+		g.breaks.recordAnswer(j.partFingerprints())
 		return
 	}
-	changed, wasSuspect := g.breaks.recordAnswer(j.fingerprint())
+	changed, suspects := g.breaks.recordAnswer(j.properties())
 	if changed {
 		g.breakReporter.wake(g.follower.SendNow)
 	}
-	if !wasSuspect {
+	if len(suspects) == 0 {
 		return
 	}
-	req := api.TrialRequest{Fingerprint: j.fingerprint(), Answered: true}
+	req := api.TrialRequest{Fingerprints: suspects, Answered: true}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), maxReplicaCalls*replicaCallTimeout)
 		defer cancel()
--- a/policy/suspect/suspect.go
+++ b/policy/suspect/suspect.go
@@ -76,17 +76,27 @@
 }
 
 type request struct {
+	part       bool
 	breaks     map[Server]time.Time
-	answeredAt time.Time // zero: not since the first break
+	answeredAt time.Time // zero: not known; of a part also before the first break
 	changed    uint64    // Set.version at the last change
 }
 
+func newRequest(fingerprint uint64) *request {
+	return &request{part: isPart(fingerprint), breaks: make(map[Server]time.Time)}
+}
+
 // NewSet returns an empty Set.
 func NewSet() *Set { return &Set{requests: make(map[uint64]*request)} }
 
 // RecordBreak records that a request broke off on a server that is gone since.
 func (s *Set) RecordBreak(fingerprint uint64, server Server, now time.Time) {
-	s.merge(fingerprint, map[Server]time.Time{server: now}, time.Time{}, now)
+	s.recordBreak(fingerprint, server, time.Time{}, now)
+}
+
+// recordBreak is RecordBreak of a property that was answered at a time before; zero if that is not known.
+func (s *Set) recordBreak(fingerprint uint64, server Server, answeredAt, now time.Time) {
+	s.merge(fingerprint, map[Server]time.Time{server: now}, answeredAt, now)
 }
 
 // RecordAnswer records that a server has answered a request, so that it doesn't crash servers. It
@@ -129,7 +139,7 @@
 		}
 		if r == nil {
 			s.makeRoom(now)
-			r = &request{breaks: make(map[Server]time.Time)}
+			r = newRequest(fingerprint)
 			s.requests[fingerprint] = r
 		}
 		known, exists := r.breaks[server]
@@ -142,30 +152,41 @@
 			r.breaks[server] = at
 		}
 	}
-	if r != nil && answeredAt.After(r.answeredAt) && r.countAt(answeredAt) < r.count() {
-		r.answeredAt = answeredAt
+	if r != nil && answeredAt.After(r.answeredAt) {
+		r.merge(answeredAt, s)
+	}
+}
+
+// merge applies a later answer, which counts if it clears breaks or is the first that proves a part.
+func (r *request) merge(answeredAt time.Time, s *Set) {
+	clears := r.countAt(answeredAt) < r.count()
+	if !clears && !r.part {
+		return
+	}
+	if clears || r.answeredAt.IsZero() {
 		s.markChanged(r)
 	}
+	r.answeredAt = answeredAt
 }
 
 // Suspect reports whether the request may be what ends servers.
 func (s *Set) Suspect(fingerprint uint64) bool {
 	r := s.requests[fingerprint]
-	return r != nil && r.count() >= Threshold
+	return r != nil && r.suspect()
 }
 
 // Answered reports whether the request is held and a server has answered it since it became a
 // suspect, if it did.
 func (s *Set) Answered(fingerprint uint64) bool {
 	r := s.requests[fingerprint]
-	return r != nil && !r.answeredAt.IsZero() && r.count() < Threshold
+	return r != nil && !r.answeredAt.IsZero() && !r.suspect()
 }
 
 // Suspects returns the fingerprints of all suspects, sorted.
 func (s *Set) Suspects() []uint64 {
 	var list []uint64
 	for fingerprint, r := range s.requests {
-		if r.count() >= Threshold {
+		if r.suspect() {
 			list = append(list, fingerprint)
 		}
 	}
@@ -224,7 +245,7 @@
 		if len(s.requests) <= keptRequests {
 			return
 		}
-		if r.count() < Threshold {
+		if !r.suspect() {
 			delete(s.requests, fingerprint)
 		}
 	}
@@ -235,11 +256,15 @@
 	r.changed = s.version
 }
 
-// count returns the number of servers on which the request broke off since it was last answered.
+// count returns the number of servers on which the request broke off since it was last answered; of a
+// part, those that ended separately.
 func (r *request) count() int { return r.countAt(r.answeredAt) }
 
 // countAt returns what count would be if the request had last been answered at a time.
 func (r *request) countAt(answeredAt time.Time) (n int) {
+	if r.part {
+		return countSeparate(r.breaksAfter(answeredAt))
+	}
 	for _, at := range r.breaks {
 		if at.After(answeredAt) {
 			n++
--- a/policy/suspect/trials.go
+++ b/policy/suspect/trials.go
@@ -40,6 +40,8 @@
 	After time.Duration `msgpack:"a"`
 	// Last reports that no further trial is granted until the request is forgotten.
 	Last bool `msgpack:"l"`
+	// Refused is the property that gets none, of several.
+	Refused uint64 `msgpack:"r,omitempty"`
 }
 
 // NewTrials returns Trials with the counts of a snapshot.
@@ -79,6 +81,31 @@
 	return grant
 }
 
+// TakeAll is TakeOnce for a request that needs trials of several properties: it gets all of them or none.
+func (t *Trials) TakeAll(fingerprints []uint64, ask uint64, now time.Time) Grant {
+	if grant := t.CheckAll(fingerprints, ask, now); !grant.Granted {
+		return grant
+	}
+	for _, fingerprint := range fingerprints {
+		t.TakeOnce(fingerprint, ask, now)
+	}
+	return Grant{Granted: true}
+}
+
+// CheckAll returns what TakeAll would decide.
+func (t *Trials) CheckAll(fingerprints []uint64, ask uint64, now time.Time) Grant {
+	for _, fingerprint := range fingerprints {
+		if t.GrantedTo(fingerprint, ask) {
+			continue
+		}
+		if grant := t.Check(fingerprint, now); !grant.Granted {
+			grant.Refused = fingerprint
+			return grant
+		}
+	}
+	return Grant{Granted: true}
+}
+
 // GrantedTo reports whether the last trial of a request was granted to ask.
 func (t *Trials) GrantedTo(fingerprint, ask uint64) bool {
 	c, known := t.requests[fingerprint]
--- a/policy/suspect/view.go
+++ b/policy/suspect/view.go
@@ -14,7 +14,8 @@
 type View struct {
 	Set *Set
 
-	lists map[string]registryList // by registry
+	answered answered
+	lists    map[string]registryList // by registry
 }
 
 type registryList struct {
@@ -23,7 +24,16 @@
 }
 
 // NewView returns an empty View.
-func NewView() *View { return &View{Set: NewSet(), lists: make(map[string]registryList)} }
+func NewView() *View {
+	return &View{Set: NewSet(), answered: answered{at: make(map[uint64]time.Time)}, lists: make(map[string]registryList)}
+}
+
+// RecordBreak records that a request with these properties broke off on a server that is gone since.
+func (v *View) RecordBreak(properties []uint64, server Server, now time.Time) {
+	for _, p := range properties {
+		v.Set.recordBreak(p, server, v.answered.at[p], now)
+	}
+}
 
 // SetList replaces the list of a registry, which is sorted.
 func (v *View) SetList(registry string, fingerprints []uint64, now time.Time) {
@@ -54,10 +64,14 @@
 // anything, and whether the request was a suspect. An answer to a suspect is recorded also if only
 // registries hold it, so that they learn of it.
 func (v *View) RecordAnswer(fingerprint uint64, now time.Time) (changed, wasSuspect bool) {
+	if isPart(fingerprint) {
+		v.answered.record(fingerprint, now)
+	}
 	wasSuspect = v.Suspect(fingerprint)
 	if wasSuspect && v.Set.requests[fingerprint] == nil {
 		v.Set.makeRoom(now)
-		r := &request{breaks: make(map[Server]time.Time), answeredAt: now}
+		r := newRequest(fingerprint)
+		r.answeredAt = now
 		v.Set.requests[fingerprint] = r
 		v.Set.markChanged(r)
 		return true, true
@@ -81,5 +95,6 @@
 // Expire drops expired records, and the lists of registries that have not replied for long.
 func (v *View) Expire(now time.Time) {
 	v.Set.Expire(now)
+	v.answered.expire(now)
 	maps.DeleteFunc(v.lists, func(_ string, l registryList) bool { return now.Sub(l.at) > listTTL })
 }
