--- a/backend/conn.go
+++ b/backend/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +17,7 @@
 // conn is a connection to a server. It carries one request at a time.
 type conn struct {
 	net.Conn
+	bound        *boundedReader // below reader
 	reader       *bufio.Reader
 	bytesWritten atomic.Int64 // bytes of the current request written to the socket
 	used         bool         // has carried a request before
@@ -31,7 +34,43 @@
 
 // newConn returns a connection that carries no call yet.
 func newConn(nc net.Conn, bufferBytes int) *conn {
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, bufferBytes), idleTimeout: defaultIdleTimeout}
+	bound := &boundedReader{r: nc}
+	return &conn{Conn: nc, bound: bound, reader: bufio.NewReaderSize(bound, bufferBytes), idleTimeout: defaultIdleTimeout}
+}
+
+const (
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 256 << 10
+	// maxDiscardedBytes bounds what is read of a body only so that its connection can be used again.
+	maxDiscardedBytes = 64 << 10
+)
+
+// errTooLong reports a head, or a body that nobody needs, without an end in sight.
+var errTooLong = errors.New("too many bytes before the end")
+
+// boundedReader fails with errTooLong after a number of bytes, while it is bound.
+type boundedReader struct {
+	r     io.Reader
+	bound bool
+	left  int
+}
+
+// bindTo bounds the bytes that are read from now on.
+func (b *boundedReader) bindTo(n int) { b.bound, b.left = true, n }
+
+func (b *boundedReader) unbind() { b.bound = false }
+
+// Read reads at most what the bound leaves.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if !b.bound {
+		return b.r.Read(p)
+	}
+	if b.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
 }
 
 // reusable reports whether an idle connection is open and has no unread bytes.
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -132,8 +132,11 @@
 }
 
 // readHead reads the header of the answer that matches the call. It skips interim
-// (1xx) answers and answers of other calls.
+// (1xx) answers and answers of other calls. A faulty server may send bytes without end:
+// all that is read here is bounded.
 func readHead(c *conn, req *http.Request, matches func(http.Header) bool) (*http.Response, error) {
+	c.bound.bindTo(maxHeadBytes)
+	defer c.bound.unbind()
 	for range maxStrayAnswers {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
@@ -148,9 +151,11 @@
 		if resp.Close {
 			return nil, errors.New("answer of another call, and the connection ends")
 		}
+		c.bound.bindTo(maxDiscardedBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
+		c.bound.bindTo(maxHeadBytes)
 	}
 	return nil, errors.New("answers of other calls")
 }
--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -332,3 +332,75 @@
 		require.False(t, (&Answer{writeResult: make(chan error)}).requestWritten(), "the request is never written completely")
 	})
 }
+
+// writeWithoutEnd writes p again and again until the caller closes, and reports how many bytes it took.
+func writeWithoutEnd(c net.Conn, p string, written chan<- int) {
+	n := 0
+	for {
+		m, err := io.WriteString(c, p)
+		n += m
+		if err != nil {
+			written <- n
+			return
+		}
+	}
+}
+
+// maxTaken bounds what a caller may take of bytes without end, socket buffers included.
+const maxTaken = 16 << 20
+
+// Guards against an entry that runs out of memory by a server that sends a head without end, or answers of
+// other calls without end: each call ends soon, and takes few bytes.
+func TestBytesWithoutEndInHeads(t *testing.T) {
+	const line = "X-A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"
+	for name, c := range map[string]struct{ start, endless string }{
+		"one field":                      {"HTTP/1.1 200 OK\r\nX-A: ", "aaaaaaaa"},
+		"status line":                    {"HTTP/1.1 200 ", "aaaaaaaa"},
+		"many fields":                    {"HTTP/1.1 200 OK\r\n", line},
+		"no answer":                      {"", "\x00\x01garbage"},
+		"interim answers":                {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"chunked answer of another call": {"HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\naaaaaaaa\r\n"},
+		"long answer of another call":    {"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 999999999999\r\n\r\n", "aaaaaaaa"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan int, 1)
+			addr := startServer(t, func(c2 net.Conn, r *bufio.Reader) {
+				if _, err := readRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c2, c.start)
+				writeWithoutEnd(c2, strings.Repeat(c.endless, 4096/len(c.endless)), written)
+			})
+			p := newTestPool(time.Now)
+			defer p.CloseAllIdle()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := p.Do(ctx, addr, newCall("1"))
+			require.Error(t, err)
+			require.NoError(t, ctx.Err(), "it ends before the caller's time")
+			require.Less(t, <-written, maxTaken)
+		})
+	}
+}
+
+// Guards against large answers that are cut off by the bound on heads.
+func TestLongBodyAfterALongHead(t *testing.T) {
+	body := strings.Repeat("b", 4<<20)
+	addr := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Long: %s\r\nContent-Length: %d\r\n\r\n%s", id, strings.Repeat("x", 32<<10), len(body), body)
+		}
+	})
+	p := newTestPool(time.Now)
+	defer p.CloseAllIdle()
+	for _, id := range []string{"1", "2", "3"} {
+		got, err := doCall(t, p, addr, id)
+		require.NoError(t, err)
+		require.Equal(t, body, got)
+	}
+	require.EqualValues(t, 1, p.Dials())
+}
