gateway, backend: bodies and events without end hold no request and no memory

On a resumable route an event without end was kept whole and searched anew with each chunk, so that its time grew with the square of its length: ends are found as bytes arrive, and an event of more than 1 MiB breaks the stream off, which may go on at another server.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -175,6 +175,12 @@
 	}
 }
 
+// Discard reads the rest of a short body, so that its connection can be used again. The connection of a
+// longer one is closed by Close.
+func (a *Answer) Discard() {
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxDiscardedBytes)) // an error only closes the connection
+}
+
 // writeGrace is how long requestWritten waits for the writing goroutine. It may not
 // have been scheduled yet; if the server answered before it had read the whole
 // request, writing may never end.
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -22,7 +22,8 @@
 		last := ""
 		for rest := text; rest != ""; {
 			size := rapid.IntRange(1, len(rest)).Draw(t, "piece")
-			whole, id := splitter.add([]byte(rest[:size]))
+			whole, id, err := splitter.add([]byte(rest[:size]))
+			require.NoError(t, err)
 			out.Write(whole)
 			if id != "" {
 				last = id
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -171,7 +171,7 @@
 
 // notRun handles a report of the server that it did not run the request.
 func (j *job) notRun(c *choice, answer *backend.Answer, reason Reason, how ending) result {
-	_, _ = io.Copy(io.Discard, answer) // lets the connection be reused; an error only closes it
+	answer.Discard()
 	j.service.end(c, how, j.gateway.now())
 	r := result{retryable: true, notRun: true, reachedServer: true, server: c.verdict.Server}
 	r.refusal = j.failureRefusal("server did not run the request")
@@ -190,7 +190,7 @@
 	if !j.mayRetry(ctx, &r) {
 		return j.relayWhole(ctx, c, answer, endedFailed)
 	}
-	_, _ = io.Copy(io.Discard, answer) // lets the connection be reused; an error only closes it
+	answer.Discard()
 	j.service.end(c, endedFailed, j.gateway.now())
 	r.reachedServer, r.notRun, r.server = false, true, "" // mayRetry has asked already
 	return r
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -361,3 +363,93 @@
 	t.Logf("%d of %d requests went to the failing server", failing.count(), requests)
 	require.Less(t, failing.count(), requests/10)
 }
+
+// endlessly writes p until the caller closes, and then closes done.
+func endlessly(w http.ResponseWriter, p string, done chan<- struct{}) {
+	defer close(done)
+	chunk := []byte(strings.Repeat(p, 4096/len(p)))
+	for {
+		if _, err := w.Write(chunk); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+	}
+}
+
+// Guards against a request that waits until its deadline for the end of a body that nobody needs: of an
+// answer that says that the server has not run it, of a failure, and of one that can't be relayed.
+func TestBodiesWithoutEndHoldNoRequest(t *testing.T) {
+	for name, header := range map[string]func(http.Header) int{
+		"not run": func(h http.Header) int { h.Set("X-Not-Run", "1"); return http.StatusServiceUnavailable },
+		"failed":  func(http.Header) int { return http.StatusInternalServerError },
+		"unusable": func(h http.Header) int {
+			h.Del("X-Signed")
+			return http.StatusOK
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.setRoutes(routes.Route{Prefix: "/", Kind: routes.Idempotent, MaxServers: 2, Timeout: 10 * time.Second})
+			var endless atomic.Int32
+			done := make(chan struct{})
+			handle := func(w http.ResponseWriter, req *http.Request) {
+				if endless.Add(1) > 1 {
+					respond("ok")(w, req)
+					return
+				}
+				w.WriteHeader(header(w.Header()))
+				endlessly(w, "body", done)
+			}
+			r.server("web", handle)
+			r.server("web", handle)
+			r.fillBudget()
+			begun := time.Now()
+			out, refusal := r.serve("/x")
+			require.Nil(t, refusal)
+			require.Equal(t, "ok", string(out.body))
+			require.Less(t, time.Since(begun), 5*time.Second)
+			<-done
+		})
+	}
+}
+
+// Guards against an entry that runs out of memory and time by an event without end, of which it keeps all
+// until its end comes, so that a stream can be resumed.
+func TestEventWithoutEndBreaksItsStreamOff(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.Stream, Resumable: true, MaxServers: 2, Timeout: 10 * time.Second})
+	var endless atomic.Int32
+	done := make(chan struct{})
+	handle := func(w http.ResponseWriter, req *http.Request) {
+		if endless.Add(1) > 1 {
+			respond(eventsText(3))(w, req)
+			return
+		}
+		_, _ = io.WriteString(w, "id: 1\ndata: ")
+		endlessly(w, "data", done)
+	}
+	r.server("web", handle)
+	r.server("web", handle)
+	r.fillBudget()
+	begun := time.Now()
+	out, refusal := r.serve("/x")
+	require.Nil(t, refusal)
+	require.Equal(t, eventsText(3), string(out.body))
+	require.Less(t, time.Since(begun), 5*time.Second)
+	<-done
+}
+
+// Guards against time that grows with the square of an event's length.
+func TestLongEventTakesTimeByItsLength(t *testing.T) {
+	var splitter eventSplitter
+	event := strings.Repeat("x", maxEventBytes-10) + "\n\n"
+	begun := time.Now()
+	for len(event) > 0 {
+		n := min(16, len(event))
+		whole, _, err := splitter.add([]byte(event[:n]))
+		require.NoError(t, err)
+		event = event[n:]
+		require.Equal(t, event == "", len(whole) > 0)
+	}
+	require.Less(t, time.Since(begun), 2*time.Second)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,42 +12,81 @@
 	"savoryreel.example/savoryreel/event"
 )
 
+// maxEventBytes bounds an event of a stream that is split, which is kept until its end has come.
+const maxEventBytes = 1 << 20
+
+// errEventTooLong reports an event without an end in sight.
+var errEventTooLong = errors.New("an event of the stream is too long")
+
 // eventSplitter splits a stream of server-sent events into whole events (add), or tracks
 // whether a stream relayed as it is ends between two events (observe).
 type eventSplitter struct {
+	scanner eventScanner
 	partial []byte // bytes of an incomplete event
-	tail    []byte // last bytes passed to observe
 }
 
 // observe tracks bytes that are relayed unsplit.
-func (e *eventSplitter) observe(p []byte) {
-	e.tail = append(e.tail, p...)
-	if extra := len(e.tail) - len(eventEnd); extra > 0 {
-		e.tail = append(e.tail[:0], e.tail[extra:]...)
-	}
-}
+func (e *eventSplitter) observe(p []byte) { e.scanner.scan(p) }
 
 // atBoundary reports whether the stream is between two events. Without a length, a stream
 // that ends with its connection looks complete wherever it is cut off.
-func (e *eventSplitter) atBoundary() bool {
-	return len(e.partial) == 0 && (len(e.tail) == 0 || bytes.Equal(e.tail, eventEnd))
-}
-
-// eventEnd, an empty line, ends an event.
-var eventEnd = []byte("\n\n")
+func (e *eventSplitter) atBoundary() bool { return e.scanner.atBoundary() }
 
 // add appends bytes of the stream. It returns the events that are now complete, and the id
 // of the last one that has an id.
-func (e *eventSplitter) add(p []byte) (whole []byte, lastID string) {
-	e.partial = append(e.partial, p...)
-	end := bytes.LastIndex(e.partial, eventEnd)
+func (e *eventSplitter) add(p []byte) (whole []byte, lastID string, err error) {
+	end := e.scanner.scan(p)
 	if end < 0 {
-		return nil, ""
+		e.partial = append(e.partial, p...)
+		if len(e.partial) > maxEventBytes {
+			return nil, "", errEventTooLong
+		}
+		return nil, "", nil
 	}
-	end += len(eventEnd)
-	whole = e.partial[:end:end]
-	e.partial = append([]byte(nil), e.partial[end:]...)
-	return whole, lastEventID(whole)
+	whole = append(e.partial, p[:end]...)
+	e.partial = append([]byte(nil), p[end:]...)
+	return whole, lastEventID(whole), nil
+}
+
+// eventScanner finds the ends of events: empty lines. A line ends with a line feed, or a carriage return
+// and a line feed.
+type eventScanner struct {
+	line    int  // bytes of the current line
+	cr      bool // the last byte is a carriage return
+	inEvent bool // a line of the current event was seen, or begins
+}
+
+// scan passes over bytes of a stream and returns where the last event that ends among them does; -1 if
+// none does.
+func (s *eventScanner) scan(p []byte) (end int) {
+	end = -1
+	for i, b := range p {
+		if b != '\n' {
+			s.line++
+			s.cr = b == '\r'
+			s.inEvent = true
+			continue
+		}
+		if s.line == 0 || s.line == 1 && s.cr {
+			s.inEvent = false
+			end = i + 1
+		}
+		s.line, s.cr = 0, false
+	}
+	return end
+}
+
+func (s *eventScanner) atBoundary() bool { return !s.inEvent }
+
+// firstEvent returns the length of the first event of whole ones.
+func firstEvent(whole []byte) int {
+	var s eventScanner
+	for i := range whole {
+		if s.scan(whole[i:i+1]) > 0 {
+			return i + 1
+		}
+	}
+	return len(whole)
 }
 
 // idField starts the line with an event's id.
@@ -75,7 +114,7 @@
 		return whole
 	}
 	for len(whole) > 0 {
-		end := bytes.Index(whole, eventEnd) + len(eventEnd)
+		end := firstEvent(whole)
 		id, err := strconv.ParseUint(lastEventID(whole[:end]), 10, 64)
 		if err != nil || id > last {
 			return whole
@@ -105,7 +144,11 @@
 	for {
 		n, err := answer.Read(buf)
 		if n > 0 {
-			if werr := j.relayChunk(c, answer, &splitter, buf[:n], resumed); werr != nil {
+			werr := j.relayChunk(c, answer, &splitter, buf[:n], resumed)
+			if errors.Is(werr, errEventTooLong) {
+				return j.streamFailed(ctx, c, werr)
+			}
+			if werr != nil {
 				j.service.end(c, endedByCaller, j.gateway.now())
 				return result{refusal: &Refusal{Reason: CallerGone, Detail: werr.Error()}}
 			}
@@ -124,7 +167,10 @@
 // relayChunk relays a chunk of a stream.
 func (j *job) relayChunk(c *choice, answer *backend.Answer, splitter *eventSplitter, p []byte, resumed bool) error {
 	if j.route.Resumable {
-		whole, lastID := splitter.add(p)
+		whole, lastID, err := splitter.add(p)
+		if err != nil {
+			return err
+		}
 		if resumed {
 			whole = dropSeen(whole, j.lastEventID)
 		}
