--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -453,3 +454,80 @@
 	}
 	require.Less(t, time.Since(begun), 2*time.Second)
 }
+
+// unframed answers with a body of neither length nor chunks that ends with its connection.
+func unframed(body string, reset bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: 1\r\n\r\n%s", req.Header.Get("X-Id"), body)
+		if reset {
+			time.Sleep(50 * time.Millisecond) // a reset overtakes what is not read yet
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
+
+// Guards against an answer that ends with its connection and looks complete though it was cut off, and
+// against a complete one that is taken for cut off.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	const (
+		whole = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n"
+		half  = "id: 1\ndata: event 1\n\nid: 2\ndata: ev"
+		crlf  = "id: 1\r\ndata: event 1\r\n\r\nid: 2\r\ndata: event 2\r\n\r\n"
+	)
+	stream := routes.Route{Prefix: "/", Kind: routes.Stream, MaxServers: 1}
+	resumable := routes.Route{Prefix: "/", Kind: routes.Stream, Resumable: true, MaxServers: 1}
+	plain := routes.Route{Prefix: "/", Kind: routes.NonIdempotent}
+	for _, c := range []struct {
+		name     string
+		route    routes.Route
+		body     string
+		reset    bool
+		complete bool
+	}{
+		{"stream, whole", stream, whole, false, true},
+		{"stream, within an event", stream, half, false, false},
+		{"stream, carriage returns, whole", stream, crlf, false, true},
+		{"stream, carriage returns, within an event", stream, crlf[:len(crlf)-3], false, false},
+		{"stream, empty", stream, "", false, true},
+		{"stream, reset between two events", stream, whole, true, false},
+		{"stream, reset within an event", stream, half, true, false},
+		{"resumable stream, whole", resumable, whole, false, true},
+		{"resumable stream, within an event", resumable, half, false, false},
+		{"resumable stream, carriage returns, whole", resumable, crlf, false, true},
+		{"resumable stream, reset between two events", resumable, whole, true, false},
+		{"plain, whole", plain, half, false, true},
+		{"plain, empty", plain, "", false, true},
+		{"plain, reset", plain, half, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t)
+			r.setRoutes(c.route)
+			r.server("web", unframed(c.body, c.reset))
+			out, refusal := r.serve("/x")
+			if !c.complete {
+				require.NotNil(t, refusal)
+				require.False(t, refusal.Reason.NotRun())
+				return
+			}
+			require.Nil(t, refusal)
+			require.Equal(t, c.body, string(out.body))
+		})
+	}
+}
+
+// Guards against a resumed stream that joins half an event to another one, or lacks one, when the first
+// server ends its connection within an event.
+func TestUnframedStreamIsResumed(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.Stream, Resumable: true, MaxServers: 2})
+	r.server("web", unframed("id: 1\r\ndata: event 1\r\n\r\nid: 2\r\ndata: ev", false))
+	r.server("web", unframed("id: 1\r\ndata: event 1\r\n\r\nid: 2\r\ndata: ev", true))
+	r.fillBudget()
+	out, _ := r.serve("/x")
+	require.Equal(t, "id: 1\r\ndata: event 1\r\n\r\n", string(out.body), "event 1 comes once")
+}
