--- a/e2e/budgetload_test.go
+++ b/e2e/budgetload_test.go
@@ -91,7 +91,7 @@
 	req.Header.Set("X-Deadline-Ms", strconv.Itoa(int(c.timeout.Milliseconds())))
 	req.Header.Set("Authorization", "Token "+platformKey)
 	if parts != "" {
-		req.Header.Set("X-Prefix-Hash", parts)
+		standin.SetPromptParts(req.Header, parts)
 	}
 	c.audit.recordSent(id, sentRequest{service: c.service(path), at: time.Now(), timeout: c.timeout, maxServers: budgetMaxServers})
 	resp, err := c.client.Do(req)
--- a/native/transport.go
+++ b/native/transport.go
@@ -31,6 +31,7 @@
 
 	bufferBytes       = 4 << 10
 	maxErrorTextBytes = 512
+	maxHeadBytes      = 256 << 10 // of an answer; the default of net/http is 10 MiB, for each call under way
 	maxRetryAfter     = time.Hour // a longer Retry-After is reduced to this
 )
 
@@ -176,12 +177,13 @@
 			}
 			return &countingConn{Conn: conn}, nil
 		},
-		MaxIdleConnsPerHost: cfg.idlePerPeer,
-		IdleConnTimeout:     cfg.idleTimeout,
-		DisableKeepAlives:   !cfg.keepAlive,
-		DisableCompression:  true,
-		ReadBufferSize:      bufferBytes,
-		WriteBufferSize:     bufferBytes,
+		MaxIdleConnsPerHost:    cfg.idlePerPeer,
+		IdleConnTimeout:        cfg.idleTimeout,
+		DisableKeepAlives:      !cfg.keepAlive,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
 	}
 }
 
