gateway, backend: an answer that ends with its connection is one only if its server lives

A request that crashes servers was taken for answered, and cleared, if its answer has neither length nor chunks: the end of the server ends it as the end of the answer does. After such an answer the server is looked for, as after one that broke off; the connection that this opens is the next request's, which would have needed one. TestAnswerThatEndsWithItsServerIsNoAnswer, red before.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -42,6 +42,9 @@
 	Status int
 	Header http.Header
 	Length int64 // of the body in bytes, -1 if unknown
+	// EndsWithConnection reports that the body has neither length nor chunks: it ends where the server
+	// ends the connection, for whatever reason.
+	EndsWithConnection bool
 
 	// Reused reports that the connection had carried an earlier request.
 	Reused bool
@@ -86,7 +89,8 @@
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: c.used,
-		body: resp.Body, conn: c, pool: p, addr: addr, writeResult: writeResult, stopWatch: stopWatch, keepAlive: !resp.Close,
+		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		body:               resp.Body, conn: c, pool: p, addr: addr, writeResult: writeResult, stopWatch: stopWatch, keepAlive: !resp.Close,
 	}, nil
 }
 
--- a/gateway/breaks_test.go
+++ b/gateway/breaks_test.go
@@ -173,3 +173,30 @@
 		require.Nil(t, r.serveParts(fmt.Sprint("/", 20+i), "bad"), "the last part is the request's own")
 	}
 }
+
+// Guards against a request that crashes servers and is taken for answered, since its answer has neither
+// length nor chunks and ends with its connection when the server does.
+func TestAnswerThatEndsWithItsServerIsNoAnswer(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.NonIdempotent})
+	for range 6 {
+		var s *standIn
+		s = r.server("web", func(w http.ResponseWriter, req *http.Request) {
+			if req.URL.Path == "/x" {
+				_ = s.Listener.Close()
+				go s.CloseClientConnections() // the idle ones
+			}
+			unframed("half", false)(w, req)
+		})
+	}
+	_, refusal := r.serve("/sound")
+	require.Nil(t, refusal)
+	for i := range suspect.Threshold {
+		_, _ = r.serve("/x")
+		require.Eventually(t, func() bool { return len(r.recordedBreaks("/x")) == i+1 }, 2*time.Second, time.Millisecond)
+	}
+	_, refusal = r.serve("/x")
+	require.Equal(t, Quarantined, refusal.Reason)
+	_, refusal = r.serve("/sound")
+	require.Nil(t, refusal)
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -131,6 +131,7 @@
 // handleAnswer classifies an answer by its header and relays it if it is usable.
 func (j *job) handleAnswer(ctx context.Context, c *choice, answer *backend.Answer) result {
 	g := j.gateway
+	j.endsWithConnection = answer.EndsWithConnection
 	switch g.deps.Dialect.Classify(answer.Status, answer.Header) {
 	case NotRun:
 		return j.notRun(c, answer, Overloaded, endedByCaller)
@@ -259,7 +260,7 @@
 func (j *job) finished(c *choice, how ending, err error) result {
 	j.service.end(c, how, j.gateway.now())
 	if how == endedOK {
-		j.recordAnswered()
+		j.recordEnd(c)
 	}
 	if err != nil {
 		return result{refusal: &Refusal{Reason: CallerGone, Detail: err.Error()}}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,9 +55,11 @@
 	triedServers  []string // excluded from further attempts
 	answerStarted bool     // the answer's header was sent to the caller
 	status        int      // of the answer
-	usageCounted  bool
-	lastEventID   string // last event sent to the caller
-	lastServer    string // of the last attempt, for the log
+	// endsWithConnection: the last answer has neither length nor chunks.
+	endsWithConnection bool
+	usageCounted       bool
+	lastEventID        string // last event sent to the caller
+	lastServer         string // of the last attempt, for the log
 
 	propertyFingerprints []uint64 // see properties
 	trial                bool     // the next send has its trials; see takeTrial
--- a/gateway/trials.go
+++ b/gateway/trials.go
@@ -21,6 +21,8 @@
 const (
 	// aliveTimeout is how long a server that broke a connection has to take another one.
 	aliveTimeout = 100 * time.Millisecond
+	// maxEndCheck bounds the check whether a server lives that ended an answer with its connection.
+	maxEndCheck = 2 * time.Second
 	// breakReportDelay collects the breaks of a server that ends under many requests.
 	breakReportDelay = 20 * time.Millisecond
 	// replicaCallTimeout bounds a call of callReplicas to one replica, and maxReplicaCalls the
@@ -154,18 +156,35 @@
 func (j *job) recordBreakOf(ctx context.Context, c *choice, r *result) {
 	j.properties() // computed here, since the goroutine only reads them
 	if r.retryable && j.route.Repeatable() && j.runs < j.route.MaxServers {
-		j.recordBreak(ctx, c)
+		_ = j.recordBreak(ctx, c)
 		return
 	}
-	go j.recordBreak(context.WithoutCancel(ctx), c)
+	go func() { _ = j.recordBreak(context.WithoutCancel(ctx), c) }()
 }
 
-// recordBreak records that the request broke off on a server, if that is gone: a server that still
-// takes connections, from this entry or from another one, has only broken this one.
-func (j *job) recordBreak(ctx context.Context, c *choice) {
+// recordEnd records that the request was answered. An answer that ends with its connection looks the same
+// if the server crashed under it: the request has broken off if the server is gone.
+func (j *job) recordEnd(c *choice) {
+	if !j.endsWithConnection {
+		j.recordAnswered()
+		return
+	}
+	j.properties() // computed here, since the goroutine only reads them
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), maxEndCheck)
+		defer cancel()
+		if !j.recordBreak(ctx, c) {
+			j.recordAnswered()
+		}
+	}()
+}
+
+// recordBreak records that the request broke off on a server, if that is gone, and reports whether it is: a
+// server that still takes connections, from this entry or from another one, has only broken this one.
+func (j *job) recordBreak(ctx context.Context, c *choice) bool {
 	g := j.gateway
 	if err := g.pool.Alive(ctx, c.verdict.Address, aliveTimeout); !reach.Gone(err) || ctx.Err() != nil {
-		return
+		return false
 	}
 	g.breaks.record(j.propertyFingerprints, suspect.Server{ID: c.verdict.Server, Incarnation: c.verdict.Incarnation})
 	suspects := g.breaks.needTrials(j.propertyFingerprints)
@@ -173,6 +192,7 @@
 		slog.Uint64("fingerprint", j.requestFingerprint()), slog.Any("parts", j.partFingerprints()),
 		slog.Bool("suspect", len(suspects) > 0), slog.Any("suspects", suspects))
 	g.breakReporter.wake(g.follower.SendNow)
+	return true
 }
 
 // recordAnswered records that a server has answered the request.
