e2e: failing test of a message that crashes model servers

Cause: natively the quarantine knows requests by the fingerprint of the whole request, as the users' platform did before. Chats that share a message are never alike, so none becomes a suspect twice.

The platform's way (records of breaks to all entries, trials in the log) is what to take over.

--- a/e2e/quarantine_test.go
+++ b/e2e/quarantine_test.go
@@ -134,6 +134,38 @@
 	require.GreaterOrEqual(t, s.servingPlain(servers), servers-2, "servers that are left")
 }
 
+// Guards against a message that crashes each model server that answers it: chats with it are never alike
+// otherwise, so that none is refused and server after server is lost.
+func TestMessageOfChatsThatCrashesServers(t *testing.T) {
+	const engines, mayCrash = 9, 5
+	s, _, _ := newSmallSite(t, engines)
+	for i := 1; i <= engines; i++ {
+		s.setFaults(7200+i, fake.Faults{CrashOn: "poison"})
+	}
+	for i := range 2 * engines {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		r, err := s.call(ctx, 1+i%2, http.MethodPost, "/v1/chat/completions", chatAfterPoison(i), map[string]string{"Savoryreel-Deadline-Ms": "2500"})
+		cancel()
+		t.Log(r.status, problemCode(r), err)
+	}
+	alive := 0
+	for i := 1; i <= engines; i++ {
+		if resp, err := http.Get("http://" + s.addr(7200+i) + "/healthz"); err == nil {
+			_ = resp.Body.Close()
+			alive++
+		}
+	}
+	require.GreaterOrEqual(t, alive, engines-mayCrash, "servers that are left")
+}
+
+// chatAfterPoison returns the i-th chat, which has an earlier message that crashes servers and a last one
+// of its own.
+func chatAfterPoison(i int) string {
+	return fmt.Sprintf(`{"model": "chat", "max_tokens": 10, "messages": [
+		{"role": "system", "content": "be brief"}, {"role": "user", "content": "poison"},
+		{"role": "assistant", "content": "yes"}, {"role": "user", "content": "question %d"}]}`, i)
+}
+
 // servingPlain returns how many of the plain servers, from the first to the n-th, are alive.
 func (s *site) servingPlain(n int) (alive int) {
 	for i := 1; i <= n; i++ {
