e2e: a partition finds the process at the other end by one query

The partition of the tests read the kernel's list of all sockets for each new connection: 10 ms with 9,600 of them, on each of 168 connections a second, so that beside other tests the callers and stand-in servers themselves stood still for 12 s (heartbeats too). Seen in 2 of 12 runs of the test beside e2e, 19 of 20 answers at their deadline. How answers were lost is reported.

--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -3,15 +3,13 @@
 package e2e
 
 import (
-	"bufio"
-	"bytes"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -229,19 +227,13 @@
 	_ = c.timedConn.Close()
 }
 
-// ownerLookups is how often a socket is looked for: the kernel's list may miss one while it changes.
-const ownerLookups = 3
-
 // ownerOf returns which of the processes holds the socket between two addresses; 0 if none does.
 func ownerOf(local, remote net.Addr, pids []int) int {
-	var inode string
-	for i := 0; i < ownerLookups && inode == ""; i++ {
-		inode = socketInode(local, remote)
-	}
-	if inode == "" {
+	inode, err := socketInode(local.(*net.TCPAddr), remote.(*net.TCPAddr))
+	if err != nil {
 		return 0
 	}
-	want := "socket:[" + inode + "]"
+	want := fmt.Sprintf("socket:[%d]", inode)
 	for _, pid := range pids {
 		dir := fmt.Sprintf("/proc/%d/fd", pid)
 		fds, err := os.ReadDir(dir)
@@ -257,31 +249,61 @@
 	return 0
 }
 
-// socketInode returns the inode of the IPv4 socket between two addresses; empty if there is none.
-func socketInode(local, remote net.Addr) string {
-	const inodeField = 9
-	file, err := os.Open("/proc/net/tcp")
+// Of the kernel's interface for single sockets (linux/sock_diag.h, linux/inet_diag.h).
+const (
+	sockDiagByFamily = 20
+	allSocketStates  = 1<<32 - 1
+	anyCookie        = 1<<32 - 1
+	diagInodeOffset  = 68 // of the inode in inet_diag_msg
+)
+
+// socketInode returns the inode of the IPv4 socket between two addresses. It asks for this one: the list
+// of all takes milliseconds where there are thousands, and each new connection needs one.
+func socketInode(local, remote *net.TCPAddr) (uint32, error) {
+	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, syscall.NETLINK_INET_DIAG)
 	if err != nil {
-		return ""
+		return 0, err
 	}
-	defer file.Close()
-	wanted := []byte(" " + kernelAddress(local) + " " + kernelAddress(remote) + " ")
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		if !bytes.Contains(lines.Bytes(), wanted) {
-			continue
-		}
-		if fields := strings.Fields(lines.Text()); len(fields) > inodeField {
-			return fields[inodeField]
+	defer syscall.Close(fd)
+	if err := syscall.Sendto(fd, socketQuery(local, remote), 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}); err != nil {
+		return 0, err
+	}
+	reply := make([]byte, syscall.Getpagesize())
+	n, _, err := syscall.Recvfrom(fd, reply, 0)
+	if err != nil {
+		return 0, err
+	}
+	messages, err := syscall.ParseNetlinkMessage(reply[:n])
+	if err != nil {
+		return 0, err
+	}
+	for _, m := range messages {
+		if m.Header.Type == sockDiagByFamily && len(m.Data) >= diagInodeOffset+4 {
+			return binary.NativeEndian.Uint32(m.Data[diagInodeOffset:]), nil
 		}
 	}
-	return ""
+	return 0, fmt.Errorf("no socket between %v and %v", local, remote)
 }
 
-// kernelAddress returns an IPv4 address as /proc/net/tcp lists it.
-func kernelAddress(addr net.Addr) string {
-	tcp := addr.(*net.TCPAddr)
-	ip := tcp.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
+// socketQuery returns the request for the socket between two addresses.
+func socketQuery(local, remote *net.TCPAddr) []byte {
+	const queryBytes = syscall.NLMSG_HDRLEN + 56
+	native := binary.NativeEndian
+	q := native.AppendUint32(nil, queryBytes)
+	q = native.AppendUint16(q, sockDiagByFamily)
+	q = native.AppendUint16(q, syscall.NLM_F_REQUEST)
+	q = append(q, make([]byte, 8)...) // sequence, sender
+	q = append(q, syscall.AF_INET, syscall.IPPROTO_TCP, 0, 0)
+	q = native.AppendUint32(q, allSocketStates)
+	q = binary.BigEndian.AppendUint16(q, uint16(local.Port))
+	q = binary.BigEndian.AppendUint16(q, uint16(remote.Port))
+	for _, ip := range []net.IP{local.IP, remote.IP} {
+		q = append(q, ip.To4()...)
+		q = append(q, make([]byte, net.IPv6len-net.IPv4len)...)
+	}
+	q = native.AppendUint32(q, 0) // any interface
+	q = native.AppendUint32(q, anyCookie)
+	return native.AppendUint32(q, anyCookie)
 }
 
 // Guards against a partition that cuts off no process, or another one, so that the tests of entries
--- a/e2e/recover_test.go
+++ b/e2e/recover_test.go
@@ -223,14 +223,14 @@
 			}
 			s.play(300 * time.Millisecond)
 			c.stop(s.entries[partitionEntries-1])
-			lost := 0
+			lost := make(map[string]int) // by how they ended
 			for range stoppedCalls {
-				if <-outcomes != http.StatusText(http.StatusOK) {
-					lost++
+				if how := <-outcomes; how != http.StatusText(http.StatusOK) {
+					lost[how]++
 				}
 			}
-			t.Logf("%d of %d answers lost", lost, stoppedCalls)
-			require.LessOrEqual(t, lost, c.lost)
+			t.Logf("of %d answers these were lost: %v", stoppedCalls, lost)
+			require.LessOrEqual(t, total(lost), c.lost)
 			s.measure(time.Second)
 			close(s.stop)
 			s.callers.Wait()
@@ -241,3 +241,10 @@
 
 // stoppedCalls are under way through two entries when one of them ends.
 const stoppedCalls = 20
+
+func total(counts map[string]int) (n int) {
+	for _, count := range counts {
+		n += count
+	}
+	return n
+}
