reach: entries that are cut off too are passed over

Callers of an entry that is cut off lost calls (502, may have run) although two entries reached the servers: it asked three others for a connection, and if all three were cut off as well, it sent on its own path, where the connection was opened and reset.

Entries that say that they reach no server don't count against the bound of three; after the first one the others of its zone come last. While the path is lost a connection on it counts only if it is not ended at once.

--- a/policy/path/path.go
+++ b/policy/path/path.go
@@ -182,3 +182,17 @@
 	}
 	return slices.Concat(byGroup[:]...)
 }
+
+// ZoneLast sorts those peers last that are in a zone, and keeps their order otherwise: where one entry is
+// cut off from servers, the others of its zone often are.
+func ZoneLast(peers []Peer, zone string) []Peer {
+	var others, last []Peer
+	for _, p := range peers {
+		if p.Zone == zone {
+			last = append(last, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	return append(others, last...)
+}
--- a/policy/path/path_test.go
+++ b/policy/path/path_test.go
@@ -22,6 +22,12 @@
 	require.False(t, tr.DialFailed(epoch.Add(2*dialEvidenceTTL), true))
 }
 
+// Guards against requests that wait while one entry after the other of a zone that is cut off is asked.
+func TestZoneLast(t *testing.T) {
+	peers := []Peer{{Name: "a", Zone: "z1"}, {Name: "b", Zone: "z2"}, {Name: "c", Zone: "z1"}, {Name: "d", Zone: "z3"}}
+	require.Equal(t, []Peer{peers[1], peers[3], peers[0], peers[2]}, ZoneLast(peers, "z1"))
+}
+
 // Guards against an entry that takes a server which crashes under many requests for its own path, and
 // against one that misses that only new connections fail.
 func TestConnectionsThatBreakOff(t *testing.T) {
--- a/reach/conn.go
+++ b/reach/conn.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// staysOpen returns nil if the server does not end the new connection at once, and closes it otherwise.
+func (c *directConn) staysOpen() error {
+	if err := staysOpen(c.Conn); err != nil {
+		_ = c.Close()
+		return err
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
 // Idle reports whether a further exchange may begin on the connection: it is open, has no unread bytes,
 // which would belong to no exchange, and is on the path that is in use.
 func (c *directConn) Idle() bool { return c.Usable() && link.OpenAndEmpty(c.Conn) }
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -138,7 +138,8 @@
 }
 
 func (d *Dialer) dial(ctx context.Context, addr string, timeout time.Duration, strictly bool) (net.Conn, error) {
-	if d.Lost() {
+	lost := d.Lost()
+	if lost {
 		c, err := d.dialThroughPeers(ctx, addr)
 		if err == nil || Gone(err) || ctx.Err() != nil {
 			return c, err
@@ -147,6 +148,9 @@
 	}
 	begun := d.deps.Now()
 	c, err := d.dialDirect(ctx, addr, timeout)
+	if err == nil && lost {
+		err = c.staysOpen()
+	}
 	if err == nil {
 		return c, nil
 	}
@@ -186,7 +190,7 @@
 }
 
 // dialDirect opens a connection on the own path.
-func (d *Dialer) dialDirect(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+func (d *Dialer) dialDirect(ctx context.Context, addr string, timeout time.Duration) (*directConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	nc, err := d.deps.DialDirect(ctx, addr)
@@ -215,8 +219,10 @@
 }
 
 const (
-	// maxPeersAsked bounds the entries that are asked for one connection.
-	maxPeersAsked = 3
+	// maxPeersFailed bounds the entries that are asked for one connection and do not open it.
+	maxPeersFailed = 3
+	// maxPeersWithoutPath bounds those that say at once that they reach no server either.
+	maxPeersWithoutPath = 20
 	// avoidFor is how long an entry that opened no connection comes last.
 	avoidFor = time.Second
 )
@@ -224,7 +230,10 @@
 // dialThroughPeers opens a connection to a server through another entry.
 func (d *Dialer) dialThroughPeers(ctx context.Context, addr string) (net.Conn, error) {
 	err := errNoPeer
-	for _, peer := range d.peersFor(addr) {
+	failed, withoutPath := 0, 0
+	for peers := d.peersFor(addr); len(peers) > 0 && failed < maxPeersFailed && withoutPath < maxPeersWithoutPath; {
+		peer := peers[0]
+		peers = peers[1:]
 		c, openErr := d.dialThrough(ctx, peer, addr)
 		if openErr == nil {
 			return c, nil
@@ -235,8 +244,13 @@
 		if errors.Is(openErr, tunnel.ServerGone) {
 			return nil, &Error{Addr: addr, Gone: true, Cause: openErr}
 		}
-		d.avoid(peer)
 		err = openErr
+		if wasAvoided := d.avoid(peer); wasAvoided || !errors.Is(openErr, tunnel.NoPath) {
+			failed++
+			continue
+		}
+		withoutPath++
+		peers = path.ZoneLast(peers, peer.Zone)
 	}
 	return nil, &Error{Addr: addr, Cause: err}
 }
@@ -260,14 +274,17 @@
 	peers, zone, now := shuffled(d.deps.Peers()), d.deps.ZoneOf(addr), d.deps.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ordered := path.Order(peers, zone, func(p path.Peer) bool { return now.Before(d.avoided[p.Name]) })
-	return ordered[:min(maxPeersAsked, len(ordered))]
+	return path.Order(peers, zone, func(p path.Peer) bool { return now.Before(d.avoided[p.Name]) })
 }
 
-func (d *Dialer) avoid(p path.Peer) {
+// avoid makes an entry come last for a while, and reports whether it did so already.
+func (d *Dialer) avoid(p path.Peer) (already bool) {
+	now := d.deps.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.avoided[p.Name] = d.deps.Now().Add(avoidFor)
+	already = now.Before(d.avoided[p.Name])
+	d.avoided[p.Name] = now.Add(avoidFor)
+	return already
 }
 
 func (d *Dialer) pathChanged() {
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -285,6 +285,24 @@
 	}
 }
 
+// Guards against callers of an entry that is cut off together with most others: it asks a few of them, and
+// sends on its own path, on which a call that may run once is lost.
+func TestOtherEntriesWithoutPathArePassedOver(t *testing.T) {
+	const cutOff = 9
+	s := startEntries(t, cutOff+1, 3)
+	for _, e := range s.all[:cutOff] {
+		e.cut(resetOnce)
+		e.tracker.Conclude(path.Lost)
+	}
+	for range 10 {
+		answer, err := s.all[0].get(t, s.servers[0], "/x")
+		require.NoError(t, err)
+		require.Equal(t, "/x", answer)
+		clear(s.all[0].avoided) // as if some time had passed
+	}
+	require.Zero(t, s.all[0].dials.Load(), "on the path that is lost")
+}
+
 // Guards against a server that counts as gone because one entry can't reach it, and against one that is
 // gone and does not count so.
 func TestGoneMeansThatOthersAreReached(t *testing.T) {
