e2e: servers that fall and first tries are kept by one type each

The tests of brittle servers, of parts that crash servers and of entries without a path had copies of both.

--- a/e2e/brittle_test.go
+++ b/e2e/brittle_test.go
@@ -60,10 +60,12 @@
 			s.playBrittle(c.restarts)
 			to := time.Now()
 			s.stop()
-			offered, served, outcomes := s.between(from, to)
-			due := min(float64(offered), brittleCapacity*to.Sub(from).Seconds())
-			t.Logf("%d of %d served, %.0f due, %d falls: %v", served, offered, due, s.fallCount(), outcomes)
-			require.LessOrEqual(t, float64(s.fallCount()), allowedFalls+allowedFallsShare*brittleServers)
+			offered := s.tries.between(from, to)
+			counts := outcomes(offered)
+			served, falls := counts[http.StatusText(http.StatusOK)], len(s.servers.fallTimes())
+			due := min(float64(len(offered)), brittleCapacity*to.Sub(from).Seconds())
+			t.Logf("%d of %d served, %.0f due, %d falls: %v", served, len(offered), due, falls, counts)
+			require.LessOrEqual(t, float64(falls), allowedFalls+allowedFallsShare*brittleServers)
 			require.GreaterOrEqual(t, float64(served), c.minServed*due)
 		})
 	}
@@ -86,22 +88,18 @@
 	*platformSite
 	callers []*budgetCaller
 	stop    func()
+	tries   firstTries
+	servers fallingServers
 
-	mu     sync.Mutex
-	fleet  []*standin.Server // by number; nil while it is down
-	room   standin.Room
-	falls  int
-	tries  []firstTry
-	closed bool
+	mu   sync.Mutex
+	room standin.Room
 }
 
 func newBrittleSite(t *testing.T) *brittleSite {
-	s := &brittleSite{fleet: make([]*standin.Server, brittleServers), room: standin.Room{Slots: brittleSlots, Waiting: 8}}
+	s := &brittleSite{room: standin.Room{Slots: brittleSlots, Waiting: 8}}
+	s.servers = fallingServers{cfg: standin.ServerConfig{Slots: brittleSlots}, outage: brittleOutage, started: s.setRoomOf}
 	s.platformSite = startPlatformSite(t, 3, brittleEntries, func(*platformSite) {}, partitionTurn)
-	for i := range s.fleet {
-		s.startServer(i)
-	}
-	t.Cleanup(s.closeServers)
+	s.startFallingServers(&s.servers, brittleServers)
 	s.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
 	for i := range brittleEntries {
 		s.awaitServing(i, "/get/x")
@@ -144,89 +142,22 @@
 		due += now.Sub(last).Seconds() * float64(c.perSecond.Load())
 		last = now
 		for ; due >= 1; due-- {
-			requests.Go(func() {
-				try := firstTry{entry: i, path: path, at: time.Now()}
-				try.how = c.outcome(path)
-				try.answered = try.how == http.StatusText(http.StatusOK)
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				s.tries = append(s.tries, try)
-			})
-		}
-	}
-}
-
-// between returns the requests that were sent between two times, and how they ended.
-func (s *brittleSite) between(from, to time.Time) (offered, served int, outcomes map[string]int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	outcomes = make(map[string]int)
-	for _, try := range s.tries {
-		if try.at.Before(from) || !try.at.Before(to) {
-			continue
-		}
-		offered++
-		outcomes[try.how]++
-		if try.answered {
-			served++
+			requests.Go(func() { s.tries.add(c.try(i, path, "")) })
 		}
 	}
-	return offered, served, outcomes
-}
-
-func (s *brittleSite) fallCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.falls
 }
 
 // setRoom changes the room of all servers.
 func (s *brittleSite) setRoom(r standin.Room) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.room = r
-	for i, server := range s.fleet {
-		if server != nil {
-			server.SetRoom(r, func() { s.fall(i, server) })
-		}
-	}
-}
-
-func (s *brittleSite) startServer(i int) {
-	server, err := standin.StartServer(standin.ServerConfig{
-		ID: fmt.Sprintf("s%d", i), Service: "web", Zone: "z1", ControlAddrs: s.controlAddrs(), Slots: brittleSlots, OnPanic: s.failOnPanic,
-	})
-	require.NoError(s.t, err)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet[i] = server
-	server.SetRoom(s.room, func() { s.fall(i, server) })
-}
-
-// fall ends a server, which is back after brittleOutage.
-func (s *brittleSite) fall(i int, server *standin.Server) {
-	s.mu.Lock()
-	s.falls++
-	s.t.Logf("%s falls over at %s", server.ID, time.Now().Format("05.000"))
-	s.fleet[i] = nil
-	s.mu.Unlock()
-	server.Close()
-	time.Sleep(brittleOutage)
-	s.mu.Lock()
-	closed := s.closed
 	s.mu.Unlock()
-	if !closed {
-		s.startServer(i)
-	}
+	s.servers.each(s.setRoomOf)
 }
 
-func (s *brittleSite) closeServers() {
+// setRoomOf sets the room of a server.
+func (s *brittleSite) setRoomOf(i int, server *standin.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed = true
-	for _, server := range s.fleet {
-		if server != nil {
-			go server.Close()
-		}
-	}
+	server.SetRoom(s.room, func() { s.servers.fall(i, server) })
 }
--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -30,7 +30,7 @@
 )
 
 // partition cuts some processes off from backend servers that accept their connections through it.
-// A process is told apart by the socket that it holds at the other end.
+// A process is identified by the socket that it holds at the other end.
 type partition struct {
 	mu      sync.Mutex
 	mode    partitionMode
--- a/e2e/parts_test.go
+++ b/e2e/parts_test.go
@@ -80,22 +80,18 @@
 	callers sync.WaitGroup
 	stop    chan struct{}
 	bad     atomic.Bool // requests with the part are sent
+	servers fallingServers
+	sound   firstTries
 
 	mu       sync.Mutex
-	fleet    []*standin.Server // nil while it is down
-	crashes  []time.Time
 	arrivals []time.Time // of requests with the part, at servers
-	tries    []firstTry
-	closed   bool
 }
 
 func newPartsSite(t *testing.T) *partsSite {
-	s := &partsSite{stop: make(chan struct{}), fleet: make([]*standin.Server, partsServers)}
+	s := &partsSite{stop: make(chan struct{})}
+	s.servers = fallingServers{outage: partsOutage, started: s.watchServer}
 	s.platformSite = startPlatformSite(t, 3, partsEntries, func(*platformSite) {}, partitionTurn)
-	for i := range s.fleet {
-		s.startServer(i)
-	}
-	t.Cleanup(s.closeServers)
+	s.startFallingServers(&s.servers, partsServers)
 	s.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
 	for i := range partsEntries {
 		s.awaitServing(i, "/get/x")
@@ -103,11 +99,8 @@
 	return s
 }
 
-func (s *partsSite) startServer(i int) {
-	server, err := standin.StartServer(standin.ServerConfig{
-		ID: fmt.Sprintf("s%d", i), Service: "web", Zone: "z1", ControlAddrs: s.controlAddrs(), OnPanic: s.failOnPanic,
-	})
-	require.NoError(s.t, err)
+// watchServer notes the requests that reach a server, and lets it fall when one crashes it.
+func (s *partsSite) watchServer(i int, server *standin.Server) {
 	server.OnArrival(func(a standin.Arrival) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -115,37 +108,7 @@
 			s.arrivals = append(s.arrivals, a.At)
 		}
 	})
-	server.OnCrash(func(string) { s.crashed(i, server) })
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet[i] = server
-}
-
-// crashed lets a server that has crashed come back after partsOutage.
-func (s *partsSite) crashed(i int, server *standin.Server) {
-	s.mu.Lock()
-	s.crashes = append(s.crashes, time.Now())
-	s.fleet[i] = nil
-	s.mu.Unlock()
-	server.Close()
-	time.Sleep(partsOutage)
-	s.mu.Lock()
-	closed := s.closed
-	s.mu.Unlock()
-	if !closed {
-		s.startServer(i)
-	}
-}
-
-func (s *partsSite) closeServers() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	for _, server := range s.fleet {
-		if server != nil {
-			go server.Close()
-		}
-	}
+	server.OnCrash(func(string) { s.servers.fall(i, server) })
 }
 
 // call sends requests to the entries in turn. All share their first part; those with the part that
@@ -177,15 +140,9 @@
 		}
 		i := rand.IntN(partsEntries)
 		requests.Go(func() {
-			try := firstTry{entry: i, path: path, at: time.Now()}
-			try.how = callers[i].outcomeWithParts(path, parts)
-			try.answered = try.how == http.StatusText(http.StatusOK)
-			if bad {
-				return
+			if try := callers[i].try(i, path, parts); !bad {
+				s.sound.add(try)
 			}
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.tries = append(s.tries, try)
 		})
 	}
 }
@@ -194,26 +151,19 @@
 func (s *partsSite) check(steady bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	slices.SortFunc(s.crashes, time.Time.Compare)
-	require.NotEmpty(s.t, s.crashes)
-	known := s.crashes[min(crashesUntilPartKnown, len(s.crashes))-1].Add(contactTime)
+	crashes := s.servers.fallTimes()
+	slices.SortFunc(crashes, time.Time.Compare)
+	require.NotEmpty(s.t, crashes)
+	known := crashes[min(crashesUntilPartKnown, len(crashes))-1].Add(contactTime)
 	late := 0
 	for _, at := range s.arrivals {
 		if at.After(known) {
 			late++
 		}
 	}
-	sound := make(map[string]int)
-	for _, try := range s.tries {
-		if try.at.After(known.Add(contactTime)) {
-			sound[try.how]++
-		}
-	}
-	all := 0
-	for _, n := range sound {
-		all += n
-	}
-	s.t.Logf("%d servers crashed, %d requests with the part reached servers, %d of them late; sound requests: %v", len(s.crashes), len(s.arrivals), late, sound)
+	sound := outcomes(s.sound.between(known.Add(contactTime), time.Now()))
+	all := total(sound)
+	s.t.Logf("%d servers crashed, %d requests with the part reached servers, %d of them late; sound requests: %v", len(crashes), len(s.arrivals), late, sound)
 	require.LessOrEqual(s.t, late, allowedPartArrivals)
 	require.Greater(s.t, all, 100)
 	atLeast := 0.5
--- a/e2e/recover_test.go
+++ b/e2e/recover_test.go
@@ -54,23 +54,12 @@
 	audit     *budgetAudit
 	stop      chan struct{}
 	callers   sync.WaitGroup
-
-	mu    sync.Mutex
-	tries []firstTry
+	tries     firstTries
 }
 
 // partitionTurn lets one partitionSite at a time run: this process plays all their callers and servers.
 var partitionTurn = make(chan struct{}, 1)
 
-// firstTry is one request of a caller that does not repeat it.
-type firstTry struct {
-	entry    int
-	path     string
-	at       time.Time
-	answered bool
-	how      string
-}
-
 const (
 	partitionEntries = 6
 	partitionRate    = 20 // requests a second at each entry
@@ -114,61 +103,21 @@
 			return
 		case <-tick.C:
 		}
-		requests.Go(func() { s.send(c, i, partitionPaths[n%len(partitionPaths)]) })
+		requests.Go(func() { s.tries.add(c.try(i, partitionPaths[n%len(partitionPaths)], "")) })
 		if n%partitionRate == 0 {
 			for range partitionBurst {
-				requests.Go(func() { s.send(c, i, "/get/slow/100") })
+				requests.Go(func() { s.tries.add(c.try(i, "/get/slow/100", "")) })
 			}
 		}
 	}
 }
 
-// send sends a request to entry i and records how it ended.
-func (s *partitionSite) send(c *budgetCaller, i int, path string) {
-	try := firstTry{entry: i, path: path, at: time.Now()}
-	try.how = c.outcome(path)
-	try.answered = try.how == http.StatusText(http.StatusOK)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.tries = append(s.tries, try)
-}
-
 func (s *partitionSite) play(d time.Duration) { time.Sleep(d) }
 
 // measure plays for a time and checks that callers at the entries of the first zone are served.
 func (s *partitionSite) measure(d time.Duration) {
 	s.t.Helper()
-	from := time.Now()
-	time.Sleep(d)
-	to := time.Now()
-	time.Sleep(partitionTimeout + 100*time.Millisecond) // until the last one has ended
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	requireServed(s.t, s.tries, partitionEntries/2, from, to)
-}
-
-// requireServed checks the first tries sent between two times: no more than the bound may fail at the
-// entries of the first zone, which are the first ones.
-func requireServed(t *testing.T, tries []firstTry, firstZone int, from, to time.Time) {
-	t.Helper()
-	all, failed := 0, 0
-	kinds := make(map[string]int)
-	for _, try := range tries {
-		if try.at.Before(from) || !try.at.Before(to) {
-			continue
-		}
-		all++
-		zone := "second zone"
-		if try.entry < firstZone {
-			zone = "first zone"
-		}
-		kinds[zone+" "+try.path+" "+try.how]++
-		if !try.answered && try.entry < firstZone {
-			failed++
-		}
-	}
-	t.Logf("%d of %d first tries failed at the entries of the first zone: %v", failed, all, kinds)
-	require.LessOrEqual(t, float64(failed), maxFirstTriesFailed+maxFirstTriesShare*float64(all))
+	s.tries.measure(s.t, partitionEntries/2, d, partitionTimeout)
 }
 
 // finish ends the callers and checks that no entry took a server for crashed, or a request for what
@@ -241,10 +190,3 @@
 
 // stoppedCalls are under way through two entries when one of them ends.
 const stoppedCalls = 20
-
-func total(counts map[string]int) (n int) {
-	for _, count := range counts {
-		n += count
-	}
-	return n
-}
--- a/e2e/recovernative_test.go
+++ b/e2e/recovernative_test.go
@@ -51,9 +51,7 @@
 	entries   []*process
 	stop      chan struct{}
 	callers   sync.WaitGroup
-
-	mu    sync.Mutex
-	tries []firstTry
+	tries     firstTries
 }
 
 const (
@@ -155,19 +153,11 @@
 		try.how = "failed"
 	}
 	try.answered = err == nil && r.status == http.StatusOK
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.tries = append(s.tries, try)
+	s.tries.add(try)
 }
 
 // measure plays for a time and checks that callers at the entries of the first zone are served.
 func (s *nativePartitionSite) measure(d time.Duration) {
 	s.t.Helper()
-	from := time.Now()
-	time.Sleep(d)
-	to := time.Now()
-	time.Sleep(nativePartitionTimeout + 100*time.Millisecond) // until the last one has ended
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	requireServed(s.t, s.tries, len(s.entries)/2, from, to)
+	s.tries.measure(s.t, len(s.entries)/2, d, nativePartitionTimeout)
 }
