--- a/backend/conn.go
+++ b/backend/conn.go
@@ -93,7 +93,7 @@
 	Idle() bool
 	// Direct reports whether it is on the own path to the server, not through another entry.
 	Direct() bool
-	// SetRepeatable tells whether the exchange that begins may be sent again. The connection is
+	// SetRepeatable sets whether the exchange that begins may be sent again. The connection is
 	// closed if its path turns out to be lost before the answer begins.
 	SetRepeatable(repeatable bool)
 }
@@ -104,7 +104,7 @@
 	return !ok || p.Direct()
 }
 
-// setRepeatable tells the connection whether the call that begins may be sent again.
+// setRepeatable sets whether the call that begins may be sent again.
 func (c *conn) setRepeatable(repeatable bool) {
 	if p, ok := c.Conn.(pathConn); ok {
 		p.SetRepeatable(repeatable)
--- a/gateway/brittle.go
+++ b/gateway/brittle.go
@@ -72,7 +72,7 @@
 	return time.Duration(s.brittle.waiting) * s.brittle.gap
 }
 
-// endWait ends the wait of a request. placed tells that it got a place.
+// endWait ends the wait of a request. placed: it got a place.
 func (s *service) endWait(placed bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -72,7 +72,7 @@
 	return now.Sub(x.listChangedAt) >= booking.SettleTime || x.settledOwners.Owner(server) == x.self.Name
 }
 
-// reportTurnedAway tells the owner of a brittle server that it has turned a request away.
+// reportTurnedAway reports a request that a brittle server has turned away to the owner of the server.
 func (x *peerExchange) reportTurnedAway(server string) {
 	x.mu.Lock()
 	now := x.now()
--- a/native/transport.go
+++ b/native/transport.go
@@ -87,7 +87,7 @@
 type pathConn interface {
 	// Usable reports whether the connection is on the path to the servers that is in use.
 	Usable() bool
-	// SetRepeatable tells whether the exchange that begins may be sent again. The connection is
+	// SetRepeatable sets whether the exchange that begins may be sent again. The connection is
 	// closed if its path turns out to be lost before the answer is complete.
 	SetRepeatable(repeatable bool)
 }
--- a/policy/path/path.go
+++ b/policy/path/path.go
@@ -81,7 +81,7 @@
 // Dialled records that a connection to a server was opened.
 func (t *Tracker) Dialled(now time.Time) { t.dialledAt = now }
 
-// Heard records bytes of a server. isNew tells that they are the first on their connection: open
+// Heard records bytes of a server. isNew: they are the first on their connection: open
 // connections may live on while new ones fail.
 func (t *Tracker) Heard(isNew bool, now time.Time) {
 	t.heardAt = now
@@ -103,7 +103,7 @@
 }
 
 // BrokeOff records that a connection to a server broke off before an answer began, and reports whether
-// a check is needed. isNew tells that the connection had carried no answer before.
+// a check is needed. isNew: the connection had carried no answer before.
 func (t *Tracker) BrokeOff(server string, isNew bool, now time.Time) bool {
 	t.broken[server] = struct{}{}
 	if isNew {
--- a/reach/conn.go
+++ b/reach/conn.go
@@ -121,7 +121,7 @@
 // Direct reports whether the connection is on the entry's own path.
 func (c *directConn) Direct() bool { return true }
 
-// SetRepeatable tells whether the exchange that begins may be sent again, if the path gets lost before
+// SetRepeatable sets whether the exchange that begins may be sent again, if the path gets lost before
 // its answer has begun.
 func (c *directConn) SetRepeatable(repeatable bool) {
 	c.mu.Lock()
