--- a/e2e/brittle_test.go
+++ b/e2e/brittle_test.go
@@ -36,6 +36,7 @@
 // Guards against servers that fall over because each entry sends what it takes to be room for, and
 // against callers that are refused though the servers have room.
 func TestPlatformBrittleServersAreNotOverrun(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name      string
 		perSecond int     // requests at each entry
@@ -98,7 +99,7 @@
 func newBrittleSite(t *testing.T) *brittleSite {
 	s := &brittleSite{room: standin.Room{Slots: brittleSlots, Waiting: 8}}
 	s.servers = fallingServers{cfg: standin.ServerConfig{Slots: brittleSlots}, outage: brittleOutage, started: s.setRoomOf}
-	s.platformSite = startPlatformSite(t, 3, brittleEntries, func(*platformSite) {}, partitionTurn)
+	s.platformSite = startPlatformSite(t, 3, brittleEntries, func(*platformSite) {}, fallingTurn)
 	s.startFallingServers(&s.servers, brittleServers)
 	s.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
 	for i := range brittleEntries {
--- a/e2e/fallingservers_test.go
+++ b/e2e/fallingservers_test.go
@@ -23,6 +23,9 @@
 	closed bool
 }
 
+// fallingTurn lets one site with fallingServers at a time run: this process plays all its callers and servers.
+var fallingTurn = make(chan struct{}, 1)
+
 // startFallingServers starts n servers of the service web until the test ends.
 func (p *platformSite) startFallingServers(f *fallingServers, n int) {
 	f.site, f.fleet = p, make([]*standin.Server, n)
--- a/e2e/parts_test.go
+++ b/e2e/parts_test.go
@@ -39,6 +39,7 @@
 // which share their first part, are refused or lose their servers. That holds while processes restart and
 // control changes its leader.
 func TestPlatformPartThatCrashesServers(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		disturb func(s *partsSite, i int) // each second
@@ -90,7 +91,7 @@
 func newPartsSite(t *testing.T) *partsSite {
 	s := &partsSite{stop: make(chan struct{})}
 	s.servers = fallingServers{outage: partsOutage, started: s.watchServer}
-	s.platformSite = startPlatformSite(t, 3, partsEntries, func(*platformSite) {}, partitionTurn)
+	s.platformSite = startPlatformSite(t, 3, partsEntries, func(*platformSite) {}, fallingTurn)
 	s.startFallingServers(&s.servers, partsServers)
 	s.replaceCatalogue(0, standin.Catalogue{Revision: 1, Service: "web", Keys: []string{platformKey}})
 	for i := range partsEntries {
--- a/e2e/recover_test.go
+++ b/e2e/recover_test.go
@@ -32,6 +32,7 @@
 // other entries do: its callers keep it, so that half of them, or a whole zone, fail for as long as
 // it lasts. Servers that one entry can't reach must not count as crashed.
 func TestPlatformEntriesWithoutPathToServers(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []partitionMode{partitionHang, partitionReset, partitionNoDial} {
 		t.Run(string(mode), func(t *testing.T) {
 			s := newPartitionSite(t)
@@ -152,6 +153,7 @@
 // planned, and against calls that run twice when such an entry is killed: callers at an entry that is cut
 // off from servers must not notice a stop, and lose only what was under way at a kill.
 func TestPlatformStopsOfEntriesThatHelpOthers(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		stop func(p *process)
--- a/e2e/recovernative_test.go
+++ b/e2e/recovernative_test.go
@@ -19,6 +19,7 @@
 // Guards, natively, against callers that get no answers from an entry which reaches no backend server,
 // though other entries do, and against servers that count as crashed because one entry can't reach them.
 func TestEntriesWithoutPathToServers(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []partitionMode{partitionHang, partitionReset, partitionNoDial} {
 		t.Run(string(mode), func(t *testing.T) {
 			s := newNativePartitionSite(t)
