--- a/e2e/brittle_test.go
+++ b/e2e/brittle_test.go
@@ -36,7 +36,6 @@
 // Guards against servers that fall over because each entry sends what it takes to be room for, and
 // against callers that are refused though the servers have room.
 func TestPlatformBrittleServersAreNotOverrun(t *testing.T) {
-	t.Parallel()
 	for _, c := range []struct {
 		name      string
 		perSecond int     // requests at each entry
--- a/e2e/parts_test.go
+++ b/e2e/parts_test.go
@@ -39,7 +39,6 @@
 // which share their first part, are refused or lose their servers. That holds while processes restart and
 // control changes its leader.
 func TestPlatformPartThatCrashesServers(t *testing.T) {
-	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		disturb func(s *partsSite, i int) // each second
--- a/e2e/recover_test.go
+++ b/e2e/recover_test.go
@@ -32,7 +32,6 @@
 // other entries do: its callers keep it, so that half of them, or a whole zone, fail for as long as
 // it lasts. Servers that one entry can't reach must not count as crashed.
 func TestPlatformEntriesWithoutPathToServers(t *testing.T) {
-	t.Parallel()
 	for _, mode := range []partitionMode{partitionHang, partitionReset, partitionNoDial} {
 		t.Run(string(mode), func(t *testing.T) {
 			s := newPartitionSite(t)
