--- a/coordinator/suspects_test.go
+++ b/coordinator/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -68,11 +69,12 @@
 	c.startFirst(3)
 	take := func(r *testReplica, fingerprint uint64) suspect.Grant {
 		var grant suspect.Grant
+		ask := rand.Uint64() // the same each time, as an entry's: an answer may be late, and its trial counted
 		require.Eventually(t, func() bool {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			var err error
-			grant, err = r.trial(ctx, link.PeerInfo{}, api.TrialRequest{Fingerprints: []uint64{fingerprint}})
+			grant, err = r.trial(ctx, link.PeerInfo{}, api.TrialRequest{Fingerprints: []uint64{fingerprint}, Ask: ask})
 			return err == nil
 		}, testWait, 10*time.Millisecond)
 		return grant
