--- a/e2e/parts_test.go
+++ b/e2e/parts_test.go
@@ -32,6 +32,7 @@
 	partsBadOf   = 10 // one request of so many has the part that crashes servers
 	partsOutage  = 1500 * time.Millisecond
 	partsTime    = 20 * time.Second
+	soundTime    = 4 * time.Second // at least, in which sound requests are counted
 )
 
 // Guards against a part of a prompt that crashes each server which begins to answer it: requests with it
@@ -67,6 +68,9 @@
 				}
 				time.Sleep(time.Second)
 			}
+			for time.Now().Before(s.partKnown().Add(contactTime + soundTime)) {
+				time.Sleep(100 * time.Millisecond) // the fifth crash may be that of a late trial
+			}
 			close(s.stop)
 			s.callers.Wait()
 			s.check(c.name == "steady")
@@ -147,14 +151,19 @@
 	}
 }
 
+// partKnown returns from when requests with the part must be held back, after the fifth crash or the last one.
+func (s *partsSite) partKnown() time.Time {
+	crashes := s.servers.fallTimes()
+	require.NotEmpty(s.t, crashes)
+	slices.SortFunc(crashes, time.Time.Compare)
+	return crashes[min(crashesUntilPartKnown, len(crashes))-1].Add(contactTime)
+}
+
 // check checks what reached servers, and how sound requests were served.
 func (s *partsSite) check(steady bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	crashes := s.servers.fallTimes()
-	slices.SortFunc(crashes, time.Time.Compare)
-	require.NotEmpty(s.t, crashes)
-	known := crashes[min(crashesUntilPartKnown, len(crashes))-1].Add(contactTime)
+	known := s.partKnown()
 	late := 0
 	for _, at := range s.arrivals {
 		if at.After(known) {
@@ -163,7 +172,7 @@
 	}
 	sound := outcomes(s.sound.between(known.Add(contactTime), time.Now()))
 	all := total(sound)
-	s.t.Logf("%d servers crashed, %d requests with the part reached servers, %d of them late; sound requests: %v", len(crashes), len(s.arrivals), late, sound)
+	s.t.Logf("%d servers crashed, %d requests with the part reached servers, %d of them late; sound requests: %v", len(s.servers.fallTimes()), len(s.arrivals), late, sound)
 	require.LessOrEqual(s.t, late, allowedPartArrivals)
 	require.Greater(s.t, all, 100)
 	atLeast := 0.5
