entry: a failed probe alone is no crash

On the platform the same decision has needed later signs since. Natively too now: another entry says so, or others answer here now.

--- a/entry/guard.go
+++ b/entry/guard.go
@@ -13,7 +13,6 @@
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/native"
 	"savoryreel.example/savoryreel/policy/quarantine"
-	"savoryreel.example/savoryreel/reach"
 	"savoryreel.example/savoryreel/request"
 )
 
@@ -248,10 +247,10 @@
 	ctx = context.WithoutCancel(ctx)
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	probeErr := q.entry.runner.engines.Probe(probeCtx, g.verdict.Address)
-	if probeErr == nil || reach.Gone(probeErr) {
-		return probeErr == nil
+	if q.entry.runner.engines.Probe(probeCtx, g.verdict.Address) == nil {
+		return true
 	}
+	// That the probe failed is no sign of a crash yet: others may have been reached only just before.
 	confirmCtx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
 	defer cancel()
 	return !q.entry.reach.ServerGone(confirmCtx, probedServer(g.verdict.Address, q.entry.zoneOfServer(g.verdict.Address)))
