--- a/e2e/budget_test.go
+++ b/e2e/budget_test.go
@@ -204,7 +204,7 @@
 	}
 }
 
-// Guards against stand-ins whose resets don't reset, so that the tests of resets run on a connection that
+// Guards against stand-ins that do not reset connections, so that the tests of resets run on a connection that
 // hangs and pass: the entry must see that its peer has reset the connection.
 func TestPlatformStandInResetsConnections(t *testing.T) {
 	p := newPlatformSite(t, 3, 1, 1)
--- a/policy/path/path.go
+++ b/policy/path/path.go
@@ -59,8 +59,8 @@
 	heardAt   time.Time // last byte of a server
 	heardNew  time.Time // last first byte on a connection
 	checkedAt time.Time // last check whether servers answer
-	// broken holds the servers whose connections broke off before an answer began, since a server was
-	// heard: broken those of all connections, brokenNew those of new ones since one on a new one was.
+	// broken holds the servers whose connections broke off before an answer began, since the last byte of any
+	// server. brokenNew holds those of new connections only, since the last byte on a new connection.
 	broken, brokenNew map[string]struct{}
 
 	lost     bool
@@ -75,7 +75,7 @@
 // Lost reports whether the path is lost.
 func (t *Tracker) Lost() bool { return t.lost }
 
-// SilentForLimit reports whether no server was heard for SilenceLimit.
+// SilentForLimit reports whether no byte of a server has arrived for SilenceLimit.
 func (t *Tracker) SilentForLimit(now time.Time) bool { return now.Sub(t.heardAt) >= SilenceLimit }
 
 // Dialled records that a connection to a server was opened.
@@ -93,7 +93,7 @@
 }
 
 // DialFailed reports whether a check is needed after a connection to a server, begun at a time, could
-// not be opened. It is not while others are opened; strictly, only those count on which a server was heard
+// not be opened. It is not while others are opened; strictly, only those count on which bytes arrived
 // since then: a connection may be opened and reset.
 func (t *Tracker) DialFailed(begun time.Time, strictly bool) bool {
 	if strictly {
--- a/policy/suspect/property_test.go
+++ b/policy/suspect/property_test.go
@@ -20,7 +20,7 @@
 }
 
 // Guards against a part that crashes servers in requests of which no two are alike, and against the part
-// that stands before it in all requests being taken for it.
+// that precedes it in all requests being taken for it.
 func TestPartIsFoundBehindASharedOne(t *testing.T) {
 	v, now := NewView(), epoch
 	for n := range 4 {
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -121,7 +121,7 @@
 	return list
 }
 
-// Leave refuses further tunnels and tells the entries whose tunnels are open that they may begin no
+// Leave refuses further tunnels, and notifies the entries whose tunnels are open that they may begin no
 // further exchange on them.
 func (s *Server) Leave() {
 	s.mu.Lock()
