event, directory, gateway, coordinator: what an entry believed of a server, who told it, and where a leave was acknowledged

An entry left out lines about servers beyond 20 a second, a replica wrote nothing of a leave that it dropped, and no line of a request said what its entry knew of the server. New: 3013 at the replica that acknowledges a leave, with what it holds of the server afterwards; from, since, lastRequest and lastSentAgo at the entry that learns of the leave, never left out if it sent a request there within 10 s; servingFrom and servingFor with each choice. No logic changed. TestLogExplainsRequestToLeavingServer fails without the lines.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -275,7 +275,11 @@
 
 // Announce records a backend server's heartbeat and logs a change of its state.
 func (c *Coordinator) Announce(a instance.Announcement) {
-	if !c.directory.Announce(a, c.now()) {
+	changed := c.directory.Announce(a, c.now())
+	if a.State != instance.StateServing {
+		c.logLeave(a.ID, a.State, a.Incarnation, changed)
+	}
+	if !changed {
 		return
 	}
 	kind := event.ServerAnnounced
@@ -289,12 +293,23 @@
 
 // Leave records that a backend server has left.
 func (c *Coordinator) Leave(id string, incarnation uint64) {
-	if c.directory.Leave(id, incarnation, c.now()) {
+	changed := c.directory.Leave(id, incarnation, c.now())
+	c.logLeave(id, instance.StateGone, incarnation, changed)
+	if changed {
 		event.Log(context.Background(), c.log, slog.LevelInfo, event.ServerGone,
 			slog.String("server", id), slog.Uint64("incarnation", incarnation))
 	}
 }
 
+// logLeave logs that a server's leave is acknowledged, with what this replica holds of the
+// server then.
+func (c *Coordinator) logLeave(id string, said instance.State, incarnation uint64, changed bool) {
+	held, _ := c.directory.Lookup(id, c.now())
+	event.Log(context.Background(), c.log, slog.LevelInfo, event.LeaveAcknowledged, slog.String("server", id),
+		slog.String("said", string(said)), slog.Uint64("incarnation", incarnation), slog.Bool("changed", changed),
+		slog.String("held", string(held.State)), slog.Uint64("heldIncarnation", held.Incarnation))
+}
+
 // Run serves until ctx ends, the process receives a signal or a component fails. public
 // adds the actors that serve the public API.
 func (c *Coordinator) Run(ctx context.Context, public func(g *run.Group) error) error {
--- a/directory/reachability.go
+++ b/directory/reachability.go
@@ -46,6 +46,7 @@
 
 // replicaState is the state of a replica whose reports this process stores.
 type replicaState struct {
+	address     string
 	index       int // in Store.replicasByIndex and storedServer.reports
 	incarnation uint64
 	unreachable bool
@@ -137,7 +138,7 @@
 		state.incarnation, state.unreachable = from.Incarnation, false
 		clear(state.pending)
 	default:
-		state = &replicaState{index: len(s.replicasByIndex), incarnation: from.Incarnation, pending: make(map[Key]pendingStatus)}
+		state = &replicaState{address: from.Replica, index: len(s.replicasByIndex), incarnation: from.Incarnation, pending: make(map[Key]pendingStatus)}
 		s.replicas[from.Replica] = state
 		s.replicasByIndex = append(s.replicasByIndex, state)
 	}
--- a/directory/record.go
+++ b/directory/record.go
@@ -19,6 +19,11 @@
 	// and the replica was in contact with most other replicas or another replica reported it
 	// unreachable. At any other process: see Store.unreachableByReports.
 	Unreachable bool `msgpack:"silent"`
+
+	// StateFrom is the link address of the replica that State was learned from, empty if this
+	// process received it from the server, and StateAt when. They are not sent.
+	StateFrom string    `msgpack:"-"`
+	StateAt   time.Time `msgpack:"-"`
 }
 
 // Entry is the record of an entry.
--- a/directory/statuses.go
+++ b/directory/statuses.go
@@ -145,21 +145,22 @@
 			replica.pending[status.Key] = pendingStatus{status, now}
 			continue
 		}
-		changed = s.applyStatus(replica, stored, status) || changed
+		changed = s.applyStatus(replica, stored, pendingStatus{status, now}) || changed
 	}
 	return changed
 }
 
 // applyStatus applies a replica's status to a known record and reports whether the server's
 // state or reachability changed. The caller holds s.mu.
-func (s *Store) applyStatus(replica *replicaState, stored *storedServer, status Status) bool {
+func (s *Store) applyStatus(replica *replicaState, stored *storedServer, received pendingStatus) bool {
+	status := received.status
 	if stateOrder(status.State) < stateOrder(stored.State) {
 		return false
 	}
 	s.recordReport(replica, stored, newReport(status.Overdue, status.Unreachable))
 	left := status.State != stored.State
 	if left {
-		stored.State = status.State
+		stored.State, stored.StateFrom, stored.StateAt = status.State, replica.address, received.receivedAt
 		s.recordChange(stored)
 	}
 	return s.applyReports(stored) || left
@@ -171,7 +172,7 @@
 	for _, replica := range s.replicasByIndex {
 		if pending, found := replica.pending[stored.key]; found {
 			delete(replica.pending, stored.key)
-			s.applyStatus(replica, stored, pending.status)
+			s.applyStatus(replica, stored, pending)
 		}
 	}
 }
--- a/directory/store.go
+++ b/directory/store.go
@@ -160,6 +160,10 @@
 		s.servers[rec.ID] = stored
 	}
 	previous := stored.Server
+	rec.StateFrom, rec.StateAt = from.Replica, now
+	if known && previous.Incarnation == rec.Incarnation && previous.State == rec.State {
+		rec.StateFrom, rec.StateAt = previous.StateFrom, previous.StateAt
+	}
 	stored.Server, stored.heardFrom = rec, from.Replica
 	s.indexServer(stored)
 	if lastHeartbeat.After(stored.lastHeartbeat) {
@@ -236,7 +240,7 @@
 		case other.Incarnation == rec.Incarnation && now.Sub(other.lastHeartbeat) < s.cfg.AddressHold:
 			return false
 		}
-		other.State = instance.StateGone
+		other.State, other.StateAt = instance.StateGone, now
 		s.recordChange(other)
 		other.recordSeq = other.changeSeq
 	}
@@ -252,6 +256,17 @@
 		a.LeavingIn == b.LeavingIn && slices.Equal(a.Services, b.Services)
 }
 
+// Lookup returns the record of a server; known is false if there is none.
+func (s *Store) Lookup(id string, now time.Time) (rec Server, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, known := s.servers[id]
+	if !known {
+		return rec, false
+	}
+	return stored.record(now), true
+}
+
 // Sweep drops records without a heartbeat for Config.ForgetAfter, except those of healthy
 // servers. If this process receives heartbeats itself, it also marks overdue servers.
 // confirmed means that this replica is in contact with most others: only then does it judge
--- a/event/event.go
+++ b/event/event.go
@@ -57,6 +57,7 @@
 	ServerLeavingByAnswer Kind = 3010
 	ServerLimited         Kind = 3011
 	ServersBrittle        Kind = 3012
+	LeaveAcknowledged     Kind = 3013
 	ServerSlow            Kind = 3005
 	CacheGap              Kind = 3006
 	MemberChanged         Kind = 3101
@@ -139,6 +140,7 @@
 	{ServerLeavingByAnswer, "backend server says in an answer that it leaves"},
 	{ServerLimited, "backend server names a limit"},
 	{ServersBrittle, "backend servers of a service are brittle"},
+	{LeaveAcknowledged, "leave of a backend server acknowledged"},
 	{ServerSlow, "backend server slow"},
 	{CacheGap, "cache events have a gap"},
 	{MemberChanged, "instance changed"},
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -216,7 +216,31 @@
 	case rec.State == instance.StateGone || rec.Unreachable:
 		kind = event.ServerGone
 	}
-	g.serverSampler.Log(context.Background(), kind, slog.String("server", rec.ID), slog.String("address", rec.Address),
+	attrs := []slog.Attr{
+		slog.String("server", rec.ID), slog.String("address", rec.Address),
 		slog.Uint64("incarnation", rec.Incarnation), slog.Uint64("sequence", rec.Sequence), slog.Any("services", rec.Services),
-		slog.String("zone", rec.Zone), slog.Bool("silent", rec.Unreachable), slog.Duration("heardAgo", rec.HeartbeatAge))
+		slog.String("zone", rec.Zone), slog.Bool("silent", rec.Unreachable), slog.Duration("heardAgo", rec.HeartbeatAge),
+		slog.String("from", rec.StateFrom), slog.Time("since", rec.StateAt),
+	}
+	last := g.lastSendTo(rec.ID)
+	ago := g.now().Sub(last.at)
+	if kind == event.ServerAnnounced || last.request == "" || ago > recentSend {
+		g.serverSampler.Log(context.Background(), kind, attrs...)
+		return
+	}
+	attrs = append(attrs, slog.String("lastRequest", last.request), slog.Duration("lastSentAgo", ago))
+	event.Log(context.Background(), g.log, slog.LevelInfo, kind, attrs...)
+}
+
+// recentSend is the age of the last request sent to a server up to which its leave is always logged.
+const recentSend = 10 * time.Second
+
+// lastSendTo returns the last request that this entry has sent to a server. g.mu is held.
+func (g *Gateway) lastSendTo(server string) lastSend {
+	for _, s := range g.services {
+		if last := s.lastSendTo(server); last.request != "" {
+			return last
+		}
+	}
+	return lastSend{}
 }
--- a/gateway/logs_test.go
+++ b/gateway/logs_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/routes"
 )
 
@@ -42,6 +44,21 @@
 	return out
 }
 
+// withAttr returns the first line of an event with a value of an attribute.
+func (b *logBuffer) withAttr(t *testing.T, k event.Kind, name, value string) map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range bytes.Lines(b.buf.Bytes()) {
+		var fields map[string]any
+		require.NoError(t, json.Unmarshal(line, &fields))
+		if fields["msg"] == k.String() && fields[name] == value {
+			return fields
+		}
+	}
+	t.Fatalf("no line %s with %s=%s", k, name, value)
+	return nil
+}
+
 func newLoggedRig(t *testing.T) (*rig, *logBuffer) {
 	b := &logBuffer{}
 	return newRigWithLog(t, slog.New(slog.NewJSONHandler(b, nil))), b
@@ -98,6 +115,33 @@
 	require.Greater(t, ended["firstByte"], ended["objective"])
 }
 
+// A request reached a server that was leaving. The log must show by its id what its entry
+// believed of the server when it sent, from which replica, and who told it of the leave and when.
+func TestLogExplainsRequestToLeavingServer(t *testing.T) {
+	r, log := newLoggedRig(t)
+	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.Idempotent})
+	s := r.server("web", respond("ok"))
+	r.serveWithID("complaint", "/x")
+	for range 2 * maxServerLines { // other servers change in the same second
+		r.server("web", respond("ok"))
+	}
+	rec, known := r.directory.Lookup("s1", r.now())
+	require.True(t, known)
+	require.Equal(t, s.Listener.Addr().String(), rec.Address)
+	rec.State = instance.StateLeaving
+	r.directory.Merge(directory.Origin{Replica: "c2", Incarnation: 1}, []directory.Server{rec}, nil, r.now())
+	r.applyDirectory()
+	chosen := log.lines(t, "complaint")[0]
+	require.Equal(t, event.RouteChosen.String(), chosen["msg"])
+	require.Contains(t, chosen, "servingFrom")
+	require.Contains(t, chosen, "servingFor")
+	leaving := log.withAttr(t, event.ServerLeaving, "server", "s1")
+	require.Equal(t, "c2", leaving["from"])
+	require.Equal(t, "complaint", leaving["lastRequest"])
+	require.Contains(t, leaving, "lastSentAgo")
+	require.Contains(t, leaving, "since")
+}
+
 // A caller got an error and does not know whether its request ran. The log must show that it
 // was sent once, to which server, and the step that failed.
 func TestLogExplainsUnknownOutcome(t *testing.T) {
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -44,7 +44,8 @@
 		slog.String("reason", v.Reason.String()), slog.Duration("score", v.Score), slog.Int("cached", v.CachedTokens),
 		slog.Int("prompt", j.PromptTokens), slog.Int("load", v.Load), slog.Int("ahead", v.QueuedTokens), slog.Duration("loadAge", c.loadAge),
 		slog.Int("rank", c.rank), slog.String("urgency", c.urgency.String()),
-		slog.Int("runnersUp", len(v.RunnersUp())), slog.Int("send", j.sends+1))
+		slog.Int("runnersUp", len(v.RunnersUp())), slog.Int("send", j.sends+1),
+		slog.String("servingFrom", c.stateFrom), slog.Duration("servingFor", j.gateway.now().Sub(c.stateAt)))
 }
 
 // logEnd logs a request's outcome.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -41,7 +41,7 @@
 	if !j.service.maySend(c, g.now()) || !g.serverLimits.Spend(limitedServer(c)) || !j.maySendSuspect() || !j.takeRepeat() {
 		return false
 	}
-	j.service.recordSent(c)
+	j.service.recordSent(c, j.ID, g.now())
 	return true
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -51,6 +51,7 @@
 	prefillTokens   uint64            // prompt tokens sent to servers, less the cached ones
 	reportedAt      time.Time         // last report of the control replicas on others' load
 	brittle         brittleness
+	lastSends       map[string]lastSend  // by server
 	busy            map[string]struct{}  // servers that may have load: own, or others' by the last report
 	ownerReportedAt map[string]time.Time // last report of its owner, by server
 	onLoadChange    func(serverLoad)     // called without mu with this entry's load on a server after each change
@@ -72,7 +73,7 @@
 	}
 	return &service{
 		name: name, router: router, servers: make(map[string]directory.Server), cacheSequence: make(map[string]uint64), running: make(map[string]int),
-		busy:            make(map[string]struct{}),
+		busy: make(map[string]struct{}), lastSends: make(map[string]lastSend),
 		ownerReportedAt: make(map[string]time.Time), onLoadChange: onLoadChange,
 	}
 }
@@ -88,6 +89,7 @@
 	delete(s.servers, id)
 	delete(s.cacheSequence, id)
 	delete(s.ownerReportedAt, id)
+	delete(s.lastSends, id)
 }
 
 // update applies a record of a server. An unreachable server gets no requests until its
@@ -104,6 +106,7 @@
 		delete(s.servers, rec.ID)
 		delete(s.cacheSequence, rec.ID)
 		delete(s.ownerReportedAt, rec.ID)
+		delete(s.lastSends, rec.ID)
 	case rec.State == instance.StateLeaving:
 		s.servers[rec.ID] = rec
 		s.router.MarkLeaving(rec.ID, rec.Incarnation)
@@ -139,6 +142,8 @@
 	prefillTime time.Duration // expected time for the uncached part of the prompt
 	rank        int           // sent to the server
 	urgency     urgency.Reason
+	stateFrom   string    // replica that has reported the server as serving
+	stateAt     time.Time // when it did
 }
 
 // choose picks a server and counts the request there until end. The second result is false
@@ -153,6 +158,7 @@
 	s.running[v.Server]++
 	s.busy[v.Server] = struct{}{}
 	c := choice{verdict: v, attempt: s.router.Started(&v, now), prefixes: prefixes, loadAge: s.loadAge(v.Server, now)}
+	c.stateFrom, c.stateAt = s.servers[v.Server].StateFrom, s.servers[v.Server].StateAt
 	c.prefillTime = time.Duration(float64(v.UncachedTokens()) / s.router.PrefillRate() * float64(time.Second))
 	own := s.ownLoad(v.Server)
 	s.mu.Unlock()
@@ -160,10 +166,26 @@
 	return c, true
 }
 
-// recordSent records that the request is sent to the chosen server.
-func (s *service) recordSent(c *choice) {
+// lastSend is the last request that was sent to a server, for the log.
+type lastSend struct {
+	request string // its id
+	at      time.Time
+}
+
+// lastSendTo returns the last request that was sent to a server; the zero value if there is none.
+func (s *service) lastSendTo(server string) lastSend {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.lastSends[server]
+}
+
+// recordSent records that a request is sent to the chosen server.
+func (s *service) recordSent(c *choice, request string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.servers[c.verdict.Server]; known {
+		s.lastSends[c.verdict.Server] = lastSend{request, now}
+	}
 	s.prefillTokens += uint64(max(c.verdict.UncachedTokens(), 0))
 }
 
