--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -43,6 +43,9 @@
 	retryWindow time.Duration // of the settings; 0: the default
 	retrySlack  int           // of the settings; 0: the default
 
+	heartbeatInterval time.Duration // of backend servers, in the settings; 0: the default
+	drain             time.Duration // of the settings; 0: the default
+
 	zoneOfEntry func(i int) string // nil: z1
 }
 
@@ -136,6 +139,7 @@
 	s.Seeds, s.Cloud, s.PortBase = p.controlAddrs(), p.cloud.Address(), platformPort
 	s.Zone = cmp.Or(s.Zone, "z1")
 	s.RetryWindow, s.RetrySlack = p.retryWindow, p.retrySlack
+	s.HeartbeatInterval, s.Drain = p.heartbeatInterval, p.drain
 	file := filepath.Join(p.dir, "settings-"+s.IP)
 	require.NoError(p.t, os.WriteFile(file, []byte(s.File()), 0o600))
 	return p.start(role+"-"+s.IP, "platform", role, "--settings-file", file)
