directory: a leave holds for the start that the server means, whatever the clocks say

Callers' requests went on reaching a server that had left, for as long as it ran: its leave was acknowledged and ignored. A leave without an incarnation counted for those up to the replica's own time of day, though a server's start is numbered by the server's clock. If that was ahead, or the replica's behind, nothing changed. A leave that named a start which the replica did not know yet was recorded for the start before it. Now the leave holds for the start that is known or named, or for the first that becomes known within 5 s; no clock is compared with an incarnation. TestLeaveDoesNotDependOnClocks, TestLeaveBeforeFirstHeartbeatEnds and TestLeaveOfUnknownStartHoldsForThatStart fail on the code before.

--- a/directory/store.go
+++ b/directory/store.go
@@ -62,11 +62,13 @@
 	Server
 	key           Key
 	lastHeartbeat time.Time
-	heardFrom     string   // replica that forwarded the last heartbeat; empty: received by this process
-	changeSeq     uint64   // of the last change of the record
-	recordSeq     uint64   // of the last change but of Overdue and Unreachable
-	heartbeatSeq  uint64   // of the last change or heartbeat
-	reports       []report // last report of each replica, by its index; those beyond the end are 0
+	heardFrom     string // replica that forwarded the last heartbeat; empty: received by this process
+	changeSeq     uint64 // of the last change of the record
+	recordSeq     uint64 // of the last change but of Overdue and Unreachable
+	heartbeatSeq  uint64 // of the last change or heartbeat
+	// unstatedLeaveAt is when the server left before any start of it was known; see Leave.
+	unstatedLeaveAt time.Time
+	reports         []report // last report of each replica, by its index; those beyond the end are 0
 
 	packed    []byte // encoded record
 	packedSeq uint64 // changeSeq when it was encoded
@@ -110,21 +112,40 @@
 	return s.mergeServer(Origin{}, Server{Announcement: a}, now)
 }
 
-// Leave records a server's announcement that it is gone and reports whether its record
-// changed. incarnation 0 means every incarnation that started before now, for a server that
-// does not send its incarnation.
+// Leave records a server's announcement that it has left and reports whether its record changed.
+// incarnation 0 means that the server did not say which start of it has left: the one that is
+// known, or the first that becomes known within unstatedLeaveTTL. Times of day are not compared
+// with an incarnation: those of two machines may differ by seconds.
 func (s *Store) Leave(id string, incarnation uint64, now time.Time) bool {
 	s.mu.Lock()
-	if incarnation == 0 {
-		incarnation = uint64(now.UnixMilli())
-	}
+	defer s.mu.Unlock()
+	stored, known := s.servers[id]
 	rec := Server{Announcement: instance.Announcement{ID: id, Incarnation: incarnation}}
-	if stored, known := s.servers[id]; known && stored.Incarnation <= incarnation {
+	if known && (incarnation == 0 || incarnation == stored.Incarnation) {
 		rec.Announcement = stored.Announcement
 	}
 	rec.State = instance.StateGone
-	s.mu.Unlock()
-	return s.mergeServer(Origin{}, rec, now)
+	changed := s.mergeLocked(Origin{}, rec, now)
+	if !known && incarnation == 0 {
+		s.servers[id].unstatedLeaveAt = now
+	}
+	return changed
+}
+
+// unstatedLeaveTTL is how long the leave of a server that was not known then holds for the first
+// start of it that becomes known. A server does not start again that soon.
+const unstatedLeaveTTL = 5 * time.Second
+
+// applyUnstatedLeave marks a record as gone if it is the first of a server since a leave that did
+// not say which start left. The caller holds s.mu.
+func (s *Store) applyUnstatedLeave(stored *storedServer, rec *Server, now time.Time) {
+	if stored.unstatedLeaveAt.IsZero() {
+		return
+	}
+	if now.Sub(stored.unstatedLeaveAt) < unstatedLeaveTTL {
+		rec.State = instance.StateGone
+	}
+	stored.unstatedLeaveAt = time.Time{}
 }
 
 // Merge records what a replica has sent, and that the replica is reachable; both slices may
@@ -145,11 +166,19 @@
 func (s *Store) mergeServer(from Origin, rec Server, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.mergeLocked(from, rec, now)
+}
+
+// mergeLocked is mergeServer. The caller holds s.mu.
+func (s *Store) mergeLocked(from Origin, rec Server, now time.Time) bool {
 	lastHeartbeat := now.Add(-rec.HeartbeatAge)
 	stored, known := s.servers[rec.ID]
 	if known && !rec.version().newerThan(stored.version()) {
 		return s.refreshServer(from, stored, rec, now)
 	}
+	if known {
+		s.applyUnstatedLeave(stored, &rec, now)
+	}
 	received := newReport(rec.Overdue, rec.Unreachable)
 	rec.Overdue, rec.Unreachable = false, false
 	if !s.claimAddress(&rec, now) {
--- a/directory/store_test.go
+++ b/directory/store_test.go
@@ -91,6 +91,46 @@
 	require.Equal(t, instance.StateServing, stateOf(s, "s1"))
 }
 
+// Guards against a leave that is ignored because the server's clock, by which it numbers its starts,
+// is ahead of or behind that of the replica: requests would go on reaching it.
+func TestLeaveDoesNotDependOnClocks(t *testing.T) {
+	for _, offset := range []time.Duration{-time.Hour, -time.Second, 0, time.Second, time.Hour} {
+		s := newStore()
+		s.Announce(heartbeat("s1", uint64(epoch.Add(offset).UnixMilli()), 1, instance.StateServing), epoch)
+		require.True(t, s.Leave("s1", 0, epoch.Add(time.Minute)), "offset %s", offset)
+		require.Equal(t, instance.StateGone, stateOf(s, "s1"), "offset %s", offset)
+
+		s = newStore() // the leave is known before the server
+		s.Leave("s1", 0, epoch)
+		s.Announce(heartbeat("s1", uint64(epoch.Add(offset).UnixMilli()), 1, instance.StateServing), epoch.Add(time.Second))
+		require.Equal(t, instance.StateGone, stateOf(s, "s1"), "offset %s, unknown", offset)
+	}
+}
+
+// Guards against a server that starts again under its id and is never used, since a leave that came
+// before its first start was known would hold for each later one.
+func TestLeaveBeforeFirstHeartbeatEnds(t *testing.T) {
+	s := newStore()
+	s.Leave("s1", 0, epoch)
+	s.Announce(heartbeat("s1", 7, 1, instance.StateServing), epoch.Add(unstatedLeaveTTL))
+	require.Equal(t, instance.StateServing, stateOf(s, "s1"))
+}
+
+// Guards against a leave that names a start which this replica doesn't know yet, and is recorded for
+// the one before: the new one would be used as soon as its record arrives.
+func TestLeaveOfUnknownStartHoldsForThatStart(t *testing.T) {
+	s := newStore()
+	s.Announce(heartbeat("s1", 1, 9, instance.StateServing), epoch)
+	s.Leave("s1", 2, epoch)
+	require.Equal(t, instance.StateGone, stateOf(s, "s1"))
+	s.Announce(heartbeat("s1", 2, 1, instance.StateServing), epoch)
+	require.Equal(t, instance.StateGone, stateOf(s, "s1"))
+	s.Announce(heartbeat("s1", 3, 1, instance.StateServing), epoch)
+	require.Equal(t, instance.StateServing, stateOf(s, "s1"))
+	s.Leave("s1", 2, epoch)
+	require.Equal(t, instance.StateServing, stateOf(s, "s1"), "a late leave of an earlier start")
+}
+
 // Guards against an isolated replica that marks all servers unreachable, and against a server
 // that stops without an announcement and stays in use.
 func TestOverdueServerIsUnreachableOnlyIfConfirmed(t *testing.T) {
