coordinator, platform: a leave is acknowledged once a majority of the replicas holds it

Requests went on reaching servers whose leave had been acknowledged, until their heartbeats had been missing for 4.6 s, or for good if these went on: the answer 200 said only that one replica had the leave in memory, and this replica was killed or frozen before its reports had gone out. Now it passes the leave to the other voters, with all others of the last 10 ms, and answers when a majority holds it, within 0.7 s; otherwise 503, so that the server calls another replica. A leave that does not say which start it means holds at each for the start that is known there, and a majority holds it for the latest of them. 3013 is written then, 3014 if no majority held it. TestLeaveIsAcknowledgedOnceAMajorityHoldsIt fails with the rounds taken out (one holder); TestLeaveHoldsForTheLatestStartThatAnyReplicaKnows does not: the reports to other replicas bring the same some milliseconds later.

--- /dev/null
+++ b/coordinator/announce.go
@@ -0,0 +1,90 @@
+package coordinator
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/instance"
+)
+
+// Announce records a backend server's heartbeat. If it says that the server leaves, Announce returns
+// nil once a majority of the replicas hold the leave, and otherwise an error: the server then calls
+// another replica.
+func (c *Coordinator) Announce(ctx context.Context, a instance.Announcement) error {
+	changed := c.directory.Announce(a, c.now())
+	if changed {
+		c.logAnnouncement(&a)
+	}
+	if a.State == instance.StateServing {
+		return nil
+	}
+	return c.holdLeave(ctx, leave{id: a.ID, incarnation: a.Incarnation, stated: true}, a.State, changed)
+}
+
+// Leave records that a backend server has left, and returns nil once a majority of the replicas hold
+// that. incarnation 0 means that the server did not say which start of it has left.
+func (c *Coordinator) Leave(ctx context.Context, id string, incarnation uint64) error {
+	changed := c.directory.Leave(id, incarnation, c.now())
+	if changed {
+		event.Log(ctx, c.log, slog.LevelInfo, event.ServerGone, slog.String("server", id), slog.Uint64("incarnation", incarnation))
+	}
+	return c.holdLeave(ctx, leave{id: id, incarnation: incarnation, stated: incarnation != 0}, instance.StateGone, changed)
+}
+
+// logAnnouncement logs a heartbeat that has changed the record of its server.
+func (c *Coordinator) logAnnouncement(a *instance.Announcement) {
+	kind := event.ServerAnnounced
+	if a.State != instance.StateServing {
+		kind = event.ServerLeaving
+	}
+	event.Log(context.Background(), c.log, slog.LevelInfo, kind, slog.String("server", a.ID),
+		slog.Uint64("incarnation", a.Incarnation), slog.Uint64("sequence", a.Sequence), slog.String("address", a.Address),
+		slog.Any("services", a.Services), slog.String("zone", a.Zone), slog.String("state", string(a.State)))
+}
+
+// holdLeave makes a leave that this replica has recorded outlast it, and logs the outcome unless
+// nothing was left to do.
+func (c *Coordinator) holdLeave(ctx context.Context, l leave, said instance.State, changed bool) error {
+	begun := c.now()
+	done, err := c.leaves.hold(ctx, l)
+	if done {
+		return nil
+	}
+	held, _ := c.directory.Lookup(l.id, c.now())
+	attrs := []slog.Attr{
+		slog.String("server", l.id), slog.String("said", string(said)), slog.Uint64("incarnation", l.incarnation), slog.Bool("changed", changed),
+		slog.String("held", string(held.State)), slog.Uint64("heldIncarnation", held.Incarnation), slog.Duration("took", c.now().Sub(begun)),
+	}
+	if err != nil {
+		event.Log(ctx, c.log, slog.LevelWarn, event.LeaveNotAcknowledged, append(attrs, slog.String("error", err.Error()))...)
+		return err
+	}
+	event.Log(ctx, c.log, slog.LevelInfo, event.LeaveAcknowledged, attrs...)
+	return nil
+}
+
+// voters returns the link addresses of the voters other than this replica, how many voters there are,
+// and whether this replica is one. total is 0 while that is not known.
+func (c *Coordinator) voters() (others []string, total int, self bool) {
+	m := c.group.current.Load()
+	if m == nil {
+		return nil, 0, false
+	}
+	st := m.host.Status()
+	for _, id := range st.Voters {
+		if id == st.ID {
+			self = true
+			continue
+		}
+		if addr, known := m.addresses.Address(id); known {
+			others = append(others, addr)
+		}
+	}
+	return others, len(st.Voters), self
+}
+
+// leaveRetention is how long a leave that a majority holds is remembered as such: as long as the
+// directory keeps its record.
+const leaveRetention = 2 * time.Minute
--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -62,6 +62,8 @@
 	// MethodLeaderServerTokens at the leader.
 	MethodServerTokens       = "coordinator.tokens"
 	MethodLeaderServerTokens = "coordinator.tokens.leader"
+	// MethodHoldLeaves passes leaves of backend servers to another replica, which holds them when it replies.
+	MethodHoldLeaves = "coordinator.leaves"
 	// MethodLeaderTrial is MethodTrial at the leader.
 	MethodLeaderTrial = "coordinator.trial.leader"
 )
@@ -282,3 +284,16 @@
 	Member  bool `msgpack:"member"`
 	Retired bool `msgpack:"retired"` // the id is no longer valid; the replica must register a new one
 }
+
+// HoldLeavesRequest passes leaves of backend servers to another replica.
+type HoldLeavesRequest struct {
+	Servers []directory.Server `msgpack:"servers"` // leaving or gone, as the sender has them
+	// Unstated holds the ids of those servers that did not say which start of them has left: whichever
+	// the receiver knows has left, too.
+	Unstated []string `msgpack:"unstated,omitempty"`
+}
+
+// HoldLeavesReply says that the receiver holds the leaves.
+type HoldLeavesReply struct {
+	Newer []directory.Server `msgpack:"newer,omitempty"` // records of these servers with a later incarnation
+}
--- a/coordinator/cache_test.go
+++ b/coordinator/cache_test.go
@@ -59,7 +59,7 @@
 	require.Equal(t, []string{"1", "2"}, ids(c.directory.Since(0, c.now()).Servers), "entries receive them")
 
 	// One of them sends a heartbeat, the other one has stopped.
-	c.Announce(server("1", instance.StateServing).Announcement)
+	require.NoError(t, c.Announce(t.Context(), server("1", instance.StateServing).Announcement))
 	c.directory.Sweep(savedAt.Add(4100*time.Millisecond), true)
 	require.Equal(t, []string{"1"}, ids(servingServers(knownServers(c))))
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -21,7 +21,6 @@
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/document"
 	"savoryreel.example/savoryreel/event"
-	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/replica/roster"
 	"savoryreel.example/savoryreel/replica/storage"
@@ -72,6 +71,7 @@
 	work       *workTable
 	suspects   *suspectRegistry
 	tokens     *serverTokens
+	leaves     *leaves
 	clock      *wallclock.Clock
 	pool       *link.Pool
 	traffic    *link.Traffic
@@ -129,6 +129,7 @@
 		self: c.self, store: identityStore{fs: deps.FS, dir: cfg.Node.DataDir}, pool: c.pool, log: c.log, now: c.now,
 		founders: c.founders, peers: c.follower.Replicas, onRevision: c.acceptCatalogue, onMembers: c.setMembers, onTrials: c.suspects.setTrials,
 	}
+	c.leaves = newLeaves(leavesDeps{pool: c.pool, directory: c.directory, voters: c.voters, now: c.now})
 	c.cache = &serverCache{fs: deps.FS, dir: cfg.Node.DataDir}
 	c.tasks = &leaderTasks{log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, now: c.now, leaseTime: cfg.Node.Bounds.LeaseTime}
 	if bounds := cfg.Node.Bounds; cfg.Node.Cloud.Usage {
@@ -273,43 +274,6 @@
 	c.acceptCatalogue(r.Revision, r.Document)
 }
 
-// Announce records a backend server's heartbeat and logs a change of its state.
-func (c *Coordinator) Announce(a instance.Announcement) {
-	changed := c.directory.Announce(a, c.now())
-	if a.State != instance.StateServing {
-		c.logLeave(a.ID, a.State, a.Incarnation, changed)
-	}
-	if !changed {
-		return
-	}
-	kind := event.ServerAnnounced
-	if a.State != instance.StateServing {
-		kind = event.ServerLeaving
-	}
-	event.Log(context.Background(), c.log, slog.LevelInfo, kind, slog.String("server", a.ID),
-		slog.Uint64("incarnation", a.Incarnation), slog.Uint64("sequence", a.Sequence), slog.String("address", a.Address),
-		slog.Any("services", a.Services), slog.String("zone", a.Zone), slog.String("state", string(a.State)))
-}
-
-// Leave records that a backend server has left.
-func (c *Coordinator) Leave(id string, incarnation uint64) {
-	changed := c.directory.Leave(id, incarnation, c.now())
-	c.logLeave(id, instance.StateGone, incarnation, changed)
-	if changed {
-		event.Log(context.Background(), c.log, slog.LevelInfo, event.ServerGone,
-			slog.String("server", id), slog.Uint64("incarnation", incarnation))
-	}
-}
-
-// logLeave logs that a server's leave is acknowledged, with what this replica holds of the
-// server then.
-func (c *Coordinator) logLeave(id string, said instance.State, incarnation uint64, changed bool) {
-	held, _ := c.directory.Lookup(id, c.now())
-	event.Log(context.Background(), c.log, slog.LevelInfo, event.LeaveAcknowledged, slog.String("server", id),
-		slog.String("said", string(said)), slog.Uint64("incarnation", incarnation), slog.Bool("changed", changed),
-		slog.String("held", string(held.State)), slog.Uint64("heldIncarnation", held.Incarnation))
-}
-
 // Run serves until ctx ends, the process receives a signal or a component fails. public
 // adds the actors that serve the public API.
 func (c *Coordinator) Run(ctx context.Context, public func(g *run.Group) error) error {
@@ -366,6 +330,7 @@
 	link.Handle(srv, api.MethodJoin, serveLeader(c, c.joinAsLeader))
 	link.Handle(srv, api.MethodTrial, c.trial)
 	link.Handle(srv, api.MethodDocument, c.documentPart)
+	link.Handle(srv, api.MethodHoldLeaves, c.leaves.holdForPeer)
 	link.Handle(srv, api.MethodServerTokens, c.serverTokensAnywhere)
 	link.Handle(srv, api.MethodLeaderServerTokens, serveLeader(c, c.serverTokensAsLeader))
 	link.Handle(srv, api.MethodLeaderTrial, serveLeader(c, c.trialAsLeader))
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -28,6 +28,7 @@
 		c.loads.expire(c.now())
 		c.work.expire(c.now())
 		c.suspects.expire()
+		c.leaves.expire()
 	})
 }
 
--- a/coordinator/watch_test.go
+++ b/coordinator/watch_test.go
@@ -171,7 +171,7 @@
 // leave that they do not report.
 func TestStatusesReplaceRecords(t *testing.T) {
 	c := newIdleReplica(t)
-	c.Announce(serverAnnouncement("s1", 1, instance.StateServing))
+	require.NoError(t, c.Announce(t.Context(), serverAnnouncement("s1", 1, instance.StateServing)))
 	req := api.WatchRequest{Role: api.RoleEntry, Detail: api.DetailNone, Wait: time.Minute}
 	call := func() api.WatchReply {
 		ctx, cancel := context.WithTimeout(context.Background(), testWait)
@@ -190,7 +190,7 @@
 	statuses := call()
 	require.Empty(t, statuses.Servers)
 	require.Equal(t, 1, statuses.Statuses.Len())
-	c.Announce(serverAnnouncement("s1", 2, instance.StateLeaving))
+	require.ErrorIs(t, c.Announce(t.Context(), serverAnnouncement("s1", 2, instance.StateLeaving)), errNoMajorityHolds, "the replica is alone")
 	require.Equal(t, instance.StateLeaving, slices.Collect(call().Statuses.All())[0].State)
 
 	req.Detail, req.Seen = api.DetailRecords, 0
@@ -221,7 +221,7 @@
 		})
 	}
 	for i := range servers {
-		c.Announce(serverAnnouncement(fmt.Sprintf("s%d", i), 1, instance.StateServing))
+		require.NoError(t, c.Announce(t.Context(), serverAnnouncement(fmt.Sprintf("s%d", i), 1, instance.StateServing)))
 		time.Sleep(time.Second / servers / 2)
 	}
 	wg.Wait()
--- a/directory/record.go
+++ b/directory/record.go
@@ -73,6 +73,9 @@
 	return v.sequence > o.sequence
 }
 
+// Key returns the key of this incarnation of the server.
+func (s *Server) Key() Key { return keyOf(s.ID, s.Incarnation) }
+
 func (s *Server) version() version {
 	return version{s.Incarnation, stateOrder(s.State), s.Sequence}
 }
--- a/event/event.go
+++ b/event/event.go
@@ -58,6 +58,7 @@
 	ServerLimited         Kind = 3011
 	ServersBrittle        Kind = 3012
 	LeaveAcknowledged     Kind = 3013
+	LeaveNotAcknowledged  Kind = 3014
 	ServerSlow            Kind = 3005
 	CacheGap              Kind = 3006
 	MemberChanged         Kind = 3101
@@ -141,6 +142,7 @@
 	{ServerLimited, "backend server names a limit"},
 	{ServersBrittle, "backend servers of a service are brittle"},
 	{LeaveAcknowledged, "leave of a backend server acknowledged"},
+	{LeaveNotAcknowledged, "leave of a backend server not acknowledged"},
 	{ServerSlow, "backend server slow"},
 	{CacheGap, "cache events have a gap"},
 	{MemberChanged, "instance changed"},
