coordinator: leaves are on the disks of a majority before they are acknowledged

Servers that had left got requests again after all processes had been killed and started: a replica restores the servers that served from a list of the second before, and leaves were in memory only. A voter now says that it holds a leave once its list of servers that have left is synced; all leaves that wait share one write. It is read after the other list at a start, and a leave is final within its start. TestLeavesOutlastARestart and TestLeaveThatIsNotSavedIsNotHeld are new; they need the list that this commit brings.

--- a/coordinator/cache.go
+++ b/coordinator/cache.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io/fs"
 	"log/slog"
 	"path/filepath"
@@ -30,10 +31,14 @@
 	cacheFileCount = 2
 )
 
-// cacheFileNames are the names of the files in the data folder.
-var cacheFileNames = [cacheFileCount]string{"servers.0", "servers.1"}
+// Names of the files in the data folder without the number of the file: of the servers that serve
+// and of those that have left.
+const (
+	servingFiles = "servers"
+	leftFiles    = "left"
+)
 
-// serverCache stores the serving servers in the data folder, so that they are known
+// serverCache stores servers in the data folder. Those that serve are stored so that they are known
 // right after a restart of all replicas.
 //
 // Each server sends its heartbeat to one replica. Without the cache, entries would know
@@ -41,8 +46,9 @@
 // has the heartbeat age that it would have had without the restart, so it is not used
 // for longer.
 type serverCache struct {
-	fs  storage.FS
-	dir string
+	fs   storage.FS
+	dir  string
+	base string // of the files' names
 
 	writes int // files written, including those that load found
 }
@@ -62,6 +68,11 @@
 	Body []byte `msgpack:"body"`
 }
 
+// file returns the name of file i.
+func (m *serverCache) file(i int) string {
+	return filepath.Join(m.dir, fmt.Sprintf("%s.%d", m.base, i%cacheFileCount))
+}
+
 // save writes the state into the next file and returns once it is synced.
 func (m *serverCache) save(s cachedState) error {
 	body, err := msgpack.Marshal(&s)
@@ -75,7 +86,7 @@
 	if err := m.fs.MkdirAll(m.dir); err != nil {
 		return trace.Wrap(err, "step=create data folder")
 	}
-	f, err := m.fs.Create(filepath.Join(m.dir, cacheFileNames[m.writes%cacheFileCount]))
+	f, err := m.fs.Create(m.file(m.writes))
 	if err != nil {
 		return trace.Wrap(err, "step=create cache file")
 	}
@@ -94,8 +105,8 @@
 // the errors of all files that could not be read, also if ok is true.
 func (m *serverCache) load() (newest cachedState, ok bool, err error) {
 	var errs []error
-	for i, name := range cacheFileNames {
-		s, err := m.read(name)
+	for i := range cacheFileCount {
+		s, err := m.read(m.file(i))
 		switch {
 		case errors.Is(err, fs.ErrNotExist):
 		case err != nil:
@@ -111,7 +122,7 @@
 // read reads one file and verifies its checksum.
 func (m *serverCache) read(name string) (cachedState, error) {
 	var s cachedState
-	enc, err := m.fs.ReadFile(filepath.Join(m.dir, name))
+	enc, err := m.fs.ReadFile(name)
 	if err != nil {
 		return s, err
 	}
@@ -125,9 +136,26 @@
 	return s, trace.Wrap(msgpack.Unmarshal(file.Body, &s), "step=decode %s", name)
 }
 
-// restoreCache merges the cached servers and entries into the directory, with heartbeats
+// restoreCache merges the saved servers and entries into the directory, with heartbeats
 // at least as old as the cache, and restores the entries that may use a share.
 func (c *Coordinator) restoreCache(ctx context.Context) {
+	c.restoreServing(ctx)
+	left, ok, err := c.leaves.saver.cache.load()
+	if err != nil {
+		event.Log(ctx, c.log, slog.LevelWarn, event.ServersNotKept, slog.String("step", "load those that have left"), slog.String("error", err.Error()))
+	}
+	if !ok {
+		return
+	}
+	now := c.now()
+	for i := range left.Servers {
+		left.Servers[i].HeartbeatAge += max(now.Sub(left.At), 0)
+	}
+	c.directory.Merge(directory.Origin{}, left.Servers, nil, now)
+}
+
+// restoreServing merges the servers and entries that serve.
+func (c *Coordinator) restoreServing(ctx context.Context) {
 	s, ok, err := c.cache.load()
 	if err != nil {
 		event.Log(ctx, c.log, slog.LevelWarn, event.ServersNotKept, slog.String("step", "load"), slog.String("error", err.Error()))
--- a/coordinator/cache_test.go
+++ b/coordinator/cache_test.go
@@ -4,14 +4,15 @@
 	"context"
 	"log/slog"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/limit"
 	"savoryreel.example/savoryreel/replica/storage"
 )
@@ -19,13 +20,18 @@
 // restartReplica returns a replica that started at a time with the cache in dir.
 func restartReplica(dir string, at time.Time) *Coordinator {
 	c := &Coordinator{
-		log: slog.New(slog.DiscardHandler), now: func() time.Time { return at }, cache: &serverCache{fs: storage.OS{}, dir: dir}, shares: newShareRegistry(at, false),
+		log: slog.New(slog.DiscardHandler), now: func() time.Time { return at }, cache: &serverCache{fs: storage.OS{}, dir: dir, base: servingFiles}, shares: newShareRegistry(at, false),
 		directory: directory.NewStore(directory.Config{OverdueAfter: 4 * time.Second, EntryExpiry: entryExpiry, ForgetAfter: time.Minute}),
 	}
+	c.leaves = newLeaves(leavesDeps{directory: c.directory, saver: newLeaveSaver(c, dir), now: c.now})
 	c.restoreCache(context.Background())
 	return c
 }
 
+func newLeaveSaver(c *Coordinator, dir string) *leaveSaver {
+	return &leaveSaver{cache: &serverCache{fs: storage.OS{}, dir: dir, base: leftFiles}, left: c.directory.Left, now: c.now}
+}
+
 func server(id string, state instance.State) directory.Server {
 	return directory.Server{Announcement: instance.Announcement{
 		ID: id, Incarnation: 1, Sequence: 7, State: state, Address: "10.0.0.1:" + id, Services: []string{"chat"},
@@ -45,7 +51,7 @@
 var savedAt = time.Unix(1_700_000_000, 0)
 
 func saveServers(t *testing.T, servers ...directory.Server) (*serverCache, string) {
-	m := &serverCache{fs: storage.OS{}, dir: t.TempDir()}
+	m := &serverCache{fs: storage.OS{}, dir: t.TempDir(), base: servingFiles}
 	require.NoError(t, m.save(cachedState{At: savedAt, Servers: servers}))
 	return m, m.dir
 }
@@ -64,6 +70,37 @@
 	require.Equal(t, []string{"1"}, ids(servingServers(knownServers(c))))
 }
 
+// All control replicas restart. Guards against servers that have left and are served again, since they
+// are among those that were saved as serving a moment before.
+func TestLeavesOutlastARestart(t *testing.T) {
+	_, dir := saveServers(t, server("1", instance.StateServing), server("2", instance.StateServing), server("3", instance.StateServing))
+	c := restartReplica(dir, savedAt.Add(100*time.Millisecond))
+	require.Len(t, servingServers(knownServers(c)), 3)
+	require.True(t, c.directory.Leave("1", 0, c.now()))
+	require.True(t, c.directory.Announce(server("2", instance.StateLeaving).Announcement, c.now()))
+	require.NoError(t, c.leaves.saver.save(t.Context()))
+	for range 2 {
+		c = restartReplica(dir, savedAt.Add(2*time.Second))
+		require.Equal(t, []string{"3"}, ids(servingServers(knownServers(c))))
+	}
+	c.directory.Sweep(savedAt.Add(10*time.Minute), false)
+	require.Empty(t, c.directory.Left(c.now()), "they are forgotten in the end")
+}
+
+// A disk is full, or hangs. Guards against leaves that are acknowledged though they are on no disk, and
+// against calls that wait for the disk for ever.
+func TestLeaveThatIsNotSavedIsNotHeld(t *testing.T) {
+	c := restartReplica(t.TempDir(), savedAt)
+	c.leaves.saver.cache.dir = "/dev/null/full"
+	_, err := c.leaves.holdForPeer(t.Context(), link.PeerInfo{}, api.HoldLeavesRequest{Servers: []directory.Server{server("1", instance.StateGone)}})
+	require.Error(t, err)
+	hung := newLeaveSaver(c, t.TempDir())
+	hung.writing = true // a write that does not end
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, hung.save(ctx), context.DeadlineExceeded)
+}
+
 // A replica was down for a minute. Guards against treating cached servers as if their
 // heartbeat had been received at the start.
 func TestExpiredServerCacheIsIgnored(t *testing.T) {
@@ -93,7 +130,7 @@
 	require.NoError(t, m.save(cachedState{At: savedAt.Add(time.Second), Servers: []directory.Server{server("2", instance.StateServing)}}))
 	require.Equal(t, []string{"2"}, ids(knownServers(restartReplica(dir, savedAt.Add(time.Second)))))
 
-	name := filepath.Join(dir, cacheFileNames[1])
+	name := m.file(1)
 	whole, err := os.ReadFile(name)
 	require.NoError(t, err)
 	for _, torn := range [][]byte{nil, whole[:len(whole)/2], append([]byte{}, make([]byte, len(whole))...)} {
@@ -102,7 +139,7 @@
 	}
 
 	// The next write replaces the torn file.
-	m = &serverCache{fs: storage.OS{}, dir: dir}
+	m = &serverCache{fs: storage.OS{}, dir: dir, base: servingFiles}
 	_, _, err = m.load()
 	require.Error(t, err)
 	require.NoError(t, m.save(cachedState{At: savedAt.Add(2 * time.Second), Servers: []directory.Server{server("3", instance.StateServing)}}))
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -129,8 +129,11 @@
 		self: c.self, store: identityStore{fs: deps.FS, dir: cfg.Node.DataDir}, pool: c.pool, log: c.log, now: c.now,
 		founders: c.founders, peers: c.follower.Replicas, onRevision: c.acceptCatalogue, onMembers: c.setMembers, onTrials: c.suspects.setTrials,
 	}
-	c.leaves = newLeaves(leavesDeps{pool: c.pool, directory: c.directory, voters: c.voters, now: c.now})
-	c.cache = &serverCache{fs: deps.FS, dir: cfg.Node.DataDir}
+	c.cache = &serverCache{fs: deps.FS, dir: cfg.Node.DataDir, base: servingFiles}
+	c.leaves = newLeaves(leavesDeps{
+		pool: c.pool, directory: c.directory, voters: c.voters, now: c.now,
+		saver: &leaveSaver{cache: &serverCache{fs: deps.FS, dir: cfg.Node.DataDir, base: leftFiles}, left: c.directory.Left, now: c.now},
+	})
 	c.tasks = &leaderTasks{log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, now: c.now, leaseTime: cfg.Node.Bounds.LeaseTime}
 	if bounds := cfg.Node.Bounds; cfg.Node.Cloud.Usage {
 		c.tasks.usage = &usageReports{
--- a/coordinator/leaves.go
+++ b/coordinator/leaves.go
@@ -40,8 +40,8 @@
 }
 
 // leaves passes the leaves of backend servers to the other voters, and knows which of them a majority
-// holds. A leave that only one replica holds when it is acknowledged is lost with that replica, and
-// requests go on reaching the server. It is safe for concurrent use.
+// holds, on disk. A leave that only one replica holds when it is acknowledged is lost with that replica,
+// and one that is in memory only when all processes end; requests then go on reaching the server. It is safe for concurrent use.
 type leaves struct {
 	leavesDeps
 
@@ -56,6 +56,7 @@
 type leavesDeps struct {
 	pool      *link.Pool
 	directory *directory.Store
+	saver     *leaveSaver
 	// voters returns the link addresses of the other voters, the number of all voters, and whether
 	// this replica is one.
 	voters func() (others []string, total int, self bool)
@@ -138,7 +139,7 @@
 		calls.Go(func() { outcomes <- l.callPeer(ctx, addr, req) })
 	}
 	if self {
-		outcomes <- nil
+		calls.Go(func() { outcomes <- l.saver.save(ctx) })
 	}
 	go func() {
 		calls.Wait()
@@ -224,12 +225,15 @@
 }
 
 // holdForPeer records leaves that another replica has received.
-func (l *leaves) holdForPeer(_ context.Context, from link.PeerInfo, req api.HoldLeavesRequest) (api.HoldLeavesReply, error) {
+func (l *leaves) holdForPeer(ctx context.Context, from link.PeerInfo, req api.HoldLeavesRequest) (api.HoldLeavesReply, error) {
 	now := l.now()
 	for _, id := range req.Unstated {
 		l.directory.Leave(id, 0, now)
 	}
 	l.directory.Merge(directory.Origin{Replica: from.Address, Incarnation: from.Incarnation}, req.Servers, nil, now)
+	if err := l.saver.save(ctx); err != nil {
+		return api.HoldLeavesReply{}, trace.Wrap(err, "step=save leaves")
+	}
 	var reply api.HoldLeavesReply
 	for i := range req.Servers {
 		sent := &req.Servers[i]
--- a/directory/store.go
+++ b/directory/store.go
@@ -357,6 +357,19 @@
 	return out
 }
 
+// Left returns the servers that are leaving or gone, in any order.
+func (s *Store) Left(now time.Time) []Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Server
+	for _, stored := range s.servers {
+		if stored.State != instance.StateServing {
+			out = append(out, stored.record(now))
+		}
+	}
+	return out
+}
+
 // EachServer calls fn for every server that is not gone, in any order. fn must not keep the
 // record or call the store.
 func (s *Store) EachServer(now time.Time, fn func(rec *Server)) {
