directory, coordinator: no heartbeat is acknowledged that was dropped, and no leave is dropped

TestLeaveIsRecordedWhileAnotherServerHasTheAddress fails on the code before; TestHeartbeatThatIsNotRecordedIsNotAcknowledged is new.

--- a/coordinator/announce.go
+++ b/coordinator/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -9,14 +10,20 @@
 	"savoryreel.example/savoryreel/instance"
 )
 
+// errNotRecorded reports a heartbeat that is not recorded, because another server has the address.
+var errNotRecorded = errors.New("another server has the address")
+
 // Announce records a backend server's heartbeat. If it says that the server leaves, Announce returns
-// nil once a majority of the replicas hold the leave, and otherwise an error: the server then calls
-// another replica.
+// nil once a majority of the replicas hold the leave. An error means that the server is to call another
+// replica.
 func (c *Coordinator) Announce(ctx context.Context, a instance.Announcement) error {
 	changed := c.directory.Announce(a, c.now())
 	if changed {
 		c.logAnnouncement(&a)
 	}
+	if !c.directory.Holds(&a) {
+		return errNotRecorded
+	}
 	if a.State == instance.StateServing {
 		return nil
 	}
--- a/coordinator/leaves_test.go
+++ b/coordinator/leaves_test.go
@@ -81,3 +81,15 @@
 		return true
 	}, testWait, 10*time.Millisecond)
 }
+
+// Guards against a heartbeat that is acknowledged though it is dropped, because the server that had the
+// address before was heard of a moment ago: the server would not call another replica.
+func TestHeartbeatThatIsNotRecordedIsNotAcknowledged(t *testing.T) {
+	c := newIdleReplica(t)
+	c.directory = directory.NewStore(directory.Config{OverdueAfter: time.Second, AddressHold: time.Minute, ForgetAfter: time.Minute})
+	previous, successor := serverAnnouncement("s1", 1, instance.StateServing), serverAnnouncement("s2", 1, instance.StateServing)
+	successor.Address = previous.Address
+	require.NoError(t, c.Announce(t.Context(), previous))
+	require.NoError(t, c.Announce(t.Context(), previous), "sent again")
+	require.ErrorIs(t, c.Announce(t.Context(), successor), errNotRecorded)
+}
--- a/directory/store.go
+++ b/directory/store.go
@@ -112,6 +112,16 @@
 	return s.mergeServer(Origin{}, Server{Announcement: a}, now)
 }
 
+// Holds reports whether the record of a server is at least as new as an announcement. It is not after
+// Announce if another server has the address.
+func (s *Store) Holds(a *instance.Announcement) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, known := s.servers[a.ID]
+	announced := Server{Announcement: *a}
+	return known && !announced.version().newerThan(stored.version())
+}
+
 // Leave records a server's announcement that it has left and reports whether its record changed.
 // incarnation 0 means that the server did not say which start of it has left: the one that is
 // known, or the first that becomes known within unstatedLeaveTTL. Times of day are not compared
@@ -254,10 +264,10 @@
 //
 // The later incarnation wins. If the incarnations are equal, as for servers that send none, a
 // server keeps its address for AddressHold after its last heartbeat, and rec is taken to be a
-// delayed heartbeat. A real successor claims the address with a later heartbeat. The caller
-// holds s.mu.
+// delayed heartbeat. A real successor claims the address with a later heartbeat. A server that
+// leaves needs no address, and its leave must not be lost with the claim. The caller holds s.mu.
 func (s *Store) claimAddress(rec *Server, now time.Time) bool {
-	if rec.State == instance.StateGone || rec.Address == "" {
+	if rec.State != instance.StateServing || rec.Address == "" {
 		return true
 	}
 	other, taken := s.servers[s.byAddr[rec.Address]]
--- a/directory/store_test.go
+++ b/directory/store_test.go
@@ -80,6 +80,22 @@
 	require.Equal(t, instance.StateServing, stateOf(s, "s1"), "the address is free once AddressHold has passed since the last heartbeat of the other server")
 }
 
+// Guards against a leave that is lost because the server that had its address before was heard of a
+// moment ago: requests would go on reaching it, through the replicas that know it.
+func TestLeaveIsRecordedWhileAnotherServerHasTheAddress(t *testing.T) {
+	s := newStore()
+	previous, successor := heartbeat("s1", 0, 5, instance.StateServing), heartbeat("s2", 0, 1, instance.StateServing)
+	successor.Address = previous.Address
+	s.Announce(previous, epoch)
+	s.Announce(successor, epoch.Add(time.Second))
+	require.False(t, s.Holds(&successor))
+	successor.State, successor.Sequence = instance.StateLeaving, 2
+	s.Announce(successor, epoch.Add(1100*time.Millisecond))
+	require.True(t, s.Holds(&successor))
+	require.Equal(t, instance.StateLeaving, stateOf(s, "s2"))
+	require.Equal(t, instance.StateServing, stateOf(s, "s1"))
+}
+
 // Guards against a server that returns after its leave: a replica that has just started
 // receives the leave first, and then an older record of the server from another replica.
 func TestLeaveBeforeFirstHeartbeat(t *testing.T) {
