gateway, coordinator: a starved entry sends by confirmed leaves only

By reading, with a test: an entry that stood still or was starved of its processor decided by what it knew of the servers, however old; only the catalogue had to be confirmed. A leave is held by a majority of the replicas when it is acknowledged, so replies of a majority since then bring it. An entry whose upkeep was late now needs such replies no older than half of the bound on leaves (drain_ms), at the choice and again before the send; until then requests wait, for 0.5 s at most, and are then refused as not run. What a reply confirms is in force before it counts as confirmed, and a reply's age is that of what it reports. An entry that is cut off and not starved serves on, as before. TestStarvedEntrySendsByConfirmedLeavesOnly fails without the check. Not seen in a run of real processes.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -225,7 +225,7 @@
 	HasSuspects     bool     `msgpack:"hasSuspects,omitempty"`
 	Suspects        []uint64 `msgpack:"suspects,omitempty"`
 	SuspectsVersion uint64   `msgpack:"suspectsVersion,omitempty"`
-	// Held is how long the replica held the call before it read Revision.
+	// Held is how long the replica held the call before it read what it reports.
 	Held time.Duration `msgpack:"held,omitempty"`
 	// SentAt is when the request was sent, by the clock of its sender.
 	SentAt time.Time `msgpack:"-"`
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -66,6 +66,7 @@
 	live := c.live.current(now)
 	reply := api.WatchReply{
 		Incarnation: c.incarnation, Zone: c.cfg.Node.Zone, Replicas: c.replicas(), LiveEntries: len(live.names), Clock: now,
+		Held: now.Sub(receivedAt),
 	}
 	if err := c.addChanges(&reply, from, &req, seen); err != nil {
 		return api.WatchReply{}, err
@@ -84,7 +85,6 @@
 	if req.Role == api.RoleEntry {
 		c.addSuspects(&reply, &req)
 	}
-	reply.Held = c.now().Sub(receivedAt)
 	revision, document, _ := c.catalogue.get()
 	reply.Revision = revision
 	if document != nil && !req.RevisionOnly && !req.NoDocument && req.Lacks(revision) {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -55,7 +55,6 @@
 func (g *Gateway) applyReply(addr string, r api.WatchReply) {
 	g.clock.Observe(addr, r.Clock)
 	g.breaks.updateList(addr, &r)
-	g.freshness.record(addr, &r)
 	from := directory.Origin{Replica: addr, Incarnation: r.Incarnation}
 	g.directory.Merge(from, r.Servers, r.Entries, g.now())
 	g.directory.MergeStatuses(from, r.Statuses, g.now())
@@ -64,6 +63,7 @@
 		g.exchange.invalidateList()
 	}
 	g.applyDirectory()
+	g.freshness.record(addr, &r) // after what it confirms is in force
 	if r.HasLoads {
 		g.applyReportedLoads(r.Loads)
 	}
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -22,10 +23,12 @@
 	starvedFor = 2 * time.Second
 )
 
-// freshness tracks whether this entry's catalogue is the newest. It is safe for concurrent use.
+// freshness tracks whether this entry's catalogue is the newest, and what it knows of the servers. It is
+// safe for concurrent use.
 type freshness struct {
 	now         func() time.Time
 	applyWithin time.Duration // in which a change must be in force everywhere
+	drain       time.Duration // in which a server that leaves must get no more requests
 
 	mu         sync.Mutex
 	tracker    *policy.Tracker
@@ -36,8 +39,8 @@
 	lateAt     time.Time // of the last upkeep that was late
 }
 
-func newFreshness(applyWithin time.Duration, now func() time.Time) *freshness {
-	return &freshness{now: now, applyWithin: applyWithin, tracker: policy.NewTracker(), changed: make(chan struct{})}
+func newFreshness(applyWithin, drain time.Duration, now func() time.Time) *freshness {
+	return &freshness{now: now, applyWithin: applyWithin, drain: drain, tracker: policy.NewTracker(), changed: make(chan struct{})}
 }
 
 // record records the reply of a replica.
@@ -102,8 +105,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	starved := f.tickOverdue(now) || !f.lateAt.IsZero() && now.Sub(f.lateAt) < starvedFor
-	return !starved || now.Sub(f.tracker.ConfirmedAt(revision)) <= f.applyWithin
+	return !f.starved(now) || now.Sub(f.tracker.ConfirmedAt(revision)) <= f.applyWithin
+}
+
+// starved reports whether replies of control replicas may not have been read. f.mu is held.
+func (f *freshness) starved(now time.Time) bool {
+	return f.tickOverdue(now) || !f.lateAt.IsZero() && now.Sub(f.lateAt) < starvedFor
+}
+
+// anyRevision is above all revisions.
+const anyRevision = math.MaxUint64
+
+// knowsLeaves reports whether a request may be sent to a server that is not known to leave. A leave is
+// acknowledged once a majority of the replicas holds it, and a process that is starved may have missed
+// their replies: it needs those of a majority. Half of the bound is left for what follows.
+func (f *freshness) knowsLeaves() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	return !f.starved(now) || now.Sub(f.tracker.ConfirmedAt(anyRevision)) <= f.drain/2
 }
 
 // wait returns a channel that is closed at the next change, and whether the replicas are to be
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/directory"
+	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/routes"
 )
 
@@ -123,3 +125,31 @@
 	}
 	require.Zero(t, serve(), "it is in time, and only cut off")
 }
+
+// Guards against an entry that stood still, or was starved of its processor, and sends requests to
+// servers that have left meanwhile: it knows of no leave before it has read the replies of a majority of
+// the control replicas.
+func TestStarvedEntrySendsByConfirmedLeavesOnly(t *testing.T) {
+	r := newRig(t)
+	r.setRoutes(routes.Route{Prefix: "/a/", Kind: routes.Idempotent})
+	r.freshness.applyWithin = time.Minute // the catalogue is in doubt later than the servers
+	leaving := r.server("web", respond("leaving"))
+	r.freshness.tick()
+	r.confirmRevision(1)
+	r.clockOffset.Add(int64(upkeepInterval + 2*maxTickDelay)) // longer than half of the bound on leaves
+	r.freshness.tick()
+	_, refusal := r.serve("/a/x")
+	require.Equal(t, NoServer, refusal.Reason)
+	require.Zero(t, leaving.count(), "nothing is known of the servers since the pause")
+
+	r.server("web", respond("staying"))
+	time.AfterFunc(maxConfirmWait/5, func() {
+		rec, _ := r.directory.Lookup("s1", r.now())
+		rec.State = instance.StateLeaving
+		r.applyReply("replica", api.WatchReply{Revision: 1, Replicas: []string{"replica"}, SentAt: r.now(), Servers: []directory.Server{rec}})
+	})
+	out, refusal := r.serve("/a/x")
+	require.Nil(t, refusal)
+	require.Equal(t, "staying", string(out.body))
+	require.Zero(t, leaving.count())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,7 +116,7 @@
 	g.exchange = g.newExchange()
 	g.breaks = newBreaks(g.now)
 	g.serverLimits = serverlimit.New(cfg.Node.Name, g.askForTokens, g.now)
-	g.freshness = newFreshness(b.ConfigApply, g.now)
+	g.freshness = newFreshness(b.ConfigApply, b.Drain, g.now)
 	g.limits = newLimits(g.exchange, g.shares, b, g.log, g.now)
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
 	g.outcomes = outcomes{set: g.metrics}
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -56,10 +56,40 @@
 		return result{refusal: j.failureRefusal("no repeat: " + j.repeatRefused)}
 	}
 	r := result{retryable: true, notRun: true, server: c.verdict.Server}
+	if !j.gateway.freshness.knowsLeaves() {
+		r.server = "" // it may be chosen again
+	}
 	r.refusal = j.failureRefusal("the server takes no more requests")
 	return r
 }
 
+// awaitLeaves waits for a short while until this entry knows which servers leave, and reports whether it
+// does.
+func (j *job) awaitLeaves(ctx context.Context) bool {
+	f := j.gateway.freshness
+	if f.knowsLeaves() {
+		return true
+	}
+	timeout := time.NewTimer(j.confirmWait())
+	defer timeout.Stop()
+	for {
+		changed, prompt := f.wait()
+		if f.knowsLeaves() {
+			return true
+		}
+		if prompt {
+			j.gateway.follower.Prompt()
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 const (
 	// minPauseRetry and maxPauseRetry bound the Retry-After of a refusal while all servers have
 	// asked for a pause. The pause is this entry's: at another one a server may have room before.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -38,7 +38,7 @@
 // It is called once a connection is open.
 func (j *job) maySend(c *choice) bool {
 	g := j.gateway
-	if !j.service.maySend(c, g.now()) || !g.serverLimits.Spend(limitedServer(c)) || !j.maySendSuspect() || !j.takeRepeat() {
+	if !g.freshness.knowsLeaves() || !j.service.maySend(c, g.now()) || !g.serverLimits.Spend(limitedServer(c)) || !j.maySendSuspect() || !j.takeRepeat() {
 		return false
 	}
 	j.service.recordSent(c, j.ID, g.now())
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -169,6 +169,9 @@
 		if refusal := j.contextRefusal(ctx); refusal != nil {
 			return refusal
 		}
+		if !j.awaitLeaves(ctx) {
+			return j.failureRefusal("what is known of the servers is not confirmed")
+		}
 		c, ok := j.choose(ctx)
 		if !ok {
 			if j.awaitPlace(ctx) {
