coordinator/follow: the call after an interrupted one is not interrupted

By reading, with a test: a process that prompts the control replicas, up to ten times a second, gave up the open call each time and asked anew. Where replies took longer than the time between two prompts, none ever arrived: the entry learned of no leave while it refused its callers. The call after an interrupted one now runs to its reply, which comes at once. TestRepliesArriveWhileTheyAreAskedForOften (replies take 150 ms, prompts each 50 ms): none in 10 s before.

--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -120,6 +120,14 @@
 	unreachable bool          // the last call failed
 }
 
+// discardWake forgets that the open call was to be interrupted.
+func (p *peer) discardWake() {
+	select {
+	case <-p.wake:
+	default:
+	}
+}
+
 // New returns a Follower that makes no calls until Run.
 func New(cfg Config, deps Deps) *Follower {
 	if cfg.Wait <= 0 {
@@ -221,7 +229,9 @@
 	var suspects suspectState
 	prompts := f.prompts.Load()
 	retryDelay := minRetryDelay
+	interrupted := false
 	for ctx.Err() == nil {
+		p.discardWake() // what it announces is part of the request that follows
 		req := f.deps.Request()
 		req.Incarnation = incarnation
 		sent.trimUsage(&req)
@@ -233,9 +243,13 @@
 		if n := f.prompts.Load(); n != prompts {
 			prompts, req.Wait = n, promptWait
 		}
+		if interrupted {
+			req.Wait = promptWait
+		}
 		sentAt := f.deps.Now()
-		reply, err := f.call(ctx, addr, p, req)
-		if err == errWoken {
+		reply, err := f.call(ctx, addr, p, req, !interrupted)
+		interrupted = err == errWoken
+		if interrupted {
 			continue
 		}
 		f.recordOutcome(ctx, addr, p, err)
@@ -288,16 +302,22 @@
 	return max(wait, minWait) + replyMargin
 }
 
-// call sends req and returns the reply, or errWoken if SendNow interrupted the call.
-func (f *Follower) call(ctx context.Context, addr string, p *peer, req api.WatchRequest) (api.WatchReply, error) {
+// call sends req and returns the reply, or errWoken if SendNow interrupted the call. The call after an
+// interrupted one is not interruptible: where replies take longer than the time between two calls of
+// SendNow, none would ever arrive.
+func (f *Follower) call(ctx context.Context, addr string, p *peer, req api.WatchRequest, interruptible bool) (api.WatchReply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout(req.Wait, req.Seen == 0))
 	defer cancel()
 	done := make(chan struct{})
 	defer close(done)
 	woken := make(chan struct{})
+	wake := p.wake
+	if !interruptible {
+		wake = nil
+	}
 	go func() {
 		select {
-		case <-p.wake:
+		case <-wake:
 			close(woken)
 			cancel()
 		case <-done:
--- a/coordinator/slowlink_test.go
+++ b/coordinator/slowlink_test.go
@@ -28,6 +28,7 @@
 	*follow.Follower
 	revision atomic.Uint64
 	has      atomic.Bool
+	replies  atomic.Int64
 	content  atomic.Pointer[[]byte]
 	link     *testutil.SlowLink
 }
@@ -44,7 +45,7 @@
 				Entry: &directory.Entry{Name: "entry", Incarnation: 1, State: instance.StateServing}, ShareDivisor: 1,
 			}
 		},
-		Reply: func(string, api.WatchReply) {}, Catalogue: func(_ string, revision uint64, document []byte) { f.take(revision, document) },
+		Reply: func(string, api.WatchReply) { f.replies.Add(1) }, Catalogue: func(_ string, revision uint64, document []byte) { f.take(revision, document) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -161,3 +162,20 @@
 		})
 	}
 }
+
+// Guards against an entry that gets no reply while it asks for one again and again: it would know of no
+// server that leaves, and refuse its callers.
+func TestRepliesArriveWhileTheyAreAskedForOften(t *testing.T) {
+	const slowness, between = 150 * time.Millisecond, 50 * time.Millisecond
+	_, seeds := serveReplicas(t, 1, func(_ int, srv *link.Server) {
+		link.Handle(srv, api.MethodWatch, func(context.Context, link.PeerInfo, api.WatchRequest) (api.WatchReply, error) {
+			time.Sleep(slowness)
+			return api.WatchReply{Incarnation: 1}, nil
+		})
+	})
+	f := newSlowFollower(t, 1<<20, seeds)
+	require.Eventually(t, func() bool {
+		f.Prompt()
+		return f.replies.Load() >= 5
+	}, testWait/3, between)
+}
