membership, entry: natively, other members hold a leave before it is acknowledged

The same fault on the native front: an entry answered 204 to a server that leaves as soon as its own memory had it, and gossip began at the next tick, 50 ms later. If the entry was killed or frozen then, the others went on using the server, which had ended its heartbeats or was gone. The entry now passes the record to others by a call and answers when, with itself, more than half of the members hold it, two others at most; after half a second 503 leave_not_held, so that the server announces to another entry. A member that never knew the server records that it has left. TestLeaveIsHeldByOtherMembers, TestLeaveIsNotHeldWithoutOtherMembers are new.

--- a/entry/backends.go
+++ b/entry/backends.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
 	"net/http"
@@ -35,9 +36,27 @@
 		e.refuseAnnouncement(w, r, request.NewProblem(request.CodeAnnounceRefused, request.NotRun, "%v", err))
 		return
 	}
+	if a.State != instance.StateServing && !e.holdLeave(w, r, a.ID) {
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// holdTimeout bounds how long a server waits until other members hold its leave.
+const holdTimeout = 500 * time.Millisecond
+
+// holdLeave waits until other members hold that a server leaves, or answers with an error and returns
+// false: a leave that only this entry holds is lost with it, and requests go on reaching the server.
+func (e *Entry) holdLeave(w http.ResponseWriter, r *http.Request, server string) bool {
+	ctx, cancel := context.WithTimeout(r.Context(), holdTimeout)
+	defer cancel()
+	if err := e.members.Hold(ctx, server); err != nil {
+		e.refuseAnnouncement(w, r, request.NewProblem(request.CodeLeaveNotHeld, request.NotRun, "%v", err))
+		return false
+	}
+	return true
+}
+
 // cacheEvents is a batch of a model server's cache events.
 type cacheEvents struct {
 	Incarnation uint64                `json:"incarnation"`
--- a/membership/core.go
+++ b/membership/core.go
@@ -215,13 +215,8 @@
 // that is already gone is rejected: otherwise members would keep returning it to
 // each other after it has expired.
 func (c *core) applyNew(f fullDelta, old *record, now time.Time) (*record, change) {
-	r := newRecord(f.Kind, f.ID, f.Inc)
-	if err := r.setBody(f.BodySeq, f.Body); err != nil {
-		return nil, 0
-	}
-	r.mergeStatus(f.Status)
-	r.mergeLoad(f.Load)
-	if old == nil && (r.left() || r.markedGone()) {
+	r := recordOf(f)
+	if r == nil || old == nil && (r.left() || r.markedGone()) {
 		return nil, 0
 	}
 	if f.Kind == recordMember && f.ID == c.self.id {
--- a/membership/node.go
+++ b/membership/node.go
@@ -101,6 +101,7 @@
 			n.core.receive(sender{ID: from.ID, Address: from.Address}, m, now)
 		})
 	})
+	link.Handle(s, MethodHold, n.receiveHold)
 }
 
 // Announce applies an announcement that a backend server sent to this process. An
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -136,3 +136,59 @@
 	require.NoError(t, first.node.Announce(a))
 	eventually(t, "update", func() bool { _, ok := v.Server("s"); return ok })
 }
+
+// Guards against a leave that is acknowledged by the one member that has it, and against a member that
+// acknowledges none because others are down.
+func TestLeaveIsHeldByOtherMembers(t *testing.T) {
+	first := startProcess(t, "a", nil, nil, time.Hour)
+	announce := func(id string, sequence uint64, state instance.State) {
+		require.NoError(t, first.node.Announce(instance.Announcement{
+			ID: id, Incarnation: 1, Sequence: sequence, Address: "10.0.1.1:" + id[1:], State: state, Model: "m", Region: "r", Zone: "z", Slots: 1,
+		}))
+	}
+	announce("s1", 1, instance.StateServing)
+	announce("s1", 2, instance.StateLeaving)
+	require.NoError(t, first.node.Hold(t.Context(), "s1"), "it is the only member")
+
+	members := []*testProcess{first}
+	for i, id := range []string{"b", "c", "d", "e"} {
+		members = append(members, startProcess(t, id, []string{first.addr}, nil, time.Hour))
+		eventually(t, "members", func() bool { return len(first.node.View().Members("")) == i+2 })
+	}
+	for i := range 20 {
+		id := fmt.Sprintf("s%d", 10+i)
+		state := []instance.State{instance.StateLeaving, instance.StateGone}[i%2]
+		announce(id, 1, instance.StateServing)
+		announce(id, 2, state)
+		require.NoError(t, first.node.Hold(t.Context(), id))
+		holders := 0
+		for _, m := range members[1:] {
+			if s, known := m.node.View().Server(id); known && s.State == state {
+				holders++
+			}
+		}
+		require.GreaterOrEqual(t, holders, maxHolders)
+	}
+}
+
+// Guards against an acknowledgement that no other member stands for: they are cut off.
+func TestLeaveIsNotHeldWithoutOtherMembers(t *testing.T) {
+	require.Equal(t, []int{0, 1, 1, 2, 2, 2}, []int{holdersNeeded(1), holdersNeeded(2), holdersNeeded(3), holdersNeeded(4), holdersNeeded(5), holdersNeeded(400)})
+	var proxy *relay.Relay
+	first := startProcess(t, "a", nil, nil, time.Hour)
+	startProcess(t, "b", []string{first.addr}, func(addr string) string {
+		var err error
+		proxy, err = relay.New(addr)
+		require.NoError(t, err)
+		t.Cleanup(proxy.Close)
+		return proxy.Addr()
+	}, time.Hour)
+	eventually(t, "members", func() bool { return len(first.node.View().Members("")) == 2 })
+	proxy.Delay(time.Second)
+	require.NoError(t, first.node.Announce(instance.Announcement{
+		ID: "s1", Incarnation: 1, Sequence: 1, Address: "10.0.1.1:1", State: instance.StateLeaving, Model: "m", Region: "r", Zone: "z", Slots: 1,
+	}))
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	require.Error(t, first.node.Hold(ctx, "s1"))
+}
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -102,6 +102,20 @@
 	}
 }
 
+// receiveHeld applies the record of a server that leaves or has left, which this member is to hold. Unlike
+// by receiveFull, an unknown server that has left is recorded, too: another member may still pass on a
+// record from before.
+func (c *core) receiveHeld(from sender, f fullDelta, now time.Time) {
+	if c.lookup(f.Kind, f.ID) != nil || f.Kind != recordServer {
+		c.receiveFull(from, f, now)
+		return
+	}
+	if r := recordOf(f); r != nil {
+		c.replace(nil, r, now)
+		c.disseminate(r, changedBody|changedStatus, from.ID)
+	}
+}
+
 func (c *core) receiveStatus(from sender, d statusDelta, now time.Time) {
 	r := c.records[d.Ref]
 	if r == nil {
--- a/membership/record.go
+++ b/membership/record.go
@@ -36,6 +36,7 @@
 	loadSentAt    time.Time      // when a load report was last disseminated from here
 	exactLoad     instance.Load  // the last report announced here, not quantised
 	lastState     instance.State // as of the last scan
+	heldFlags     uint8          // flags of the status that enough other members hold; 0: serving
 	published     publishedState // what subscribers last received
 }
 
@@ -60,6 +61,17 @@
 	}
 }
 
+// recordOf returns the record that a delta holds, or nil if its body is malformed.
+func recordOf(f fullDelta) *record {
+	r := newRecord(f.Kind, f.ID, f.Inc)
+	if err := r.setBody(f.BodySeq, f.Body); err != nil {
+		return nil
+	}
+	r.mergeStatus(f.Status)
+	r.mergeLoad(f.Load)
+	return r
+}
+
 // full returns the record as a delta.
 func (r *record) full() fullDelta {
 	return fullDelta{
--- a/request/problem.go
+++ b/request/problem.go
@@ -43,6 +43,7 @@
 	CodeReplicaRefused    Code = "replica_refused"
 	CodeReplicaBehind     Code = "replica_not_caught_up"
 	CodeAnnounceRefused   Code = "announcement_refused"
+	CodeLeaveNotHeld      Code = "leave_not_held"
 	CodeConcurrentRequest Code = "request_running"
 )
 
@@ -102,6 +103,7 @@
 	CodeReplicaBehind:     {http.StatusConflict, "The replica has not caught up yet"},
 	CodeInternal:          {http.StatusInternalServerError, "Internal error"},
 	CodeAnnounceRefused:   {http.StatusForbidden, "The announcement is refused"},
+	CodeLeaveNotHeld:      {http.StatusServiceUnavailable, "Too few other instances know yet that the server leaves"},
 	CodeConcurrentRequest: {http.StatusConflict, "The same request is still running"},
 }
 
