e2e: a soak of servers that leave while replicas and entries fail

Waves of leaves of all kinds, servers that start again under their ids, clocks 4 s apart, replicas and entries killed, stopped and frozen in overlapping series; arrivals are counted at the servers.

--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -31,8 +31,8 @@
 	*platformSite
 
 	mu           sync.Mutex
-	acknowledged map[string]time.Time // by server
-	disturbed    time.Time            // last fault of a control replica
+	acknowledged map[serverRun]time.Time
+	disturbed    time.Time // last fault of a control replica
 	late         []lateArrival
 	arrivals     int
 }
@@ -40,13 +40,13 @@
 // lateArrival is a request that reached a server later than leaveDrain after the acknowledgement of
 // its leave.
 type lateArrival struct {
-	server  string
+	server  serverRun
 	after   time.Duration // the acknowledgement
 	inTouch bool          // the entries were, by the platform's rules
 }
 
 func newLeaveSite(t *testing.T, entries int) *leaveSite {
-	s := &leaveSite{acknowledged: make(map[string]time.Time)}
+	s := &leaveSite{acknowledged: make(map[serverRun]time.Time)}
 	s.platformSite = startPlatformSite(t, 3, entries, func(p *platformSite) {
 		p.heartbeatInterval, p.drain = leaveHeartbeat, leaveDrain
 	})
@@ -107,8 +107,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.arrivals++
-	if at, left := s.acknowledged[a.Server]; left && a.At.Sub(at) > leaveDrain {
-		s.late = append(s.late, lateArrival{a.Server, a.At.Sub(at), a.At.Sub(s.disturbed) > leaveContact})
+	server := serverRun{a.Server, a.Incarnation}
+	if at, left := s.acknowledged[server]; left && a.At.Sub(at) > leaveDrain {
+		s.late = append(s.late, lateArrival{server, a.At.Sub(at), a.At.Sub(s.disturbed) > leaveContact})
 	}
 }
 
@@ -147,7 +148,7 @@
 		cancel()
 		if err == nil {
 			s.mu.Lock()
-			s.acknowledged[server.ID] = time.Now()
+			s.acknowledged[serverRun{server.ID, server.Incarnation()}] = time.Now()
 			s.mu.Unlock()
 			return nil
 		}
@@ -177,7 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var last time.Duration
-	inTouch, servers := 0, make(map[string]int)
+	inTouch, servers := 0, make(map[serverRun]int)
 	for _, l := range s.late {
 		last = max(last, l.after)
 		servers[l.server]++
