directory, coordinator: a leave that does not say which start has left concerns what entries know, too

Entries, which had not restarted, knew a later start and ignored it. And where a server had started again under its id, the shortcut for leaves that a majority held acknowledged the leave of the start before. Such a leave now travels as one that doesn't say which start it means: each process that knew a start before it marks that as gone, and one that learns of the first start within 5 s. It is not acknowledged while no replica knows a start, nor by a replica that is younger than three heartbeats if it knows only starts that have left; the question goes to the other replicas whatever was held before.

--- a/coordinator/announce.go
+++ b/coordinator/announce.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
 )
@@ -33,11 +34,20 @@
 // Leave records that a backend server has left, and returns nil once a majority of the replicas hold
 // that. incarnation 0 means that the server did not say which start of it has left.
 func (c *Coordinator) Leave(ctx context.Context, id string, incarnation uint64) error {
+	before, _ := c.directory.Lookup(id, c.now())
 	changed := c.directory.Leave(id, incarnation, c.now())
 	if changed {
 		event.Log(ctx, c.log, slog.LevelInfo, event.ServerGone, slog.String("server", id), slog.Uint64("incarnation", incarnation))
 	}
-	return c.holdLeave(ctx, leave{id: id, incarnation: incarnation, stated: incarnation != 0}, instance.StateGone, changed)
+	return c.holdLeave(ctx, leave{id: id, incarnation: incarnation, stated: incarnation != 0, before: before}, instance.StateGone, changed)
+}
+
+// mayMeanUnknownStart reports whether a leave that does not say which start of the server has left may
+// mean one that no replica knows any more, since all have just restarted, but entries do: no start that
+// serves was known, and no later one has been found.
+func (c *Coordinator) mayMeanUnknownStart(l *leave, held *directory.Server) bool {
+	young := c.now().Sub(c.startedAt) < overdueAfter(c.cfg.Node.AnnounceInterval)
+	return !l.stated && young && l.before.State != instance.StateServing && held.Incarnation == l.before.Incarnation
 }
 
 // logAnnouncement logs a heartbeat that has changed the record of its server.
@@ -60,6 +70,9 @@
 		return nil
 	}
 	held, _ := c.directory.Lookup(l.id, c.now())
+	if err == nil && c.mayMeanUnknownStart(&l, &held) {
+		err = errUnknownStart
+	}
 	attrs := []slog.Attr{
 		slog.String("server", l.id), slog.String("said", string(said)), slog.Uint64("incarnation", l.incarnation), slog.Bool("changed", changed),
 		slog.String("held", string(held.State)), slog.Uint64("heldIncarnation", held.Incarnation), slog.Duration("took", c.now().Sub(begun)),
--- a/coordinator/leaves.go
+++ b/coordinator/leaves.go
@@ -30,13 +30,15 @@
 var (
 	errLeaveNotRecorded = errors.New("the leave is not recorded")
 	errNoMajorityHolds  = errors.New("no majority of the replicas holds the leave in time")
+	errUnknownStart     = errors.New("the server does not say which start of it has left, and no replica knows one")
 )
 
 // leave is a server's announcement that it leaves, or has left.
 type leave struct {
 	id          string
 	incarnation uint64
-	stated      bool // the server has said which incarnation leaves
+	stated      bool             // the server has said which incarnation leaves
+	before      directory.Server // if not stated: this replica's record before the leave
 }
 
 // leaves passes the leaves of backend servers to the other voters, and knows which of them a majority
@@ -86,8 +88,8 @@
 		return true, nil
 	case rec.State == instance.StateServing:
 		return false, errLeaveNotRecorded
-	case l.isHeld(rec.Key()):
-		return true, nil
+	case x.stated && l.isHeld(rec.Key()):
+		return true, nil // if it is not stated, another replica may know a later start
 	}
 	p := &pendingLeave{leave: x, done: make(chan error, 1)}
 	l.enqueue(p)
@@ -203,6 +205,9 @@
 			l.enqueue(p)
 			continue
 		}
+		if err == nil && rec.Unstated {
+			err = errUnknownStart
+		}
 		if err == nil && known {
 			l.markHeld(rec.Key())
 		}
--- a/directory/record.go
+++ b/directory/record.go
@@ -20,6 +20,10 @@
 	// unreachable. At any other process: see Store.unreachableByReports.
 	Unreachable bool `msgpack:"silent"`
 
+	// Unstated reports, of a server that is gone, that it did not say which start of it has left and
+	// that the sender knew none. Whichever the receiver knew before has left.
+	Unstated bool `msgpack:"unstated"`
+
 	// StateFrom is the link address of the replica that State was learned from, empty if this
 	// process received it from the server, and StateAt when. They are not sent.
 	StateFrom string    `msgpack:"-"`
--- a/directory/store.go
+++ b/directory/store.go
@@ -62,13 +62,12 @@
 	Server
 	key           Key
 	lastHeartbeat time.Time
-	heardFrom     string // replica that forwarded the last heartbeat; empty: received by this process
-	changeSeq     uint64 // of the last change of the record
-	recordSeq     uint64 // of the last change but of Overdue and Unreachable
-	heartbeatSeq  uint64 // of the last change or heartbeat
-	// unstatedLeaveAt is when the server left before any start of it was known; see Leave.
-	unstatedLeaveAt time.Time
-	reports         []report // last report of each replica, by its index; those beyond the end are 0
+	heardFrom     string    // replica that forwarded the last heartbeat; empty: received by this process
+	changeSeq     uint64    // of the last change of the record
+	recordSeq     uint64    // of the last change but of Overdue and Unreachable
+	heartbeatSeq  uint64    // of the last change or heartbeat
+	knownSince    time.Time // when this incarnation became known here
+	reports       []report  // last report of each replica, by its index; those beyond the end are 0
 
 	packed    []byte // encoded record
 	packedSeq uint64 // changeSeq when it was encoded
@@ -130,32 +129,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	stored, known := s.servers[id]
-	rec := Server{Announcement: instance.Announcement{ID: id, Incarnation: incarnation}}
+	rec := Server{Announcement: instance.Announcement{ID: id, Incarnation: incarnation}, Unstated: !known && incarnation == 0}
 	if known && (incarnation == 0 || incarnation == stored.Incarnation) {
-		rec.Announcement = stored.Announcement
+		rec.Announcement, rec.Unstated = stored.Announcement, stored.Unstated
 	}
 	rec.State = instance.StateGone
-	changed := s.mergeLocked(Origin{}, rec, now)
-	if !known && incarnation == 0 {
-		s.servers[id].unstatedLeaveAt = now
-	}
-	return changed
+	return s.mergeLocked(Origin{}, rec, now)
 }
 
 // unstatedLeaveTTL is how long the leave of a server that was not known then holds for the first
 // start of it that becomes known. A server does not start again that soon.
 const unstatedLeaveTTL = 5 * time.Second
 
-// applyUnstatedLeave marks a record as gone if it is the first of a server since a leave that did
-// not say which start left. The caller holds s.mu.
-func (s *Store) applyUnstatedLeave(stored *storedServer, rec *Server, now time.Time) {
-	if stored.unstatedLeaveAt.IsZero() {
-		return
-	}
-	if now.Sub(stored.unstatedLeaveAt) < unstatedLeaveTTL {
+// applyUnstatedLeave applies a leave that does not say which start of the server has left, if one of
+// rec, which has been received, and the stored record is such a leave and the other one is an
+// incarnation that it concerns. It reports whether the stored record has become gone. The caller holds
+// s.mu.
+func (s *Store) applyUnstatedLeave(stored *storedServer, rec *Server, now time.Time) bool {
+	switch {
+	case stored.Unstated && !rec.Unstated && now.Sub(stored.knownSince) < unstatedLeaveTTL:
 		rec.State = instance.StateGone
+	case rec.Unstated && !stored.Unstated && stored.State != instance.StateGone && stored.knownSince.Before(now.Add(-rec.HeartbeatAge)):
+		stored.State, stored.StateFrom, stored.StateAt = instance.StateGone, "", now
+		s.recordChange(stored)
+		stored.recordSeq = stored.changeSeq
+		return true
 	}
-	stored.unstatedLeaveAt = time.Time{}
+	return false
 }
 
 // Merge records what a replica has sent, and that the replica is reachable; both slices may
@@ -183,12 +183,12 @@
 func (s *Store) mergeLocked(from Origin, rec Server, now time.Time) bool {
 	lastHeartbeat := now.Add(-rec.HeartbeatAge)
 	stored, known := s.servers[rec.ID]
+	if known && s.applyUnstatedLeave(stored, &rec, now) {
+		return true
+	}
 	if known && !rec.version().newerThan(stored.version()) {
 		return s.refreshServer(from, stored, rec, now)
 	}
-	if known {
-		s.applyUnstatedLeave(stored, &rec, now)
-	}
 	received := newReport(rec.Overdue, rec.Unreachable)
 	rec.Overdue, rec.Unreachable = false, false
 	if !s.claimAddress(&rec, now) {
@@ -199,6 +199,9 @@
 		s.servers[rec.ID] = stored
 	}
 	previous := stored.Server
+	if !known || previous.Incarnation != rec.Incarnation {
+		stored.knownSince = now
+	}
 	rec.StateFrom, rec.StateAt = from.Replica, now
 	if known && previous.Incarnation == rec.Incarnation && previous.State == rec.State {
 		rec.StateFrom, rec.StateAt = previous.StateFrom, previous.StateAt
--- a/directory/store_test.go
+++ b/directory/store_test.go
@@ -123,6 +123,29 @@
 	}
 }
 
+// Guards against a leave that an entry ignores, since the replica that received it did not know the
+// server: all replicas had restarted. A leave that arrives late must not hold for a later start.
+func TestUnstatedLeaveHoldsForTheStartThatIsKnown(t *testing.T) {
+	entry, replica := NewStore(Config{ForgetAfter: time.Minute}), newStore()
+	serving := func(incarnation uint64) []Server {
+		return []Server{{Announcement: heartbeat("s1", incarnation, 1, instance.StateServing)}}
+	}
+	entry.Merge(Origin{Replica: "a", Incarnation: 1}, serving(7), nil, epoch)
+	replica.Leave("s1", 0, epoch.Add(time.Second))
+	packed, err := replica.EntryChangesSince(0, epoch.Add(1100*time.Millisecond))
+	require.NoError(t, err)
+	left, err := packed.Servers.Unpack()
+	require.NoError(t, err)
+	require.True(t, entry.Merge(Origin{Replica: "b", Incarnation: 1}, left, nil, epoch.Add(1100*time.Millisecond)))
+	require.Equal(t, instance.StateGone, stateOf(entry, "s1"))
+
+	entry.Merge(Origin{Replica: "a", Incarnation: 1}, serving(9), nil, epoch.Add(3*time.Second))
+	require.Equal(t, instance.StateServing, stateOf(entry, "s1"), "a later start")
+	left[0].HeartbeatAge = 3 * time.Second
+	entry.Merge(Origin{Replica: "c", Incarnation: 1}, left, nil, epoch.Add(4*time.Second))
+	require.Equal(t, instance.StateServing, stateOf(entry, "s1"), "the leave is older than what is known of this start")
+}
+
 // Guards against a server that starts again under its id and is never used, since a leave that came
 // before its first start was known would hold for each later one.
 func TestLeaveBeforeFirstHeartbeatEnds(t *testing.T) {
--- a/directory/wire.go
+++ b/directory/wire.go
@@ -43,6 +43,7 @@
 const (
 	flagOverdue     = 1
 	flagUnreachable = 2
+	flagUnstated    = 4
 )
 
 func (s *Server) flags() uint64 {
@@ -53,6 +54,9 @@
 	if s.Unreachable {
 		flags |= flagUnreachable
 	}
+	if s.Unstated {
+		flags |= flagUnstated
+	}
 	return flags
 }
 
@@ -86,7 +90,7 @@
 	}}
 	s.HeartbeatAge = time.Duration(d.int()) * time.Millisecond
 	flags := d.uint()
-	s.Overdue, s.Unreachable = flags&flagOverdue != 0, flags&flagUnreachable != 0
+	s.Overdue, s.Unreachable, s.Unstated = flags&flagOverdue != 0, flags&flagUnreachable != 0, flags&flagUnstated != 0
 	return d.err
 }
 
--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -266,3 +266,47 @@
 		s.entries[i] = s.startPlatformEntry(i)
 	}
 }
+
+// throttle gives the processes a share of their processor, in tenths of a second as a quota does, until
+// the test ends.
+func (s *leaveSite) throttle(share float64, processes ...*process) {
+	const period = 100 * time.Millisecond
+	ctx, cancel := context.WithCancel(s.ctx())
+	var wg sync.WaitGroup
+	for _, p := range processes {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+				time.Sleep(time.Duration((1 - share) * float64(period)))
+				_ = p.cmd.Process.Signal(syscall.SIGCONT)
+				time.Sleep(time.Duration(share * float64(period)))
+			}
+		})
+	}
+	s.t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+}
+
+// Guards against entries and control replicas with a small share of a processor that go on sending to
+// servers which have left together.
+func TestPlatformLeavesInWavesAtThrottledProcesses(t *testing.T) {
+	const (
+		waves, perWave = 3, 8
+		share          = 0.19
+	)
+	for _, kind := range leaveKinds {
+		t.Run(kind.String(), func(t *testing.T) {
+			s := newLeaveSite(t, leaveEntries)
+			s.startServers((waves+1)*perWave, standin.ServerConfig{})
+			s.serve()
+			s.throttle(share, append(s.controls, s.entries...)...)
+			for i := range waves {
+				time.Sleep(time.Second)
+				s.leaveAll(s.servers[i*perWave:(i+1)*perWave], kind, i)
+			}
+			s.requireNoneLate(time.Second)
+		})
+	}
+}
