--- a/coordinator/announce.go
+++ b/coordinator/announce.go
@@ -44,10 +44,12 @@
 
 // mayMeanUnknownStart reports whether a leave that does not say which start of the server has left may
 // mean one that no replica knows any more, since all have just restarted, but entries do: no start that
-// serves was known, and no later one has been found.
+// serves has been heard of since this replica started, and no later one has been found.
 func (c *Coordinator) mayMeanUnknownStart(l *leave, held *directory.Server) bool {
-	young := c.now().Sub(c.startedAt) < overdueAfter(c.cfg.Node.AnnounceInterval)
-	return !l.stated && young && l.before.State != instance.StateServing && held.Incarnation == l.before.Incarnation
+	age := c.now().Sub(c.startedAt)
+	heard := l.before.State == instance.StateServing && l.before.HeartbeatAge < age
+	young := age < overdueAfter(c.cfg.Node.AnnounceInterval)
+	return !l.stated && young && !heard && held.Incarnation == l.before.Incarnation
 }
 
 // logAnnouncement logs a heartbeat that has changed the record of its server.
--- a/coordinator/leaves.go
+++ b/coordinator/leaves.go
@@ -43,7 +43,8 @@
 
 // leaves passes the leaves of backend servers to the other voters, and knows which of them a majority
 // holds, on disk. A leave that only one replica holds when it is acknowledged is lost with that replica,
-// and one that is in memory only when all processes end; requests then go on reaching the server. It is safe for concurrent use.
+// and one that is in memory only when all processes end; requests then go on reaching the server. It is
+// safe for concurrent use.
 type leaves struct {
 	leavesDeps
 
@@ -196,22 +197,29 @@
 	return nil
 }
 
-// finish ends the wait for a batch. A leave for which another voter knew a later incarnation than this
-// replica goes into a further round: a majority is to hold it for that one.
+// finish ends the wait for a batch, of which a majority holds all leaves if err is nil.
 func (l *leaves) finish(batch []*pendingLeave, err error) {
 	for _, p := range batch {
-		rec, known := l.directory.Lookup(p.id, l.now())
-		if err == nil && known && !p.stated && rec.Incarnation > p.sent && p.rounds < maxLeaveRounds {
-			l.enqueue(p)
+		if err != nil {
+			p.done <- err
 			continue
 		}
-		if err == nil && rec.Unstated {
-			err = errUnknownStart
-		}
-		if err == nil && known {
-			l.markHeld(rec.Key())
-		}
-		p.done <- err
+		l.finishHeld(p)
+	}
+}
+
+// finishHeld ends the wait for a leave that a majority holds. One for which another voter knew a later
+// incarnation than this replica goes into a further round: a majority is to hold it for that one.
+func (l *leaves) finishHeld(p *pendingLeave) {
+	rec, _ := l.directory.Lookup(p.id, l.now())
+	switch {
+	case !p.stated && rec.Incarnation > p.sent && p.rounds < maxLeaveRounds:
+		l.enqueue(p)
+	case rec.Unstated:
+		p.done <- errUnknownStart
+	default:
+		l.markHeld(rec.Key())
+		p.done <- nil
 	}
 }
 
--- a/coordinator/leaves_test.go
+++ b/coordinator/leaves_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/directory"
@@ -96,8 +98,17 @@
 	r := c.replicas[address(0)]
 	require.ErrorIs(t, r.Leave(t.Context(), "s1", 0), errUnknownStart)
 	require.NoError(t, r.Leave(t.Context(), "s2", 7), "it says which")
-	require.NoError(t, r.Announce(t.Context(), serverAnnouncement("s3", 1, instance.StateServing)))
-	require.NoError(t, r.Leave(t.Context(), "s3", 0))
+	for i := 3; i < 13; i++ {
+		require.NoError(t, r.Announce(t.Context(), serverAnnouncement(fmt.Sprintf("s%d", i), 1, instance.StateServing)))
+	}
+	var together sync.WaitGroup
+	for i := 3; i < 13; i++ {
+		together.Go(func() { assert.ErrorIs(t, r.Leave(t.Context(), fmt.Sprintf("u%d", i), 0), errUnknownStart) })
+		together.Go(func() {
+			assert.NoError(t, r.Leave(t.Context(), fmt.Sprintf("s%d", i), 0), "others that leave together are not known")
+		})
+	}
+	together.Wait()
 	require.ErrorIs(t, r.Leave(t.Context(), "s3", 0), errUnknownStart, "it may have started again, which the replica has not lived long enough to know")
 	require.Eventually(t, func() bool { return r.Leave(t.Context(), "s3", 0) == nil }, testWait, 100*time.Millisecond)
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -231,16 +231,3 @@
 	attrs = append(attrs, slog.String("lastRequest", last.request), slog.Duration("lastSentAgo", ago))
 	event.Log(context.Background(), g.log, slog.LevelInfo, kind, attrs...)
 }
-
-// recentSend is the age of the last request sent to a server up to which its leave is always logged.
-const recentSend = 10 * time.Second
-
-// lastSendTo returns the last request that this entry has sent to a server. g.mu is held.
-func (g *Gateway) lastSendTo(server string) lastSend {
-	for _, s := range g.services {
-		if last := s.lastSendTo(server); last.request != "" {
-			return last
-		}
-	}
-	return lastSend{}
-}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -166,19 +166,6 @@
 	return c, true
 }
 
-// lastSend is the last request that was sent to a server, for the log.
-type lastSend struct {
-	request string // its id
-	at      time.Time
-}
-
-// lastSendTo returns the last request that was sent to a server; the zero value if there is none.
-func (s *service) lastSendTo(server string) lastSend {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lastSends[server]
-}
-
 // recordSent records that a request is sent to the chosen server.
 func (s *service) recordSent(c *choice, request string, now time.Time) {
 	s.mu.Lock()
