--- a/coordinator/announce.go
+++ b/coordinator/announce.go
@@ -44,7 +44,7 @@
 
 // mayMeanUnknownStart reports whether a leave that does not say which start of the server has left may
 // mean one that no replica knows any more, since all have just restarted, but entries do: no start that
-// serves has been heard of since this replica started, and no later one has been found.
+// serves has sent a heartbeat since this replica started, and no later one has been found.
 func (c *Coordinator) mayMeanUnknownStart(l *leave, held *directory.Server) bool {
 	age := c.now().Sub(c.startedAt)
 	heard := l.before.State == instance.StateServing && l.before.HeartbeatAge < age
--- a/coordinator/leaves_test.go
+++ b/coordinator/leaves_test.go
@@ -114,7 +114,7 @@
 }
 
 // Guards against a heartbeat that is acknowledged though it is dropped, because the server that had the
-// address before was heard of a moment ago: the server would not call another replica.
+// address before has sent a heartbeat a moment ago: the server would not call another replica.
 func TestHeartbeatThatIsNotRecordedIsNotAcknowledged(t *testing.T) {
 	c := newIdleReplica(t)
 	c.directory = directory.NewStore(directory.Config{OverdueAfter: time.Second, AddressHold: time.Minute, ForgetAfter: time.Minute})
--- a/directory/store_test.go
+++ b/directory/store_test.go
@@ -80,8 +80,8 @@
 	require.Equal(t, instance.StateServing, stateOf(s, "s1"), "the address is free once AddressHold has passed since the last heartbeat of the other server")
 }
 
-// Guards against a leave that is lost because the server that had its address before was heard of a
-// moment ago: requests would go on reaching it, through the replicas that know it.
+// Guards against a leave that is lost because the server that had its address before has sent a
+// heartbeat a moment ago: requests would go on reaching it, through the replicas that know it.
 func TestLeaveIsRecordedWhileAnotherServerHasTheAddress(t *testing.T) {
 	s := newStore()
 	previous, successor := heartbeat("s1", 0, 5, instance.StateServing), heartbeat("s2", 0, 1, instance.StateServing)
--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -202,7 +202,7 @@
 var leaveKinds = []leaveKind{{false, false}, {false, true}, {true, false}, {true, true}}
 
 // Guards against a leave that is lost with the one control replica that has it: requests would go on
-// reaching a server that was told that it gets no more.
+// reaching a server whose leave was acknowledged.
 func TestPlatformLeaveOutlastsTheReplicaThatAcknowledgedIt(t *testing.T) {
 	for _, kind := range leaveKinds {
 		for name, end := range map[string]func(*testing.T, *process){
--- a/e2e/leavenative_test.go
+++ b/e2e/leavenative_test.go
@@ -92,7 +92,7 @@
 }
 
 // Guards against a leave that is lost with the one entry that has it: requests would go on reaching a
-// server that was told that it gets no more.
+// server whose leave was acknowledged.
 func TestLeaveOutlastsTheEntryThatAcknowledgedIt(t *testing.T) {
 	const servers = 6
 	for _, state := range []instance.State{instance.StateLeaving, instance.StateGone} {
--- a/e2e/leavesoak_test.go
+++ b/e2e/leavesoak_test.go
@@ -27,9 +27,9 @@
 	// leaveSoakGiveUp is how long a server asks for an acknowledgement: there may be no majority, or
 	// nobody may know it any more.
 	leaveSoakGiveUp = 4 * time.Second
-	// leaveSoakMaxDown is the longest time for which a process is down, or a replica stands still.
+	// leaveSoakMaxDown is the longest time for which a process is down, or a replica is frozen.
 	leaveSoakMaxDown = 2500 * time.Millisecond
-	// leaveSoakMaxPause is the longest time for which an entry stands still. A request may be about to
+	// leaveSoakMaxPause is the longest time for which an entry is frozen. A request may be about to
 	// be sent then.
 	leaveSoakMaxPause = time.Second
 )
@@ -88,7 +88,7 @@
 	s.requireNoneLate(time.Second)
 }
 
-// startNext starts a server; an empty id stands for a new one.
+// startNext starts a server; a new id if it is empty.
 func (s *leaveSoak) startNext(id string) {
 	if id == "" {
 		s.started++
--- a/gateway/logs_test.go
+++ b/gateway/logs_test.go
@@ -116,7 +116,7 @@
 }
 
 // A request reached a server that was leaving. The log must show by its id what its entry
-// believed of the server when it sent, from which replica, and who told it of the leave and when.
+// knew of the server when it sent, from which replica, and which one reported the leave and when.
 func TestLogExplainsRequestToLeavingServer(t *testing.T) {
 	r, log := newLoggedRig(t)
 	r.setRoutes(routes.Route{Prefix: "/", Kind: routes.Idempotent})
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -171,7 +171,7 @@
 	}
 }
 
-// Guards against an acknowledgement that no other member stands for: they are cut off.
+// Guards against an acknowledgement while no other member holds the leave: they are cut off.
 func TestLeaveIsNotHeldWithoutOtherMembers(t *testing.T) {
 	require.Equal(t, []int{0, 1, 1, 2, 2, 2}, []int{holdersNeeded(1), holdersNeeded(2), holdersNeeded(3), holdersNeeded(4), holdersNeeded(5), holdersNeeded(400)})
 	var proxy *relay.Relay
