--- a/coordinator/announce.go
+++ b/coordinator/announce.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"time"
 
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
@@ -106,7 +105,3 @@
 	}
 	return others, len(st.Voters), self
 }
-
-// leaveRetention is how long a leave that a majority holds is remembered as such: as long as the
-// directory keeps its record.
-const leaveRetention = 2 * time.Minute
--- a/coordinator/leaves.go
+++ b/coordinator/leaves.go
@@ -22,8 +22,11 @@
 	// leaveRoundGap is the minimum time between two rounds of calls to the other voters, each with
 	// all leaves that have arrived since: a zone's servers leave together.
 	leaveRoundGap = 10 * time.Millisecond
-	// maxLeaveRounds bounds the rounds for one leave; see leaves.finish.
+	// maxLeaveRounds bounds the rounds for one leave; see leaves.finishHeld.
 	maxLeaveRounds = 3
+	// leaveRetention is how long a leave that a majority holds is remembered as such: as long as the
+	// directory keeps its record.
+	leaveRetention = directory.DefaultForgetAfter
 )
 
 // The errors of leaves.hold.
