--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -157,13 +157,13 @@
 	return err
 }
 
-// leaveAll lets servers leave at the same time through one replica, as many in each way, and waits for
-// the acknowledgements.
-func (s *leaveSite) leaveAll(servers []*standin.Server, replica int) {
+// leaveAll lets servers leave at the same time through one replica, as many in each of the ways, and waits
+// for the acknowledgements.
+func (s *leaveSite) leaveAll(servers []*standin.Server, replica int, kinds ...leaveKind) {
 	s.t.Helper()
 	var wg sync.WaitGroup
 	for i, server := range servers {
-		kind := leaveKinds[i%len(leaveKinds)]
+		kind := kinds[i%len(kinds)]
 		wg.Go(func() {
 			if err := s.leave(server, kind, replica); err != nil {
 				s.t.Errorf("%s: no acknowledgement: %v", server.ID, err)
@@ -212,19 +212,21 @@
 // Guards against a leave that is lost with the one control replica that has it: requests would go on
 // reaching a server whose leave was acknowledged.
 func TestPlatformLeaveOutlastsTheReplicaThatAcknowledgedIt(t *testing.T) {
-	for name, end := range map[string]func(*testing.T, *process){
-		"killed": func(t *testing.T, p *process) { p.kill(t) },
-		"frozen": func(t *testing.T, p *process) { p.signal(t, syscall.SIGSTOP) },
-	} {
-		t.Run(name, func(t *testing.T) {
-			s := newLeaveSite(t, leaveEntries)
-			s.startServers(leaveServers/2, standin.ServerConfig{})
-			s.serve()
-			s.leaveAll(s.servers[:leaveServers/4], 0) // few: the last reports must not outlive the replica
-			end(t, s.controls[0])
-			s.disturb()
-			s.requireNoneLate(5 * time.Second)
-		})
+	for _, kind := range leaveKinds {
+		for name, end := range map[string]func(*testing.T, *process){
+			"killed": func(t *testing.T, p *process) { p.kill(t) },
+			"frozen": func(t *testing.T, p *process) { p.signal(t, syscall.SIGSTOP) },
+		} {
+			t.Run(kind.String()+", "+name, func(t *testing.T) {
+				s := newLeaveSite(t, leaveEntries)
+				s.startServers(leaveServers/2, standin.ServerConfig{})
+				s.serve()
+				s.leaveAll(s.servers[:leaveServers/4], 0, kind) // few: the last reports must not outlive the replica
+				end(t, s.controls[0])
+				s.disturb()
+				s.requireNoneLate(5 * time.Second)
+			})
+		}
 	}
 }
 
@@ -234,7 +236,7 @@
 	s := newLeaveSite(t, 2)
 	s.startServers(leaveServers, standin.ServerConfig{ClockAhead: 20 * time.Second})
 	s.serve()
-	s.leaveAll(s.servers[:leaveServers*2/3], 1)
+	s.leaveAll(s.servers[:leaveServers*2/3], 1, leaveKinds...)
 	s.requireNoneLate(5 * time.Second)
 }
 
@@ -246,7 +248,7 @@
 			s.startServers(leaveServers, standin.ServerConfig{Unversioned: unversioned})
 			s.serve()
 			time.Sleep(1500 * time.Millisecond) // the replicas save the servers that serve
-			s.leaveAll(s.servers[:leaveServers*2/3], 1)
+			s.leaveAll(s.servers[:leaveServers*2/3], 1, leaveKinds...)
 			s.restartAll()
 			s.requireNoneLate(6 * time.Second)
 		})
@@ -302,7 +304,7 @@
 	s.throttle(share, append(s.controls, s.entries...)...)
 	for i := range waves {
 		time.Sleep(time.Second)
-		s.leaveAll(s.servers[i*perWave:(i+1)*perWave], i)
+		s.leaveAll(s.servers[i*perWave:(i+1)*perWave], i, leaveKinds...)
 	}
 	s.requireNoneLate(time.Second)
 }
