--- a/coordinator/announce.go
+++ b/coordinator/announce.go
@@ -61,7 +61,7 @@
 		kind = event.ServerLeaving
 	}
 	event.Log(context.Background(), c.log, slog.LevelInfo, kind, slog.String("server", a.ID),
-		slog.Uint64("incarnation", a.Incarnation), slog.Uint64("sequence", a.Sequence), slog.String("address", a.Address),
+		slog.Uint64("incarnation", a.Incarnation), slog.Uint64("sequence", a.Sequence), slog.String("address", a.Address), slog.String("version", a.Version),
 		slog.Any("services", a.Services), slog.String("zone", a.Zone), slog.String("state", string(a.State)))
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -233,7 +233,7 @@
 		kind = event.ServerGone
 	}
 	attrs := []slog.Attr{
-		slog.String("server", rec.ID), slog.String("address", rec.Address),
+		slog.String("server", rec.ID), slog.String("address", rec.Address), slog.String("version", rec.Version),
 		slog.Uint64("incarnation", rec.Incarnation), slog.Uint64("sequence", rec.Sequence), slog.Any("services", rec.Services),
 		slog.String("zone", rec.Zone), slog.Bool("silent", rec.Unreachable), slog.Duration("heardAgo", rec.HeartbeatAge),
 		slog.String("from", rec.StateFrom), slog.Time("since", rec.StateAt),
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -26,6 +26,7 @@
 	AnswerTokens   int // upper bound
 	PromptSegments []PromptSegment
 	ResumeAfter    string // id of the last event that the caller received; empty if none
+	Resumes        string // ID of the attempt of this caller that brought the first event of the stream; empty if not stated
 }
 
 // PromptSegment is a segment of a prompt that other requests may share.
