--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -119,6 +119,11 @@
 
 // server adds a stand-in server to a service.
 func (r *rig) server(service string, handle http.HandlerFunc) *standIn {
+	return r.serverOf("", service, handle)
+}
+
+// serverOf adds a stand-in server of a software version to a service.
+func (r *rig) serverOf(version, service string, handle http.HandlerFunc) *standIn {
 	s := &standIn{}
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.Header.Get("X-Id") == "" {
@@ -135,7 +140,7 @@
 	r.serverCount++
 	r.directory.Announce(instance.Announcement{
 		ID: fmt.Sprintf("s%d", r.serverCount), Incarnation: 1, Sequence: 1, State: instance.StateServing,
-		Address: s.Listener.Addr().String(), Zone: "z", Slots: 8, Services: []string{service},
+		Address: s.Listener.Addr().String(), Zone: "z", Slots: 8, Services: []string{service}, Version: version,
 	}, time.Now())
 	r.applyDirectory()
 	return s
