entry: the test of versions takes the rig's own server out of service

Cause: the server of the rig came back into the lane and broke every chat off, so that TestChatGoesOnAtTheVersionThatBeganIt also failed for that. Change: it is announced as gone; engines that end are announced, too.

--- a/entry/version_test.go
+++ b/entry/version_test.go
@@ -58,10 +58,20 @@
 	return e
 }
 
+// end announces that a server is gone.
+func (r *noticeRig) end(id, model string) {
+	r.sequence++
+	require.NoError(r.t, r.members.Announce(instance.Announcement{
+		ID: id, Incarnation: 1, Sequence: r.sequence, Address: r.address, Region: "r1", Zone: "z1", State: instance.StateGone, Model: model, Slots: 8,
+	}))
+	r.syncServers()
+	r.guard.membersChanged()
+}
+
 // newVersionRig returns a rig without servers.
 func newVersionRig(t *testing.T) *noticeRig {
 	r := newNoticeRig(t, func(http.ResponseWriter, *http.Request) {})
-	r.lanes.remove("s1")
+	r.end("s1", "m")
 	r.retries.policy.SetSlack(r.now().Add(-retry.DefaultConfig().Window-time.Second), 50)
 	return r
 }
@@ -88,7 +98,7 @@
 func TestChatEndsIfNoServerOfItsVersionIsLeft(t *testing.T) {
 	r := newVersionRig(t)
 	for _, version := range []string{"v1", "v2"} {
-		r.startVersion(version, version, 1).onBreak = func() { r.lanes.remove(version) }
+		r.startVersion(version, version, 1).onBreak = func() { r.end(version, "m") }
 	}
 	w, p := r.chat("q", time.Minute)
 	require.Nil(t, p)
