entry, native, policy/route: an answer goes on only at the version that began it

Callers saw a text joined from two versions when an engine broke off, or its requests were moved off it or handed to another entry, while engines of several versions served. Cause: the choice of the next engine did not ask for the version of the first one, which nothing kept; the engine that went on did not check it either. Change: the first token fixes the version of a request, by the header of the engine's answer or else by the record of the engine, for every later choice, import of a KV cache and hand-over; Resume names it, so that an engine whose version has changed meanwhile refuses. An answer whose version is served nowhere for 2 s ends with no_server, outcome unknown.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -39,6 +40,9 @@
 	// long to prefill.
 	firstTokenTimeout = 30 * time.Second
 	probeTimeout      = 800 * time.Millisecond
+	// maxOriginWaits is how many times a request looks for a server of the version that began its
+	// answer while none serves: a server that restarts announces itself within a second.
+	maxOriginWaits = 40
 	// The backoff after a server has refused a request doubles between these bounds.
 	minRefusalBackoff = 40 * time.Millisecond
 	maxRefusalBackoff = time.Second
@@ -163,10 +167,14 @@
 				return g, nil
 			}
 		}
-		if len(w.journal.Tokens()) == 0 {
+		switch {
+		case len(w.journal.Tokens()) == 0:
 			if p := w.ticket.lane.endlessPause(w.ticket); p != nil {
 				return nil, p
 			}
+		case waits < maxOriginWaits:
+		case !w.ticket.lane.servesOrigin(w.ticket):
+			return nil, request.NewProblem(request.CodeNoServer, request.Unknown, "no backend server of the version that began the answer is left")
 		}
 		if waits == 0 {
 			event.Log(ctx, r.log, slog.LevelWarn, event.RouteWaits,
@@ -201,7 +209,8 @@
 		if err != nil {
 			return request.End{}, err
 		}
-		body.Resume = &native.Resume{Tokens: received, Handle: handle}
+		version, _ := w.ticket.lane.origin(w.ticket)
+		body.Resume = &native.Resume{Tokens: received, Handle: handle, Version: version}
 		if body.Resume.Handle == "" {
 			recomputed = w.heldTokens()
 		}
@@ -246,6 +255,9 @@
 		watch.observe()
 		for _, c := range chunk.Choices {
 			if c.Delta.Content != "" {
+				if len(w.journal.Tokens()) == 0 {
+					w.ticket.lane.setOrigin(w.ticket, cmp.Or(stream.Version(), g.verdict.Version))
+				}
 				lastToken = r.appendToken(w, g, c.Delta.Content, sentAt, lastToken)
 			}
 			if c.FinishReason != "" {
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -29,6 +29,7 @@
 	Tokens  []string        `msgpack:"tok"`
 	Weight  int             `msgpack:"w"`
 	Sent    bool            `msgpack:"sent"` // it has been sent to a backend server
+	Version string          `msgpack:"ver"`  // that has generated Tokens, if there are any
 }
 
 // takeOverReply returns the address at which callers reach the entry that has taken the
@@ -89,6 +90,7 @@
 		return // it has ended
 	}
 	msg := takeOverRequest{Request: *wk.request, Tokens: wk.journal.Tokens(), Weight: wk.ticket.weight, Sent: wk.ticket.sends.wasSent()}
+	msg.Version, _ = wk.ticket.lane.origin(wk.ticket)
 	for _, m := range peers {
 		reply, err := e.offer(ctx, m, msg)
 		if err != nil {
@@ -142,6 +144,9 @@
 	}
 	wk.takenOver, wk.lastFollowerLeft = true, e.deps.Now()
 	wk.ticket.sends.sent = msg.Sent
+	if len(msg.Tokens) > 0 {
+		wk.ticket.lane.setOrigin(wk.ticket, msg.Version)
+	}
 	if !e.launch(wk, e.engineRequest(s, &req, chat), false) {
 		return reply, nil
 	}
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -80,6 +80,30 @@
 	sends         *sends
 }
 
+// setOrigin confines the request to servers of the version that has generated its first token.
+func (l *lane) setOrigin(t *ticket, version string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.route.Version, t.route.SameVersion = version, true
+}
+
+// servesOrigin reports whether a server of the version that has generated the request's first token
+// serves, whether or not it may take the request now.
+func (l *lane) servesOrigin(t *ticket) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	req := t.route
+	req.Now, req.Exclude, req.AvoidVersions = l.now(), nil, nil
+	return l.router.Serves(&req)
+}
+
+// origin returns the version that has generated the request's first token; known is false before it.
+func (l *lane) origin(t *ticket) (version string, known bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return t.route.Version, t.route.SameVersion
+}
+
 // decision ends the wait of a request with a grant or with the problem for the caller.
 type decision struct {
 	grant   *grant
--- a/internal/fake/engine_chat.go
+++ b/internal/fake/engine_chat.go
@@ -32,16 +32,21 @@
 	length  int // tokens of the whole answer, resumed ones included
 	finish  string
 	usage   native.Usage
+	version string // of the model that generates it
 }
 
 func (e *Engine) newChatRun(id string, req native.ChatRequest) *chatRun {
+	e.mu.Lock()
+	version := e.model.version
+	e.mu.Unlock()
 	c := &chatRun{
-		id:     id,
-		req:    req,
-		prompt: newPrompt(req.Messages),
-		seed:   answerSeed(req.Model, req.Messages),
-		length: e.cfg.AnswerTokens,
-		finish: finishStop,
+		version: version,
+		id:      id,
+		req:     req,
+		prompt:  newPrompt(req.Messages),
+		seed:    answerSeed(req.Model, req.Messages),
+		length:  e.cfg.AnswerTokens,
+		finish:  finishStop,
 	}
 	if req.MaxTokens > 0 {
 		c.length = req.MaxTokens
@@ -119,6 +124,10 @@
 	e.mu.Lock()
 	model := e.model
 	e.mu.Unlock()
+	if req.Resume != nil && req.Resume.Version != "" && req.Resume.Version != model.version {
+		refuse(w, http.StatusConflict, 0, "other_version", "the engine holds version "+model.version)
+		return false
+	}
 	if req.Model != model.name && !slices.Contains(model.adapters, req.Model) {
 		refuse(w, http.StatusNotFound, 0, "model_not_found", "the engine holds no model or adapter "+req.Model)
 		return false
@@ -271,6 +280,9 @@
 // the batch. Without streaming it only sets the request id.
 func (o *chatWriter) writeHeader() {
 	o.w.Header().Set(native.HeaderRequestID, o.run.id)
+	if o.run.version != "" {
+		o.w.Header().Set(native.HeaderVersion, o.run.version)
+	}
 	if !o.run.req.Stream {
 		return
 	}
--- a/internal/fake/engine_test.go
+++ b/internal/fake/engine_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -292,3 +293,20 @@
 	require.Equal(t, fake.Answer(testModel, req.Messages, 200), append(head, rest...))
 	e.SetFaults(fake.Faults{Freeze: true}) // Run must end while frozen too
 }
+
+// Guards against an engine that goes on with the tokens of another version of its model: the text would
+// be joined from two versions.
+func TestEngineRefusesResumeOfAnotherVersion(t *testing.T) {
+	e := startEngine(t, fake.EngineConfig{TokenTime: time.Millisecond, Version: "v1"})
+	req := chatRequest("x", 3)
+	for _, version := range []string{"", "v1"} {
+		req.Resume = &native.Resume{Tokens: []string{"a"}, Version: version}
+		require.Equal(t, "v1", e.chat(t, "same"+version, req).Version())
+	}
+	req.Resume.Version = "v2"
+	_, err := e.client.Chat(context.Background(), e.address, "other", req)
+	var call *native.CallError
+	require.ErrorAs(t, err, &call)
+	require.Equal(t, http.StatusConflict, call.Status)
+	require.True(t, native.NotRun(err))
+}
--- a/native/engine.go
+++ b/native/engine.go
@@ -26,6 +26,9 @@
 type Resume struct {
 	Tokens []string `json:"tokens"`           // the answer's tokens so far
 	Handle string   `json:"handle,omitempty"` // handle of an imported KV cache; empty: prefill prompt and tokens again
+	// Version is the version that generated Tokens. An engine of another version must refuse the
+	// request: what two versions write doesn't fit together.
+	Version string `json:"version,omitempty"`
 }
 
 // ChatChunk is one SSE event of a streamed answer: "data: " and this as JSON.
--- a/native/stream.go
+++ b/native/stream.go
@@ -20,6 +20,7 @@
 	body      io.ReadCloser
 	events    *EventReader
 	notice    AnswerNotice
+	version   string
 	usage     Usage
 	done      bool
 	closeOnce sync.Once
@@ -28,12 +29,16 @@
 func newChatStream(peer string, resp *http.Response, maxEvent int) *ChatStream {
 	return &ChatStream{
 		peer: peer, body: resp.Body, events: NewEventReader(resp.Body, maxEvent), notice: NoticeOf(resp.StatusCode, resp.Header),
+		version: resp.Header.Get(HeaderVersion),
 	}
 }
 
 // Notice returns what the answer's header says about the engine.
 func (s *ChatStream) Notice() AnswerNotice { return s.notice }
 
+// Version returns the version that generates the answer; empty if the engine does not say so.
+func (s *ChatStream) Version() string { return s.version }
+
 // Next returns the next chunk. It returns io.EOF, not wrapped, after the event "[DONE]".
 // Any other error is a *CallError with StepBody and MaybeRan. If the connection ends
 // before "[DONE]", the answer is truncated and errors.Is(err, io.ErrUnexpectedEOF) is
--- a/native/transport.go
+++ b/native/transport.go
@@ -18,6 +18,7 @@
 	HeaderNotRun     = "X-Not-Run" // on an error status: the request was rejected without being run
 	HeaderRetryAfter = "Retry-After"
 	HeaderLeaving    = "Savoryreel-Leaving" // "1" on any answer: the server is about to end
+	HeaderVersion    = "Savoryreel-Version" // on the answer to a chat: version of the model that generates it
 	HeaderLimit      = "Savoryreel-Limit"   // on any answer: requests a second that the server takes from all entries
 )
 
--- a/policy/route/choose.go
+++ b/policy/route/choose.go
@@ -27,6 +27,13 @@
 	return r.newVerdict(req, &candidates, reason)
 }
 
+// Serves reports whether a serving server has a version that the request may use, whether or not it can
+// take the request now.
+func (r *Router) Serves(req *Request) bool {
+	t := r.computeWeights(req)
+	return t.anyVersion
+}
+
 // Candidates appends to dst the ids of the servers that Choose would score for the request,
 // so that the caller can query their load first. It counts nothing. With the same Seed, Choose
 // scores the same servers unless their updated load excludes them.
@@ -123,7 +130,7 @@
 		return false
 	}
 	t.anyServing = true
-	if req.Version != "" && s.version != req.Version || len(req.AvoidVersions) > 0 && slices.Contains(req.AvoidVersions, s.version) {
+	if (req.Version != "" || req.SameVersion) && s.version != req.Version || len(req.AvoidVersions) > 0 && slices.Contains(req.AvoidVersions, s.version) {
 		return false
 	}
 	t.anyVersion = true
@@ -354,6 +361,7 @@
 		Candidate:      scored[0],
 		Incarnation:    s.incarnation,
 		Address:        s.address,
+		Version:        s.version,
 		Reason:         reason,
 		uncachedTokens: uncachedTokens(req, r.matched[slots[0]]),
 		unsureTokens:   max(req.SharedTokens-int(r.matched[slots[0]]), 0),
--- a/policy/route/verdict.go
+++ b/policy/route/verdict.go
@@ -21,6 +21,7 @@
 	NoProbe      bool     // must not probe a slow server: urgent or not repeatable
 
 	AvoidVersions []string // must not be served; empty: none
+	SameVersion   bool     // Version must be served also if it is empty, that of servers which name none
 }
 
 // Reason is why a server was chosen, or why none was.
@@ -72,6 +73,7 @@
 	Candidate          // the chosen server; Server is empty if there is none
 	Incarnation uint64 // of the chosen server
 	Address     string // host:port of the chosen server
+	Version     string // of the chosen server
 	Reason      Reason
 	RetryAfter  time.Duration // with ReasonAllPaused: until the first pause ends
 
--- a/policy/route/version_test.go
+++ b/policy/route/version_test.go
@@ -30,8 +30,9 @@
 			req := Request{Now: now, Seed: rapid.Uint64().Draw(t, "seed"), PromptTokens: 100, Prefixes: []uint64{1, 2}}
 			req.Version = rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "version")
 			req.AvoidVersions = rapid.SampledFrom([][]string{nil, {"v1"}, {"v2"}, {"v1", "v2"}, {""}}).Draw(t, "avoid")
+			req.SameVersion = rapid.Bool().Draw(t, "same version")
 			allowed := func(version string) bool {
-				return (req.Version == "" || version == req.Version) && !slices.Contains(req.AvoidVersions, version)
+				return (req.Version == "" && !req.SameVersion || version == req.Version) && !slices.Contains(req.AvoidVersions, version)
 			}
 			for _, id := range r.Candidates(&req, nil) {
 				require.True(t, allowed(versions[id]), "a candidate of version %q", versions[id])
