gateway, coordinator, policy/origin: a stream goes on only at the version that began it

Callers got streams joined from two software versions, 200 and whole, within one answer when its server broke off, and over their attempts, most of all when all entries were killed. Cause: nothing knew which version began a stream. Within an answer the next server was chosen among all versions; a caller's next attempt named the first one in Resumes, which nobody read, and the entry that knew was often gone. Change: the first event fixes service and version of a stream. Within the answer only servers of that version get the rest, with no fallback to those of a rollout's other versions. The entry remembers the origin, and records it at the control replicas (as many as may lose their disks, and one more) while several versions may have begun streams; replicas keep records on disk. A take-up asks the replicas. Without a record the only version that a majority of the voters holds is the origin: each version is held by a majority, on disk, before entries learn of its first server. What is not known is refused with 503 before a byte has been sent. A record that a later start of its server contradicts counts as unknown.

--- a/coordinator/announce.go
+++ b/coordinator/announce.go
@@ -20,6 +20,11 @@
 	if err := c.confirmVersion(ctx, &a); err != nil {
 		return err
 	}
+	if a.State == instance.StateServing {
+		if err := c.holdVersion(ctx, &a); err != nil {
+			return err
+		}
+	}
 	changed := c.directory.Announce(a, c.now())
 	if changed {
 		c.logAnnouncement(&a)
--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -64,6 +64,10 @@
 	MethodLeaderServerTokens = "coordinator.tokens.leader"
 	// MethodHoldLeaves passes leaves of backend servers to another replica, which holds them when it replies.
 	MethodHoldLeaves = "coordinator.leaves"
+	// MethodRecordOrigins, MethodFindOrigin and MethodHoldVersions are served by any replica.
+	MethodRecordOrigins = "coordinator.origins.record"
+	MethodFindOrigin    = "coordinator.origins.find"
+	MethodHoldVersions  = "coordinator.versions.hold"
 	// MethodEndedUsage asks another replica for the usage of entries that have ended.
 	MethodEndedUsage = "coordinator.usage.ended"
 	// MethodLeaderTrial is MethodTrial at the leader.
@@ -246,6 +250,9 @@
 	HasRollouts     bool      `msgpack:"hasRollouts,omitempty"`
 	Rollouts        []Rollout `msgpack:"rollouts,omitempty"`
 	RolloutsVersion uint64    `msgpack:"rolloutsVersion,omitempty"`
+	// Mixed holds the services whose servers of several versions may have begun streams that can still be
+	// taken up, sorted.
+	Mixed []string `msgpack:"mixed,omitempty"`
 	// SentAt is when the request was sent, by the clock of its sender.
 	SentAt time.Time `msgpack:"-"`
 }
--- /dev/null
+++ b/coordinator/api/origins.go
@@ -0,0 +1,29 @@
+package api
+
+import (
+	"savoryreel.example/savoryreel/policy/origin"
+)
+
+// RecordOriginsRequest asks a replica to hold the origins of streams.
+type RecordOriginsRequest struct {
+	Records []origin.Record `msgpack:"r"`
+}
+
+// RecordOriginsReply says that the receiver holds them, in memory.
+type RecordOriginsReply struct{}
+
+// FindOriginRequest asks a replica for the origin of the stream that an attempt began, as an
+// origin.Reply. Service is the one that the route has now.
+type FindOriginRequest struct {
+	Key     origin.Key `msgpack:"k"`
+	Service string     `msgpack:"s"`
+}
+
+// HoldVersionsRequest asks a voter to hold versions of services, on disk, before servers of theirs are
+// reported to entries.
+type HoldVersionsRequest struct {
+	Versions []origin.ServiceVersion `msgpack:"v"`
+}
+
+// HoldVersionsReply says that the receiver holds them.
+type HoldVersionsReply struct{}
--- a/coordinator/cache.go
+++ b/coordinator/cache.go
@@ -20,6 +20,7 @@
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/origin"
 	"savoryreel.example/savoryreel/replica/storage"
 )
 
@@ -32,11 +33,12 @@
 	cacheFileCount = 2
 )
 
-// Names of the files in the data folder without the number of the file: of the servers that serve
-// and of those that have left.
+// Names of the files in the data folder without the number of the file: of the servers that serve, of
+// those that have left, and of versions.
 const (
 	servingFiles = "servers"
 	leftFiles    = "left"
+	versionFiles = "versions" // of services, see versionBoard
 )
 
 // serverCache stores servers in the data folder. Those that serve are stored so that they are known
@@ -63,7 +65,8 @@
 	AllowedEntries []string `msgpack:"sharers"`
 	// Rollouts holds the rollouts that the servers belong to. The log may contain them only once a
 	// leader is elected, and entries would send everything to the servers of a candidate until then.
-	Rollouts []api.Rollout `msgpack:"rollouts,omitempty"`
+	Rollouts []api.Rollout           `msgpack:"rollouts,omitempty"`
+	Versions []origin.ServiceVersion `msgpack:"versions,omitempty"`
 }
 
 // cachedServers are the records of servers in a cache file. One that cannot be read, as of another version, names no
@@ -171,8 +174,10 @@
 // restoreCache merges the saved servers and entries into the directory, with heartbeats
 // at least as old as the cache, and restores the entries that may use a share.
 func (c *Coordinator) restoreCache(ctx context.Context) {
+	c.restoreVersions(ctx) // before the servers, of which entries learn
+	c.origins.restore(ctx)
 	c.restoreServing(ctx)
-	left, ok, err := c.leaves.saver.cache.load()
+	left, ok, err := c.leftCache.load()
 	if err != nil {
 		event.Log(ctx, c.log, slog.LevelWarn, event.ServersNotKept, slog.String("step", "load those that have left"), slog.String("error", err.Error()))
 	}
@@ -244,3 +249,35 @@
 		return s.State != instance.StateServing || s.Overdue || s.Unreachable
 	})
 }
+
+// saveLeft writes the servers that have left to disk, so that their leaves outlast a restart of all
+// processes.
+func (c *Coordinator) saveLeft() error {
+	now := c.now()
+	return c.leftCache.save(cachedState{At: now, Servers: c.directory.Left(now)})
+}
+
+// saveVersions writes the versions that this replica holds to disk.
+func (c *Coordinator) saveVersions() error {
+	return c.versionCache.save(cachedState{At: c.now(), Versions: c.versions.all()})
+}
+
+// restoreVersions takes over the versions that were held before a restart: those of all files that can be
+// read, since one too many costs little.
+func (c *Coordinator) restoreVersions(ctx context.Context) {
+	var list []origin.ServiceVersion
+	found := false
+	for i := range cacheFileCount {
+		s, err := c.versionCache.read(c.versionCache.file(i))
+		switch {
+		case errors.Is(err, fs.ErrNotExist):
+		case err != nil:
+			event.Log(ctx, c.log, slog.LevelWarn, event.ServersNotKept, slog.String("step", "load versions"), slog.String("error", err.Error()))
+		default:
+			list, found = append(list, s.Versions...), true
+		}
+	}
+	if found {
+		c.versions.restore(list)
+	}
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -59,29 +59,34 @@
 	now         func() time.Time
 	metrics     *metrics.Set
 
-	directory  *directory.Store
-	live       *liveEntries
-	cache      *serverCache
-	catalogue  *latestCatalogue
-	documents  *document.Store // the last catalogues, for entries
-	usage      *usageTable
-	loads      *loadTable
-	shares     *shareRegistry
-	pacers     *watchPacers
-	work       *workTable
-	suspects   *suspectRegistry
-	tokens     *serverTokens
-	rollouts   *rolloutBoard
-	evidence   *rolloutEvidence
-	acks       *acknowledgements
-	leaves     *leaves
-	clock      *wallclock.Clock
-	pool       *link.Pool
-	traffic    *link.Traffic
-	follower   *follow.Follower
-	group      *group
-	reconciler *reconciler
-	tasks      *leaderTasks
+	directory *directory.Store
+	live      *liveEntries
+	cache     *serverCache
+	// leftCache and versionCache hold the servers that have left, and the versions.
+	leftCache    *serverCache
+	versionCache *serverCache
+	versions     *versionBoard
+	origins      *originTable
+	catalogue    *latestCatalogue
+	documents    *document.Store // the last catalogues, for entries
+	usage        *usageTable
+	loads        *loadTable
+	shares       *shareRegistry
+	pacers       *watchPacers
+	work         *workTable
+	suspects     *suspectRegistry
+	tokens       *serverTokens
+	rollouts     *rolloutBoard
+	evidence     *rolloutEvidence
+	acks         *acknowledgements
+	leaves       *leaves
+	clock        *wallclock.Clock
+	pool         *link.Pool
+	traffic      *link.Traffic
+	follower     *follow.Follower
+	group        *group
+	reconciler   *reconciler
+	tasks        *leaderTasks
 
 	routeTable atomic.Pointer[routes.Table] // of the newest catalogue received
 	stopping   chan struct{}                // closed when shutdown starts
@@ -134,10 +139,14 @@
 		onRollouts: c.acceptRollouts,
 	}
 	c.cache = &serverCache{fs: deps.FS, dir: cfg.Node.DataDir, base: servingFiles}
+	c.leftCache = &serverCache{fs: deps.FS, dir: cfg.Node.DataDir, base: leftFiles}
+	c.versionCache = &serverCache{fs: deps.FS, dir: cfg.Node.DataDir, base: versionFiles}
 	c.leaves = newLeaves(leavesDeps{
 		pool: c.pool, directory: c.directory, voters: c.voters, now: c.now,
-		saver: &leaveSaver{cache: &serverCache{fs: deps.FS, dir: cfg.Node.DataDir, base: leftFiles}, left: c.directory.Left, now: c.now},
+		saver: &sharedWrite{write: c.saveLeft},
 	})
+	c.versions = newVersionBoard(c.pool, &sharedWrite{write: c.saveVersions}, c.voters, cfg.Node.FirstStart, c.now)
+	c.origins = newOriginTable(&originLog{fs: deps.FS, dir: cfg.Node.DataDir}, c.log, c.now)
 	c.tasks = &leaderTasks{log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, now: c.now, leaseTime: cfg.Node.Bounds.LeaseTime}
 	if bounds := cfg.Node.Bounds; cfg.Node.Cloud.Usage {
 		c.tasks.usage = &usageReports{
@@ -322,6 +331,7 @@
 	daemon.Actor(g, c.follower.Run)
 	daemon.Actor(g, c.sweep)
 	daemon.Actor(g, c.saveCache)
+	daemon.Actor(g, c.origins.run)
 	daemon.Actor(g, c.runLeaderLoop)
 	daemon.Actor(g, c.recordSuspects)
 	if c.HasRollouts() {
@@ -345,6 +355,9 @@
 	link.Handle(srv, api.MethodDocument, c.documentPart)
 	link.Handle(srv, api.MethodEndedUsage, c.endedUsage)
 	link.Handle(srv, api.MethodHoldLeaves, c.leaves.holdForPeer)
+	link.Handle(srv, api.MethodHoldVersions, c.versions.holdForPeer)
+	link.Handle(srv, api.MethodRecordOrigins, c.recordOrigins)
+	link.Handle(srv, api.MethodFindOrigin, c.findOrigin)
 	link.Handle(srv, api.MethodServerTokens, c.serverTokensAnywhere)
 	link.Handle(srv, api.MethodLeaderServerTokens, serveLeader(c, c.serverTokensAsLeader))
 	link.Handle(srv, api.MethodLeaderTrial, serveLeader(c, c.trialAsLeader))
--- a/coordinator/leaves.go
+++ b/coordinator/leaves.go
@@ -62,7 +62,7 @@
 type leavesDeps struct {
 	pool      *link.Pool
 	directory *directory.Store
-	saver     *leaveSaver
+	saver     *sharedWrite // of the servers that have left
 	// voters returns the link addresses of the other voters, the number of all voters, and whether
 	// this replica is one.
 	voters func() (others []string, total int, self bool)
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -86,6 +86,9 @@
 		c.addSuspects(&reply, &req)
 	}
 	c.addRollouts(&reply, &req)
+	if req.Role == api.RoleEntry {
+		reply.Mixed = c.versions.mixed()
+	}
 	revision, document, _ := c.catalogue.get()
 	reply.Revision = revision
 	if document != nil && !req.RevisionOnly && !req.NoDocument && req.Lacks(revision) {
--- a/coordinator/watch_test.go
+++ b/coordinator/watch_test.go
@@ -35,6 +35,7 @@
 	})
 	require.NoError(t, err)
 	t.Cleanup(c.pool.Close)
+	c.versions.voters, c.versions.saver = onlyVoter, &sharedWrite{write: func() error { return nil }}
 	return c
 }
 
--- a/directory/store.go
+++ b/directory/store.go
@@ -2,12 +2,14 @@
 
 import (
 	"container/list"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/origin"
 )
 
 // Config holds the ages at which records become overdue, expire or are dropped.
@@ -338,3 +340,19 @@
 		fn(&rec)
 	}
 }
+
+// ServiceVersions returns the versions of each service of which a server is known that is not gone.
+func (s *Store) ServiceVersions() []origin.ServiceVersion {
+	known := make(map[origin.ServiceVersion]bool)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, stored := range s.servers {
+		if stored.State == instance.StateGone {
+			continue
+		}
+		for _, service := range stored.Services {
+			known[origin.ServiceVersion{Service: service, Version: stored.Version}] = true
+		}
+	}
+	return slices.Collect(maps.Keys(known))
+}
--- a/event/event.go
+++ b/event/event.go
@@ -42,6 +42,7 @@
 	LedgerAnswered        Kind = 2201
 	LedgerFailed          Kind = 2202
 	EntryPicked           Kind = 2120
+	OriginFound           Kind = 2113
 	SuspectHeld           Kind = 2301
 	Quarantined           Kind = 2302
 	BrokeOffOnGoneServer  Kind = 2303
@@ -120,6 +121,7 @@
 	{RouteChosen, "route chosen"},
 	{RouteWaits, "no route yet, request waits"},
 	{AttemptFailed, "attempt failed"},
+	{OriginFound, "origin of a stream found"},
 	{StreamResumed, "answer resumed on another backend server"},
 	{CallerLeft, "caller left"},
 	{CallerReturned, "caller came back for its answer"},
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -10,6 +10,7 @@
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/origin"
 )
 
 // selfRecord returns this entry's record for the directory.
@@ -58,6 +59,7 @@
 	g.clock.Observe(addr, r.Clock)
 	g.breaks.updateList(addr, &r)
 	g.rollouts.update(&r) // before the servers of a candidate version that the reply may hold
+	g.origins.reportMixed(r.Mixed)
 	from := directory.Origin{Replica: addr, Incarnation: r.Incarnation}
 	g.directory.Merge(from, r.Servers, r.Entries, g.now())
 	g.directory.MergeStatuses(from, r.Statuses, g.now())
@@ -166,6 +168,7 @@
 		return
 	}
 	g.entryCount = highest
+	g.origins.entries.Store(int64(highest))
 	for _, s := range g.services {
 		s.setEntries(highest)
 	}
@@ -211,6 +214,7 @@
 		}
 	}
 	if len(rec.Services) > 0 {
+		g.origins.seeVersion(origin.ServiceVersion{Service: rec.Services[0], Version: rec.Version})
 		unloaded = g.serviceLocked(rec.Services[0]).update(*rec, now)
 	}
 	if rec.State == instance.StateGone {
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -37,6 +37,7 @@
 	promptedAt time.Time
 	tickedAt   time.Time // of the last upkeep, or of the start; zero before
 	lateAt     time.Time // of the last upkeep that was late
+	repliedAt  time.Time // when a replica read the newest report that this entry has
 }
 
 func newFreshness(applyWithin, drain time.Duration, now func() time.Time) *freshness {
@@ -47,7 +48,11 @@
 func (f *freshness) record(replica string, r *api.WatchReply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.tracker.Record(replica, r.Revision, r.SentAt.Add(r.Held), len(r.Replicas), f.now())
+	readAt := r.SentAt.Add(r.Held)
+	if readAt.After(f.repliedAt) {
+		f.repliedAt = readAt
+	}
+	f.tracker.Record(replica, r.Revision, readAt, len(r.Replicas), f.now())
 	f.notifyLocked()
 }
 
@@ -126,6 +131,13 @@
 	return !f.starved(now) || now.Sub(f.tracker.ConfirmedAt(anyRevision)) <= f.drain/2
 }
 
+// viewAge returns the age of what this entry knows of the servers.
+func (f *freshness) viewAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now().Sub(f.repliedAt)
+}
+
 // majorityAt returns when a majority of the replicas had read what they have reported.
 func (f *freshness) majorityAt() time.Time {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 	exchange  *peerExchange
 	breaks    *breaks
 	rollouts  *rollouts
+	origins   *origins
 	freshness *freshness
 	// serverLimits holds what servers take from all entries together.
 	serverLimits *serverlimit.Limits
@@ -120,6 +121,7 @@
 	g.serverLimits = serverlimit.New(cfg.Node.Name, g.askForTokens, g.now)
 	g.freshness = newFreshness(b.ConfigApply, b.Drain, g.now)
 	g.rollouts = g.newRollouts()
+	g.origins = g.newOrigins()
 	g.limits = newLimits(g.exchange, g.shares, b, g.log, g.now)
 	g.usage = newUsage(g.clock, b.UsageWindow, b.UsageWindows())
 	g.outcomes = outcomes{set: g.metrics}
@@ -205,6 +207,7 @@
 		g.directory.Sweep(now, false)
 		g.repeats.forget()
 		g.breaks.expire()
+		g.origins.expire(g.directory.ServiceVersions())
 	}
 	g.applyDirectory()
 	g.limitUsage.logUsage()
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -71,6 +72,8 @@
 	r.serverOf("v1", "web", versionStream("v1", 3, false))
 	_, refusal := r.takeUp("a1", "", "")
 	require.Equal(t, Truncated, refusal.Reason)
+	r.directory.Leave("s1", 1, time.Now())
+	r.applyDirectory()
 
 	other := r.serverOf("v2", "web", versionStream("v2", 6, true))
 	out, refusal := r.takeUp("a2", "a1", "3")
--- /dev/null
+++ b/gateway/origins.go
@@ -0,0 +1,262 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/link"
+	"savoryreel.example/savoryreel/policy/origin"
+)
+
+const (
+	// originDelayPerEntry is by how much the collection of records grows with each entry, within
+	// minOriginDelay and maxOriginDelay: each message costs the replicas something.
+	minOriginDelay      = 5 * time.Millisecond
+	maxOriginDelay      = 200 * time.Millisecond
+	originDelayPerEntry = 250 * time.Microsecond
+	// originCallTimeout bounds a call to one replica.
+	originCallTimeout = 250 * time.Millisecond
+	// originRounds is how often the replicas are asked for an origin, originRoundGap apart: a record
+	// may be on its way, and a replica about to be reached.
+	originRounds   = 3
+	originRoundGap = 60 * time.Millisecond
+	// mixedTTL is how long a replica's report counts that a service has several versions.
+	mixedTTL = 10 * time.Second
+)
+
+// origins remembers which version began the streams of this entry, and records it at control replicas
+// while several versions may have begun streams. It is safe for concurrent use.
+type origins struct {
+	now      func() time.Time
+	copies   int          // replicas that hold a record
+	self     string       // name of this entry
+	entries  atomic.Int64 // number of live entries
+	replicas func() []string
+	call     originCaller
+
+	mu       sync.Mutex
+	own      *origin.Table
+	versions *origin.Versions     // that this entry has known
+	mixed    map[string]time.Time // by service: when a replica last reported several versions
+	recorded map[string]bool      // services whose streams are recorded; a set
+	pending  []origin.Record
+	flushing bool
+}
+
+// originCaller calls one control replica.
+type originCaller struct {
+	record func(ctx context.Context, addr string, records []origin.Record) error
+	find   func(ctx context.Context, addr string, key origin.Key, service string) (origin.Reply, error)
+}
+
+func (g *Gateway) newOrigins() *origins {
+	return &origins{
+		now: g.now, copies: g.cfg.Node.Tolerance.Instances + 1, self: g.cfg.Node.Name,
+		replicas: func() []string { return g.follower.Replicas() },
+		call: originCaller{
+			record: func(ctx context.Context, addr string, records []origin.Record) error {
+				_, err := link.Call[api.RecordOriginsReply](ctx, g.links, addr, api.MethodRecordOrigins, api.RecordOriginsRequest{Records: records})
+				return err
+			},
+			find: func(ctx context.Context, addr string, key origin.Key, service string) (origin.Reply, error) {
+				return link.Call[origin.Reply](ctx, g.links, addr, api.MethodFindOrigin, api.FindOriginRequest{Key: key, Service: service})
+			},
+		},
+		own: origin.NewTable(), versions: origin.NewVersions(true, g.now()), mixed: make(map[string]time.Time), recorded: make(map[string]bool),
+	}
+}
+
+// seeVersion records that a server of a version is known. The streams of a service that has got a second
+// one are recorded from now on, with those that have begun before.
+func (o *origins) seeVersion(sv origin.ServiceVersion) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.versions.See(sv, o.now()) {
+		o.updateRecorded(sv.Service)
+	}
+}
+
+// reportMixed applies what a replica reports on services with several versions.
+func (o *origins) reportMixed(services []string) {
+	if len(services) == 0 {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range services {
+		o.mixed[s] = o.now()
+		o.updateRecorded(s)
+	}
+}
+
+// updateRecorded records the streams of a service if it may have several versions. o.mu is held.
+func (o *origins) updateRecorded(service string) {
+	if !o.isMixed(service) {
+		delete(o.recorded, service)
+		return
+	}
+	if o.recorded[service] {
+		return
+	}
+	o.recorded[service] = true
+	o.enqueue(o.own.Records(service, o.now())...)
+}
+
+// isMixed reports whether several versions of a service may have begun streams. o.mu is held.
+func (o *origins) isMixed(service string) bool {
+	now := o.now()
+	if at, reported := o.mixed[service]; reported && now.Sub(at) < mixedTTL {
+		return true
+	}
+	return len(o.versions.Of(service, now)) > 1
+}
+
+// expire forgets versions that no longer matter. known are those of the servers that are known now.
+func (o *origins) expire(known []origin.ServiceVersion) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.now()
+	for _, sv := range known {
+		o.versions.See(sv, now)
+	}
+	o.versions.Expire(now)
+	for service := range o.recorded {
+		o.updateRecorded(service)
+	}
+}
+
+// add records the origin of a stream whose first event goes to the caller now. always says that the
+// replicas are to know it whatever versions there are.
+func (o *origins) add(r origin.Record, always bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.own.Add(&r, o.now())
+	if always || o.recorded[r.Service] {
+		o.enqueue(r)
+	}
+}
+
+// get returns the origin of a stream that this entry began.
+func (o *origins) get(key origin.Key) (origin.Origin, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.own.Get(key, o.now())
+}
+
+// enqueue adds records to those that are sent next. o.mu is held.
+func (o *origins) enqueue(records ...origin.Record) {
+	if len(records) == 0 {
+		return
+	}
+	o.pending = append(o.pending, records...)
+	if o.flushing {
+		return
+	}
+	o.flushing = true
+	delay := min(max(time.Duration(o.entries.Load())*originDelayPerEntry, minOriginDelay), maxOriginDelay)
+	time.AfterFunc(delay, o.flush)
+}
+
+// flush sends the pending records to as many replicas as are to hold them. One that is not reached is
+// replaced by the next one.
+func (o *origins) flush() {
+	o.mu.Lock()
+	records := o.pending
+	o.pending, o.flushing = nil, false
+	o.mu.Unlock()
+	addrs := o.holders()
+	next := make(chan string, len(addrs))
+	for _, addr := range addrs {
+		next <- addr
+	}
+	close(next)
+	for range min(o.copies, len(addrs)) {
+		go func() {
+			for addr := range next {
+				ctx, cancel := context.WithTimeout(context.Background(), originCallTimeout)
+				err := o.call.record(ctx, addr, records)
+				cancel()
+				if err == nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// holders returns the replicas in the order in which this entry prefers them. The orders of the entries
+// differ, so that the records are spread evenly.
+func (o *origins) holders() []string {
+	list := o.replicas()
+	slices.SortFunc(list, func(a, b string) int {
+		x, y := xxhash.Sum64String(o.self+a), xxhash.Sum64String(o.self+b)
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return list
+}
+
+// find returns the origin of the stream that an attempt began, as far as this entry or the control
+// replicas know it. Unless it is known, further tries may succeed if the result is Undecided.
+func (o *origins) find(ctx context.Context, key origin.Key, service string) (origin.Origin, origin.Knowledge) {
+	if began, known := o.get(key); known {
+		return began, origin.Known
+	}
+	knowledge := origin.Undecided
+	for round := range originRounds {
+		if round > 0 {
+			select {
+			case <-ctx.Done():
+				return origin.Origin{}, knowledge
+			case <-time.After(originRoundGap):
+			}
+		}
+		var began origin.Origin
+		if began, knowledge = o.ask(ctx, key, service); knowledge == origin.Known {
+			return began, knowledge
+		}
+	}
+	return origin.Origin{}, knowledge
+}
+
+// ask asks all replicas once.
+func (o *origins) ask(ctx context.Context, key origin.Key, service string) (origin.Origin, origin.Knowledge) {
+	ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
+	defer cancel()
+	addrs := o.replicas()
+	results := make(chan *origin.Reply, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			r, err := o.call.find(ctx, addr, key, service)
+			if err != nil {
+				results <- nil
+				return
+			}
+			results <- &r
+		}()
+	}
+	var replies []origin.Reply
+	for range addrs {
+		r := <-results
+		if r == nil {
+			continue
+		}
+		replies = append(replies, *r)
+		if began, knowledge := origin.Decide(service, replies, false); knowledge != origin.Undecided {
+			return began, knowledge
+		}
+	}
+	return origin.Decide(service, replies, len(replies) == len(addrs))
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -54,11 +54,15 @@
 	NoRoute Reason = iota + 1
 	UnknownKey
 
-	NoCatalogue   // no catalogue has been received yet
-	OverLimit     // the workspace's limit is exhausted
-	NoServer      // no server is available
-	Overloaded    // servers are too busy to answer within the deadline
-	Quarantined   // it crashes the servers that run it
+	NoCatalogue // no catalogue has been received yet
+	OverLimit   // the workspace's limit is exhausted
+	NoServer    // no server is available
+	Overloaded  // servers are too busy to answer within the deadline
+	Quarantined // it crashes the servers that run it
+
+	UnknownStream    // it takes a stream up of which it is not known which version began it
+	VersionNotServed // it takes a stream up that began at a version which no server takes now
+
 	ExpiredUnsent // the deadline passed before it was sent
 
 	ServerFailed // the server failed, or its answer is unusable
@@ -69,7 +73,7 @@
 
 var reasonNames = map[Reason]string{
 	NoRoute: "no_route", UnknownKey: "unknown_key", NoCatalogue: "no_catalogue", OverLimit: "over_limit", NoServer: "no_server",
-	Overloaded: "overloaded", Quarantined: "quarantined", ExpiredUnsent: "out_of_time", ServerFailed: "broken", TimedOut: "timed_out", Truncated: "broke_off", CallerGone: "caller_left",
+	Overloaded: "overloaded", Quarantined: "quarantined", UnknownStream: "unknown_stream", VersionNotServed: "version_not_served", ExpiredUnsent: "out_of_time", ServerFailed: "broken", TimedOut: "timed_out", Truncated: "broke_off", CallerGone: "caller_left",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -157,6 +157,27 @@
 	}
 }
 
+// continues reports whether a stream of a service may go on at the version that began it, with the
+// service's rollout if it has or had one. A version that gets nothing more gets no such streams either. A
+// send to the candidate in the canary phase has been taken from the exposure.
+func (r *rollouts) continues(service, version string) (s *serviceRollout, phase rollout.Phase, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s = r.byService[service]; s == nil {
+		return nil, 0, true
+	}
+	switch {
+	case slices.Contains(s.Retired, version), version == s.To && s.Phase == rollout.RolledBack:
+		return s, s.Phase, false
+	case version != s.To || s.Phase.Ended():
+		return s, s.Phase, true
+	case !r.leased():
+		return s, s.Phase, false
+	default:
+		return s, s.Phase, s.Phase != rollout.Canary || s.exposure.Allow()
+	}
+}
+
 // drawnShare is the share of the requests for which the exposure is asked. It allows sends at even steps:
 // without a draw, a service whose routes are called in turn could have a route that never reaches the
 // candidate, and whose fault shows only when all requests do.
--- a/gateway/rolloutsend.go
+++ b/gateway/rolloutsend.go
@@ -30,6 +30,9 @@
 func (j *job) chooseVersion(ctx context.Context) (choice, bool) {
 	r := j.gateway.rollouts
 	j.versions = versionRule{}
+	if j.began != nil {
+		return j.chooseOrigin(ctx)
+	}
 	if !r.known.Load() {
 		return j.choose(ctx)
 	}
@@ -41,10 +44,7 @@
 	for i, rule := range rules {
 		j.versions = rule
 		c, ok := j.choose(ctx)
-		send := &rolloutSend{
-			rollouts: r, rollout: s, route: j.route.Name, candidate: rule.candidate, phase: phase,
-			reserved: rule.candidate && phase == rollout.Canary,
-		}
+		send := j.newRolloutSend(s, rule.candidate, phase)
 		if ok {
 			c.send, j.rolloutSend = send, send
 			return c, true
@@ -57,6 +57,14 @@
 	return choice{}, false // there is at least one rule
 }
 
+// newRolloutSend returns the state of a send of the request.
+func (j *job) newRolloutSend(s *serviceRollout, candidate bool, phase rollout.Phase) *rolloutSend {
+	return &rolloutSend{
+		rollouts: j.gateway.rollouts, rollout: s, route: j.route.Name, candidate: candidate, phase: phase,
+		reserved: candidate && phase == rollout.Canary,
+	}
+}
+
 // applies reports whether a request goes to the versions of the next rule after no server was chosen for
 // a reason.
 func (f fallback) applies(reason route.Reason) bool {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/policy/origin"
 	"savoryreel.example/savoryreel/policy/retry"
 	"savoryreel.example/savoryreel/policy/route"
 	"savoryreel.example/savoryreel/policy/urgency"
@@ -70,6 +71,8 @@
 	rolloutSend     *rolloutSend // the last one; nil without a rollout
 	candidateFailed bool         // see rollouts.rules
 
+	began *origin.Origin // what began the stream; nil: it has not begun
+
 	repeatRefused string // why the retry budgets allow no repeat; empty if they have not refused one
 
 	firstByte time.Duration // from the request's arrival to the answer's header
@@ -105,6 +108,11 @@
 	if callerDeadline := j.startedAt.Add(j.CallerTimeout); j.CallerTimeout > 0 && callerDeadline.Before(j.deadline) {
 		j.deadline = callerDeadline
 	}
+	if j.takesUp() {
+		if refusal := j.findOrigin(ctx); refusal != nil {
+			return refusal
+		}
+	}
 	if j.workspace != nil {
 		j.cost = cost(j.workspace, j.Request)
 		j.objectivePassed = g.objectivePassed(j.route, j.CallerTimeout)
@@ -112,7 +120,7 @@
 			return refusal
 		}
 	}
-	j.service = g.service(j.route.Choose(rand.Float64()))
+	j.service = g.service(j.chooseService())
 	j.prefixes = prefixesOf(j.Model, j.PromptSegments)
 	g.repeats.recordFirst(j.call())
 	return nil
@@ -267,7 +275,7 @@
 	return &route.Request{
 		Now: j.gateway.now(), Seed: rand.Uint64(), Prefixes: hashesOf(j.prefixes), PromptTokens: j.PromptTokens, SharedTokens: sharedTokens(j.prefixes),
 		Zone: node.Zone, Region: node.Region, Exclude: slices.Concat(j.triedServers, j.places.full, limited), NoProbe: !j.route.Repeatable(),
-		Version: j.versions.only, AvoidVersions: j.versions.avoid,
+		Version: j.versions.only, AvoidVersions: j.versions.avoid, SameVersion: j.began != nil,
 	}
 }
 
@@ -299,6 +307,8 @@
 		return pausedRefusal(&c.verdict)
 	}
 	switch {
+	case j.began != nil && (c.verdict.Reason == route.ReasonNoVersion || c.verdict.Reason == route.ReasonNoServer):
+		return &Refusal{Reason: VersionNotServed, RetryAfter: serverRetryAfter, Detail: c.verdict.Reason.String()}
 	case len(j.places.full) > 0:
 		return j.fullRefusal()
 	case j.awaitsTokens():
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -140,7 +140,7 @@
 func (j *job) relayStream(ctx context.Context, c *choice, answer *backend.Answer) result {
 	var splitter eventSplitter
 	buf := make([]byte, streamBufferBytes)
-	resumed := j.answerStarted
+	resumed := j.began != nil
 	for {
 		n, err := answer.Read(buf)
 		if n > 0 {
@@ -184,6 +184,9 @@
 	} else {
 		splitter.observe(p)
 	}
+	if j.began == nil {
+		j.recordOrigin(c)
+	}
 	if !j.answerStarted {
 		j.beginAnswer(answer.Status, j.gateway.deps.Dialect.AnswerHeader(answer.Header), unknownLength)
 	}
