--- a/coordinator/cache.go
+++ b/coordinator/cache.go
@@ -67,6 +67,9 @@
 	// leader is elected, and entries would send everything to the servers of a candidate until then.
 	Rollouts []api.Rollout           `msgpack:"rollouts,omitempty"`
 	Versions []origin.ServiceVersion `msgpack:"versions,omitempty"`
+	// AllVersions reports that none of those that this replica was asked to hold is missing in Versions: its
+	// disk was not lost a short while ago.
+	AllVersions bool `msgpack:"allVersions,omitempty"`
 }
 
 // cachedServers are the records of servers in a cache file. One that cannot be read, as of another version, names no
@@ -259,14 +262,16 @@
 
 // saveVersions writes the versions that this replica holds to disk.
 func (c *Coordinator) saveVersions() error {
-	return c.versionCache.save(cachedState{At: c.now(), Versions: c.versions.all()})
+	s := cachedState{At: c.now()}
+	s.Versions, s.AllVersions = c.versions.all()
+	return c.versionCache.save(s)
 }
 
 // restoreVersions takes over the versions that were held before a restart: those of all files that can be
 // read, since one too many costs little.
 func (c *Coordinator) restoreVersions(ctx context.Context) {
 	var list []origin.ServiceVersion
-	found := false
+	complete := false
 	for i := range cacheFileCount {
 		s, err := c.versionCache.read(c.versionCache.file(i))
 		switch {
@@ -274,10 +279,8 @@
 		case err != nil:
 			event.Log(ctx, c.log, slog.LevelWarn, event.ServersNotKept, slog.String("step", "load versions"), slog.String("error", err.Error()))
 		default:
-			list, found = append(list, s.Versions...), true
+			list, complete = append(list, s.Versions...), complete || s.AllVersions
 		}
 	}
-	if found {
-		c.versions.restore(list)
-	}
+	c.versions.restore(list, complete)
 }
--- a/coordinator/versions.go
+++ b/coordinator/versions.go
@@ -36,10 +36,10 @@
 }
 
 // restore takes over what was held before a restart.
-func (b *versionBoard) restore(list []origin.ServiceVersion) {
+func (b *versionBoard) restore(list []origin.ServiceVersion, complete bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.versions.Restore(list, b.now())
+	b.versions.Restore(list, complete, b.now())
 }
 
 // see records the versions of servers that this replica knows of. It reports whether one is new.
@@ -82,10 +82,11 @@
 	return b.versions.Mixed(b.now())
 }
 
-func (b *versionBoard) all() []origin.ServiceVersion {
+// all returns all that is held, and whether none is missing.
+func (b *versionBoard) all() (list []origin.ServiceVersion, complete bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.versions.All()
+	return b.versions.All(), b.versions.Complete(b.now())
 }
 
 // lacking returns those of the versions of which it is not known that a majority holds them.
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -50,14 +50,14 @@
 	for range 8 { // the choice is drawn
 		r := newOriginRig(t)
 		r.serverOf("v1", "web", versionStream("v1", 3, false))
-		out, refusal := r.serve("/x")
+		_, refusal := r.serve("/x")
 		require.Equal(t, Truncated, refusal.Reason, "no other server")
 
 		r = newOriginRig(t)
 		broken := r.serverOf("v1", "web", versionStream("v1", 3, false))
 		other := r.serverOf("v2", "web", versionStream("v2", 6, true))
 		r.serverOf("v1", "web", versionStream("v1", 6, true))
-		out, _ = r.serve("/x")
+		out, _ := r.serve("/x")
 		if broken.count() > 0 {
 			require.Zero(t, other.count(), "%s", out.body)
 		}
--- a/policy/origin/versions.go
+++ b/policy/origin/versions.go
@@ -33,13 +33,15 @@
 	return v
 }
 
-// Restore adds what was held before a restart, which is complete. How long the process was down is not
-// known, so that all of it counts as seen now.
-func (v *Versions) Restore(list []ServiceVersion, now time.Time) {
+// Restore adds what was held before a restart; complete says whether nothing was missing then. How long the
+// process was down is not known, so that all of it counts as seen now.
+func (v *Versions) Restore(list []ServiceVersion, complete bool, now time.Time) {
 	for _, sv := range list {
 		v.seen[sv] = now
 	}
-	v.completeFrom = now
+	if complete {
+		v.completeFrom = now
+	}
 }
 
 // See records that a server of a version is known. It reports whether the version was not held before.
