gateway, coordinator, e2e: a stream goes on at a server only if no later start of it is known

Cause: the id that goes along with a request protects the server, not its version, and the replicas that had known the new start restarted with an older list of servers. Change: before a stream goes on at a server that names its starts, a majority of the replicas has to confirm that they know no later one, of those that have had a heartbeat of it since their own start; otherwise another server is chosen, or the stream is refused. Records are held by two replicas at least.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -64,10 +64,11 @@
 	MethodLeaderServerTokens = "coordinator.tokens.leader"
 	// MethodHoldLeaves passes leaves of backend servers to another replica, which holds them when it replies.
 	MethodHoldLeaves = "coordinator.leaves"
-	// MethodRecordOrigins, MethodFindOrigin and MethodHoldVersions are served by any replica.
+	// MethodRecordOrigins, MethodFindOrigin, MethodHoldVersions and MethodServerStart are served by any replica.
 	MethodRecordOrigins = "coordinator.origins.record"
 	MethodFindOrigin    = "coordinator.origins.find"
 	MethodHoldVersions  = "coordinator.versions.hold"
+	MethodServerStart   = "coordinator.server.start"
 	// MethodEndedUsage asks another replica for the usage of entries that have ended.
 	MethodEndedUsage = "coordinator.usage.ended"
 	// MethodLeaderTrial is MethodTrial at the leader.
--- a/coordinator/api/origins.go
+++ b/coordinator/api/origins.go
@@ -27,3 +27,14 @@
 
 // HoldVersionsReply says that the receiver holds them.
 type HoldVersionsReply struct{}
+
+// ServerStartRequest asks a replica which start of a server is the last that it knows.
+type ServerStartRequest struct {
+	Server string `msgpack:"s"`
+}
+
+// ServerStartReply is the last start of a server that the replica knows. There is an error instead if it has
+// received no heartbeat of the server since its own start.
+type ServerStartReply struct {
+	Incarnation uint64 `msgpack:"n"`
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -358,6 +358,7 @@
 	link.Handle(srv, api.MethodHoldVersions, c.versions.holdForPeer)
 	link.Handle(srv, api.MethodRecordOrigins, c.recordOrigins)
 	link.Handle(srv, api.MethodFindOrigin, c.findOrigin)
+	link.Handle(srv, api.MethodServerStart, c.serverStart)
 	link.Handle(srv, api.MethodServerTokens, c.serverTokensAnywhere)
 	link.Handle(srv, api.MethodLeaderServerTokens, serveLeader(c, c.serverTokensAsLeader))
 	link.Handle(srv, api.MethodLeaderTrial, serveLeader(c, c.trialAsLeader))
--- a/coordinator/origins.go
+++ b/coordinator/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -125,3 +126,17 @@
 	_, r.Voters, r.Voter = c.voters()
 	return r, nil
 }
+
+// errNotHeard reports a server of which no heartbeat has been received since this replica started. What it
+// read from its data folder may lack the last start of the server.
+var errNotHeard = errors.New("no heartbeat of the server has been received yet")
+
+// serverStart replies which start of a server is the last that this replica knows.
+func (c *Coordinator) serverStart(_ context.Context, _ link.PeerInfo, req api.ServerStartRequest) (api.ServerStartReply, error) {
+	now := c.now()
+	rec, known := c.directory.Lookup(req.Server, now)
+	if !known || rec.HeartbeatAge > now.Sub(c.startedAt) {
+		return api.ServerStartReply{}, errNotHeard
+	}
+	return api.ServerStartReply{Incarnation: rec.Incarnation}, nil
+}
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -20,6 +20,8 @@
 	minOriginDelay      = 5 * time.Millisecond
 	maxOriginDelay      = 200 * time.Millisecond
 	originDelayPerEntry = 250 * time.Microsecond
+	// minOriginCopies is the least number of replicas that hold a record.
+	minOriginCopies = 2
 	// originCallTimeout bounds a call to one replica.
 	originCallTimeout = 250 * time.Millisecond
 	// originRounds is how often the replicas are asked for an origin, originRoundGap apart: a record
@@ -53,11 +55,12 @@
 type originCaller struct {
 	record func(ctx context.Context, addr string, records []origin.Record) error
 	find   func(ctx context.Context, addr string, key origin.Key, service string) (origin.Reply, error)
+	start  func(ctx context.Context, addr, server string) (incarnation uint64, err error)
 }
 
 func (g *Gateway) newOrigins() *origins {
 	return &origins{
-		now: g.now, copies: g.cfg.Node.Tolerance.Instances + 1, self: g.cfg.Node.Name,
+		now: g.now, copies: max(g.cfg.Node.Tolerance.Instances+1, minOriginCopies), self: g.cfg.Node.Name,
 		replicas: func() []string { return g.follower.Replicas() },
 		call: originCaller{
 			record: func(ctx context.Context, addr string, records []origin.Record) error {
@@ -67,6 +70,10 @@
 			find: func(ctx context.Context, addr string, key origin.Key, service string) (origin.Reply, error) {
 				return link.Call[origin.Reply](ctx, g.links, addr, api.MethodFindOrigin, api.FindOriginRequest{Key: key, Service: service})
 			},
+			start: func(ctx context.Context, addr, server string) (uint64, error) {
+				r, err := link.Call[api.ServerStartReply](ctx, g.links, addr, api.MethodServerStart, api.ServerStartRequest{Server: server})
+				return r.Incarnation, err
+			},
 		},
 		own: origin.NewTable(), versions: origin.NewVersions(true, g.now()), mixed: make(map[string]time.Time), recorded: make(map[string]bool),
 	}
@@ -260,3 +267,28 @@
 	}
 	return origin.Decide(service, replies, len(replies) == len(addrs))
 }
+
+// confirms reports whether a majority of the replicas knows no later start of a server than this one. What
+// this entry knows may be old, and a server that has started again under its id may have another version.
+func (o *origins) confirms(ctx context.Context, server string, incarnation uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
+	defer cancel()
+	addrs := o.replicas()
+	results := make(chan bool, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			last, err := o.call.start(ctx, addr, server)
+			results <- err == nil && last <= incarnation
+		}()
+	}
+	confirming := 0
+	for range addrs {
+		if <-results {
+			confirming++
+		}
+		if confirming > len(addrs)/2 {
+			return true
+		}
+	}
+	return len(addrs) == 0
+}
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -20,6 +20,8 @@
 	// maxViewAge is how old what an entry knows of the servers may be when a stream goes on at a server that
 	// may start again under its id, with another version. Replicas reply every two seconds at the latest.
 	maxViewAge = 3 * time.Second
+	// maxUnconfirmed bounds the servers that are chosen in vain, since they have started again.
+	maxUnconfirmed = 3
 )
 
 // takesUp reports whether the request takes up a stream that an earlier attempt of its caller began.
@@ -97,11 +99,7 @@
 		return choice{verdict: route.Verdict{Reason: route.ReasonNoVersion}}, false
 	}
 	j.versions = versionRule{only: j.began.Version}
-	c, ok := j.choose(ctx)
-	if ok && c.verdict.Incarnation != 0 && g.freshness.viewAge() > maxViewAge {
-		j.service.withdraw(&c, g.now())
-		c, ok = choice{verdict: route.Verdict{Reason: route.ReasonNoVersion}}, false
-	}
+	c, ok := j.chooseConfirmed(ctx)
 	if s == nil {
 		return c, ok
 	}
@@ -113,3 +111,21 @@
 	c.send, j.rolloutSend = send, send
 	return c, true
 }
+
+// chooseConfirmed is choose among the servers of which the control replicas know no later start than this
+// entry. One that names no starts has a new id at each.
+func (j *job) chooseConfirmed(ctx context.Context) (choice, bool) {
+	g := j.gateway
+	for range maxUnconfirmed {
+		c, ok := j.choose(ctx)
+		if !ok || c.verdict.Incarnation == 0 {
+			return c, ok
+		}
+		if g.freshness.viewAge() <= maxViewAge && g.origins.confirms(ctx, c.verdict.Server, c.verdict.Incarnation) {
+			return c, true
+		}
+		j.service.withdraw(&c, g.now())
+		j.triedServers = append(j.triedServers, c.verdict.Server)
+	}
+	return choice{verdict: route.Verdict{Reason: route.ReasonNoVersion}}, false
+}
