--- a/e2e/origin_test.go
+++ b/e2e/origin_test.go
@@ -53,7 +53,7 @@
 func (p *platformSite) startVersionAt(id, version, address string) *standin.Server {
 	p.t.Helper()
 	cfg := standin.ServerConfig{
-		Address: address, ID: id, Service: "web", Zone: "z1", ControlAddrs: p.controlAddrs(), Version: standin.Version{Name: version}, Slots: 64,
+		Address: address, ID: id, Service: "web", Zone: "z1", ControlAddrs: p.controlAddrs(), Version: standin.Version{Name: version}, Slots: 64, NamesVersion: true,
 		HeartbeatInterval: leaveHeartbeat, OnPanic: p.failOnPanic,
 	}
 	s, err := standin.StartServer(cfg)
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -41,7 +41,7 @@
 	v := &c.verdict
 	j.gateway.sampler.Log(context.Background(), event.RouteChosen, slog.String("request", j.ID),
 		slog.String("service", j.service.name), slog.String("server", v.Server), slog.String("address", v.Address),
-		slog.String("version", c.version), slog.Uint64("incarnation", v.Incarnation), slog.String("after", j.lastEventID), slog.String("resumes", j.Resumes),
+		slog.String("version", v.Version), slog.Uint64("incarnation", v.Incarnation), slog.String("after", j.lastEventID), slog.String("resumes", j.Resumes),
 		slog.String("reason", v.Reason.String()), slog.Duration("score", v.Score), slog.Int("cached", v.CachedTokens),
 		slog.Int("prompt", j.PromptTokens), slog.Int("load", v.Load), slog.Int("slots", v.Slots), slog.Bool("roomElsewhere", c.misplaced), slog.Int("ahead", v.QueuedTokens), slog.Duration("loadAge", c.loadAge),
 		slog.Int("rank", c.rank), slog.String("urgency", c.urgency.String()),
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -150,7 +150,6 @@
 	prefillTime time.Duration // expected time for the uncached part of the prompt
 	rank        int           // sent to the server
 	urgency     urgency.Reason
-	version     string    // of the server's software, as far as this entry knows
 	stateFrom   string    // replica that has reported the server as serving
 	stateAt     time.Time // when it did
 	send        *rolloutSend
@@ -169,7 +168,7 @@
 	s.busy[v.Server] = struct{}{}
 	c := choice{verdict: v, attempt: s.router.Started(&v, now), prefixes: prefixes, loadAge: s.loadAge(v.Server, now), misplaced: v.BesideRoom()}
 	rec := s.servers[v.Server]
-	c.version, c.stateFrom, c.stateAt = rec.Version, rec.StateFrom, rec.StateAt
+	c.stateFrom, c.stateAt = rec.StateFrom, rec.StateAt
 	c.prefillTime = time.Duration(float64(v.UncachedTokens()) / s.router.PrefillRate() * float64(time.Second))
 	s.mu.Unlock()
 	return c, true
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -218,7 +218,7 @@
 	retryable := j.route.Resumable && (!j.answerStarted || j.lastEventID != "")
 	if retryable && j.answerStarted {
 		event.Log(ctx, j.gateway.log, slog.LevelInfo, event.StreamResumed, slog.String("request", j.ID),
-			slog.String("server", c.verdict.Server), slog.String("version", c.version), slog.String("after", j.lastEventID), slog.String("error", err.Error()))
+			slog.String("server", c.verdict.Server), slog.String("version", c.verdict.Version), slog.String("after", j.lastEventID), slog.String("error", err.Error()))
 	}
 	return result{retryable: retryable, reachedServer: true, brokeOff: true, server: c.verdict.Server, refusal: j.failureRefusal(err.Error())}
 }
