--- a/policy/origin/model_test.go
+++ b/policy/origin/model_test.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// inform tells an entry which servers serve, and whether a replica has seen several versions.
+// inform updates what an entry knows of the servers, and whether a replica has seen several versions.
 func (w *world) inform() {
 	e := draw(w, w.entries, "entry")
 	e.view = slices.Clone(w.servers)
