review/2: streams go on at another version of a server that started again behind a cut

Cause: what entries and replicas last heard of a server's start is taken for its present start; behind a cut from control nobody hears of a new one for seconds.

Change: a script with stand-ins; nothing of the system is changed.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -12,6 +12,7 @@
 // cases holds the scripts by the number of their folder.
 var cases = map[string]func(*site) (verdict, error){
 	"1": coreReplaced,
+	"2": serverReborn,
 }
 
 // verdict is the outcome of a case.
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -358,3 +358,113 @@
 func serviceOf(name string) map[string]any {
 	return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false}
 }
+
+// gate passes connections on to an address until it is closed; connections through a closed gate get no
+// answer, as those of a machine that is cut off.
+type gate struct {
+	address string
+	to      string
+	mu      sync.Mutex
+	closed  bool
+	conns   map[net.Conn]struct{}
+}
+
+// newGate returns an open gate to an address.
+func (s *site) newGate(to string) (*gate, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	g := &gate{address: l.Addr().String(), to: to, conns: make(map[net.Conn]struct{})}
+	s.onClose(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go g.carry(c)
+		}
+	}()
+	return g, nil
+}
+
+// set closes or opens the gate. What is open ends.
+func (g *gate) set(closed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = closed
+	for c := range g.conns {
+		_ = c.Close()
+	}
+}
+
+func (g *gate) add(c net.Conn) (closed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conns[c] = struct{}{}
+	return g.closed
+}
+
+func (g *gate) remove(c net.Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.conns, c)
+}
+
+func (g *gate) carry(c net.Conn) {
+	defer c.Close()
+	defer g.remove(c)
+	if g.add(c) {
+		_, _ = io.Copy(io.Discard, c)
+		return
+	}
+	to, err := net.Dial("tcp", g.to)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	defer g.remove(to)
+	if g.add(to) {
+		return
+	}
+	go func() {
+		_, _ = io.Copy(to, c)
+		_ = to.Close()
+	}()
+	_, _ = io.Copy(c, to)
+}
+
+// startSystem starts n machines of the core and m entries, with the settings in extra, in three zones.
+func (s *site) startSystem(n, m int, extra string) (core, entries []*process, err error) {
+	const zones = 3
+	seeds := []int{1, 2, 3}
+	var ns []int
+	for i := 1; i <= n; i++ {
+		p, err := s.start(machine{role: "control", n: i, zone: 1 + i%zones, first: true, seeds: seeds, extra: extra})
+		if err != nil {
+			return nil, nil, err
+		}
+		core, ns = append(core, p), append(ns, i)
+	}
+	s.setControls(ns...)
+	for i := range m {
+		p, err := s.start(machine{role: "entry", n: firstEntry + i, zone: 1 + i%zones, first: true, seeds: seeds, extra: extra})
+		if err != nil {
+			return nil, nil, err
+		}
+		entries = append(entries, p)
+	}
+	return core, entries, nil
+}
+
+// firstEntry is the last octet of the first entry's address.
+const firstEntry = 101
+
+// operatorAddrs returns the addresses at which machines 1 to n take calls of servers and operators.
+func (s *site) operatorAddrs(n int) (list []string) {
+	for i := 1; i <= n; i++ {
+		list = append(list, s.addr(i, operatorPort))
+	}
+	return list
+}
