review/3: streams that are taken up after a route has moved go on at the other service

Cause: the origin of a stream without a record is derived from the service that the route has now.

Change: a script with stand-ins; nothing of the system is changed.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(*site) (verdict, error){
 	"1": coreReplaced,
 	"2": serverReborn,
+	"3": routeMoved,
 }
 
 // verdict is the outcome of a case.
