review/1: all requests are refused after the entries are replaced by other machines

Cause: an entry that is lost counts among those that share the limits for a minute, and bars the entries that replace it from a share; once all are replaced nobody has one.

Change: a script with stand-ins; nothing of the system is changed. The cases are numbered anew, the gravest first, and the script of case 3 has more load.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -11,9 +11,10 @@
 
 // cases holds the scripts by the number of their folder.
 var cases = map[string]func(*site) (verdict, error){
-	"1": coreReplaced,
-	"2": serverReborn,
-	"3": routeMoved,
+	"1": entriesReplaced,
+	"2": coreReplaced,
+	"3": serverReborn,
+	"4": routeMoved,
 }
 
 // verdict is the outcome of a case.
--- a/review/_standin/reborn.go
+++ b/review/_standin/reborn.go
@@ -65,7 +65,7 @@
 	time.Sleep(4 * time.Second) // all servers are known
 
 	ending := time.Now().Add(lasts)
-	load := s.startStreamLoad(40, events, "/chat/stream/", "key-1", ending)
+	load := s.startStreamLoad(60, events, "/chat/stream/", "key-1", ending)
 	time.Sleep(3 * time.Second)
 	if s.trouble {
 		s.log("server i-0 is cut off from control")
