review/1: the core loses its majority for good when each leader is removed in turn

Cause: a dead voter is taken out of the group only after the present leader has led for six seconds, and the machines that take its place are not made voters before; three removals of leaders, one at a time, leave two of five voters.

The cases are numbered anew, the gravest first.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -11,10 +11,11 @@
 
 // cases holds the scripts by the number of their folder.
 var cases = map[string]func(*site) (verdict, error){
-	"1": entriesReplaced,
-	"2": coreReplaced,
-	"3": serverReborn,
-	"4": routeMoved,
+	"1": leadersRemoved,
+	"2": entriesReplaced,
+	"3": coreReplaced,
+	"4": serverReborn,
+	"5": routeMoved,
 }
 
 // verdict is the outcome of a case.
