--- a/review/_standin/leaders.go
+++ b/review/_standin/leaders.go
@@ -38,6 +38,7 @@
 		}
 	}
 	time.Sleep(5 * time.Second)
+	removed := 0
 	for i := range removals {
 		if !s.trouble {
 			time.Sleep(catchUp + time.Second)
@@ -49,6 +50,7 @@
 		}
 		s.log("machine %d leads and is removed for good", leader)
 		live[leader].kill()
+		removed++
 		zone := live[leader].m.zone
 		delete(live, leader)
 		time.Sleep(time.Second)
@@ -76,7 +78,7 @@
 		}
 	}
 	read, err := s.readBack(reads)
-	text := fmt.Sprintf("CONFIG: after %d removals, one at a time, the configuration is read back: %t (%v)", removals, read, err)
+	text := fmt.Sprintf("CONFIG: after %d removals, one at a time, the configuration is read back: %t (%v)", removed, read, err)
 	return verdict{broken: !read, text: text}, nil
 }
 
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases holds the scripts by the number of their folder.
@@ -45,6 +47,13 @@
 		return exitNotRun
 	}
 	defer s.close()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		s.close()
+		os.Exit(exitNotRun)
+	}()
 	v, err := cases[number](s)
 	switch {
 	case err != nil:
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -222,12 +221,6 @@
 	<-p.done
 }
 
-// signal sends a signal to a process.
-func (p *process) signal(sig syscall.Signal) {
-	p.s.log("signal %v to %s-%d", sig, p.m.role, p.m.n)
-	_ = p.cmd.Process.Signal(sig)
-}
-
 // setControls sets the machines that serve control, as the operator lists them.
 func (s *site) setControls(ns ...int) {
 	s.mu.Lock()
