--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -buildvcs=false -o target/review/casetool ./review/_standin
+go build -buildvcs=false -o target/review/casetool ./review/_standin/platform
