--- a/review/_standin/platform/streams.go
+++ b/review/_standin/platform/streams.go
@@ -31,21 +31,29 @@
 	takenUp  bool     // an attempt that took it up was answered
 	goneOn   bool     // one of those has brought events
 	whole    bool
+	pause    time.Duration // before the next attempt
 }
 
-// retryPause is the pause between two attempts of a client.
-const retryPause = 100 * time.Millisecond
+const (
+	// retryPause is the pause between two attempts of a client where no answer names one.
+	retryPause = 100 * time.Millisecond
+	// maxAttempts is one more than the retries that the site's sheet gives its clients.
+	maxAttempts = 2
+)
 
-// run sends attempts until the stream is whole or its deadline has passed, each to another entry.
+// run sends attempts until the stream is whole, its deadline has passed or the client has no retry left, each
+// to another entry. Between them it waits as Retry-After says, up to a third of the time that it has left.
 func (t *stream) run(entries []string, at int) {
 	ctx, cancel := context.WithDeadline(context.Background(), t.deadline)
 	defer cancel()
-	for ; ctx.Err() == nil && !t.whole; at++ {
+	for range maxAttempts {
+		t.pause = retryPause
 		t.attempt(ctx, entries[at%len(entries)])
-		if t.whole {
+		if t.whole || ctx.Err() != nil {
 			return
 		}
-		time.Sleep(retryPause)
+		at++
+		time.Sleep(min(t.pause, time.Until(t.deadline)/3))
 	}
 }
 
@@ -71,6 +79,9 @@
 		return
 	}
 	defer resp.Body.Close()
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
+		t.pause = time.Duration(seconds * float64(time.Second))
+	}
 	var versions []string
 	lines, version := bufio.NewScanner(resp.Body), ""
 	for lines.Scan() {
