review/5: no stream can be taken up after three core machines were replaced

Cause: a replica with a new disk vouches for no version for 60 s, and while one version serves streams are not recorded; once three of five voters are new, each take-up at another entry is refused, for some 40 s (LOST). It takes the place of the case on a route that moves to another service: the rule speaks of two versions of one service.

--- a/review/_standin/platform/main.go
+++ b/review/_standin/platform/main.go
@@ -17,7 +17,7 @@
 	"2": entriesReplaced,
 	"3": coreReplaced,
 	"4": serverReborn,
-	"5": routeMoved,
+	"5": coreRenewed,
 }
 
 // verdict is the outcome of a case.
--- a/review/_standin/platform/streams.go
+++ b/review/_standin/platform/streams.go
@@ -125,7 +125,11 @@
 // startStreams starts n streams, spread over the entries, and returns them and a function that waits for
 // their ends.
 func (s *site) startStreams(n, events int, path, key string, lasts time.Duration) ([]*stream, func()) {
-	entries := s.resolve()
+	return s.startStreamsAt(s.resolve(), n, events, path, key, lasts)
+}
+
+// startStreamsAt is startStreams with the entries given.
+func (s *site) startStreamsAt(entries []string, n, events int, path, key string, lasts time.Duration) ([]*stream, func()) {
 	slices.Sort(entries)
 	var list []*stream
 	var wg sync.WaitGroup
@@ -137,6 +141,11 @@
 	return list, wg.Wait
 }
 
+// entriesBut returns the entries that the directory names, but for one.
+func (s *site) entriesBut(p *process) []string {
+	return slices.DeleteFunc(s.resolve(), func(address string) bool { return address == s.addr(p.m.n, callerPort) })
+}
+
 // joined returns the streams that hold events of several versions, and how many of them ended as whole.
 func joined(list []*stream) (n, whole int) {
 	for _, t := range list {
