coordinator, policy/limit: shares of the limits are granted by the replicated log

Cause: each replica kept a table of the entries' shares and vouched for it.

Change: the grants are in the replicated log. The leader changes them, based on a table of grants that must be the latest; what is reserved sums to at most 1. Who shrinks keeps its larger share reserved until it reports that it holds the smaller grant. A new entry gets what is free. An entry uses its grant while a majority of the voters has confirmed it within 50 s, counted against the newest set of voters (policy/quorum). A lost entry's grant goes once a majority of the voters has promised not to confirm it any more. After a restart of all processes replicas recall the last table, and entries take over the grants of their earlier incarnations, so that no election has to come first.

Why this works: a replica that becomes a voter has the log, so there is no memory to wait for; and what a lost entry holds has a size, so that the rest can be divided.

--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -129,12 +129,10 @@
 	Usage []WindowUsage `msgpack:"usage,omitempty"`
 	// OpenWindow is the window in which the sender counts now. Counts of earlier windows are
 	// final.
-	OpenWindow int64        `msgpack:"open,omitempty"`
-	Loads      []ServerLoad `msgpack:"loads,omitempty"` // complete list of what the sender has running
-	// ShareDivisor is 1 divided by the sender's largest share of the limits; 0 if it has no
-	// share.
-	ShareDivisor int           `msgpack:"shareOf,omitempty"`
-	Work         []ServiceWork `msgpack:"work,omitempty"`
+	OpenWindow int64         `msgpack:"open,omitempty"`
+	Loads      []ServerLoad  `msgpack:"loads,omitempty"`   // complete list of what the sender has running
+	Share      limit.Report  `msgpack:"shareOf,omitempty"` // what an entry reports of its share of the limits
+	Work       []ServiceWork `msgpack:"work,omitempty"`
 	// AllEntries requests the records of all entries besides what changed on servers.
 	AllEntries bool `msgpack:"allEntries,omitempty"`
 	// BrokenOff holds the sender's records of requests that broke off on servers, as far as they
@@ -226,13 +224,13 @@
 	LiveEntries int      `msgpack:"live"`          // number of entries that accept requests of callers
 	// LiveDigest is the digest of the names of those entries. LiveNames holds the sorted names
 	// if the sender's list differs; only the replica that sends the catalogue sends them.
-	LiveDigest uint64          `msgpack:"liveDigest,omitempty"`
-	LiveNames  []string        `msgpack:"liveNames,omitempty"`
-	HasLoads   bool            `msgpack:"hasLoads"`
-	Loads      []ServerLoad    `msgpack:"loads,omitempty"` // what all other entries have running at the most loaded servers, if HasLoads
-	Work       []ServiceWork   `msgpack:"work,omitempty"`  // prefill rates that the entries have estimated
-	ShareVote  limit.ShareVote `msgpack:"share"`
-	Clock      time.Time       `msgpack:"clock"` // the replica's current time
+	LiveDigest uint64        `msgpack:"liveDigest,omitempty"`
+	LiveNames  []string      `msgpack:"liveNames,omitempty"`
+	HasLoads   bool          `msgpack:"hasLoads"`
+	Loads      []ServerLoad  `msgpack:"loads,omitempty"` // what all other entries have running at the most loaded servers, if HasLoads
+	Work       []ServiceWork `msgpack:"work,omitempty"`  // prefill rates that the entries have estimated
+	Share      limit.Reply   `msgpack:"share"`           // on an entry's share of the limits
+	Clock      time.Time     `msgpack:"clock"`           // the replica's current time
 	// Packed holds the records of servers for an entry; Servers then holds only those that were
 	// requested by their keys.
 	Packed directory.PackedServers `msgpack:"packed,omitempty"`
--- a/coordinator/cache.go
+++ b/coordinator/cache.go
@@ -20,6 +20,7 @@
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
+	"savoryreel.example/savoryreel/policy/limit"
 	"savoryreel.example/savoryreel/policy/origin"
 	"savoryreel.example/savoryreel/replica/storage"
 )
@@ -61,8 +62,9 @@
 	At      time.Time         `msgpack:"at"`
 	Servers cachedServers     `msgpack:"servers"`
 	Entries []directory.Entry `msgpack:"entries"`
-	// AllowedEntries are the entries that may use a share of the limits.
-	AllowedEntries []string `msgpack:"sharers"`
+	// Grants are the entries' shares of the limits, and GrantsIndex is their limit.Table.Index.
+	Grants      []limit.Grant `msgpack:"grants,omitempty"`
+	GrantsIndex uint64        `msgpack:"grantsIndex,omitempty"`
 	// Rollouts holds the rollouts that the servers belong to. The log may contain them only once a
 	// leader is elected, and entries would send everything to the servers of a candidate until then.
 	Rollouts []api.Rollout           `msgpack:"rollouts,omitempty"`
@@ -175,7 +177,7 @@
 }
 
 // restoreCache merges the saved servers and entries into the directory, with heartbeats
-// at least as old as the cache, and restores the entries that may use a share.
+// at least as old as the cache, and recalls the shares of the limits.
 func (c *Coordinator) restoreCache(ctx context.Context) {
 	c.restoreVersions(ctx) // before the servers, of which entries learn
 	c.origins.restore(ctx)
@@ -215,7 +217,7 @@
 		s.Entries[i].HeartbeatAge = max(s.Entries[i].HeartbeatAge+age, entryExpiry+time.Millisecond)
 	}
 	c.directory.Merge(directory.Origin{}, s.Servers, s.Entries, now)
-	c.shares.restore(s.AllowedEntries, now)
+	c.shares.recall(limit.NewTable(s.GrantsIndex, s.Grants))
 	event.Log(ctx, c.log, slog.LevelInfo, event.ServersRecalled, slog.Int("servers", len(s.Servers)), slog.Duration("age", age))
 }
 
@@ -229,8 +231,12 @@
 			return
 		}
 		now := c.now()
-		s := cachedState{At: now, Servers: servingServers(c.directory.Servers(now)), Entries: c.directory.Entries(now), AllowedEntries: c.shares.allowedEntries(now)}
+		s := cachedState{At: now, Servers: servingServers(c.directory.Servers(now)), Entries: c.directory.Entries(now)}
 		s.Rollouts, _, _ = c.rollouts.current() // after the servers
+		if m := c.group.current.Load(); m != nil {
+			t := c.shares.latest(m.state.shares())
+			s.Grants, s.GrantsIndex = t.All(), t.Index
+		}
 		go func() {
 			defer busy.Store(false)
 			err := c.cache.save(s)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -71,7 +71,7 @@
 	documents    *document.Store // the last catalogues, for entries
 	usage        *usageTable
 	loads        *loadTable
-	shares       *shareRegistry
+	shares       *shareBoard
 	pacers       *watchPacers
 	work         *workTable
 	suspects     *suspectRegistry
@@ -123,9 +123,8 @@
 		}),
 		catalogue: newLatestCatalogue(), documents: document.NewStore(deps.Now), usage: newUsageTable(cfg.Node.Bounds.UsageWindows()), loads: newLoadTable(), work: newWorkTable(), pacers: newWatchPacers(), clock: wallclock.System(),
 		stopping: make(chan struct{}), lastCalls: make(map[string]time.Time), suspects: newSuspectRegistry(deps.Now),
-		tokens: newServerTokens(), rollouts: newRolloutBoard(), evidence: newRolloutEvidence(), acks: newAcknowledgements(),
+		tokens: newServerTokens(), shares: newShareBoard(), rollouts: newRolloutBoard(), evidence: newRolloutEvidence(), acks: newAcknowledgements(),
 	}
-	c.shares = newShareRegistry(deps.Now(), cfg.Node.FirstStart)
 	c.live = &liveEntries{entries: c.directory.LiveEntries, lastChange: c.directory.LastEntryChange}
 	c.traffic = link.NewTraffic(c.metrics)
 	c.pool = link.NewPool(api.PoolConfig(c.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: c.traffic})
@@ -333,6 +332,7 @@
 	daemon.Actor(g, c.saveCache)
 	daemon.Actor(g, c.origins.run)
 	daemon.Actor(g, c.runLeaderLoop)
+	daemon.Actor(g, c.divideLimits)
 	daemon.Actor(g, c.recordSuspects)
 	if c.HasRollouts() {
 		daemon.Actor(g, c.judgeRollouts)
@@ -358,6 +358,7 @@
 	link.Handle(srv, api.MethodHoldVersions, c.versions.holdForPeer)
 	link.Handle(srv, api.MethodRecordOrigins, c.recordOrigins)
 	link.Handle(srv, api.MethodFindOrigin, c.findOrigin)
+	link.Handle(srv, api.MethodRevokeShares, c.revokeShares)
 	link.Handle(srv, api.MethodServerStart, c.serverStart)
 	link.Handle(srv, api.MethodServerTokens, c.serverTokensAnywhere)
 	link.Handle(srv, api.MethodLeaderServerTokens, serveLeader(c, c.serverTokensAsLeader))
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/policy/limit"
 	"savoryreel.example/savoryreel/policy/suspect"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/roster"
@@ -28,6 +29,7 @@
 	kindSuspects
 	kindStartRollout
 	kindSetPhase
+	kindShares
 )
 
 type reviseCommand struct {
@@ -88,6 +90,7 @@
 	initialSizes  map[string]int // servers of each service before any was ordered
 	trials        *suspect.Trials
 	rollouts      map[string]rolloutRecord // the last of each service
+	grants        *limit.Table
 
 	onRevision func(revision uint64, document []byte)
 	onMembers  func([]roster.Member)
@@ -97,7 +100,7 @@
 
 func newState(onRevision func(uint64, []byte), onMembers func([]roster.Member), onTrials func([]uint64), onRollouts func([]api.Rollout)) *state {
 	return &state{
-		initialSizes: make(map[string]int), trials: suspect.NewTrials(nil), rollouts: make(map[string]rolloutRecord),
+		initialSizes: make(map[string]int), trials: suspect.NewTrials(nil), rollouts: make(map[string]rolloutRecord), grants: limit.NewTable(0, nil),
 		onRevision: onRevision, onMembers: onMembers, onTrials: onTrials, onRollouts: onRollouts,
 	}
 }
@@ -129,6 +132,8 @@
 	case kindSetPhase:
 		defer s.notifyRollouts()
 		return apply(e, s.applySetPhase)
+	case kindShares:
+		return apply(e, func(c limit.Change) bool { return s.applyShares(e.Index, &c) })
 	default:
 		return nil, trace.BadParameter("log entry %d has unknown kind %d", e.Index, e.Kind)
 	}
@@ -250,6 +255,21 @@
 	return s.initialSizes[c.Service]
 }
 
+// applyShares changes the entries' shares of the limits, and reports whether the change was not void.
+func (s *state) applyShares(index uint64, c *limit.Change) (ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grants, ok = s.grants.Apply(c, index)
+	return ok
+}
+
+// shares returns the entries' shares of the limits.
+func (s *state) shares() *limit.Table {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.grants
+}
+
 // initialSize returns how many servers a service had before any was ordered, 0 if
 // unknown.
 func (s *state) initialSize(service string) int {
@@ -320,6 +340,9 @@
 	Trials map[uint64]suspect.TrialCount `msgpack:"trials,omitempty"`
 
 	Rollouts map[string]rolloutRecord `msgpack:"rollouts,omitempty"`
+
+	Grants      []limit.Grant `msgpack:"grants,omitempty"`
+	GrantsIndex uint64        `msgpack:"grantsIndex,omitempty"` // limit.Table.Index
 }
 
 // Snapshot implements host.Machine.
@@ -333,7 +356,7 @@
 	}
 	enc, err := msgpack.Marshal(&stateSnapshot{
 		Revision: s.revision, Document: s.document, Registrations: s.registrations, Highest: s.highestID, Usage: usage, Sizes: maps.Clone(s.initialSizes),
-		Trials: s.trials.Snapshot(), Rollouts: maps.Clone(s.rollouts),
+		Trials: s.trials.Snapshot(), Rollouts: maps.Clone(s.rollouts), Grants: s.grants.All(), GrantsIndex: s.grants.Index,
 	})
 	return enc, trace.Wrap(err, "step=snapshot")
 }
@@ -352,6 +375,7 @@
 	s.trials = suspect.NewTrials(in.Trials)
 	s.rollouts = make(map[string]rolloutRecord, len(in.Rollouts))
 	maps.Copy(s.rollouts, in.Rollouts)
+	s.grants = limit.NewTable(in.GrantsIndex, in.Grants)
 	s.mu.Unlock()
 	s.onRevision(in.Revision, in.Document)
 	s.notifyMembers()
--- a/coordinator/state_test.go
+++ b/coordinator/state_test.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/policy/limit"
 	"savoryreel.example/savoryreel/policy/referral"
 	"savoryreel.example/savoryreel/policy/suspect"
 	"savoryreel.example/savoryreel/replica"
@@ -164,3 +165,22 @@
 func TestOverdueThresholdToleratesLateHeartbeats(t *testing.T) {
 	require.Greater(t, overdueAfter(1200*time.Millisecond), 4*time.Second)
 }
+
+// Guards against shares of the limits that are lost, or granted twice, when a replica starts from a snapshot.
+func TestGrantsOutlastASnapshot(t *testing.T) {
+	s := newEmptyState()
+	first := limit.Change{Set: []limit.Grant{{Name: "a", Divisor: 2, Reserved: 2}, {Name: "b", Divisor: 2, Reserved: 2}}}
+	e := newEntry(t, kindShares, first)
+	e.Index = 7
+	done, err := s.Apply(e)
+	require.NoError(t, err)
+	require.Equal(t, true, done)
+	enc, err := s.Snapshot()
+	require.NoError(t, err)
+	restored := newEmptyState()
+	require.NoError(t, restored.Restore(enc))
+	require.Equal(t, s.shares(), restored.shares())
+	done, err = restored.Apply(e)
+	require.NoError(t, err)
+	require.Equal(t, false, done, "it is based on an earlier table")
+}
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -59,7 +59,7 @@
 	if req.Incarnation != c.incarnation {
 		seen = 0
 	}
-	if !c.needsShareVote(&req) && req.Detail != api.DetailNone {
+	if !c.bringsShare(&req) && req.Detail != api.DetailNone {
 		c.waitForChange(ctx, from, req, seen)
 	}
 	now := c.now()
@@ -80,7 +80,7 @@
 			}
 		}
 		reply.Work = c.work.rates(now)
-		reply.ShareVote = c.shares.vote(req.Entry.Name, now)
+		reply.Share = c.shareReply(req.Entry.Name)
 	}
 	if req.Role == api.RoleEntry {
 		c.addSuspects(&reply, &req)
@@ -130,11 +130,10 @@
 	return nil
 }
 
-// needsShareVote reports whether the sender is an entry without a share for which this
-// replica has a vote. Such an entry refuses callers, so it gets the reply without a
-// wait.
-func (c *Coordinator) needsShareVote(req *api.WatchRequest) bool {
-	return req.Entry != nil && req.ShareDivisor == 0 && c.shares.vote(req.Entry.Name, c.now()).Entries > 0
+// bringsShare reports whether the reply brings an entry a grant of its share that it has not received. The
+// entry may lack a share, or others wait until it has shrunk its own, so it gets the reply without a wait.
+func (c *Coordinator) bringsShare(req *api.WatchRequest) bool {
+	return req.Entry != nil && c.shareReply(req.Entry.Name).Grant.Index > req.Share.Held
 }
 
 // recordSender records what the request says about its sender.
@@ -146,7 +145,7 @@
 			// reported to that one. Recorded here, it would pass for all counts of the entry.
 			c.usage.record(entryIncarnation{req.Entry.Name, req.Entry.Incarnation}, req.OpenWindow, req.Usage)
 		}
-		c.shares.observe(entryIncarnation{req.Entry.Name, req.Entry.Incarnation}, req.ShareDivisor, c.now())
+		c.shares.record(entryIncarnation{req.Entry.Name, req.Entry.Incarnation}, req.Share, c.now())
 		c.loads.record(req.Entry.Name, req.Loads, c.now())
 		c.work.record(entryIncarnation{req.Entry.Name, req.Entry.Incarnation}, req.Work, c.now())
 		c.evidence.record(entryIncarnation{req.Entry.Name, req.Entry.Incarnation}, req.Rollouts, c.now())
--- a/event/event.go
+++ b/event/event.go
@@ -83,6 +83,7 @@
 	LimitOwned            Kind = 3104
 	ShareChanged          Kind = 3105
 	RepeatsUsed           Kind = 3106
+	LimitsDivided         Kind = 3109
 	PathLost              Kind = 3107
 	PathRestored          Kind = 3108
 	RevisionTaken         Kind = 5010
@@ -160,6 +161,7 @@
 	{LimitOwned, "owner of a limit's pools"},
 	{ShareChanged, "share of the limits"},
 	{RepeatsUsed, "repeats of a service"},
+	{LimitsDivided, "limits divided"},
 	{PathLost, "own path to backend servers lost"},
 	{PathRestored, "own path to backend servers restored"},
 	{CatalogueChanged, "catalogue changed"},
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -36,7 +36,7 @@
 		self := g.selfRecord()
 		req.Entry = &self
 		req.Loads = g.loads()
-		req.ShareDivisor = g.shares.divisorInUse()
+		req.Share = g.shares.report(g.now())
 		req.Work = g.prefillWork()
 		req.LiveDigest = g.peers.currentDigest()
 	}
@@ -49,7 +49,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if starting {
-		return min(max(time.Duration(g.shares.divisorInUse())*startWatchWaitPerEntry, minStartWatchWait), minWatchWait)
+		return min(max(time.Duration(g.shares.entryCount())*startWatchWaitPerEntry, minStartWatchWait), minWatchWait)
 	}
 	return g.rollouts.limitWait(min(max(time.Duration(g.entryCount)*watchWaitPerEntry, minWatchWait), maxWatchWait))
 }
@@ -73,7 +73,7 @@
 		g.applyReportedLoads(r.Loads)
 	}
 	g.applyPrefillRates(r.Work)
-	g.shares.recordVote(addr, r.ShareVote, len(r.Replicas), r.SentAt)
+	g.shares.record(addr, r.Share, r.SentAt)
 	g.limits.updateShare()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,10 +107,11 @@
 		return nil, trace.Wrap(err, "step=check settings")
 	}
 	b := cfg.Node.Bounds
+	incarnation := uint64(time.Now().UnixMilli())
 	g := &Gateway{
-		cfg: cfg, deps: deps, log: deps.Log, now: deps.Now, incarnation: uint64(time.Now().UnixMilli()), metrics: metrics.NewSet(),
+		cfg: cfg, deps: deps, log: deps.Log, now: deps.Now, incarnation: incarnation, metrics: metrics.NewSet(),
 		directory: directory.NewStore(directory.Config{ForgetAfter: directory.DefaultForgetAfter}),
-		clock:     wallclock.System(), shares: newShares(deps.Now()), services: make(map[string]*service), entryCount: 1,
+		clock:     wallclock.System(), shares: newShares(incarnation, deps.Now()), services: make(map[string]*service), entryCount: 1,
 		liveCounts: make(map[string]liveCount), callerWaits: patience.NewEstimator(), serverZones: make(map[string]string),
 	}
 	g.peers = &peers{directory: g.directory}
--- a/gateway/limitshares.go
+++ b/gateway/limitshares.go
@@ -255,7 +255,7 @@
 	if !l.shares.settled(now) {
 		return true
 	}
-	return now.Sub(l.start) < fastRenewWindow && len(l.exchange.currentList().names)+1 < l.shares.divisorInUse()
+	return now.Sub(l.start) < fastRenewWindow && len(l.exchange.currentList().names)+1 < l.shares.entryCount()
 }
 
 // requestReturns asks other entries to return the shares that the previous incarnation of
