gateway: an entry that stops gives its share of the limits back

What callers saw: for a minute after entries were stopped in good order and replaced by others, every limit was smaller by their shares.

Cause: a replica counted an entry for 60 s after its last call, whether it was lost or had said that it leaves.

Change: after its last request a leaving entry uses its share no more and says in its last report when the leases of it have ended.

Test: TestShareOfStoppedEntryGoesToTheOthers (without the report the other entry waits for limit.ShareTTL, longer than the test does).

--- a/coordinator/shares_test.go
+++ b/coordinator/shares_test.go
@@ -76,6 +76,19 @@
 	require.Less(t, time.Since(begun), limit.ShareTTL/4)
 }
 
+// Guards against a share that is withheld for a minute from the others although its entry has given it up.
+func TestShareOfStoppedEntryGoesToTheOthers(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startFirst(3)
+	c.replaceCatalogue(c.replicas[address(0)], 1)
+	a, b := newShareCaller(c, "a"), newShareCaller(c, "b")
+	requireShares(t, a, b)
+	a.holder.GiveUp(time.Now())
+	a.call() // its last report
+	require.Zero(t, a.holder.Share(time.Now()))
+	requireShares(t, b)
+}
+
 // An entry that has just started refuses callers until it has its share of the limits. Guards against
 // delaying the grant by the wait of the call.
 func TestStartingEntryGetsItsGrantImmediately(t *testing.T) {
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -63,6 +63,8 @@
 	defer cancel()
 	callers.Drain(drainCtx)
 	g.reach.Carrier.Drain(drainCtx)
+	g.shares.giveUp(g.now())
+	g.limits.updateShare()
 	g.reportLastCounts(ctx)
 	open, inRequest := callers.Connections()
 	event.Log(ctx, g.log, slog.LevelInfo, event.DrainDone, slog.Int64("unfinished", g.inFlight.Load()), slog.Int("connections", open), slog.Int("inRequest", inRequest))
