coordinator: a voter that is gone is replaced however short its leaders have led

Cause: a voter gave its place to a learner once it was out of reach for 6 s of one lead. Each lead lasted 4.7 to 5.2 s, so that three of five voters were gone while three learners waited.

Change: the time counts from the voter's last reply to this process, which calls all others whether or not it leads. A learner that has come since says that the instance was replaced: then 3 s are enough, and the group is whole before the next instance may be lost. The same for addresses of replicas that are gone, which each new leader kept for 30 s more.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -131,7 +131,7 @@
 	c.follower = follow.New(follow.Config{Self: c.self}, follow.Deps{
 		Pool: c.pool, Log: c.log, Now: c.now, Request: c.watchRequest, Reply: c.mergeReply, Seeds: c.replicasToFollow,
 	})
-	c.reconciler = newReconciler(c.log, c.now, c.follower.LastReply)
+	c.reconciler = newReconciler(c.log, c.now, c.follower)
 	c.group = &group{
 		self: c.self, store: identityStore{fs: deps.FS, dir: cfg.Node.DataDir}, pool: c.pool, log: c.log, now: c.now,
 		founders: c.founders, peers: c.follower.Replicas, onRevision: c.acceptCatalogue, onMembers: c.setMembers, onTrials: c.suspects.setTrials,
--- a/coordinator/follow/follow.go
+++ b/coordinator/follow/follow.go
@@ -116,6 +116,7 @@
 type peer struct {
 	cancel      context.CancelFunc
 	wake        chan struct{} // interrupts the open call
+	firstReply  time.Time     // zero before it
 	lastReply   time.Time     // zero before the first reply
 	unreachable bool          // the last call failed
 	prompts     uint64        // calls of Prompt before the request that was answered last was made
@@ -348,6 +349,9 @@
 	p.unreachable = err != nil
 	if err == nil {
 		p.lastReply = f.deps.Now()
+		if p.firstReply.IsZero() {
+			p.firstReply = p.lastReply
+		}
 	}
 	f.mu.Unlock()
 	switch {
--- a/coordinator/follow/replies.go
+++ b/coordinator/follow/replies.go
@@ -28,6 +28,16 @@
 	return out
 }
 
+// FirstReply returns the time of the first reply of a replica since it is followed; zero if there was none.
+func (f *Follower) FirstReply(addr string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.peers[addr]; p != nil {
+		return p.firstReply
+	}
+	return time.Time{}
+}
+
 // Unreached returns the sorted addresses of the followed replicas that have not replied
 // within the last age.
 func (f *Follower) Unreached(age time.Duration) []string {
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -15,6 +15,7 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/host"
+	"savoryreel.example/savoryreel/replica/roster"
 )
 
 const (
@@ -23,6 +24,13 @@
 	// voterReplaceDelay is how long a voter must be unreachable before a learner replaces
 	// it. It is longer than a restart.
 	voterReplaceDelay = 6 * time.Second
+	// successorReplaceDelay takes the place of voterReplaceDelay if a learner has come since
+	// the voter's last reply: its instance was replaced. The group is to be whole again
+	// before an instance may be lost that is replaced after it.
+	successorReplaceDelay = 3 * time.Second
+	// minLead is how long a replica leads before it replaces voters: by then it has replies
+	// of all that it reaches.
+	minLead = time.Second
 	// maxReplyAge is the age of its last reply up to which a replica counts as reachable.
 	maxReplyAge = 3 * time.Second
 	// joinRequestTTL is how long a join request is pending unless it is repeated.
@@ -30,6 +38,9 @@
 	// unusedRegistrationTTL is how long a registration may exist without a member that uses
 	// it.
 	unusedRegistrationTTL = 30 * time.Second
+	// minUnused is how long a registration is kept that this leader sees no use of: a replica that
+	// has just been given its id repeats its request to join meanwhile.
+	minUnused = 3 * joinRequestTTL
 	// reconcileInterval is the interval at which the leader checks the replica set, and
 	// reconcileTimeout bounds one change of it.
 	reconcileInterval = 250 * time.Millisecond
@@ -45,7 +56,8 @@
 type reconciler struct {
 	log       *slog.Logger
 	now       func() time.Time
-	lastReply func(addr string) time.Time // time of the last reply of a replica
+	replies   replyTimes
+	startedAt time.Time
 
 	mu           sync.Mutex
 	joinRequests map[uint64]joinRequest // by replica id
@@ -54,14 +66,21 @@
 	ledSince     time.Time              // start of that lead
 }
 
+// replyTimes knows when other replicas have replied to this process. Every replica calls
+// every other one, whichever leads.
+type replyTimes interface {
+	LastReply(addr string) time.Time  // zero: it has not replied
+	FirstReply(addr string) time.Time // zero: it has not replied
+}
+
 // joinRequest is a replica's request to join.
 type joinRequest struct {
 	address    string
 	receivedAt time.Time
 }
 
-func newReconciler(log *slog.Logger, now func() time.Time, lastReply func(string) time.Time) *reconciler {
-	return &reconciler{log: log, now: now, lastReply: lastReply, joinRequests: make(map[uint64]joinRequest), unusedSince: make(map[uint64]time.Time)}
+func newReconciler(log *slog.Logger, now func() time.Time, replies replyTimes) *reconciler {
+	return &reconciler{log: log, now: now, replies: replies, startedAt: now(), joinRequests: make(map[uint64]joinRequest), unusedSince: make(map[uint64]time.Time)}
 }
 
 // recordJoinRequest records that a replica requested to join.
@@ -188,7 +207,17 @@
 // sinceLastReply returns the age of the last reply of a replica.
 func (r *reconciler) sinceLastReply(m *member, id uint64) time.Duration {
 	addr, _ := m.addresses.Address(id)
-	return r.now().Sub(r.lastReply(addr))
+	return r.now().Sub(r.replies.LastReply(addr))
+}
+
+// unreachableFor returns how long the instance at an address has not replied to this process, however
+// long this replica has led.
+func (r *reconciler) unreachableFor(addr string) time.Duration {
+	since := r.replies.LastReply(addr)
+	if since.Before(r.startedAt) {
+		since = r.startedAt
+	}
+	return r.now().Sub(since)
 }
 
 // balance promotes learners to an odd number of voters, at most maxVoters, and removes
@@ -219,29 +248,53 @@
 	return ready
 }
 
-// unreachableVoter returns the voter that has been unreachable longest, if that is
-// longer than voterReplaceDelay and the others have a majority. The time counts from the
-// start of this lead at the earliest.
+// unreachableVoter returns the voter that has been unreachable longest, if that is longer
+// than its replacement is delayed and the others have a majority.
 func (r *reconciler) unreachableVoter(m *member, st host.Status) (uint64, bool) {
-	r.mu.Lock()
-	ledFor := r.now().Sub(r.ledSince)
-	r.mu.Unlock()
+	if r.ledFor() < minLead {
+		return 0, false
+	}
 	var unreachable uint64
-	longest := voterReplaceDelay
+	var longest time.Duration
 	for _, id := range st.Voters {
 		if id == st.ID {
 			continue
 		}
-		if age := min(r.sinceLastReply(m, id), ledFor); age > longest && r.majorityWithout(m, st, id) {
+		addr, _ := m.addresses.Address(id)
+		age := r.unreachableFor(addr)
+		if age > max(longest, r.replaceDelay(m, st, addr)) && r.majorityWithout(m, st, id) {
 			unreachable, longest = id, age
 		}
 	}
 	return unreachable, unreachable != 0
 }
 
+// ledFor returns how long this replica has led.
+func (r *reconciler) ledFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now().Sub(r.ledSince)
+}
+
+// replaceDelay returns how long the voter at an address must be unreachable before it is replaced.
+func (r *reconciler) replaceDelay(m *member, st host.Status, addr string) time.Duration {
+	lastReply := r.replies.LastReply(addr)
+	if lastReply.IsZero() {
+		return voterReplaceDelay
+	}
+	for _, id := range r.reachableLearners(m, st) {
+		learner, _ := m.addresses.Address(id)
+		if r.replies.FirstReply(learner).After(lastReply) {
+			return successorReplaceDelay
+		}
+	}
+	return voterReplaceDelay
+}
+
 // retireUnused retires one registration that is no longer needed: one whose instance has
 // a newer id, or one that no member has used for unusedRegistrationTTL, without a
-// pending join request.
+// pending join request. It has not been used for as long as its instance has not replied,
+// also under earlier leaders.
 func (r *reconciler) retireUnused(ctx context.Context, m *member, st host.Status) error {
 	registrations := m.state.members()
 	newest := make(map[string]uint64)
@@ -253,13 +306,19 @@
 			r.markUsed(s.ID)
 			continue
 		}
-		if s.ID < newest[s.Address] || r.unusedDuration(s.ID) > unusedRegistrationTTL {
+		if s.ID < newest[s.Address] || r.isUnused(s) {
 			return propose(ctx, m, kindRetire, retireCommand{ID: s.ID})
 		}
 	}
 	return nil
 }
 
+// isUnused reports whether a registration without a member is no longer needed.
+func (r *reconciler) isUnused(s roster.Member) bool {
+	unused := r.unusedDuration(s.ID)
+	return unused > unusedRegistrationTTL || unused > minUnused && r.unreachableFor(s.Address) > unusedRegistrationTTL
+}
+
 // markUsed clears the time since which a registration is unused.
 func (r *reconciler) markUsed(id uint64) {
 	r.mu.Lock()
