coordinator, policy/origin: the versions that serve are in the replicated log

Cause: a replica without its disk vouched for no version for a minute, and three such voters of five left no majority that did.

Change: a version is committed to the log before entries learn of its first server, and removed 70 s after the leader last knew one. A reply counts if its sender is a voter by the newest set of voters and has applied all versions in its log.

Why this works: a replica has the log before it becomes a voter, so none has to wait; a committed version is in the log of at least one voter of any majority.

--- a/coordinator/announce.go
+++ b/coordinator/announce.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	if a.State == instance.StateServing {
-		if err := c.holdVersion(ctx, &a); err != nil {
+		if err := c.commitVersion(ctx, &a); err != nil {
 			return err
 		}
 	}
--- a/coordinator/api/api.go
+++ b/coordinator/api/api.go
@@ -64,11 +64,12 @@
 	MethodLeaderServerTokens = "coordinator.tokens.leader"
 	// MethodHoldLeaves passes leaves of backend servers to another replica, which holds them when it replies.
 	MethodHoldLeaves = "coordinator.leaves"
-	// MethodRecordOrigins, MethodFindOrigin, MethodHoldVersions and MethodServerStart are served by any replica.
+	// MethodRecordOrigins, MethodFindOrigin and MethodServerStart are served by any replica.
 	MethodRecordOrigins = "coordinator.origins.record"
 	MethodFindOrigin    = "coordinator.origins.find"
-	MethodHoldVersions  = "coordinator.versions.hold"
 	MethodServerStart   = "coordinator.server.start"
+	// MethodCommitVersions adds versions of services to the replicated log, at the leader.
+	MethodCommitVersions = "coordinator.versions.commit"
 	// MethodEndedUsage asks another replica for the usage of entries that have ended.
 	MethodEndedUsage = "coordinator.usage.ended"
 	// MethodLeaderTrial is MethodTrial at the leader.
--- a/coordinator/api/origins.go
+++ b/coordinator/api/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"savoryreel.example/savoryreel/policy/origin"
+	"savoryreel.example/savoryreel/policy/quorum"
 )
 
 // RecordOriginsRequest asks a replica to hold the origins of streams.
@@ -19,14 +20,14 @@
 	Service string     `msgpack:"s"`
 }
 
-// HoldVersionsRequest asks a voter to hold versions of services, on disk, before servers of theirs are
-// reported to entries.
-type HoldVersionsRequest struct {
+// CommitVersionsRequest asks the leader to commit versions of services before servers of theirs are reported
+// to entries.
+type CommitVersionsRequest struct {
 	Versions []origin.ServiceVersion `msgpack:"v"`
 }
 
-// HoldVersionsReply says that the receiver holds them.
-type HoldVersionsReply struct{}
+// CommitVersionsReply says that they are committed.
+type CommitVersionsReply struct{}
 
 // ServerStartRequest asks a replica which start of a server is the last that it knows.
 type ServerStartRequest struct {
@@ -36,5 +37,6 @@
 // ServerStartReply is the last start of a server that the replica knows. There is an error instead if it has
 // received no heartbeat of the server since its own start.
 type ServerStartReply struct {
-	Incarnation uint64 `msgpack:"n"`
+	Incarnation uint64      `msgpack:"n"`
+	View        quorum.View `msgpack:"p"`
 }
--- a/coordinator/cache.go
+++ b/coordinator/cache.go
@@ -21,7 +21,6 @@
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/policy/limit"
-	"savoryreel.example/savoryreel/policy/origin"
 	"savoryreel.example/savoryreel/replica/storage"
 )
 
@@ -34,12 +33,11 @@
 	cacheFileCount = 2
 )
 
-// Names of the files in the data folder without the number of the file: of the servers that serve, of
-// those that have left, and of versions.
+// Names of the files in the data folder without the number of the file: of the servers that serve, and
+// of those that have left.
 const (
 	servingFiles = "servers"
 	leftFiles    = "left"
-	versionFiles = "versions" // of services, see versionBoard
 )
 
 // serverCache stores servers in the data folder. Those that serve are stored so that they are known
@@ -67,11 +65,7 @@
 	GrantsIndex uint64        `msgpack:"grantsIndex,omitempty"`
 	// Rollouts holds the rollouts that the servers belong to. The log may contain them only once a
 	// leader is elected, and entries would send everything to the servers of a candidate until then.
-	Rollouts []api.Rollout           `msgpack:"rollouts,omitempty"`
-	Versions []origin.ServiceVersion `msgpack:"versions,omitempty"`
-	// AllVersions reports that none of those that this replica was asked to hold is missing in Versions: its
-	// disk was not lost a short while ago.
-	AllVersions bool `msgpack:"allVersions,omitempty"`
+	Rollouts []api.Rollout `msgpack:"rollouts,omitempty"`
 }
 
 // cachedServers are the records of servers in a cache file. One that cannot be read, as of another version, names no
@@ -179,7 +173,6 @@
 // restoreCache merges the saved servers and entries into the directory, with heartbeats
 // at least as old as the cache, and recalls the shares of the limits.
 func (c *Coordinator) restoreCache(ctx context.Context) {
-	c.restoreVersions(ctx) // before the servers, of which entries learn
 	c.origins.restore(ctx)
 	c.restoreServing(ctx)
 	left, ok, err := c.leftCache.load()
@@ -265,28 +258,3 @@
 	now := c.now()
 	return c.leftCache.save(cachedState{At: now, Servers: c.directory.Left(now)})
 }
-
-// saveVersions writes the versions that this replica holds to disk.
-func (c *Coordinator) saveVersions() error {
-	s := cachedState{At: c.now()}
-	s.Versions, s.AllVersions = c.versions.all()
-	return c.versionCache.save(s)
-}
-
-// restoreVersions takes over the versions that were held before a restart: those of all files that can be
-// read, since one too many costs little.
-func (c *Coordinator) restoreVersions(ctx context.Context) {
-	var list []origin.ServiceVersion
-	complete := false
-	for i := range cacheFileCount {
-		s, err := c.versionCache.read(c.versionCache.file(i))
-		switch {
-		case errors.Is(err, fs.ErrNotExist):
-		case err != nil:
-			event.Log(ctx, c.log, slog.LevelWarn, event.ServersNotKept, slog.String("step", "load versions"), slog.String("error", err.Error()))
-		default:
-			list, complete = append(list, s.Versions...), complete || s.AllVersions
-		}
-	}
-	c.versions.restore(list, complete)
-}
--- a/coordinator/cache_test.go
+++ b/coordinator/cache_test.go
@@ -23,21 +23,17 @@
 // restartReplica returns a replica that started at a time with the cache in dir.
 func restartReplica(dir string, at time.Time) *Coordinator {
 	c := &Coordinator{
-		log: slog.New(slog.DiscardHandler), now: func() time.Time { return at }, cache: &serverCache{fs: storage.OS{}, dir: dir, base: servingFiles}, shares: newShareBoard(), catalogue: newLatestCatalogue(),
+		log: slog.New(slog.DiscardHandler), now: func() time.Time { return at }, cache: &serverCache{fs: storage.OS{}, dir: dir, base: servingFiles}, shares: newShareBoard(), group: &group{}, catalogue: newLatestCatalogue(),
 		directory: directory.NewStore(directory.Config{OverdueAfter: 4 * time.Second, EntryExpiry: entryExpiry, ForgetAfter: time.Minute}),
 	}
 	c.leftCache = &serverCache{fs: storage.OS{}, dir: dir, base: leftFiles}
-	c.versionCache = &serverCache{fs: storage.OS{}, dir: dir, base: versionFiles}
 	c.leaves = newLeaves(leavesDeps{directory: c.directory, saver: &sharedWrite{write: c.saveLeft}, now: c.now})
-	c.versions = newVersionBoard(nil, &sharedWrite{write: c.saveVersions}, onlyVoter, false, c.now)
+	c.versions = newVersionBoard(commitNothing, c.now)
 	c.origins = newOriginTable(&originLog{fs: storage.OS{}, dir: dir}, c.log, c.now)
 	c.restoreCache(context.Background())
 	return c
 }
 
-// onlyVoter says that a replica is the only voter.
-func onlyVoter() (others []string, total int, self bool) { return nil, 1, true }
-
 func server(id string, state instance.State) directory.Server {
 	return directory.Server{Announcement: instance.Announcement{
 		ID: id, Incarnation: 1, Sequence: 7, State: state, Address: "10.0.0.1:" + id, Services: []string{"chat"},
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -62,31 +62,30 @@
 	directory *directory.Store
 	live      *liveEntries
 	cache     *serverCache
-	// leftCache and versionCache hold the servers that have left, and the versions.
-	leftCache    *serverCache
-	versionCache *serverCache
-	versions     *versionBoard
-	origins      *originTable
-	catalogue    *latestCatalogue
-	documents    *document.Store // the last catalogues, for entries
-	usage        *usageTable
-	loads        *loadTable
-	shares       *shareBoard
-	pacers       *watchPacers
-	work         *workTable
-	suspects     *suspectRegistry
-	tokens       *serverTokens
-	rollouts     *rolloutBoard
-	evidence     *rolloutEvidence
-	acks         *acknowledgements
-	leaves       *leaves
-	clock        *wallclock.Clock
-	pool         *link.Pool
-	traffic      *link.Traffic
-	follower     *follow.Follower
-	group        *group
-	reconciler   *reconciler
-	tasks        *leaderTasks
+	// leftCache holds the servers that have left.
+	leftCache  *serverCache
+	versions   *versionBoard
+	origins    *originTable
+	catalogue  *latestCatalogue
+	documents  *document.Store // the last catalogues, for entries
+	usage      *usageTable
+	loads      *loadTable
+	shares     *shareBoard
+	pacers     *watchPacers
+	work       *workTable
+	suspects   *suspectRegistry
+	tokens     *serverTokens
+	rollouts   *rolloutBoard
+	evidence   *rolloutEvidence
+	acks       *acknowledgements
+	leaves     *leaves
+	clock      *wallclock.Clock
+	pool       *link.Pool
+	traffic    *link.Traffic
+	follower   *follow.Follower
+	group      *group
+	reconciler *reconciler
+	tasks      *leaderTasks
 
 	routeTable atomic.Pointer[routes.Table] // of the newest catalogue received
 	stopping   chan struct{}                // closed when shutdown starts
@@ -139,12 +138,11 @@
 	}
 	c.cache = &serverCache{fs: deps.FS, dir: cfg.Node.DataDir, base: servingFiles}
 	c.leftCache = &serverCache{fs: deps.FS, dir: cfg.Node.DataDir, base: leftFiles}
-	c.versionCache = &serverCache{fs: deps.FS, dir: cfg.Node.DataDir, base: versionFiles}
 	c.leaves = newLeaves(leavesDeps{
 		pool: c.pool, directory: c.directory, voters: c.voters, now: c.now,
 		saver: &sharedWrite{write: c.saveLeft},
 	})
-	c.versions = newVersionBoard(c.pool, &sharedWrite{write: c.saveVersions}, c.voters, cfg.Node.FirstStart, c.now)
+	c.versions = newVersionBoard(c.commitVersions, c.now)
 	c.origins = newOriginTable(&originLog{fs: deps.FS, dir: cfg.Node.DataDir}, c.log, c.now)
 	c.tasks = &leaderTasks{log: c.log, name: cfg.Node.Name, cloud: deps.Cloud, now: c.now, leaseTime: cfg.Node.Bounds.LeaseTime}
 	if bounds := cfg.Node.Bounds; cfg.Node.Cloud.Usage {
@@ -333,6 +331,7 @@
 	daemon.Actor(g, c.origins.run)
 	daemon.Actor(g, c.runLeaderLoop)
 	daemon.Actor(g, c.divideLimits)
+	daemon.Actor(g, c.keepVersions)
 	daemon.Actor(g, c.recordSuspects)
 	if c.HasRollouts() {
 		daemon.Actor(g, c.judgeRollouts)
@@ -355,7 +354,7 @@
 	link.Handle(srv, api.MethodDocument, c.documentPart)
 	link.Handle(srv, api.MethodEndedUsage, c.endedUsage)
 	link.Handle(srv, api.MethodHoldLeaves, c.leaves.holdForPeer)
-	link.Handle(srv, api.MethodHoldVersions, c.versions.holdForPeer)
+	link.Handle(srv, api.MethodCommitVersions, serveLeader(c, c.commitVersionsAsLeader))
 	link.Handle(srv, api.MethodRecordOrigins, c.recordOrigins)
 	link.Handle(srv, api.MethodFindOrigin, c.findOrigin)
 	link.Handle(srv, api.MethodRevokeShares, c.revokeShares)
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -29,7 +29,6 @@
 		c.work.expire(c.now())
 		c.suspects.expire()
 		c.leaves.expire()
-		c.seeVersions()
 	})
 }
 
--- a/coordinator/origins.go
+++ b/coordinator/origins.go
@@ -122,8 +122,13 @@
 		r.Doubtful = known && r.Origin.Contradicted(rec.Incarnation, rec.Version)
 		return r, nil
 	}
-	r.Versions, r.Complete = c.versions.of(req.Service)
-	_, r.Voters, r.Voter = c.voters()
+	m := c.group.current.Load()
+	if m == nil {
+		return r, nil
+	}
+	logged, all := m.appliedVersions()
+	r.Versions, r.Applied = c.versions.of(req.Service, logged), all
+	r.View = m.view() // after the versions
 	return r, nil
 }
 
@@ -138,5 +143,9 @@
 	if !known || rec.HeartbeatAge > now.Sub(c.startedAt) {
 		return api.ServerStartReply{}, errNotHeard
 	}
-	return api.ServerStartReply{Incarnation: rec.Incarnation}, nil
+	reply := api.ServerStartReply{Incarnation: rec.Incarnation}
+	if m := c.group.current.Load(); m != nil {
+		reply.View = m.view()
+	}
+	return reply, nil
 }
--- a/coordinator/origins_test.go
+++ b/coordinator/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -57,24 +58,61 @@
 	require.Len(t, files, originFileCount)
 }
 
-// Guards against a replica that vouches for versions though its disk was lost, also after it has restarted
-// with what it held since.
-func TestVersionsOutlastARestart(t *testing.T) {
-	dir := t.TempDir()
-	c := restartReplica(dir, savedAt)
-	sv := origin.ServiceVersion{Service: "web", Version: "v1"}
-	_, err := c.versions.holdForPeer(t.Context(), link.PeerInfo{}, api.HoldVersionsRequest{Versions: []origin.ServiceVersion{sv}})
-	require.NoError(t, err)
-	c = restartReplica(dir, savedAt.Add(time.Second))
-	versions, complete := c.versions.of("web")
-	require.Equal(t, []string{"v1"}, versions)
-	require.False(t, complete, "what it was asked to hold before may be missing")
-	at := savedAt.Add(origin.Retention + time.Second)
-	c.now = func() time.Time { return at }
-	c.versions.now = c.now
-	require.NoError(t, c.saveVersions())
-	_, complete = restartReplica(dir, at).versions.of("web")
-	require.True(t, complete)
+// announce has a server announce itself at a replica until it is recorded.
+func announce(t *testing.T, r *testReplica, id, version string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		return r.Announce(t.Context(), instance.Announcement{
+			ID: id, Incarnation: 1, Sequence: 1, Address: "10.0.0.1:" + id, Services: []string{"web"}, Version: version, State: instance.StateServing,
+		}) == nil
+	}, testWait, 20*time.Millisecond)
+}
+
+// decide asks all replicas what began a stream of which there is no record.
+func (c *cluster) decide() (origin.Origin, origin.Knowledge) {
+	var replies []origin.Reply
+	for _, r := range c.replicas {
+		reply, err := r.findOrigin(c.t.Context(), link.PeerInfo{}, api.FindOriginRequest{Key: 1, Service: "web"})
+		require.NoError(c.t, err)
+		replies = append(replies, reply)
+	}
+	return origin.Decide("web", replies, true)
+}
+
+// Guards against streams that nobody can take up, and against those of a version whose servers are gone that go
+// on at another one, since a majority of the replicas has been replaced by others without a disk.
+func TestVersionsOutlastReplicasThatAreReplaced(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startFirst(5)
+	c.replaceCatalogue(c.replicas[address(0)], 1)
+	c.waitForVoters()
+	announce(t, c.replicas[address(0)], "1", "v1")
+	replaced := 0
+	replaceThree := func() {
+		for range 3 {
+			c.kill(address(replaced))
+			c.seeds = []string{net.JoinHostPort(address(replaced+3), "1"), net.JoinHostPort(address(replaced+4), "1")}
+			c.start(address(5+replaced), false)
+			replaced++
+			c.waitForVoters()
+		}
+	}
+	replaceThree()
+	begun := time.Now()
+	require.Eventually(t, func() bool {
+		began, knowledge := c.decide()
+		return knowledge == origin.Known && began.Version == "v1"
+	}, testWait, 20*time.Millisecond)
+	require.Less(t, time.Since(begun), origin.Retention/4)
+
+	announce(t, c.replicas[address(replaced)], "2", "v2")
+	require.NoError(t, c.replicas[address(replaced)].Leave(t.Context(), "2", 1))
+	replaceThree()
+	for range 20 {
+		_, knowledge := c.decide()
+		require.NotEqual(t, origin.Known, knowledge, "servers of v2 may have begun it")
+		time.Sleep(20 * time.Millisecond)
+	}
 }
 
 // Guards against a replica that takes what it read from its data folder for the last start of a server, which
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -11,6 +11,7 @@
 
 	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/policy/limit"
+	"savoryreel.example/savoryreel/policy/origin"
 	"savoryreel.example/savoryreel/policy/suspect"
 	"savoryreel.example/savoryreel/replica"
 	"savoryreel.example/savoryreel/replica/roster"
@@ -30,6 +31,7 @@
 	kindStartRollout
 	kindSetPhase
 	kindShares
+	kindVersions
 )
 
 type reviseCommand struct {
@@ -91,6 +93,7 @@
 	trials        *suspect.Trials
 	rollouts      map[string]rolloutRecord // the last of each service
 	grants        *limit.Table
+	versions      []origin.ServiceVersion // whose streams may be taken up
 
 	onRevision func(revision uint64, document []byte)
 	onMembers  func([]roster.Member)
@@ -134,6 +137,8 @@
 		return apply(e, s.applySetPhase)
 	case kindShares:
 		return apply(e, func(c limit.Change) bool { return s.applyShares(e.Index, &c) })
+	case kindVersions:
+		return apply(e, s.applyVersions)
 	default:
 		return nil, trace.BadParameter("log entry %d has unknown kind %d", e.Index, e.Kind)
 	}
@@ -343,6 +348,8 @@
 
 	Grants      []limit.Grant `msgpack:"grants,omitempty"`
 	GrantsIndex uint64        `msgpack:"grantsIndex,omitempty"` // limit.Table.Index
+
+	Versions []origin.ServiceVersion `msgpack:"versions,omitempty"`
 }
 
 // Snapshot implements host.Machine.
@@ -356,7 +363,7 @@
 	}
 	enc, err := msgpack.Marshal(&stateSnapshot{
 		Revision: s.revision, Document: s.document, Registrations: s.registrations, Highest: s.highestID, Usage: usage, Sizes: maps.Clone(s.initialSizes),
-		Trials: s.trials.Snapshot(), Rollouts: maps.Clone(s.rollouts), Grants: s.grants.All(), GrantsIndex: s.grants.Index,
+		Trials: s.trials.Snapshot(), Rollouts: maps.Clone(s.rollouts), Grants: s.grants.All(), GrantsIndex: s.grants.Index, Versions: s.versions,
 	})
 	return enc, trace.Wrap(err, "step=snapshot")
 }
@@ -375,7 +382,7 @@
 	s.trials = suspect.NewTrials(in.Trials)
 	s.rollouts = make(map[string]rolloutRecord, len(in.Rollouts))
 	maps.Copy(s.rollouts, in.Rollouts)
-	s.grants = limit.NewTable(in.GrantsIndex, in.Grants)
+	s.grants, s.versions = limit.NewTable(in.GrantsIndex, in.Grants), in.Versions
 	s.mu.Unlock()
 	s.onRevision(in.Revision, in.Document)
 	s.notifyMembers()
--- a/coordinator/state_test.go
+++ b/coordinator/state_test.go
@@ -9,6 +9,7 @@
 
 	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/policy/limit"
+	"savoryreel.example/savoryreel/policy/origin"
 	"savoryreel.example/savoryreel/policy/referral"
 	"savoryreel.example/savoryreel/policy/suspect"
 	"savoryreel.example/savoryreel/replica"
@@ -166,8 +167,9 @@
 	require.Greater(t, overdueAfter(1200*time.Millisecond), 4*time.Second)
 }
 
-// Guards against shares of the limits that are lost, or granted twice, when a replica starts from a snapshot.
-func TestGrantsOutlastASnapshot(t *testing.T) {
+// Guards against shares of the limits, or versions, that are lost or granted twice when a replica starts from a
+// snapshot.
+func TestGrantsAndVersionsOutlastASnapshot(t *testing.T) {
 	s := newEmptyState()
 	first := limit.Change{Set: []limit.Grant{{Name: "a", Divisor: 2, Reserved: 2}, {Name: "b", Divisor: 2, Reserved: 2}}}
 	e := newEntry(t, kindShares, first)
@@ -175,11 +177,15 @@
 	done, err := s.Apply(e)
 	require.NoError(t, err)
 	require.Equal(t, true, done)
+	v1, v2 := origin.ServiceVersion{Service: "web", Version: "v1"}, origin.ServiceVersion{Service: "web", Version: "v2"}
+	applyTo(t, s, kindVersions, versionsCommand{Add: []origin.ServiceVersion{v1, v2, v1}})
+	applyTo(t, s, kindVersions, versionsCommand{Remove: []origin.ServiceVersion{v1}})
 	enc, err := s.Snapshot()
 	require.NoError(t, err)
 	restored := newEmptyState()
 	require.NoError(t, restored.Restore(enc))
 	require.Equal(t, s.shares(), restored.shares())
+	require.Equal(t, []origin.ServiceVersion{v2}, restored.serviceVersions())
 	done, err = restored.Apply(e)
 	require.NoError(t, err)
 	require.Equal(t, false, done, "it is based on an earlier table")
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -87,7 +87,7 @@
 	}
 	c.addRollouts(&reply, &req)
 	if req.Role == api.RoleEntry {
-		reply.Mixed = c.versions.mixed()
+		reply.Mixed = c.versions.mixed(c.loggedVersions())
 	}
 	revision, document, _ := c.catalogue.get()
 	reply.Revision = revision
--- a/coordinator/watch_test.go
+++ b/coordinator/watch_test.go
@@ -17,11 +17,15 @@
 	"savoryreel.example/savoryreel/instance"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/limit"
+	"savoryreel.example/savoryreel/policy/origin"
 	"savoryreel.example/savoryreel/replica/storage"
 	"savoryreel.example/savoryreel/routes"
 	"savoryreel.example/savoryreel/site"
 )
 
+// commitNothing takes the place of the replicated log of a replica that runs alone.
+func commitNothing(context.Context, []origin.ServiceVersion) error { return nil }
+
 // newIdleReplica returns a replica that is not running.
 func newIdleReplica(t *testing.T) *Coordinator {
 	c, err := New(Config{Node: site.Node{
@@ -35,7 +39,7 @@
 	})
 	require.NoError(t, err)
 	t.Cleanup(c.pool.Close)
-	c.versions.voters, c.versions.saver = onlyVoter, &sharedWrite{write: func() error { return nil }}
+	c.versions.commit = commitNothing
 	return c
 }
 
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"savoryreel.example/savoryreel/coordinator/api"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/origin"
+	"savoryreel.example/savoryreel/policy/quorum"
 )
 
 const (
@@ -55,7 +57,7 @@
 type originCaller struct {
 	record func(ctx context.Context, addr string, records []origin.Record) error
 	find   func(ctx context.Context, addr string, key origin.Key, service string) (origin.Reply, error)
-	start  func(ctx context.Context, addr, server string) (incarnation uint64, err error)
+	start  func(ctx context.Context, addr, server string) (api.ServerStartReply, error)
 }
 
 func (g *Gateway) newOrigins() *origins {
@@ -70,12 +72,11 @@
 			find: func(ctx context.Context, addr string, key origin.Key, service string) (origin.Reply, error) {
 				return link.Call[origin.Reply](ctx, g.links, addr, api.MethodFindOrigin, api.FindOriginRequest{Key: key, Service: service})
 			},
-			start: func(ctx context.Context, addr, server string) (uint64, error) {
-				r, err := link.Call[api.ServerStartReply](ctx, g.links, addr, api.MethodServerStart, api.ServerStartRequest{Server: server})
-				return r.Incarnation, err
+			start: func(ctx context.Context, addr, server string) (api.ServerStartReply, error) {
+				return link.Call[api.ServerStartReply](ctx, g.links, addr, api.MethodServerStart, api.ServerStartRequest{Server: server})
 			},
 		},
-		own: origin.NewTable(), versions: origin.NewVersions(true, g.now()), mixed: make(map[string]time.Time), recorded: make(map[string]bool),
+		own: origin.NewTable(), versions: origin.NewVersions(), mixed: make(map[string]time.Time), recorded: make(map[string]bool),
 	}
 }
 
@@ -132,7 +133,7 @@
 	for _, sv := range known {
 		o.versions.See(sv, now)
 	}
-	o.versions.Expire(now)
+	o.versions.Expire(nil, now)
 	for service := range o.recorded {
 		o.updateRecorded(service)
 	}
@@ -216,30 +217,53 @@
 }
 
 // find returns the origin of the stream that an attempt began, as far as this entry or the control
-// replicas know it. Unless it is known, further tries may succeed if the result is Undecided.
-func (o *origins) find(ctx context.Context, key origin.Key, service string) (origin.Origin, origin.Knowledge) {
+// replicas know it. Unless it is known, further tries may succeed if the knowledge is Undecided.
+func (o *origins) find(ctx context.Context, key origin.Key, service string) (f finding) {
 	if began, known := o.get(key); known {
-		return began, origin.Known
+		return finding{origin: began, knowledge: origin.Known}
 	}
-	knowledge := origin.Undecided
 	for round := range originRounds {
 		if round > 0 {
 			select {
 			case <-ctx.Done():
-				return origin.Origin{}, knowledge
+				return f
 			case <-time.After(originRoundGap):
 			}
 		}
-		var began origin.Origin
-		if began, knowledge = o.ask(ctx, key, service); knowledge == origin.Known {
-			return began, knowledge
+		if f = o.ask(ctx, key, service); f.knowledge == origin.Known {
+			return f
 		}
 	}
-	return origin.Origin{}, knowledge
+	return f
+}
+
+// finding is what is known of the origin of a stream, and how many replicas it is based on.
+type finding struct {
+	origin    origin.Origin
+	knowledge origin.Knowledge
+	asked     int
+	replied   int
+	applied   int // of those that replied, have applied all versions in their logs
+}
+
+func newFinding(service string, asked int, replies []origin.Reply, all bool) finding {
+	f := finding{asked: asked, replied: len(replies)}
+	f.origin, f.knowledge = origin.Decide(service, replies, all)
+	for _, r := range replies {
+		if r.Applied {
+			f.applied++
+		}
+	}
+	return f
+}
+
+// undecided says in short why the origin is not known, for logs.
+func (f *finding) undecided() string {
+	return fmt.Sprintf("no majority of the voters can tell: %d of %d control replicas replied, %d have applied their logs", f.replied, f.asked, f.applied)
 }
 
 // ask asks all replicas once.
-func (o *origins) ask(ctx context.Context, key origin.Key, service string) (origin.Origin, origin.Knowledge) {
+func (o *origins) ask(ctx context.Context, key origin.Key, service string) finding {
 	ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
 	defer cancel()
 	addrs := o.replicas()
@@ -261,32 +285,41 @@
 			continue
 		}
 		replies = append(replies, *r)
-		if began, knowledge := origin.Decide(service, replies, false); knowledge != origin.Undecided {
-			return began, knowledge
+		if f := newFinding(service, len(addrs), replies, false); f.knowledge != origin.Undecided {
+			return f
 		}
 	}
-	return origin.Decide(service, replies, len(replies) == len(addrs))
+	return newFinding(service, len(addrs), replies, len(replies) == len(addrs))
 }
 
-// confirms reports whether a majority of the replicas knows no later start of a server than this one. What
+// confirms reports whether a majority of the voters knows no later start of a server than this one. What
 // this entry knows may be old, and a server that has started again under its id may have another version.
 func (o *origins) confirms(ctx context.Context, server string, incarnation uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
 	defer cancel()
 	addrs := o.replicas()
-	results := make(chan bool, len(addrs))
+	replies := make(chan *api.ServerStartReply, len(addrs))
 	for _, addr := range addrs {
 		go func() {
-			last, err := o.call.start(ctx, addr, server)
-			results <- err == nil && last <= incarnation
+			r, err := o.call.start(ctx, addr, server)
+			if err != nil {
+				replies <- nil
+				return
+			}
+			replies <- &r
 		}()
 	}
-	confirming := 0
+	var known, confirming []quorum.View
 	for range addrs {
-		if <-results {
-			confirming++
+		r := <-replies
+		if r == nil {
+			continue
+		}
+		known = append(known, r.View)
+		if r.Incarnation <= incarnation {
+			confirming = append(confirming, r.View)
 		}
-		if confirming > len(addrs)/2 {
+		if quorum.Majority(confirming, known) {
 			return true
 		}
 	}
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -37,14 +37,15 @@
 
 // findOrigin finds what began the stream that the request takes up, or returns its refusal.
 func (j *job) findOrigin(ctx context.Context) *Refusal {
-	began, knowledge := origin.Origin{}, origin.Unknown
+	found := finding{knowledge: origin.Unknown}
 	if j.Resumes != "" {
-		began, knowledge = j.gateway.origins.find(ctx, j.originKey(j.Resumes), j.onlyService())
+		found = j.gateway.origins.find(ctx, j.originKey(j.Resumes), j.onlyService())
 	}
+	began := found.origin
 	switch {
-	case knowledge == origin.Undecided:
-		return &Refusal{Reason: UnknownStream, RetryAfter: originRetryAfter, Detail: "the control replicas that know are not reached"}
-	case knowledge == origin.Unknown:
+	case found.knowledge == origin.Undecided:
+		return &Refusal{Reason: UnknownStream, RetryAfter: originRetryAfter, Detail: found.undecided()}
+	case found.knowledge == origin.Unknown:
 		return &Refusal{Reason: UnknownStream, Detail: "no record, and several versions may have begun it"}
 	case j.gateway.contradicts(&began):
 		return &Refusal{Reason: UnknownStream, Detail: "its server has started again with another version"}
--- a/policy/origin/decide.go
+++ b/policy/origin/decide.go
@@ -1,6 +1,10 @@
 package origin
 
-import "slices"
+import (
+	"slices"
+
+	"savoryreel.example/savoryreel/policy/quorum"
+)
 
 // Reply is what a control replica knows of the stream that an attempt began.
 type Reply struct {
@@ -13,9 +17,9 @@
 	Doubtful bool `msgpack:"d"`
 	// Versions holds the versions of the service that may have begun it, sorted.
 	Versions []string `msgpack:"v"`
-	Complete bool     `msgpack:"c"` // see Versions.Complete
-	Voter    bool     `msgpack:"p"` // the replica is a voter
-	Voters   int      `msgpack:"n"` // number of voters; 0: not known
+	// Applied reports that the replica had applied all versions in its log before Versions was read.
+	Applied bool        `msgpack:"a"`
+	View    quorum.View `msgpack:"p"`
 }
 
 // Knowledge is how well the origin of a stream is known.
@@ -31,21 +35,22 @@
 // Decide returns the origin of a stream of a service by the replies of control replicas.
 //
 // A record decides at once, unless it is doubtful. Without one, the only version decides that a majority
-// of the voters holds: each version is held by a majority before entries learn of its first server, so that
-// any majority names it. all says that no further replies will come.
+// of the voters knows: each version is committed to the replicated log before entries learn of its first
+// server, so that it is in the log of at least one voter of any majority. all says that no further replies
+// will come.
 func Decide(service string, replies []Reply, all bool) (Origin, Knowledge) {
 	if slices.ContainsFunc(replies, func(r Reply) bool { return r.Found && r.Doubtful }) {
 		return Origin{}, Unknown
 	}
 	var versions []string
-	voters, complete := 0, 0
+	var known, applied []quorum.View
 	for _, r := range replies {
 		if r.Found {
 			return r.Origin, Known
 		}
-		voters = max(voters, r.Voters)
-		if r.Voter && r.Complete {
-			complete++
+		known = append(known, r.View)
+		if r.Applied {
+			applied = append(applied, r.View)
 		}
 		versions = append(versions, r.Versions...)
 	}
@@ -54,7 +59,7 @@
 	switch {
 	case len(versions) > 1 && all:
 		return Origin{}, Unknown
-	case len(versions) == 1 && voters > 0 && complete > voters/2:
+	case len(versions) == 1 && quorum.Majority(applied, known):
 		return Origin{Service: service, Version: versions[0]}, Known
 	default:
 		return Origin{}, Undecided
--- a/policy/origin/versions.go
+++ b/policy/origin/versions.go
@@ -1,7 +1,6 @@
 package origin
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -15,34 +14,17 @@
 	Version string `msgpack:"v"`
 }
 
-// Versions holds the versions whose servers may have begun streams that can still be taken up.
+// VersionTTL is how long after a server of it was last known a version may have begun streams that can still
+// be taken up: entries learn a little later than others that a server is gone.
+const VersionTTL = Retention + 10*time.Second
+
+// Versions holds the versions whose servers a process has known of late.
 type Versions struct {
 	seen map[ServiceVersion]time.Time // when a server of it was last known
-	// completeFrom is from when on Versions holds all that this process was asked to hold for as long as
-	// streams can be taken up.
-	completeFrom time.Time
 }
 
-// NewVersions returns Versions without content. complete says that no version has been forgotten: the
-// system starts for the first time. Otherwise what was held before is unknown until it no longer matters.
-func NewVersions(complete bool, now time.Time) *Versions {
-	v := &Versions{seen: make(map[ServiceVersion]time.Time), completeFrom: now}
-	if !complete {
-		v.completeFrom = now.Add(Retention)
-	}
-	return v
-}
-
-// Restore adds what was held before a restart; complete says whether nothing was missing then. How long the
-// process was down is not known, so that all of it counts as seen now.
-func (v *Versions) Restore(list []ServiceVersion, complete bool, now time.Time) {
-	for _, sv := range list {
-		v.seen[sv] = now
-	}
-	if complete {
-		v.completeFrom = now
-	}
-}
+// NewVersions returns Versions without content.
+func NewVersions() *Versions { return &Versions{seen: make(map[ServiceVersion]time.Time)} }
 
 // See records that a server of a version is known. It reports whether the version was not held before.
 func (v *Versions) See(sv ServiceVersion, now time.Time) (added bool) {
@@ -51,13 +33,10 @@
 	return !known
 }
 
-// Complete reports whether nothing is missing that was held.
-func (v *Versions) Complete(now time.Time) bool { return !now.Before(v.completeFrom) }
-
 // Of returns the versions of a service, sorted.
 func (v *Versions) Of(service string, now time.Time) (list []string) {
 	for sv, at := range v.seen {
-		if sv.Service == service && now.Sub(at) <= Retention {
+		if sv.Service == service && now.Sub(at) <= VersionTTL {
 			list = append(list, sv.Version)
 		}
 	}
@@ -65,29 +44,43 @@
 	return list
 }
 
-// Mixed returns the services with several versions, sorted.
-func (v *Versions) Mixed(now time.Time) (list []string) {
-	count := make(map[string]int)
+// Mixed returns the services that have several versions, these and others together, sorted.
+func (v *Versions) Mixed(others []ServiceVersion, now time.Time) (list []string) {
+	all := make(map[ServiceVersion]bool, len(others)+len(v.seen))
+	for _, sv := range others {
+		all[sv] = true
+	}
 	for sv, at := range v.seen {
-		if now.Sub(at) <= Retention {
-			count[sv.Service]++
+		if now.Sub(at) <= VersionTTL {
+			all[sv] = true
 		}
 	}
-	for service, n := range count {
-		if n > 1 {
-			list = append(list, service)
+	count := make(map[string]int)
+	for sv := range all {
+		if count[sv.Service]++; count[sv.Service] == 2 {
+			list = append(list, sv.Service)
 		}
 	}
 	slices.Sort(list)
 	return list
 }
 
-// All returns all that is held, in no order.
-func (v *Versions) All() []ServiceVersion { return slices.Collect(maps.Keys(v.seen)) }
-
-// Expire forgets versions whose streams can no longer be taken up. It reports whether there were any.
-func (v *Versions) Expire(now time.Time) bool {
-	before := len(v.seen)
-	maps.DeleteFunc(v.seen, func(_ ServiceVersion, at time.Time) bool { return now.Sub(at) > Retention })
-	return len(v.seen) < before
+// Expire forgets versions whose streams can no longer be taken up, and returns those of others of which no
+// server has been known for as long. These are tracked from the first call on.
+func (v *Versions) Expire(others []ServiceVersion, now time.Time) (gone []ServiceVersion) {
+	for _, sv := range others {
+		at, known := v.seen[sv]
+		switch {
+		case !known:
+			v.seen[sv] = now
+		case now.Sub(at) > VersionTTL:
+			gone = append(gone, sv)
+		}
+	}
+	for sv, at := range v.seen {
+		if now.Sub(at) > VersionTTL && !slices.Contains(others, sv) {
+			delete(v.seen, sv)
+		}
+	}
+	return gone
 }
