policy/freshness, coordinator: majorities are counted against the voters

What callers could see: for some 30 s after control replicas were replaced, an entry that is starved answers 503 or sends nothing to servers, since it waits for a majority of all names, gone ones included; a replica judges no server unreachable for the same reason. With many replicas, those without a vote could confirm a catalogue that a majority of the voters has already replaced.

Change: both count the voters of the newest set that is known.

--- a/coordinator/follow/replies.go
+++ b/coordinator/follow/replies.go
@@ -53,17 +53,3 @@
 	slices.Sort(out)
 	return out
 }
-
-// CountReplied returns how many of the followed replicas replied within the last age, and
-// how many are followed.
-func (f *Follower) CountReplied(age time.Duration) (replied, all int) {
-	now := f.deps.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, p := range f.peers {
-		if !p.lastReply.IsZero() && now.Sub(p.lastReply) <= age {
-			replied++
-		}
-	}
-	return replied, len(f.peers)
-}
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -13,18 +13,32 @@
 // sweepInterval is the interval at which expired heartbeats and reports are processed.
 const sweepInterval = 500 * time.Millisecond
 
-// judgesServers reports whether this replica may judge servers unreachable, by how many of
-// the followed replicas have replied: it is in contact with a majority, and has been up for
-// long enough to have received the heartbeats of all servers, which all connect again when
-// all replicas restart.
-func (c *Coordinator) judgesServers(replied, followed int) bool {
-	return replied+1 > (followed+1)/2 && c.now().Sub(c.startedAt) > c.judgeAfter
+// judgesServers reports whether this replica may judge servers unreachable, by how many of the voters
+// it reaches: a majority, and it has been up for long enough to have received the heartbeats of all
+// servers, which all connect again when all replicas restart.
+func (c *Coordinator) judgesServers(reached, voters int) bool {
+	return voters > 0 && reached > voters/2 && c.now().Sub(c.startedAt) > c.judgeAfter
+}
+
+// reachedVoters returns how many of the voters have replied of late, this replica included, and how many
+// there are. Replicas that are gone are no voters, however long their addresses are known.
+func (c *Coordinator) reachedVoters() (reached, voters int) {
+	others, voters, self := c.voters()
+	if self {
+		reached++
+	}
+	for _, addr := range others {
+		if c.now().Sub(c.follower.LastReply(addr)) <= maxReplyAge {
+			reached++
+		}
+	}
+	return reached, voters
 }
 
 // sweep marks unreachable servers and entries and drops expired reports.
 func (c *Coordinator) sweep(ctx context.Context) error {
 	return daemon.Every(ctx, sweepInterval, func() {
-		c.directory.Sweep(c.now(), c.judgesServers(c.follower.CountReplied(maxReplyAge)))
+		c.directory.Sweep(c.now(), c.judgesServers(c.reachedVoters()))
 		c.loads.expire(c.now())
 		c.work.expire(c.now())
 		c.suspects.expire()
--- a/coordinator/watch_test.go
+++ b/coordinator/watch_test.go
@@ -225,5 +225,7 @@
 	require.False(t, c.judgesServers(5, 5))
 	c.startedAt = c.now().Add(-c.judgeAfter - time.Second)
 	require.True(t, c.judgesServers(5, 5))
-	require.False(t, c.judgesServers(1, 5), "out of contact with most replicas")
+	require.True(t, c.judgesServers(3, 5))
+	require.False(t, c.judgesServers(2, 5), "out of contact with most voters")
+	require.False(t, c.judgesServers(c.reachedVoters()), "no voters are known")
 }
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -52,7 +52,7 @@
 	if readAt.After(f.repliedAt) {
 		f.repliedAt = readAt
 	}
-	f.tracker.Record(replica, r.Revision, readAt, len(r.Replicas), f.now())
+	f.tracker.Record(replica, r.Revision, readAt, r.Share.View, f.now())
 	f.notifyLocked()
 }
 
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -15,7 +15,7 @@
 
 // confirmRevision lets the only control replica report that revision is its newest one.
 func (r *rig) confirmRevision(revision uint64) {
-	r.freshness.record("replica", &api.WatchReply{Revision: revision, Replicas: []string{"replica"}, SentAt: r.now()})
+	r.freshness.record("replica", &api.WatchReply{Revision: revision, Share: lone, SentAt: r.now()})
 }
 
 // Guards against a final answer by a catalogue that may be old: to the caller of a route that was
@@ -146,7 +146,7 @@
 	time.AfterFunc(maxConfirmWait/5, func() {
 		rec, _ := r.directory.Lookup("s1", r.now())
 		rec.State = instance.StateLeaving
-		r.applyReply("replica", api.WatchReply{Revision: 1, Replicas: []string{"replica"}, SentAt: r.now(), Servers: []directory.Server{rec}})
+		r.applyReply("replica", api.WatchReply{Revision: 1, Share: lone, SentAt: r.now(), Servers: []directory.Server{rec}})
 	})
 	out, refusal := r.serve("/a/x")
 	require.Nil(t, refusal)
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/coordinator/api"
+	"savoryreel.example/savoryreel/policy/limit"
+	"savoryreel.example/savoryreel/policy/quorum"
 	"savoryreel.example/savoryreel/policy/rollout"
 	"savoryreel.example/savoryreel/routes"
 )
@@ -36,7 +38,7 @@
 
 // receive applies a reply of the only control replica to a request that is sent now.
 func (r *rig) receive(reply api.WatchReply) {
-	reply.SentAt, reply.Revision, reply.Replicas = r.now(), 1, []string{"replica"}
+	reply.SentAt, reply.Revision, reply.Share = r.now(), 1, lone
 	r.freshness.record("replica", &reply)
 	r.rollouts.update(&reply)
 }
@@ -120,7 +122,7 @@
 	r := newRolloutRig(t, routes.Idempotent)
 	sentAt := r.now()
 	r.clockOffset.Add(int64(10 * time.Second))
-	r.freshness.record("replica", &api.WatchReply{SentAt: r.now(), Replicas: []string{"replica"}})
+	r.freshness.record("replica", &api.WatchReply{SentAt: r.now(), Share: lone})
 	r.rollouts.update(&api.WatchReply{SentAt: sentAt, Held: time.Second})
 	require.False(t, r.rollouts.leased())
 	r.rollouts.update(&api.WatchReply{SentAt: sentAt, Held: 9500 * time.Millisecond})
@@ -131,16 +133,18 @@
 // is cut off from the others, and does not know of it.
 func TestLeaseNeedsAMajority(t *testing.T) {
 	r := newRolloutRig(t, routes.Idempotent)
-	replicas := []string{"replica", "c2", "c3"}
-	r.freshness.record("c2", &api.WatchReply{SentAt: r.now(), Replicas: replicas})
+	voter := func(id uint64) limit.Reply {
+		return limit.Reply{View: quorum.View{Self: id, Voters: []uint64{1, 2, 3}}}
+	}
+	r.freshness.record("c2", &api.WatchReply{SentAt: r.now(), Share: voter(2)})
 	for range 10 {
 		r.clockOffset.Add(int64(time.Second))
-		reply := api.WatchReply{SentAt: r.now(), Replicas: replicas}
+		reply := api.WatchReply{SentAt: r.now(), Share: voter(1)}
 		r.freshness.record("replica", &reply)
 		r.rollouts.update(&reply)
 	}
 	require.False(t, r.rollouts.leased())
-	r.freshness.record("c3", &api.WatchReply{SentAt: r.now(), Replicas: replicas})
+	r.freshness.record("c3", &api.WatchReply{SentAt: r.now(), Share: voter(3)})
 	require.True(t, r.rollouts.leased())
 }
 
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -118,11 +118,14 @@
 	r.Gateway.limits.updateShare()
 }
 
+// lone is the reply of the only voter.
+var lone = limit.Reply{View: quorum.View{Self: 1, Voters: []uint64{1}}}
+
 // loneReply returns the reply of the only control replica, which grants an entry a share.
 func loneReply(name string, incarnation uint64, entries int) limit.Reply {
 	return limit.Reply{
 		Grant: limit.Grant{Name: name, Divisor: entries, Reserved: entries, Index: 1, First: incarnation}, Entries: entries, Applied: true,
-		View: quorum.View{Self: 1, Voters: []uint64{1}},
+		View: lone.View,
 	}
 }
 
--- a/policy/freshness/freshness.go
+++ b/policy/freshness/freshness.go
@@ -6,7 +6,7 @@
 // Without it the process goes on answering by what it has: callers of a new route get 404, which
 // they take as final, and requests run that the operator no longer allows.
 //
-// A change is accepted once a majority of the replicas has it. So the process is up to date as of a
+// A change is accepted once a majority of the voters has it. So the process is up to date as of a
 // time if a majority of them had, at that time or later, no newer revision than its own.
 //
 // The package does no I/O and reads no clock. A Tracker is not safe for concurrent use.
@@ -16,13 +16,14 @@
 	"maps"
 	"slices"
 	"time"
+
+	"savoryreel.example/savoryreel/policy/quorum"
 )
 
 // Tracker holds what the replicas have reported.
 type Tracker struct {
 	replicas  map[string]report
 	revisions []revision // reported last, ascending
-	size      int        // of the group of replicas
 }
 
 // revision is when a revision was first reported.
@@ -43,17 +44,17 @@
 type report struct {
 	revision uint64
 	asOf     time.Time
+	view     quorum.View
 }
 
 // NewTracker returns a Tracker without reports.
 func NewTracker() *Tracker { return &Tracker{replicas: make(map[string]report)} }
 
-// Record records that a replica of a group of some size had no newer revision than this at a time,
+// Record records that a replica with a view of the voters had no newer revision than this at a time,
 // which is not after now.
-func (t *Tracker) Record(replica string, number uint64, asOf time.Time, size int, now time.Time) {
-	t.size = size
+func (t *Tracker) Record(replica string, number uint64, asOf time.Time, view quorum.View, now time.Time) {
 	if r := t.replicas[replica]; asOf.After(r.asOf) {
-		t.replicas[replica] = report{revision: number, asOf: asOf}
+		t.replicas[replica] = report{revision: number, asOf: asOf, view: view}
 	}
 	maps.DeleteFunc(t.replicas, func(_ string, r report) bool { return now.Sub(r.asOf) > reportTTL })
 	t.addRevision(number, now)
@@ -70,21 +71,18 @@
 	t.revisions = append(t.revisions, revision{number: number, at: now})
 }
 
-// ConfirmedAt returns the latest time as of which a majority had no revision above held; the zero
-// time if there is none.
+// ConfirmedAt returns the latest time as of which a majority of the voters had no revision above held;
+// the zero time if there is none.
 func (t *Tracker) ConfirmedAt(held uint64) time.Time {
-	majority := max(t.size, len(t.replicas))/2 + 1
-	var times []time.Time
+	var confirming []quorum.Reply
+	known := make([]quorum.View, 0, len(t.replicas))
 	for _, r := range t.replicas {
+		known = append(known, r.view)
 		if r.revision <= held {
-			times = append(times, r.asOf)
+			confirming = append(confirming, quorum.Reply{View: r.view, At: r.asOf})
 		}
 	}
-	if len(times) < majority {
-		return time.Time{}
-	}
-	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-	return times[majority-1]
+	return quorum.ConfirmedAt(confirming, known)
 }
 
 // Behind returns for how long a revision above held has been known; 0 if none is.
