--- a/policy/limit/doc.go
+++ b/policy/limit/doc.go
@@ -7,8 +7,10 @@
 // Without it an entry that can't reach the one that decides for all either refuses
 // everything or admits requests on an estimate, which another entry may admit as well.
 //
-// Each entry has a share of every limit; the shares of all entries sum to at most 1. An
-// entry lends its share for the duration of a lease to the owner of the limit's pool, and
+// Each entry has a share of every limit; the shares of all entries sum to at most 1. They are
+// grants in the replicated log of the control replicas (Table), which the leader changes by the
+// calls of the entries (Calls, Plan), and which an entry uses while a majority of the voters
+// confirms them (Holder). An entry lends its share for the duration of a lease to the owner of the limit's pool, and
 // does not use it meanwhile. The owner admits requests of all entries from the sum of the
 // shares lent to it. An entry whose lease has expired uses its share itself. At any moment
 // a share is in one pool only, so two entries that both act as owner divide the limit
