--- a/coordinator/follow/sendnow_test.go
+++ b/coordinator/follow/sendnow_test.go
@@ -19,6 +19,7 @@
 	defer cancel()
 	f.Flush(short)
 	require.Error(t, short.Err(), "the reply to an earlier request is not enough")
+	replies.discardWake() // of the first call
 	go func() {
 		<-replies.wake
 		f.recordAnswered(replies, f.prompts.Load())
