--- a/policy/limit/calls.go
+++ b/policy/limit/calls.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// ShareTTL is how long the share of an entry that no majority of the voters has heard of is withheld.
+// ShareTTL is how long a share is withheld after the last call of its entry to a majority of the voters.
 // Without replies of a majority an entry stops using its share sooner, see replyTTL.
 const ShareTTL = time.Minute
 
@@ -62,8 +62,8 @@
 	}
 }
 
-// unheardFor returns how long the replica, a voter, is known not to have heard of an entry.
-func (c *Calls) unheardFor(name string, now time.Time) time.Duration {
+// sinceCall returns for how long the replica, as a voter, is known to have received no call of an entry.
+func (c *Calls) sinceCall(name string, now time.Time) time.Duration {
 	if c.voterSince.IsZero() {
 		return 0
 	}
@@ -77,11 +77,11 @@
 // returnDelay is how long after an entry has stopped its share is kept for it: most are started again.
 const returnDelay = 4 * time.Second
 
-// isGone reports whether an entry has stopped, or the replica has not heard of it for ShareTTL.
+// isGone reports whether an entry has stopped, or the replica has received no call of it for ShareTTL.
 func (c *Calls) isGone(name string, now time.Time) bool {
 	e := c.entries[name]
 	stopped := e != nil && !e.endsAt.IsZero() && now.Sub(e.endsAt) > returnDelay
-	return stopped || c.unheardFor(name, now) > ShareTTL
+	return stopped || c.sinceCall(name, now) > ShareTTL
 }
 
 // Gone returns the grants of entries that are gone, as far as the replica knows, in no order.
--- a/policy/limit/plan_test.go
+++ b/policy/limit/plan_test.go
@@ -83,9 +83,9 @@
 	require.Equal(t, map[string]int{"b": 3, "c": 3, "d": 3}, divisors(table))
 }
 
-// Guards against a share that is removed while a voter has heard of its entry, and against a promise
-// of a replica that was no voter for as long.
-func TestOnlyVotersThatHeardNothingRevoke(t *testing.T) {
+// Guards against a share that is removed although its entry has called a voter, and against one that a
+// replica revokes which was no voter for as long.
+func TestOnlyVotersWithoutACallRevoke(t *testing.T) {
 	g := grantOf("a", 2, 3)
 	c := NewCalls()
 	c.SetVoter(true, start)
