--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -16,6 +16,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*bed, bool) error{
 	"founders": playFounders,
+	"limits":   playLimits,
 }
 
 func main() {
