review: the stand-ins move into a folder named platform

Change: the files move to review/_standin2/platform, build-2.sh builds them there; the test is as it was.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # the build of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review2 ./review/_standin2
+go build -o target/review2 ./review/_standin2/platform
