e2e: crowds of clients that don't behave, at each listener that strangers reach

A crowd of 200 connections sends bodies of 1 MB (whole, in pieces, in large and tiny chunks, stopping short of the end) or 16 MB without an end to a process on a machine of 96 MB; a crowd of 900 only connects, or sends a header that does not end, to one of 600 descriptors. While the crowd stays, an ordinary request is to be served, and one with a large body. The bounds are the machine's: resident memory and bytes that have arrived and are not read, and descriptors. Listeners: an entry's callers and probes, a control replica's operators, heartbeats and directory, natively an entry's callers (plain calls, chats) and a replica's operators. They run one at a time, apart from the others (tag crowd, a step of its own), with the binary as users build it.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -48,6 +48,8 @@
 
 	rollouts bool // the settings have the bounds of rollouts
 
+	memoryMB, descriptors int // of each process, in the settings; 0: not stated
+
 	zoneOfEntry func(i int) string // nil: z1
 }
 
@@ -142,6 +144,7 @@
 	s.Zone = cmp.Or(s.Zone, "z1")
 	s.RetryWindow, s.RetrySlack = p.retryWindow, p.retrySlack
 	s.HeartbeatInterval, s.Drain, s.Rollouts = p.heartbeatInterval, p.drain, p.rollouts
+	s.MemoryMB, s.Descriptors = p.memoryMB, p.descriptors
 	file := filepath.Join(p.dir, "settings-"+s.IP)
 	require.NoError(p.t, os.WriteFile(file, []byte(s.File()), 0o600))
 	return p.start(role+"-"+s.IP, "platform", role, "--settings-file", file)
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -121,6 +122,8 @@
 	dir              string
 
 	extraControlArgs []string // further arguments of the control replicas
+	extraEnv         []string // further variables of all processes
+	binary           string   // of all processes; empty: binaryPath
 }
 
 var siteCount atomic.Int32
@@ -150,10 +153,11 @@
 func (s *site) start(name string, args ...string) *process {
 	s.t.Helper()
 	p := &process{name: name, log: &lockedBuffer{}, done: make(chan struct{})}
-	p.cmd = exec.Command(binaryPath, args...)
+	p.cmd = exec.Command(cmp.Or(s.binary, binaryPath), args...)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	p.cmd.Env = append(os.Environ(), "SAVORYREEL_CLUSTER_KEY="+clusterKey, "SAVORYREEL_OPERATOR_KEY="+operatorKey,
 		"SAVORYREEL_ANNOUNCE_KEY="+announceKey)
+	p.cmd.Env = append(p.cmd.Env, s.extraEnv...)
 	require.NoError(s.t, p.cmd.Start())
 	go func() {
 		p.exitErr = p.cmd.Wait()
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -16,9 +16,11 @@
 
 step "vet"
 go vet ./...
+go vet -tags crowd ./e2e
 
 step "staticcheck"
 go tool staticcheck ./...
+go tool staticcheck -tags crowd ./e2e
 
 # KNOWN-RED.txt names tests that fail for a fault not yet mended, one a line:
 # "TestName: cause: issue". Just these are passed over, and always printed.
@@ -36,4 +38,8 @@
 step "tests, shuffled"
 go test -shuffle=20261202 -count=1 -timeout 20m -skip "$skip" ./...
 
+# Crowds of clients that don't behave, measured one at a time and apart from other tests.
+step "tests, crowds"
+go test -tags crowd -parallel 1 -count=1 -timeout 20m -run '^(TestCrowd|TestSlowBody)' -skip "$skip" ./e2e
+
 step "all checks passed"
