intake: what a process holds for its clients is bounded by its memory and descriptors

Cause: each limit was a request's or a connection's, none was the process's. Bodies were read whole, however many; connections were accepted until there were no descriptors; who had stopped kept what it held, whoever else needed it; the rest of a refused body was awaited without an end.

Change: one mechanism below every HTTP listener. Package intake divides a process's memory among connections, requests in progress and large bodies, by listener; sockets have bounded buffers and a bounded queue; a body claims room as it arrives. Once a newcomer needs room that is taken, the client that keeps the process waiting longest gives way; if none does, the newcomer waits for a second and is refused as not run. While there is room, nothing changes.

--- a/cmd/savoryreel/platform.go
+++ b/cmd/savoryreel/platform.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +16,7 @@
 	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/event"
 	"savoryreel.example/savoryreel/gateway"
+	"savoryreel.example/savoryreel/intake"
 	"savoryreel.example/savoryreel/platform"
 	"savoryreel.example/savoryreel/replica/storage"
 	"savoryreel.example/savoryreel/settings"
@@ -73,7 +72,7 @@
 		event.Log(context.Background(), log, slog.LevelError, event.SettingsRefused, slog.String("file", cfg.File), slog.String("error", err.Error()))
 		return nil, err
 	}
-	limitMemory(siteNode.Capacity.MemoryBytes)
+	daemon.LimitMemory(siteNode.Capacity.MemoryBytes)
 	return n, nil
 }
 
@@ -99,14 +98,19 @@
 	return daemon.WatchFile(ctx, n.log, n.path, n.content, n.reload)
 }
 
-// memoryLimitFraction is the fraction of the process's memory that is set as the soft limit
-// of the Go runtime. The platform kills a process that exceeds its memory.
-const memoryLimitFraction = 0.6
+// Fractions of a process's connections and requests in progress that its listeners have. The rest is that of the
+// operations listener (daemon.OperationsFraction).
+const (
+	callersFraction   = 0.85
+	readinessFraction = 0.1
+	operatorsFraction = 0.65
+	directoryFraction = 0.3
+)
 
-func limitMemory(bytes int64) {
-	if bytes > 0 {
-		debug.SetMemoryLimit(int64(float64(bytes) * memoryLimitFraction))
-	}
+// clients returns the bounds on what the process holds for its clients.
+func (n *node) clients() *intake.Intake {
+	capacity := n.current.Load().Capacity
+	return intake.New(intake.LimitsOf(capacity.MemoryBytes, capacity.Descriptors), time.Now)
 }
 
 // seeds returns the link addresses of the control replicas in the effective settings.
@@ -129,8 +133,9 @@
 	if err != nil {
 		return err
 	}
+	clients := n.clients()
 	g, err := gateway.New(gateway.Config{Node: *n.current.Load(), ClusterKey: cfg.ClusterKey}, gateway.Deps{
-		Log: log, Now: time.Now, Seeds: n.seeds, Decode: platform.DecodeCatalogue, Dialect: platform.Dialect{},
+		Log: log, Now: time.Now, Seeds: n.seeds, Decode: platform.DecodeCatalogue, Dialect: platform.Dialect{}, Clients: clients,
 	})
 	if err != nil {
 		return err
@@ -139,14 +144,16 @@
 		listen := n.current.Load().Listen
 		daemon.Actor(group, n.watch)
 		daemon.Actor(group, daemon.TuneGC)
-		if err := serve(ctx, group, log, "readiness", listen.Readiness, platform.ReadinessHandler(g.Ready)); err != nil {
+		readiness := clients.Gate("readiness", readinessFraction)
+		if err := serve(ctx, group, log, readiness, listen.Readiness, platform.ReadinessHandler(g.Ready)); err != nil {
 			return nil, err
 		}
-		callers, err := daemon.Listen(ctx, log, "callers", listen.Callers)
+		gate := clients.Gate("callers", callersFraction)
+		callers, err := daemon.ListenClients(ctx, log, gate, listen.Callers)
 		if err != nil {
 			return nil, err
 		}
-		return g.ServeCallers(group, callers, platform.CallerHandler(g, log)), nil
+		return g.ServeCallers(group, callers, platform.CallerHandler(g, log), gate), nil
 	})
 }
 
@@ -156,7 +163,8 @@
 		return err
 	}
 	siteNode := *n.current.Load()
-	deps := coordinator.Deps{Log: log, Now: time.Now, FS: storage.OS{}, Seeds: n.seeds, Decode: platform.DecodeCatalogue}
+	clients := n.clients()
+	deps := coordinator.Deps{Log: log, Now: time.Now, FS: storage.OS{}, Seeds: n.seeds, Decode: platform.DecodeCatalogue, Clients: clients}
 	if siteNode.Cloud.Address != "" {
 		deps.Cloud = platform.NewCloud(siteNode.Cloud.Address)
 	}
@@ -167,10 +175,12 @@
 	return c.Run(ctx, func(group *run.Group) error {
 		daemon.Actor(group, n.watch)
 		daemon.Actor(group, daemon.TuneGC)
-		if err := serveOperators(ctx, group, log, &siteNode, platform.ControlHandler(c, log)); err != nil {
+		operators := clients.Gate("operators", operatorsFraction)
+		if err := serveOperators(ctx, group, log, operators, &siteNode, platform.ControlHandler(c, log)); err != nil {
 			return err
 		}
-		return serve(ctx, group, log, "directory", siteNode.Listen.Directory, platform.DirectoryHandler(c))
+		directory := clients.Gate("directory", directoryFraction)
+		return serve(ctx, group, log, directory, siteNode.Listen.Directory, platform.DirectoryHandler(c))
 	})
 }
 
@@ -179,20 +189,19 @@
 var heartbeatAccepts = daemon.AcceptRate{PerSecond: 150, Burst: 200, Backlog: 64}
 
 // serveOperators adds the HTTP server for operators and for heartbeats of backend servers.
-func serveOperators(ctx context.Context, group *run.Group, log *slog.Logger, n *site.Node, h http.Handler) error {
+func serveOperators(ctx context.Context, group *run.Group, log *slog.Logger, gate *intake.Gate, n *site.Node, h http.Handler) error {
 	if n.Listen.Operators == "" {
 		return nil
 	}
-	l, err := daemon.Listen(ctx, log, "operators", n.Listen.Operators)
+	tcp, err := daemon.ListenClients(ctx, log, gate, n.Listen.Operators)
 	if err != nil {
 		return err
 	}
-	if tcp, ok := l.(*net.TCPListener); ok {
-		if l, err = daemon.Paced(tcp, heartbeatAccepts); err != nil {
-			return err
-		}
+	l, err := daemon.Paced(tcp, heartbeatAccepts)
+	if err != nil {
+		return err
 	}
-	daemon.ServeIdle(group, l, h, daemon.CloseGrace, heartbeatIdleTimeout(n.AnnounceInterval), log)
+	daemon.ServeIdle(group, l, h, gate, daemon.CloseGrace, heartbeatIdleTimeout(n.AnnounceInterval), log)
 	return nil
 }
 
@@ -212,14 +221,14 @@
 }
 
 // serve adds an HTTP server on address to the group. It does nothing if address is empty.
-func serve(ctx context.Context, group *run.Group, log *slog.Logger, purpose, address string, h http.Handler) error {
+func serve(ctx context.Context, group *run.Group, log *slog.Logger, gate *intake.Gate, address string, h http.Handler) error {
 	if address == "" {
 		return nil
 	}
-	l, err := daemon.Listen(ctx, log, purpose, address)
+	l, err := daemon.ListenClients(ctx, log, gate, address)
 	if err != nil {
 		return err
 	}
-	daemon.Serve(group, l, h, daemon.LocalGrace, log)
+	daemon.Serve(group, l, h, gate, daemon.LocalGrace, log)
 	return nil
 }
--- a/control/config.go
+++ b/control/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/contract"
+	"savoryreel.example/savoryreel/intake"
 	"savoryreel.example/savoryreel/settings"
 )
 
@@ -34,6 +35,8 @@
 	WeightStoreMBPerSecond int // total throughput of the weight store; 0: servers are not ordered to load models
 	MinLoadMBPerSecond     int // minimum throughput at which a model load is started
 	MaxEntries             int // entries that may hold a share of the limits at the same time
+	MemoryMB               int // that the process may use; 0: what the machine has
+	MaxDescriptors         int // that the process may open; 0: the limit of the system
 }
 
 // Declare adds the settings, with defaults, help texts and checks, to s.
@@ -59,6 +62,8 @@
 	s.Int(&c.WeightStoreMBPerSecond, "weight-rate", 0, "total throughput of the weight store in megabytes per second; 0: servers are not ordered to load models", settings.Between(0, 1_000_000))
 	s.Int(&c.MinLoadMBPerSecond, "load-rate", 100, "minimum throughput at which a model load is started, in megabytes per second", settings.Between(1, 1_000_000))
 	s.Int(&c.MaxEntries, "max-entries", 16, "maximum number of entries that share the workspaces' limits", settings.Between(1, 10_000))
+	s.Int(&c.MemoryMB, "memory-mb", 0, settings.MemoryUsage, settings.Between(0, 1<<24))
+	s.Int(&c.MaxDescriptors, "max-descriptors", 0, settings.DescriptorsUsage, settings.Between(0, 1<<24))
 	s.Int(&c.SnapshotEvery, "snapshot-every", 10_000, "number of log entries between snapshots", settings.Between(10, 10_000_000))
 }
 
@@ -90,4 +95,9 @@
 	return addresses, nil
 }
 
+// clients returns the bounds on what the process holds for its clients.
+func (c *Config) clients(now func() time.Time) *intake.Intake {
+	return intake.New(intake.LimitsOf(int64(c.MemoryMB)<<20, c.MaxDescriptors), now)
+}
+
 func (c *Config) operatorKeyHash() contract.KeyHash { return contract.HashKey(c.OperatorKey) }
--- a/control/control.go
+++ b/control/control.go
@@ -27,6 +27,7 @@
 	"savoryreel.example/savoryreel/replica/host"
 	"savoryreel.example/savoryreel/replica/roster"
 	"savoryreel.example/savoryreel/replica/storage"
+	"savoryreel.example/savoryreel/request"
 )
 
 // Control is one control replica. Create it with New and call Run once.
@@ -58,6 +59,7 @@
 // New opens the data directory and builds the replica. Run must be called; it releases
 // the resources when it returns.
 func New(cfg Config, deps Deps) (*Control, error) {
+	daemon.LimitMemory(int64(cfg.MemoryMB) << 20)
 	peers, err := parseReplicas(cfg.Replicas)
 	if err != nil {
 		return nil, trace.Wrap(err, "step=read replicas")
@@ -126,12 +128,18 @@
 	return err
 }
 
+// operatorFraction is the fraction of the connections and requests in progress that the operators' listener has.
+const operatorFraction = 0.95
+
 func (c *Control) addActors(ctx context.Context, g *run.Group) error {
 	links, err := daemon.Listen(ctx, c.log, "link", c.cfg.LinkListen)
 	if err != nil {
 		return err
 	}
-	operators, err := daemon.Listen(ctx, c.log, "operator", c.cfg.OperatorAddr)
+	clients := c.cfg.clients(c.now)
+	clients.Register(c.metrics)
+	operatorGate := clients.Gate("operator", operatorFraction)
+	operators, err := daemon.ListenClients(ctx, c.log, operatorGate, c.cfg.OperatorAddr)
 	if err != nil {
 		return err
 	}
@@ -146,8 +154,10 @@
 	c.members.Register(srv)
 	operatorsAPI := &operatorAPI{service: c.service, log: c.log, keyHash: c.cfg.operatorKeyHash()}
 	// Actors are ended in this order: requests in progress need the components below.
-	daemon.Serve(g, operators, operatorsAPI.handler(), daemon.CloseGrace, c.log)
-	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.LocalGrace, c.log)
+	operatorServer := daemon.NewHTTPServer(operatorsAPI.handler(), operatorGate, c.log)
+	operatorServer.OnBusy(request.WriteBusy)
+	operatorServer.AddTo(g, operators, daemon.DefaultHTTPLimits(), daemon.CloseGrace)
+	daemon.ServeOperations(g, ops, daemon.Operations(c.metrics, c.ready), clients, c.log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, c.runReplica)
 	daemon.Actor(g, c.watchLeader)
--- a/control/operator.go
+++ b/control/operator.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -16,6 +15,7 @@
 	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/control/api"
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/intake"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/request"
 )
@@ -116,10 +116,16 @@
 	writeJSON(w, http.StatusOK, o.service.replicaStatus())
 }
 
+// decodeFactor is the memory that decoding and committing a document takes, in sizes of the document.
+const decodeFactor = 4
+
 func (o *operatorAPI) putCatalogue(w http.ResponseWriter, r *http.Request) {
-	doc, err := io.ReadAll(http.MaxBytesReader(w, r.Body, contract.MaxDocumentBytes))
+	doc, err := intake.ReadAll(r, contract.MaxDocumentBytes)
+	if err == nil {
+		err = intake.ClaimWork(r.Context(), decodeFactor*int64(len(doc)))
+	}
 	if err != nil {
-		request.NewProblem(request.CodeTooLarge, request.NotRun, "%v", err).Write(w)
+		request.BodyProblem(err).Write(w)
 		return
 	}
 	base, err := strconv.ParseUint(r.Header.Get(api.HeaderBase), 10, 64)
@@ -141,7 +147,7 @@
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, contract.MaxDocumentBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
-		request.NewProblem(request.CodeBadRequest, request.NotRun, "%v", err).Write(w)
+		request.BodyProblem(err).Write(w)
 		return false
 	}
 	return true
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/document"
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/intake"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/replica/roster"
 	"savoryreel.example/savoryreel/replica/storage"
@@ -45,6 +46,8 @@
 	Cloud Cloud // nil: no cloud is called
 	// Decode decodes a catalogue that was validated when it was accepted.
 	Decode func(document []byte) (*routes.Catalogue, error)
+	// Clients bounds what the process holds for its clients; nil: by what the machine has.
+	Clients *intake.Intake
 }
 
 // Coordinator is one control replica. Its methods are safe for concurrent use.
@@ -111,6 +114,9 @@
 	if err := cfg.Node.Validate(); err != nil {
 		return nil, trace.Wrap(err, "step=check settings")
 	}
+	if deps.Clients == nil {
+		deps.Clients = intake.OfMachine(deps.Now)
+	}
 	c := &Coordinator{
 		cfg: cfg, deps: deps, log: deps.Log, now: deps.Now, metrics: metrics.NewSet(),
 		self:        cfg.Node.ControlLink(cfg.Node.IP),
@@ -124,6 +130,7 @@
 		stopping: make(chan struct{}), lastCalls: make(map[string]time.Time), suspects: newSuspectRegistry(deps.Now),
 		tokens: newServerTokens(), shares: newShareBoard(), rollouts: newRolloutBoard(), evidence: newRolloutEvidence(), acks: newAcknowledgements(),
 	}
+	deps.Clients.Register(c.metrics)
 	c.live = &liveEntries{entries: c.directory.LiveEntries, lastChange: c.directory.LastEntryChange}
 	c.traffic = link.NewTraffic(c.metrics)
 	c.pool = link.NewPool(api.PoolConfig(c.peerInfo(), cfg.ClusterKey), link.PoolDeps{Log: deps.Log, Traffic: c.traffic})
@@ -322,7 +329,7 @@
 	if err := public(g); err != nil {
 		return err
 	}
-	daemon.Serve(g, ops, daemon.Operations(c.metrics, c.ready), daemon.LocalGrace, c.log)
+	daemon.ServeOperations(g, ops, daemon.Operations(c.metrics, c.ready), c.deps.Clients, c.log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, c.group.run)
 	daemon.Actor(g, c.follower.Run)
--- a/coordinator/stop_test.go
+++ b/coordinator/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/intake"
 )
 
 // Guards against a control replica that ends its log before the operators' orders that it is
@@ -30,7 +31,7 @@
 			if err != nil {
 				http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			}
-		}), daemon.CloseGrace, slog.New(slog.DiscardHandler))
+		}), intake.OfMachine(time.Now).Gate("operators", 1), daemon.CloseGrace, slog.New(slog.DiscardHandler))
 		return nil
 	})
 	c.replaceCatalogue(r, 1)
--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -7,10 +7,14 @@
 	"os"
 	"sync"
 	"time"
+
+	"savoryreel.example/savoryreel/intake"
 )
 
 // connSet holds the open connections of an HTTP server.
 type connSet struct {
+	onCut func() // called after a connection was cut off to make room
+
 	mu     sync.Mutex
 	conns  map[*serverConn]struct{}
 	ending bool // see end
@@ -18,7 +22,7 @@
 
 func newConnSet() *connSet { return &connSet{conns: make(map[*serverConn]struct{})} }
 
-// add returns the accepted connection as a member of the set.
+// add returns the accepted connection of a client as a member of the set.
 func (s *connSet) add(nc net.Conn) *serverConn {
 	c := &serverConn{Conn: nc, set: s}
 	s.mu.Lock()
@@ -84,9 +88,12 @@
 // been read is then always passed on to the handler and answered.
 type serverConn struct {
 	net.Conn
-	set *connSet
+	set    *connSet
+	client *intake.Client
 
 	mu       sync.Mutex
+	cut      bool      // cut off to make room for others: there are no further reads
+	lingers  bool      // see linger
 	busy     bool      // a request is in progress
 	ending   bool      // ends unless a last read brings a request
 	lastRead bool      // there is no further read
@@ -95,22 +102,45 @@
 
 // Read reads from the connection.
 func (c *serverConn) Read(p []byte) (int, error) {
+	if c.isCut() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.beginLastRead() {
 		n, err = c.Conn.Read(p)
 	}
+	if err != nil {
+		c.endLinger()
+	}
 	if n > 0 {
+		c.client.Received(n)
 		c.beginRequest()
 	}
 	return n, err
 }
 
+// pieceBytes is how much is written at once, so that it shows whether the client goes on reading.
+const pieceBytes = 16 << 10
+
+// Write writes to the connection.
+func (c *serverConn) Write(p []byte) (written int, err error) {
+	for {
+		sent := c.client.Sending()
+		n, err := c.Conn.Write(p[written:min(len(p), written+pieceBytes)])
+		sent(n)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // SetReadDeadline sets the deadline of reads, except on a connection that is ending.
 func (c *serverConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
-	if c.ending && !c.busy {
+	if c.cut || c.ending && !c.busy {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -118,7 +148,11 @@
 
 // Close closes the connection.
 func (c *serverConn) Close() error {
+	if c.endsWithUnread() {
+		c.discardUnread()
+	}
 	c.set.remove(c)
+	defer c.client.Closed()
 	return c.Conn.Close()
 }
 
@@ -154,7 +188,7 @@
 func (c *serverConn) beginLastRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ending || c.busy || c.lastRead {
+	if c.cut || !c.ending || c.busy || c.lastRead {
 		return false
 	}
 	c.lastRead = true
@@ -175,7 +209,7 @@
 
 func (c *serverConn) endRequest() {
 	c.mu.Lock()
-	c.busy = false
+	c.busy, c.lingers = false, false
 	c.mu.Unlock()
 	if c.set.isEnding() {
 		c.endIfIdle(true)
@@ -191,8 +225,10 @@
 	}
 	switch state {
 	case http.StateActive:
+		c.client.HeaderEnded()
 		c.beginRequest()
 	case http.StateIdle:
+		c.client.Idle()
 		c.endRequest()
 	default:
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,23 +16,23 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/intake"
 )
 
 // Serve adds an HTTP server on l to the group. When the group ends, the server is drained
 // for at most grace and closed.
-func Serve(g *run.Group, l net.Listener, h http.Handler, grace time.Duration, log *slog.Logger) {
-	ServeIdle(g, l, h, grace, DefaultIdleTimeout, log)
+func Serve(g *run.Group, l net.Listener, h http.Handler, gate *intake.Gate, grace time.Duration, log *slog.Logger) {
+	ServeIdle(g, l, h, gate, grace, DefaultIdleTimeout, log)
 }
 
 // ServeIdle is Serve with a time after which a connection without a request is closed.
-func ServeIdle(g *run.Group, l net.Listener, h http.Handler, grace, idle time.Duration, log *slog.Logger) {
+func ServeIdle(g *run.Group, l net.Listener, h http.Handler, gate *intake.Gate, grace, idle time.Duration, log *slog.Logger) {
 	limits := DefaultHTTPLimits()
 	limits.IdleTimeout = idle
-	NewHTTPServer(h, log).AddTo(g, l, limits, grace)
+	NewHTTPServer(h, gate, log).AddTo(g, l, limits, grace)
 }
 
 // Actor adds fn to the group and cancels fn's context when the group ends. The error of
@@ -101,6 +101,15 @@
 	ExitSecondSignal = 3 // a second signal interrupted the drain
 )
 
+// OperationsFraction is the fraction of a process's connections and requests in progress that the operations listener
+// has.
+const OperationsFraction = 0.05
+
+// ServeOperations adds the operations server on l, of which h is the handler, to the group.
+func ServeOperations(g *run.Group, l net.Listener, h http.Handler, clients *intake.Intake, log *slog.Logger) {
+	Serve(g, l, h, clients.Gate("operations", OperationsFraction), LocalGrace, log)
+}
+
 // Operations returns the handler of the operations listener: /healthz, /readyz,
 // /metrics and /debug/pprof. Serve it only on an address that is restricted to operators.
 // ready returns nil if the process is ready, and otherwise an error with the reason.
@@ -129,16 +138,6 @@
 	_, _ = w.Write([]byte("ok\n")) // an error means that the client has disconnected
 }
 
-// Listen opens a TCP listener on address and logs its purpose and address.
-func Listen(ctx context.Context, log *slog.Logger, purpose, address string) (net.Listener, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, trace.Wrap(err, "step=listen purpose=%s address=%s", purpose, address)
-	}
-	event.Log(ctx, log, slog.LevelInfo, event.ListenerOpen, slog.String("purpose", purpose), slog.String("address", l.Addr().String()))
-	return l, nil
-}
-
 // Graces for Serve. A process stops its servers one after the other, within the grace of its
 // own stop.
 const (
--- a/daemon/gc.go
+++ b/daemon/gc.go
@@ -19,6 +19,17 @@
 	gcCheckInterval = 2 * time.Second
 )
 
+// memoryLimitFraction is the fraction of the process's memory that is set as the soft limit
+// of the Go runtime. The platform kills a process that exceeds its memory.
+const memoryLimitFraction = 0.6
+
+// LimitMemory sets the soft limit of the Go runtime by the memory that the process may use, in bytes; 0: unknown.
+func LimitMemory(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(float64(bytes) * memoryLimitFraction))
+	}
+}
+
 // TuneGC adapts how much garbage the Go runtime lets accumulate, until ctx ends. Hundreds of
 // instances with a small processor hold a copy of the fleet's state that hardly changes: there
 // memory costs more than collections, while a busy process would spend its processor on them.
--- a/daemon/httpserver.go
+++ b/daemon/httpserver.go
@@ -12,6 +12,9 @@
 
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
+
+	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/intake"
 )
 
 // HTTPServer is an HTTP server that can be drained: no connection is closed under a request of
@@ -20,6 +23,9 @@
 type HTTPServer struct {
 	http  http.Server
 	conns *connSet
+	gate  *intake.Gate
+	log   *slog.Logger
+	busy  func(w http.ResponseWriter, r *http.Request, refused error) // see OnBusy
 
 	closing   atomic.Bool   // see CloseAfterAnswers
 	accepted  chan struct{} // closed when the last connection has been accepted
@@ -27,6 +33,7 @@
 	closeOnce sync.Once
 
 	mu       sync.Mutex
+	loggedAt time.Time     // see logTurnedAway
 	listener *connListener // nil before Serve
 	draining bool
 	drained  bool // a drain has ended
@@ -49,15 +56,24 @@
 	return HTTPLimits{HeaderTimeout: 10 * time.Second, IdleTimeout: DefaultIdleTimeout, HeaderBytes: 64 << 10}
 }
 
-// NewHTTPServer returns a server that does not listen yet.
-func NewHTTPServer(h http.Handler, log *slog.Logger) *HTTPServer {
-	s := &HTTPServer{conns: newConnSet(), accepted: make(chan struct{}), closed: make(chan struct{})}
-	s.http.Handler = s.closeWhenAsked(h)
+// NewHTTPServer returns a server that does not listen yet. gate bounds what it holds for its clients.
+func NewHTTPServer(h http.Handler, gate *intake.Gate, log *slog.Logger) *HTTPServer {
+	s := &HTTPServer{
+		conns: newConnSet(), gate: gate, log: log, busy: writeBusy, accepted: make(chan struct{}), closed: make(chan struct{}),
+	}
+	s.conns.onCut = s.logTurnedAway
+	s.http.Handler = s.boundRequests(h)
+	s.http.ConnContext = withClient
 	s.http.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelDebug)
 	s.http.ConnState = onState
 	return s
 }
 
+// OnBusy replaces the answer to a request that finds no place: status 503 with a Retry-After. Call it before Serve.
+func (s *HTTPServer) OnBusy(answer func(w http.ResponseWriter, r *http.Request, refused error)) {
+	s.busy = answer
+}
+
 // CloseAfterAnswers makes the answers that begin from now on say that their connection closes,
 // so that callers send their next request elsewhere. Connections are still accepted.
 func (s *HTTPServer) CloseAfterAnswers() { s.closing.Store(true) }
@@ -75,7 +91,7 @@
 
 // accept accepts connections from l until the server is drained or closed.
 func (s *HTTPServer) accept(l net.Listener) error {
-	listener := &connListener{Listener: l, conns: s.conns}
+	listener := newConnListener(l, s.conns, s.gate)
 	s.mu.Lock()
 	s.listener = listener
 	if s.draining {
@@ -96,6 +112,27 @@
 	g.Add(func() error { return s.Serve(l, limits) }, func(error) { s.Stop(grace) })
 }
 
+// turnedAwayInterval is the shortest time between two lines about clients that were turned away.
+const turnedAwayInterval = time.Second
+
+// logTurnedAway logs how many clients have been cut off or refused since the start, but not for each.
+func (s *HTTPServer) logTurnedAway() {
+	now := time.Now()
+	s.mu.Lock()
+	soon := now.Sub(s.loggedAt) < turnedAwayInterval
+	if !soon {
+		s.loggedAt = now
+	}
+	s.mu.Unlock()
+	if soon {
+		return
+	}
+	counts := s.gate.Counts()
+	open, busy := s.Connections()
+	event.Log(context.Background(), s.log, slog.LevelWarn, event.ClientsTurnedAway, slog.String("listener", s.gate.Name()),
+		slog.Int64("cutOff", counts.Cut), slog.Int64("refused", counts.Refused), slog.Int("open", open), slog.Int("inRequest", busy))
+}
+
 // Connections returns the number of open connections, and of those with a request in
 // progress.
 func (s *HTTPServer) Connections() (open, inRequest int) { return s.conns.counts() }
--- a/daemon/httpserver_test.go
+++ b/daemon/httpserver_test.go
@@ -17,11 +17,16 @@
 
 	"github.com/oklog/run"
 	"github.com/stretchr/testify/require"
+
+	"savoryreel.example/savoryreel/intake"
 )
 
+// testGate returns a gate that bounds by what the machine has.
+func testGate() *intake.Gate { return intake.OfMachine(time.Now).Gate("test", 1) }
+
 // startHTTPServer serves h on l.
 func startHTTPServer(t *testing.T, l net.Listener, h http.HandlerFunc) *HTTPServer {
-	s := NewHTTPServer(h, slog.New(slog.DiscardHandler))
+	s := NewHTTPServer(h, testGate(), slog.New(slog.DiscardHandler))
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(l, HTTPLimits{HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}) }()
 	t.Cleanup(func() {
@@ -180,7 +185,7 @@
 	var g run.Group
 	ctx, cancel := context.WithCancel(t.Context())
 	EndWith(ctx, &g)
-	Serve(&g, l, h, 10*time.Second, slog.New(slog.DiscardHandler))
+	Serve(&g, l, h, testGate(), 10*time.Second, slog.New(slog.DiscardHandler))
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run() }()
 	return func() {
@@ -376,7 +381,7 @@
 // and then accepts callers whom nobody answers.
 func TestServerStoppedBeforeItServes(t *testing.T) {
 	l := listenLocal(t)
-	s := NewHTTPServer(http.NotFoundHandler(), slog.New(slog.DiscardHandler))
+	s := NewHTTPServer(http.NotFoundHandler(), testGate(), slog.New(slog.DiscardHandler))
 	s.Stop(time.Second)
 	require.NoError(t, s.Serve(l, HTTPLimits{}))
 	_, err := net.Dial("tcp", l.Addr().String())
--- a/daemon/idle_test.go
+++ b/daemon/idle_test.go
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var g run.Group
 	EndWith(ctx, &g)
-	ServeIdle(&g, l, http.NotFoundHandler(), time.Second, 50*time.Millisecond, slog.New(slog.DiscardHandler))
+	ServeIdle(&g, l, http.NotFoundHandler(), testGate(), time.Second, 50*time.Millisecond, slog.New(slog.DiscardHandler))
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run() }()
 	defer func() { cancel(); <-ended }()
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"savoryreel.example/savoryreel/intake"
 )
 
 // Bounds on a listener that stops.
@@ -22,22 +24,38 @@
 type connListener struct {
 	net.Listener
 	conns *connSet
+	gate  *intake.Gate
 
 	// Used by Accept only.
 	acceptBy time.Time // end of accepting; zero until the first wait after stop
 	stalls   int       // waits after stop during which the process was not scheduled
 
+	stopped chan struct{} // closed once it stops
+
 	mu       sync.Mutex
 	stopping bool
 }
 
+func newConnListener(l net.Listener, conns *connSet, gate *intake.Gate) *connListener {
+	return &connListener{Listener: l, conns: conns, gate: gate, stopped: make(chan struct{})}
+}
+
 // Accept returns net.ErrClosed once the listener has stopped.
+//
+// A connection for which there is no place waits for one, and the others behind it in the listener's queue.
 func (l *connListener) Accept() (net.Conn, error) {
-	nc, err := l.acceptNext()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.acceptNext()
+		if err != nil {
+			return nil, err
+		}
+		c := l.conns.add(nc)
+		if c.client = l.gate.Open(c.cutOff, l.stopped); c.client != nil {
+			return c, nil
+		}
+		l.conns.remove(c) // the listener has stopped, and all places are taken
+		_ = nc.Close()
 	}
-	return l.conns.add(nc), nil
 }
 
 func (l *connListener) acceptNext() (net.Conn, error) {
@@ -92,6 +110,9 @@
 func (l *connListener) stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.stopping {
+		close(l.stopped)
+	}
 	l.stopping = true
 	l.setDeadline(time.Unix(1, 0))
 }
--- a/daemon/paced.go
+++ b/daemon/paced.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"net"
-	"syscall"
 
-	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
 )
 
@@ -27,17 +25,8 @@
 // processes stay overloaded. At a bounded rate each connection that is accepted is served in
 // time and stays.
 func Paced(l *net.TCPListener, r AcceptRate) (net.Listener, error) {
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return nil, trace.Wrap(err, "step=access listener address=%s", l.Addr())
-	}
-	var listenErr error
-	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), r.Backlog) })
-	if err == nil {
-		err = listenErr
-	}
-	if err != nil {
-		return nil, trace.Wrap(err, "step=set backlog address=%s", l.Addr())
+	if err := setBacklog(l, r.Backlog); err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &pacedListener{TCPListener: l, limiter: rate.NewLimiter(rate.Limit(r.PerSecond), r.Burst), ctx: ctx, cancel: cancel}, nil
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -82,7 +82,7 @@
 		return false
 	}
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)).Decode(into); err != nil {
-		e.refuseAnnouncement(w, r, request.NewProblem(request.CodeBadRequest, request.NotRun, "%v", err))
+		e.refuseAnnouncement(w, r, request.BodyProblem(err))
 		return false
 	}
 	return true
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -10,6 +8,7 @@
 
 	"savoryreel.example/savoryreel/contract"
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/intake"
 	"savoryreel.example/savoryreel/request"
 )
 
@@ -121,8 +120,8 @@
 // readBody reads a whole request body of at most limit bytes. It refuses the request if this
 // entry has closed meanwhile: its requests may have been handed over already, and this one
 // would be cut off.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *request.Problem) {
-	body, p := readBody(w, r, limit)
+func (e *Entry) readBody(r *http.Request, limit int64) ([]byte, *request.Problem) {
+	body, p := readBody(r, limit)
 	if p == nil && !e.acceptsRequests() {
 		return nil, e.drainingProblem()
 	}
@@ -132,19 +131,17 @@
 // readBody reads a whole request body of at most limit bytes. Nothing is sent to a backend
 // server before the body is complete, so a request whose body breaks off has not run and
 // occupies no server.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *request.Problem) {
-	if r.ContentLength > limit {
-		return nil, tooLargeProblem(limit)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		return body, nil
-	}
-	var maxBytesErr *http.MaxBytesError
-	if errors.As(err, &maxBytesErr) {
-		return nil, tooLargeProblem(limit)
+func readBody(r *http.Request, limit int64) ([]byte, *request.Problem) {
+	body, err := intake.ReadAll(r, limit)
+	if err != nil {
+		return nil, request.BodyProblem(err)
 	}
-	return nil, request.NewProblem(request.CodeBadRequest, request.NotRun, "the request body broke off: %v", err)
+	return body, nil
+}
+
+// refuseBusy refuses a request for which this process has no place.
+func (e *Entry) refuseBusy(w http.ResponseWriter, r *http.Request, refused error) {
+	e.refuse(w, r, request.BodyProblem(refused))
 }
 
 func tooLargeProblem(limit int64) *request.Problem {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -39,7 +39,7 @@
 
 // acceptChat checks and admits a caller's request, and returns its started work.
 func (e *Entry) acceptChat(w http.ResponseWriter, c *call) (*work, *request.Problem) {
-	body, p := e.readBody(w, c.http, contract.MaxBodyBytes)
+	body, p := e.readBody(c.http, contract.MaxBodyBytes)
 	if p != nil {
 		return nil, p
 	}
--- a/entry/config.go
+++ b/entry/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"savoryreel.example/savoryreel/intake"
 	"savoryreel.example/savoryreel/policy/pick"
 	"savoryreel.example/savoryreel/settings"
 )
@@ -26,6 +27,8 @@
 	ListValidity     time.Duration
 	DrainTimeout     time.Duration
 	Capacity         int // requests in flight at full load
+	MemoryMB         int // that the process may use; 0: what the machine has
+	MaxDescriptors   int // that the process may open; 0: the limit of the system
 }
 
 // Declare declares the settings on s.
@@ -46,9 +49,16 @@
 	s.Bool(&c.ServeUnconfirmed, "serve-unconfirmed", false, "admit requests by a catalogue that control has not confirmed; an operator's change may then not be in force here")
 	s.Duration(&c.ListValidity, "list-validity", 30*time.Second, "how long callers cache the list of entries to use", settings.Between(time.Second, 10*time.Minute))
 	s.Int(&c.Capacity, "capacity", 1000, "requests in flight at which this entry counts as fully loaded when callers are distributed", settings.Between(1, 1_000_000))
+	s.Int(&c.MemoryMB, "memory-mb", 0, settings.MemoryUsage, settings.Between(0, 1<<24))
+	s.Int(&c.MaxDescriptors, "max-descriptors", 0, settings.DescriptorsUsage, settings.Between(0, 1<<24))
 	s.Duration(&c.DrainTimeout, "drain-timeout", 5*time.Minute, "how long a stop waits for requests to end before it hands them over", settings.Between(time.Second, time.Hour))
 }
 
+// clients returns the bounds on what the process holds for its clients.
+func (c *Config) clients(now func() time.Time) *intake.Intake {
+	return intake.New(intake.LimitsOf(int64(c.MemoryMB)<<20, c.MaxDescriptors), now)
+}
+
 // advertisedAddress returns the address that callers are to use.
 func (c *Config) advertisedAddress() string {
 	if c.CallerAddr != "" {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"savoryreel.example/savoryreel/control/api"
 	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/intake"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/membership"
 	"savoryreel.example/savoryreel/native"
@@ -58,6 +59,8 @@
 	ctx    context.Context // cancelled after the drain
 	cancel context.CancelFunc
 
+	clients        *intake.Intake
+	callerGate     *intake.Gate
 	callers        *daemon.HTTPServer
 	traffic        *link.Traffic
 	pool           *link.Pool
@@ -92,8 +95,12 @@
 	listingFetches  sync.WaitGroup // fetches of prefix cache listings
 }
 
+// callersFraction is the fraction of the connections and requests in progress that the callers' listener has.
+const callersFraction = 0.95
+
 // New returns an entry that Run starts. It opens no listener.
 func New(cfg Config, deps Deps) (*Entry, error) {
+	daemon.LimitMemory(int64(cfg.MemoryMB) << 20)
 	set := metrics.NewSet()
 	e := &Entry{
 		cfg: cfg, deps: deps, incarnation: uint64(deps.Now().UnixMilli()),
@@ -141,7 +148,11 @@
 		freshFor: cfg.FreshFor, interval: catalogueInterval, serveUnconfirmed: cfg.ServeUnconfirmed, onChange: e.catalogueChanged,
 		records: &recordFollower{log: e.control, merge: e.guard.merge},
 	}
-	e.callers = daemon.NewHTTPServer(e.Handler(), deps.Log)
+	e.clients = cfg.clients(deps.Now)
+	e.clients.Register(set)
+	e.callerGate = e.clients.Gate("callers", callersFraction)
+	e.callers = daemon.NewHTTPServer(e.Handler(), e.callerGate, deps.Log)
+	e.callers.OnBusy(e.refuseBusy)
 	return e, e.join()
 }
 
@@ -171,7 +182,7 @@
 
 // addActors opens the listeners and adds all components to g.
 func (e *Entry) addActors(ctx context.Context, g *run.Group) error {
-	callers, err := daemon.Listen(ctx, e.deps.Log, "callers", e.cfg.CallerListen)
+	callers, err := daemon.ListenClients(ctx, e.deps.Log, e.callerGate, e.cfg.CallerListen)
 	if err != nil {
 		return err
 	}
@@ -187,7 +198,7 @@
 	e.register(srv)
 	// Actors are ended in this order: requests in progress need the components below.
 	g.Add(func() error { return e.callers.Serve(callers, daemon.DefaultHTTPLimits()) }, func(error) { e.closeCallers() })
-	daemon.Serve(g, ops, e.operationsHandler(), daemon.LocalGrace, e.deps.Log)
+	daemon.ServeOperations(g, ops, e.operationsHandler(), e.clients, e.deps.Log)
 	daemon.Actor(g, func(actorCtx context.Context) error { return srv.Serve(actorCtx, links) })
 	daemon.Actor(g, e.reach.Run)
 	daemon.Actor(g, e.members.Run)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -98,7 +98,7 @@
 	if !req.Idempotent && req.Key == "" {
 		return nil, request.NewProblem(request.CodeKeyMissing, request.NotRun, "%s %s may not be repeated", req.Method, path)
 	}
-	if req.Body, p = e.readBody(w, c.http, s.BodyLimit()); p != nil {
+	if req.Body, p = e.readBody(c.http, s.BodyLimit()); p != nil {
 		return nil, p
 	}
 	req.Path = path
--- a/event/event.go
+++ b/event/event.go
@@ -43,6 +43,7 @@
 	LedgerFailed          Kind = 2202
 	EntryPicked           Kind = 2120
 	OriginFound           Kind = 2113
+	ClientsTurnedAway     Kind = 2401
 	SuspectHeld           Kind = 2301
 	Quarantined           Kind = 2302
 	BrokeOffOnGoneServer  Kind = 2303
@@ -134,6 +135,7 @@
 	{EntryPicked, "entries named to a caller"},
 	{LedgerAnswered, "ledger answered"},
 	{LedgerFailed, "ledger failed"},
+	{ClientsTurnedAway, "clients turned away for lack of room"},
 	{SuspectHeld, "suspect request held back from shared servers"},
 	{Quarantined, "request quarantined"},
 	{RecordsNotCommitted, "quarantine records not committed"},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"savoryreel.example/savoryreel/daemon"
 	"savoryreel.example/savoryreel/directory"
 	"savoryreel.example/savoryreel/event"
+	"savoryreel.example/savoryreel/intake"
 	"savoryreel.example/savoryreel/link"
 	"savoryreel.example/savoryreel/policy/patience"
 	"savoryreel.example/savoryreel/reach"
@@ -40,6 +41,8 @@
 	Seeds   func() []string
 	Decode  func(document []byte) (*routes.Catalogue, error)
 	Dialect Dialect
+	// Clients bounds what the process holds for its clients; nil: by what the machine has.
+	Clients *intake.Intake
 }
 
 // Gateway is one entry. Its methods are safe for concurrent use.
@@ -106,6 +109,9 @@
 	if err := cfg.Node.Validate(); err != nil {
 		return nil, trace.Wrap(err, "step=check settings")
 	}
+	if deps.Clients == nil {
+		deps.Clients = intake.OfMachine(deps.Now)
+	}
 	b := cfg.Node.Bounds
 	incarnation := uint64(time.Now().UnixMilli())
 	g := &Gateway{
@@ -114,6 +120,7 @@
 		clock:     wallclock.System(), shares: newShares(incarnation, deps.Now()), services: make(map[string]*service), entryCount: 1,
 		liveCounts: make(map[string]liveCount), callerWaits: patience.NewEstimator(), serverZones: make(map[string]string),
 	}
+	deps.Clients.Register(g.metrics)
 	g.peers = &peers{directory: g.directory}
 	g.limitUsage = newLimitUsage(g.log, g.metrics, g.now)
 	g.repeatUse = newRepeatUse(g.log, g.metrics)
@@ -241,7 +248,7 @@
 	if err != nil {
 		return err
 	}
-	daemon.Serve(&group, ops, daemon.Operations(g.metrics, g.Ready), daemon.LocalGrace, g.log)
+	daemon.ServeOperations(&group, ops, daemon.Operations(g.metrics, g.Ready), g.deps.Clients, g.log)
 	daemon.Actor(&group, func(ctx context.Context) error { return accepting.Serve(ctx, links) })
 	daemon.Actor(&group, g.reach.Run)
 	daemon.Actor(&group, g.follower.Run)
--- a/gateway/leave_test.go
+++ b/gateway/leave_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/intake"
 	"savoryreel.example/savoryreel/routes"
 )
 
@@ -48,7 +49,7 @@
 	var group run.Group
 	callers := r.ServeCallers(&group, l, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.handle(w, req, p)
-	}))
+	}), intake.OfMachine(time.Now).Gate("callers", 1))
 	leave := make(chan struct{})
 	daemon.Actor(&group, func(ctx context.Context) error {
 		select {
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -9,6 +9,7 @@
 	"github.com/oklog/run"
 
 	"savoryreel.example/savoryreel/daemon"
+	"savoryreel.example/savoryreel/intake"
 )
 
 // Bounds on requests of callers if the catalogue has none.
@@ -21,12 +22,12 @@
 // catalogueCheckInterval is how often ServeCallers checks for the first catalogue.
 const catalogueCheckInterval = 20 * time.Millisecond
 
-// ServeCallers adds the HTTP server for callers to the group and returns it.
+// ServeCallers adds the HTTP server for callers to the group and returns it. gate bounds what it holds for them.
 //
 // Connections wait in the listener's queue until the first catalogue has arrived, since it
 // contains the bounds on requests.
-func (g *Gateway) ServeCallers(group *run.Group, l net.Listener, h http.Handler) *daemon.HTTPServer {
-	srv := daemon.NewHTTPServer(h, g.log)
+func (g *Gateway) ServeCallers(group *run.Group, l net.Listener, h http.Handler, gate *intake.Gate) *daemon.HTTPServer {
+	srv := daemon.NewHTTPServer(h, gate, g.log)
 	ctx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error {
 		if g.awaitCatalogue(ctx) != nil {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/backend"
+	"savoryreel.example/savoryreel/intake"
 	"savoryreel.example/savoryreel/reach"
 	"savoryreel.example/savoryreel/routes"
 )
@@ -206,6 +207,20 @@
 // with an error.
 const maxBufferedAnswerBytes = 512 << 10
 
+// bufferedAnswerBytes returns how much of an answer of a length, -1 if unknown, is read before its header goes to the
+// caller: less than maxBufferedAnswerBytes while clients take all the room that this process has for them.
+func bufferedAnswerBytes(ctx context.Context, length int64) int64 {
+	const copies = 2 // a buffer that grows is copied
+	expected := int64(maxBufferedAnswerBytes)
+	if length >= 0 {
+		expected = min(expected, length)
+	}
+	if expected <= intake.SmallBody || intake.TryClaim(ctx, copies*expected) {
+		return maxBufferedAnswerBytes
+	}
+	return intake.SmallBody
+}
+
 // relayWhole relays an answer that is not a stream of events. how is its effect on the
 // server's health: a failing server is always idle and fast, so if its errors counted as
 // successes it would draw most requests.
@@ -216,12 +231,13 @@
 		j.service.recordFirstByte(c, g.now())
 	}
 	j.countUsage()
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswerBytes))
+	buffered := bufferedAnswerBytes(ctx, answer.Length)
+	body, err := io.ReadAll(io.LimitReader(answer, buffered))
 	if err != nil {
 		return j.bodyFailed(ctx, c, err)
 	}
 	header := g.deps.Dialect.AnswerHeader(answer.Header)
-	if len(body) < maxBufferedAnswerBytes {
+	if int64(len(body)) < buffered {
 		length := int64(len(body))
 		if j.Method == http.MethodHead {
 			length = answer.Length // of the body that GET would return
--- a/request/problem.go
+++ b/request/problem.go
@@ -45,6 +45,7 @@
 	CodeAnnounceRefused   Code = "announcement_refused"
 	CodeLeaveNotHeld      Code = "leave_not_held"
 	CodeConcurrentRequest Code = "request_running"
+	CodeNoRoom            Code = "no_room"
 )
 
 // Headers that the system reads and writes.
@@ -105,6 +106,7 @@
 	CodeAnnounceRefused:   {http.StatusForbidden, "The announcement is refused"},
 	CodeLeaveNotHeld:      {http.StatusServiceUnavailable, "Too few other instances know yet that the server leaves"},
 	CodeConcurrentRequest: {http.StatusConflict, "The same request is still running"},
+	CodeNoRoom:            {http.StatusServiceUnavailable, "This process has no room for the request"},
 }
 
 // NewProblem returns a problem with code c and outcome o. The format and its
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,12 @@
 // EnvPrefix is the prefix of every environment variable's name.
 const EnvPrefix = "SAVORYREEL"
 
+// Usage texts of settings that several processes have.
+const (
+	MemoryUsage      = "memory that this process may use, in megabytes; 0: what the machine has"
+	DescriptorsUsage = "descriptors that this process may open; 0: the limit of the system"
+)
+
 // Fault describes one invalid setting.
 type Fault struct {
 	Flag, Variable, Reason string
