backend, native, tunnel: an answer without a length is whole only if its request was written

Cause: the kernel tells of a reset once. If the write of the upload, which still goes on, gets it, the read of the answer ends as at an orderly end, and an answer without a length ends there.

An entry that carries the connection for another passed the reset on as an end.

Change: at the end of such an answer the request must have been written without an error, else it is truncated. A tunnel passes on a reset if a write to the server has not succeeded.

Tests: TestResetUnderUploadIsNoEnd (backend, native), TestTunnelTellsOfReset- UnderUpload and TestPlatformResetUnderUpload failed before; TestAnswerThatEndsWithItsConnection guards against refusing what is whole, and TestResetUnderUpload plays it natively with the whole programs (green before).

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"savoryreel.example/savoryreel/response"
 )
 
 // Call is a request to a server.
@@ -58,6 +60,9 @@
 	complete    bool
 	keepAlive   bool
 	closeOnce   sync.Once
+
+	writeOnce sync.Once
+	written   bool // the whole request; valid after writeOnce
 }
 
 // maxStrayAnswers bounds how many interim (1xx) answers and answers of other calls
@@ -89,7 +94,7 @@
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: c.used,
-		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		EndsWithConnection: response.EndsWithConnection(resp),
 		body:               resp.Body, conn: c, pool: p, addr: addr, writeResult: writeResult, stopWatch: stopWatch, keepAlive: !resp.Close,
 	}, nil
 }
@@ -171,14 +176,21 @@
 	switch {
 	case err == nil:
 		return n, nil
-	case errors.Is(err, io.EOF):
+	case !errors.Is(err, io.EOF):
+		return n, a.bodyError(err)
+	case a.EndsWithConnection && !a.requestWritten():
+		// The kernel tells of a reset once: if the write has got it, the read ends as at an orderly end.
+		return n, a.bodyError(response.ErrNoEnd)
+	default:
 		a.complete = true
 		return n, io.EOF
-	default:
-		return n, &Error{Step: StepBody, Peer: a.addr, Sent: true, Direct: a.conn.direct(), Cause: err}
 	}
 }
 
+func (a *Answer) bodyError(cause error) error {
+	return &Error{Step: StepBody, Peer: a.addr, Sent: true, Direct: a.conn.direct(), Cause: cause}
+}
+
 // Discard reads the rest of a short body, so that its connection can be used again. The connection of a
 // longer one is closed by Close.
 func (a *Answer) Discard() {
@@ -194,6 +206,11 @@
 // Close would close a reusable connection whose writing goroutine had not been
 // scheduled yet.
 func (a *Answer) requestWritten() bool {
+	a.writeOnce.Do(func() { a.written = a.awaitWritten() })
+	return a.written
+}
+
+func (a *Answer) awaitWritten() bool {
 	select {
 	case err := <-a.writeResult:
 		return err == nil
--- a/native/transport.go
+++ b/native/transport.go
@@ -10,6 +10,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"savoryreel.example/savoryreel/response"
 )
 
 // Headers of the protocols in this package.
@@ -98,6 +100,8 @@
 	maySend    func() bool // nil: always
 	repeatable bool        // the request may be sent again although it may have run
 
+	written chan bool // receives once whether the whole request was written
+
 	mu            sync.Mutex
 	withdrawn     bool
 	conn          *countingConn
@@ -106,7 +110,15 @@
 
 // attach returns a context that makes a request's connection known to the tracker.
 func (t *sendTracker) attach(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
+	t.written = make(chan bool, 1)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn, WroteRequest: t.wroteRequest})
+}
+
+func (t *sendTracker) wroteRequest(info httptrace.WroteRequestInfo) {
+	select {
+	case t.written <- info.Err == nil:
+	default:
+	}
 }
 
 func (t *sendTracker) gotConn(info httptrace.GotConnInfo) {
@@ -213,6 +225,9 @@
 	peer := req.URL.Host
 	resp, err := rt.RoundTrip(req.WithContext(tracker.attach(req.Context())))
 	if err == nil {
+		if response.EndsWithConnection(resp) {
+			resp.Body = &untilClosedBody{ReadCloser: resp.Body, written: tracker.written}
+		}
 		return resp, nil
 	}
 	if !tracker.sent() {
@@ -224,6 +239,43 @@
 	return nil, &CallError{Step: StepForward, Peer: peer, Delivery: MaybeRan, Err: err}
 }
 
+// writeGrace is how long the end of a connection waits for the news that the request was written.
+const writeGrace = 20 * time.Millisecond
+
+// untilClosedBody is the body of an answer that ends with its connection. It is whole only if the request was written:
+// the kernel tells of a reset once, and if the write has got it, the read ends as at an orderly end.
+type untilClosedBody struct {
+	io.ReadCloser
+	written <-chan bool
+	end     error // of all further reads; nil before the first end
+}
+
+// Read returns response.ErrNoEnd in place of io.EOF if the request was not written.
+func (b *untilClosedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.end = b.atEnd()
+		err = b.end
+	}
+	return n, err
+}
+
+func (b *untilClosedBody) atEnd() error {
+	t := time.NewTimer(writeGrace)
+	defer t.Stop()
+	select {
+	case written := <-b.written:
+		if written {
+			return io.EOF
+		}
+	case <-t.C:
+	}
+	return response.ErrNoEnd
+}
+
 // statusError returns the error for an answer with an error status, and closes its body.
 func statusError(peer string, resp *http.Response) *CallError {
 	defer resp.Body.Close()
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -155,6 +156,10 @@
 type carried struct {
 	stream *link.Stream
 
+	// unsent: a write to the server has begun and not succeeded. The kernel tells of a reset once; if the write gets
+	// it, the read ends as at an orderly end.
+	unsent atomic.Bool
+
 	mu  sync.Mutex // guards writes and buf
 	buf []byte
 }
@@ -196,9 +201,11 @@
 		if _, err := io.ReadFull(c.stream, buf[:n]); err != nil {
 			return err
 		}
+		c.unsent.Store(true)
 		if _, err := server.Write(buf[:n]); err != nil {
 			return err
 		}
+		c.unsent.Store(false)
 	}
 }
 
@@ -211,7 +218,7 @@
 			return // the peer has gone
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && !c.unsent.Load():
 			_ = c.send(kindEnd, 0) // the peer has gone if it fails
 			return
 		case err != nil:
