response: a status that is none of HTTP is no answer

An order to a server that was answered so counted as followed.

Cause: net/http reads any three digits as a status. Writing 000 to the caller panics; fleet/exchange.go takes everything below 300 for a yes.

Change: response.Check refuses a status below 100 or above 599 and versions other than HTTP/1, for all who read what a server sent: backend, native, fleet. Such an answer counts as one that failed and may have run: 502, or another server where the request may be repeated.

Tests: TestStatusThatIsNoHTTP (backend, native), TestOrderWithAnswerThatIsNoHTTP, TestPlatformStatus000 and TestStatus000 failed before.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -148,6 +148,9 @@
 	defer c.bound.unbind()
 	for range maxStrayAnswers {
 		resp, err := http.ReadResponse(c.reader, req)
+		if err == nil {
+			err = response.Check(resp)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/backend/strict_test.go
+++ b/backend/strict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -58,3 +59,23 @@
 		require.Equal(t, "whole", string(body))
 	}
 }
+
+// requireRefused checks that an answer with this head is none.
+func requireRefused(t *testing.T, head string) {
+	t.Helper()
+	addr := testutil.StartRawServer(t, func(r *http.Request) (string, bool) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		return head + "\r\n\r\nbody and more", false
+	})
+	body, err := callRaw(t, addr, 10)
+	require.Error(t, err, "%q: %q", head, body)
+	var e *Error
+	require.True(t, errors.As(err, &e) && e.Sent, "it may have run")
+}
+
+// Guards against an answer whose status is none of HTTP, such as 000, which no caller understands.
+func TestStatusThatIsNoHTTP(t *testing.T) {
+	for _, status := range []string{"000 Trouble", "020 x", "099 x", "600 x", "999 x"} {
+		requireRefused(t, "HTTP/1.1 "+status+"\r\nContent-Length: 4")
+	}
+}
--- a/e2e/rawanswer_test.go
+++ b/e2e/rawanswer_test.go
@@ -48,6 +48,9 @@
 // upload.
 func TestPlatformResetUnderUpload(t *testing.T) { checkPlatformRaw(t, standin.RawReset, noAnswer...) }
 
+// Guards against a status that no caller understands, and against a connection that is closed in place of an answer.
+func TestPlatformStatus000(t *testing.T) { checkPlatformRaw(t, standin.RawStatus000, noAnswer...) }
+
 // checkNativeRaw checks that the callers of a native entry get no answer that begins with head as an answer, neither
 // of calls that may be repeated nor of those that may run once.
 func checkNativeRaw(t *testing.T, head string, reset bool) {
@@ -118,3 +121,8 @@
 // Guards against a part of an answer that a caller takes for the whole: its server resets the connection under the
 // upload.
 func TestResetUnderUpload(t *testing.T) { checkNativeRaw(t, "HTTP/1.1 200 OK", true) }
+
+// Guards against a status that no caller understands.
+func TestStatus000(t *testing.T) {
+	checkNativeRaw(t, "HTTP/1.1 000 Trouble\r\nContent-Length: 4", false)
+}
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"savoryreel.example/savoryreel/native"
+	"savoryreel.example/savoryreel/response"
 )
 
 // maxAnswerBytes bounds the size of the answer to an order.
@@ -69,6 +70,9 @@
 		return &native.CallError{Step: native.StepForward, Peer: address, Delivery: delivery, Err: err}
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxAnswerBytes)), nil)
+	if err == nil {
+		err = response.Check(resp)
+	}
 	if err != nil {
 		return &native.CallError{Step: native.StepForward, Peer: address, Delivery: native.MaybeRan, Err: err}
 	}
--- a/native/strict_test.go
+++ b/native/strict_test.go
@@ -112,3 +112,26 @@
 		})
 	}
 }
+
+// requireHeadRefused checks that an answer with this head is none, to a plain call and to a chat.
+func requireHeadRefused(t *testing.T, head string) {
+	t.Helper()
+	addr := testutil.StartRawServer(t, func(r *http.Request) (string, bool) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		return head + "\r\n\r\ndata: [DONE]\n\n", false
+	})
+	callRawPlain(t, addr, 10, func(body []byte, err error) { require.Error(t, err, "%q: %q", head, body) })
+	engines := native.NewEngine(native.EngineConfig{})
+	defer engines.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	_, err := engines.Chat(ctx, addr, "1", native.ChatRequest{Model: "m"})
+	require.Error(t, err, "%q", head)
+}
+
+// Guards against an answer whose status is none of HTTP, such as 000, which no caller understands.
+func TestStatusThatIsNoHTTP(t *testing.T) {
+	for _, status := range []string{"000 Trouble", "020 x", "099 x", "600 x", "999 x"} {
+		requireHeadRefused(t, "HTTP/1.1 "+status+"\r\nContent-Length: 4")
+	}
+}
--- a/native/transport.go
+++ b/native/transport.go
@@ -225,6 +225,10 @@
 	peer := req.URL.Host
 	resp, err := rt.RoundTrip(req.WithContext(tracker.attach(req.Context())))
 	if err == nil {
+		if err := response.Check(resp); err != nil {
+			_ = resp.Body.Close() // it is not used
+			return nil, &CallError{Step: StepForward, Peer: peer, Delivery: MaybeRan, Err: err}
+		}
 		if response.EndsWithConnection(resp) {
 			resp.Body = &untilClosedBody{ReadCloser: resp.Body, written: tracker.written}
 		}
--- a/response/response.go
+++ b/response/response.go
@@ -3,6 +3,7 @@
 package response
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,11 +11,31 @@
 
 // Errors of responses that are not to be passed on.
 var (
+	// ErrNotHTTP reports a head that is not HTTP/1.1 (RFC 9112, RFC 9110).
+	ErrNotHTTP = errors.New("the response's head is not valid HTTP")
 	// ErrNoEnd reports a body without a length whose connection ended before the request was written: whether it
 	// is whole cannot be known.
 	ErrNoEnd = fmt.Errorf("the response's connection ended before the request was written: %w", io.ErrUnexpectedEOF)
 )
 
+// Statuses of a response.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Check returns an error that wraps ErrNotHTTP if the response's status is none of HTTP. net/http accepts any three
+// digits.
+func Check(r *http.Response) error {
+	if r.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %q", ErrNotHTTP, r.Proto)
+	}
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		return fmt.Errorf("%w: status %q", ErrNotHTTP, r.Status)
+	}
+	return nil
+}
+
 // EndsWithConnection reports that the body has neither a length nor chunks: it ends where the server ends the
 // connection, for whatever reason.
 func EndsWithConnection(r *http.Response) bool {
