response: a field whose name is none of HTTP is no answer

Cause: net/http keeps names with blanks as fields that it does not know. It refuses control bytes and empty names itself.

--- a/e2e/rawanswer_test.go
+++ b/e2e/rawanswer_test.go
@@ -51,6 +51,16 @@
 // Guards against a status that no caller understands, and against a connection that is closed in place of an answer.
 func TestPlatformStatus000(t *testing.T) { checkPlatformRaw(t, standin.RawStatus000, noAnswer...) }
 
+// Guards against a field name with a blank, by which the body is another than the server's.
+func TestPlatformFieldNameWithBlank(t *testing.T) {
+	checkPlatformRaw(t, standin.RawBlankName, noAnswer...)
+}
+
+// Guards against the same where the blank ends the name.
+func TestPlatformFieldNameThatEndsInBlank(t *testing.T) {
+	checkPlatformRaw(t, standin.RawBlankEnd, noAnswer...)
+}
+
 // checkNativeRaw checks that the callers of a native entry get no answer that begins with head as an answer, neither
 // of calls that may be repeated nor of those that may run once.
 func checkNativeRaw(t *testing.T, head string, reset bool) {
@@ -126,3 +136,13 @@
 func TestStatus000(t *testing.T) {
 	checkNativeRaw(t, "HTTP/1.1 000 Trouble\r\nContent-Length: 4", false)
 }
+
+// Guards against a field name with a blank, by which the body is another than the server's.
+func TestFieldNameWithBlank(t *testing.T) {
+	checkNativeRaw(t, "HTTP/1.1 200 OK\r\nContent Length: 4", false)
+}
+
+// Guards against the same where the blank ends the name.
+func TestFieldNameThatEndsInBlank(t *testing.T) {
+	checkNativeRaw(t, "HTTP/1.1 200 OK\r\nContent-Length : 4", false)
+}
--- a/fleet/exchange_test.go
+++ b/fleet/exchange_test.go
@@ -15,6 +15,7 @@
 func TestOrderWithAnswerThatIsNoHTTP(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 000 Trouble\r\nContent-Length: 0", "HTTP/1.1 099 x\r\nContent-Length: 0",
+		"HTTP/1.1 200 OK\r\nContent Length: 0", "HTTP/1.1 200 OK\r\nContent-Length : 0",
 	} {
 		addr := testutil.StartRawServer(t, func(r *http.Request) (string, bool) {
 			_, _ = io.Copy(io.Discard, r.Body)
--- a/native/strict_test.go
+++ b/native/strict_test.go
@@ -135,3 +135,11 @@
 		requireHeadRefused(t, "HTTP/1.1 "+status+"\r\nContent-Length: 4")
 	}
 }
+
+// Guards against an answer with a blank or a control byte in the name of a field: the line would be passed on, or the
+// body be another than the server's.
+func TestFieldNamesThatAreNoHTTP(t *testing.T) {
+	for _, field := range []string{"Content Length: 4", "Content-Length : 4", "X-\x01: 1", "X\x7f: 1", "X(1): 1"} {
+		requireHeadRefused(t, "HTTP/1.1 200 OK\r\n"+field)
+	}
+}
--- a/response/response.go
+++ b/response/response.go
@@ -24,8 +24,9 @@
 	maxStatus = 599
 )
 
-// Check returns an error that wraps ErrNotHTTP if the response's status is none of HTTP. net/http accepts any three
-// digits.
+// Check returns an error that wraps ErrNotHTTP if the response's status or the name of a field is none of HTTP. net/http
+// accepts any three digits as a status, and blanks in names: "Content-Length : 4" is then an unknown field, and the body
+// has another length than the server meant.
 func Check(r *http.Response) error {
 	if r.ProtoMajor != 1 {
 		return fmt.Errorf("%w: version %q", ErrNotHTTP, r.Proto)
@@ -33,6 +34,11 @@
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %q", ErrNotHTTP, r.Status)
 	}
+	for name := range r.Header {
+		if !isToken(name) {
+			return fmt.Errorf("%w: field %q", ErrNotHTTP, name)
+		}
+	}
 	return nil
 }
 
@@ -41,3 +47,25 @@
 func EndsWithConnection(r *http.Response) bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
+
+// isToken reports whether s is a token of RFC 9110, section 5.6.2.
+func isToken(s string) bool {
+	for i := range len(s) {
+		if !isTokenByte(s[i]) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isTokenByte(c byte) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		return true
+	}
+	switch c {
+	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
+		return true
+	}
+	return false
+}
