daemon: a stop does not wait for clients that were refused

What operators would see: a process that is stopped while many clients are still sending what was refused closes one connection after the other, each after 250 ms, and is killed at the end of its grace.

Cause: Close of a connection reads what a refused client still sends, and http.Server.Close closes all connections in turn. Found by reading.

Change: once the server closes, connections end at once.

--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -15,9 +15,10 @@
 type connSet struct {
 	onCut func() // called after a connection was cut off to make room
 
-	mu     sync.Mutex
-	conns  map[*serverConn]struct{}
-	ending bool // see end
+	mu      sync.Mutex
+	conns   map[*serverConn]struct{}
+	ending  bool // see end
+	closing bool // all connections are closed at once
 }
 
 func newConnSet() *connSet { return &connSet{conns: make(map[*serverConn]struct{})} }
@@ -47,6 +48,20 @@
 	}
 }
 
+// closeAtOnce makes connections close without waiting for what their clients still send: they are closed one after the
+// other.
+func (s *connSet) closeAtOnce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+}
+
+func (s *connSet) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
 func (s *connSet) isEnding() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/cutoff.go
+++ b/daemon/cutoff.go
@@ -50,11 +50,13 @@
 	c.cut = c.cut || c.lingers
 }
 
+// endsWithUnread reports, the first time, whether the connection ends under a request that was not read to its end.
 func (c *serverConn) endsWithUnread() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	defer func() { c.lingers = false }()
-	return c.lingers
+	lingers := c.lingers
+	c.lingers = false
+	return lingers && !c.set.isClosing()
 }
 
 // discardUnread ends the sending side and reads what the client still sends.
--- a/daemon/httpserver.go
+++ b/daemon/httpserver.go
@@ -199,6 +199,7 @@
 
 // Close closes the listener and all connections.
 func (s *HTTPServer) Close() {
+	s.conns.closeAtOnce()
 	_ = s.http.Close() // the connections are closed in any case
 	s.closeOnce.Do(func() { close(s.closed) })
 }
