--- a/daemon/cutoff_test.go
+++ b/daemon/cutoff_test.go
@@ -84,15 +84,17 @@
 
 // Guards against a request that waits without an end for its place, or is refused without being told when to return.
 func TestRequestWithoutAPlaceIsRefused(t *testing.T) {
-	release := make(chan struct{})
+	begun, release := make(chan struct{}, 1), make(chan struct{})
 	_, addr := startBounded(t, intake.Limits{Connections: 8, Requests: 1, BodyBytes: 1 << 20}, func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
+		begun <- struct{}{}
 		<-release
 	})
 	defer close(release)
 	_, err := io.WriteString(dialTest(t, addr), smallRequest)
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return statusOf(t, addr, smallRequest) == http.StatusServiceUnavailable }, 20*time.Second, time.Millisecond)
+	<-begun
+	require.Equal(t, http.StatusServiceUnavailable, statusOf(t, addr, smallRequest))
 	c := dialTest(t, addr)
 	_, err = io.WriteString(c, smallRequest)
 	require.NoError(t, err)
