daemon, intake: what refused clients go on sending is not decoded, and bodies take turns

What callers could see: while a crowd sends bodies in chunks of a byte, the control replica that it comes to loses sight of the leader and of the others, again and again.

Cause: after a refusal net/http reads up to 256 KiB of the body before it closes the connection, decoded: 1.5 MB of tiny chunks for each refused request. And a body whose bytes are there already keeps its thread for a turn of 10 ms, one after the other.

Change: where the connection ends anyway, net/http reads no more; Close passes over at most 256 KiB undecoded. A body gives way after each read.

--- a/daemon/closing.go
+++ b/daemon/closing.go
@@ -35,7 +35,7 @@
 // lingerAfter bounds how long the rest of a body is awaited that the handler has not read.
 func lingerAfter(r *http.Request, body *intake.Body) {
 	if c, ok := r.Context().Value(connKey{}).(*serverConn); ok && !body.Ended() {
-		c.linger()
+		c.linger(leavesUnread(body))
 	}
 }
 
@@ -71,16 +71,16 @@
 }
 
 // leavesUnread reports whether more of the body is left than net/http should read to keep the connection.
-func (w *closingWriter) leavesUnread() bool {
-	if w.body == nil || w.body.Ended() {
+func leavesUnread(body *intake.Body) bool {
+	if body == nil || body.Ended() {
 		return false
 	}
-	remaining := w.body.Remaining()
+	remaining := body.Remaining()
 	return remaining < 0 || remaining > intake.SmallBody
 }
 
 func (w *closingWriter) beforeHeader() {
-	if !w.begun && (w.closing.Load() || w.leavesUnread()) {
+	if !w.begun && (w.closing.Load() || leavesUnread(w.body)) {
 		w.Header().Set("Connection", "close")
 	}
 	w.begun = true
--- a/daemon/cutoff.go
+++ b/daemon/cutoff.go
@@ -31,14 +31,20 @@
 	return c.cut
 }
 
-// linger says that the client has been answered before its request was read to its end. net/http reads on for a
-// bounded time, and so does Close.
-func (c *serverConn) linger() {
+// linger says that the client has been answered before its request was read to its end. What it still sends is read
+// for a bounded time: by net/http, or by Close if the connection ends. net/http decodes what it reads, which takes as
+// long as a whole body if its chunks are small.
+func (c *serverConn) linger(ends bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lingers = true
-	if !c.cut {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(unreadTime)) // fails only on a closed connection
+	switch {
+	case c.cut:
+	case ends:
+		c.cut = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	default:
+		_ = c.Conn.SetReadDeadline(time.Now().Add(unreadTime)) // the same
 	}
 }
 
--- a/daemon/cutoff_test.go
+++ b/daemon/cutoff_test.go
@@ -120,6 +120,25 @@
 	}
 }
 
+// Guards against a process that decodes what refused clients go on sending: in tiny chunks that takes a processor as
+// long as their bodies would.
+func TestLittleIsReadOfARefusedBody(t *testing.T) {
+	const sockets = 8 * intake.SocketBuffer // of both ends, as the kernel counts them
+	_, addr := startBounded(t, intake.LimitsOf(0, 0), readBodyHandler(1<<10))
+	c := dialTest(t, addr)
+	require.NoError(t, c.(*net.TCPConn).SetWriteBuffer(intake.SocketBuffer))
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+	require.NoError(t, err)
+	sent, chunks := 0, strings.Repeat("1\r\nx\r\n", 100)
+	for err == nil && sent < 4<<20 {
+		var n int
+		n, err = io.WriteString(c, chunks)
+		sent += n
+	}
+	require.Error(t, err, "the connection ends")
+	require.LessOrEqual(t, sent, unreadBytes+sockets)
+}
+
 // Guards against a stop that waits for each of many clients that were refused and still send.
 func TestCloseDoesNotWaitForRefusedClients(t *testing.T) {
 	s, addr := startBounded(t, intake.LimitsOf(0, 0), readBodyHandler(1<<10))
--- a/intake/body.go
+++ b/intake/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 )
 
 // Body is a request's body that claims room for what has arrived of it. Reads return a *RefusedError or a
@@ -55,6 +56,8 @@
 	b.client.pace.begin(start)
 	n, err := b.source.Read(p)
 	b.client.pace.moved(start, b.client.gate.intake.now(), n)
+	// Many bodies whose bytes are there already would else take turns of 10 ms each, and keep heartbeats waiting.
+	runtime.Gosched()
 	if err != nil && !errors.Is(err, io.EOF) && b.client.IsCut() {
 		err = &RefusedError{Cause: errCut}
 		b.err = err
