--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -182,7 +182,7 @@
 	case !errors.Is(err, io.EOF):
 		return n, a.bodyError(err)
 	case a.EndsWithConnection && !a.requestWritten():
-		// The kernel tells of a reset once: if the write has got it, the read ends as at an orderly end.
+		// The kernel reports a reset to one call only: after a write that has failed by it, a read returns io.EOF.
 		return n, a.bodyError(response.ErrNoEnd)
 	default:
 		a.complete = true
--- a/daemon/cutoff_test.go
+++ b/daemon/cutoff_test.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// Guards against a request that waits without an end for its place, or is refused without being told when to return.
+// Guards against a request that waits forever for its place, or is refused without a Retry-After.
 func TestRequestWithoutAPlaceIsRefused(t *testing.T) {
 	begun, release := make(chan struct{}, 1), make(chan struct{})
 	_, addr := startBounded(t, intake.Limits{Connections: 8, Requests: 1, BodyBytes: 1 << 20}, func(_ http.ResponseWriter, r *http.Request) {
--- a/intake/client.go
+++ b/intake/client.go
@@ -23,7 +23,7 @@
 // longHeaderFraction of the connections may have larger headers that have not ended.
 const longHeaderFraction = 0.25
 
-// Client is a client's connection. Its owner tells it what the connection does.
+// Client is the connection of a client. The HTTP server reports its state changes by the methods.
 type Client struct {
 	gate *Gate
 	cut  func()
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// fallbackMemory is assumed for a machine that does not tell its memory.
+// fallbackMemory is assumed, in bytes, if /proc/meminfo cannot be read.
 const fallbackMemory = 256 << 20
 
 // machineMemory returns the memory of the machine in bytes.
--- a/native/strict_test.go
+++ b/native/strict_test.go
@@ -18,8 +18,8 @@
 	"savoryreel.example/savoryreel/native"
 )
 
-// quietConn is a connection on which the kernel tells of a reset to a write always, if one is being written, so that
-// the reads end as at an orderly end.
+// quietConn is a connection on which a write in progress always gets the error of a reset, so that the read returns
+// io.EOF.
 type quietConn struct {
 	net.Conn
 	failed chan struct{} // closed when a write has failed
--- a/native/transport.go
+++ b/native/transport.go
@@ -243,11 +243,11 @@
 	return nil, &CallError{Step: StepForward, Peer: peer, Delivery: MaybeRan, Err: err}
 }
 
-// writeGrace is how long the end of a connection waits for the news that the request was written.
+// writeGrace is how long the end of a body waits for the result of writing the request.
 const writeGrace = 20 * time.Millisecond
 
 // untilClosedBody is the body of an answer that ends with its connection. It is whole only if the request was written:
-// the kernel tells of a reset once, and if the write has got it, the read ends as at an orderly end.
+// the kernel reports a reset to one call only, and after a write that has failed by it, a read returns io.EOF.
 type untilClosedBody struct {
 	io.ReadCloser
 	written <-chan bool
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -156,8 +156,8 @@
 type carried struct {
 	stream *link.Stream
 
-	// unsent: a write to the server has begun and not succeeded. The kernel tells of a reset once; if the write gets
-	// it, the read ends as at an orderly end.
+	// unsent: a write to the server has begun and not succeeded. The kernel reports a reset to one call
+	// only: after a write that has failed by it, a read returns io.EOF.
 	unsent atomic.Bool
 
 	mu  sync.Mutex // guards writes and buf
